Lay down the package's skeleton and shared types

Cause: five parts are to be built side by side and must meet at fixed seams. Ruled out: letting each part define its own errors, clock or messages. Conclusion: the parts can start.

--- /dev/null
+++ b/goldcrestmoor/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""The protocols of outside systems, one narrow module each."""
--- /dev/null
+++ b/goldcrestmoor/client/__init__.py
@@ -0,0 +1,1 @@
+"""Libraries for callers: trainers and applications."""
--- /dev/null
+++ b/goldcrestmoor/commands/__init__.py
@@ -0,0 +1,14 @@
+"""The subcommands of the command line, one file each.
+
+``COMMAND_BY_NAME`` is the one place where they are registered.
+"""
+
+from goldcrestmoor.commands.check import check
+from goldcrestmoor.commands.keygen import keygen
+from goldcrestmoor.commands.serve import serve
+
+COMMAND_BY_NAME = {
+    "check": check,
+    "keygen": keygen,
+    "serve": serve,
+}
--- /dev/null
+++ b/goldcrestmoor/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one connection or one peer."""
--- /dev/null
+++ b/goldcrestmoor/language/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' query and command language."""
--- /dev/null
+++ b/goldcrestmoor/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as the process."""
--- /dev/null
+++ b/goldcrestmoor/process/decisions.py
@@ -0,0 +1,68 @@
+"""Why requests went where they went, kept for a while."""
+
+import collections
+
+import msgspec
+
+MAX_REQUESTS = 2000
+MAX_DECISIONS_PER_REQUEST = 50
+MAX_RECENT = 200
+
+
+class Decision(msgspec.Struct, frozen=True):
+    """One decision.
+
+    :param at_ms: the wall clock's time, in milliseconds.
+    :param part: the part that decided, such as ``admission``.
+    :param request_id: the request, or an empty string for the host itself.
+    :param text: what was decided and why, as a short sentence.
+    """
+
+    at_ms: int
+    part: str
+    request_id: str
+    text: str
+
+
+class Decisions:
+    """The last decisions of this host, by request and in order.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    """
+
+    __slots__ = ("_clock", "_by_request_id", "_recent")
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._by_request_id = collections.OrderedDict()
+        self._recent = collections.deque(maxlen=MAX_RECENT)
+
+    def note(self, part, request_id, text):
+        """Keep one decision.
+
+        :param part: the part that decided.
+        :param request_id: the request, or an empty string for the host itself.
+        :param text: what was decided and why.
+        """
+        decision = Decision(self._clock.wall_ms(), part, request_id, text)
+        self._recent.append(decision)
+        if not request_id:
+            return
+        kept = self._by_request_id.get(request_id)
+        if kept is None:
+            kept = collections.deque(maxlen=MAX_DECISIONS_PER_REQUEST)
+            self._by_request_id[request_id] = kept
+            if len(self._by_request_id) > MAX_REQUESTS:
+                self._by_request_id.popitem(last=False)
+        kept.append(decision)
+
+    def for_request(self, request_id):
+        """Return a request's decisions, oldest first.
+
+        :param request_id: the request.
+        """
+        return list(self._by_request_id.get(request_id, ()))
+
+    def recent(self):
+        """Return the host's last decisions, oldest first."""
+        return list(self._recent)
--- /dev/null
+++ b/goldcrestmoor/process/metrics.py
@@ -0,0 +1,102 @@
+"""The daemon's metrics."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+LATENCY_BUCKETS_S = (
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1,
+    2.5,
+    5,
+    15,
+)
+
+
+class Metrics:
+    """Every metric of one daemon, in a registry of its own."""
+
+    __slots__ = (
+        "registry",
+        "requests",
+        "request_seconds",
+        "queue_age_ms",
+        "queue_length",
+        "in_flight",
+        "share_used_tokens",
+        "retries",
+        "staleness",
+        "samples",
+        "trainer_idle_ms",
+        "lease_age_ms",
+        "configuration_version",
+        "live_hosts",
+        "control_bytes",
+        "bad_input",
+        "orders",
+    )
+
+    def __init__(self):
+        self.registry = CollectorRegistry()
+        self.requests = self._counter(
+            "requests", "Requests by account and outcome.", "account", "outcome"
+        )
+        self.request_seconds = Histogram(
+            "goldcrestmoor_request_seconds",
+            "Time from a request's head to the end of its answer.",
+            ("route",),
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.queue_age_ms = self._gauge(
+            "queue_age_ms", "Age of the oldest queued request.", "upstream"
+        )
+        self.queue_length = self._gauge(
+            "queue_length", "Requests queued at the owner.", "upstream"
+        )
+        self.in_flight = self._gauge(
+            "in_flight", "Requests admitted by the owner.", "upstream"
+        )
+        self.share_used_tokens = self._counter(
+            "share_used_tokens", "Tokens admitted by account.", "account"
+        )
+        self.retries = self._counter("retries", "Retries by cause.", "cause")
+        self.staleness = Histogram(
+            "goldcrestmoor_sample_staleness_versions",
+            "Versions that a delivered sample lags behind its trainer.",
+            ("account",),
+            buckets=(0, 1, 2, 3, 5, 8, 13),
+            registry=self.registry,
+        )
+        self.samples = self._counter(
+            "samples", "Samples by account and outcome.", "account", "outcome"
+        )
+        self.trainer_idle_ms = self._counter(
+            "trainer_idle_ms", "Time that pulls waited for samples.", "account"
+        )
+        self.lease_age_ms = self._gauge(
+            "configuration_lease_age_ms", "Time since the last good read was sent."
+        )
+        self.configuration_version = self._gauge(
+            "configuration_version", "The configuration's version in force here."
+        )
+        self.live_hosts = self._gauge("live_hosts", "Hosts believed alive.", "zone")
+        self.control_bytes = self._counter(
+            "control_bytes", "Bytes to and from peers.", "message", "direction"
+        )
+        self.bad_input = self._counter(
+            "bad_input", "Input that was refused, by where.", "where"
+        )
+        self.orders = self._counter("orders", "Orders to upstreams.", "outcome")
+
+    def _counter(self, name, text, *labels):
+        return Counter(f"goldcrestmoor_{name}", text, labels, registry=self.registry)
+
+    def _gauge(self, name, text, *labels):
+        return Gauge(f"goldcrestmoor_{name}", text, labels, registry=self.registry)
--- /dev/null
+++ b/goldcrestmoor/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one request."""
--- /dev/null
+++ b/goldcrestmoor/settings.py
@@ -0,0 +1,220 @@
+"""A daemon's settings: one JSON document, decoded strictly."""
+
+import json
+from importlib import resources
+from typing import Annotated, Literal
+
+import pydantic
+from pydantic import ConfigDict, Field, TypeAdapter
+from pydantic.dataclasses import dataclass
+
+from goldcrestmoor.errors import UserError
+
+EXIT_BAD_SETTINGS = 2
+
+Port = Annotated[int, Field(ge=1, le=65535)]
+DurationMs = Annotated[int, Field(gt=0, le=86_400_000)]
+Count = Annotated[int, Field(gt=0)]
+Percent = Annotated[int, Field(ge=0, le=100)]
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+Hash = Annotated[str, Field(pattern=r"^([0-9a-f]{64})?$")]
+CurveKey = Annotated[str, Field(min_length=40, max_length=40)]
+
+_strict = dataclass(config=ConfigDict(extra="forbid", strict=True), slots=True)
+
+
+@_strict
+class HostSettings:
+    """This host: its name, place and addresses."""
+
+    id: Name
+    zone: Name
+    region: Name
+    address: str
+    http_port: Port
+    peer_port: Port
+    listen_backlog: Count
+
+
+@_strict
+class PeerSettings:
+    """A host that is asked for the others when this one starts."""
+
+    id: Name
+    zone: Name
+    address: str
+    peer_port: Port
+
+
+@_strict
+class PlatformSettings:
+    """The platform's service and how patiently it is asked."""
+
+    address: str
+    port: Port
+    timeout_ms: DurationMs
+    backoff_min_ms: DurationMs
+    backoff_max_ms: DurationMs
+
+
+@_strict
+class SecuritySettings:
+    """The fleet's CURVE key pair and the operators' token, hashed."""
+
+    fleet_public_key: CurveKey
+    fleet_secret_key: CurveKey
+    operator_token_hash: Hash
+
+
+@_strict
+class LimitSettings:
+    """Bounds on requests, queues, connections and retries."""
+
+    max_body_bytes: Count
+    max_header_bytes: Count
+    max_queue_per_upstream: Count
+    queue_timeout_ms: DurationMs
+    request_timeout_ms: DurationMs
+    progress_timeout_ms: DurationMs
+    connect_timeout_ms: DurationMs
+    idle_connection_ms: DurationMs
+    retry_budget_percent: Percent
+    application_floor_percent: Percent
+
+
+@_strict
+class ConfigurationSettings:
+    """How often the head row is read and how long one read may be acted on."""
+
+    poll_ms: DurationMs
+    lease_ms: DurationMs
+    lease_margin_ms: DurationMs
+    answer_timeout_ms: DurationMs
+
+
+@_strict
+class MembershipSettings:
+    """How hosts watch one another."""
+
+    probe_interval_ms: DurationMs
+    probe_timeout_ms: DurationMs
+    suspect_ms: DurationMs
+    host_list_poll_ms: DurationMs
+
+
+@_strict
+class IdempotencySettings:
+    """How long and how many idempotency keys are remembered."""
+
+    key_lifetime_ms: DurationMs
+    max_remembered: Count
+
+
+@_strict
+class StepSettings:
+    """How the samples of a step are made and handed out."""
+
+    hedge_percent: Percent
+    pull_wait_ms: DurationMs
+    max_pull_samples: Count
+
+
+@_strict
+class ShutdownSettings:
+    """How long a graceful shutdown waits."""
+
+    unready_ms: DurationMs
+    drain_ms: DurationMs
+
+
+@_strict
+class LogSettings:
+    """What is logged and in which form."""
+
+    level: Literal["debug", "info", "warning", "error"]
+    style: Literal["text", "json"]
+
+
+@_strict
+class TracingSettings:
+    """Where spans go."""
+
+    exporter: Literal["none", "console"]
+
+
+@_strict
+class Settings:
+    """Everything that a daemon is told before it starts."""
+
+    host: HostSettings
+    peers: list[PeerSettings]
+    platform: PlatformSettings
+    security: SecuritySettings
+    limits: LimitSettings
+    configuration: ConfigurationSettings
+    membership: MembershipSettings
+    idempotency: IdempotencySettings
+    steps: StepSettings
+    shutdown: ShutdownSettings
+    log: LogSettings
+    tracing: TracingSettings
+
+
+_adapter = TypeAdapter(Settings)
+
+
+def load(path):
+    """Read and check a settings file.
+
+    :param path: the file's path.
+    :return: the :class:`Settings`, with defaults filled in.
+    :raises UserError: naming every fault with its path in the document.
+    """
+    try:
+        with open(path, encoding="utf-8") as f:
+            document = json.load(f)
+    except OSError as e:
+        raise UserError(f"Cannot read {path}: {e.strerror}.", EXIT_BAD_SETTINGS) from e
+    except ValueError as e:
+        raise UserError(f"{path} is not JSON: {e}.", EXIT_BAD_SETTINGS) from e
+    return decode(document, path)
+
+
+def decode(document, name="settings"):
+    """Check a settings document.
+
+    :param document: the decoded JSON.
+    :param name: what to call the document in an error.
+    :return: the :class:`Settings`, with defaults filled in.
+    :raises UserError: naming every fault with its path in the document.
+    """
+    if not isinstance(document, dict):
+        raise UserError(f"{name}: the document is not an object.", EXIT_BAD_SETTINGS)
+    try:
+        return _adapter.validate_json(json.dumps(_merge(_defaults(), document)))
+    except pydantic.ValidationError as e:
+        raise UserError(_describe(e, name), EXIT_BAD_SETTINGS) from e
+
+
+def _defaults():
+    text = resources.files("goldcrestmoor").joinpath("defaults.json").read_text()
+    return json.loads(text)
+
+
+def _merge(base, override):
+    merged = dict(base)
+    for key, value in override.items():
+        if isinstance(value, dict) and isinstance(merged.get(key), dict):
+            merged[key] = _merge(merged[key], value)
+        else:
+            merged[key] = value
+    return merged
+
+
+def _describe(error, name):
+    faults = error.errors(include_url=False)
+    lines = [f"{name}: {len(faults)} fault(s)."]
+    for fault in faults:
+        path = ".".join(str(part) for part in fault["loc"])
+        lines.append(f"  {path}: {fault['msg']}")
+    return "\n".join(lines)
--- /dev/null
+++ b/goldcrestmoor/tracing.py
@@ -0,0 +1,46 @@
+"""Traces: one span for each hop, with the W3C context carried along."""
+
+import contextlib
+
+from opentelemetry import propagate, trace
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import TracerProvider
+from opentelemetry.sdk.trace.export import ConsoleSpanExporter, SimpleSpanProcessor
+
+_TRACEPARENT = "traceparent"
+_tracer = trace.get_tracer("goldcrestmoor")
+
+
+def set_up(host, exporter="none"):
+    """Choose where spans go.
+
+    :param host: the host's name, kept on every span.
+    :param exporter: ``none`` or ``console``.
+    """
+    provider = TracerProvider(resource=Resource.create({"host.name": host}))
+    if exporter == "console":
+        provider.add_span_processor(SimpleSpanProcessor(ConsoleSpanExporter()))
+    trace.set_tracer_provider(provider)
+
+
+@contextlib.contextmanager
+def span(name, parent=None, **attributes):
+    """Record one hop.
+
+    :param name: what the hop does.
+    :param parent: the caller's ``traceparent`` header or field, if any.
+    :param attributes: what is kept on the span.
+    :return: a context manager that gives the OpenTelemetry span.
+    """
+    context = propagate.extract({_TRACEPARENT: parent}) if parent else None
+    with _tracer.start_as_current_span(
+        name, context=context, attributes=attributes
+    ) as current:
+        yield current
+
+
+def traceparent():
+    """Return the current span's context as a ``traceparent``, or an empty string."""
+    carrier = {}
+    propagate.inject(carrier)
+    return carrier.get(_TRACEPARENT, "")
--- /dev/null
+++ b/goldcrestmoor/util.py
@@ -0,0 +1,108 @@
+"""Small helpers that several parts need."""
+
+import asyncio
+import hashlib
+import logging
+import random
+import secrets
+
+import xxhash
+
+log = logging.getLogger("goldcrestmoor.util")
+
+ID_BYTES = 12
+
+
+def new_id():
+    """Return a new random identifier."""
+    return secrets.token_hex(ID_BYTES)
+
+
+def hash_token(token):
+    """Return the stored form of an account's token.
+
+    :param token: the token as the caller sends it.
+    """
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def rendezvous(key, nodes):
+    """Return the node that a key belongs to, by highest random weight.
+
+    Only the keys of a node that goes away move.
+
+    :param key: the key's text.
+    :param nodes: the nodes' names.
+    :raises ValueError: when there are no nodes.
+    """
+    return max(nodes, key=lambda node: (xxhash.xxh64_intdigest(f"{node}/{key}"), node))
+
+
+def rendezvous_order(key, nodes):
+    """Return the nodes in the order in which a key prefers them.
+
+    :param key: the key's text.
+    :param nodes: the nodes' names.
+    """
+    return sorted(
+        nodes,
+        key=lambda node: (xxhash.xxh64_intdigest(f"{node}/{key}"), node),
+        reverse=True,
+    )
+
+
+class TaskGroup:
+    """Tasks that end with their owner, and whose failures are logged."""
+
+    __slots__ = ("_tasks",)
+
+    def __init__(self):
+        self._tasks = set()
+
+    def start(self, coroutine, name=None):
+        """Run a coroutine as a task and return the task.
+
+        :param coroutine: what to run.
+        :param name: the task's name, for the log.
+        """
+        task = asyncio.get_running_loop().create_task(coroutine, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish)
+        return task
+
+    def _finish(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("Task %s failed.", task.get_name(), exc_info=task.exception())
+
+    async def close(self):
+        """Cancel every task and wait until all have ended."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+class Backoff:
+    """Delays that double up to a bound, each with full jitter.
+
+    :param min_ms: the bound on the first delay, in milliseconds.
+    :param max_ms: the bound on every delay, in milliseconds.
+    """
+
+    __slots__ = ("_min_ms", "_max_ms", "_bound_ms")
+
+    def __init__(self, min_ms, max_ms):
+        self._min_ms = min_ms
+        self._max_ms = max_ms
+        self._bound_ms = min_ms
+
+    def next_ms(self):
+        """Return the next delay in milliseconds."""
+        delay_ms = random.uniform(self._min_ms / 2, self._bound_ms)
+        self._bound_ms = min(self._max_ms, self._bound_ms * 2)
+        return delay_ms
+
+    def reset(self):
+        """Start over, after a success."""
+        self._bound_ms = self._min_ms
--- /dev/null
+++ b/goldcrestmoor/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one version of configuration or weights."""
--- /dev/null
+++ b/test/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of goldcrestmoor."""
--- /dev/null
+++ b/test/_common.py
@@ -0,0 +1,66 @@
+"""What many tests share: settings, ports and processes."""
+
+import asyncio
+import socket
+import time
+
+import zmq
+
+from goldcrestmoor import settings, util
+
+EVENT_TIMEOUT_S = 60
+POLL_S = 0.02
+OPERATOR_TOKEN = "operator-token"
+
+FLEET_PUBLIC_KEY, FLEET_SECRET_KEY = (key.decode() for key in zmq.curve_keypair())
+
+
+def free_port(address="127.0.0.1"):
+    """Return a TCP port that was free a moment ago."""
+    with socket.socket() as s:
+        s.bind((address, 0))
+        return s.getsockname()[1]
+
+
+def settings_document(host_id="host-a1", zone="zone-a", **sections):
+    """Return a settings document for a host on loopback."""
+    document = {
+        "host": {
+            "id": host_id,
+            "zone": zone,
+            "address": "127.0.0.1",
+            "http_port": free_port(),
+            "peer_port": free_port(),
+        },
+        "platform": {"address": "127.0.0.1", "port": free_port()},
+        "security": {
+            "fleet_public_key": FLEET_PUBLIC_KEY,
+            "fleet_secret_key": FLEET_SECRET_KEY,
+            "operator_token_hash": util.hash_token(OPERATOR_TOKEN),
+        },
+    }
+    for name, section in sections.items():
+        if isinstance(section, dict):
+            document.setdefault(name, {}).update(section)
+        else:
+            document[name] = section
+    return document
+
+
+def make_settings(*args, **sections):
+    """Return checked settings for a host on loopback."""
+    return settings.decode(settings_document(*args, **sections))
+
+
+async def eventually(predicate, timeout_s=EVENT_TIMEOUT_S):
+    """Wait until a predicate, plain or async, is true; fail when it never is."""
+    end = time.monotonic() + timeout_s
+    while True:
+        result = predicate()
+        if asyncio.iscoroutine(result):
+            result = await result
+        if result:
+            return result
+        if time.monotonic() > end:
+            raise AssertionError(f"{predicate} was not true within {timeout_s} s")
+        await asyncio.sleep(POLL_S)
--- /dev/null
+++ b/test/standins/server.py
@@ -0,0 +1,147 @@
+"""A small HTTP/1.1 server for stand-ins, on asyncio streams and h11.
+
+Unlike a real server it can misbehave on request: a handler may raise
+:class:`Drop` to close with no answer.
+"""
+
+import asyncio
+import json
+import sys
+
+import h11
+
+READ_BYTES = 65536
+
+
+class Drop(Exception):
+    """Close the connection at once, with no further answer."""
+
+
+class Request:
+    """One request, read whole."""
+
+    __slots__ = ("method", "path", "query", "headers", "body")
+
+    def __init__(self, method, target, headers, body):
+        self.method = method
+        self.path, _, self.query = target.partition("?")
+        self.headers = headers
+        self.body = body
+
+    def json(self):
+        """Return the decoded body."""
+        return json.loads(self.body)
+
+
+class Response:
+    """An answer: bytes, or an async iterator of byte strings sent in chunks."""
+
+    __slots__ = ("status", "headers", "body")
+
+    def __init__(self, status=200, body=b"", headers=()):
+        self.status = status
+        self.headers = list(headers)
+        self.body = body
+
+
+def json_response(value, status=200, headers=()):
+    """Return a JSON answer."""
+    return Response(status, json.dumps(value).encode(), headers)
+
+
+class Server:
+    """Serve a handler, ``async (Request) -> Response``, on one address."""
+
+    __slots__ = ("handler", "address", "port", "_server", "_writers")
+
+    def __init__(self, handler, address, port):
+        self.handler = handler
+        self.address = address
+        self.port = port
+        self._server = None
+        self._writers = set()
+
+    async def start(self):
+        """Start to listen."""
+        self._server = await asyncio.start_server(
+            self._serve, self.address, self.port, backlog=1024
+        )
+        if not self.port:
+            self.port = self._server.sockets[0].getsockname()[1]
+
+    async def close(self):
+        """Stop listening and drop every connection."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def run(self):
+        """Start, say so on standard output and serve for good."""
+        await self.start()
+        print(f"ready {self.port}", flush=True)
+        await self._server.serve_forever()
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        connection = h11.Connection(h11.SERVER)
+        try:
+            while await self._serve_one(connection, reader, writer):
+                connection.start_next_cycle()
+        except (Drop, ConnectionError, h11.ProtocolError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.transport.abort() if writer.is_closing() else writer.close()
+
+    async def _serve_one(self, connection, reader, writer):
+        request = await _read_request(connection, reader)
+        if request is None:
+            return False
+        response = await self.handler(request)
+        body = response.body
+        headers = list(response.headers)
+        if isinstance(body, bytes):
+            headers.append(("content-length", str(len(body))))
+        else:
+            headers.append(("transfer-encoding", "chunked"))
+        head = h11.Response(status_code=response.status, headers=headers)
+        writer.write(connection.send(head))
+        if isinstance(body, bytes):
+            writer.write(connection.send(h11.Data(data=body)))
+        else:
+            async for chunk in body:
+                writer.write(connection.send(h11.Data(data=chunk)))
+                await writer.drain()
+        writer.write(connection.send(h11.EndOfMessage()))
+        await writer.drain()
+        return connection.our_state is h11.DONE and connection.their_state is h11.DONE
+
+
+async def _read_request(connection, reader):
+    head, body = None, []
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await reader.read(READ_BYTES))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            headers = {k.decode().lower(): v.decode() for k, v in head.headers}
+            return Request(
+                head.method.decode(), head.target.decode(), headers, b"".join(body)
+            )
+        else:
+            return None
+
+
+def main(make_handler):
+    """Run a stand-in whose settings are a JSON object in the first argument.
+
+    :param make_handler: gives the handler for the decoded settings, which hold
+        at least ``address`` and ``port``.
+    """
+    options = json.loads(sys.argv[1])
+    server = Server(make_handler(options), options["address"], options["port"])
+    asyncio.run(server.run())
