--- /dev/null
+++ b/goldcrestmoor/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiments: recorded traces, their replay and the outcomes."""
