--- a/test/test_docs.py
+++ b/test/test_docs.py
@@ -1,8 +1,12 @@
 """The documentation's tables match the code."""
 
+import dataclasses
 import pathlib
+import re
+import typing
 import unittest
 
+from goldcrestmoor import settings
 from goldcrestmoor.errors import ANSWER_BY_KIND
 from test import check_docs
 
@@ -27,3 +31,19 @@
     def test_the_page_lists_every_kind_as_the_code_does(self):
         page = (DOCS / "errors.rst").read_text()
         self.assertIn("\n".join(render(error_rows())), page)
+
+
+class SettingsPageTest(unittest.TestCase):
+    def test_the_page_names_every_setting_and_no_other(self):
+        page = (DOCS / "settings.rst").read_text()
+        named = set(re.findall(r"``([a-z]+\.[a-z_]+)``", page))
+        self.assertEqual(named, set(setting_names()))
+
+
+def setting_names():
+    """Yield every setting as section and name."""
+    sections = typing.get_type_hints(settings.Settings)
+    for section, kind in sections.items():
+        kind = typing.get_args(kind)[0] if typing.get_args(kind) else kind
+        for field in dataclasses.fields(kind):
+            yield f"{section}.{field.name}"
