--- /dev/null
+++ b/goldcrestmoor/commands/replay.py
@@ -0,0 +1,56 @@
+"""``goldcrestmoor replay``: play a recorded trace and judge the outcomes."""
+
+import asyncio
+import sys
+
+import msgspec
+
+from goldcrestmoor import logs, settings
+from goldcrestmoor.errors import UserError
+from goldcrestmoor.load import plan as plans, plot as plots, report as reports, trace
+from goldcrestmoor.load.replay import replay as play
+
+EXIT_MISSED = 1
+
+
+def replay(path, fleet, json=False, plot="", against="", save=""):
+    """Play a recorded trace against running daemons.
+
+    :param path: the trace, JSON lines.
+    :param fleet: the JSON file that names the hosts and the accounts' tokens.
+    :param json: print the report as JSON.
+    :param plot: an SVG file to draw, beside the report of another run.
+    :param against: that other run's saved report.
+    :param save: a file to keep the report in, as JSON.
+    """
+    logs.set_up("warning")
+    if plot and not against:
+        raise UserError("--plot needs --against, the report of another run.")
+    head, entries = trace.read(path)
+    report = asyncio.run(
+        play(head, entries, plans.load(fleet), settings.default_limits())
+    )
+    missed = list(reports.misses(report, head.outcomes))
+    if json:
+        print(msgspec.json.encode(report).decode())
+    else:
+        print(reports.to_table(report, missed))
+    if save:
+        _save(report, save)
+    if plot:
+        plots.side_by_side(report, _read(against), plot)
+    if missed:
+        sys.exit(EXIT_MISSED)
+
+
+def _save(report, path):
+    with open(path, "wb") as f:
+        f.write(msgspec.json.encode(report))
+
+
+def _read(path):
+    try:
+        with open(path, "rb") as f:
+            return msgspec.json.decode(f.read(), type=reports.Report)
+    except (OSError, msgspec.MsgspecError) as e:
+        raise UserError(f"{path} is no saved report: {e}.") from e
--- /dev/null
+++ b/goldcrestmoor/load/costs.py
@@ -0,0 +1,54 @@
+"""What daemons spent, read from their metrics."""
+
+import urllib.parse
+
+from prometheus_client.parser import text_string_to_metric_families
+
+from goldcrestmoor.load.report import DaemonCost
+
+METRICS_TIMEOUT_MS = 5000
+BYTES_PER_MB = 1_000_000
+
+
+async def read(http, url):
+    """Return the sums of one daemon's metrics by name.
+
+    :param http: the :class:`~goldcrestmoor.connection.http_client.HttpClient`.
+    :param url: the host.
+    :raises ServiceError: when the host does not answer.
+    """
+    parts = urllib.parse.urlsplit(url)
+    response = await http.request(
+        parts.hostname,
+        parts.port,
+        "GET",
+        "/metrics",
+        [(b"host", parts.netloc.encode())],
+        b"",
+        METRICS_TIMEOUT_MS,
+        idempotent=True,
+    )
+    sum_by_name = {}
+    for family in text_string_to_metric_families(response.body.decode()):
+        for sample in family.samples:
+            sum_by_name[sample.name] = sum_by_name.get(sample.name, 0) + sample.value
+    return sum_by_name
+
+
+def difference(url, before, after):
+    """Return what a daemon spent between two readings.
+
+    :param url: the host.
+    :param before: the first reading, as :func:`read` gave it.
+    :param after: the second reading.
+    """
+
+    def spent(name):
+        return after.get(name, 0) - before.get(name, 0)
+
+    return DaemonCost(
+        url=url,
+        cpu_s=spent("process_cpu_seconds_total"),
+        resident_mb=after.get("process_resident_memory_bytes", 0) / BYTES_PER_MB,
+        control_bytes=int(spent("goldcrestmoor_control_bytes_total")),
+    )
--- /dev/null
+++ b/goldcrestmoor/load/player.py
@@ -0,0 +1,187 @@
+"""Play a trace against running daemons and count what comes of it."""
+
+import asyncio
+import logging
+
+from goldcrestmoor.client.notes import NotesClient, Outcome
+from goldcrestmoor.client.trainer import TrainerClient
+from goldcrestmoor.clock import Deadline
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.load.applications import fetch
+from goldcrestmoor.load.tally import Tally
+from goldcrestmoor.load.trace import Fault, Fetch, Note, Step
+from goldcrestmoor.util import TaskGroup
+from goldcrestmoor.version.step_routes import GroupBody
+
+log = logging.getLogger("goldcrestmoor.replay")
+
+STEP_TIMEOUT_MS = 120_000
+PUBLISH_TIMEOUT_MS = 30_000
+NOTE_TIMEOUT_MS = 30_000
+
+
+class Player:
+    """Play one trace.
+
+    Arrivals are open: each starts at its time whatever became of those before it,
+    and its latency counts from that time. Steps of one trainer follow one another.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param http: the :class:`~goldcrestmoor.connection.http_client.HttpClient`.
+    :param urls: the hosts.
+    :param token_by_account: the accounts' tokens.
+    :param models_by_pool: the model of each engine pool, for publishing.
+    :param staleness_by_account: each trainer's bound, in versions.
+    :param control: the :class:`~goldcrestmoor.load.fleet_control.FleetControl`, or
+        None when nobody injects faults.
+    """
+
+    __slots__ = (
+        "tally",
+        "_clock",
+        "_http",
+        "_urls",
+        "_token_by_account",
+        "_model_by_pool",
+        "_staleness_by_account",
+        "_control",
+        "_started_ms",
+        "_notes_by_account",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock,
+        http,
+        urls,
+        token_by_account,
+        model_by_pool,
+        staleness_by_account,
+        control=None,
+    ):
+        self.tally = Tally()
+        self._clock = clock
+        self._http = http
+        self._urls = urls
+        self._token_by_account = token_by_account
+        self._model_by_pool = model_by_pool
+        self._staleness_by_account = staleness_by_account
+        self._control = control
+        self._started_ms = 0
+        self._notes_by_account = {}
+
+    async def play(self, entries):
+        """Play all entries and wait until their work is over.
+
+        :param entries: a trace's entries, in the order of their times.
+        :return: how long it took, in milliseconds.
+        """
+        self._started_ms = self._clock.now_ms()
+        steps = [entry for entry in entries if isinstance(entry, Step)]
+        trainers = [
+            asyncio.create_task(self._train(account, steps))
+            for account in {step.account for step in steps}
+        ]
+        tasks = TaskGroup()
+        pending = [
+            tasks.start(self._play(entry, number))
+            async for number, entry in self._arrivals(entries)
+        ]
+        await asyncio.gather(*trainers, *pending)
+        return self._clock.now_ms() - self._started_ms
+
+    async def _arrivals(self, entries):
+        others = (entry for entry in entries if not isinstance(entry, Step))
+        for number, entry in enumerate(others):
+            await self._wait_until(entry.at_ms)
+            yield number, entry
+
+    async def _wait_until(self, at_ms):
+        await self._clock.sleep_ms(self._started_ms + at_ms - self._clock.now_ms())
+
+    def _elapsed_ms(self, at_ms):
+        return self._clock.now_ms() - self._started_ms - at_ms
+
+    async def _play(self, entry, number):
+        match entry:
+            case Fetch():
+                await self._fetch(entry, number)
+            case Note():
+                await self._save(entry)
+            case Fault():
+                await self._inject(entry)
+
+    async def _fetch(self, entry, number):
+        # Callers come in through the balancer, which spreads them over the hosts.
+        url = self._urls[number % len(self._urls)]
+        token = self._token_by_account[entry.account]
+        try:
+            await fetch(self._http, url, token, entry.pool, entry.path)
+        except ServiceError as e:
+            self.tally.fetch_failed += 1
+            self.tally.errors_by_kind[e.code] += 1
+        self.tally.fetch.record(self._elapsed_ms(entry.at_ms))
+
+    async def _save(self, entry):
+        self.tally.notes_asked += 1
+        client = self._notes_by_account.get(entry.account)
+        if client is None:
+            token = self._token_by_account[entry.account]
+            client = NotesClient(self._urls, token, clock=self._clock)
+            self._notes_by_account[entry.account] = client
+        path = f"/apps/{entry.pool}{entry.path}"
+        saved = await client.save(path, entry.body.encode(), NOTE_TIMEOUT_MS)
+        self.tally.notes_saved += saved.outcome == Outcome.SAVED
+        self.tally.notes_unknown += saved.outcome == Outcome.UNKNOWN
+        self.tally.note.record(self._elapsed_ms(entry.at_ms))
+
+    async def _inject(self, fault):
+        if self._control is None:
+            raise ServiceError(
+                ErrorKind.BAD_REQUEST,
+                "The trace has faults, but --faults is not given.",
+            )
+        log.info("Injecting %s on %s.", fault.action, fault.target)
+        await self._control.inject(fault)
+
+    async def _train(self, account, steps):
+        client = TrainerClient(
+            self._urls,
+            self._token_by_account[account],
+            self._staleness_by_account[account],
+            clock=self._clock,
+        )
+        client.version = 1
+        for step in steps:
+            if step.account == account:
+                await self._wait_until(step.at_ms)
+                await self._run_step(client, step)
+        self.tally.idle_ms += client.idle_ms
+        self.tally.doubled += client.dropped_held
+
+    async def _run_step(self, client, step):
+        began_ms = self._clock.now_ms()
+        wanted = sum(group.samples for group in step.groups)
+        self.tally.samples_asked += wanted
+        groups = [
+            GroupBody(number, group.prompt, group.samples, group.max_tokens, group.seed)
+            for number, group in enumerate(step.groups)
+        ]
+        submitted = await client.submit(
+            step.step, step.pool, groups, STEP_TIMEOUT_MS, STEP_TIMEOUT_MS
+        )
+        deadline = Deadline.after(self._clock, STEP_TIMEOUT_MS)
+        try:
+            await client.collect(submitted, deadline.remaining_ms())
+        except ServiceError as e:
+            self.tally.errors_by_kind[e.code] += 1
+        self.tally.samples_delivered += len(submitted.sample_by_slot)
+        self.tally.staleness += submitted.staleness_by_slot.values()
+        took_ms = self._clock.now_ms() - began_ms
+        self.tally.step_ms_max = max(self.tally.step_ms_max, took_ms)
+        log.info("Step %s took %d ms.", step.step, took_ms)
+        await self._clock.sleep_ms(step.train_ms)
+        if step.publish:
+            model = self._model_by_pool[step.pool]
+            await client.publish(model, step.publish, PUBLISH_TIMEOUT_MS)
--- /dev/null
+++ b/goldcrestmoor/load/replay.py
@@ -0,0 +1,88 @@
+"""Replay a trace and judge its outcomes."""
+
+import statistics
+
+from goldcrestmoor.clock import Clock
+from goldcrestmoor.connection.http_client import HttpClient
+from goldcrestmoor.errors import ServiceError
+from goldcrestmoor.load import costs
+from goldcrestmoor.load.fleet_control import FleetControl
+from goldcrestmoor.load.player import Player
+from goldcrestmoor.load.report import Report
+
+RETRIES = "goldcrestmoor_retries_total"
+
+
+async def replay(head, entries, plan, limits):
+    """Play a trace against a fleet and return its report.
+
+    :param head: the trace's head.
+    :param entries: its entries.
+    :param plan: the :class:`~goldcrestmoor.load.plan.Plan` of the fleet.
+    :param limits: the :class:`~goldcrestmoor.settings.LimitSettings` for connections.
+    """
+    clock = Clock()
+    http = HttpClient(clock=clock, limits=limits)
+    control = None
+    if plan.control_port:
+        control = FleetControl(
+            http=http, address=plan.control_address, port=plan.control_port
+        )
+    player = Player(
+        clock=clock,
+        http=http,
+        urls=plan.urls,
+        token_by_account=plan.token_by_account,
+        model_by_pool=plan.model_by_pool,
+        staleness_by_account=plan.staleness_by_account,
+        control=control,
+    )
+    try:
+        before = await _readings(http, plan.urls)
+        wall_ms = await player.play(entries)
+        after = await _readings(http, plan.urls)
+        runs_by_note = await control.runs_by_note() if control else {}
+    finally:
+        await http.close()
+    return _report(head, player.tally, wall_ms, before, after, runs_by_note)
+
+
+async def _readings(http, urls):
+    reading_by_url = {}
+    for url in urls:
+        try:
+            reading_by_url[url] = await costs.read(http, url)
+        except ServiceError:
+            # A host that is down at this moment has nothing to report.
+            continue
+    return reading_by_url
+
+
+def _report(head, tally, wall_ms, before, after, runs_by_note):
+    both = [url for url in after if url in before]
+    return Report(
+        name=head.name,
+        seed=head.seed,
+        wall_ms=wall_ms,
+        samples_asked=tally.samples_asked,
+        samples_delivered=tally.samples_delivered,
+        doubled=tally.doubled,
+        lost=tally.samples_asked - tally.samples_delivered,
+        idle_ms=tally.idle_ms,
+        idle_percent=100 * tally.idle_ms / max(1, wall_ms),
+        step_ms_max=tally.step_ms_max,
+        staleness_mean=statistics.fmean(tally.staleness) if tally.staleness else 0.0,
+        staleness_max=max(tally.staleness, default=0),
+        notes_asked=tally.notes_asked,
+        notes_saved=tally.notes_saved,
+        notes_unknown=tally.notes_unknown,
+        notes_doubled=sum(1 for runs in runs_by_note.values() if runs > 1),
+        fetch=tally.fetch.result(),
+        note=tally.note.result(),
+        fetch_failed=tally.fetch_failed,
+        errors_by_kind=dict(tally.errors_by_kind),
+        retries=int(
+            sum(after[u].get(RETRIES, 0) - before[u].get(RETRIES, 0) for u in both)
+        ),
+        daemons=tuple(costs.difference(u, before[u], after[u]) for u in both),
+    )
--- a/goldcrestmoor/process/metrics.py
+++ b/goldcrestmoor/process/metrics.py
@@ -1,6 +1,12 @@
 """The daemon's metrics."""
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    ProcessCollector,
+)
 
 LATENCY_BUCKETS_S = (
     0.001,
@@ -44,6 +50,7 @@
 
     def __init__(self):
         self.registry = CollectorRegistry()
+        ProcessCollector(registry=self.registry)
         self.requests = self._counter(
             "requests", "Requests by account and outcome.", "account", "outcome"
         )
--- a/goldcrestmoor/settings.py
+++ b/goldcrestmoor/settings.py
@@ -196,6 +196,11 @@
         raise UserError(_describe(e, name), EXIT_BAD_SETTINGS) from e
 
 
+def default_limits():
+    """Return the shipped limits, for clients that have no settings of their own."""
+    return LimitSettings(**_defaults()["limits"])
+
+
 def _defaults():
     text = resources.files("goldcrestmoor").joinpath("defaults.json").read_text()
     return json.loads(text)
