Add an HTTP client that never resends

Cause: blacksheep's client and aiohttp's send some requests a second time by themselves, so that nothing above them can say that a request was not run.

Ruled out: reading idle connections in the background, as a byte read there can reach the next answer's parser; writing with flow control, as an answer that comes before the body has left would wait behind it.

Change: connections of asyncio streams and h11 whose socket is read only while an answer is awaited, so that a poll before the write sees an end or a stray byte. Requests that may not be repeated go only on a fresh connection or one that answered a moment ago. A small fault-injecting proxy for tests.

Conclusion: an answer cut at any byte is an error, and what is said to be not run left no byte behind.

--- /dev/null
+++ b/goldcrestmoor/connection/http_client.py
@@ -0,0 +1,271 @@
+"""The HTTP/1.1 client towards upstreams and the platform; it never resends."""
+
+import contextlib
+
+import h11
+import msgspec
+
+from goldcrestmoor.clock import Deadline
+from goldcrestmoor.connection.http_connection import failed, unreachable
+from goldcrestmoor.connection.http_pool import HttpPool
+from goldcrestmoor.errors import ErrorKind, ServiceError
+
+# These belong to one connection and are never passed on.
+CONNECTION_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+# The client frames requests itself, and does not wait to be told to go on.
+_FRAMING_HEADERS = frozenset((b"content-length", b"expect"))
+_BODILESS_METHODS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS", "TRACE"))
+_BODILESS_STATUSES = frozenset((204, 304))
+
+
+class HttpResponse(msgspec.Struct, frozen=True):
+    """A whole answer.
+
+    :param status: the HTTP status.
+    :param headers: ``(name, value)`` byte pairs, names in lower case, without
+        those that belong to the connection.
+    :param body: the whole body.
+    """
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+class HttpClient:
+    """Send requests over pooled connections, each at most once.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param limits: the :class:`~goldcrestmoor.settings.LimitSettings`.
+    """
+
+    __slots__ = ("_clock", "_limits", "_pool")
+
+    def __init__(self, *, clock, limits):
+        self._clock = clock
+        self._limits = limits
+        self._pool = HttpPool(clock=clock, limits=limits)
+
+    async def request(
+        self,
+        address,
+        port,
+        method,
+        target,
+        headers=(),
+        body=b"",
+        timeout_ms=None,
+        idempotent=False,
+        on_head=None,
+        **options,
+    ):
+        """Send a request once and return its whole answer.
+
+        The parameters and errors are those of :meth:`stream`, and:
+
+        :param on_head: called with the status and headers once they are known.
+        :return: an :class:`HttpResponse`.
+        :raises ServiceError: also ``UPSTREAM_FAILED`` when the body is longer than
+            ``max_body_bytes``.
+        """
+        async with self.stream(
+            address,
+            port,
+            method,
+            target,
+            headers,
+            body,
+            timeout_ms,
+            idempotent,
+            **options,
+        ) as response:
+            if on_head is not None:
+                on_head(response.status, response.headers)
+            chunks, size = [], 0
+            async for chunk in response.body():
+                chunks.append(chunk)
+                size += len(chunk)
+                if size > self._limits.max_body_bytes:
+                    raise failed((address, port), "the answer's body is too large")
+            return HttpResponse(response.status, response.headers, b"".join(chunks))
+
+    @contextlib.asynccontextmanager
+    async def stream(
+        self,
+        address,
+        port,
+        method,
+        target,
+        headers=(),
+        body=b"",
+        timeout_ms=None,
+        idempotent=False,
+        *,
+        head_timeout_ms=None,
+        progress_timeout_ms=None,
+        allow_close_delimited=False,
+    ):
+        """Send a request once and give its answer as it comes.
+
+        Leaving the context before the body's end closes the connection.
+
+        :param address: the upstream's IP address.
+        :param port: the upstream's port.
+        :param method: the HTTP method.
+        :param target: the path and query.
+        :param headers: ``(name, value)`` byte pairs; framing is added here.
+        :param body: the request's body.
+        :param timeout_ms: how long all of it may take; ``request_timeout_ms`` of
+            the limits when left out.
+        :param idempotent: whether the request may be repeated by the caller, and
+            so be sent on a connection that has long been idle.
+        :param head_timeout_ms: how long the answer's head may take.
+        :param progress_timeout_ms: how long the body may be silent.
+        :param allow_close_delimited: take a body that only the connection's close
+            ends, though a cut one looks whole.
+        :return: a context manager that gives a :class:`ResponseStream`.
+        :raises ServiceError: ``UPSTREAM_UNREACHABLE`` when no byte was written,
+            ``UPSTREAM_FAILED`` or ``UPSTREAM_TIMEOUT`` when some may have been,
+            ``BAD_REQUEST`` when the request is malformed.
+        """
+        limits = self._limits
+        deadline = Deadline.after(self._clock, timeout_ms or limits.request_timeout_ms)
+        request = _make_request(address, port, method, target, headers, body)
+        peer = (address, port)
+        connection = await self._pool.acquire(peer, deadline, idempotent)
+        response = ResponseStream(
+            connection, deadline, progress_timeout_ms or limits.progress_timeout_ms
+        )
+        try:
+            if deadline.passed():
+                raise unreachable(peer, "no time was left to send the request")
+            connection.send(request, body)
+            await response.read_head(method, head_timeout_ms, allow_close_delimited)
+            yield response
+        except ServiceError:
+            # What has lost track of one old connection has often lost them all.
+            if connection.reused:
+                self._pool.drop(peer)
+            raise
+        finally:
+            if response.is_whole:
+                self._pool.release(connection)
+            else:
+                connection.abort()
+
+    async def close(self):
+        """Close every idle connection; requests in flight run to their end."""
+        await self._pool.close()
+
+
+class ResponseStream:
+    """An answer whose body is still to come.
+
+    :param connection: the connection, with the request written.
+    :param deadline: the request's deadline.
+    :param progress_timeout_ms: how long the body may be silent.
+    """
+
+    __slots__ = (
+        "status",
+        "headers",
+        "is_whole",
+        "_connection",
+        "_deadline",
+        "_progress_timeout_ms",
+    )
+
+    def __init__(self, connection, deadline, progress_timeout_ms):
+        self.status = None
+        self.headers = ()
+        self.is_whole = False
+        self._connection = connection
+        self._deadline = deadline
+        self._progress_timeout_ms = progress_timeout_ms
+
+    async def read_head(self, method, timeout_ms, allow_close_delimited):
+        """Wait for the answer's head, passing over interim ones.
+
+        :param method: the request's method.
+        :param timeout_ms: how long the head may take, or ``None``.
+        :param allow_close_delimited: as for :meth:`HttpClient.stream`.
+        """
+        deadline = self._deadline
+        if timeout_ms is not None:
+            timeout_ms = min(timeout_ms, deadline.remaining_ms())
+            deadline = Deadline.after(deadline.clock, timeout_ms)
+        event = await self._connection.next_event(deadline.remaining_ms)
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._connection.next_event(deadline.remaining_ms)
+        self._check_framing(event, method, allow_close_delimited)
+        self.status = event.status_code
+        self.headers = list(end_to_end(event.headers))
+
+    def _check_framing(self, head, method, allow_close_delimited):
+        names = {name for name, _ in head.headers}
+        has_length = b"content-length" in names
+        has_chunks = b"transfer-encoding" in names
+        if has_length and has_chunks:
+            raise failed(self._connection.target, "its length is stated twice")
+        if method == "HEAD" or head.status_code in _BODILESS_STATUSES:
+            return
+        if not (has_length or has_chunks or allow_close_delimited):
+            raise failed(self._connection.target, "its length is not stated")
+
+    async def body(self):
+        """Yield the body's bytes as they come, ending only at its stated end.
+
+        :raises ServiceError: ``UPSTREAM_FAILED`` or ``UPSTREAM_TIMEOUT``.
+        """
+        while not self.is_whole:
+            event = await self._connection.next_event(self._wait_ms)
+            if isinstance(event, h11.EndOfMessage):
+                self.is_whole = True
+            elif event.data:
+                yield bytes(event.data)
+
+    def _wait_ms(self):
+        return min(self._progress_timeout_ms, self._deadline.remaining_ms())
+
+
+def end_to_end(headers):
+    """Yield the headers that do not belong to one connection.
+
+    :param headers: ``(name, value)`` byte pairs.
+    """
+    pairs = [(name.lower(), value) for name, value in headers]
+    dropped = set(CONNECTION_HEADERS)
+    for name, value in pairs:
+        if name == b"connection":
+            dropped.update(token.strip().lower() for token in value.split(b","))
+    for name, value in pairs:
+        if name not in dropped:
+            yield name, value
+
+
+def _make_request(address, port, method, target, headers, body):
+    pairs = [
+        (name, value)
+        for name, value in end_to_end(headers)
+        if name not in _FRAMING_HEADERS
+    ]
+    if not any(name == b"host" for name, _ in pairs):
+        pairs.insert(0, (b"host", f"{address}:{port}".encode()))
+    if body or method not in _BODILESS_METHODS:
+        pairs.append((b"content-length", str(len(body)).encode()))
+    try:
+        return h11.Request(method=method, target=target, headers=pairs)
+    except (h11.LocalProtocolError, UnicodeError) as e:
+        raise ServiceError(ErrorKind.BAD_REQUEST, f"Malformed request: {e}.") from e
--- /dev/null
+++ b/goldcrestmoor/connection/http_connection.py
@@ -0,0 +1,181 @@
+"""One HTTP/1.1 connection: dialled, checked, written to, read from, closed."""
+
+import asyncio
+import select
+import socket
+
+import h11
+
+from goldcrestmoor.clock import MS_PER_SECOND
+from goldcrestmoor.errors import ErrorKind, ServiceError
+
+# More than an asyncio stream ever holds, so that one read empties it.
+READ_BYTES = 1 << 20
+
+_POLL_EVENTS = select.POLLIN | select.POLLRDHUP
+
+
+class HttpConnection:
+    """A connection that carries one request at a time.
+
+    Its socket is read only while an answer is awaited. Whatever reached it before
+    a request is written therefore lies in the socket, where :meth:`is_clean` sees
+    it without waiting.
+
+    :param reader: the asyncio stream reader.
+    :param writer: the asyncio stream writer.
+    :param target: the ``(address, port)`` pair that it leads to.
+    :param max_header_bytes: the bound on an answer's head.
+    """
+
+    __slots__ = (
+        "target",
+        "reused",
+        "idle_since_ms",
+        "_reader",
+        "_writer",
+        "_codec",
+        "_max_header_bytes",
+    )
+
+    def __init__(self, reader, writer, target, max_header_bytes):
+        self.target = target
+        self.reused = False
+        self.idle_since_ms = 0
+        self._reader = reader
+        self._writer = writer
+        self._max_header_bytes = max_header_bytes
+        self._codec = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=max_header_bytes
+        )
+        writer.transport.pause_reading()
+
+    @classmethod
+    async def dial(cls, target, timeout_ms, limits):
+        """Open a connection.
+
+        :param target: the ``(address, port)`` pair.
+        :param timeout_ms: how long the handshake may take, in milliseconds.
+        :param limits: the :class:`~goldcrestmoor.settings.LimitSettings`.
+        :raises ServiceError: ``UPSTREAM_UNREACHABLE``; nothing was written.
+        """
+        address, port = target
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
+                reader, writer = await asyncio.open_connection(address, port)
+        except TimeoutError as e:
+            raise unreachable(target, "no connection in time") from e
+        except OSError as e:
+            raise unreachable(target, "connection refused") from e
+        connection = cls(reader, writer, target, limits.max_header_bytes)
+        # The kernel gives up bytes that the other end never acknowledges.
+        writer.get_extra_info("socket").setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limits.progress_timeout_ms
+        )
+        return connection
+
+    def is_clean(self):
+        """Tell whether it is open with nothing unread on it."""
+        transport = self._writer.transport
+        if transport.is_closing() or self._reader.at_eof():
+            return False
+        poller = select.poll()
+        poller.register(transport.get_extra_info("socket").fileno(), _POLL_EVENTS)
+        return not poller.poll(0)
+
+    def send(self, request, body):
+        """Write a whole request without waiting for it to leave.
+
+        The body is in memory already, so nothing is gained by holding it back, and
+        an answer that comes before the body has left is read at once. From this
+        call on the request may have been run.
+
+        :param request: the ``h11.Request``.
+        :param body: the body's bytes.
+        """
+        head = self._codec.send(request)
+        tail = self._codec.send(h11.Data(data=body)) if body else b""
+        tail += self._codec.send(h11.EndOfMessage())
+        self._writer.transport.resume_reading()
+        self._writer.write(head + tail)
+
+    async def next_event(self, wait_ms):
+        """Return the next event of the answer.
+
+        :param wait_ms: gives how long the next read may take, in milliseconds.
+        :return: an ``h11`` event: a head, data or the end.
+        :raises ServiceError: ``UPSTREAM_FAILED`` when the connection or the answer
+            breaks, ``UPSTREAM_TIMEOUT`` when it falls silent.
+        """
+        while True:
+            try:
+                event = self._codec.next_event()
+            except h11.RemoteProtocolError as e:
+                raise failed(self.target, str(e)) from e
+            if event is h11.NEED_DATA:
+                self._codec.receive_data(await self._read(wait_ms()))
+                continue
+            if isinstance(event, (h11.Response, h11.InformationalResponse)):
+                self._check_head_size(event)
+            elif not isinstance(event, (h11.Data, h11.EndOfMessage)):
+                raise failed(self.target, "closed without an answer")
+            return event
+
+    async def _read(self, timeout_ms):
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
+                return await self._reader.read(READ_BYTES)
+        except TimeoutError as e:
+            message = f"{_name(self.target)} fell silent."
+            raise ServiceError(ErrorKind.UPSTREAM_TIMEOUT, message) from e
+        except OSError as e:
+            raise failed(self.target, "connection lost") from e
+
+    def _check_head_size(self, head):
+        size = sum(len(name) + len(value) for name, value in head.headers)
+        if size > self._max_header_bytes:
+            raise failed(self.target, "the answer's head is too large")
+
+    def finish(self):
+        """Make ready for another request after a whole answer.
+
+        :return: whether the connection may be used again.
+        """
+        codec, transport = self._codec, self._writer.transport
+        done = codec.our_state is h11.DONE and codec.their_state is h11.DONE
+        if not done or codec.trailing_data != (b"", False):
+            return False
+        if transport.is_closing() or transport.get_write_buffer_size():
+            return False
+        transport.pause_reading()
+        codec.start_next_cycle()
+        self.reused = True
+        return True
+
+    def abort(self):
+        """Close at once, dropping whatever is still on the way."""
+        self._writer.transport.abort()
+
+
+def unreachable(target, reason):
+    """Return the error of a request of which no byte was written.
+
+    :param target: the ``(address, port)`` pair.
+    :param reason: why, as part of a sentence.
+    """
+    message = f"{_name(target)} cannot be reached: {reason}."
+    return ServiceError(ErrorKind.UPSTREAM_UNREACHABLE, message)
+
+
+def failed(target, reason):
+    """Return the error of a request that may have been run.
+
+    :param target: the ``(address, port)`` pair.
+    :param reason: why, as part of a sentence.
+    """
+    message = f"{_name(target)} gave no whole answer: {reason}."
+    return ServiceError(ErrorKind.UPSTREAM_FAILED, message)
+
+
+def _name(target):
+    return f"{target[0]}:{target[1]}"
--- /dev/null
+++ b/goldcrestmoor/connection/http_pool.py
@@ -0,0 +1,121 @@
+"""Idle connections, kept by target until they are used, stale or too many."""
+
+import asyncio
+import collections
+import logging
+
+from goldcrestmoor.connection.http_connection import HttpConnection, unreachable
+from goldcrestmoor.util import TaskGroup
+
+log = logging.getLogger("goldcrestmoor.pool")
+
+MAX_IDLE_PER_TARGET = 32
+MAX_IDLE = 1024
+
+# A server that has just answered is alive and is not about to close the connection
+# as idle. Only such a connection carries a request that may not be repeated.
+VERIFIED_IDLE_MS = 500
+
+
+class HttpPool:
+    """Connections of one process, by target.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param limits: the :class:`~goldcrestmoor.settings.LimitSettings`.
+    """
+
+    __slots__ = ("_clock", "_limits", "_idle_by_target", "_tasks", "_reaper", "_closed")
+
+    def __init__(self, *, clock, limits):
+        self._clock = clock
+        self._limits = limits
+        self._idle_by_target = {}
+        self._tasks = TaskGroup()
+        self._reaper = None
+        self._closed = False
+
+    async def acquire(self, target, deadline, idempotent):
+        """Return a clean connection, an idle one where that is safe.
+
+        :param target: the ``(address, port)`` pair.
+        :param deadline: the request's deadline.
+        :param idempotent: whether the request may be repeated.
+        :raises ServiceError: ``UPSTREAM_UNREACHABLE``; nothing was written.
+        """
+        bound_ms = self._limits.idle_connection_ms
+        if not idempotent:
+            bound_ms = min(bound_ms, VERIFIED_IDLE_MS)
+        connection = self._take_idle(target, bound_ms)
+        if connection is not None:
+            return connection
+        timeout_ms = min(self._limits.connect_timeout_ms, deadline.remaining_ms())
+        connection = await HttpConnection.dial(target, timeout_ms, self._limits)
+        if connection.is_clean():
+            return connection
+        connection.abort()
+        raise unreachable(target, "closed before the request was sent")
+
+    def _take_idle(self, target, bound_ms):
+        idle = self._idle_by_target.get(target, ())
+        oldest_ms = self._clock.now_ms() - bound_ms
+        while idle and idle[-1].idle_since_ms >= oldest_ms:
+            connection = idle.pop()
+            if not idle:
+                del self._idle_by_target[target]
+            if connection.is_clean():
+                return connection
+            connection.abort()
+        return None
+
+    def release(self, connection):
+        """Take back a connection after a whole answer.
+
+        :param connection: the :class:`HttpConnection`.
+        """
+        if self._closed or self.idle_count() >= MAX_IDLE or not connection.finish():
+            connection.abort()
+            return
+        connection.idle_since_ms = self._clock.now_ms()
+        idle = self._idle_by_target.setdefault(connection.target, collections.deque())
+        idle.append(connection)
+        if len(idle) > MAX_IDLE_PER_TARGET:
+            idle.popleft().abort()
+        if self._reaper is None or self._reaper.done():
+            self._reaper = self._tasks.start(self._reap(), "pool reaper")
+
+    def drop(self, target):
+        """Close the idle connections to a target whose path is in doubt.
+
+        :param target: the ``(address, port)`` pair.
+        """
+        for connection in self._idle_by_target.pop(target, ()):
+            connection.abort()
+
+    def idle_count(self):
+        """Return how many idle connections are kept."""
+        return sum(len(idle) for idle in self._idle_by_target.values())
+
+    async def close(self):
+        """Close every idle connection and keep no more."""
+        self._closed = True
+        for target in list(self._idle_by_target):
+            self.drop(target)
+        await self._tasks.close()
+
+    async def _reap(self):
+        while self._idle_by_target:
+            await self._clock.sleep_ms(self._limits.idle_connection_ms / 2)
+            oldest_ms = self._clock.now_ms() - self._limits.idle_connection_ms
+            for target in list(self._idle_by_target):
+                self._reap_target(target, oldest_ms)
+                await asyncio.sleep(0)
+
+    def _reap_target(self, target, oldest_ms):
+        kept = collections.deque()
+        for connection in self._idle_by_target.pop(target, ()):
+            if connection.idle_since_ms > oldest_ms and connection.is_clean():
+                kept.append(connection)
+            else:
+                connection.abort()
+        if kept:
+            self._idle_by_target[target] = kept
--- /dev/null
+++ b/test/fault_proxy.py
@@ -0,0 +1,224 @@
+"""A small TCP proxy that injects faults, in the process or as one of its own.
+
+Each link forwards one listening port to one target. As a process it takes
+``{"address", "control_port", "links": [{"name", "address", "port",
+"target_address", "target_port"}]}`` and is driven by
+``POST /links/{name}/{fault}`` on the control port, with the fault's arguments as
+a JSON object; ``GET /links`` gives the counts.
+"""
+
+import asyncio
+import json
+import sys
+
+from test.standins import server
+
+READ_BYTES = 65536
+UP = "up"
+DOWN = "down"
+BOTH = "both"
+
+
+class Faults:
+    """The faults of one direction of a link."""
+
+    __slots__ = ("delay_ms", "cut_after_bytes", "is_silent")
+
+    def __init__(self):
+        self.delay_ms = 0
+        self.cut_after_bytes = None
+        self.is_silent = False
+
+
+class Link:
+    """One listening port and its target.
+
+    :param target_address: the address that is forwarded to.
+    :param target_port: its port.
+    :param address: the address to listen on.
+    :param port: the port to listen on; any free one when zero.
+    """
+
+    __slots__ = (
+        "address",
+        "port",
+        "target_address",
+        "target_port",
+        "accepted",
+        "bytes_by_direction",
+        "_faults_by_direction",
+        "_server",
+        "_pairs",
+        "_silent_pairs",
+    )
+
+    def __init__(self, target_address, target_port, address="127.0.0.1", port=0):
+        self.address = address
+        self.port = port
+        self.target_address = target_address
+        self.target_port = target_port
+        self.accepted = 0
+        self.bytes_by_direction = {UP: 0, DOWN: 0}
+        self._faults_by_direction = {UP: Faults(), DOWN: Faults()}
+        self._server = None
+        self._pairs = {}
+        self._silent_pairs = set()
+
+    async def start(self):
+        """Start to listen."""
+        self._server = await asyncio.start_server(
+            self._serve, self.address, self.port, backlog=1024
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def close(self):
+        """Stop listening and cut every connection."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        self.cut()
+
+    def delay(self, ms, direction=BOTH):
+        """Hold back each piece of data."""
+        for faults in self._select(direction):
+            faults.delay_ms = ms
+
+    def cut(self):
+        """Cut the connections that are open."""
+        for writers in list(self._pairs.values()):
+            for writer in writers:
+                writer.transport.abort()
+
+    def cut_after(self, n, direction=DOWN):
+        """Cut each connection after its first n bytes in a direction."""
+        for faults in self._select(direction):
+            faults.cut_after_bytes = n
+
+    def silence(self, direction=BOTH):
+        """Drop all bytes, on old and new connections, and keep them open."""
+        for faults in self._select(direction):
+            faults.is_silent = True
+
+    def silence_old(self):
+        """Drop all bytes of the connections that are open; new ones work."""
+        self._silent_pairs.update(self._pairs)
+
+    async def refuse(self):
+        """Refuse new connections and cut the open ones."""
+        await self.close()
+
+    async def heal(self):
+        """Take back every fault; connections gone silent stay silent."""
+        self._faults_by_direction = {UP: Faults(), DOWN: Faults()}
+        if self._server is None:
+            await self.start()
+
+    def _select(self, direction):
+        names = (UP, DOWN) if direction == BOTH else (direction,)
+        return [self._faults_by_direction[name] for name in names]
+
+    async def _serve(self, reader, writer):
+        self.accepted += 1
+        pair = self.accepted
+        self._pairs[pair] = (writer,)
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                self.target_address, self.target_port
+            )
+        except OSError:
+            del self._pairs[pair]
+            writer.transport.abort()
+            return
+        self._pairs[pair] = (writer, far_writer)
+        try:
+            await asyncio.gather(
+                self._pump(pair, UP, reader, far_writer),
+                self._pump(pair, DOWN, far_reader, writer),
+            )
+        except OSError:
+            pass
+        finally:
+            for each in self._pairs.pop(pair):
+                each.transport.abort()
+            self._silent_pairs.discard(pair)
+
+    async def _pump(self, pair, direction, reader, writer):
+        passed = 0
+        while data := await reader.read(READ_BYTES):
+            faults = self._faults_by_direction[direction]
+            if faults.delay_ms:
+                await asyncio.sleep(faults.delay_ms / 1000)
+                faults = self._faults_by_direction[direction]
+            if faults.is_silent or pair in self._silent_pairs:
+                continue
+            bound = faults.cut_after_bytes
+            if bound is not None and passed + len(data) >= bound:
+                writer.write(data[: bound - passed])
+                await writer.drain()
+                raise ConnectionAbortedError
+            writer.write(data)
+            passed += len(data)
+            self.bytes_by_direction[direction] += len(data)
+            await writer.drain()
+        if pair not in self._silent_pairs and not writer.is_closing():
+            writer.write_eof()
+
+
+class FaultProxy:
+    """Links by name, with the control port's handler."""
+
+    __slots__ = ("links_by_name",)
+
+    def __init__(self, links):
+        self.links_by_name = {
+            link["name"]: Link(
+                link["target_address"],
+                link["target_port"],
+                link.get("address", "127.0.0.1"),
+                link["port"],
+            )
+            for link in links
+        }
+
+    async def start(self):
+        """Start every link."""
+        for link in self.links_by_name.values():
+            await link.start()
+
+    async def close(self):
+        """Stop every link."""
+        for link in self.links_by_name.values():
+            await link.close()
+
+    async def handle(self, request):
+        """Answer one request on the control port."""
+        if request.path == "/links":
+            return server.json_response(
+                {
+                    name: {"accepted": link.accepted, "bytes": link.bytes_by_direction}
+                    for name, link in self.links_by_name.items()
+                }
+            )
+        _, _, name, fault = request.path.split("/")
+        link = self.links_by_name[name]
+        arguments = request.json() if request.body else {}
+        match fault:
+            case "delay" | "cut" | "cut_after" | "silence" | "silence_old":
+                getattr(link, fault)(**arguments)
+            case "refuse" | "heal":
+                await getattr(link, fault)()
+            case _:
+                return server.Response(404)
+        return server.json_response({})
+
+
+async def run(options):
+    """Serve the links and the control port for good."""
+    proxy = FaultProxy(options["links"])
+    await proxy.start()
+    control = server.Server(proxy.handle, options["address"], options["control_port"])
+    await control.run()
+
+
+if __name__ == "__main__":
+    asyncio.run(run(json.loads(sys.argv[1])))
