Judge upstreams by outcomes and bound retries

Cause: dead, silent and slow upstreams must be taken out and tried again, and retries must not add more than a tenth to an upstream's load.

Ruled out: fixed latency bounds, as the work differs between pools; taking out every failing upstream, as the rest would sink under the work of all.

Change: UpstreamHealth counts failures in a row and compares medians with the pool's; at most a third is left out, for a jittered growing time, and one probe at a time brings an upstream back.

--- /dev/null
+++ b/goldcrestmoor/connection/health.py
@@ -0,0 +1,198 @@
+"""Which upstreams are fit for use, judged from what requests to them met."""
+
+import collections
+import logging
+import random
+import statistics
+
+log = logging.getLogger("goldcrestmoor.health")
+
+MAX_UPSTREAMS = 4096
+FAILURES_UNTIL_OUT = 3
+OUT_MIN_MS = 1_000
+OUT_MAX_MS = 60_000
+
+# A probe whose outcome is never recorded does not hold up the next one for good.
+PROBE_LIFETIME_MS = 30_000
+
+SLOW_FACTOR = 4
+SLOW_MARGIN_MS = 50
+LATENCIES_KEPT = 20
+LATENCIES_NEEDED = 8
+
+# At most one upstream in so many is kept out of a pool, but one of two may be.
+POOL_PART_OUT = 3
+
+
+class _State:
+    __slots__ = (
+        "failures",
+        "rounds",
+        "out_until_ms",
+        "probe_until_ms",
+        "slow_bound_ms",
+        "reason",
+        "latencies_ms",
+    )
+
+    def __init__(self):
+        self.failures = 0
+        self.rounds = 0
+        self.out_until_ms = None
+        self.probe_until_ms = 0
+        self.slow_bound_ms = None
+        self.reason = ""
+        self.latencies_ms = collections.deque(maxlen=LATENCIES_KEPT)
+
+    def median_ms(self):
+        if len(self.latencies_ms) < LATENCIES_NEEDED:
+            return None
+        return statistics.median(self.latencies_ms)
+
+
+class UpstreamHealth:
+    """Take failing and slow upstreams out for a while, and try them again.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    """
+
+    __slots__ = ("_clock", "_state_by_upstream")
+
+    def __init__(self, *, clock):
+        self._clock = clock
+        self._state_by_upstream = collections.OrderedDict()
+
+    def record(self, upstream, ok, latency_ms=None):
+        """Note what a request met.
+
+        :param upstream: the upstream's name.
+        :param ok: whether the upstream answered; a connection failure or a timeout
+            is not ok, an answer with an error status is.
+        :param latency_ms: how long it took, for a like amount of work, such as the
+            time to the first token; ``None`` when it says nothing.
+        """
+        state = self._state(upstream)
+        state.probe_until_ms = 0
+        if not ok:
+            self._record_failure(upstream, state)
+            return
+        state.failures = 0
+        if state.out_until_ms is not None:
+            self._record_return(upstream, state, latency_ms)
+        elif latency_ms is not None:
+            state.latencies_ms.append(latency_ms)
+
+    def _record_failure(self, upstream, state):
+        state.failures += 1
+        is_out = state.out_until_ms is not None
+        if is_out and self._clock.now_ms() < state.out_until_ms:
+            # It was sent before the upstream went out and says nothing new.
+            return
+        if is_out or state.failures >= FAILURES_UNTIL_OUT:
+            reason = f"{state.failures} failures in a row"
+            self._take_out(upstream, state, reason)
+
+    def _record_return(self, upstream, state, latency_ms):
+        bound_ms = state.slow_bound_ms
+        if bound_ms is not None and (latency_ms is None or latency_ms > bound_ms):
+            if self._clock.now_ms() >= state.out_until_ms:
+                self._take_out(upstream, state, state.reason)
+            return
+        log.info("%s is back in use.", upstream)
+        state.out_until_ms = None
+        state.slow_bound_ms = None
+        state.rounds = 0
+        state.reason = ""
+
+    def _take_out(self, upstream, state, reason):
+        bound_ms = min(OUT_MAX_MS, OUT_MIN_MS << min(state.rounds, 16))
+        state.rounds += 1
+        duration_ms = int(random.uniform(bound_ms / 2, bound_ms))
+        state.out_until_ms = self._clock.now_ms() + duration_ms
+        state.reason = reason
+        state.latencies_ms.clear()
+        log.warning("%s is out for %d ms: %s.", upstream, duration_ms, reason)
+
+    def usable(self, upstream_names):
+        """Return the upstreams of a pool that are fit for use.
+
+        However many fail, only a bounded part of the pool is left out, so that the
+        rest is not buried under the work of all.
+
+        :param upstream_names: the names of the pool's upstreams.
+        :return: a list of names, in the order given.
+        """
+        names = list(upstream_names)
+        most_out = max(1, len(names) // POOL_PART_OUT) if len(names) > 1 else 0
+        if self._count_out(names) < most_out:
+            self._judge_slowest(names)
+        out = [name for name in names if self._is_out(name)]
+        out.sort(key=self._badness, reverse=True)
+        left_out = set(out[:most_out])
+        return [name for name in names if name not in left_out]
+
+    def _judge_slowest(self, names):
+        states = [(name, self._state_by_upstream.get(name)) for name in names]
+        medians = [
+            (state.median_ms(), name)
+            for name, state in states
+            if state is not None and state.median_ms() is not None
+        ]
+        if len(medians) < 2:
+            return
+        slowest_ms, slowest = max(medians)
+        peers_ms = statistics.median(ms for ms, name in medians if name != slowest)
+        bound_ms = peers_ms * SLOW_FACTOR + SLOW_MARGIN_MS
+        if slowest_ms > bound_ms:
+            state = self._state_by_upstream[slowest]
+            state.slow_bound_ms = bound_ms
+            reason = f"median of {slowest_ms:.0f} ms, its peers {peers_ms:.0f} ms"
+            self._take_out(slowest, state, reason)
+
+    def try_probe(self, upstream):
+        """Take the right to send one request to an upstream that is out.
+
+        The request's outcome goes to :meth:`record`.
+
+        :param upstream: the upstream's name.
+        :return: whether this caller may send it.
+        """
+        state = self._state_by_upstream.get(upstream)
+        now_ms = self._clock.now_ms()
+        if state is None or state.out_until_ms is None:
+            return False
+        if now_ms < state.out_until_ms or now_ms < state.probe_until_ms:
+            return False
+        state.probe_until_ms = now_ms + PROBE_LIFETIME_MS
+        return True
+
+    def reason(self, upstream):
+        """Return why an upstream is out, or an empty string.
+
+        :param upstream: the upstream's name.
+        """
+        state = self._state_by_upstream.get(upstream)
+        if state is None or state.out_until_ms is None:
+            return ""
+        wait_ms = max(0, state.out_until_ms - self._clock.now_ms())
+        return f"{state.reason}; tried again in {wait_ms} ms"
+
+    def _count_out(self, names):
+        return sum(self._is_out(name) for name in names)
+
+    def _is_out(self, name):
+        state = self._state_by_upstream.get(name)
+        return state is not None and state.out_until_ms is not None
+
+    def _badness(self, name):
+        state = self._state_by_upstream[name]
+        return state.failures, state.rounds, name
+
+    def _state(self, upstream):
+        state = self._state_by_upstream.get(upstream)
+        if state is None:
+            state = self._state_by_upstream[upstream] = _State()
+            if len(self._state_by_upstream) > MAX_UPSTREAMS:
+                self._state_by_upstream.popitem(last=False)
+        self._state_by_upstream.move_to_end(upstream)
+        return state
--- /dev/null
+++ b/test/test_health.py
@@ -0,0 +1,130 @@
+"""Failing and slow upstreams are taken out and tried again; retries are few."""
+
+import unittest
+
+from goldcrestmoor.connection import health, retry_budget
+from goldcrestmoor.connection.health import UpstreamHealth
+from goldcrestmoor.connection.retry_budget import RetryBudget
+
+POOL = [f"lm-{n}" for n in range(6)]
+
+
+class FakeClock:
+    def __init__(self):
+        self.ms = 0
+
+    def now_ms(self):
+        return self.ms
+
+
+class UpstreamHealthTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = FakeClock()
+        self.health = UpstreamHealth(clock=self.clock)
+
+    def fail(self, upstream, times=health.FAILURES_UNTIL_OUT):
+        for _ in range(times):
+            self.health.record(upstream, False)
+
+    def answer(self, upstream, latency_ms):
+        for _ in range(health.LATENCIES_NEEDED):
+            self.health.record(upstream, True, latency_ms)
+
+    def test_failures_in_a_row_take_an_upstream_out(self):
+        self.fail("lm-1", health.FAILURES_UNTIL_OUT - 1)
+        self.health.record("lm-1", True, 10)
+        self.fail("lm-1", health.FAILURES_UNTIL_OUT - 1)
+        self.assertEqual(self.health.usable(POOL), POOL)
+        self.fail("lm-1", 1)
+        self.assertNotIn("lm-1", self.health.usable(POOL))
+        self.assertIn("3 failures in a row", self.health.reason("lm-1"))
+
+    def test_one_probe_at_a_time_brings_it_back(self):
+        self.fail("lm-1")
+        self.assertFalse(self.health.try_probe("lm-1"))
+        self.clock.ms += health.OUT_MIN_MS
+        self.assertTrue(self.health.try_probe("lm-1"))
+        self.assertFalse(self.health.try_probe("lm-1"))
+        self.assertNotIn("lm-1", self.health.usable(POOL))
+        self.health.record("lm-1", True, 10)
+        self.assertEqual(self.health.usable(POOL), POOL)
+        self.assertEqual(self.health.reason("lm-1"), "")
+
+    def test_failed_probes_lengthen_the_time_out_up_to_a_bound(self):
+        self.fail("lm-1")
+        waits_ms = []
+        for _ in range(12):
+            started_ms = self.clock.ms
+            while not self.health.try_probe("lm-1"):
+                self.clock.ms += 100
+            waits_ms.append(self.clock.ms - started_ms)
+            self.fail("lm-1", 1)
+        self.assertGreater(waits_ms[-1], waits_ms[0])
+        self.assertLessEqual(max(waits_ms), health.OUT_MAX_MS + 100)
+
+    def test_failures_of_requests_sent_before_do_not_lengthen_it(self):
+        self.fail("lm-1", 50)
+        self.clock.ms += health.OUT_MIN_MS
+        self.assertTrue(self.health.try_probe("lm-1"))
+
+    def test_a_lost_probe_does_not_hold_it_for_good(self):
+        self.fail("lm-1")
+        self.clock.ms += health.OUT_MIN_MS
+        self.assertTrue(self.health.try_probe("lm-1"))
+        self.clock.ms += health.PROBE_LIFETIME_MS
+        self.assertTrue(self.health.try_probe("lm-1"))
+
+    def test_never_more_than_a_third_of_a_pool_is_out(self):
+        for upstream in POOL:
+            self.fail(upstream)
+        self.assertEqual(len(self.health.usable(POOL)), 4)
+        self.assertEqual(len(self.health.usable(POOL[:2])), 1)
+        self.assertEqual(self.health.usable(POOL[:1]), POOL[:1])
+
+    def test_a_slow_one_is_judged_against_its_peers(self):
+        for upstream in POOL:
+            self.answer(upstream, 2000)
+        self.assertEqual(self.health.usable(POOL), POOL)
+        self.health = UpstreamHealth(clock=self.clock)
+        for upstream in POOL:
+            self.answer(upstream, 2000 if upstream == "lm-2" else 100)
+        self.assertNotIn("lm-2", self.health.usable(POOL))
+        self.clock.ms += health.OUT_MIN_MS
+        self.assertTrue(self.health.try_probe("lm-2"))
+        self.health.record("lm-2", True, 2000)
+        self.assertNotIn("lm-2", self.health.usable(POOL))
+        self.clock.ms += 2 * health.OUT_MIN_MS
+        self.assertTrue(self.health.try_probe("lm-2"))
+        self.health.record("lm-2", True, 120)
+        self.assertEqual(self.health.usable(POOL), POOL)
+
+    def test_memory_is_bounded(self):
+        for n in range(health.MAX_UPSTREAMS + 10):
+            self.health.record(f"u{n}", True, 1)
+        self.assertEqual(len(self.health._state_by_upstream), health.MAX_UPSTREAMS)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = FakeClock()
+        self.budget = RetryBudget(clock=self.clock, percent=10)
+
+    def test_retries_are_a_tenth_of_requests_and_a_floor(self):
+        allowed = 0
+        for _ in range(1000):
+            self.budget.note_request("lm-1")
+            allowed += self.budget.try_retry("lm-1")
+        self.assertIn(allowed, (100, 101))
+
+    def test_the_floor_lets_one_through_now_and_then(self):
+        self.assertTrue(self.budget.try_retry("lm-1"))
+        self.assertFalse(self.budget.try_retry("lm-1"))
+        self.assertTrue(self.budget.try_retry("lm-2"))
+        self.clock.ms += retry_budget.FLOOR_INTERVAL_MS
+        self.assertTrue(self.budget.try_retry("lm-1"))
+
+    def test_no_burst_is_saved_up(self):
+        for _ in range(10_000):
+            self.budget.note_request("lm-1")
+        allowed = sum(self.budget.try_retry("lm-1") for _ in range(1000))
+        self.assertLessEqual(allowed, retry_budget.MAX_SAVED_RETRIES + 1)
