Add the platform's adapters and its stand-in

Ruled out: retrying in the adapters, as a lost answer to a write must be settled by reading back; taking any 503 as not written.

Change: typed clients over the HTTP client. A write is surely not made when no byte left, on 429, or on a 503 that states it; all else is unknown. The weight store is not asked before the time it named. The stand-in keeps a deleted row's version, so that no version of a row comes twice, and its control port gives outages, lost answers, latency and lists.

Conclusion: outcomes of writes are told apart as the callers need them.

--- /dev/null
+++ b/goldcrestmoor/adapters/hosts.py
@@ -0,0 +1,73 @@
+"""The platform's list of live and leaving hosts and upstreams, which lags."""
+
+import enum
+
+import msgspec
+
+from goldcrestmoor.adapters import platform
+from goldcrestmoor.adapters.platform import STATUS_OK, Platform
+
+
+class ListedKind(enum.StrEnum):
+    """What a list entry is."""
+
+    HOST = "host"
+    UPSTREAM = "upstream"
+
+
+class ListedState(enum.StrEnum):
+    """Whether a list entry takes new work."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class ListedHost(msgspec.Struct, frozen=True):
+    """One entry of the list.
+
+    :param id: the host's or upstream's name.
+    :param kind: which of the two it is.
+    :param zone: its availability zone.
+    :param address: its IP address.
+    :param http_port: where it serves HTTP.
+    :param peer_port: where its peers reach it; 0 for an upstream.
+    :param state: whether it takes new work.
+    """
+
+    id: str
+    kind: ListedKind
+    zone: str
+    address: str
+    http_port: int
+    peer_port: int = 0
+    state: ListedState = ListedState.LIVE
+
+
+class _Hosts(msgspec.Struct):
+    hosts: list[ListedHost]
+
+
+_decoder = msgspec.json.Decoder(_Hosts)
+
+
+class HostListClient:
+    """Fetch the list.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param http: the :class:`~goldcrestmoor.connection.http_client.HttpClient`.
+    :param settings: the :class:`~goldcrestmoor.settings.PlatformSettings`.
+    """
+
+    __slots__ = ("_platform",)
+
+    def __init__(self, *, clock, http, settings):
+        self._platform = Platform(http=http, settings=settings)
+
+    async def fetch(self):
+        """Return the list's entries.
+
+        :return: a list of :class:`ListedHost`.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
+        """
+        response = await self._platform.read("/hosts", (STATUS_OK,))
+        return platform.decode_read(response.body, _decoder).hosts
--- /dev/null
+++ b/goldcrestmoor/adapters/objects.py
@@ -0,0 +1,39 @@
+"""The platform's object store: whole byte strings by key."""
+
+from goldcrestmoor.adapters import platform
+from goldcrestmoor.adapters.platform import STATUS_NOT_FOUND, STATUS_OK, Platform
+
+
+class ObjectClient:
+    """Put and get objects.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param http: the :class:`~goldcrestmoor.connection.http_client.HttpClient`.
+    :param settings: the :class:`~goldcrestmoor.settings.PlatformSettings`.
+    """
+
+    __slots__ = ("_platform",)
+
+    def __init__(self, *, clock, http, settings):
+        self._platform = Platform(http=http, settings=settings)
+
+    async def put(self, key, data):
+        """Store an object. Putting the same bytes again does no harm.
+
+        :param key: the object's key.
+        :param data: its bytes.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE`` when surely not stored,
+            ``OUTCOME_UNKNOWN`` when it may have been.
+        """
+        await self._platform.write(
+            "PUT", platform.path("objects", key), data, (STATUS_OK,), idempotent=True
+        )
+
+    async def get(self, key):
+        """Return an object's bytes, or ``None``.
+
+        :param key: the object's key.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
+        """
+        response = await self._platform.read(platform.path("objects", key))
+        return None if response.status == STATUS_NOT_FOUND else response.body
--- /dev/null
+++ b/goldcrestmoor/adapters/platform.py
@@ -0,0 +1,166 @@
+"""Calls to the platform's services, with what each failure means to the caller."""
+
+import email.utils
+import time
+from urllib.parse import quote
+
+import msgspec
+
+from goldcrestmoor.clock import MS_PER_SECOND
+from goldcrestmoor.errors import ErrorKind, ServiceError
+
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+STATUS_CONFLICT = 409
+STATUS_TOO_MANY = 429
+STATUS_UNAVAILABLE = 503
+
+_JSON_HEADERS = [(b"content-type", b"application/json")]
+
+
+class _NotWritten(msgspec.Struct):
+    """The body of a 503 that states whether the write took effect."""
+
+    written: bool
+
+
+class Platform:
+    """One caller of the platform's services.
+
+    :param http: the :class:`~goldcrestmoor.connection.http_client.HttpClient`.
+    :param settings: the :class:`~goldcrestmoor.settings.PlatformSettings`.
+    """
+
+    __slots__ = ("_http", "_settings")
+
+    def __init__(self, *, http, settings):
+        self._http = http
+        self._settings = settings
+
+    async def read(self, target, statuses=(STATUS_OK, STATUS_NOT_FOUND)):
+        """Read, whatever happens on the way.
+
+        :param target: the path and query.
+        :param statuses: the statuses that are answers.
+        :return: the :class:`~goldcrestmoor.connection.http_client.HttpResponse`.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
+        """
+        try:
+            response = await self._send("GET", target, b"", idempotent=True)
+        except ServiceError as e:
+            raise unavailable(e.message) from e
+        if response.status not in statuses:
+            raise unavailable(
+                f"The platform answered {response.status}.", retry_after_ms(response)
+            )
+        return response
+
+    async def write(self, method, target, body, statuses, idempotent=False):
+        """Write at most once.
+
+        :param method: the HTTP method.
+        :param target: the path and query.
+        :param body: the body's bytes.
+        :param statuses: the statuses that are answers.
+        :param idempotent: whether writing twice does no harm.
+        :return: the :class:`~goldcrestmoor.connection.http_client.HttpResponse`.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE`` when surely not written, else
+            ``OUTCOME_UNKNOWN``.
+        """
+        try:
+            response = await self._send(method, target, body, idempotent)
+        except ServiceError as e:
+            if e.kind == ErrorKind.UPSTREAM_UNREACHABLE:
+                raise unavailable(e.message) from e
+            raise outcome_unknown(e.message) from e
+        if response.status in statuses:
+            return response
+        message = f"The platform answered {response.status}."
+        if _states_not_written(response):
+            raise unavailable(message, retry_after_ms(response))
+        raise outcome_unknown(message)
+
+    async def _send(self, method, target, body, idempotent):
+        settings = self._settings
+        return await self._http.request(
+            settings.address,
+            settings.port,
+            method,
+            target,
+            _JSON_HEADERS if method == "POST" else [],
+            body,
+            timeout_ms=settings.timeout_ms,
+            idempotent=idempotent,
+        )
+
+
+def decode_read(data, decoder):
+    """Return the decoded body of a read.
+
+    :param data: the body's bytes.
+    :param decoder: a msgspec decoder.
+    :raises ServiceError: ``PLATFORM_UNAVAILABLE`` when it is malformed.
+    """
+    try:
+        return decoder.decode(data)
+    except msgspec.MsgspecError as e:
+        raise unavailable("The platform's answer is malformed.") from e
+
+
+def decode_write(data, decoder):
+    """Return the decoded body of a write's answer.
+
+    :param data: the body's bytes.
+    :param decoder: a msgspec decoder.
+    :raises ServiceError: ``OUTCOME_UNKNOWN`` when it is malformed.
+    """
+    try:
+        return decoder.decode(data)
+    except msgspec.MsgspecError as e:
+        raise outcome_unknown("The platform's answer is malformed.") from e
+
+
+def path(*parts):
+    """Return a path of quoted parts.
+
+    :param parts: the parts, which may hold any character.
+    """
+    return "".join("/" + quote(str(part), safe="") for part in parts)
+
+
+def unavailable(message, retry_after_ms=None):
+    """Return the error of a read that failed or of a write surely not made."""
+    return ServiceError(ErrorKind.PLATFORM_UNAVAILABLE, message, retry_after_ms)
+
+
+def outcome_unknown(message):
+    """Return the error of a write that may have been made."""
+    return ServiceError(ErrorKind.OUTCOME_UNKNOWN, message)
+
+
+def retry_after_ms(response):
+    """Return what an answer's Retry-After says, in milliseconds, or ``None``.
+
+    :param response: the answer.
+    """
+    value = dict(response.headers).get(b"retry-after", b"").decode("latin-1")
+    try:
+        return max(0, int(float(value) * MS_PER_SECOND))
+    except (ValueError, OverflowError):
+        pass
+    try:
+        at = email.utils.parsedate_to_datetime(value).timestamp()
+    except ValueError:
+        return None
+    return max(0, int((at - time.time()) * MS_PER_SECOND))
+
+
+def _states_not_written(response):
+    if response.status == STATUS_TOO_MANY:
+        return True
+    if response.status != STATUS_UNAVAILABLE:
+        return False
+    try:
+        return not msgspec.json.decode(response.body, type=_NotWritten).written
+    except msgspec.MsgspecError:
+        return False
--- /dev/null
+++ b/goldcrestmoor/adapters/weights.py
@@ -0,0 +1,49 @@
+"""The platform's weight store, which limits how often it is asked."""
+
+from goldcrestmoor.adapters import platform
+from goldcrestmoor.adapters.platform import (
+    STATUS_NOT_FOUND,
+    STATUS_OK,
+    STATUS_TOO_MANY,
+    Platform,
+)
+
+WAIT_MS = 1000
+
+
+class WeightStoreClient:
+    """Ask which weight versions are there.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param http: the :class:`~goldcrestmoor.connection.http_client.HttpClient`.
+    :param settings: the :class:`~goldcrestmoor.settings.PlatformSettings`.
+    """
+
+    __slots__ = ("_clock", "_platform", "_closed_until_ms")
+
+    def __init__(self, *, clock, http, settings):
+        self._clock = clock
+        self._platform = Platform(http=http, settings=settings)
+        self._closed_until_ms = 0
+
+    async def exists(self, model, version):
+        """Tell whether a model's weight version is stored.
+
+        Once the store has named a time to come back, it is not asked before.
+
+        :param model: the model's name.
+        :param version: the weight version.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE``, with when to come back.
+        """
+        wait_ms = self._closed_until_ms - self._clock.now_ms()
+        if wait_ms > 0:
+            raise platform.unavailable("The weight store is closed to us.", wait_ms)
+        response = await self._platform.read(
+            platform.path("weights", model, version),
+            (STATUS_OK, STATUS_NOT_FOUND, STATUS_TOO_MANY),
+        )
+        if response.status != STATUS_TOO_MANY:
+            return response.status == STATUS_OK
+        wait_ms = platform.retry_after_ms(response) or WAIT_MS
+        self._closed_until_ms = self._clock.now_ms() + wait_ms
+        raise platform.unavailable("The weight store's rate limit is met.", wait_ms)
--- /dev/null
+++ b/test/standins/platform.py
@@ -0,0 +1,260 @@
+"""The platform's stand-in: tables, objects, host list and weight store.
+
+It runs as ``python -m test.standins.platform '{"address": ..., "port": ...}'``
+with, if wanted, ``control_port``, ``hosts`` (a list of entries), ``host_lag_ms``,
+``weights`` (``{model: [version, ...]}``) and ``weight_reads_per_s``.
+
+Tests drive it by ``POST /control/...`` on its port, and on ``control_port``, which
+stays up in an outage of mode ``refuse``. Without a ``control_port`` such an outage
+drops each request unanswered instead.
+"""
+
+import asyncio
+import collections
+import json
+import sys
+import time
+from urllib.parse import parse_qs, unquote
+
+from test.standins.server import Drop, Response, Server, json_response
+
+MS_PER_SECOND = 1000
+REFUSE = "refuse"
+HANG = "hang"
+
+
+class Row:
+    """One row; a deleted one keeps its version, so that none comes twice."""
+
+    __slots__ = ("version", "value")
+
+    def __init__(self):
+        self.version = 0
+        self.value = None
+
+    def to_json(self, key):
+        return {"key": key, "version": self.version, "value": self.value}
+
+
+class Platform:
+    """The platform's state and its routes."""
+
+    __slots__ = (
+        "rows_by_table",
+        "objects",
+        "listed",
+        "listed_next",
+        "host_lag_ms",
+        "weights",
+        "weight_reads_per_s",
+        "weight_times",
+        "outage",
+        "latency_ms",
+        "lost_answers",
+        "lost_reads",
+        "counts",
+        "data_server",
+        "can_refuse",
+        "_outage_over",
+    )
+
+    def __init__(self, options):
+        self.rows_by_table = collections.defaultdict(dict)
+        self.objects = {}
+        self.listed = options.get("hosts", [])
+        self.listed_next = None
+        self.host_lag_ms = options.get("host_lag_ms", 0)
+        self.weights = options.get("weights", {})
+        self.weight_reads_per_s = options.get("weight_reads_per_s", 0)
+        self.weight_times = collections.deque()
+        self.outage = ""
+        self.latency_ms = options.get("latency_ms", 0)
+        self.lost_answers = 0
+        self.lost_reads = 0
+        self.counts = collections.Counter()
+        self.data_server = None
+        self.can_refuse = bool(options.get("control_port"))
+        self._outage_over = asyncio.Event()
+
+    async def handle(self, request):
+        """Answer one request."""
+        parts = [unquote(part) for part in request.path.split("/")[1:]]
+        if parts[0] == "control":
+            return await self._control(parts[1], request)
+        if self.latency_ms:
+            await asyncio.sleep(self.latency_ms / MS_PER_SECOND)
+        await self._meet_outage()
+        match request.method, parts:
+            case "GET", ["tables", table, key]:
+                return self._count("reads", self._get(table, key))
+            case "GET", ["tables", table]:
+                query = parse_qs(request.query, keep_blank_values=True)
+                prefix = query.get("prefix", [""])[0]
+                return self._count("reads", self._scan(table, prefix))
+            case "POST", ["transactions"]:
+                return self._count("writes", self._transact(request.json()))
+            case "PUT", ["objects", key]:
+                self.objects[key] = request.body
+                return self._count("writes", json_response({}))
+            case "GET", ["objects", key]:
+                return self._count("reads", self._get_object(key))
+            case "GET", ["hosts"]:
+                return self._count("host_reads", self._hosts())
+            case "GET", ["weights", model, version]:
+                return self._count("weight_reads", self._weight(model, int(version)))
+        return Response(404)
+
+    async def _meet_outage(self):
+        if self.outage == HANG:
+            await self._outage_over.wait()
+            raise Drop
+        if self.outage == REFUSE:
+            raise Drop
+
+    def _count(self, kind, response):
+        self.counts[kind] += 1
+        if kind == "writes" and self.lost_answers:
+            self.lost_answers -= 1
+            raise Drop
+        if kind == "reads" and self.lost_reads:
+            self.lost_reads -= 1
+            raise Drop
+        return response
+
+    def _get(self, table, key):
+        row = self.rows_by_table[table].get(key)
+        if row is None or row.value is None:
+            return Response(404)
+        return json_response(row.to_json(key))
+
+    def _scan(self, table, prefix):
+        rows = sorted(self.rows_by_table[table].items())
+        return json_response(
+            {
+                "rows": [
+                    row.to_json(key)
+                    for key, row in rows
+                    if key.startswith(prefix) and row.value is not None
+                ]
+            }
+        )
+
+    def _transact(self, transaction):
+        for check in transaction["checks"]:
+            table, key = check["table"], check["key"]
+            row = self.rows_by_table[table].get(key)
+            exists = row is not None and row.value is not None
+            if check["version"] != (row.version if exists else 0):
+                self.counts["conflicts"] += 1
+                found = row.to_json(key) if exists else None
+                return json_response({"table": table, "key": key, "row": found}, 409)
+        versions = {}
+        for write in transaction["writes"]:
+            table, key = write["table"], write["key"]
+            row = self.rows_by_table[table].setdefault(key, Row())
+            row.version += 1
+            row.value = write["value"]
+            versions[f"{table}/{key}"] = row.version
+        return json_response({"versions": versions})
+
+    def _get_object(self, key):
+        if key not in self.objects:
+            return Response(404)
+        return Response(200, self.objects[key])
+
+    def _hosts(self):
+        if self.listed_next is not None and time.monotonic() >= self.listed_next[0]:
+            self.listed, self.listed_next = self.listed_next[1], None
+        return json_response({"hosts": self.listed})
+
+    def _weight(self, model, version):
+        now = time.monotonic()
+        while self.weight_times and self.weight_times[0] <= now - 1:
+            self.weight_times.popleft()
+        bound = self.weight_reads_per_s
+        if bound and len(self.weight_times) >= bound:
+            self.counts["weight_refusals"] += 1
+            return Response(429, headers=[("retry-after", "1")])
+        self.weight_times.append(now)
+        found = version in self.weights.get(model, ())
+        return json_response({}, 200 if found else 404)
+
+    async def _control(self, name, request):
+        body = request.json() if request.body else {}
+        match name:
+            case "stats":
+                return json_response(dict(self.counts))
+            case "outage":
+                await self._set_outage(body.get("mode", REFUSE) if body["on"] else "")
+            case "lose_answers":
+                self.lost_answers = body["count"]
+            case "lose_reads":
+                self.lost_reads = body["count"]
+            case "latency":
+                self.latency_ms = body["ms"]
+            case "hosts":
+                at = time.monotonic() + self.host_lag_ms / MS_PER_SECOND
+                self.listed_next = (at, body["hosts"])
+            case "weights":
+                self.weights.update(body.get("weights", {}))
+                self.weight_reads_per_s = body.get("reads_per_s", 0)
+            case _:
+                return Response(404)
+        return json_response({})
+
+    def drop_hanging(self):
+        """Drop the requests that hang in an outage."""
+        self._outage_over.set()
+        self._outage_over = asyncio.Event()
+
+    async def _set_outage(self, mode):
+        was_refusing = self.outage == REFUSE
+        self.outage = mode
+        self.drop_hanging()
+        if not self.can_refuse:
+            return
+        if mode == REFUSE and not was_refusing:
+            await self.data_server.close()
+        elif was_refusing and mode != REFUSE:
+            await self.data_server.start()
+
+
+class PlatformServers:
+    """The platform's data port and, if there is one, its control port."""
+
+    __slots__ = ("platform", "data", "control")
+
+    def __init__(self, options):
+        self.platform = Platform(options)
+        handle = self.platform.handle
+        self.data = Server(handle, options["address"], options["port"])
+        self.platform.data_server = self.data
+        self.control = None
+        if options.get("control_port"):
+            port = options["control_port"]
+            self.control = Server(handle, options["address"], port)
+
+    async def start(self):
+        """Start to listen."""
+        await self.data.start()
+        if self.control:
+            await self.control.start()
+
+    async def close(self):
+        """Stop listening and drop every connection."""
+        self.platform.drop_hanging()
+        await self.data.close()
+        if self.control:
+            await self.control.close()
+
+
+async def run(options):
+    """Serve for good, and say on standard output when ready."""
+    servers = PlatformServers(options)
+    await servers.start()
+    print(f"ready {servers.data.port}", flush=True)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(run(json.loads(sys.argv[1])))
