--- a/goldcrestmoor/commands/__init__.py
+++ b/goldcrestmoor/commands/__init__.py
@@ -3,11 +3,13 @@
 ``COMMAND_BY_NAME`` is the one place where they are registered.
 """
 
+from goldcrestmoor.commands.ask import ask
 from goldcrestmoor.commands.check import check
 from goldcrestmoor.commands.keygen import keygen
 from goldcrestmoor.commands.serve import serve
 
 COMMAND_BY_NAME = {
+    "ask": ask,
     "check": check,
     "keygen": keygen,
     "serve": serve,
--- /dev/null
+++ b/goldcrestmoor/language/explain.py
@@ -0,0 +1,106 @@
+"""Why something was done: decisions of this host and of its peers."""
+
+import logging
+
+from goldcrestmoor.clock import Deadline
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.process.decisions import Decision
+from goldcrestmoor.wire import Message
+
+log = logging.getLogger("goldcrestmoor.language")
+
+MAX_HOSTS_ASKED = 16
+HOST_TIMEOUT_MS = 500
+EXPLAIN_TIMEOUT_MS = 5000
+
+
+class ExplainRequest(Message, frozen=True):
+    """Ask a host for its decisions.
+
+    :param request_id: about this request; empty for the host's last ones.
+    """
+
+    request_id: str
+
+
+class Explanation(Message, frozen=True):
+    """A host's decisions, oldest first."""
+
+    host_id: str
+    decisions: tuple[Decision, ...]
+
+
+class Explainer:
+    """Collect decisions from the hosts that may have made them.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param decisions: this host's decisions.
+    :param links: the peer links.
+    :param membership: the hosts that this host believes alive.
+    :param host_id: this host's id.
+    :param zone: this host's availability zone.
+    """
+
+    __slots__ = ("_clock", "_decisions", "_links", "_membership", "_host_id", "_zone")
+
+    def __init__(self, *, clock, decisions, links, membership, host_id, zone):
+        self._clock = clock
+        self._decisions = decisions
+        self._links = links
+        self._membership = membership
+        self._host_id = host_id
+        self._zone = zone
+        links.register(ExplainRequest, self._on_ask)
+
+    async def explain_request(self, request_id):
+        """Return the decisions about one request, oldest first.
+
+        :param request_id: the request.
+        :return: pairs of a host's id and a decision.
+        """
+        # A request's id names no host, and the hosts that took part in it are
+        # almost always of one zone.
+        found = [self._own(request_id)]
+        deadline = Deadline.after(self._clock, EXPLAIN_TIMEOUT_MS)
+        others = (record.id for record in self._membership.live(self._zone))
+        asked = sorted(host for host in others if host != self._host_id)
+        for host_id in asked[: MAX_HOSTS_ASKED - 1]:
+            if deadline.passed():
+                break
+            try:
+                found.append(await self._ask(host_id, request_id))
+            except ServiceError as e:
+                log.info("Host %s explained nothing: %s", host_id, e)
+        pairs = ((e.host_id, d) for e in found for d in e.decisions)
+        return sorted(pairs, key=lambda pair: pair[1].at_ms)
+
+    async def explain_host(self, host_id):
+        """Return a host's last decisions, oldest first.
+
+        :param host_id: the host.
+        :return: pairs of its id and a decision.
+        :raises ServiceError: when the host does not answer.
+        """
+        if host_id == self._host_id:
+            explanation = self._own("")
+        else:
+            explanation = await self._ask(host_id, "")
+        return [(host_id, decision) for decision in explanation.decisions]
+
+    async def _ask(self, host_id, request_id):
+        answer = await self._links.call(
+            host_id, ExplainRequest(request_id), HOST_TIMEOUT_MS
+        )
+        if not isinstance(answer, Explanation):
+            raise ServiceError(ErrorKind.PEER_UNREACHABLE, "No explanation came.")
+        return answer
+
+    def _own(self, request_id):
+        if request_id:
+            decisions = self._decisions.for_request(request_id)
+        else:
+            decisions = self._decisions.recent()
+        return Explanation(self._host_id, tuple(decisions))
+
+    async def _on_ask(self, sender_id, message):
+        return self._own(message.request_id)
--- /dev/null
+++ b/goldcrestmoor/language/routes.py
@@ -0,0 +1,96 @@
+"""The operators' HTTP route."""
+
+import hmac
+import logging
+import math
+
+import msgspec
+from blacksheep import Content, Response
+
+from goldcrestmoor import util
+from goldcrestmoor.clock import MS_PER_SECOND
+from goldcrestmoor.errors import ANSWER_BY_KIND, ErrorKind, ServiceError, to_body
+from goldcrestmoor.language.executor import Outcome
+
+log = logging.getLogger("goldcrestmoor.language")
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+BEARER = b"bearer "
+STATUS_OK = 200
+
+
+class Question(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The body of a request to the operators' route.
+
+    :param text: the operator's text.
+    :param base_version: the version that its changes were written against.
+    """
+
+    text: str
+    base_version: int | None = None
+
+
+def register_routes(app, *, executor, operator_token_hash):
+    """Add ``POST /operator/ask`` to an application.
+
+    :param app: the blacksheep application.
+    :param executor: the :class:`~goldcrestmoor.language.executor.Executor`.
+    :param operator_token_hash: SHA-256 of the operators' token, in hexadecimal;
+        nobody is let in when it is empty.
+    """
+
+    async def ask(request):
+        try:
+            _authenticate(request, operator_token_hash)
+            question = await _read(request)
+            answer = await executor.execute(question.text, question.base_version)
+        except ServiceError as e:
+            return _error_response(e)
+        return _json_response(_status(answer), answer)
+
+    app.router.add_post("/operator/ask", ask)
+
+
+def _authenticate(request, operator_token_hash):
+    value = request.get_first_header(b"Authorization") or b""
+    token = b""
+    if value[: len(BEARER)].lower() == BEARER:
+        token = value[len(BEARER) :].strip()
+    given = util.hash_token(token.decode("utf-8", "replace"))
+    same = hmac.compare_digest(given, operator_token_hash)
+    if not operator_token_hash or not same:
+        raise ServiceError(ErrorKind.UNAUTHORIZED, "The operators' token is wrong.")
+
+
+async def _read(request):
+    length = request.get_first_header(b"Content-Length") or b"0"
+    if length.isdigit() and int(length) > MAX_BODY_BYTES:
+        raise ServiceError(ErrorKind.TOO_LARGE, "The body is too large.")
+    body = bytearray()
+    async for chunk in request.stream():
+        body += chunk
+        if len(body) > MAX_BODY_BYTES:
+            raise ServiceError(ErrorKind.TOO_LARGE, "The body is too large.")
+    try:
+        return msgspec.json.decode(bytes(body), type=Question)
+    except msgspec.MsgspecError as e:
+        raise ServiceError(ErrorKind.BAD_REQUEST, f"The body is wrong: {e}.") from e
+
+
+def _status(answer):
+    if isinstance(answer, Outcome) and answer.code is not None:
+        return ANSWER_BY_KIND[answer.code].status
+    return STATUS_OK
+
+
+def _error_response(error):
+    response = _json_response(error.answer.status, to_body(error))
+    if error.retry_after_ms:
+        seconds = math.ceil(error.retry_after_ms / MS_PER_SECOND)
+        response.add_header(b"Retry-After", str(seconds).encode())
+    return response
+
+
+def _json_response(status, value):
+    data = msgspec.json.encode(value)
+    return Response(status, content=Content(b"application/json", data))
--- /dev/null
+++ b/goldcrestmoor/version/configuration_driver.py
@@ -0,0 +1,258 @@
+"""Drive one change of the configuration from an operator to all hosts."""
+
+import asyncio
+import logging
+
+import msgspec
+
+from goldcrestmoor.clock import Deadline
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.version.configuration_messages import CutOffPrepared, PrepareCutOff
+from goldcrestmoor.version.configuration_store import (
+    ConfigurationStore,
+    Overtaken,
+    Written,
+    new_token,
+)
+from goldcrestmoor.version.cut_off import cut_off_part, propose
+
+log = logging.getLogger("goldcrestmoor.configuration")
+
+PREPARE_TIMEOUT_MS = 1500
+PREPARE_ATTEMPTS = 2
+MAX_PREPARES_IN_FLIGHT = 64
+MAX_PREPARE_ROUNDS = 4
+HOST_KIND = "host"
+
+
+class Accepted(msgspec.Struct, frozen=True):
+    """A change that is in force everywhere.
+
+    :param version: the version that it made.
+    :param in_force_ms: the time from the command to this answer.
+    """
+
+    version: int
+    in_force_ms: int
+
+
+class Refused(msgspec.Struct, frozen=True):
+    """A change that was not made and never will be.
+
+    :param reason: why.
+    :param version: the platform's current version, or the newest known here.
+    :param silent_hosts: the hosts that did not acknowledge new cut-off terms.
+    :param kind: the kind of error that it stands for.
+    """
+
+    reason: str
+    version: int
+    silent_hosts: tuple[str, ...] = ()
+    kind: ErrorKind = ErrorKind.CONFIG_REFUSED
+
+
+class Unknown(msgspec.Struct, frozen=True):
+    """A change of which nobody can tell yet whether it was made.
+
+    :param message: what to do.
+    """
+
+    message: str = "unknown, ask SHOW VERSION"
+
+
+class ConfigurationDriver:
+    """Make changes of the configuration, one answer each.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param table: the table service's client.
+    :param objects: the object store's client.
+    :param settings: the configuration section of the settings.
+    :param lease: this host's configuration lease.
+    :param links: the peer links.
+    :param membership: the hosts that this host believes alive.
+    :param host_list: the platform's list of hosts.
+    :param host_id: this host's id.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_store",
+        "_settings",
+        "_lease",
+        "_links",
+        "_membership",
+        "_host_list",
+        "_host_id",
+        "_permits",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock,
+        table,
+        objects,
+        settings,
+        lease,
+        links,
+        membership,
+        host_list,
+        host_id,
+    ):
+        self._clock = clock
+        self._store = ConfigurationStore(clock=clock, table=table, objects=objects)
+        self._settings = settings
+        self._lease = lease
+        self._links = links
+        self._membership = membership
+        self._host_list = host_list
+        self._host_id = host_id
+        self._permits = asyncio.Semaphore(MAX_PREPARES_IN_FLIGHT)
+
+    async def change(self, base_version, apply):
+        """Make one atomic change, and answer once it is in force everywhere.
+
+        :param base_version: the version that the operator wrote it against; the
+            platform's current one when None.
+        :param apply: takes a configuration and returns the changed one; raises
+            ServiceError when the change makes no sense.
+        :return: :class:`Accepted`, :class:`Refused` or :class:`Unknown`.
+        """
+        started_ms = self._clock.now_ms()
+        deadline = Deadline.after(self._clock, self._settings.answer_timeout_ms)
+        try:
+            written = await self._make(base_version, apply, deadline)
+        except ServiceError as e:
+            if e.kind == ErrorKind.CONFIG_UNKNOWN:
+                return Unknown()
+            return Refused(e.message, self._lease.version, kind=e.kind)
+        match written:
+            case Written():
+                return await self._await_force(written, started_ms, deadline)
+            case Overtaken(version=version):
+                return _conflict(version)
+        return written
+
+    async def read_current(self):
+        """Return the platform's current configuration.
+
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
+        """
+        return await self._fetch(await self._store.read_head())
+
+    async def _make(self, base_version, apply, deadline):
+        base = await self._store.read_head()
+        if base_version is not None and base_version != base.version:
+            return _conflict(base.version)
+        if base.version < self._lease.version:
+            raise ServiceError(
+                ErrorKind.PLATFORM_UNAVAILABLE,
+                f"The platform's version {base.version} is an old one.",
+            )
+        old = await self._fetch(base)
+        new = apply(old)
+        token = new_token()
+        proposal = propose(token, base.version, cut_off_part(old), cut_off_part(new))
+        guards = ()
+        if not proposal.is_empty():
+            guards = (await self._store.propose(proposal),)
+            silent = await self._prepare(proposal, deadline)
+            if silent:
+                reason = f"Cut-off terms not acknowledged by {', '.join(silent)}."
+                return Refused(reason, base.version, silent)
+        # After this point too little time would be left to see it in force.
+        write_by = Deadline(self._clock, deadline.at_ms - self._force_ms())
+        if write_by.passed():
+            return Refused("There was too little time left to make it.", base.version)
+        return await self._store.write(base, new, token, write_by, guards)
+
+    async def _fetch(self, head):
+        if head.version == self._lease.version and self._lease.ready():
+            return self._lease.configuration
+        fetched = await self._store.fetch(head)
+        return msgspec.structs.replace(fetched, version=head.version)
+
+    def _force_ms(self):
+        return self._settings.lease_ms + self._settings.lease_margin_ms
+
+    async def _await_force(self, written, started_ms, deadline):
+        # Every read that was sent before the write took effect has run out by
+        # then, so that each host has adopted this version or has lapsed.
+        in_force_at = Deadline(self._clock, written.known_at_ms + self._force_ms())
+        if in_force_at.at_ms > deadline.at_ms:
+            return Unknown()
+        while not in_force_at.passed():
+            await self._clock.sleep_ms(in_force_at.remaining_ms())
+        log.info("Version %d is in force.", written.version)
+        return Accepted(written.version, self._clock.now_ms() - started_ms)
+
+    async def _prepare(self, proposal, deadline):
+        """Have every live host acknowledge a proposal; return the silent ones."""
+        answer_by_host = {}
+        for _ in range(MAX_PREPARE_ROUNDS):
+            waiting = await self._hosts_to_ask(answer_by_host)
+            if not waiting or deadline.remaining_ms() < self._force_ms():
+                return waiting
+            answers = await asyncio.gather(
+                *(self._prepare_host(host_id, proposal) for host_id in waiting)
+            )
+            pairs = list(zip(waiting, answers, strict=True))
+            silent = tuple(host_id for host_id, answer in pairs if answer is None)
+            if silent:
+                return silent
+            answer_by_host.update(pairs)
+        return await self._hosts_to_ask(answer_by_host)
+
+    async def _hosts_to_ask(self, answer_by_host):
+        """Return the live hosts that have not acknowledged as they are now."""
+        records = list(self._membership.live())
+        listed = await self._host_list.fetch()
+        hosts = {host.id for host in listed if host.kind == HOST_KIND}
+        hosts |= {record.id for record in records} | {self._host_id}
+        waiting = hosts - set(answer_by_host)
+        # A host that was restarted since has forgotten its acknowledgement.
+        for host_id, incarnation in _incarnations(records, answer_by_host):
+            answer = answer_by_host.get(host_id)
+            if answer is None or answer.incarnation < incarnation:
+                waiting.add(host_id)
+        return tuple(sorted(waiting))
+
+    async def _prepare_host(self, host_id, proposal):
+        if host_id == self._host_id:
+            return self._prepare_self(proposal)
+        async with self._permits:
+            for _ in range(PREPARE_ATTEMPTS):
+                try:
+                    answer = await self._links.call(
+                        host_id, PrepareCutOff(proposal), PREPARE_TIMEOUT_MS
+                    )
+                except ServiceError as e:
+                    log.info("Host %s did not acknowledge: %s", host_id, e)
+                    continue
+                if isinstance(answer, CutOffPrepared):
+                    return answer
+        return None
+
+    def _prepare_self(self, proposal):
+        try:
+            return self._lease.prepare(proposal)
+        except ServiceError as e:
+            log.info("This host did not acknowledge: %s", e)
+            return None
+
+
+def _incarnations(records, answer_by_host):
+    """Yield each host that is known to run, with its newest incarnations."""
+    for record in records:
+        yield record.id, record.incarnation
+    for answer in answer_by_host.values():
+        for given in answer.given_to:
+            yield given.host_id, given.incarnation
+
+
+def _conflict(version):
+    return Refused(
+        f"The current version is {version}.",
+        version,
+        kind=ErrorKind.CONFIG_CONFLICT,
+    )
--- /dev/null
+++ b/goldcrestmoor/version/configuration_lease.py
@@ -0,0 +1,293 @@
+"""The read lease: what this host may act on, and until when."""
+
+import collections
+import logging
+import random
+
+import msgspec
+
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.util import Backoff
+from goldcrestmoor.version import configuration as documents
+from goldcrestmoor.version.configuration import Configuration, View
+from goldcrestmoor.version.configuration_messages import (
+    ConfigurationOffer,
+    CutOffPrepared,
+    FetchConfiguration,
+    GivenHost,
+    PrepareCutOff,
+)
+from goldcrestmoor.version.configuration_store import ConfigurationStore
+from goldcrestmoor.version.cut_off import lapsed_configuration
+
+log = logging.getLogger("goldcrestmoor.configuration")
+
+POLL_JITTER = 0.2
+PEER_TIMEOUT_MS = 500
+PEERS_ASKED = 3
+MAX_PROPOSALS = 64
+MAX_GIVEN = 1024
+GIVEN_LIFETIME_MS = 600_000
+NOTHING_ADOPTED = -1
+
+
+class ConfigurationLease:
+    """Keep the newest configuration and the time until which it may be acted on.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param table: the table service's client.
+    :param objects: the object store's client.
+    :param settings: the configuration section of the settings.
+    :param links: the peer links, to ask peers and to answer them; none by default.
+    :param peers: gives the ids of the hosts to ask at start, the nearest first.
+    :param host_id: this host's id.
+    :param incarnation: this host's incarnation.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_store",
+        "_settings",
+        "_links",
+        "_peers",
+        "_host_id",
+        "_incarnation",
+        "_configuration",
+        "_lapsed_configuration",
+        "_version",
+        "_lease_end_ms",
+        "_read_sent_ms",
+        "_proposals_by_token",
+        "_given_by_host",
+        "_callbacks",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock,
+        table,
+        objects,
+        settings,
+        links=None,
+        peers=None,
+        host_id="",
+        incarnation=0,
+    ):
+        self._clock = clock
+        self._store = ConfigurationStore(clock=clock, table=table, objects=objects)
+        self._settings = settings
+        self._links = links
+        self._peers = peers
+        self._host_id = host_id
+        self._incarnation = incarnation
+        self._configuration = Configuration()
+        self._lapsed_configuration = self._configuration
+        self._version = NOTHING_ADOPTED
+        self._lease_end_ms = clock.now_ms()
+        self._read_sent_ms = clock.now_ms()
+        self._proposals_by_token = {}
+        self._given_by_host = collections.OrderedDict()
+        self._callbacks = []
+        if links is not None:
+            links.register(FetchConfiguration, self._on_fetch)
+            links.register(PrepareCutOff, self._on_prepare)
+
+    @property
+    def version(self):
+        """The version in force here; 0 when there is none."""
+        return self._configuration.version
+
+    @property
+    def configuration(self):
+        """The newest configuration that was adopted, lapsed or not."""
+        return self._configuration
+
+    def ready(self):
+        """Tell whether this host has learnt any configuration."""
+        return self._version != NOTHING_ADOPTED
+
+    def view(self):
+        """Return what this host may act on at this moment.
+
+        The lease is checked at each call, as the process may have been frozen
+        since the last one.
+
+        :return: a :class:`~goldcrestmoor.version.configuration.View`.
+        """
+        if self._clock.now_ms() < self._lease_end_ms:
+            return View(self._configuration, lapsed=False)
+        return View(self._lapsed_configuration, lapsed=True)
+
+    def lease_age_ms(self):
+        """Return the time since the last good read was sent, in milliseconds."""
+        return self._clock.now_ms() - self._read_sent_ms
+
+    def on_adopt(self, callback):
+        """Have a function called with each configuration that is adopted.
+
+        :param callback: takes the configuration; must not block.
+        """
+        self._callbacks.append(callback)
+
+    async def run(self):
+        """Poll the head until cancelled."""
+        backoff = Backoff(self._settings.poll_ms, self._settings.lease_ms)
+        while True:
+            if await self.poll():
+                backoff.reset()
+                jitter = random.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
+                await self._clock.sleep_ms(self._settings.poll_ms * jitter)
+                continue
+            if not self.ready():
+                await self.ask_peers()
+            await self._clock.sleep_ms(backoff.next_ms())
+
+    async def poll(self):
+        """Read the head once, and adopt and renew as it allows.
+
+        :return: whether the read was good.
+        """
+        sent_ms = self._clock.now_ms()
+        try:
+            if not await self._read():
+                return False
+        except (ServiceError, msgspec.MsgspecError) as e:
+            log.warning("The head was not read: %s", e)
+            return False
+        # The document's fetch counts too: the read was true when it was sent.
+        self._renew(sent_ms + self._settings.lease_ms)
+        self._read_sent_ms = max(self._read_sent_ms, sent_ms)
+        return True
+
+    async def ask_peers(self):
+        """Take the configuration of peers, with what is left of their leases."""
+        if self._links is None or self._peers is None:
+            return
+        others = [host_id for host_id in self._peers() if host_id != self._host_id]
+        for host_id in others[:PEERS_ASKED]:
+            sent_ms = self._clock.now_ms()
+            try:
+                offer = await self._links.call(
+                    host_id, FetchConfiguration(self._incarnation), PEER_TIMEOUT_MS
+                )
+                self._take(offer, sent_ms)
+            except (ServiceError, msgspec.MsgspecError) as e:
+                log.info("Peer %s offered no configuration: %s", host_id, e)
+
+    def prepare(self, proposal):
+        """Take proposed cut-off terms into account from now on.
+
+        :param proposal: a :class:`~goldcrestmoor.version.cut_off.Proposal`.
+        :return: the :class:`CutOffPrepared` acknowledgement.
+        :raises ServiceError: ``CONFIG_CONFLICT`` when a newer version is known
+            here, ``OVERLOADED`` when too many proposals are in doubt.
+        """
+        if proposal.base < self._version:
+            raise ServiceError(
+                ErrorKind.CONFIG_CONFLICT, f"Version {self._version} is in force here."
+            )
+        known = proposal.token in self._proposals_by_token
+        if not known and len(self._proposals_by_token) >= MAX_PROPOSALS:
+            raise ServiceError(ErrorKind.OVERLOADED, "Too many proposals in doubt.")
+        self._keep_proposals([proposal])
+        self._forget_given()
+        given = tuple(given for given, _ in self._given_by_host.values())
+        return CutOffPrepared(self._host_id, self._incarnation, given)
+
+    def offer(self, host_id, incarnation):
+        """Return what a peer may take from this host, and remember the peer.
+
+        :param host_id: the peer.
+        :param incarnation: its incarnation.
+        :raises ServiceError: ``CONFIG_LAPSED`` when there is nothing to offer,
+            ``OVERLOADED`` when too many peers were served.
+        """
+        if not self.ready():
+            raise ServiceError(ErrorKind.CONFIG_LAPSED, "No configuration here.")
+        self._remember_given(GivenHost(host_id, incarnation))
+        left_ms = max(0, self._lease_end_ms - self._clock.now_ms())
+        return ConfigurationOffer(
+            documents.encode(self._configuration),
+            self._configuration.version,
+            left_ms,
+            tuple(self._proposals_by_token.values()),
+        )
+
+    async def _on_fetch(self, sender_id, message):
+        return self.offer(sender_id, message.incarnation)
+
+    async def _on_prepare(self, sender_id, message):
+        return self.prepare(message.proposal)
+
+    async def _read(self):
+        # Before the head, as a later proposal may stand there once the head
+        # that it leads to is written.
+        proposal = None if self.ready() else await self._store.read_proposal()
+        head = await self._store.read_head()
+        if head.version > self._version:
+            fetched = await self._store.fetch(head)
+            # A newer one may have been adopted while this one was fetched.
+            if head.version > self._version:
+                self._adopt(msgspec.structs.replace(fetched, version=head.version))
+                self._keep_proposals([proposal] if proposal else [])
+        if head.version < self._version:
+            log.error(
+                "The platform's version %d is below %d, ignored.",
+                head.version,
+                self._version,
+            )
+        return head.version == self._version
+
+    def _take(self, offer, sent_ms):
+        if offer.version < self._version:
+            return
+        if offer.version > self._version:
+            self._adopt(documents.decode(offer.document))
+        self._keep_proposals(offer.proposals)
+        # Counted from when the call was sent, the peer's lease less the round
+        # trip remains, however long the answer took.
+        self._renew(sent_ms + offer.lease_left_ms)
+
+    def _adopt(self, configuration):
+        self._configuration = configuration
+        self._version = configuration.version
+        # A proposal whose base is past can no longer come into force.
+        self._proposals_by_token = {
+            token: proposal
+            for token, proposal in self._proposals_by_token.items()
+            if proposal.base >= self._version
+        }
+        self._update_lapsed()
+        log.info("Adopted version %d.", self._version)
+        for callback in self._callbacks:
+            callback(configuration)
+
+    def _keep_proposals(self, proposals):
+        for proposal in proposals:
+            if proposal.base >= self._version:
+                self._proposals_by_token[proposal.token] = proposal
+        self._update_lapsed()
+
+    def _update_lapsed(self):
+        self._lapsed_configuration = lapsed_configuration(
+            self._configuration, self._proposals_by_token.values()
+        )
+
+    def _renew(self, end_ms):
+        self._lease_end_ms = max(self._lease_end_ms, end_ms)
+
+    def _remember_given(self, given):
+        self._given_by_host.pop(given.host_id, None)
+        self._forget_given()
+        if len(self._given_by_host) >= MAX_GIVEN:
+            raise ServiceError(ErrorKind.OVERLOADED, "Too many peers were served.")
+        self._given_by_host[given.host_id] = given, self._clock.now_ms()
+
+    def _forget_given(self):
+        oldest_ms = self._clock.now_ms() - GIVEN_LIFETIME_MS
+        while self._given_by_host:
+            host_id, (_, at_ms) = next(iter(self._given_by_host.items()))
+            if at_ms > oldest_ms:
+                return
+            del self._given_by_host[host_id]
--- /dev/null
+++ b/goldcrestmoor/version/configuration_store.py
@@ -0,0 +1,262 @@
+"""The configuration as it lies in the platform: a head row and documents."""
+
+import hashlib
+import logging
+
+import msgspec
+
+from goldcrestmoor import util
+from goldcrestmoor.adapters.table import Check, CheckFailed, Committed, Write
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.util import Backoff
+from goldcrestmoor.version import configuration as documents
+from goldcrestmoor.version.configuration import Configuration
+from goldcrestmoor.version.cut_off import Proposal
+
+log = logging.getLogger("goldcrestmoor.configuration")
+
+TABLE = "configuration"
+HEAD_KEY = "head"
+PROPOSAL_KEY = "proposal"
+MAX_RECENT_TOKENS = 16
+SETTLE_MIN_MS = 100
+SETTLE_MAX_MS = 1000
+
+
+class RecentToken(msgspec.Struct, frozen=True):
+    """The token of the write that made a version.
+
+    :param version: the version.
+    :param token: the write's token.
+    """
+
+    version: int
+    token: str
+
+
+class Head(msgspec.Struct, frozen=True):
+    """What the head row holds.
+
+    :param version: the row's version, which is the configuration's.
+    :param token: the token of the write that made it.
+    :param recent_tokens: the tokens of the last writes, this one included.
+    :param document_key: the document's key in the object store.
+    :param digest: SHA-256 of the document, in hexadecimal.
+    """
+
+    version: int = 0
+    token: str = ""
+    recent_tokens: tuple[RecentToken, ...] = ()
+    document_key: str = ""
+    digest: str = ""
+
+    def has_token(self, token):
+        """Tell whether a write is among those that led to this head.
+
+        :param token: the write's token.
+        """
+        return any(recent.token == token for recent in self.recent_tokens)
+
+
+EMPTY_HEAD = Head()
+
+
+class Written(msgspec.Struct, frozen=True):
+    """A write that is known to have taken effect.
+
+    :param version: the version that it made.
+    :param known_at_ms: when this was learnt, on the clock's scale.
+    """
+
+    version: int
+    known_at_ms: int
+
+
+class Overtaken(msgspec.Struct, frozen=True):
+    """A write that never takes effect, since another came first.
+
+    :param version: the version in the platform.
+    """
+
+    version: int
+
+
+class ConfigurationStore:
+    """Read and write the configuration in the platform.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param table: the table service's client.
+    :param objects: the object store's client.
+    """
+
+    __slots__ = ("_clock", "_table", "_objects")
+
+    def __init__(self, *, clock, table, objects):
+        self._clock = clock
+        self._table = table
+        self._objects = objects
+
+    async def read_head(self):
+        """Return the platform's head; the empty one when none was ever written.
+
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
+        """
+        return _decode_head(await self._table.get(TABLE, HEAD_KEY))
+
+    async def fetch(self, head):
+        """Return the configuration that a head points to.
+
+        :param head: the :class:`Head`.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE`` when it cannot be read whole.
+        """
+        if head.version == 0:
+            return Configuration()
+        data = await self._objects.get(head.document_key)
+        if data is None or _digest(data) != head.digest:
+            raise ServiceError(
+                ErrorKind.PLATFORM_UNAVAILABLE,
+                f"The document of version {head.version} is missing or broken.",
+            )
+        return documents.decode(data)
+
+    async def read_proposal(self):
+        """Return the last cut-off terms that were proposed, or None.
+
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
+        """
+        row = await self._table.get(TABLE, PROPOSAL_KEY)
+        return row and _decode(row, Proposal)
+
+    async def propose(self, proposal):
+        """Keep proposed cut-off terms where a starting host finds them.
+
+        :param proposal: the :class:`~goldcrestmoor.version.cut_off.Proposal`.
+        :return: the check that no other proposal has taken its place, for
+            :meth:`write`.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE``, or ``CONFIG_CONFLICT`` when
+            another change is under way.
+        """
+        row = await self._table.get(TABLE, PROPOSAL_KEY)
+        version = row.version if row else 0
+        write = Write(TABLE, PROPOSAL_KEY, msgspec.json.encode(proposal))
+        try:
+            check = Check(TABLE, PROPOSAL_KEY, version)
+            answer = await self._table.transact([check], [write])
+        except ServiceError as e:
+            # A proposal changes nothing by itself, so that the operator's change
+            # surely was not made.
+            raise ServiceError(
+                ErrorKind.PLATFORM_UNAVAILABLE, f"The terms were not proposed: {e}"
+            ) from e
+        if isinstance(answer, CheckFailed):
+            raise ServiceError(
+                ErrorKind.CONFIG_CONFLICT, "Another change is under way."
+            )
+        return Check(TABLE, PROPOSAL_KEY, version + 1)
+
+    async def write(self, base, configuration, token, deadline, guards=()):
+        """Write a configuration as the version after a head.
+
+        :param base: the :class:`Head` that it was made from.
+        :param configuration: the new configuration.
+        :param token: the write's own token.
+        :param deadline: by when the outcome must be known.
+        :param guards: further checks that must hold.
+        :return: :class:`Written` or :class:`Overtaken`.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE`` when it surely was not
+            written, ``CONFIG_UNKNOWN`` when that cannot be told in time.
+        """
+        version = base.version + 1
+        data = documents.encode(msgspec.structs.replace(configuration, version=version))
+        key = f"configuration/{version}-{token}"
+        await self._put_document(key, data)
+        recent = (*base.recent_tokens, RecentToken(version, token))
+        head = Head(version, token, recent[-MAX_RECENT_TOKENS:], key, _digest(data))
+        try:
+            return await self._write_head(base, head, guards)
+        except ServiceError as e:
+            if e.kind != ErrorKind.OUTCOME_UNKNOWN:
+                raise
+        log.warning("The answer to the write of version %d was lost.", version)
+        return await self._settle(base, head, deadline, guards)
+
+    async def _put_document(self, key, data):
+        try:
+            await self._objects.put(key, data)
+        except ServiceError as e:
+            # No head points to the document yet, so that a lost answer to this
+            # put leaves the configuration as it was.
+            raise ServiceError(
+                ErrorKind.PLATFORM_UNAVAILABLE, f"The document was not stored: {e}"
+            ) from e
+
+    async def _write_head(self, base, head, guards):
+        checks = [Check(TABLE, HEAD_KEY, base.version), *guards]
+        writes = [Write(TABLE, HEAD_KEY, msgspec.json.encode(head))]
+        answer = await self._table.transact(checks, writes)
+        match answer:
+            case Committed():
+                return Written(head.version, self._clock.now_ms())
+            case CheckFailed():
+                return self._judge(await self.read_head(), head)
+        raise ServiceError(ErrorKind.INTERNAL, "The table client's answer is unknown.")
+
+    async def _settle(self, base, head, deadline, guards):
+        # The head still at its base does not tell that the write failed: it may
+        # be on its way. Sending it again is safe, as of two writes against one
+        # base at most one takes effect, and it makes the outcome certain.
+        backoff = Backoff(SETTLE_MIN_MS, SETTLE_MAX_MS)
+        while not deadline.passed():
+            try:
+                current = await self.read_head()
+                if current.version >= head.version:
+                    return self._judge(current, head)
+                return await self._write_head(base, head, guards)
+            except ServiceError as e:
+                if e.kind == ErrorKind.CONFIG_UNKNOWN:
+                    raise
+                # A resend that was surely not written tells nothing about the
+                # first one, so that only the platform's head can.
+                log.info("Version %d is not settled yet: %s", head.version, e)
+            delay_ms = min(backoff.next_ms(), deadline.remaining_ms())
+            await self._clock.sleep_ms(delay_ms)
+        raise _unknown(head.version)
+
+    def _judge(self, current, head):
+        if current.has_token(head.token):
+            return Written(head.version, self._clock.now_ms())
+        oldest = current.recent_tokens[0].version if current.recent_tokens else 0
+        if oldest > head.version:
+            raise _unknown(head.version)
+        return Overtaken(current.version)
+
+
+def new_token():
+    """Return the token of a new write."""
+    return util.new_id()
+
+
+def _unknown(version):
+    return ServiceError(
+        ErrorKind.CONFIG_UNKNOWN,
+        f"It is unknown whether version {version} was written; ask SHOW VERSION.",
+    )
+
+
+def _decode_head(row):
+    if row is None:
+        return EMPTY_HEAD
+    return msgspec.structs.replace(_decode(row, Head), version=row.version)
+
+
+def _decode(row, cls):
+    try:
+        return msgspec.json.decode(row.value, type=cls)
+    except msgspec.MsgspecError as e:
+        raise ServiceError(
+            ErrorKind.PLATFORM_UNAVAILABLE, f"The row {row.key} is malformed."
+        ) from e
+
+
+def _digest(data):
+    return hashlib.sha256(data).hexdigest()
--- /dev/null
+++ b/goldcrestmoor/version/cut_off.py
@@ -0,0 +1,173 @@
+"""The part of a configuration that a host acts on once its lease has lapsed.
+
+The part holds the accounts that may be served meanwhile, with their cut-off share
+and staleness bound in the place of the ordinary ones, and where each upstream
+is. It leaves out slots, fencing and draining: the first two are no promise to
+anybody, and a drain must be possible while a zone is cut off.
+"""
+
+import msgspec
+
+from goldcrestmoor.version.configuration import Account, DeliveryRules, StreamRule
+
+
+class Place(msgspec.Struct, frozen=True):
+    """Where an upstream is.
+
+    :param pool: its pool's name.
+    :param address: its IP address.
+    :param port: its TCP port.
+    """
+
+    pool: str
+    address: str
+    port: int
+
+
+class CutOffPart(msgspec.Struct, frozen=True):
+    """What a lapsed host acts on.
+
+    :param accounts_by_name: the accounts that it serves, under cut-off terms.
+    :param places_by_upstream: the upstreams that it may use.
+    """
+
+    accounts_by_name: dict[str, Account] = {}
+    places_by_upstream: dict[str, Place] = {}
+
+
+class Proposal(msgspec.Struct, frozen=True):
+    """Changes of the part that may come into force with the version after ``base``.
+
+    Only what changes or goes away is named; additions are harmless on a host that
+    does not know them.
+
+    :param token: the token of the write that would bring it.
+    :param base: the version that it was written against.
+    :param accounts_by_name: accounts with their new terms; None when no longer
+        served.
+    :param places_by_upstream: upstreams with their new places; None when dropped.
+    """
+
+    token: str
+    base: int
+    accounts_by_name: dict[str, Account | None] = {}
+    places_by_upstream: dict[str, Place | None] = {}
+
+    def is_empty(self):
+        """Tell whether nothing changes that a lapsed host acts on."""
+        return not self.accounts_by_name and not self.places_by_upstream
+
+
+def cut_off_part(configuration):
+    """Return the part of a configuration that lapsed hosts act on.
+
+    :param configuration: a :class:`~goldcrestmoor.version.configuration.Configuration`.
+    """
+    accounts = (a for a in configuration.accounts_by_name.values() if a.cut_off.serve)
+    upstreams = configuration.upstreams_by_name.values()
+    return CutOffPart(
+        {account.name: _under_cut_off_terms(account) for account in accounts},
+        {u.name: Place(u.pool, u.address, u.port) for u in upstreams},
+    )
+
+
+def propose(token, base, old, new):
+    """Return what lapsed hosts must know of before a new part comes into force.
+
+    :param token: the token of the write that will bring it.
+    :param base: the version that it was written against.
+    :param old: the :class:`CutOffPart` in force.
+    :param new: the part that is to come.
+    :return: a :class:`Proposal`.
+    """
+    return Proposal(
+        token,
+        base,
+        _changed(old.accounts_by_name, new.accounts_by_name),
+        _changed(old.places_by_upstream, new.places_by_upstream),
+    )
+
+
+def narrow(part, proposal):
+    """Return what is allowed both by a part and by a proposal.
+
+    :param part: a :class:`CutOffPart`.
+    :param proposal: a :class:`Proposal`.
+    """
+    accounts = dict(part.accounts_by_name)
+    for name in proposal.accounts_by_name.keys() & accounts.keys():
+        both = _stricter_account(accounts.pop(name), proposal.accounts_by_name[name])
+        if both is not None:
+            accounts[name] = both
+    places = {
+        name: place
+        for name, place in part.places_by_upstream.items()
+        if proposal.places_by_upstream.get(name, place) == place
+    }
+    return CutOffPart(accounts, places)
+
+
+def lapsed_configuration(configuration, proposals=()):
+    """Return what a host acts on while its lease has lapsed.
+
+    :param configuration: the newest configuration that the host has adopted.
+    :param proposals: the proposals that the host has acknowledged and that may
+        have come into force since.
+    """
+    part = cut_off_part(configuration)
+    for proposal in proposals:
+        part = narrow(part, proposal)
+    upstreams = {
+        name: upstream
+        for name, upstream in configuration.upstreams_by_name.items()
+        if name in part.places_by_upstream
+    }
+    return msgspec.structs.replace(
+        configuration,
+        accounts_by_name=part.accounts_by_name,
+        upstreams_by_name=upstreams,
+    )
+
+
+def _changed(old, new):
+    return {name: new.get(name) for name, item in old.items() if new.get(name) != item}
+
+
+def _under_cut_off_terms(account):
+    return msgspec.structs.replace(
+        account,
+        share=account.cut_off.share,
+        staleness_bound=account.cut_off.staleness_bound,
+    )
+
+
+def _stricter_account(one, other):
+    if other is None:
+        return None
+    # Nobody can tell which of two tokens, kinds or zones holds by now, and no
+    # choice would be right under both.
+    if (one.kind, one.token_hash, one.zone) != (
+        other.kind,
+        other.token_hash,
+        other.zone,
+    ):
+        return None
+    terms = msgspec.structs.replace(
+        one.cut_off,
+        share=min(one.share, other.share),
+        staleness_bound=min(one.staleness_bound, other.staleness_bound),
+    )
+    narrowed = msgspec.structs.replace(
+        one,
+        pools=tuple(pool for pool in one.pools if pool in other.pools),
+        delivery=_stricter_delivery(one.delivery, other.delivery),
+        cut_off=terms,
+    )
+    return _under_cut_off_terms(narrowed)
+
+
+def _stricter_delivery(one, other):
+    rule = one.on_version_change
+    if rule != other.on_version_change:
+        rule = StreamRule.CANCEL
+    return DeliveryRules(hedge=one.hedge and other.hedge, on_version_change=rule)
--- /dev/null
+++ b/test/_configuration.py
@@ -0,0 +1,165 @@
+"""Fakes for tests of the configuration: a clock, a platform and peer links."""
+
+import asyncio
+import sys
+import types
+
+import msgspec
+
+from goldcrestmoor.errors import ErrorKind, ServiceError
+
+try:
+    from goldcrestmoor.adapters import table
+except ImportError:
+    table = types.ModuleType("goldcrestmoor.adapters.table")
+    for name, fields in {
+        "Row": ["key", "version", "value"],
+        "Check": ["table", "key", "version"],
+        "Write": ["table", "key", "value"],
+        "Committed": ["version_by_key"],
+        "CheckFailed": ["row"],
+    }.items():
+        setattr(table, name, msgspec.defstruct(name, fields, frozen=True))
+    sys.modules["goldcrestmoor.adapters.table"] = table
+
+
+class FakeClock:
+    """A clock that moves only when told to, and while somebody sleeps."""
+
+    def __init__(self):
+        self.ms = 1_000_000
+        self.on_sleep = None
+
+    def now_ms(self):
+        return self.ms
+
+    def wall_ms(self):
+        return self.ms
+
+    async def sleep_ms(self, duration_ms):
+        end_ms = self.ms + max(0, int(duration_ms))
+        if self.on_sleep is not None:
+            await self.on_sleep()
+        await asyncio.sleep(0)
+        self.ms = max(self.ms, end_ms)
+
+
+class FakePlatform:
+    """A table service and an object store that lose answers and go down."""
+
+    def __init__(self):
+        self.row_by_key = {}
+        self.data_by_key = {}
+        self.host_ids = []
+        self.lose_after = 0
+        self.lose_before = 0
+        self.before_write = None
+        self.writes = 0
+
+    def read(self, key):
+        return self.row_by_key.get(key)
+
+    def transact(self, checks, writes):
+        for check in checks:
+            row = self.row_by_key.get((check.table, check.key))
+            if (row.version if row else 0) != check.version:
+                return table.CheckFailed(row)
+        version_by_key = {}
+        for write in writes:
+            key = (write.table, write.key)
+            row = self.row_by_key.get(key)
+            version = (row.version if row else 0) + 1
+            self.row_by_key[key] = table.Row(write.key, version, write.value)
+            version_by_key["/".join(key)] = version
+            self.writes += 1
+        return table.Committed(version_by_key)
+
+
+class PlatformClient:
+    """One host's way to the platform: its table, object and host list clients."""
+
+    def __init__(self, platform):
+        self.platform = platform
+        self.cut = False
+        self.gate = None
+
+    def _reach(self):
+        if self.cut:
+            raise ServiceError(ErrorKind.PLATFORM_UNAVAILABLE)
+
+    async def get(self, *key):
+        self._reach()
+        if len(key) == 1:
+            return self.platform.data_by_key.get(key[0])
+        row = self.platform.read(key)
+        gate, self.gate = self.gate, None
+        if gate is not None:
+            await gate.wait()
+        return row
+
+    async def put(self, key, data):
+        self._reach()
+        self.platform.data_by_key[key] = data
+
+    async def transact(self, checks, writes):
+        platform = self.platform
+        if platform.before_write is not None:
+            await platform.before_write()
+        self._reach()
+        if platform.lose_before:
+            platform.lose_before -= 1
+            raise ServiceError(ErrorKind.OUTCOME_UNKNOWN)
+        answer = platform.transact(checks, writes)
+        if platform.lose_after:
+            platform.lose_after -= 1
+            raise ServiceError(ErrorKind.OUTCOME_UNKNOWN)
+        return answer
+
+    async def fetch(self):
+        self._reach()
+        return [
+            types.SimpleNamespace(id=host_id, kind="host", state="live")
+            for host_id in self.platform.host_ids
+        ]
+
+
+class FakeNetwork:
+    """The peer links of several hosts, and the hosts that they believe alive."""
+
+    def __init__(self):
+        self.links_by_host = {}
+        self.incarnation_by_host = {}
+        self.silent = set()
+
+    def links(self, host_id, incarnation=1):
+        self.incarnation_by_host[host_id] = incarnation
+        links = FakeLinks(self, host_id)
+        self.links_by_host[host_id] = links
+        return links
+
+    def live(self, zone=None):
+        return [
+            types.SimpleNamespace(id=host_id, incarnation=incarnation)
+            for host_id, incarnation in self.incarnation_by_host.items()
+        ]
+
+
+class FakeLinks:
+    """One host's peer links."""
+
+    def __init__(self, network, host_id):
+        self.network = network
+        self.host_id = host_id
+        self.handler_by_class = {}
+        self.before_answer = None
+
+    def register(self, message_class, handler):
+        self.handler_by_class[message_class] = handler
+
+    async def call(self, host_id, message, timeout_ms):
+        target = self.network.links_by_host.get(host_id)
+        if target is None or {host_id, self.host_id} & self.network.silent:
+            raise ServiceError(ErrorKind.PEER_UNREACHABLE)
+        if target.before_answer is not None:
+            target.before_answer()
+        return await target.handler_by_class[type(message)](self.host_id, message)
--- /dev/null
+++ b/test/test_configuration.py
@@ -0,0 +1,471 @@
+"""A change of the configuration holds everywhere once it is accepted."""
+
+import asyncio
+import functools
+import unittest
+
+from test import _common, _configuration
+
+# The fakes stand in for the table client's types, so that they come first.
+# isort: split
+import msgspec
+from hypothesis import given, settings as hypothesis_settings, strategies
+
+from goldcrestmoor.errors import ErrorKind
+from goldcrestmoor.language.changes import apply_changes
+from goldcrestmoor.language.parser import parse
+from goldcrestmoor.version.configuration import Configuration
+from goldcrestmoor.version.configuration_driver import (
+    Accepted,
+    ConfigurationDriver,
+    Refused,
+    Unknown,
+)
+from goldcrestmoor.version.configuration_lease import ConfigurationLease
+from goldcrestmoor.version.cut_off import (
+    CutOffPart,
+    Place,
+    Proposal,
+    cut_off_part,
+    narrow,
+)
+
+INITIAL = """
+CREATE POOL lm KIND engine MODEL m;
+CREATE UPSTREAM u1 POOL lm ZONE zone-a ADDRESS '127.0.0.1' PORT 1;
+CREATE ACCOUNT tisza KIND trainer TOKEN 'a' POOLS (lm) SHARE 4 STALENESS 3
+    CUTOFF SHARE 2 CUTOFF STALENESS 2;
+CREATE ACCOUNT derwent KIND trainer TOKEN 'b' POOLS (lm) CUTOFF SERVE off
+"""
+SHARE_OF_TISZA = "ALTER ACCOUNT tisza SHARE %d"
+TERMS_OF_TISZA = "ALTER ACCOUNT tisza CUTOFF STALENESS %d"
+
+
+def changing(text):
+    return functools.partial(apply_changes, changes=parse(text).statements)
+
+
+class Host:
+    """One host: its lease and its driver over fakes."""
+
+    def __init__(self, world, host_id, incarnation=1):
+        self.id = host_id
+        self.platform = _configuration.PlatformClient(world.platform)
+        self.links = world.network.links(host_id, incarnation)
+        self.poll_task = self.gate = None
+        common = {
+            "clock": world.clock,
+            "table": self.platform,
+            "objects": self.platform,
+            "settings": world.settings,
+            "links": self.links,
+            "host_id": host_id,
+        }
+        self.lease = ConfigurationLease(
+            **common, peers=lambda: sorted(world.hosts), incarnation=incarnation
+        )
+        self.driver = ConfigurationDriver(
+            **common,
+            lease=self.lease,
+            membership=world.network,
+            host_list=self.platform,
+        )
+
+    async def begin_poll(self):
+        """Read the head now; the answer arrives with :meth:`end_poll`."""
+        if self.poll_task is None:
+            self.gate = self.platform.gate = asyncio.Event()
+            self.poll_task = asyncio.ensure_future(self.lease.poll())
+            await asyncio.sleep(0)
+
+    async def end_poll(self):
+        if self.poll_task is not None:
+            self.gate.set()
+            await self.poll_task
+            self.poll_task = None
+
+
+class World:
+    """A platform, a clock and hosts."""
+
+    def __init__(self, count):
+        self.clock = _configuration.FakeClock()
+        self.platform = _configuration.FakePlatform()
+        self.network = _configuration.FakeNetwork()
+        self.settings = _common.make_settings().configuration
+        self.hosts = {}
+        for number in range(count):
+            self.start_host(f"h{number}")
+
+    def start_host(self, host_id, incarnation=1):
+        host = Host(self, host_id, incarnation)
+        self.hosts[host_id] = host
+        if host_id not in self.platform.host_ids:
+            self.platform.host_ids.append(host_id)
+        return host
+
+    async def poll_all(self):
+        for host in self.hosts.values():
+            await host.lease.poll()
+
+    async def set_up(self):
+        answer = await self.hosts["h0"].driver.change(0, changing(INITIAL))
+        assert isinstance(answer, Accepted), answer
+        await self.poll_all()
+
+    def lapse(self):
+        self.clock.ms += self.settings.lease_ms
+
+
+class ConfigurationTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.world = World(3)
+        self.clock, self.platform = self.world.clock, self.world.platform
+        self.h0, self.h1, self.h2 = self.world.hosts.values()
+        await self.world.set_up()
+
+    async def change(self, text, host=None, base=None):
+        return await (host or self.h0).driver.change(base, changing(text))
+
+    async def test_accepted_comes_only_after_every_older_read_has_run_out(self):
+        settings = self.world.settings
+        answer = await self.change(SHARE_OF_TISZA % 5)
+        self.assertEqual(answer.version, 2)
+        self.assertGreaterEqual(
+            answer.in_force_ms, settings.lease_ms + settings.lease_margin_ms
+        )
+        self.assertLessEqual(answer.in_force_ms, 15_000)
+
+    async def test_of_two_operators_one_is_refused_with_the_current_version(self):
+        answers = await asyncio.gather(
+            self.change(SHARE_OF_TISZA % 5, self.h0, 1),
+            self.change(SHARE_OF_TISZA % 6, self.h1, 1),
+        )
+        self.assertEqual({type(answer) for answer in answers}, {Accepted, Refused})
+        refused = next(a for a in answers if isinstance(a, Refused))
+        self.assertEqual((refused.kind, refused.version), ("config_conflict", 2))
+
+    async def test_a_lost_answer_is_settled_whether_or_not_it_was_written(self):
+        for fault in ("lose_after", "lose_before"):
+            setattr(self.platform, fault, 1)
+            before = self.platform.writes
+            answer = await self.change(SHARE_OF_TISZA % 5)
+            self.assertIsInstance(answer, Accepted)
+            self.assertEqual(self.platform.writes, before + 1)
+
+    async def test_a_lost_answer_that_a_later_write_hides_is_still_found(self):
+        async def overtake():
+            self.platform.before_write = None
+            self.platform.lose_after = 1
+
+            async def write_another():
+                self.clock.on_sleep = None
+
+            self.clock.on_sleep = write_another
+
+        self.platform.before_write = overtake
+        first = asyncio.create_task(self.change(SHARE_OF_TISZA % 5, self.h0))
+        answer = await first
+        self.assertEqual((type(answer), answer.version), (Accepted, 2))
+
+    async def test_an_unsettled_write_is_unknown_in_time(self):
+        async def cut_platform():
+            self.h0.platform.cut = self.platform.lose_after == 0
+
+        self.platform.lose_after = 1
+        self.clock.on_sleep = cut_platform
+        self.platform.lose_before = 0
+        original = self.h0.platform.get
+
+        async def get(*key):
+            if self.platform.writes > 1:
+                self.h0.platform.cut = True
+            return await original(*key)
+
+        self.h0.platform.get = get
+        started_ms = self.clock.now_ms()
+        answer = await self.change(SHARE_OF_TISZA % 5)
+        self.assertIsInstance(answer, Unknown)
+        self.assertLessEqual(self.clock.now_ms() - started_ms, 15_000)
+
+    async def test_a_host_frozen_across_the_change_wakes_to_cut_off_terms(self):
+        await self.change(SHARE_OF_TISZA % 5)
+        view = self.h1.lease.view()
+        self.assertTrue(view.lapsed)
+        account = view.configuration.accounts_by_name["tisza"]
+        self.assertEqual((account.share, account.staleness_bound), (2, 2))
+        self.assertNotIn("derwent", view.configuration.accounts_by_name)
+        self.assertIn("u1", view.configuration.upstreams_by_name)
+
+    async def test_the_lease_counts_from_when_the_read_was_sent(self):
+        await self.h1.begin_poll()
+        self.world.lapse()
+        await self.h1.end_poll()
+        self.assertTrue(self.h1.lease.view().lapsed)
+
+    async def test_an_older_head_is_never_adopted_nor_renews(self):
+        old = dict(self.platform.row_by_key)
+        await self.change(SHARE_OF_TISZA % 5)
+        await self.world.poll_all()
+        self.platform.row_by_key = old
+        self.world.lapse()
+        self.assertFalse(await self.h1.lease.poll())
+        self.assertTrue(self.h1.lease.view().lapsed)
+        self.assertEqual(self.h1.lease.version, 2)
+
+    async def test_a_broken_document_neither_is_adopted_nor_renews(self):
+        await self.change(SHARE_OF_TISZA % 5)
+        for key in self.platform.data_by_key:
+            self.platform.data_by_key[key] = b"{}"
+        self.assertFalse(await self.h1.lease.poll())
+        self.assertEqual(self.h1.lease.version, 1)
+
+    async def test_new_cut_off_terms_are_refused_naming_the_silent_hosts(self):
+        self.world.network.silent = {"h1", "h2"}
+        answer = await self.change(TERMS_OF_TISZA % 1)
+        self.assertIsInstance(answer, Refused)
+        self.assertEqual(answer.silent_hosts, ("h1", "h2"))
+        self.assertIn("h1, h2", answer.reason)
+        self.assertIsInstance(await self.change(SHARE_OF_TISZA % 5), Accepted)
+
+    async def test_terms_in_doubt_are_the_stricter_until_a_newer_head(self):
+        self.world.network.silent = {"h2"}
+        await self.change(TERMS_OF_TISZA % 1)
+        self.world.lapse()
+        self.assertEqual(self._staleness(self.h1), 1)
+        await self.change(SHARE_OF_TISZA % 5)
+        await self.world.poll_all()
+        self.world.lapse()
+        self.assertEqual(self._staleness(self.h1), 2)
+
+    async def test_looser_terms_in_doubt_leave_the_old_ones(self):
+        self.h1.platform.cut = True
+        answer = await self.change(TERMS_OF_TISZA % 3)
+        self.assertIsInstance(answer, Accepted)
+        self.assertEqual(self._staleness(self.h1), 2)
+
+    async def test_a_dropped_account_is_not_served_by_a_host_that_lapsed(self):
+        self.h1.platform.cut = True
+        answer = await self.change("DROP ACCOUNT tisza")
+        self.assertIsInstance(answer, Accepted)
+        view = self.h1.lease.view()
+        self.assertEqual((view.lapsed, view.configuration.accounts_by_name), (True, {}))
+
+    async def test_a_peer_offers_only_what_is_left_of_its_lease(self):
+        self.clock.ms += 4000
+        late = self.world.start_host("h3")
+        late.platform.cut = True
+        self.h0.links.before_answer = functools.partial(self._pass_ms, 1000)
+        self.assertFalse(await late.lease.poll())
+        await late.lease.ask_peers()
+        self.assertTrue(late.lease.ready())
+        self.assertFalse(late.lease.view().lapsed)
+        end_ms = self.h0.lease._lease_end_ms
+        self.clock.ms = end_ms
+        self.assertTrue(late.lease.view().lapsed)
+
+    async def test_a_lapsed_peer_offers_a_lapsed_view(self):
+        self.world.lapse()
+        late = self.world.start_host("h3")
+        late.platform.cut = True
+        await late.lease.ask_peers()
+        view = late.lease.view()
+        self.assertEqual((view.lapsed, late.lease.version), (True, 1))
+        self.assertEqual(list(view.configuration.accounts_by_name), ["tisza"])
+
+    async def test_hosts_that_were_handed_terms_must_acknowledge_too(self):
+        late = self.world.start_host("h3")
+        late.platform.cut = True
+        await late.lease.ask_peers()
+        self.platform.host_ids.remove("h3")
+        del self.world.network.incarnation_by_host["h3"]
+        self.assertIsInstance(await self.change(TERMS_OF_TISZA % 1), Accepted)
+        self.assertEqual(self._staleness(late), 1)
+        self.world.network.silent = {"h3"}
+        answer = await self.change(TERMS_OF_TISZA % 0)
+        self.assertEqual(answer.silent_hosts, ("h3",))
+
+    async def test_a_host_that_starts_while_terms_are_proposed_learns_of_them(self):
+        async def start():
+            self.platform.before_write = None
+            late = self.world.start_host("h3")
+            await late.lease.poll()
+            late.platform.cut = True
+
+        writes = []
+
+        async def before_write():
+            writes.append(True)
+            if len(writes) == 2:
+                await start()
+
+        self.platform.before_write = before_write
+        answer = await self.change(TERMS_OF_TISZA % 1)
+        self.assertIsInstance(answer, Accepted)
+        late = self.world.hosts["h3"]
+        self.assertEqual((late.lease.version, self._staleness(late)), (1, 1))
+
+    async def test_a_change_that_makes_no_sense_is_refused(self):
+        answer = await self.change("ALTER ACCOUNT tisza POOLS (gone)")
+        self.assertEqual((type(answer), answer.version), (Refused, 1))
+        answer = await self.change("DROP ACCOUNT gone")
+        self.assertEqual(answer.kind, ErrorKind.NOT_FOUND)
+
+    async def test_with_the_platform_down_a_change_is_refused(self):
+        self.h0.platform.cut = True
+        answer = await self.change(SHARE_OF_TISZA % 5)
+        self.assertEqual(answer.kind, ErrorKind.PLATFORM_UNAVAILABLE)
+
+    async def test_polling_adopts_and_tells(self):
+        adopted = []
+        self.h1.lease.on_adopt(adopted.append)
+        await self.change(SHARE_OF_TISZA % 5)
+        task = asyncio.create_task(self.h1.lease.run())
+        await _common.eventually(lambda: adopted)
+        task.cancel()
+        self.assertEqual(adopted[0].version, 2)
+
+    def _staleness(self, host):
+        view = host.lease.view()
+        self.assertTrue(view.lapsed)
+        return view.configuration.accounts_by_name["tisza"].staleness_bound
+
+    def _pass_ms(self, duration_ms):
+        self.clock.ms += duration_ms
+
+
+TEXTS = (
+    SHARE_OF_TISZA % 7,
+    TERMS_OF_TISZA % 1,
+    TERMS_OF_TISZA % 3,
+    "DROP ACCOUNT tisza",
+    "CREATE ACCOUNT tisza KIND trainer TOKEN 'c' POOLS (lm) SHARE 2",
+    "DROP UPSTREAM u1",
+    "CREATE UPSTREAM u1 POOL lm ZONE zone-b ADDRESS '127.0.0.2' PORT 2",
+    "ALTER ACCOUNT derwent CUTOFF SERVE on",
+)
+HOSTS = strategies.integers(0, 2)
+ACTIONS = strategies.one_of(
+    strategies.tuples(
+        strategies.sampled_from(
+            ["poll", "begin_poll", "end_poll", "cut", "heal", "silence", "restart"]
+        ),
+        HOSTS,
+    ),
+    strategies.tuples(strategies.just("advance"), strategies.integers(1, 7000)),
+    strategies.tuples(strategies.sampled_from(["lose_after", "lose_before"]), HOSTS),
+    strategies.just(("speak", 0)),
+)
+CHANGES = strategies.tuples(
+    HOSTS, strategies.sampled_from(TEXTS), strategies.lists(ACTIONS, max_size=10)
+)
+
+
+class History:
+    """A run of changes with other events between their steps."""
+
+    def __init__(self):
+        self.world = World(3)
+        self.accepted = (0, Configuration())
+        self.actions = []
+        self.outcomes = []
+
+    async def run(self, changes):
+        world = self.world
+        await world.set_up()
+        world.clock.on_sleep = world.platform.before_write = self.step
+        for host, text, actions in changes:
+            self.actions = list(actions)
+            driver = world.hosts[f"h{host}"].driver
+            answer = await driver.change(None, changing(text))
+            self.outcomes.append(type(answer))
+            if isinstance(answer, Accepted):
+                self.accepted = answer.version, self._document(answer.version)
+            self.check()
+            while self.actions:
+                await self.step()
+        for host in world.hosts.values():
+            await host.end_poll()
+
+    async def step(self):
+        for action in self.actions[:2]:
+            self.actions.pop(0)
+            await self._act(*action)
+            self.check()
+
+    async def _act(self, name, number):
+        world = self.world
+        host = world.hosts.get(f"h{number}")
+        match name:
+            case "poll" if host.poll_task is None:
+                await host.lease.poll()
+            case "begin_poll" if not host.platform.cut:
+                await host.begin_poll()
+            case "end_poll":
+                await host.end_poll()
+            case "cut" | "heal":
+                host.platform.cut = name == "cut"
+            case "silence":
+                world.network.silent.add(host.id)
+            case "speak":
+                world.network.silent.clear()
+            case "lose_after" | "lose_before":
+                setattr(world.platform, name, 1)
+            case "advance":
+                world.clock.ms += number
+            case "restart":
+                await self._restart(host)
+
+    async def _restart(self, host):
+        await host.end_poll()
+        incarnation = self.world.network.incarnation_by_host[host.id] + 1
+        started = self.world.start_host(host.id, incarnation)
+        started.platform.cut = host.platform.cut
+        if not await started.lease.poll():
+            await started.lease.ask_peers()
+
+    def _document(self, version):
+        keys = self.world.platform.data_by_key
+        key = next(k for k in keys if k.startswith(f"configuration/{version}-"))
+        return msgspec.json.decode(keys[key], type=Configuration)
+
+    def check(self):
+        version, configuration = self.accepted
+        bound = cut_off_part(configuration)
+        for host in self.world.hosts.values():
+            view = host.lease.view()
+            if not host.lease.ready() or view.configuration.version >= version:
+                continue
+            assert view.lapsed, f"{host.id} acts on {view.configuration.version}"
+            upstreams = view.configuration.upstreams_by_name.values()
+            part = CutOffPart(
+                view.configuration.accounts_by_name,
+                {u.name: Place(u.pool, u.address, u.port) for u in upstreams},
+            )
+            assert narrow(part, _as_proposal(part, bound)) == part, host.id
+
+
+def _as_proposal(part, bound):
+    """Return the proposal that allows of a part only what a bound allows."""
+    accounts = {
+        name: bound.accounts_by_name.get(name) for name in part.accounts_by_name
+    }
+    places = {
+        name: bound.places_by_upstream.get(name) for name in part.places_by_upstream
+    }
+    return Proposal("", 0, accounts, places)
+
+
+class HistoryTest(unittest.TestCase):
+    def test_after_accepted_no_host_acts_on_older_terms(self):
+        outcomes = set()
+
+        @hypothesis_settings(max_examples=200, deadline=None, derandomize=True)
+        @given(strategies.lists(CHANGES, min_size=1, max_size=5))
+        def run(changes):
+            history = History()
+            asyncio.run(history.run(changes))
+            outcomes.update(history.outcomes)
+
+        run()
+        self.assertLessEqual({Accepted, Refused}, outcomes)
