--- a/goldcrestmoor/version/configuration_driver.py
+++ b/goldcrestmoor/version/configuration_driver.py
@@ -252,7 +252,7 @@
 
 def _conflict(version):
     return Refused(
-        f"The current version is {version}.",
+        f"Another change came first; the current version is {version}.",
         version,
         kind=ErrorKind.CONFIG_CONFLICT,
     )
--- a/test/_configuration.py
+++ b/test/_configuration.py
@@ -1,26 +1,31 @@
-"""Fakes for tests of the configuration: a clock, a platform and peer links."""
+"""Fakes for tests of the configuration: a clock, a platform, links and hosts."""
 
 import asyncio
-import sys
+import functools
 import types
 
-import msgspec
+from test._table_types import table
 
+# The types stand in for those of the table client, so that they come first.
+# isort: split
 from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.language.changes import apply_changes
+from goldcrestmoor.language.parser import parse
+from goldcrestmoor.version.configuration_driver import Accepted, ConfigurationDriver
+from goldcrestmoor.version.configuration_lease import ConfigurationLease
+from test import _common
 
-try:
-    from goldcrestmoor.adapters import table
-except ImportError:
-    table = types.ModuleType("goldcrestmoor.adapters.table")
-    for name, fields in {
-        "Row": ["key", "version", "value"],
-        "Check": ["table", "key", "version"],
-        "Write": ["table", "key", "value"],
-        "Committed": ["version_by_key"],
-        "CheckFailed": ["row"],
-    }.items():
-        setattr(table, name, msgspec.defstruct(name, fields, frozen=True))
-    sys.modules["goldcrestmoor.adapters.table"] = table
+INITIAL = """
+CREATE POOL lm KIND engine MODEL m;
+CREATE UPSTREAM u1 POOL lm ZONE zone-a ADDRESS '127.0.0.1' PORT 1;
+CREATE ACCOUNT tisza KIND trainer TOKEN 'a' POOLS (lm) SHARE 4 STALENESS 3
+    CUTOFF SHARE 2 CUTOFF STALENESS 2;
+CREATE ACCOUNT derwent KIND trainer TOKEN 'b' POOLS (lm) CUTOFF SERVE off
+"""
+
+
+def changing(text):
+    return functools.partial(apply_changes, changes=parse(text).statements)
 
 
 class FakeClock:
@@ -152,6 +157,7 @@
         self.host_id = host_id
         self.handler_by_class = {}
         self.before_answer = None
+        self.after_answer = None
 
     def register(self, message_class, handler):
         self.handler_by_class[message_class] = handler
@@ -161,5 +167,80 @@
         if target is None or {host_id, self.host_id} & self.network.silent:
             raise ServiceError(ErrorKind.PEER_UNREACHABLE)
         if target.before_answer is not None:
-            target.before_answer()
-        return await target.handler_by_class[type(message)](self.host_id, message)
+            await target.before_answer(message)
+        answer = await target.handler_by_class[type(message)](self.host_id, message)
+        if target.after_answer is not None:
+            target.after_answer()
+        return answer
+
+
+class Host:
+    """One host: its lease and its driver over fakes."""
+
+    def __init__(self, world, host_id, incarnation=1):
+        self.id = host_id
+        self.platform = PlatformClient(world.platform)
+        self.links = world.network.links(host_id, incarnation)
+        self.poll_task = self.gate = None
+        common = {
+            "clock": world.clock,
+            "table": self.platform,
+            "objects": self.platform,
+            "settings": world.settings,
+            "links": self.links,
+            "host_id": host_id,
+        }
+        self.lease = ConfigurationLease(
+            **common, peers=lambda: sorted(world.hosts), incarnation=incarnation
+        )
+        self.driver = ConfigurationDriver(
+            **common,
+            lease=self.lease,
+            membership=world.network,
+            host_list=self.platform,
+        )
+
+    async def begin_poll(self):
+        """Read the head now; the answer arrives with :meth:`end_poll`."""
+        if self.poll_task is None:
+            self.gate = self.platform.gate = asyncio.Event()
+            self.poll_task = asyncio.ensure_future(self.lease.poll())
+            await asyncio.sleep(0)
+
+    async def end_poll(self):
+        if self.poll_task is not None:
+            self.gate.set()
+            await self.poll_task
+            self.poll_task = None
+
+
+class World:
+    """A platform, a clock and hosts."""
+
+    def __init__(self, count):
+        self.clock = FakeClock()
+        self.platform = FakePlatform()
+        self.network = FakeNetwork()
+        self.settings = _common.make_settings().configuration
+        self.hosts = {}
+        for number in range(count):
+            self.start_host(f"h{number}")
+
+    def start_host(self, host_id, incarnation=1):
+        host = Host(self, host_id, incarnation)
+        self.hosts[host_id] = host
+        if host_id not in self.platform.host_ids:
+            self.platform.host_ids.append(host_id)
+        return host
+
+    async def poll_all(self):
+        for host in self.hosts.values():
+            await host.lease.poll()
+
+    async def set_up(self):
+        answer = await self.hosts["h0"].driver.change(0, changing(INITIAL))
+        assert isinstance(answer, Accepted), answer
+        await self.poll_all()
+
+    def lapse(self):
+        self.clock.ms += self.settings.lease_ms
--- a/test/test_configuration.py
+++ b/test/test_configuration.py
@@ -4,24 +4,17 @@
 import functools
 import unittest
 
-from test import _common, _configuration
-
-# The fakes stand in for the table client's types, so that they come first.
-# isort: split
 import msgspec
 from hypothesis import given, settings as hypothesis_settings, strategies
 
+from test import _common
+from test._configuration import World, changing
+
+# isort: split
 from goldcrestmoor.errors import ErrorKind
-from goldcrestmoor.language.changes import apply_changes
-from goldcrestmoor.language.parser import parse
 from goldcrestmoor.version.configuration import Configuration
-from goldcrestmoor.version.configuration_driver import (
-    Accepted,
-    ConfigurationDriver,
-    Refused,
-    Unknown,
-)
-from goldcrestmoor.version.configuration_lease import ConfigurationLease
+from goldcrestmoor.version.configuration_driver import Accepted, Refused, Unknown
+from goldcrestmoor.version.configuration_messages import PrepareCutOff
 from goldcrestmoor.version.cut_off import (
     CutOffPart,
     Place,
@@ -30,93 +23,10 @@
     narrow,
 )
 
-INITIAL = """
-CREATE POOL lm KIND engine MODEL m;
-CREATE UPSTREAM u1 POOL lm ZONE zone-a ADDRESS '127.0.0.1' PORT 1;
-CREATE ACCOUNT tisza KIND trainer TOKEN 'a' POOLS (lm) SHARE 4 STALENESS 3
-    CUTOFF SHARE 2 CUTOFF STALENESS 2;
-CREATE ACCOUNT derwent KIND trainer TOKEN 'b' POOLS (lm) CUTOFF SERVE off
-"""
 SHARE_OF_TISZA = "ALTER ACCOUNT tisza SHARE %d"
 TERMS_OF_TISZA = "ALTER ACCOUNT tisza CUTOFF STALENESS %d"
 
 
-def changing(text):
-    return functools.partial(apply_changes, changes=parse(text).statements)
-
-
-class Host:
-    """One host: its lease and its driver over fakes."""
-
-    def __init__(self, world, host_id, incarnation=1):
-        self.id = host_id
-        self.platform = _configuration.PlatformClient(world.platform)
-        self.links = world.network.links(host_id, incarnation)
-        self.poll_task = self.gate = None
-        common = {
-            "clock": world.clock,
-            "table": self.platform,
-            "objects": self.platform,
-            "settings": world.settings,
-            "links": self.links,
-            "host_id": host_id,
-        }
-        self.lease = ConfigurationLease(
-            **common, peers=lambda: sorted(world.hosts), incarnation=incarnation
-        )
-        self.driver = ConfigurationDriver(
-            **common,
-            lease=self.lease,
-            membership=world.network,
-            host_list=self.platform,
-        )
-
-    async def begin_poll(self):
-        """Read the head now; the answer arrives with :meth:`end_poll`."""
-        if self.poll_task is None:
-            self.gate = self.platform.gate = asyncio.Event()
-            self.poll_task = asyncio.ensure_future(self.lease.poll())
-            await asyncio.sleep(0)
-
-    async def end_poll(self):
-        if self.poll_task is not None:
-            self.gate.set()
-            await self.poll_task
-            self.poll_task = None
-
-
-class World:
-    """A platform, a clock and hosts."""
-
-    def __init__(self, count):
-        self.clock = _configuration.FakeClock()
-        self.platform = _configuration.FakePlatform()
-        self.network = _configuration.FakeNetwork()
-        self.settings = _common.make_settings().configuration
-        self.hosts = {}
-        for number in range(count):
-            self.start_host(f"h{number}")
-
-    def start_host(self, host_id, incarnation=1):
-        host = Host(self, host_id, incarnation)
-        self.hosts[host_id] = host
-        if host_id not in self.platform.host_ids:
-            self.platform.host_ids.append(host_id)
-        return host
-
-    async def poll_all(self):
-        for host in self.hosts.values():
-            await host.lease.poll()
-
-    async def set_up(self):
-        answer = await self.hosts["h0"].driver.change(0, changing(INITIAL))
-        assert isinstance(answer, Accepted), answer
-        await self.poll_all()
-
-    def lapse(self):
-        self.clock.ms += self.settings.lease_ms
-
-
 class ConfigurationTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.world = World(3)
@@ -255,7 +165,7 @@
         self.clock.ms += 4000
         late = self.world.start_host("h3")
         late.platform.cut = True
-        self.h0.links.before_answer = functools.partial(self._pass_ms, 1000)
+        self.h0.links.after_answer = functools.partial(self._pass_ms, 1000)
         self.assertFalse(await late.lease.poll())
         await late.lease.ask_peers()
         self.assertTrue(late.lease.ready())
@@ -285,6 +195,42 @@
         answer = await self.change(TERMS_OF_TISZA % 0)
         self.assertEqual(answer.silent_hosts, ("h3",))
 
+    async def test_a_host_that_took_an_offer_after_its_restart_is_asked_again(self):
+        async def restart_h1(message):
+            if isinstance(message, PrepareCutOff):
+                self.h2.links.before_answer = None
+                restarted = self.world.start_host("h1", 2)
+                restarted.platform.cut = True
+                restarted.lease._peers = lambda: ["h2"]
+                await restarted.lease.ask_peers()
+
+        self.h2.links.before_answer = restart_h1
+        self.assertIsInstance(await self.change(TERMS_OF_TISZA % 1), Accepted)
+        restarted = self.world.hosts["h1"]
+        self.assertIsNot(restarted, self.h1)
+        self.assertEqual(self._staleness(restarted), 1)
+
+    async def test_an_offer_carries_the_terms_in_doubt(self):
+        self.world.network.silent = {"h2"}
+        await self.change(TERMS_OF_TISZA % 1)
+        late = self.world.start_host("h3")
+        late.platform.cut = True
+        await late.lease.ask_peers()
+        self.world.lapse()
+        self.assertEqual(self._staleness(late), 1)
+
+    async def test_of_two_proposals_only_the_later_may_come_into_force(self):
+        writes = []
+
+        async def propose_another():
+            writes.append(True)
+            if len(writes) == 2:
+                await self.h1.driver._store.propose(Proposal("other", 1))
+
+        self.platform.before_write = propose_another
+        answer = await self.change(TERMS_OF_TISZA % 1)
+        self.assertEqual((type(answer), answer.version), (Refused, 1))
+
     async def test_a_host_that_starts_while_terms_are_proposed_learns_of_them(self):
         async def start():
             self.platform.before_write = None
