Let daemons call one another over CURVE-protected zmq links

Cause: every duty that daemons share needs typed calls and one-way messages between any two of them, with bounded waits and bounded memory.

--- /dev/null
+++ b/goldcrestmoor/connection/peer_sockets.py
@@ -0,0 +1,98 @@
+"""The zmq sockets between daemons: their options, keys and authenticator."""
+
+import zmq
+import zmq.asyncio
+import zmq.auth.asyncio
+
+IO_THREADS = 1
+HIGH_WATER_MESSAGES = 1000
+MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+KEEPALIVE_IDLE_S = 10
+KEEPALIVE_INTERVAL_S = 5
+KEEPALIVE_PROBES = 3
+RECONNECT_MIN_MS = 100
+RECONNECT_MAX_MS = 2000
+CONNECT_TIMEOUT_MS = 2000
+HANDSHAKE_TIMEOUT_MS = 2000
+
+
+class _FleetKeyOnly:
+    """Admits the one key that all daemons of the fleet share."""
+
+    __slots__ = ("_key",)
+
+    def __init__(self, key):
+        self._key = key
+
+    def callback(self, domain, key):
+        return key == self._key
+
+
+class PeerSockets:
+    """A zmq context whose sockets all carry the fleet's keys.
+
+    :param security: the :class:`~goldcrestmoor.settings.SecuritySettings`.
+    """
+
+    __slots__ = ("_public_key", "_secret_key", "_context", "_authenticator")
+
+    def __init__(self, security):
+        self._public_key = security.fleet_public_key.encode()
+        self._secret_key = security.fleet_secret_key.encode()
+        self._context = zmq.asyncio.Context(IO_THREADS)
+        self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(self._context)
+
+    def start(self):
+        """Start to authenticate peers. Call it before any socket is bound."""
+        self._authenticator.start()
+        self._authenticator.configure_curve_callback(
+            "*", _FleetKeyOnly(self._public_key)
+        )
+
+    def bind(self, address, port):
+        """Return a ROUTER that admits the fleet's daemons.
+
+        :param address: the IP address to listen on.
+        :param port: the TCP port to listen on.
+        """
+        socket = self._socket(zmq.ROUTER)
+        socket.curve_server = True
+        socket.bind(f"tcp://{address}:{port}")
+        return socket
+
+    def connect(self, address, port):
+        """Return a DEALER that is being connected to one peer.
+
+        :param address: the peer's IP address.
+        :param port: the peer's TCP port.
+        """
+        socket = self._socket(zmq.DEALER)
+        socket.curve_serverkey = self._public_key
+        # Nothing is queued for a peer that is not there: a message that has
+        # waited for a connection would arrive long after its caller gave up.
+        socket.immediate = True
+        socket.connect(f"tcp://{address}:{port}")
+        return socket
+
+    def close(self):
+        """Close the context. Its sockets must have been closed before."""
+        self._authenticator.stop()
+        self._context.destroy(linger=0)
+
+    def _socket(self, kind):
+        socket = self._context.socket(kind)
+        socket.curve_publickey = self._public_key
+        socket.curve_secretkey = self._secret_key
+        socket.linger = 0
+        socket.sndhwm = HIGH_WATER_MESSAGES
+        socket.rcvhwm = HIGH_WATER_MESSAGES
+        socket.maxmsgsize = MAX_MESSAGE_BYTES
+        socket.reconnect_ivl = RECONNECT_MIN_MS
+        socket.reconnect_ivl_max = RECONNECT_MAX_MS
+        socket.connect_timeout = CONNECT_TIMEOUT_MS
+        socket.handshake_ivl = HANDSHAKE_TIMEOUT_MS
+        socket.tcp_keepalive = 1
+        socket.tcp_keepalive_idle = KEEPALIVE_IDLE_S
+        socket.tcp_keepalive_intvl = KEEPALIVE_INTERVAL_S
+        socket.tcp_keepalive_cnt = KEEPALIVE_PROBES
+        return socket
