Watch the fleet by probes and gossip, and give duties by rendezvous

Cause: owners and lease candidates are chosen among live hosts, so each host needs a view of the fleet whose cost does not grow with it.

Ruled out: heartbeats from all to all; the platform's list as the only source (it lags, and a cut zone cannot read it); taking a gossiped "dead" at its word (two sides of a healed cut would each bury the other's hosts): a host that was believed alive is suspected first and may refute.

Change: one probe an interval, three of four in the own zone; indirect probes through two others; suspicion, refutation by incarnation; at most six updates a message, each sent O(log n) times; a host that stood still raises its incarnation and suspects nobody; one that comes back again and again is held back, longer each time. Hosts that cannot read the host list learn the leaving upstreams from peers. PeerLinks opens no link once closed (seen as an error in a task after close).

--- a/goldcrestmoor/connection/peers.py
+++ b/goldcrestmoor/connection/peers.py
@@ -58,6 +58,7 @@
         "_urgent",
         "_running_handlers",
         "_pending",
+        "_closed",
         "_tasks",
     )
 
@@ -79,6 +80,7 @@
         self._urgent = set()
         self._running_handlers = 0
         self._pending = 0
+        self._closed = False
         self._tasks = TaskGroup()
 
     def register(self, message_class, handler, urgent=False):
@@ -102,6 +104,7 @@
 
     async def close(self):
         """Close every link; calls that still wait are given up."""
+        self._closed = True
         for link in list(self._links_by_host_id.values()):
             self._drop(link)
         await self._tasks.close()
@@ -164,6 +167,8 @@
         raise ServiceError(ErrorKind.PEER_UNREACHABLE, f"No answer from {host_id}.")
 
     def _link(self, host_id):
+        if self._closed:
+            raise ServiceError(ErrorKind.PEER_UNREACHABLE, "This host is closing.")
         endpoint = self._directory(host_id)
         link = self._links_by_host_id.get(host_id)
         if endpoint is None:
--- /dev/null
+++ b/goldcrestmoor/process/member_table.py
@@ -0,0 +1,243 @@
+"""What one host believes of every other, and the news that it passes on."""
+
+import heapq
+import logging
+
+import msgspec
+
+from goldcrestmoor.process.membership_messages import HostState
+
+log = logging.getLogger("goldcrestmoor.membership")
+
+MAX_MEMBERS = 2000
+MAX_UPDATES = 6
+SENDS_FACTOR = 3
+FORGET_MS = 600_000
+FLAP_MEMORY_MS = 300_000
+HOLD_MIN_MS = 5000
+HOLD_MAX_MS = 60_000
+
+_RANK_BY_STATE = {
+    HostState.ALIVE: 0,
+    HostState.SUSPECT: 1,
+    HostState.LEAVING: 2,
+    HostState.DEAD: 3,
+}
+
+
+class _Member:
+    __slots__ = ("record", "changed_ms", "flaps", "flapped_ms", "held_until_ms")
+
+    def __init__(self, record, now_ms):
+        self.record = record
+        self.changed_ms = now_ms
+        self.flaps = 0
+        self.flapped_ms = now_ms
+        self.held_until_ms = now_ms
+
+
+class MemberTable:
+    """Records of hosts, merged by incarnation and state.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param own: this host's own record.
+    :param suspect_ms: how long a suspected host may refute, in milliseconds.
+    """
+
+    __slots__ = (
+        "own",
+        "_clock",
+        "_suspect_ms",
+        "_grace_ms",
+        "_members_by_id",
+        "_sends_left_by_id",
+    )
+
+    def __init__(self, clock, own, suspect_ms):
+        self.own = own
+        self._clock = clock
+        self._suspect_ms = suspect_ms
+        self._grace_ms = suspect_ms // 2
+        self._members_by_id = {}
+        self._sends_left_by_id = {}
+        self._spread(own.id)
+
+    def find(self, host_id):
+        """Return a host's record, or None.
+
+        :param host_id: the host.
+        """
+        if host_id == self.own.id:
+            return self.own
+        member = self._members_by_id.get(host_id)
+        return member.record if member else None
+
+    def others(self):
+        """Return the records of all other hosts, dead ones included."""
+        return [member.record for member in self._members_by_id.values()]
+
+    def page(self, after, limit):
+        """Return records in the order of their names.
+
+        :param after: the name that they follow.
+        :param limit: how many at most.
+        :return: the records, and whether there are more.
+        """
+        records = [r for r in [self.own, *self.others()] if r.id > after]
+        records.sort(key=lambda record: record.id)
+        return tuple(records[:limit]), len(records) > limit
+
+    def live(self):
+        """Return the records of the hosts that may be given work.
+
+        A suspected host keeps its work for half of the time in which it may
+        refute; one that came back again and again is held back for a while.
+        """
+        live = [m.record for m in self._members_by_id.values() if self._lives(m)]
+        if self.own.state is HostState.ALIVE:
+            live.append(self.own)
+        return sorted(live, key=lambda record: record.id)
+
+    def merge(self, record):
+        """Take in what another host says of a host.
+
+        :param record: the claim.
+        """
+        if record.id == self.own.id:
+            self._refute(record)
+            return
+        member = self._members_by_id.get(record.id)
+        if member is None:
+            self._add(record)
+        elif _is_newer(record, member.record):
+            if record.state is HostState.DEAD and _is_alive(member.record):
+                # Whoever comes out of a cut calls the other side dead. Those
+                # hosts get the time to refute before they lose their work.
+                record = msgspec.structs.replace(record, state=HostState.SUSPECT)
+            self._change(member, record)
+
+    def suspect(self, host_id):
+        """Note that a host did not answer.
+
+        :param host_id: the host.
+        """
+        member = self._members_by_id.get(host_id)
+        if member is None:
+            return
+        if member.record.state is HostState.ALIVE:
+            self._set_state(member, HostState.SUSPECT)
+        elif member.record.state is HostState.LEAVING:
+            self._set_state(member, HostState.DEAD)
+
+    def leave(self):
+        """Call this host leaving."""
+        self.own = msgspec.structs.replace(self.own, state=HostState.LEAVING)
+        self._spread(self.own.id)
+
+    def thaw(self, frozen_ms):
+        """Take account of a time in which this host itself stood still.
+
+        :param frozen_ms: how long, in milliseconds.
+        """
+        for member in self._members_by_id.values():
+            member.changed_ms += frozen_ms
+        self._raise_incarnation(self.own.incarnation)
+
+    def expire(self, listed_ids):
+        """Declare hosts dead that have not refuted, and forget the long dead.
+
+        :param listed_ids: hosts that the host list names; they are kept.
+        """
+        now_ms = self._clock.now_ms()
+        for host_id, member in list(self._members_by_id.items()):
+            age_ms = now_ms - member.changed_ms
+            state = member.record.state
+            if state is HostState.SUSPECT and age_ms >= self._suspect_ms:
+                self._set_state(member, HostState.DEAD)
+            elif state is not HostState.DEAD or host_id in listed_ids:
+                continue
+            elif age_ms >= FORGET_MS:
+                del self._members_by_id[host_id]
+                self._sends_left_by_id.pop(host_id, None)
+
+    def take_updates(self, receiver_id=None):
+        """Return the news for one message, the least spread first.
+
+        :param receiver_id: the receiving host; it is told when it is believed
+            to be other than alive, so that it can refute.
+        """
+        sends = self._sends_left_by_id
+        chosen = heapq.nlargest(MAX_UPDATES, sends, key=sends.get)
+        for host_id in chosen:
+            sends[host_id] -= 1
+            if sends[host_id] <= 0:
+                del sends[host_id]
+        receiver = self._members_by_id.get(receiver_id)
+        if receiver and receiver.record.state is not HostState.ALIVE:
+            chosen = [receiver_id, *(i for i in chosen if i != receiver_id)]
+        records = (self.find(host_id) for host_id in chosen[:MAX_UPDATES])
+        return tuple(record for record in records if record is not None)
+
+    def _lives(self, member):
+        now_ms = self._clock.now_ms()
+        if now_ms < member.held_until_ms:
+            return False
+        if member.record.state is HostState.SUSPECT:
+            return now_ms - member.changed_ms < self._grace_ms
+        return member.record.state is HostState.ALIVE
+
+    def _add(self, record):
+        if record.state is HostState.DEAD or len(self._members_by_id) >= MAX_MEMBERS:
+            return
+        self._members_by_id[record.id] = _Member(record, self._clock.now_ms())
+        self._spread(record.id)
+        log.info("Host %s in %s is %s.", record.id, record.zone, record.state)
+
+    def _set_state(self, member, state):
+        self._change(member, msgspec.structs.replace(member.record, state=state))
+
+    def _change(self, member, record):
+        lived = self._lives(member)
+        old, member.record = member.record, record
+        if old.state is not record.state:
+            log.info("Host %s is %s, was %s.", record.id, record.state, old.state)
+            if record.state is HostState.ALIVE and not lived:
+                self._hold(member)
+            member.changed_ms = self._clock.now_ms()
+        self._spread(record.id)
+
+    def _hold(self, member):
+        """Hold a host back that comes back again and again, longer each time."""
+        now_ms = self._clock.now_ms()
+        if now_ms - member.flapped_ms > FLAP_MEMORY_MS:
+            member.flaps = 0
+        member.flaps += 1
+        member.flapped_ms = now_ms
+        if member.flaps > 1:
+            hold_ms = min(HOLD_MAX_MS, HOLD_MIN_MS << min(member.flaps - 2, 10))
+            member.held_until_ms = now_ms + hold_ms
+            log.info("Host %s is held back for %d ms.", member.record.id, hold_ms)
+
+    def _refute(self, claim):
+        accused = claim.state in (HostState.SUSPECT, HostState.DEAD)
+        accused = accused and claim.incarnation >= self.own.incarnation
+        if accused or claim.incarnation > self.own.incarnation:
+            self._raise_incarnation(claim.incarnation)
+
+    def _raise_incarnation(self, above):
+        self.own = msgspec.structs.replace(self.own, incarnation=above + 1)
+        self._spread(self.own.id)
+
+    def _spread(self, host_id):
+        bits = (len(self._members_by_id) + 2).bit_length()
+        self._sends_left_by_id[host_id] = SENDS_FACTOR * bits
+
+
+def _is_newer(claim, known):
+    if claim.incarnation != known.incarnation:
+        return claim.incarnation > known.incarnation
+    return _RANK_BY_STATE[claim.state] > _RANK_BY_STATE[known.state]
+
+
+def _is_alive(record):
+    return record.state is HostState.ALIVE
--- /dev/null
+++ b/goldcrestmoor/process/membership.py
@@ -0,0 +1,297 @@
+"""Which hosts of the fleet are alive, learnt by probes and gossip."""
+
+import asyncio
+import logging
+import random
+
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.process.listed_hosts import MAX_LEAVING_UPSTREAMS, ListedHosts
+from goldcrestmoor.process.member_table import MemberTable
+from goldcrestmoor.process.membership_messages import (
+    HostRecord,
+    HostState,
+    Probe,
+    ProbeAnswer,
+    ProbeFor,
+    ProbeForAnswer,
+    SyncAnswer,
+    SyncRequest,
+)
+from goldcrestmoor.process.probe_ring import ProbeRing
+from goldcrestmoor.util import Backoff, TaskGroup
+
+log = logging.getLogger("goldcrestmoor.membership")
+
+INDIRECT_PROBES = 2
+MAX_PROBES = 8
+SYNC_PAGE_RECORDS = 64
+SYNC_TIMEOUT_MS = 1000
+SYNC_REPEAT_MS = 30_000
+JOIN_BACKOFF_MAX_MS = 5000
+FROZEN_MS = 1000
+LEAVE_FANOUT = 8
+
+
+class Membership:
+    """This host's view of the fleet.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param settings: the :class:`~goldcrestmoor.settings.Settings`.
+    :param links: the :class:`~goldcrestmoor.connection.peers.PeerLinks`.
+    :param host_list: the :class:`~goldcrestmoor.adapters.hosts.HostListClient`.
+    :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
+    :param rng: the source of the order in which hosts are probed.
+    """
+
+    __slots__ = (
+        "table",
+        "listed",
+        "_clock",
+        "_settings",
+        "_links",
+        "_metrics",
+        "_rng",
+        "_seeds_by_id",
+        "_ring",
+        "_callbacks",
+        "_live",
+        "_live_ids",
+        "_probes",
+        "_synced_ms",
+        "_tasks",
+    )
+
+    def __init__(self, *, clock, settings, links, host_list, metrics, rng=None):
+        host = settings.host
+        own = HostRecord(
+            host.id,
+            host.zone,
+            host.region,
+            host.address,
+            host.http_port,
+            host.peer_port,
+            # A restarted host starts above its former incarnation; should its
+            # wall clock be behind, it is told so and raises the number.
+            clock.wall_ms(),
+            HostState.ALIVE,
+        )
+        self.table = MemberTable(clock, own, settings.membership.suspect_ms)
+        self.listed = ListedHosts(
+            clock=clock,
+            host_list=host_list,
+            poll_ms=settings.membership.host_list_poll_ms,
+        )
+        self._clock = clock
+        self._settings = settings.membership
+        self._links = links
+        self._metrics = metrics
+        self._rng = rng or random.Random()
+        seeds = (peer for peer in settings.peers if peer.id != own.id)
+        self._seeds_by_id = {peer.id: peer for peer in seeds}
+        self._ring = ProbeRing(self.table, self._candidate_ids, self._rng)
+        self._callbacks = []
+        self._live = [own]
+        self._live_ids = None
+        self._probes = 0
+        self._synced_ms = None
+        self._tasks = TaskGroup()
+        links.register(Probe, self._on_probe, urgent=True)
+        links.register(ProbeFor, self._on_probe_for)
+        links.register(SyncRequest, self._on_sync, urgent=True)
+
+    def live(self, zone=None):
+        """Return the records of the hosts that may be given work.
+
+        :param zone: an availability zone; all zones when left out.
+        """
+        return [r for r in self._live if zone is None or r.zone == zone]
+
+    def find(self, host_id):
+        """Return a host's record, or None when it is unknown.
+
+        :param host_id: the host.
+        """
+        return self.table.find(host_id)
+
+    def address_of(self, host_id):
+        """Return a host's ``(address, peer_port)``, or None when it is unknown.
+
+        :param host_id: the host.
+        """
+        host = (
+            self.table.find(host_id)
+            or self.listed.hosts_by_id.get(host_id)
+            or self._seeds_by_id.get(host_id)
+        )
+        return (host.address, host.peer_port) if host else None
+
+    def leaving_upstreams(self):
+        """Return the names of the upstreams that the host list calls leaving."""
+        return self.listed.leaving_upstreams()
+
+    def on_change(self, callback):
+        """Have a function called when the set of live hosts has changed.
+
+        :param callback: a function without parameters.
+        """
+        self._callbacks.append(callback)
+
+    async def run(self):
+        """Probe other hosts until cancelled."""
+        self._tasks.start(self.listed.run(), "poll the host list")
+        self._tasks.start(self._join(), "join the fleet")
+        try:
+            while True:
+                self._tick()
+                await self._rest()
+        finally:
+            await self._tasks.close()
+
+    async def leave(self):
+        """Call this host leaving, and tell some peers at once."""
+        self.table.leave()
+        self._refresh()
+        near = [r.id for r in self.live(self.table.own.zone)]
+        told = self._rng.sample(near, min(LEAVE_FANOUT, len(near)))
+        await asyncio.gather(*(self._reach(host_id) for host_id in told))
+
+    def _tick(self):
+        self.table.expire(self.listed.hosts_by_id)
+        self._refresh()
+        target = self._ring.next_id()
+        if target is None or self._probes >= MAX_PROBES:
+            return
+        self._probes += 1
+        self._tasks.start(self._probe(target), f"probe {target}")
+
+    async def _rest(self):
+        interval_ms = self._settings.probe_interval_ms
+        started_ms = self._clock.now_ms()
+        await self._clock.sleep_ms(interval_ms)
+        late_ms = self._clock.now_ms() - started_ms - interval_ms
+        if late_ms >= FROZEN_MS:
+            log.warning("This host stood still for %d ms.", late_ms)
+            self.table.thaw(late_ms)
+
+    def _refresh(self):
+        self._live = self.table.live()
+        ids = [record.id for record in self._live]
+        if ids == self._live_ids:
+            return
+        self._live_ids = ids
+        self._metrics.live_hosts.clear()
+        for record in self._live:
+            self._metrics.live_hosts.labels(record.zone).inc()
+        for callback in self._callbacks:
+            callback()
+
+    def _candidate_ids(self):
+        heard_of = {**self._seeds_by_id, **self.listed.hosts_by_id}
+        known = (self.table.find(host_id) for host_id in heard_of)
+        return [i for i, record in zip(heard_of, known, strict=True) if record is None]
+
+    async def _probe(self, target):
+        started_ms = self._clock.now_ms()
+        try:
+            if await self._reach(target) or await self._reach_by_others(target):
+                return
+            # Whoever stood still itself has missed the answers.
+            if self._clock.now_ms() - started_ms < self._longest_probe_ms():
+                self.table.suspect(target)
+                self._refresh()
+        finally:
+            self._probes -= 1
+
+    def _longest_probe_ms(self):
+        return 3 * self._settings.probe_timeout_ms + FROZEN_MS
+
+    async def _reach(self, target):
+        record = self.table.find(target)
+        was_dead = record is not None and record.state is HostState.DEAD
+        probe = Probe(
+            self.table.own, self.table.take_updates(target), self.listed.is_stale()
+        )
+        try:
+            answer = await self._links.call(
+                target, probe, self._settings.probe_timeout_ms
+            )
+        except ServiceError as e:
+            # An error that the host itself answered shows that it is alive.
+            return e.kind is not ErrorKind.PEER_UNREACHABLE
+        if not isinstance(answer, ProbeAnswer):
+            return True
+        self._merge(answer.sender, *answer.updates)
+        self.listed.take_leaving(answer.leaving_upstreams)
+        if was_dead:
+            await self._sync_again(target)
+        return True
+
+    async def _reach_by_others(self, target):
+        record = self.table.find(target)
+        if record is None or record.state is HostState.DEAD:
+            return False
+        own_id = self.table.own.id
+        helpers = [r.id for r in self._live if r.id not in (own_id, target)]
+        chosen = self._rng.sample(helpers, min(INDIRECT_PROBES, len(helpers)))
+        asked = (self._ask_to_probe(helper, record) for helper in chosen)
+        return any(await asyncio.gather(*asked))
+
+    async def _ask_to_probe(self, helper, record):
+        timeout_ms = 2 * self._settings.probe_timeout_ms
+        try:
+            answer = await self._links.call(helper, ProbeFor(record), timeout_ms)
+        except ServiceError:
+            return False
+        return isinstance(answer, ProbeForAnswer) and answer.reached
+
+    async def _join(self):
+        backoff = Backoff(self._settings.probe_interval_ms, JOIN_BACKOFF_MAX_MS)
+        while self._synced_ms is None:
+            candidates = self._candidate_ids()
+            candidates += [record.id for record in self.table.others()]
+            if candidates:
+                await self._sync(self._rng.choice(candidates))
+            if self._synced_ms is None:
+                await self._clock.sleep_ms(backoff.next_ms())
+
+    async def _sync_again(self, host_id):
+        now_ms = self._clock.now_ms()
+        if self._synced_ms is None or now_ms - self._synced_ms >= SYNC_REPEAT_MS:
+            await self._sync(host_id)
+
+    async def _sync(self, host_id):
+        after, more = "", True
+        while more:
+            request = SyncRequest(self.table.own, after)
+            try:
+                answer = await self._links.call(host_id, request, SYNC_TIMEOUT_MS)
+            except ServiceError as e:
+                log.debug("No sync with %s: %s.", host_id, e)
+                return
+            if not isinstance(answer, SyncAnswer) or not answer.records:
+                return
+            self._merge(*answer.records)
+            after, more = answer.records[-1].id, answer.more
+        self._synced_ms = self._clock.now_ms()
+        log.info("Learnt the fleet from %s.", host_id)
+
+    async def _on_probe(self, sender, probe):
+        self._merge(probe.sender, *probe.updates)
+        leaving = ()
+        if probe.list_is_stale and not self.listed.is_stale():
+            leaving = sorted(self.leaving_upstreams())[:MAX_LEAVING_UPSTREAMS]
+        updates = self.table.take_updates(probe.sender.id)
+        return ProbeAnswer(self.table.own, updates, tuple(leaving))
+
+    async def _on_probe_for(self, sender, message):
+        self._merge(message.target)
+        return ProbeForAnswer(await self._reach(message.target.id))
+
+    async def _on_sync(self, sender, message):
+        self._merge(message.sender)
+        return SyncAnswer(*self.table.page(message.after, SYNC_PAGE_RECORDS))
+
+    def _merge(self, *records):
+        for record in records:
+            self.table.merge(record)
+        self._refresh()
--- /dev/null
+++ b/goldcrestmoor/process/ownership.py
@@ -0,0 +1,66 @@
+"""Which host has which duty, by rendezvous among the live hosts."""
+
+from goldcrestmoor.util import rendezvous, rendezvous_order
+
+
+class Ownership:
+    """Assigns duties to hosts; every host works it out for itself.
+
+    Two hosts may disagree for a moment. That costs efficiency only: nothing
+    that must hold rests on there being one owner.
+
+    :param membership: the :class:`~goldcrestmoor.process.membership.Membership`.
+    :param host_id: this host.
+    :param draining_hosts: gives the names of hosts that operators drain.
+    """
+
+    __slots__ = ("_membership", "_host_id", "_draining_hosts")
+
+    def __init__(self, *, membership, host_id, draining_hosts=tuple):
+        self._membership = membership
+        self._host_id = host_id
+        self._draining_hosts = draining_hosts
+
+    def owner_of_upstream(self, upstream):
+        """Return the host that admits requests to an upstream.
+
+        :param upstream: the :class:`~goldcrestmoor.version.configuration.Upstream`.
+        """
+        return self._holder(f"upstream/{upstream.name}", upstream.zone)
+
+    def holder_of_step(self, account, step):
+        """Return the host that holds a step.
+
+        :param account: the step's
+            :class:`~goldcrestmoor.version.configuration.Account`.
+        :param step: the step's name.
+        """
+        return self._holder(f"step/{account.name}/{step}", account.zone)
+
+    def preferred(self, duty, count):
+        """Return the hosts of the fleet that a duty prefers, best first.
+
+        :param duty: the duty's name.
+        :param count: how many at most.
+        """
+        return rendezvous_order(duty, self._working())[:count]
+
+    def is_mine(self, holder_id):
+        """Tell whether a holder is this host.
+
+        :param holder_id: what another method returned.
+        """
+        return holder_id == self._host_id
+
+    def _holder(self, duty, zone):
+        own = self._membership.find(self._host_id)
+        for choice in (zone, own.zone):
+            host_ids = self._working(choice) if choice else ()
+            if host_ids:
+                return rendezvous(duty, host_ids)
+        return self._host_id
+
+    def _working(self, zone=None):
+        draining = set(self._draining_hosts())
+        live = self._membership.live(zone)
+        return [record.id for record in live if record.id not in draining]
--- /dev/null
+++ b/goldcrestmoor/process/probe_ring.py
@@ -0,0 +1,73 @@
+"""Which host is probed next."""
+
+import random
+
+from goldcrestmoor.process.membership_messages import HostState
+
+OTHER_ZONE_EVERY = 4
+DEAD_EVERY = 5
+
+
+class ProbeRing:
+    """Shuffled rounds over the own zone's hosts, the others and the dead.
+
+    :param table: the :class:`~goldcrestmoor.process.member_table.MemberTable`.
+    :param candidates: gives the names of hosts that were only heard of.
+    :param rng: the source of the order.
+    """
+
+    __slots__ = ("_table", "_candidates", "_rng", "_count", "_near", "_far", "_dead")
+
+    def __init__(self, table, candidates, rng=None):
+        self._table = table
+        self._candidates = candidates
+        self._rng = rng or random.Random()
+        self._count = 0
+        self._near = []
+        self._far = []
+        self._dead = []
+
+    def next_id(self):
+        """Return the host to probe now, or None when none is known."""
+        self._count += 1
+        rounds = [(self._near, self._is_near), (self._far, self._is_far)]
+        if self._count % OTHER_ZONE_EVERY == 0:
+            rounds.reverse()
+        if self._count % DEAD_EVERY == 0:
+            return self._next_dead() or self._first(rounds)
+        return self._first(rounds) or self._next_dead()
+
+    def _first(self, rounds):
+        for queue, belongs in rounds:
+            host_id = self._take(queue, belongs)
+            if host_id is not None:
+                return host_id
+        return None
+
+    def _take(self, queue, belongs):
+        refilled = False
+        while True:
+            while queue:
+                record = self._table.find(queue.pop())
+                if record is not None and belongs(record):
+                    return record.id
+            if refilled:
+                return None
+            refilled = True
+            queue.extend(r.id for r in self._table.others() if belongs(r))
+            self._rng.shuffle(queue)
+
+    def _next_dead(self):
+        if not self._dead:
+            dead = (r for r in self._table.others() if r.state is HostState.DEAD)
+            self._dead.extend({r.id for r in dead}.union(self._candidates()))
+            self._rng.shuffle(self._dead)
+        return self._dead.pop() if self._dead else None
+
+    def _is_near(self, record):
+        is_near = record.zone == self._table.own.zone
+        return is_near and record.state is not HostState.DEAD
+
+    def _is_far(self, record):
+        is_far = record.zone != self._table.own.zone
+        return is_far and record.state is not HostState.DEAD
--- /dev/null
+++ b/test/test_membership.py
@@ -0,0 +1,298 @@
+"""Hosts learn which others are alive, under freezes, cuts and churn."""
+
+import contextlib
+import random
+import statistics
+import unittest
+from types import SimpleNamespace
+
+from goldcrestmoor.clock import Clock
+from goldcrestmoor.connection.peers import PeerLinks
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.process.membership import Membership
+from goldcrestmoor.process.membership_messages import HostState
+from goldcrestmoor.process.metrics import Metrics
+from goldcrestmoor.process.ownership import Ownership
+from goldcrestmoor.util import TaskGroup
+from goldcrestmoor.version.configuration import Upstream
+from test import _common
+from test._fleet import FakeLinks, HostClock, ManualClock, Network
+
+GENEROUS_MS = 60_000
+CONTROL_BYTES_PER_S = 7000
+
+
+class FakeHostList:
+    """A host list that tests write, and that can be out of reach."""
+
+    def __init__(self):
+        self.entries = []
+        self.cut_off = set()
+
+    def client(self, host_id):
+        return SimpleNamespace(fetch=lambda: self.fetch(host_id))
+
+    async def fetch(self, host_id):
+        if host_id in self.cut_off:
+            raise ServiceError(ErrorKind.PLATFORM_UNAVAILABLE)
+        return self.entries
+
+    def add(self, kind, name, state, zone="zone-a"):
+        self.entries.append(
+            SimpleNamespace(
+                id=name,
+                kind=kind,
+                zone=zone,
+                address="127.0.0.1",
+                http_port=1,
+                peer_port=1,
+                state=state,
+            )
+        )
+
+
+def seeds_of(*hosts):
+    return [
+        {
+            "id": host.id,
+            "zone": host.zone,
+            "address": host.address,
+            "peer_port": host.peer_port,
+        }
+        for host in hosts
+    ]
+
+
+class MembershipTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.clock = ManualClock()
+        self.network = Network(self.clock)
+        self.host_list = FakeHostList()
+        self.clocks_by_id = {}
+        self.members_by_id = {}
+        self.tasks = TaskGroup()
+        self.tasks_by_id = {}
+        self.addAsyncCleanup(self.tasks.close)
+        self.seeds = []
+        self.settings = _common.make_settings()
+
+    def add_host(self, host_id, zone="zone-a"):
+        settings = _common.make_settings(host_id, zone, peers=self.seeds)
+        clock = self.clocks_by_id[host_id] = HostClock(self.clock)
+        member = Membership(
+            clock=clock,
+            settings=settings,
+            links=FakeLinks(self.network, host_id, clock),
+            host_list=self.host_list.client(host_id),
+            metrics=Metrics(),
+            rng=random.Random(host_id),
+        )
+        self.members_by_id[host_id] = member
+        self.tasks_by_id[host_id] = self.tasks.start(member.run(), host_id)
+        if not self.seeds:
+            self.seeds = seeds_of(settings.host)
+        return member
+
+    def kill(self, host_id):
+        self.tasks_by_id.pop(host_id).cancel()
+        del self.network.links_by_id[host_id]
+        del self.members_by_id[host_id]
+
+    async def start_fleet(self, count, zones=("zone-a",)):
+        for i in range(count):
+            self.add_host(f"host-{i}", zones[i % len(zones)])
+        await self.wait_until(lambda: self.all_see(self.members_by_id))
+
+    async def wait_until(self, predicate):
+        self.assertTrue(await self.clock.advance(GENEROUS_MS, predicate))
+
+    def seen_by(self, host_id):
+        return {record.id for record in self.members_by_id[host_id].live()}
+
+    def all_see(self, expected, members=None):
+        expected = set(expected)
+        members = self.members_by_id if members is None else members
+        return all(self.seen_by(host_id) == expected for host_id in members)
+
+    async def test_hosts_find_one_another_and_notice_a_death(self):
+        await self.start_fleet(6, ("zone-a", "zone-b"))
+        self.kill("host-5")
+        await self.wait_until(lambda: self.all_see(self.members_by_id))
+        self.assertEqual(len(self.members_by_id["host-0"].live("zone-b")), 2)
+
+    async def test_a_listed_host_is_only_a_candidate(self):
+        self.host_list.add("host", "host-0", "live")
+        self.host_list.add("host", "host-gone", "live")
+        self.add_host("host-0")
+        self.seeds = []
+        self.add_host("host-1")
+        await self.wait_until(lambda: self.all_see(["host-0", "host-1"]))
+        await self.clock.advance(GENEROUS_MS)
+        self.assertTrue(self.all_see(["host-0", "host-1"]))
+
+    async def test_a_leaving_host_is_given_no_work_but_is_not_dead(self):
+        await self.start_fleet(4)
+        await self.members_by_id["host-1"].leave()
+        others = ["host-0", "host-2", "host-3"]
+        await self.wait_until(lambda: self.all_see(others))
+        await self.clock.advance(GENEROUS_MS)
+        for host_id in others:
+            record = self.members_by_id[host_id].find("host-1")
+            self.assertEqual(record.state, HostState.LEAVING)
+
+    async def test_a_frozen_host_is_not_alive_and_dead_by_turns(self):
+        await self.start_fleet(5)
+        changes = []
+        watcher = self.members_by_id["host-0"]
+        lived = ["host-3" in self.seen_by("host-0")]
+
+        def watch():
+            lives = "host-3" in self.seen_by("host-0")
+            if lives != lived[-1]:
+                lived.append(lives)
+                changes.append(self.clock.now_ms())
+
+        watcher.on_change(watch)
+        thawed = self.clocks_by_id["host-3"].thawed
+        for _ in range(20):
+            thawed.clear()
+            await self.clock.advance(6000)
+            thawed.set()
+            await self.clock.advance(3000)
+        self.assertLessEqual(len(changes), 8)
+        await self.clock.advance(2 * GENEROUS_MS, lambda: self.all_see(lived_all))
+        self.assertTrue(self.all_see(lived_all))
+
+    async def test_a_host_that_stood_still_suspects_nobody(self):
+        await self.start_fleet(5)
+        frozen = self.members_by_id["host-2"]
+        before = frozen.find("host-2").incarnation
+        self.clocks_by_id["host-2"].thawed.clear()
+        await self.clock.advance(10_000)
+        self.clocks_by_id["host-2"].thawed.set()
+        for _ in range(20):
+            await self.clock.advance(100)
+            self.assertEqual(self.seen_by("host-2"), lived_all)
+        self.assertGreater(frozen.find("host-2").incarnation, before)
+        await self.wait_until(lambda: self.all_see(lived_all))
+
+    async def test_a_cut_is_noticed_and_so_is_its_healing(self):
+        await self.start_fleet(6, ("zone-a", "zone-b"))
+        near = {"host-0", "host-2", "host-4"}
+        far = {"host-1", "host-3", "host-5"}
+        self.network.cut(near, far)
+        await self.wait_until(
+            lambda: self.all_see(near, near) and self.all_see(far, far)
+        )
+        await self.clock.advance(GENEROUS_MS)
+        lost = set()
+        for host_id, member in self.members_by_id.items():
+            own_side = near if host_id in near else far
+            member.on_change(
+                lambda h=host_id, side=own_side: lost.update(side - self.seen_by(h))
+            )
+        self.network.heal()
+        await self.wait_until(lambda: self.all_see(near | far))
+        self.assertEqual(lost, set(), "A side lost its own hosts on healing.")
+
+    async def test_a_restarted_host_overrules_what_was_said_of_it(self):
+        await self.start_fleet(4)
+        self.kill("host-1")
+        await self.wait_until(lambda: self.all_see(self.members_by_id))
+        # Its wall clock may be behind when it comes back.
+        member = self.add_host("host-1")
+        own = member.table.own
+        member.table.own = type(own)(
+            own.id, own.zone, own.region, own.address, 1, 1, 5, own.state
+        )
+        await self.wait_until(lambda: self.all_see(self.members_by_id))
+
+    async def test_leaving_upstreams_reach_hosts_that_cannot_read_the_list(self):
+        await self.start_fleet(3)
+        self.host_list.cut_off.add("host-2")
+        await self.clock.advance(GENEROUS_MS)
+        self.host_list.add("upstream", "engine-1", "leaving")
+        cut_off = self.members_by_id["host-2"]
+        await self.wait_until(lambda: "engine-1" in cut_off.leaving_upstreams())
+
+    async def test_bytes_for_a_host_do_not_grow_with_the_fleet(self):
+        figures = []
+        for count in (10, 350):
+            await self.asyncSetUp()
+            figures.append(await self.quiet_bytes_per_s(count))
+            await self.tasks.close()
+        small, large = figures
+        self.assertLess(large, 2 * small)
+        self.assertLess(large, CONTROL_BYTES_PER_S)
+
+    async def quiet_bytes_per_s(self, count):
+        for i in range(count):
+            self.add_host(f"host-{i}", f"zone-{i % 5}")
+        records = [member.table.own for member in self.members_by_id.values()]
+        for member in self.members_by_id.values():
+            member._synced_ms = 0
+            for record in records:
+                member.table.merge(record)
+            member.table._sends_left_by_id.clear()
+        self.network.bytes_by_id.clear()
+        await self.clock.advance(5000)
+        return statistics.mean(self.network.bytes_by_id.values()) / 5
+
+    async def test_upstreams_belong_to_live_hosts_of_their_zone(self):
+        await self.start_fleet(6, ("zone-a", "zone-b"))
+        draining = []
+        ownerships = [
+            Ownership(
+                membership=member, host_id=host_id, draining_hosts=lambda: draining
+            )
+            for host_id, member in self.members_by_id.items()
+        ]
+        upstream = Upstream("engine-1", "pool", "zone-b", "127.0.0.1", 1)
+        owners = {ownership.owner_of_upstream(upstream) for ownership in ownerships}
+        self.assertEqual(len(owners), 1)
+        owner = owners.pop()
+        self.assertEqual(self.members_by_id[owner].find(owner).zone, "zone-b")
+        draining += ["host-1", "host-3", "host-5"]
+        fallback = ownerships[0].owner_of_upstream(upstream)
+        self.assertEqual(self.members_by_id["host-0"].find(fallback).zone, "zone-a")
+
+
+lived_all = {f"host-{i}" for i in range(5)}
+
+
+class RealLinksTest(unittest.IsolatedAsyncioTestCase):
+    async def test_three_daemons_find_one_another_over_sockets(self):
+        self.seeds = []
+        self.tasks = TaskGroup()
+        self.addAsyncCleanup(self.tasks.close)
+        hosts = [self.start_host(f"host-{i}") for i in range(3)]
+        hosts = [await host for host in hosts]
+        members = [member for member, _, _ in hosts]
+        await _common.eventually(lambda: all(len(m.live()) == 3 for m in members))
+        _, links, task = hosts[2]
+        task.cancel()
+        with contextlib.suppress(BaseException):
+            await task
+        await links.close()
+        await _common.eventually(lambda: all(len(m.live()) == 2 for m in members[:2]))
+
+    async def start_host(self, host_id):
+        settings = _common.make_settings(host_id, peers=self.seeds)
+        self.seeds = self.seeds or seeds_of(settings.host)
+        metrics = Metrics()
+        links = PeerLinks(
+            clock=Clock(),
+            settings=settings,
+            directory=lambda peer_id: member.address_of(peer_id),
+            metrics=metrics,
+        )
+        member = Membership(
+            clock=Clock(),
+            settings=settings,
+            links=links,
+            host_list=FakeHostList().client(host_id),
+            metrics=metrics,
+        )
+        await links.start()
+        self.addAsyncCleanup(links.close)
+        return member, links, self.tasks.start(member.run(), host_id)
