Keep leases in the table service, judged by each taker's own clock

Cause: orders to engines and other duties need one holder at a time, while holders freeze, answers are lost and clocks of hosts differ.

Ruled out: an expiry time in the row (compares clocks of two hosts); counting a renewal from its answer (a holder that froze in between would think that it holds for too long).

Change: LeaseClient. The holder counts from when it sent the renewal. A taker must have watched the row unchanged for its duration and a margin, counted from the answer of its own read. A lost answer is settled by the row's token. The fencing number grows with each holding. A released row can be taken at once. The test's table stands in for the adapter until that is there.

Seen red: taking after a third of the duration gave two holders at once (2 not <= 1); counting from the answer let a frozen holder wake with its lease.

--- /dev/null
+++ b/goldcrestmoor/process/leases.py
@@ -0,0 +1,238 @@
+"""Leases on duties that need one holder, kept in the table service.
+
+A lease saves work; nothing that must hold rests on it alone, for its holder
+may be paused between a check and an act. Orders carry its fencing number.
+"""
+
+import collections
+import logging
+import secrets
+
+import msgspec
+
+from goldcrestmoor.adapters.table import Check, Committed, Write
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.process import lease_rows
+from goldcrestmoor.process.lease_rows import TABLE, LeaseRow
+from goldcrestmoor.util import TaskGroup
+
+log = logging.getLogger("goldcrestmoor.leases")
+
+TAKE_MARGIN_MS = 1000
+RENEWALS_PER_DURATION = 3
+MAX_WATCHED = 1000
+TOKEN_BYTES = 12
+
+
+class Lease:
+    """One holding of a duty.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param name: the duty.
+    :param row: the :class:`~goldcrestmoor.process.lease_rows.LeaseRow` written.
+    :param version: the version of the row that it replaces; 0 for none.
+    :param handed_over: whether no earlier holder can still be at work, because
+        there was none or it gave the duty up itself.
+    """
+
+    __slots__ = (
+        "name",
+        "row",
+        "version",
+        "handed_over",
+        "expires_ms",
+        "lost",
+        "_clock",
+    )
+
+    def __init__(self, clock, name, row, version, handed_over):
+        self.name = name
+        self.row = row
+        self.version = version
+        self.handed_over = handed_over
+        self.expires_ms = 0
+        self.lost = False
+        self._clock = clock
+
+    @property
+    def fencing(self):
+        """The number that orders given under the lease carry."""
+        return self.row.fencing
+
+    def holds(self):
+        """Tell whether the lease is held now. Ask again before each use."""
+        return not self.lost and self._clock.now_ms() < self.expires_ms
+
+    def extend(self, version, sent_ms):
+        """Note a write of the row that landed.
+
+        :param version: the row's version since.
+        :param sent_ms: when the write was sent; the lease counts from then.
+        """
+        self.version = version
+        self.expires_ms = max(self.expires_ms, sent_ms + self.row.duration_ms)
+
+
+class _Watched:
+    """A row of another holder, and since when it has not changed."""
+
+    __slots__ = ("version", "since_ms")
+
+    def __init__(self, version, since_ms):
+        self.version = version
+        self.since_ms = since_ms
+
+
+class LeaseClient:
+    """Takes, renews and releases leases.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param table: the :class:`~goldcrestmoor.adapters.table.TableClient`.
+    :param host_id: this host.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_table",
+        "_host_id",
+        "_watched_by_name",
+        "_leases_by_name",
+        "_tasks",
+    )
+
+    def __init__(self, *, clock, table, host_id):
+        self._clock = clock
+        self._table = table
+        self._host_id = host_id
+        self._watched_by_name = collections.OrderedDict()
+        self._leases_by_name = {}
+        self._tasks = TaskGroup()
+
+    async def acquire(self, name, duration_ms):
+        """Try once to take a lease, and renew it while it is held.
+
+        Another holder's lease is taken only after this client has watched its
+        row unchanged for its duration and a margin, on its own clock; so call
+        again from time to time.
+
+        :param name: the duty.
+        :param duration_ms: how long the lease lasts without renewal.
+        :return: the :class:`Lease`, or None while another holds it.
+        :raises ServiceError: when the table service cannot be asked.
+        """
+        held = self._leases_by_name.get(name)
+        if held is not None and held.holds():
+            return held
+        row = await self._table.get(TABLE, name)
+        known = lease_rows.decode(row.value) if row else None
+        if known is not None and not self._may_take(name, row.version, known):
+            return None
+        fencing = known.fencing + 1 if known else 1
+        token = secrets.token_hex(TOKEN_BYTES)
+        new = LeaseRow(self._host_id, token, fencing, duration_ms)
+        handed_over = known is None or not known.holder
+        version = row.version if row else 0
+        lease = Lease(self._clock, name, new, version, handed_over)
+        if not await self._write(lease):
+            return None
+        self._watched_by_name.pop(name, None)
+        self._leases_by_name[name] = lease
+        self._tasks.start(self._renew(lease), f"renew {name}")
+        log.info("Took lease %s with fencing number %d.", name, fencing)
+        return lease
+
+    async def release(self, lease):
+        """Give a lease up, so that another host can take it at once.
+
+        :param lease: the :class:`Lease`.
+        """
+        held = lease.holds()
+        self._forget(lease)
+        if not held:
+            return
+        released = msgspec.structs.replace(lease.row, holder="")
+        try:
+            await self._transact(lease, released)
+        except ServiceError as e:
+            log.warning("Lease %s was not released: %s.", lease.name, e)
+
+    async def release_all(self):
+        """Give up every lease."""
+        for lease in list(self._leases_by_name.values()):
+            await self.release(lease)
+
+    async def close(self):
+        """Stop renewing."""
+        await self._tasks.close()
+
+    def _may_take(self, name, version, known):
+        if not known.holder:
+            return True
+        now_ms = self._clock.now_ms()
+        watched = self._watched_by_name.get(name)
+        if watched is None or watched.version != version:
+            # The row may have been written at any moment before this answer
+            # came, so the holder's time is counted from now.
+            self._watched_by_name[name] = _Watched(version, now_ms)
+            self._watched_by_name.move_to_end(name)
+            if len(self._watched_by_name) > MAX_WATCHED:
+                self._watched_by_name.popitem(last=False)
+            return False
+        return now_ms - watched.since_ms >= known.duration_ms + TAKE_MARGIN_MS
+
+    async def _transact(self, lease, row):
+        write = Write(TABLE, lease.name, lease_rows.encode(row))
+        check = Check(TABLE, lease.name, lease.version)
+        return await self._table.transact([check], [write])
+
+    async def _write(self, lease):
+        """Write the lease's row; tell whether the lease is this client's since."""
+        sent_ms = self._clock.now_ms()
+        try:
+            answer = await self._transact(lease, lease.row)
+        except ServiceError as e:
+            if e.kind is not ErrorKind.OUTCOME_UNKNOWN:
+                raise
+            return await self._read_back(lease, sent_ms)
+        if isinstance(answer, Committed):
+            lease.extend(lease.version + 1, sent_ms)
+            return True
+        return self._adopt(lease, answer.row, sent_ms)
+
+    async def _read_back(self, lease, sent_ms):
+        row = await self._table.get(TABLE, lease.name)
+        return self._adopt(lease, row, sent_ms)
+
+    def _adopt(self, lease, row, sent_ms):
+        """Compare the row with what was written, and settle who holds it."""
+        if row is None:
+            return False
+        known = lease_rows.decode(row.value)
+        if known.token != lease.row.token or not known.holder:
+            return False
+        if not lease.expires_ms:
+            # Only the taking write, which was sent once, carries a new token.
+            lease.extend(row.version, sent_ms)
+        # A renewal that is found here may have been sent long before, so it
+        # gives no time; the next one does.
+        lease.version = row.version
+        return True
+
+    async def _renew(self, lease):
+        pause_ms = lease.row.duration_ms // RENEWALS_PER_DURATION
+        while lease.holds():
+            await self._clock.sleep_ms(pause_ms)
+            if not lease.holds():
+                break
+            try:
+                if not await self._write(lease):
+                    log.warning("Lease %s was taken by another host.", lease.name)
+                    break
+            except ServiceError as e:
+                log.warning("Lease %s was not renewed: %s.", lease.name, e)
+        self._forget(lease)
+
+    def _forget(self, lease):
+        lease.lost = True
+        if self._leases_by_name.get(lease.name) is lease:
+            del self._leases_by_name[lease.name]
--- /dev/null
+++ b/test/_table.py
@@ -0,0 +1,112 @@
+"""A table service in memory, with outages and lost answers."""
+
+import sys
+import types
+from importlib import util
+
+import msgspec
+
+from goldcrestmoor.errors import ErrorKind, ServiceError
+
+
+class _Check(msgspec.Struct, frozen=True):
+    table: str
+    key: str
+    version: int
+
+
+class _Write(msgspec.Struct, frozen=True):
+    table: str
+    key: str
+    value: bytes | None
+
+
+class _Row(msgspec.Struct, frozen=True):
+    key: str
+    version: int
+    value: bytes
+
+
+class _Committed(msgspec.Struct, frozen=True):
+    version_by_key: dict
+
+
+class _CheckFailed(msgspec.Struct, frozen=True):
+    row: _Row | None
+
+
+if util.find_spec("goldcrestmoor.adapters.table") is None:
+    stand_in = types.ModuleType("goldcrestmoor.adapters.table")
+    stand_in.Check, stand_in.Write, stand_in.Row = _Check, _Write, _Row
+    stand_in.Committed, stand_in.CheckFailed = _Committed, _CheckFailed
+    sys.modules["goldcrestmoor.adapters.table"] = stand_in
+
+from goldcrestmoor.adapters import table as seam  # noqa: E402
+
+
+class FakeTable:
+    """The rows, and what goes wrong with the next requests."""
+
+    def __init__(self):
+        self.rows_by_name = {}
+        self.is_down = False
+        self.lose_answers = 0
+        self.delayed = []
+        self.delay_writes = 0
+        self.after_write = None
+
+    def client(self, clock):
+        return FakeTableClient(self, clock)
+
+    def apply(self, checks, writes):
+        for check in checks:
+            row = self.rows_by_name.get((check.table, check.key))
+            if (row.version if row else 0) != check.version:
+                return seam.CheckFailed(row)
+        versions = {}
+        for write in writes:
+            name = (write.table, write.key)
+            old = self.rows_by_name.get(name)
+            version = (old.version if old else 0) + 1
+            self.rows_by_name[name] = seam.Row(write.key, version, write.value)
+            versions[f"{write.table}/{write.key}"] = version
+        return seam.Committed(versions)
+
+
+class FakeTableClient:
+    """One host's client; while the host is frozen, no answer reaches it."""
+
+    def __init__(self, table, clock):
+        self._table = table
+        self._clock = clock
+
+    async def get(self, table, key):
+        await self._check_up()
+        row = self._table.rows_by_name.get((table, key))
+        await self._clock.thawed.wait()
+        return row
+
+    async def scan(self, table, prefix):
+        await self._check_up()
+        rows = self._table.rows_by_name.items()
+        return [row for (name, key), row in rows if name == table]
+
+    async def transact(self, checks, writes):
+        await self._check_up()
+        if self._table.delay_writes:
+            self._table.delay_writes -= 1
+            self._table.delayed.append((checks, writes))
+            raise ServiceError(ErrorKind.OUTCOME_UNKNOWN)
+        answer = self._table.apply(checks, writes)
+        if self._table.after_write is not None:
+            self._table.after_write()
+        await self._clock.thawed.wait()
+        if self._table.lose_answers:
+            self._table.lose_answers -= 1
+            raise ServiceError(ErrorKind.OUTCOME_UNKNOWN)
+        return answer
+
+    async def _check_up(self):
+        await self._clock.thawed.wait()
+        if self._table.is_down:
+            raise ServiceError(ErrorKind.PLATFORM_UNAVAILABLE)
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -176,6 +176,17 @@
         self.assertGreater(frozen.find("host-2").incarnation, before)
         await self.wait_until(lambda: self.all_see(lived_all))
 
+    async def test_a_freeze_takes_no_time_from_those_that_may_refute(self):
+        await self.start_fleet(5)
+        frozen = self.members_by_id["host-2"]
+        frozen.table.suspect("host-1")
+        self.clocks_by_id["host-2"].thawed.clear()
+        await self.clock.advance(10_000)
+        self.clocks_by_id["host-2"].thawed.set()
+        for _ in range(50):
+            await self.clock.advance(100)
+            self.assertNotEqual(frozen.find("host-1").state, HostState.DEAD)
+
     async def test_a_cut_is_noticed_and_so_is_its_healing(self):
         await self.start_fleet(6, ("zone-a", "zone-b"))
         near = {"host-0", "host-2", "host-4"}
