Publish weight versions and order engines to load them

Cause: a trainer's new weights must reach all engines within seconds, under one ordering host a model, also when that host freezes or swaps fail.

Ruled out: orders from the owner of each upstream (nobody would keep the weight store's limit and the pool's rolling order); telling every host directly (350 messages from one host); waiting for a whole batch (one slow engine would hold up the next version).

Change: versions are published by compare-and-set and only grow; they spread along a tree of fan-out 8 and are polled besides. The holder of the model's lease reads every engine back, orders those that differ, with its fencing number, and retries failed swaps with backoff. Before engines that ignore fencing it waits out the longest order, unless the duty was handed over. What the engines run is spread as one version and its exceptions.

An order that is held for longer than the longest order slips through to an engine that ignores fencing; reading back mends it, and samples name the version that the engine states.

--- /dev/null
+++ b/goldcrestmoor/process/spread.py
@@ -0,0 +1,55 @@
+"""Sends one message to every live host along a tree of bounded fan-out."""
+
+import msgspec
+
+FAN_OUT = 8
+
+
+class Spread:
+    """Passes messages on, so that no host sends more than a few copies.
+
+    A message may be lost with a host that dies on the way. Whoever uses this
+    must learn the same in another way too, if later.
+
+    :param links: the :class:`~goldcrestmoor.connection.peers.PeerLinks`.
+    :param membership: the :class:`~goldcrestmoor.process.membership.Membership`.
+    :param host_id: this host.
+    """
+
+    __slots__ = ("_links", "_membership", "_host_id")
+
+    def __init__(self, *, links, membership, host_id):
+        self._links = links
+        self._membership = membership
+        self._host_id = host_id
+
+    def start(self, message):
+        """Send a message to every other live host.
+
+        :param message: a message with a field ``targets``.
+        """
+        live = sorted(
+            self._membership.live(), key=lambda record: (record.zone, record.id)
+        )
+        ids = (record.id for record in live if record.id != self._host_id)
+        self.pass_on(message, tuple(ids))
+
+    def pass_on(self, message, targets):
+        """Send a message on to the hosts that it names.
+
+        :param message: a message with a field ``targets``.
+        :param targets: the hosts, neighbours of a zone side by side.
+        """
+        for head, *rest in _split(targets):
+            copy = msgspec.structs.replace(message, targets=tuple(rest))
+            self._links.send(head, copy)
+
+
+def _split(targets):
+    """Yield the targets in at most :data:`FAN_OUT` runs of about one length."""
+    count = min(FAN_OUT, len(targets))
+    start = 0
+    for i in range(count):
+        end = start + (len(targets) - start) // (count - i)
+        yield targets[start:end]
+        start = end
--- /dev/null
+++ b/goldcrestmoor/version/engine_versions.py
@@ -0,0 +1,68 @@
+"""Which weight version each engine runs, as far as this host knows."""
+
+import collections
+
+from goldcrestmoor.version.weight_messages import EngineVersions
+
+UNKNOWN = -1
+
+
+class EngineVersionTable:
+    """Keeps what the ordering hosts say about the engines of each model.
+
+    :param links: the :class:`~goldcrestmoor.connection.peers.PeerLinks`.
+    :param spread: the :class:`~goldcrestmoor.process.spread.Spread`.
+    :param configuration: gives the
+        :class:`~goldcrestmoor.version.configuration.Configuration` in force.
+    """
+
+    __slots__ = ("_spread", "_configuration", "_known_by_model")
+
+    def __init__(self, *, links, spread, configuration):
+        self._spread = spread
+        self._configuration = configuration
+        self._known_by_model = {}
+        links.register(EngineVersions, self._on_versions)
+
+    def version_of(self, upstream):
+        """Return the version that an engine was last known to run, or None.
+
+        :param upstream: the :class:`~goldcrestmoor.version.configuration.Upstream`.
+        """
+        pool = self._configuration().pools_by_name.get(upstream.pool)
+        known = self._known_by_model.get(pool.model) if pool else None
+        if known is None:
+            return None
+        version = known.exceptions.get(upstream.name, known.version)
+        return None if version == UNKNOWN else version
+
+    def publish(self, model, fencing, versions_by_upstream):
+        """Keep what the engines of a model run, and tell the other hosts.
+
+        :param model: the model.
+        :param fencing: the fencing number that they were ordered under.
+        :param versions_by_upstream: versions by upstream name, None if unknown.
+        """
+        # Almost all engines run the same version, so only the others are named.
+        filled = {
+            name: UNKNOWN if version is None else version
+            for name, version in versions_by_upstream.items()
+        }
+        counts = collections.Counter(filled.values())
+        version = max(counts, key=counts.get, default=UNKNOWN)
+        exceptions = {name: v for name, v in filled.items() if v != version}
+        message = EngineVersions(model, fencing, version, exceptions)
+        self._take(message)
+        self._spread.start(message)
+
+    async def _on_versions(self, sender, message):
+        self._take(message)
+        self._spread.pass_on(message, message.targets)
+
+    def _take(self, message):
+        pools = self._configuration().pools_by_name.values()
+        known = self._known_by_model.get(message.model)
+        if known is not None and known.fencing > message.fencing:
+            return
+        if known is not None or any(pool.model == message.model for pool in pools):
+            self._known_by_model[message.model] = message
--- /dev/null
+++ b/goldcrestmoor/version/weight_driver.py
@@ -0,0 +1,295 @@
+"""Brings the engines of one model to its current version."""
+
+import asyncio
+import itertools
+import logging
+
+from goldcrestmoor.clock import MS_PER_SECOND
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.util import Backoff, TaskGroup
+from goldcrestmoor.version.rollout_strategies import max_loads
+
+log = logging.getLogger("goldcrestmoor.weights")
+
+ORDER_TIMEOUT_MS = 10_000
+STATE_TIMEOUT_MS = 2000
+RECHECK_MS = 500
+READ_BACK_MS = 30_000
+READ_BACK_LAG_MS = 2000
+PUBLISH_MS = 30_000
+RETRY_MIN_MS = 500
+RETRY_MAX_MS = 15_000
+MAX_LOADS = 256
+MAX_READS = 64
+OTHER_MODEL = 0
+
+
+class _Engine:
+    """What the driver knows of one engine.
+
+    :param orders_from_ms: when it may be ordered for the first time.
+    """
+
+    __slots__ = (
+        "version",
+        "busy",
+        "backoff",
+        "retry_ms",
+        "read_ms",
+        "orders_from_ms",
+    )
+
+    def __init__(self, orders_from_ms):
+        self.version = None
+        self.busy = False
+        self.backoff = Backoff(RETRY_MIN_MS, RETRY_MAX_MS)
+        self.retry_ms = 0
+        self.read_ms = 0
+        self.orders_from_ms = orders_from_ms
+
+
+class WeightDriver:
+    """Orders the engines of one model, as the holder of the model's lease.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param model: the model.
+    :param lease: the :class:`~goldcrestmoor.process.leases.Lease` on it.
+    :param configuration: gives the configuration in force.
+    :param versions: the :class:`~goldcrestmoor.version.weights.WeightVersions`.
+    :param engine_versions: where the engines' versions are published.
+    :param engines: the :class:`~goldcrestmoor.adapters.engine.EngineClient`.
+    :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
+    :param strategy: a class of :mod:`goldcrestmoor.version.rollout_strategies`.
+    """
+
+    __slots__ = (
+        "model",
+        "lease",
+        "_clock",
+        "_configuration",
+        "_versions",
+        "_engine_versions",
+        "_engines",
+        "_metrics",
+        "_strategy",
+        "_started_ms",
+        "_engines_by_name",
+        "_reads",
+        "_loads",
+        "_unsettled_until_ms",
+        "_woken",
+        "_refused",
+        "_published",
+        "_published_ms",
+        "_tasks",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock,
+        model,
+        lease,
+        configuration,
+        versions,
+        engine_versions,
+        engines,
+        metrics,
+        strategy,
+    ):
+        self.model = model
+        self.lease = lease
+        self._clock = clock
+        self._configuration = configuration
+        self._versions = versions
+        self._engine_versions = engine_versions
+        self._engines = engines
+        self._metrics = metrics
+        self._strategy = strategy
+        self._started_ms = clock.now_ms()
+        self._engines_by_name = {}
+        self._reads = 0
+        self._loads = 0
+        self._unsettled_until_ms = 0
+        self._woken = asyncio.Event()
+        self._refused = False
+        self._published = None
+        self._published_ms = 0
+        self._tasks = TaskGroup()
+
+    def wake(self):
+        """Look at once whether there is something to order."""
+        self._woken.set()
+
+    def is_settled(self):
+        """Tell whether no order can still take effect at an engine."""
+        return not self._loads and self._clock.now_ms() >= self._unsettled_until_ms
+
+    async def run(self, is_candidate):
+        """Order engines while the lease is held.
+
+        :param is_candidate: tells whether this host should still do it.
+        """
+        try:
+            while self.lease.holds() and not self._refused and is_candidate():
+                self._woken.clear()
+                self._start_due(self._upstreams())
+                self._publish()
+                await self._pause()
+            # Whoever comes next must not meet an order that is on its way.
+            while self._loads:
+                self._woken.clear()
+                await self._pause()
+        finally:
+            if self._loads:
+                self._note_unsettled()
+            await self._tasks.close()
+
+    def _upstreams(self):
+        configuration = self._configuration()
+        pools = configuration.pools_by_name.values()
+        names = {pool.name for pool in pools if pool.model == self.model}
+        found = configuration.upstreams_by_name.values()
+        upstreams = sorted(
+            (upstream for upstream in found if upstream.pool in names),
+            key=lambda upstream: upstream.name,
+        )
+        known = self._engines_by_name
+        self._engines_by_name = {
+            u.name: known.get(u.name) or _Engine(self._orders_from_ms(u))
+            for u in upstreams
+        }
+        return upstreams
+
+    def _orders_from_ms(self, upstream):
+        """Return from when on an engine may be ordered.
+
+        An engine that ignores fencing numbers could take a late order of the
+        holder before. Its lease is over, so its last order ends in time.
+        """
+        if upstream.fencing or self.lease.handed_over:
+            return self._started_ms
+        return self._started_ms + ORDER_TIMEOUT_MS
+
+    async def _pause(self):
+        pause = asyncio.ensure_future(self._clock.sleep_ms(RECHECK_MS))
+        woken = asyncio.ensure_future(self._woken.wait())
+        try:
+            await asyncio.wait((pause, woken), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            pause.cancel()
+            woken.cancel()
+
+    def _start_due(self, upstreams):
+        target = self._versions.current(self.model)
+        now_ms = self._clock.now_ms()
+        reads = (u for u in upstreams if self._must_read(u, now_ms))
+        for upstream in itertools.islice(reads, MAX_READS - self._reads):
+            self._start(self._read_state(upstream), upstream)
+        limit = min(MAX_LOADS, max_loads(len(upstreams), self._strategy))
+        orders = (u for u in upstreams if self._must_order(u, target, now_ms))
+        for upstream in itertools.islice(orders, max(0, limit - self._loads)):
+            self._start(self._order(upstream, target), upstream)
+
+    def _start(self, coroutine, upstream):
+        self._engines_by_name[upstream.name].busy = True
+        self._tasks.start(coroutine, f"tend {upstream.name}")
+
+    def _must_read(self, upstream, now_ms):
+        engine = self._engines_by_name[upstream.name]
+        return not engine.busy and engine.read_ms <= now_ms
+
+    def _must_order(self, upstream, target, now_ms):
+        engine = self._engines_by_name[upstream.name]
+        if not target or engine.busy or engine.version in (None, target):
+            return False
+        return now_ms >= max(engine.retry_ms, engine.orders_from_ms)
+
+    async def _read_state(self, upstream):
+        engine = self._engines_by_name[upstream.name]
+        self._reads += 1
+        try:
+            state = await self._engines.state(upstream, timeout_ms=STATE_TIMEOUT_MS)
+        except ServiceError as e:
+            log.debug("%s told no state: %s.", upstream.name, e)
+            engine.read_ms = self._clock.now_ms() + engine.backoff.next_ms()
+            return
+        finally:
+            self._reads -= 1
+            self._finish(engine)
+        engine.read_ms = self._clock.now_ms() + READ_BACK_MS
+        version = state.version if state.model == self.model else OTHER_MODEL
+        if engine.version not in (None, version):
+            log.warning("%s runs version %d unasked.", upstream.name, version)
+        engine.version = version
+
+    async def _order(self, upstream, target):
+        engine = self._engines_by_name[upstream.name]
+        self._loads += 1
+        try:
+            # The lease may have lapsed since this task was started.
+            if self.lease.holds() and not self._refused:
+                async with asyncio.timeout(ORDER_TIMEOUT_MS / MS_PER_SECOND):
+                    loaded = await self._engines.order(
+                        upstream,
+                        model=self.model,
+                        version=target,
+                        fencing=self.lease.fencing,
+                        timeout_ms=ORDER_TIMEOUT_MS,
+                    )
+                self._note_answer(upstream, engine, target, loaded)
+        except (ServiceError, TimeoutError) as e:
+            self._note_failure(upstream, engine, e)
+        finally:
+            self._loads -= 1
+            self._finish(engine)
+
+    def _finish(self, engine):
+        engine.busy = False
+        self.wake()
+
+    def _note_answer(self, upstream, engine, target, loaded):
+        engine.version = loaded
+        now_ms = self._clock.now_ms()
+        # What the engine reports lags behind what it answered.
+        engine.read_ms = now_ms + READ_BACK_LAG_MS
+        if loaded == target:
+            engine.backoff.reset()
+            self._count("loaded")
+            return
+        log.warning("%s kept version %d of %s.", upstream.name, loaded, self.model)
+        self._count("swap_failed")
+        engine.retry_ms = now_ms + engine.backoff.next_ms()
+
+    def _note_failure(self, upstream, engine, error):
+        kind = getattr(error, "kind", ErrorKind.UPSTREAM_TIMEOUT)
+        log.warning("%s was not ordered: %s.", upstream.name, error)
+        self._count(kind.value)
+        now_ms = self._clock.now_ms()
+        if kind is ErrorKind.VERSION_CONFLICT:
+            # Another host has ordered it under a newer lease.
+            self._refused = True
+            return
+        engine.retry_ms = now_ms + engine.backoff.next_ms()
+        if kind is ErrorKind.OVERLOADED:
+            # The weight store's limit: its time to come back is kept, and the
+            # backoff spreads those that were refused together.
+            engine.retry_ms += error.retry_after_ms
+        else:
+            engine.version = None
+            engine.read_ms = now_ms
+            self._note_unsettled()
+
+    def _note_unsettled(self):
+        self._unsettled_until_ms = self._clock.now_ms() + ORDER_TIMEOUT_MS
+
+    def _count(self, outcome):
+        self._metrics.orders.labels(outcome).inc()
+
+    def _publish(self):
+        versions = {name: e.version for name, e in self._engines_by_name.items()}
+        now_ms = self._clock.now_ms()
+        is_due = now_ms - self._published_ms >= PUBLISH_MS
+        if versions != self._published or is_due:
+            self._published, self._published_ms = versions, now_ms
+            self._engine_versions.publish(self.model, self.lease.fencing, versions)
--- /dev/null
+++ b/goldcrestmoor/version/weight_orders.py
@@ -0,0 +1,145 @@
+"""Orders to engines to load the current weights, given by one host a model."""
+
+import logging
+import random
+
+from goldcrestmoor.clock import Deadline
+from goldcrestmoor.errors import ServiceError
+from goldcrestmoor.util import TaskGroup
+from goldcrestmoor.version.rollout_strategies import AllAtOnce
+from goldcrestmoor.version.weight_driver import ORDER_TIMEOUT_MS, WeightDriver
+
+log = logging.getLogger("goldcrestmoor.weights")
+
+LEASE_MS = 6000
+CANDIDATE_HOSTS = 3
+CANDIDACY_MS = 1000
+CANDIDACY_JITTER_MS = 200
+STOP_POLL_MS = 50
+
+
+class WeightOrders:
+    """Stands for the lease of each model, and drives those that it holds.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param leases: the :class:`~goldcrestmoor.process.leases.LeaseClient`.
+    :param ownership: the :class:`~goldcrestmoor.process.ownership.Ownership`.
+    :param configuration: gives the
+        :class:`~goldcrestmoor.version.configuration.Configuration` in force.
+    :param versions: the :class:`~goldcrestmoor.version.weights.WeightVersions`.
+    :param engine_versions: the
+        :class:`~goldcrestmoor.version.engine_versions.EngineVersionTable`.
+    :param engines: the :class:`~goldcrestmoor.adapters.engine.EngineClient`.
+    :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
+    :param host_id: this host.
+    :param strategy: a class of :mod:`goldcrestmoor.version.rollout_strategies`.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_leases",
+        "_ownership",
+        "_configuration",
+        "_host_id",
+        "_driver_parts",
+        "_drivers_by_model",
+        "_stopping",
+        "_tasks",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock,
+        leases,
+        ownership,
+        configuration,
+        versions,
+        engine_versions,
+        engines,
+        metrics,
+        host_id,
+        strategy=None,
+    ):
+        self._clock = clock
+        self._leases = leases
+        self._ownership = ownership
+        self._configuration = configuration
+        self._host_id = host_id
+        self._driver_parts = {
+            "clock": clock,
+            "configuration": configuration,
+            "versions": versions,
+            "engine_versions": engine_versions,
+            "engines": engines,
+            "metrics": metrics,
+            "strategy": strategy or AllAtOnce(),
+        }
+        self._drivers_by_model = {}
+        self._stopping = False
+        self._tasks = TaskGroup()
+        versions.on_change(self._wake)
+
+    async def run(self):
+        """Stand for the models' leases until cancelled."""
+        try:
+            while True:
+                for model in self._models():
+                    await self._stand_for(model)
+                jitter_ms = random.uniform(0, CANDIDACY_JITTER_MS)
+                await self._clock.sleep_ms(CANDIDACY_MS - jitter_ms)
+        finally:
+            await self._tasks.close()
+
+    async def stop(self):
+        """Let the orders that are on their way end, and hand the duties over."""
+        self._stopping = True
+        drivers = self._drivers_by_model
+        end = Deadline.after(self._clock, ORDER_TIMEOUT_MS)
+        while drivers and not end.passed():
+            for driver in drivers.values():
+                driver.wake()
+            await self._clock.sleep_ms(STOP_POLL_MS)
+
+    def is_driving(self, model):
+        """Tell whether this host orders a model's engines.
+
+        :param model: the model.
+        """
+        return model in self._drivers_by_model
+
+    def _models(self):
+        pools = self._configuration().pools_by_name.values()
+        return sorted({pool.model for pool in pools if pool.model})
+
+    def _is_candidate(self, model):
+        if self._stopping:
+            return False
+        duty = f"weights/{model}"
+        return self._host_id in self._ownership.preferred(duty, CANDIDATE_HOSTS)
+
+    def _wake(self, model):
+        driver = self._drivers_by_model.get(model)
+        if driver is not None:
+            driver.wake()
+
+    async def _stand_for(self, model):
+        if model in self._drivers_by_model or not self._is_candidate(model):
+            return
+        try:
+            lease = await self._leases.acquire(f"weights/{model}", LEASE_MS)
+        except ServiceError as e:
+            log.warning("The lease on %s was not taken: %s.", model, e)
+            return
+        if lease is not None:
+            driver = WeightDriver(model=model, lease=lease, **self._driver_parts)
+            self._drivers_by_model[model] = driver
+            self._tasks.start(self._drive(model, driver), f"drive {model}")
+
+    async def _drive(self, model, driver):
+        try:
+            await driver.run(lambda: self._is_candidate(model))
+        finally:
+            del self._drivers_by_model[model]
+            if driver.is_settled():
+                await self._leases.release(driver.lease)
--- /dev/null
+++ b/goldcrestmoor/version/weights.py
@@ -0,0 +1,188 @@
+"""The weight version that each model's engines are to run."""
+
+import logging
+import random
+import secrets
+
+import msgspec
+
+from goldcrestmoor.adapters.table import Check, Committed, Write
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.util import Backoff
+from goldcrestmoor.version.weight_messages import VersionPublished
+
+log = logging.getLogger("goldcrestmoor.weights")
+
+TABLE = "versions"
+POLL_MS = 1000
+POLL_JITTER_MS = 200
+POLL_BACKOFF_MAX_MS = 10_000
+PUBLISH_TRIES = 5
+MAX_MODELS = 1000
+TOKEN_BYTES = 12
+
+
+class VersionRow(msgspec.Struct, frozen=True):
+    """A model's published version as the table service keeps it.
+
+    :param version: the version.
+    :param published_by: the account that published it.
+    :param token: the one attempt that wrote the row.
+    """
+
+    version: int
+    published_by: str
+    token: str
+
+
+_decoder = msgspec.json.Decoder(VersionRow)
+
+
+class WeightVersions:
+    """Publishes weight versions and knows the current one of each model.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param table: the :class:`~goldcrestmoor.adapters.table.TableClient`.
+    :param links: the :class:`~goldcrestmoor.connection.peers.PeerLinks`.
+    :param spread: the :class:`~goldcrestmoor.process.spread.Spread`.
+    :param weight_store: the
+        :class:`~goldcrestmoor.adapters.weights.WeightStoreClient`, or None.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_table",
+        "_spread",
+        "_weight_store",
+        "_versions_by_model",
+        "_callbacks",
+    )
+
+    def __init__(self, *, clock, table, links, spread, weight_store=None):
+        self._clock = clock
+        self._table = table
+        self._spread = spread
+        self._weight_store = weight_store
+        self._versions_by_model = {}
+        self._callbacks = []
+        links.register(VersionPublished, self._on_published)
+
+    def current(self, model):
+        """Return the newest version of a model that this host knows of, or 0.
+
+        :param model: the model.
+        """
+        return self._versions_by_model.get(model, 0)
+
+    def on_change(self, callback):
+        """Have a function called with each model whose version has grown.
+
+        :param callback: a function of the model's name.
+        """
+        self._callbacks.append(callback)
+
+    async def publish(self, model, version, account):
+        """Make a version the one that a model's engines are to run.
+
+        Publishing the same version again is harmless.
+
+        :param model: the model.
+        :param version: the version; it must be above the current one.
+        :param account: the publishing account's name.
+        :raises ServiceError: ``NOT_FOUND`` when the weight store lacks it,
+            ``VERSION_CONFLICT`` when it is not above the current one,
+            ``PLATFORM_UNAVAILABLE`` when nothing was written and
+            ``OUTCOME_UNKNOWN`` when that cannot be told.
+        """
+        await self._check_exists(model, version)
+        new = VersionRow(version, account, secrets.token_hex(TOKEN_BYTES))
+        unsettled = False
+        for _ in range(PUBLISH_TRIES):
+            try:
+                if await self._publish_once(model, new):
+                    break
+            except ServiceError as e:
+                # After one lost answer, the version may have been published.
+                if e.kind is ErrorKind.OUTCOME_UNKNOWN:
+                    unsettled = True
+                elif unsettled and e.kind is ErrorKind.PLATFORM_UNAVAILABLE:
+                    raise ServiceError(ErrorKind.OUTCOME_UNKNOWN) from e
+                else:
+                    raise
+        else:
+            kind = ErrorKind.OUTCOME_UNKNOWN if unsettled else ErrorKind.OVERLOADED
+            raise ServiceError(kind, "The version's row would not settle.")
+        log.info("Version %d of %s was published by %s.", version, model, account)
+        self._take(model, version)
+        self._spread.start(VersionPublished(model, version))
+
+    async def run(self):
+        """Read the current versions until cancelled."""
+        backoff = Backoff(POLL_MS, POLL_BACKOFF_MAX_MS)
+        while True:
+            try:
+                for row in await self._table.scan(TABLE, ""):
+                    self._take(row.key, _decode(row.value).version)
+                backoff.reset()
+                await self._clock.sleep_ms(POLL_MS - random.uniform(0, POLL_JITTER_MS))
+            except ServiceError as e:
+                log.warning("The versions were not read: %s.", e)
+                await self._clock.sleep_ms(backoff.next_ms())
+
+    async def _check_exists(self, model, version):
+        if self._weight_store is None:
+            return
+        try:
+            exists = await self._weight_store.exists(model, version)
+        except ServiceError as e:
+            # Engines meet the store's limit themselves and are ordered again.
+            log.warning("The weight store was not asked: %s.", e)
+            return
+        if not exists:
+            raise ServiceError(ErrorKind.NOT_FOUND, "The weight store lacks it.")
+
+    async def _publish_once(self, model, new):
+        row = await self._table.get(TABLE, model)
+        if row is not None and _is_published(_decode(row.value), new):
+            return True
+        check = Check(TABLE, model, row.version if row else 0)
+        write = Write(TABLE, model, msgspec.json.encode(new))
+        # A lost answer is settled by the next try, which reads the row back.
+        return isinstance(await self._table.transact([check], [write]), Committed)
+
+    async def _on_published(self, sender, message):
+        self._take(message.model, message.version)
+        self._spread.pass_on(message, message.targets)
+
+    def _take(self, model, version):
+        known = self._versions_by_model
+        is_full = model not in known and len(known) >= MAX_MODELS
+        if version <= self.current(model) or is_full:
+            return
+        known[model] = version
+        for callback in self._callbacks:
+            callback(model)
+
+
+def _is_published(known, new):
+    """Tell whether a row already says what is to be published.
+
+    :raises ServiceError: ``VERSION_CONFLICT`` when it says something else that
+        is not older.
+    """
+    if known.token == new.token:
+        return True
+    same = known.version == new.version and known.published_by == new.published_by
+    if same:
+        return True
+    if known.version >= new.version:
+        text = f"Version {known.version} is current already."
+        raise ServiceError(ErrorKind.VERSION_CONFLICT, text)
+    return False
+
+
+def _decode(value):
+    try:
+        return _decoder.decode(value)
+    except msgspec.MsgspecError as e:
+        raise ServiceError(ErrorKind.INTERNAL, "A version row is malformed.") from e
