--- a/goldcrestmoor/errors.py
+++ b/goldcrestmoor/errors.py
@@ -40,6 +40,7 @@
     KEY_REUSED = "key_reused"
     KEY_EXPIRED = "key_expired"
     IN_PROGRESS = "in_progress"
+    ANSWER_NOT_KEPT = "answer_not_kept"
     PEER_UNREACHABLE = "peer_unreachable"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     CONFIG_LAPSED = "config_lapsed"
@@ -86,6 +87,7 @@
     ErrorKind.KEY_REUSED: Answer(422, Ran.NOT_RUN, Retry.NEVER, 0, 2),
     ErrorKind.KEY_EXPIRED: Answer(410, Ran.UNKNOWN, Retry.NEVER, 0, 7),
     ErrorKind.IN_PROGRESS: Answer(409, Ran.UNKNOWN, Retry.LATER, 500, 7),
+    ErrorKind.ANSWER_NOT_KEPT: Answer(409, Ran.RAN, Retry.NEVER, 0, 7),
     ErrorKind.PEER_UNREACHABLE: Answer(503, Ran.UNKNOWN, Retry.IF_IDEMPOTENT, 500, 6),
     ErrorKind.PLATFORM_UNAVAILABLE: Answer(503, Ran.NOT_RUN, Retry.LATER, 2000, 8),
     ErrorKind.CONFIG_LAPSED: Answer(503, Ran.NOT_RUN, Retry.LATER, 2000, 8),
--- /dev/null
+++ b/goldcrestmoor/process/http_server.py
@@ -0,0 +1,270 @@
+"""The HTTP server towards callers: blacksheep on uvicorn."""
+
+import asyncio
+import contextlib
+import logging
+import math
+import re
+import socket
+
+import msgspec
+import uvicorn
+from blacksheep import Application, Content, Response, Router
+from uvicorn.protocols.http.h11_impl import H11Protocol
+
+from goldcrestmoor import errors, logs, tracing, util
+from goldcrestmoor.clock import MS_PER_SECOND
+from goldcrestmoor.errors import ErrorKind, ServiceError, UserError
+
+log = logging.getLogger("goldcrestmoor.http")
+
+KEEP_ALIVE_S = 30
+STOP_GRACE_MS = 2000
+EXIT_CANNOT_LISTEN = 1
+REQUEST_ID = re.compile(r"^[A-Za-z0-9._-]{1,64}$")
+
+
+def error_response(error, request_id=""):
+    """Return the answer that an error gives.
+
+    :param error: a :class:`~goldcrestmoor.errors.ServiceError`.
+    :param request_id: the request that it ends.
+    """
+    body = msgspec.json.encode(errors.to_body(error, request_id))
+    content = Content(b"application/json", body)
+    return Response(error.answer.status, _retry_headers(error), content)
+
+
+def _retry_headers(error):
+    after_ms = error.retry_after_ms
+    if after_ms <= 0:
+        return []
+    seconds = math.ceil(after_ms / MS_PER_SECOND)
+    return [
+        (b"Retry-After", str(seconds).encode()),
+        (b"Retry-After-Ms", str(math.ceil(after_ms)).encode()),
+    ]
+
+
+class _Server(uvicorn.Server):
+    """A uvicorn server that leaves the process's signals alone."""
+
+    def __init__(self, config):
+        super().__init__(config)
+        self.ready = asyncio.Event()
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        yield
+
+    async def startup(self, sockets=None):
+        await super().startup(sockets=sockets)
+        self.ready.set()
+
+
+def _protocol_class(metrics):
+    class Protocol(H11Protocol):
+        def send_400_response(self, msg):
+            metrics.bad_input.labels("http").inc()
+            error = ServiceError(ErrorKind.BAD_REQUEST, "The request is not HTTP.")
+            body = msgspec.json.encode(errors.to_body(error))
+            head = (
+                "HTTP/1.1 400 Bad Request\r\nContent-Type: application/json\r\n"
+                f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+            )
+            self.transport.write(head.encode() + body)
+            self.transport.close()
+
+    return Protocol
+
+
+class HttpServer:
+    """Serve callers on the host's address.
+
+    Routes are added to ``application`` before ``start`` is called.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param settings: the host's :class:`~goldcrestmoor.settings.Settings`.
+    :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
+    """
+
+    __slots__ = ("application", "_clock", "_settings", "_metrics", "_server", "_task")
+
+    def __init__(self, *, clock, settings, metrics):
+        self.application = Application(router=Router(), show_error_details=False)
+        self._clock = clock
+        self._settings = settings
+        self._metrics = metrics
+        self._server = None
+        self._task = None
+        handlers = self.application.exceptions_handlers
+        handlers[ServiceError] = self._answer_error
+        handlers[Exception] = self._answer_unexpected
+        handlers[404] = self._answer_not_found
+
+    async def start(self):
+        """Listen and serve in a task of its own.
+
+        :raises UserError: when the address cannot be listened on.
+        """
+        host = self._settings.host
+        listener = _listen(host.address, host.http_port)
+        config = uvicorn.Config(
+            self._serve,
+            http=_protocol_class(self._metrics),
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            proxy_headers=False,
+            server_header=False,
+            backlog=host.listen_backlog,
+            timeout_keep_alive=KEEP_ALIVE_S,
+            h11_max_incomplete_event_size=self._settings.limits.max_header_bytes,
+        )
+        await self.application.start()
+        self._server = _Server(config)
+        self._task = asyncio.create_task(self._server.serve([listener]), name="http")
+        ready = asyncio.create_task(self._server.ready.wait())
+        await asyncio.wait([ready, self._task], return_when=asyncio.FIRST_COMPLETED)
+        ready.cancel()
+        if self._task.done():
+            self._task.result()
+        log.info("Serving on %s:%d.", host.address, host.http_port)
+
+    async def stop(self, timeout_ms):
+        """Take no new connections, and let requests in flight finish.
+
+        :param timeout_ms: when to cut off what has not finished, in milliseconds.
+        """
+        if self._server is None:
+            return
+        self._server.config.timeout_graceful_shutdown = timeout_ms / MS_PER_SECOND
+        self._server.should_exit = True
+        bound_s = (timeout_ms + STOP_GRACE_MS) / MS_PER_SECOND
+        done, _ = await asyncio.wait([self._task], timeout=bound_s)
+        if not done:
+            log.warning("Cut off requests that did not finish in %d ms.", timeout_ms)
+            self._task.cancel()
+        await self.application.stop()
+
+    async def _serve(self, scope, receive, send):
+        if scope["type"] != "http":
+            return
+        header_by_name = dict(scope["headers"])
+        request_id = header_by_name.get(b"x-request-id", b"").decode("latin-1")
+        if not REQUEST_ID.match(request_id):
+            request_id = util.new_id()
+        token = logs.request_id.set(request_id)
+        parent = header_by_name.get(b"traceparent", b"").decode("latin-1")
+        route = scope["path"].split("/")[1]
+        started_ms = self._clock.now_ms()
+        try:
+            with tracing.span(f"{scope['method']} /{route}", parent or None):
+                watch = _StreamWatch(receive, _with_request_id(send, request_id))
+                max_bytes = self._settings.limits.max_body_bytes
+                await watch.run(
+                    self.application(scope, _bounded(receive, max_bytes), watch.send)
+                )
+        finally:
+            logs.request_id.reset(token)
+            elapsed_s = (self._clock.now_ms() - started_ms) / MS_PER_SECOND
+            known = route if route in ("apps", "v1", "operator") else "other"
+            self._metrics.request_seconds.labels(known).observe(elapsed_s)
+
+    async def _answer_error(self, app, request, error):
+        if error.kind in (ErrorKind.BAD_REQUEST, ErrorKind.TOO_LARGE):
+            self._metrics.bad_input.labels("request").inc()
+        elif error.kind == ErrorKind.UNAUTHORIZED:
+            self._metrics.bad_input.labels("token").inc()
+        response = error_response(error, logs.request_id.get())
+        if error.kind == ErrorKind.TOO_LARGE:
+            # What is left of the body is not read, so the connection is of no use.
+            response.add_header(b"Connection", b"close")
+        return response
+
+    async def _answer_unexpected(self, app, request, error):
+        log.error("A request failed unexpectedly.", exc_info=error)
+        internal = ServiceError(ErrorKind.INTERNAL, "An unexpected error.")
+        return error_response(internal, logs.request_id.get())
+
+    async def _answer_not_found(self, app, request, error):
+        missing = ServiceError(ErrorKind.NOT_FOUND, "There is no such route.")
+        return error_response(missing, logs.request_id.get())
+
+
+class _StreamWatch:
+    """End a streamed answer when its caller has gone.
+
+    An answer that is not streamed is left to finish: what it does for its caller
+    may have to be recorded.
+    """
+
+    __slots__ = ("_receive", "_send", "_watcher", "_gone")
+
+    def __init__(self, receive, send):
+        self._receive = receive
+        self._send = send
+        self._watcher = None
+        self._gone = False
+
+    async def run(self, serving):
+        try:
+            await serving
+        except asyncio.CancelledError:
+            if not self._gone:
+                raise
+            log.info("The caller of a stream has gone.")
+        finally:
+            if self._watcher is not None:
+                self._watcher.cancel()
+
+    async def send(self, message):
+        await self._send(message)
+        if message.get("more_body") and self._watcher is None:
+            task = asyncio.current_task()
+            self._watcher = asyncio.create_task(self._watch(task))
+
+    async def _watch(self, task):
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+        self._gone = True
+        task.cancel()
+
+
+def _listen(address, port):
+    listener = socket.socket(socket.AF_INET6 if ":" in address else socket.AF_INET)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((address, port))
+    except OSError as e:
+        listener.close()
+        text = f"Cannot listen on {address}:{port}: {e.strerror}."
+        raise UserError(text, EXIT_CANNOT_LISTEN) from e
+    listener.setblocking(False)
+    return listener
+
+
+def _bounded(receive, max_bytes):
+    total = 0
+
+    async def receive_bounded():
+        nonlocal total
+        message = await receive()
+        total += len(message.get("body", b""))
+        if total > max_bytes:
+            raise ServiceError(ErrorKind.TOO_LARGE, f"Bodies end at {max_bytes} bytes.")
+        return message
+
+    return receive_bounded
+
+
+def _with_request_id(send, request_id):
+    header = (b"x-request-id", request_id.encode())
+
+    async def send_with_id(message):
+        if message["type"] == "http.response.start":
+            message["headers"] = [*message["headers"], header]
+        await send(message)
+
+    return send_with_id
--- /dev/null
+++ b/goldcrestmoor/request/admission.py
@@ -0,0 +1,207 @@
+"""The entry host's side of admission: get a slot, keep it, give it back."""
+
+import asyncio
+import collections
+import logging
+
+from goldcrestmoor import util
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.request.admission_messages import (
+    Acquire,
+    Granted,
+    HeldGrant,
+    Release,
+    RenewGrants,
+)
+from goldcrestmoor.request.slots import GRANT_MS, POLL_HOLD_MS
+
+log = logging.getLogger("goldcrestmoor.admission")
+
+RENEW_MS = GRANT_MS // 4
+CALL_TIMEOUT_MS = POLL_HOLD_MS + 800
+MAX_OWNERS_ASKED = 2
+MAX_UNOWNED_PER_UPSTREAM = 2
+SELF_ADMITTED = ""
+
+
+class Grant:
+    """The right to use one slot of an upstream.
+
+    :param id: its name, given by this host.
+    :param upstream: the :class:`~goldcrestmoor.version.configuration.Upstream`.
+    :param account: the account's name.
+    :param cost_tokens: what the request is expected to cost, in tokens.
+    :param owner: the host that granted it; empty when no owner could be asked.
+    """
+
+    __slots__ = ("id", "upstream", "account", "cost_tokens", "owner")
+
+    def __init__(self, id, upstream, account, cost_tokens, owner):
+        self.id = id
+        self.upstream = upstream
+        self.account = account
+        self.cost_tokens = cost_tokens
+        self.owner = owner
+
+
+class AdmissionClient:
+    """Ask the owners of upstreams for slots.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param host_id: this host.
+    :param links: the ``PeerLinks``.
+    :param ownership: the ``Ownership``.
+    :param membership: the ``Membership``, or None.
+    :param owner: this host's :class:`~.admission_owner.AdmissionOwner`.
+    :param decisions: the :class:`~goldcrestmoor.process.decisions.Decisions`.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_host_id",
+        "_links",
+        "_ownership",
+        "_membership",
+        "_owner",
+        "_decisions",
+        "_grants_by_id",
+        "_unowned_by_upstream",
+    )
+
+    def __init__(
+        self, *, clock, host_id, links, ownership, owner, decisions, membership=None
+    ):
+        self._clock = clock
+        self._host_id = host_id
+        self._links = links
+        self._ownership = ownership
+        self._membership = membership
+        self._owner = owner
+        self._decisions = decisions
+        self._grants_by_id = {}
+        self._unowned_by_upstream = collections.Counter()
+
+    async def run(self):
+        """Renew the held grants, until cancelled."""
+        while True:
+            await self._clock.sleep_ms(RENEW_MS)
+            await self.renew()
+
+    async def acquire(self, account, upstream, cost_tokens, deadline, request_id):
+        """Wait for a slot.
+
+        :param account: the :class:`~goldcrestmoor.version.configuration.Account`.
+        :param upstream: the :class:`~goldcrestmoor.version.configuration.Upstream`.
+        :param cost_tokens: what the request is expected to cost, in tokens.
+        :param deadline: when it must have started.
+        :param request_id: the request.
+        :return: a :class:`Grant`, to be given back by :meth:`release`.
+        :raises ServiceError: ``OVERLOADED``, ``QUEUE_TIMEOUT`` or ``NO_UPSTREAM``;
+            the request was not run.
+        """
+        grant_id = f"{self._host_id}/{util.new_id()}"
+        for owner in self._owners(upstream):
+            grant = Grant(grant_id, upstream, account.name, cost_tokens, owner)
+            try:
+                answer = await self._ask(account, grant, deadline, request_id)
+            except ServiceError as e:
+                if e.kind != ErrorKind.PEER_UNREACHABLE:
+                    raise
+                text = f"The owner {owner} of {upstream.name} does not answer."
+                self._decisions.note("admission", request_id, text)
+                continue
+            self._grants_by_id[grant_id] = grant
+            text = f"{owner} granted {upstream.name} after {answer.queued_ms} ms."
+            self._decisions.note("admission", request_id, text)
+            return grant
+        return self._admit_unowned(account, upstream, cost_tokens, request_id)
+
+    def release(self, grant, used_tokens):
+        """Give a slot back; a lost message is made good when the grant lapses.
+
+        :param grant: the :class:`Grant`.
+        :param used_tokens: what the request cost in the end, in tokens.
+        """
+        if grant.owner == SELF_ADMITTED:
+            self._unowned_by_upstream[grant.upstream.name] -= 1
+            return
+        if self._grants_by_id.pop(grant.id, None) is not None:
+            self._tell_released(grant, used_tokens)
+
+    async def renew(self):
+        """Tell each owner, in one message, which of its grants are still used."""
+        held_by_owner = collections.defaultdict(list)
+        for grant in self._grants_by_id.values():
+            # A new owner is told as well, and so counts what the old one granted.
+            owner = self._ownership.owner_of_upstream(grant.upstream) or grant.owner
+            grant.owner = owner
+            held = HeldGrant(
+                grant.id, grant.upstream.name, grant.account, grant.cost_tokens
+            )
+            held_by_owner[owner].append(held)
+        for owner, held in held_by_owner.items():
+            message = RenewGrants(tuple(held))
+            if owner == self._host_id:
+                await self._owner.on_renew(owner, message)
+            else:
+                self._links.send(owner, message)
+
+    def _owners(self, upstream):
+        first = self._ownership.owner_of_upstream(upstream)
+        owners = [first] if first else []
+        if self._membership is not None:
+            ids = [record.id for record in self._membership.live(upstream.zone)]
+            owners += [
+                host
+                for host in util.rendezvous_order(upstream.name, ids)
+                if host != first
+            ]
+        return owners[:MAX_OWNERS_ASKED]
+
+    async def _ask(self, account, grant, deadline, request_id):
+        """Poll an owner until it grants or refuses."""
+        try:
+            while True:
+                message = Acquire(
+                    grant.id,
+                    grant.upstream.name,
+                    account.name,
+                    account.kind,
+                    account.share,
+                    grant.cost_tokens,
+                    deadline.remaining_ms(),
+                    request_id,
+                )
+                answer = await self._call(grant.owner, message)
+                if isinstance(answer, Granted):
+                    return answer
+                if deadline.passed():
+                    raise ServiceError(
+                        ErrorKind.QUEUE_TIMEOUT, "No slot came free in time."
+                    )
+        except (ServiceError, asyncio.CancelledError):
+            # The owner may have granted all the same, with the answer lost.
+            self._tell_released(grant, 0)
+            raise
+
+    async def _call(self, owner, message):
+        if owner == self._host_id:
+            return await self._owner.on_acquire(owner, message)
+        return await self._links.call(owner, message, CALL_TIMEOUT_MS)
+
+    def _tell_released(self, grant, used_tokens):
+        message = Release(grant.id, grant.upstream.name, used_tokens)
+        if grant.owner == self._host_id:
+            self._owner.release(message)
+        else:
+            self._links.send(grant.owner, message)
+
+    def _admit_unowned(self, account, upstream, cost_tokens, request_id):
+        used = self._unowned_by_upstream[upstream.name]
+        if used >= MAX_UNOWNED_PER_UPSTREAM:
+            text = f"No owner of {upstream.name} can be asked."
+            raise ServiceError(ErrorKind.OVERLOADED, text)
+        self._unowned_by_upstream[upstream.name] = used + 1
+        text = f"Admitted to {upstream.name} here, since no owner can be asked."
+        self._decisions.note("admission", request_id, text)
+        return Grant(util.new_id(), upstream, account.name, cost_tokens, SELF_ADMITTED)
--- /dev/null
+++ b/goldcrestmoor/request/admission_owner.py
@@ -0,0 +1,234 @@
+"""The owner's side of admission: which request may use an upstream, and when."""
+
+import logging
+
+from goldcrestmoor import tracing
+from goldcrestmoor.clock import Deadline
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.request.admission_messages import (
+    Acquire,
+    Granted,
+    Release,
+    RenewGrants,
+)
+from goldcrestmoor.request.fair_queue import Entry, FairQueue
+from goldcrestmoor.request.slots import GRANT_MS, Slots
+from goldcrestmoor.wire import Done
+
+log = logging.getLogger("goldcrestmoor.admission")
+
+SWEEP_MS = 200
+DEAD = "dead"
+
+
+class AdmissionOwner:
+    """Admit requests to the upstreams that this host owns.
+
+    The owner counts the grants that it gave instead of trusting the upstream's
+    late report of its load. Any host answers for any upstream that it is asked
+    for: hosts that disagree on the owner may over-admit for a moment.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param lease: gives the :class:`~goldcrestmoor.version.configuration.View`.
+    :param settings: the :class:`~goldcrestmoor.settings.LimitSettings`.
+    :param links: the ``PeerLinks``.
+    :param membership: the ``Membership``, or None.
+    :param is_leaving: tells whether the host list names an upstream as leaving.
+    :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
+    :param decisions: the :class:`~goldcrestmoor.process.decisions.Decisions`.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_lease",
+        "_settings",
+        "_membership",
+        "_is_leaving",
+        "_metrics",
+        "_decisions",
+        "_slots_by_upstream",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock,
+        lease,
+        settings,
+        links,
+        metrics,
+        decisions,
+        membership=None,
+        is_leaving=None,
+    ):
+        self._clock = clock
+        self._lease = lease
+        self._settings = settings
+        self._membership = membership
+        self._is_leaving = is_leaving or (lambda name: False)
+        self._metrics = metrics
+        self._decisions = decisions
+        self._slots_by_upstream = {}
+        links.register(Acquire, self.on_acquire)
+        links.register(Release, self.on_release)
+        links.register(RenewGrants, self.on_renew)
+        if membership is not None:
+            membership.on_change(self._on_membership)
+
+    async def run(self):
+        """Drop what has run out, until cancelled."""
+        while True:
+            await self._clock.sleep_ms(SWEEP_MS)
+            self.sweep()
+
+    def in_flight(self, upstream):
+        """Return how many grants are out for an upstream.
+
+        :param upstream: the upstream's name.
+        """
+        slots = self._slots_by_upstream.get(upstream)
+        return len(slots.holders_by_id) if slots else 0
+
+    def queued(self, upstream):
+        """Return how many requests wait for an upstream.
+
+        :param upstream: the upstream's name.
+        """
+        slots = self._slots_by_upstream.get(upstream)
+        return len(slots.queue) if slots else 0
+
+    async def on_acquire(self, sender, message):
+        """Answer an :class:`Acquire` with a slot, or hold it for a short while.
+
+        :param sender: the asking host.
+        :param message: the request.
+        :return: :class:`Granted` or ``StillQueued``.
+        :raises ServiceError: ``NO_UPSTREAM``, ``OVERLOADED`` or ``QUEUE_TIMEOUT``.
+        """
+        with tracing.span("admit", upstream=message.upstream, account=message.account):
+            name = message.upstream
+            if not self._takes_work(name):
+                text = f"{name} takes no new work."
+                raise ServiceError(ErrorKind.NO_UPSTREAM, text)
+            slots = self._slots(name)
+            if message.grant_id in slots.holders_by_id:
+                return Granted()
+            waiter = slots.waiters_by_id.get(message.grant_id)
+            if waiter is None:
+                remaining_ms = min(
+                    message.remaining_ms, self._settings.queue_timeout_ms
+                )
+                entry = self._entry(
+                    message.grant_id,
+                    message.account,
+                    message.cost_tokens,
+                    remaining_ms,
+                    message.kind,
+                    message.share,
+                )
+                waiter = slots.enqueue(sender, entry)
+                self._fill(name, slots)
+            waiter.polled_ms = self._clock.now_ms()
+            answer = await slots.hold(waiter)
+            if isinstance(answer, Granted):
+                text = f"Granted {name} to {sender} after {answer.queued_ms} ms."
+                self._decisions.note("admission", message.request_id, text)
+            return answer
+
+    async def on_release(self, sender, message):
+        """Handle a :class:`Release` of another host.
+
+        :param sender: the host that held it.
+        :param message: the message.
+        """
+        self.release(message)
+
+    def release(self, message):
+        """Take a slot back, or give up a queued request.
+
+        :param message: the :class:`Release`.
+        """
+        slots = self._slots_by_upstream.get(message.upstream)
+        if slots is None:
+            return
+        entry = slots.release(message.grant_id, message.used_tokens)
+        if entry is not None:
+            used = max(0, message.used_tokens)
+            self._metrics.share_used_tokens.labels(entry.account).inc(used)
+        self._fill(message.upstream, slots)
+
+    async def on_renew(self, sender, message):
+        """Keep a host's grants for another while.
+
+        :param sender: the host that holds them.
+        :param message: the :class:`RenewGrants`.
+        :return: :class:`~goldcrestmoor.wire.Done`.
+        """
+        upstreams = self._lease.view().configuration.upstreams_by_name
+        for held in message.held:
+            if held.upstream not in upstreams:
+                continue
+            slots = self._slots(held.upstream)
+            holder = slots.holders_by_id.get(held.grant_id)
+            entry = holder.entry if holder else None
+            if entry is None:
+                entry = self._entry(
+                    held.grant_id, held.account, held.cost_tokens, GRANT_MS
+                )
+            slots.adopt(sender, entry)
+        return Done()
+
+    def sweep(self):
+        """Drop what has lapsed, and answer what can no longer be served."""
+        upstreams = self._lease.view().configuration.upstreams_by_name
+        for name, slots in list(self._slots_by_upstream.items()):
+            slots.drop_lapsed()
+            slots.refuse_expired()
+            if not self._takes_work(name):
+                slots.refuse_all()
+            self._fill(name, slots)
+            if slots.idle and name not in upstreams:
+                del self._slots_by_upstream[name]
+
+    def _on_membership(self):
+        """Drop what dead hosts hold."""
+        for name, slots in list(self._slots_by_upstream.items()):
+            slots.drop_hosts(self._is_dead)
+            self._fill(name, slots)
+
+    def _is_dead(self, host):
+        record = self._membership.find(host)
+        return record is not None and str(record.state) == DEAD
+
+    def _takes_work(self, name):
+        upstream = self._lease.view().configuration.upstreams_by_name.get(name)
+        if upstream is None or upstream.draining:
+            return False
+        return not self._is_leaving(name)
+
+    def _slots(self, name):
+        if name not in self._slots_by_upstream:
+            queue = FairQueue(
+                clock=self._clock,
+                max_length=self._settings.max_queue_per_upstream,
+                floor_percent=self._settings.application_floor_percent,
+            )
+            self._slots_by_upstream[name] = Slots(clock=self._clock, queue=queue)
+        return self._slots_by_upstream[name]
+
+    def _entry(self, grant_id, account, cost_tokens, remaining_ms, kind="", share=1):
+        known = self._lease.view().configuration.accounts_by_name.get(account)
+        if known is not None:
+            # The owner's own configuration goes before what the entry host says.
+            kind, share = known.kind, known.share
+        deadline = Deadline.after(self._clock, remaining_ms)
+        now_ms = self._clock.now_ms()
+        return Entry(grant_id, account, kind, share, cost_tokens, deadline, now_ms)
+
+    def _fill(self, name, slots):
+        if self._takes_work(name):
+            upstreams = self._lease.view().configuration.upstreams_by_name
+            slots.fill(upstreams[name].slots)
+        self._metrics.in_flight.labels(name).set(len(slots.holders_by_id))
+        self._metrics.queue_length.labels(name).set(len(slots.queue))
+        self._metrics.queue_age_ms.labels(name).set(slots.queue.oldest_ms())
--- /dev/null
+++ b/goldcrestmoor/request/app_routes.py
@@ -0,0 +1,118 @@
+"""The routes of applications, and of the keys that their callers use."""
+
+import msgspec
+from blacksheep import Content, Request, Response
+
+from goldcrestmoor import logs
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.request.apps import AppRequest, end_to_end
+from goldcrestmoor.request.authentication import check_pool
+from goldcrestmoor.request.body import read_deadline
+from goldcrestmoor.version.configuration import UpstreamKind
+
+METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+KEY_HEADER = b"Idempotency-Key"
+PREFIX = b"/apps/"
+
+
+class NewKey(msgspec.Struct):
+    """A key that was just minted.
+
+    :param key: the key.
+    :param lifetime_ms: how long it may be used, in milliseconds.
+    """
+
+    key: str
+    lifetime_ms: int
+
+
+class _HeadContent(Content):
+    """No body, but the length that the body would have."""
+
+    def __init__(self, content_type, length):
+        super().__init__(content_type, b"")
+        self.length = length
+
+
+def register_routes(
+    app, *, clock, authenticator, applications, keys, lease, metrics, settings
+):
+    """Add ``/apps/{pool}/{path}`` and ``POST /v1/keys`` to an application.
+
+    :param app: the blacksheep application.
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param authenticator: the ``Authenticator``.
+    :param applications: the :class:`~goldcrestmoor.request.apps.Applications`.
+    :param keys: the :class:`~goldcrestmoor.request.keys.Keys`.
+    :param lease: gives the :class:`~goldcrestmoor.version.configuration.View`.
+    :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
+    :param settings: the :class:`~goldcrestmoor.settings.Settings`.
+    """
+
+    async def forward(request: Request) -> Response:
+        account = authenticator.account(request.headers)
+        asked = await _read(request)
+        configuration = lease.view().configuration
+        check_pool(account, configuration, asked.pool, UpstreamKind.APPLICATION)
+        deadline = read_deadline(request, clock, settings.limits.request_timeout_ms)
+        request_id = logs.request_id.get()
+        key = request.get_first_header(KEY_HEADER)
+        try:
+            if key is None or asked.idempotent:
+                answer = await applications.fetch(asked, deadline, request_id)
+            else:
+                answer = await keys.run(
+                    account.name, key.decode("latin-1"), asked, deadline, request_id
+                )
+        except ServiceError as e:
+            metrics.requests.labels(account.name, e.code).inc()
+            raise
+        metrics.requests.labels(account.name, "answered").inc()
+        return _response(answer, asked.method)
+
+    async def mint(request: Request) -> Response:
+        account = authenticator.account(request.headers)
+        new = NewKey(keys.mint(account.name), settings.idempotency.key_lifetime_ms)
+        body = msgspec.json.encode(new)
+        return Response(201, None, Content(b"application/json", body))
+
+    for method in METHODS:
+        app.router.add(method, "/apps/{pool}/*", forward)
+    app.router.add_post("/v1/keys", mint)
+
+
+async def _read(request):
+    # The target is taken as it came: decoding and encoding it could change it.
+    raw = request.scope.get("raw_path") or request.scope["path"].encode()
+    if not raw.startswith(PREFIX):
+        raise ServiceError(ErrorKind.BAD_REQUEST, "The path is malformed.")
+    pool, _, path = raw[len(PREFIX) :].partition(b"/")
+    query = request.scope.get("query_string", b"")
+    target = b"/" + path + (b"?" + query if query else b"")
+    return AppRequest(
+        pool.decode("latin-1"),
+        request.method,
+        target.decode("latin-1"),
+        end_to_end(request.headers),
+        await request.read() or b"",
+    )
+
+
+def _response(answer, method):
+    content_type = None
+    length = None
+    headers = []
+    for name, value in answer.headers:
+        if name == b"content-type":
+            content_type = value
+        elif name == b"content-length":
+            length = int(value)
+        else:
+            headers.append((name, value))
+    if method == "HEAD" and length is not None:
+        return Response(answer.status, headers, _HeadContent(content_type, length))
+    if not answer.body:
+        if content_type is not None:
+            headers.append((b"content-type", content_type))
+        return Response(answer.status, headers)
+    return Response(answer.status, headers, Content(content_type, answer.body))
--- /dev/null
+++ b/goldcrestmoor/request/apps.py
@@ -0,0 +1,211 @@
+"""Requests to application upstreams, answered whole."""
+
+import logging
+
+import msgspec
+
+from goldcrestmoor import tracing
+from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
+from goldcrestmoor.request.failures import most_telling
+
+log = logging.getLogger("goldcrestmoor.apps")
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
+MAX_ATTEMPTS = 3
+# These belong to one connection, or are for this service alone.
+DROPPED_HEADERS = frozenset(
+    {
+        b"authorization",
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"host",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"traceparent",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"x-request-id",
+        b"x-timeout-ms",
+    }
+)
+
+
+class AppRequest(msgspec.Struct, frozen=True):
+    """A request as the upstream gets it.
+
+    :param pool: the pool's name.
+    :param method: the HTTP method.
+    :param target: the path and query.
+    :param headers: ``(name, value)`` byte pairs, without the connection's own.
+    :param body: the body.
+    """
+
+    pool: str
+    method: str
+    target: str
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+    @property
+    def idempotent(self):
+        """Whether the method may be repeated."""
+        return self.method in IDEMPOTENT_METHODS
+
+
+class AppAnswer(msgspec.Struct, frozen=True):
+    """A whole answer.
+
+    :param status: the HTTP status.
+    :param headers: ``(name, value)`` byte pairs, without the connection's own.
+    :param body: the body.
+    """
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+
+def end_to_end(headers):
+    """Return the headers that are passed on.
+
+    :param headers: ``(name, value)`` byte pairs.
+    """
+    pairs = [(name.lower(), value) for name, value in headers]
+    dropped = set(DROPPED_HEADERS)
+    for name, value in pairs:
+        if name == b"connection":
+            dropped.update(token.strip().lower() for token in value.split(b","))
+    return tuple((name, value) for name, value in pairs if name not in dropped)
+
+
+class Applications:
+    """Send requests to application upstreams, straight from this host.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param http: the ``HttpClient``.
+    :param placement: a :class:`~goldcrestmoor.request.placement.Placement`.
+    :param budget: the :class:`~goldcrestmoor.request.retry_budget.RetryBudget`.
+    :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
+    :param decisions: the :class:`~goldcrestmoor.process.decisions.Decisions`.
+    :param health: an ``UpstreamHealth``, or None.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_http",
+        "_placement",
+        "_budget",
+        "_metrics",
+        "_decisions",
+        "_health",
+    )
+
+    def __init__(
+        self, *, clock, http, placement, budget, metrics, decisions, health=None
+    ):
+        self._clock = clock
+        self._http = http
+        self._placement = placement
+        self._budget = budget
+        self._metrics = metrics
+        self._decisions = decisions
+        self._health = health
+
+    async def fetch(self, request, deadline, request_id, check=None):
+        """Send a request and return its whole answer.
+
+        A request whose method is not idempotent is sent again only after failures
+        in which no byte of it was written.
+
+        :param request: the :class:`AppRequest`.
+        :param deadline: when the answer must be there.
+        :param request_id: the request.
+        :param check: called just before each send; raises to prevent it.
+        :return: an :class:`AppAnswer`.
+        :raises ServiceError: the failure that says most about whether it ran.
+        """
+        self._budget.earn(request.pool)
+        failures = []
+        avoid = set()
+        while True:
+            try:
+                upstream = self._placement.choose(request.pool, avoid=avoid)
+            except ServiceError as e:
+                raise most_telling([*failures, e]) from None
+            try:
+                return await self._send(upstream, request, deadline, request_id, check)
+            except ServiceError as e:
+                failures.append(e)
+                avoid.add(upstream.name)
+                if not self._may_retry(request, failures, deadline):
+                    raise most_telling(failures) from None
+                self._metrics.retries.labels(e.code).inc()
+                text = f"Left {upstream.name} for another: {e.message}"
+                self._decisions.note("apps", request_id, text)
+
+    async def _send(self, upstream, request, deadline, request_id, check):
+        if deadline.passed():
+            raise ServiceError(ErrorKind.QUEUE_TIMEOUT, "No time was left to send it.")
+        text = f"Sent to {upstream.name} of {upstream.zone}."
+        self._decisions.note("apps", request_id, text)
+        started_ms = self._clock.now_ms()
+        self._placement.begin(upstream)
+        try:
+            with tracing.span("app request", upstream=upstream.name):
+                headers = _headers(request, request_id)
+                if check is not None:
+                    check()
+                response = await self._http.request(
+                    upstream.address,
+                    upstream.port,
+                    request.method,
+                    request.target,
+                    headers,
+                    request.body,
+                    max(1, deadline.remaining_ms()),
+                    idempotent=request.idempotent,
+                )
+            self._record(upstream, True, started_ms)
+            headers = end_to_end(response.headers)
+            if request.method == "HEAD":
+                headers += _content_length(response.headers)
+            return AppAnswer(response.status, headers, response.body)
+        except ServiceError as e:
+            if e.kind.value.startswith("upstream_"):
+                self._record(upstream, False, started_ms)
+            raise
+        finally:
+            self._placement.end(upstream)
+
+    def _may_retry(self, request, failures, deadline):
+        last = failures[-1]
+        if not last.kind.value.startswith("upstream_") or deadline.passed():
+            return False
+        if len(failures) >= MAX_ATTEMPTS:
+            return False
+        if last.answer.ran != Ran.NOT_RUN and not request.idempotent:
+            return False
+        return self._budget.spend(request.pool)
+
+    def _record(self, upstream, ok, started_ms):
+        if self._health is not None:
+            latency_ms = self._clock.now_ms() - started_ms
+            self._health.record(upstream.name, ok, latency_ms)
+
+
+def _headers(request, request_id):
+    headers = [*request.headers, (b"x-request-id", request_id.encode())]
+    traceparent = tracing.traceparent()
+    if traceparent:
+        headers.append((b"traceparent", traceparent.encode()))
+    return headers
+
+
+def _content_length(headers):
+    # What a HEAD answer says of the length is part of the answer itself.
+    return tuple(pair for pair in headers if pair[0].lower() == b"content-length")
--- /dev/null
+++ b/goldcrestmoor/request/authentication.py
@@ -0,0 +1,71 @@
+"""Which client account a request comes from."""
+
+import hmac
+
+from goldcrestmoor import util
+from goldcrestmoor.errors import ErrorKind, ServiceError
+
+SCHEME = b"bearer "
+MAX_TOKEN_BYTES = 512
+
+
+class Authenticator:
+    """Find accounts by the tokens that callers send.
+
+    :param lease: gives the :class:`~goldcrestmoor.version.configuration.View`.
+    """
+
+    __slots__ = ("_lease",)
+
+    def __init__(self, lease):
+        self._lease = lease
+
+    def account(self, headers):
+        """Return the account that a request's token belongs to.
+
+        :param headers: ``(name, value)`` byte pairs.
+        :raises ServiceError: ``UNAUTHORIZED`` without a known token;
+            ``CONFIG_LAPSED`` when the host is cut off, since the account may be
+            one that is not served meanwhile.
+        """
+        token_hash = util.hash_token(_read_token(headers))
+        view = self._lease.view()
+        found = None
+        # Every account is compared, so that the time taken tells nothing.
+        for account in view.configuration.accounts_by_name.values():
+            if hmac.compare_digest(account.token_hash, token_hash):
+                found = account
+        if found is not None:
+            return found
+        if view.lapsed:
+            text = "This host is cut off and does not serve this token meanwhile."
+            raise ServiceError(ErrorKind.CONFIG_LAPSED, text)
+        raise ServiceError(ErrorKind.UNAUTHORIZED, "The token is unknown.")
+
+
+def check_pool(account, configuration, pool, kind):
+    """Return a pool that an account may use.
+
+    :param account: the account.
+    :param configuration: the configuration in force.
+    :param pool: the pool's name.
+    :param kind: the kind of upstream that the route serves.
+    :raises ServiceError: ``FORBIDDEN`` when the account may not use it,
+        ``NOT_FOUND`` when there is none of that kind.
+    """
+    # The account's own list goes first, so that no account learns what others have.
+    if pool not in account.pools:
+        raise ServiceError(ErrorKind.FORBIDDEN, "The account may not use this pool.")
+    found = configuration.pools_by_name.get(pool)
+    if found is None or found.kind != kind:
+        raise ServiceError(ErrorKind.NOT_FOUND, f"There is no {kind} pool {pool}.")
+    return found
+
+
+def _read_token(headers):
+    for name, value in headers:
+        if name.lower() != b"authorization":
+            continue
+        if value[: len(SCHEME)].lower() == SCHEME and len(value) <= MAX_TOKEN_BYTES:
+            return value[len(SCHEME) :].strip().decode("latin-1")
+    raise ServiceError(ErrorKind.UNAUTHORIZED, "A bearer token is missing.")
--- /dev/null
+++ b/goldcrestmoor/request/bound_keys.py
@@ -0,0 +1,139 @@
+"""Requests under minted keys: only the host that minted a key ever sends."""
+
+import logging
+
+from goldcrestmoor.clock import Deadline
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.request.key_memory import digest_of
+from goldcrestmoor.request.key_messages import KeyedAnswer, SendWithKey
+
+log = logging.getLogger("goldcrestmoor.keys")
+
+DEAD = "dead"
+
+
+class BoundKeys:
+    """Send under minted keys, here or through the host that minted them.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param mint: the :class:`~goldcrestmoor.request.minted_key.KeyMint`.
+    :param memory: the :class:`~goldcrestmoor.request.key_memory.KeyMemory`.
+    :param applications: the :class:`~goldcrestmoor.request.apps.Applications`.
+    :param links: the ``PeerLinks``.
+    :param membership: the ``Membership``.
+    :param lease: gives the :class:`~goldcrestmoor.version.configuration.View`.
+    :param settings: the :class:`~goldcrestmoor.settings.IdempotencySettings`.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_mint",
+        "_memory",
+        "_applications",
+        "_links",
+        "_membership",
+        "_lease",
+        "_settings",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock,
+        mint,
+        memory,
+        applications,
+        links,
+        membership,
+        lease,
+        settings,
+    ):
+        self._clock = clock
+        self._mint = mint
+        self._memory = memory
+        self._applications = applications
+        self._links = links
+        self._membership = membership
+        self._lease = lease
+        self._settings = settings
+        links.register(SendWithKey, self._on_send)
+
+    async def run(self, account, key, request, deadline, request_id):
+        """Send a request under a minted key, or return its recorded answer.
+
+        :param account: the account's name.
+        :param key: the key.
+        :param request: the :class:`~goldcrestmoor.request.apps.AppRequest`.
+        :param deadline: when the answer must be there.
+        :param request_id: the request.
+        :return: an :class:`~goldcrestmoor.request.apps.AppAnswer`.
+        :raises ServiceError: ``OUTCOME_UNKNOWN`` when the host that minted the key
+            cannot be asked, ``KEY_EXPIRED``, ``KEY_REUSED`` or ``IN_PROGRESS``.
+        """
+        minted = self._mint.parse(key, account)
+        if self._mint.is_own(minted):
+            return await self._run_here(
+                account, key, minted, request, deadline, request_id
+            )
+        record = self._membership.find(minted.host)
+        if record is None or str(record.state) == DEAD:
+            raise _unknown("The host that minted the key is gone.")
+        message = SendWithKey(
+            account, key, request, deadline.remaining_ms(), request_id
+        )
+        try:
+            answer = await self._links.call(
+                minted.host, message, max(1, deadline.remaining_ms())
+            )
+        except ServiceError as e:
+            if e.kind != ErrorKind.PEER_UNREACHABLE:
+                raise
+            raise _unknown("The host that minted the key does not answer.") from e
+        return answer.answer
+
+    async def _run_here(self, account, key, minted, request, deadline, request_id):
+        digest = digest_of(request)
+        full_key = f"{account}/{key}"
+        outcome = self._memory.find(full_key, digest)
+        if outcome is None:
+            expires_ms = minted.minted_ms + self._settings.key_lifetime_ms
+
+            def check():
+                # The clock also runs while the process is frozen.
+                if self._clock.now_ms() >= expires_ms:
+                    text = "The key is too old to be sent with."
+                    raise ServiceError(ErrorKind.KEY_EXPIRED, text)
+
+            check()
+
+            async def send():
+                return await self._applications.fetch(
+                    request, deadline, request_id, check
+                )
+
+            outcome = self._memory.start(full_key, digest, expires_ms, send)
+        return await self._memory.wait(outcome, deadline)
+
+    async def _on_send(self, sender, message):
+        accounts = self._lease.view().configuration.accounts_by_name
+        account = accounts.get(message.account)
+        if account is None or message.request.pool not in account.pools:
+            text = "The account may not use this pool."
+            raise ServiceError(ErrorKind.FORBIDDEN, text)
+        minted = self._mint.parse(message.key, message.account)
+        if not self._mint.is_own(minted):
+            raise _unknown("The host that minted the key has restarted.")
+        deadline = Deadline.after(self._clock, message.remaining_ms)
+        answer = await self._run_here(
+            message.account,
+            message.key,
+            minted,
+            message.request,
+            deadline,
+            message.request_id,
+        )
+        return KeyedAnswer(answer)
+
+
+def _unknown(text):
+    return ServiceError(ErrorKind.OUTCOME_UNKNOWN, f"{text} It will not be sent.")
--- /dev/null
+++ b/goldcrestmoor/request/completion_answers.py
@@ -0,0 +1,113 @@
+"""The OpenAI-style form of completions, whole or streamed."""
+
+import msgspec
+
+from goldcrestmoor import errors
+from goldcrestmoor.request.piece import Segment, join
+
+DONE_EVENT = b"data: [DONE]\n\n"
+
+
+class CompletionRequest(msgspec.Struct):
+    """What a caller asks for.
+
+    :param model: the pool's name.
+    :param prompt: the prompt's text.
+    :param max_tokens: the most tokens to make, in tokens.
+    :param seed: the sampling seed.
+    :param stream: whether the answer comes in events.
+    """
+
+    model: str
+    prompt: str
+    max_tokens: int = 16
+    seed: int = 0
+    stream: bool = False
+
+
+class Choice(msgspec.Struct):
+    """The one text of an answer."""
+
+    index: int
+    text: str
+    finish_reason: str | None
+
+
+class Usage(msgspec.Struct):
+    """What an answer cost, in tokens."""
+
+    completion_tokens: int
+
+
+class CompletionAnswer(msgspec.Struct):
+    """A whole answer, with the weight versions that made it."""
+
+    id: str
+    object: str
+    model: str
+    choices: list[Choice]
+    usage: Usage
+    segments: list[Segment]
+
+
+class CompletionEvent(msgspec.Struct):
+    """One event of a streamed answer."""
+
+    id: str
+    object: str
+    model: str
+    choices: list[Choice]
+    version: int
+    tokens: int
+
+
+class _ErrorEvent(msgspec.Struct):
+    error: errors.ErrorBody
+
+
+def whole_answer(request_id, model, pieces):
+    """Return the whole answer that pieces make up, as JSON bytes.
+
+    :param request_id: the request.
+    :param model: the pool's name.
+    :param pieces: all of its pieces.
+    """
+    text = "".join(piece.text for piece in pieces)
+    reason = pieces[-1].finish_reason if pieces else ""
+    answer = CompletionAnswer(
+        request_id,
+        "text_completion",
+        model,
+        [Choice(0, text, reason or None)],
+        Usage(sum(piece.tokens for piece in pieces)),
+        list(join(pieces)),
+    )
+    return msgspec.json.encode(answer)
+
+
+def event(request_id, model, piece):
+    """Return the event that carries one piece, as bytes.
+
+    :param request_id: the request.
+    :param model: the pool's name.
+    :param piece: the :class:`~goldcrestmoor.request.piece.Piece`.
+    """
+    value = CompletionEvent(
+        request_id,
+        "text_completion",
+        model,
+        [Choice(0, piece.text, piece.finish_reason or None)],
+        piece.version,
+        piece.tokens,
+    )
+    return b"data: " + msgspec.json.encode(value) + b"\n\n"
+
+
+def error_event(error, request_id):
+    """Return the event that ends a failed stream, as bytes.
+
+    :param error: the :class:`~goldcrestmoor.errors.ServiceError`.
+    :param request_id: the request.
+    """
+    value = _ErrorEvent(errors.to_body(error, request_id))
+    return b"event: error\ndata: " + msgspec.json.encode(value) + b"\n\n"
--- /dev/null
+++ b/goldcrestmoor/request/completion_routes.py
@@ -0,0 +1,85 @@
+"""The route of completions."""
+
+import contextlib
+import logging
+
+from blacksheep import Content, Request, Response, StreamedContent
+
+from goldcrestmoor import logs
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.request.authentication import check_pool
+from goldcrestmoor.request.body import read_deadline, read_json
+from goldcrestmoor.request.completion_answers import (
+    DONE_EVENT,
+    CompletionRequest,
+    error_event,
+    event,
+    whole_answer,
+)
+from goldcrestmoor.version.configuration import UpstreamKind
+
+log = logging.getLogger("goldcrestmoor.completions")
+
+MAX_TOKENS = 1 << 17
+MAX_PREFIX_CHARACTERS = 256
+
+
+def register_routes(app, *, clock, authenticator, completions, lease, settings):
+    """Add ``POST /v1/completions`` to an application.
+
+    :param app: the blacksheep application.
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param authenticator: the ``Authenticator``.
+    :param completions: the :class:`~.completions.Completions`.
+    :param lease: gives the :class:`~goldcrestmoor.version.configuration.View`.
+    :param settings: the :class:`~goldcrestmoor.settings.LimitSettings`.
+    """
+
+    async def complete(request: Request) -> Response:
+        account = authenticator.account(request.headers)
+        asked = await read_json(request, CompletionRequest)
+        if not 0 < asked.max_tokens <= MAX_TOKENS:
+            raise ServiceError(ErrorKind.BAD_REQUEST, "max_tokens is out of range.")
+        configuration = lease.view().configuration
+        check_pool(account, configuration, asked.model, UpstreamKind.ENGINE)
+        request_id = logs.request_id.get()
+        pieces = completions.generate(
+            account=account,
+            pool=asked.model,
+            prompt=asked.prompt,
+            max_tokens=asked.max_tokens,
+            seed=asked.seed,
+            deadline=read_deadline(request, clock, settings.request_timeout_ms),
+            request_id=request_id,
+            prefix_key=asked.prompt[:MAX_PREFIX_CHARACTERS],
+        )
+        if asked.stream:
+            return await _streamed(pieces, request_id, asked.model)
+        async with contextlib.aclosing(pieces):
+            made = [piece async for piece in pieces]
+        body = whole_answer(request_id, asked.model, made)
+        return Response(200, None, Content(b"application/json", body))
+
+    app.router.add_post("/v1/completions", complete)
+
+
+async def _streamed(pieces, request_id, model):
+    # An error before the first piece still gets a status of its own.
+    first = await anext(pieces, None)
+
+    async def events():
+        async with contextlib.aclosing(pieces):
+            try:
+                if first is not None:
+                    yield event(request_id, model, first)
+                async for piece in pieces:
+                    yield event(request_id, model, piece)
+                yield DONE_EVENT
+            except ServiceError as e:
+                yield error_event(e, request_id)
+            except Exception:
+                log.exception("A stream failed unexpectedly.")
+                error = ServiceError(ErrorKind.INTERNAL, "An unexpected error.")
+                yield error_event(error, request_id)
+
+    return Response(200, None, StreamedContent(b"text/event-stream", events))
--- /dev/null
+++ b/goldcrestmoor/request/completions.py
@@ -0,0 +1,274 @@
+"""Text from a pool of engines, carried from one engine to the next on failure."""
+
+import asyncio
+import contextlib
+import logging
+
+from goldcrestmoor import util
+from goldcrestmoor.clock import MS_PER_SECOND
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.request.failures import most_telling
+from goldcrestmoor.request.piece import Piece
+
+log = logging.getLogger("goldcrestmoor.completions")
+
+CHARACTERS_PER_TOKEN = 4
+MAX_FAILURES = 4
+MAX_REFUSALS = 3
+CANCEL_TIMEOUT_MS = 2000
+FINISH_LENGTH = "length"
+MOVABLE = frozenset(
+    {
+        ErrorKind.UPSTREAM_UNREACHABLE,
+        ErrorKind.UPSTREAM_FAILED,
+        ErrorKind.UPSTREAM_TIMEOUT,
+    }
+)
+REFUSALS = frozenset({ErrorKind.NO_UPSTREAM, ErrorKind.OVERLOADED})
+
+
+class _Progress:
+    """How far one completion has come, over all its engines."""
+
+    __slots__ = ("text", "tokens_left", "version", "upstream", "finished", "avoid") + (
+        "failures",
+        "refusals",
+    )
+
+    def __init__(self, text, tokens_left, avoid):
+        self.text = text
+        self.tokens_left = tokens_left
+        self.version = 0
+        self.upstream = ""
+        self.finished = False
+        self.avoid = set(avoid)
+        self.failures = []
+        self.refusals = 0
+
+    def add(self, piece):
+        self.text += piece.text
+        self.tokens_left -= piece.tokens
+        self.version = piece.version
+        self.upstream = piece.upstream
+        self.finished = bool(piece.finish_reason)
+
+
+class Completions:
+    """Generate text.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param engines: the :class:`~goldcrestmoor.adapters.engine.EngineClient`.
+    :param admission: the :class:`~goldcrestmoor.request.admission.AdmissionClient`.
+    :param placement: the :class:`~goldcrestmoor.request.placement.Placement`.
+    :param lease: gives the :class:`~goldcrestmoor.version.configuration.View`.
+    :param budget: the :class:`~goldcrestmoor.request.retry_budget.RetryBudget`.
+    :param settings: the :class:`~goldcrestmoor.settings.LimitSettings`.
+    :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
+    :param decisions: the :class:`~goldcrestmoor.process.decisions.Decisions`.
+    :param health: an ``UpstreamHealth``, or None.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_engines",
+        "_admission",
+        "_placement",
+        "_lease",
+        "_budget",
+        "_settings",
+        "_metrics",
+        "_decisions",
+        "_health",
+        "_tasks",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock,
+        engines,
+        admission,
+        placement,
+        lease,
+        budget,
+        settings,
+        metrics,
+        decisions,
+        health=None,
+    ):
+        self._clock = clock
+        self._engines = engines
+        self._admission = admission
+        self._placement = placement
+        self._lease = lease
+        self._budget = budget
+        self._settings = settings
+        self._metrics = metrics
+        self._decisions = decisions
+        self._health = health
+        self._tasks = util.TaskGroup()
+
+    async def generate(
+        self,
+        *,
+        account,
+        pool,
+        prompt,
+        max_tokens,
+        seed,
+        deadline,
+        request_id,
+        resume_text="",
+        min_version=0,
+        avoid=(),
+        prefix_key="",
+    ):
+        """Yield the pieces of one completion; closing it cancels the stream.
+
+        :param account: the :class:`~goldcrestmoor.version.configuration.Account`.
+        :param pool: the pool's name.
+        :param prompt: the prompt's text.
+        :param max_tokens: the most tokens still to make, in tokens.
+        :param seed: the sampling seed.
+        :param deadline: when all must have been made.
+        :param request_id: the request.
+        :param resume_text: what has been made already.
+        :param min_version: the oldest weight version that is of use.
+        :param avoid: names of engines to pass over.
+        :param prefix_key: what prompts with a common prefix share.
+        :raises ServiceError: ``VERSION_CONFLICT`` when an engine's tokens are older
+            than ``min_version``; else what admission or the last engine gave.
+        """
+        self._budget.earn(pool)
+        progress = _Progress(resume_text, max_tokens, avoid)
+        while not progress.finished:
+            if progress.tokens_left <= 0:
+                # The engine failed between the last token and its end mark.
+                version, upstream = progress.version, progress.upstream
+                yield Piece("", 0, version, upstream, FINISH_LENGTH)
+                return
+            upstream = self._choose(pool, prefix_key, progress)
+            cost = len(prompt + progress.text) // CHARACTERS_PER_TOKEN
+            try:
+                grant = await self._admission.acquire(
+                    account, upstream, cost + progress.tokens_left, deadline, request_id
+                )
+            except ServiceError as e:
+                self._pass_over(e, upstream, progress, request_id)
+                continue
+            stream = self._read(grant, pool, prompt, seed, deadline, progress)
+            try:
+                async with contextlib.aclosing(stream):
+                    async for piece in stream:
+                        if piece.version < min_version:
+                            text = f"{piece.upstream} runs version {piece.version}."
+                            raise ServiceError(ErrorKind.VERSION_CONFLICT, text)
+                        progress.add(piece)
+                        yield piece
+                progress.finished = True
+            except ServiceError as e:
+                self._move(e, pool, upstream, progress, deadline, request_id)
+
+    async def close(self):
+        """Give up what still runs in the background."""
+        await self._tasks.close()
+
+    def _choose(self, pool, prefix_key, progress):
+        try:
+            return self._placement.choose(pool, prefix_key, progress.avoid)
+        except ServiceError:
+            if not progress.failures:
+                raise
+            # An attempt that may have run is never reported as not run.
+            raise most_telling(progress.failures) from None
+
+    def _pass_over(self, error, upstream, progress, request_id):
+        """Go to another engine when one takes no work, or raise its error."""
+        progress.refusals += 1
+        if error.kind not in REFUSALS or progress.refusals >= MAX_REFUSALS:
+            raise most_telling([*progress.failures, error])
+        progress.failures.append(error)
+        progress.avoid.add(upstream.name)
+        text = f"Passed over {upstream.name}: {error.message}"
+        self._decisions.note("completions", request_id, text)
+
+    def _move(self, error, pool, upstream, progress, deadline, request_id):
+        """Go on with another engine after a failure, or raise it."""
+        progress.failures.append(error)
+        if error.kind not in MOVABLE | REFUSALS:
+            raise error
+        if len(progress.failures) > MAX_FAILURES or deadline.passed():
+            raise most_telling(progress.failures)
+        if not self._budget.spend(pool):
+            raise most_telling(progress.failures)
+        self._metrics.retries.labels(error.code).inc()
+        progress.avoid.add(upstream.name)
+        text = f"Moved on from {upstream.name} with {len(progress.text)} characters"
+        self._decisions.note("completions", request_id, f"{text}: {error.message}")
+
+    async def _read(self, grant, pool, prompt, seed, deadline, progress):
+        """Yield the pieces of one engine's stream, under a granted slot."""
+        upstream = grant.upstream
+        stream_id = util.new_id()
+        model = self._lease.view().configuration.pools_by_name[pool].model
+        started_ms = self._clock.now_ms()
+        used = 0
+        in_flight = False
+        self._placement.begin(upstream)
+        stream = self._engines.stream(
+            upstream,
+            model=model,
+            prompt=prompt,
+            max_tokens=progress.tokens_left,
+            seed=seed,
+            request_id=stream_id,
+            timeout_ms=max(1, deadline.remaining_ms()),
+            resume_text=progress.text,
+        )
+        try:
+            if not self._placement.takes_work(upstream.name):
+                text = f"{upstream.name} takes no new work."
+                raise ServiceError(ErrorKind.NO_UPSTREAM, text)
+            in_flight = True
+            async with contextlib.aclosing(stream):
+                async for piece in self._unless_silent(stream, deadline):
+                    used += piece.tokens
+                    yield piece
+            in_flight = False
+            self._record(upstream, True, started_ms)
+        except ServiceError as e:
+            if e.kind in MOVABLE:
+                self._record(upstream, False, started_ms)
+            raise
+        finally:
+            self._placement.end(upstream)
+            self._admission.release(grant, used)
+            if in_flight:
+                self._tasks.start(self._cancel(upstream, stream_id), name="cancel")
+
+    async def _unless_silent(self, stream, deadline):
+        silence_ms = self._settings.progress_timeout_ms
+        while True:
+            wait_ms = min(silence_ms, deadline.remaining_ms())
+            try:
+                async with asyncio.timeout(wait_ms / MS_PER_SECOND):
+                    piece = await anext(stream)
+            except StopAsyncIteration:
+                return
+            except TimeoutError:
+                text = f"The engine was silent for {wait_ms} ms."
+                raise ServiceError(ErrorKind.UPSTREAM_TIMEOUT, text) from None
+            yield piece
+
+    async def _cancel(self, upstream, stream_id):
+        try:
+            await self._engines.cancel(
+                upstream, stream_id, timeout_ms=CANCEL_TIMEOUT_MS
+            )
+        except ServiceError as e:
+            log.info("Could not cancel a stream at %s: %s", upstream.name, e)
+
+    def _record(self, upstream, ok, started_ms):
+        if self._health is not None:
+            latency_ms = self._clock.now_ms() - started_ms
+            self._health.record(upstream.name, ok, latency_ms)
--- /dev/null
+++ b/goldcrestmoor/request/fair_queue.py
@@ -0,0 +1,235 @@
+"""Weighted fair queueing of one upstream's requests across accounts."""
+
+import collections
+import math
+
+from goldcrestmoor.errors import ErrorKind, ServiceError
+
+PERCENT = 100
+RATE_WEIGHT = 0.2
+MAX_IDLE_ACCOUNTS = 1000
+MIN_RETRY_AFTER_MS = 100
+APPLICATION = "application"
+
+
+class Entry:
+    """One queued request.
+
+    :param id: the grant that it waits for.
+    :param account: the account's name.
+    :param kind: the account's kind.
+    :param share: the account's weight.
+    :param cost_tokens: what it is expected to cost, in tokens.
+    :param deadline: when it must have started.
+    :param queued_ms: when it was queued, on the clock's scale.
+    """
+
+    __slots__ = (
+        "id",
+        "account",
+        "kind",
+        "share",
+        "cost_tokens",
+        "deadline",
+        "queued_ms",
+    )
+
+    def __init__(self, id, account, kind, share, cost_tokens, deadline, queued_ms):
+        self.id = id
+        self.account = account
+        self.kind = kind
+        self.share = max(1, share)
+        self.cost_tokens = max(1, cost_tokens)
+        self.deadline = deadline
+        self.queued_ms = queued_ms
+
+
+class FairQueue:
+    """Order requests so that each account gets its share of the tokens.
+
+    Each account has a virtual time, which grows by tokens over weight as its
+    requests start; the account that is furthest behind goes next. An account that
+    was idle joins at the present virtual time: its share was lent out meanwhile,
+    and is its own again with the next slot. Application accounts together get at
+    least the floor's part of the weight.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param max_length: the most requests that wait.
+    :param floor_percent: the application accounts' least part.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_max_length",
+        "_floor_percent",
+        "_queues_by_account",
+        "_virtual_by_account",
+        "_virtual_now",
+        "_length",
+        "_interval_ms",
+        "_last_start_ms",
+    )
+
+    def __init__(self, *, clock, max_length, floor_percent):
+        self._clock = clock
+        self._max_length = max_length
+        self._floor_percent = floor_percent
+        self._queues_by_account = {}
+        self._virtual_by_account = collections.OrderedDict()
+        self._virtual_now = 0.0
+        self._length = 0
+        self._interval_ms = None
+        self._last_start_ms = None
+
+    def __len__(self):
+        return self._length
+
+    def oldest_ms(self):
+        """Return how long the oldest entry has waited, in milliseconds."""
+        heads = (queue[0].queued_ms for queue in self._queues_by_account.values())
+        oldest = min(heads, default=None)
+        return 0 if oldest is None else self._clock.now_ms() - oldest
+
+    def push(self, entry):
+        """Queue a request.
+
+        :param entry: the :class:`Entry`.
+        :raises ServiceError: ``OVERLOADED`` when the queue is full or too slow for
+            the entry's deadline, with when to come back.
+        """
+        wait_ms = self.expected_wait_ms(entry)
+        if self._length >= self._max_length or wait_ms > entry.deadline.remaining_ms():
+            after_ms = max(MIN_RETRY_AFTER_MS, math.ceil(wait_ms))
+            text = f"The queue is about {after_ms} ms long."
+            raise ServiceError(ErrorKind.OVERLOADED, text, after_ms)
+        if entry.account not in self._queues_by_account:
+            self._join(entry.account)
+        queue = self._queues_by_account.setdefault(entry.account, collections.deque())
+        queue.append(entry)
+        self._length += 1
+
+    def pop(self):
+        """Take the request that goes next, or None.
+
+        Entries whose deadline has passed are left to :meth:`expire`.
+        """
+        if not self._queues_by_account:
+            return None
+        behind = min(self._queues_by_account, key=self._virtual_by_account.__getitem__)
+        self._virtual_now = max(self._virtual_now, self._virtual_by_account[behind])
+        entry = self._queues_by_account[behind][0]
+        self.charge(entry, entry.cost_tokens)
+        self._take(entry)
+        return entry
+
+    def charge(self, entry, tokens):
+        """Count tokens against an entry's account; negative to give some back.
+
+        :param entry: the :class:`Entry` that used them.
+        :param tokens: how many.
+        """
+        if entry.account not in self._virtual_by_account:
+            self._join(entry.account)
+        weight = self._weight(entry)
+        self._virtual_by_account[entry.account] += tokens / weight
+
+    def started(self):
+        """Note that a queued entry was started, for the drain rate."""
+        now_ms = self._clock.now_ms()
+        if self._last_start_ms is not None:
+            interval_ms = now_ms - self._last_start_ms
+            if self._interval_ms is None:
+                self._interval_ms = interval_ms
+            self._interval_ms += RATE_WEIGHT * (interval_ms - self._interval_ms)
+        # Only the time between two starts of a busy queue tells its rate.
+        self._last_start_ms = now_ms if self._length else None
+
+    def expected_wait_ms(self, entry):
+        """Return how long an entry would wait, by the measured drain rate.
+
+        :param entry: the :class:`Entry`, not yet queued.
+        :return: milliseconds; zero while no rate has been measured.
+        """
+        if not self._length:
+            return 0
+        interval_ms = self._interval_ms or 0
+        if self._last_start_ms is not None:
+            # A queue that has come to a halt shows in the time since its last start.
+            interval_ms = max(interval_ms, self._clock.now_ms() - self._last_start_ms)
+        own = len(self._queues_by_account.get(entry.account, ()))
+        part = self._weight(entry) / self._total_weight(entry)
+        ahead = min(self._length, own / part)
+        return (ahead + 1) * interval_ms
+
+    def remove(self, entry):
+        """Drop a queued entry; nothing happens when it is not queued.
+
+        :param entry: the :class:`Entry`.
+        """
+        queue = self._queues_by_account.get(entry.account, ())
+        if entry in queue:
+            self._take(entry)
+
+    def expire(self):
+        """Take out and yield the entries whose deadline has passed."""
+        for entry in list(self.entries()):
+            if entry.deadline.passed():
+                self._take(entry)
+                yield entry
+
+    def clear(self):
+        """Take out and yield every entry."""
+        for entry in list(self.entries()):
+            self._take(entry)
+            yield entry
+
+    def entries(self):
+        """Yield the queued entries, account by account."""
+        for queue in self._queues_by_account.values():
+            yield from queue
+
+    def _take(self, entry):
+        queue = self._queues_by_account[entry.account]
+        queue.remove(entry)
+        self._length -= 1
+        if not queue:
+            del self._queues_by_account[entry.account]
+
+    def _join(self, account):
+        known = self._virtual_by_account.get(account, 0.0)
+        self._virtual_by_account[account] = max(known, self._virtual_now)
+        self._virtual_by_account.move_to_end(account)
+        if len(self._virtual_by_account) > MAX_IDLE_ACCOUNTS:
+            for name in self._virtual_by_account:
+                if name not in self._queues_by_account and name != account:
+                    del self._virtual_by_account[name]
+                    break
+
+    def _shares(self, entry):
+        # The heads stand for their accounts; the entry's own may not be queued yet.
+        share_by_kind = collections.Counter()
+        for account, queue in self._queues_by_account.items():
+            if account != entry.account:
+                share_by_kind[queue[0].kind] += queue[0].share
+        share_by_kind[entry.kind] += entry.share
+        return share_by_kind
+
+    def _weight(self, entry):
+        return self._scale(entry, self._shares(entry))
+
+    def _scale(self, entry, share_by_kind):
+        applications = share_by_kind[APPLICATION]
+        others = share_by_kind.total() - applications
+        if entry.kind != APPLICATION or not others or self._floor_percent >= PERCENT:
+            return entry.share
+        floor = others * self._floor_percent / (PERCENT - self._floor_percent)
+        return entry.share * max(1.0, floor / applications)
+
+    def _total_weight(self, entry):
+        share_by_kind = self._shares(entry)
+        applications = share_by_kind[APPLICATION]
+        others = share_by_kind.total() - applications
+        if not applications or not others or self._floor_percent >= PERCENT:
+            return applications + others
+        floor = others * self._floor_percent / (PERCENT - self._floor_percent)
+        return others + max(applications, floor)
--- /dev/null
+++ b/goldcrestmoor/request/keys.py
@@ -0,0 +1,40 @@
+"""Idempotency keys: a caller's request is sent at most once under one."""
+
+from goldcrestmoor.request.minted_key import is_minted
+
+
+class Keys:
+    """Send requests under keys of either kind.
+
+    :param mint: the :class:`~goldcrestmoor.request.minted_key.KeyMint`.
+    :param bound: the :class:`~goldcrestmoor.request.bound_keys.BoundKeys`.
+    :param claims: the :class:`~goldcrestmoor.request.claims.Claims`.
+    """
+
+    __slots__ = ("_mint", "_bound", "_claims")
+
+    def __init__(self, *, mint, bound, claims):
+        self._mint = mint
+        self._bound = bound
+        self._claims = claims
+
+    def mint(self, account):
+        """Return a new key that is bound to this host.
+
+        :param account: the account's name.
+        """
+        return self._mint.mint(account)
+
+    async def run(self, account, key, request, deadline, request_id):
+        """Send a request under a key, or return its recorded answer.
+
+        :param account: the account's name.
+        :param key: the key.
+        :param request: the :class:`~goldcrestmoor.request.apps.AppRequest`.
+        :param deadline: when the answer must be there.
+        :param request_id: the request.
+        :return: an :class:`~goldcrestmoor.request.apps.AppAnswer`.
+        """
+        if is_minted(key):
+            return await self._bound.run(account, key, request, deadline, request_id)
+        return await self._claims.run(account, key, request, deadline, request_id)
--- /dev/null
+++ b/goldcrestmoor/request/placement.py
@@ -0,0 +1,132 @@
+"""Which upstream of a pool a request goes to."""
+
+import collections
+import itertools
+import random
+
+import msgspec
+
+from goldcrestmoor import util
+from goldcrestmoor.errors import ErrorKind, ServiceError
+
+PERCENT = 100
+
+
+class LeastLoaded(msgspec.Struct, frozen=True):
+    """Take the upstream with the fewest requests of this host per slot."""
+
+
+class PrefixAffinity(msgspec.Struct, frozen=True):
+    """Keep a prefix on one upstream while its load is not far above the mean.
+
+    :param max_load_percent: the bound on its load, in percent of the mean.
+    """
+
+    max_load_percent: int = 125
+
+
+class TwoChoices(msgspec.Struct, frozen=True):
+    """Take the less loaded of two upstreams drawn at random."""
+
+
+class RoundRobin(msgspec.Struct, frozen=True):
+    """Take one upstream after the other."""
+
+
+class Placement:
+    """Choose upstreams by a policy, from those that may take new work.
+
+    :param zone: this host's availability zone.
+    :param lease: gives the :class:`~goldcrestmoor.version.configuration.View`.
+    :param policy: one of the policies of this module.
+    :param health: an ``UpstreamHealth``, or None.
+    :param is_leaving: tells whether the host list names an upstream as leaving.
+    """
+
+    __slots__ = ("_zone", "_lease", "_policy", "_health", "_is_leaving", "_turn") + (
+        "in_flight_by_upstream",
+    )
+
+    def __init__(self, *, zone, lease, policy, health=None, is_leaving=None):
+        self._zone = zone
+        self._lease = lease
+        self._policy = policy
+        self._health = health
+        self._is_leaving = is_leaving or (lambda name: False)
+        self._turn = itertools.count()
+        self.in_flight_by_upstream = collections.Counter()
+
+    def choose(self, pool, prefix_key="", avoid=()):
+        """Return the upstream that a request goes to.
+
+        :param pool: the pool's name.
+        :param prefix_key: what requests with a common prefix share, if anything.
+        :param avoid: names of upstreams to pass over.
+        :raises ServiceError: ``NO_UPSTREAM`` when none may take new work.
+        """
+        usable = self.usable(pool, avoid)
+        if not usable:
+            text = f"No upstream of {pool} takes new work."
+            raise ServiceError(ErrorKind.NO_UPSTREAM, text)
+        match self._policy:
+            case PrefixAffinity(max_load_percent) if prefix_key:
+                return self._by_prefix(usable, prefix_key, max_load_percent)
+            case TwoChoices():
+                drawn = random.sample(usable, min(2, len(usable)))
+                return min(drawn, key=self._load)
+            case RoundRobin():
+                return usable[next(self._turn) % len(usable)]
+            case _:
+                return self._least_loaded(usable)
+
+    def usable(self, pool, avoid=()):
+        """Return the upstreams that may take new work, the own zone's if it has any.
+
+        :param pool: the pool's name.
+        :param avoid: names of upstreams to pass over.
+        """
+        members = self._lease.view().configuration.upstreams_of(pool)
+        takes = [u for u in members if self._takes_work(u) and u.name not in avoid]
+        if self._health is not None:
+            names = set(self._health.usable([u.name for u in takes]))
+            takes = [u for u in takes if u.name in names]
+        own = [u for u in takes if u.zone == self._zone]
+        return own or takes
+
+    def takes_work(self, name):
+        """Tell whether an upstream may be sent new work at this moment.
+
+        :param name: the upstream's name.
+        """
+        upstream = self._lease.view().configuration.upstreams_by_name.get(name)
+        return upstream is not None and self._takes_work(upstream)
+
+    def begin(self, upstream):
+        """Count a request of this host on an upstream."""
+        self.in_flight_by_upstream[upstream.name] += 1
+
+    def end(self, upstream):
+        """Count it no longer."""
+        self.in_flight_by_upstream[upstream.name] -= 1
+        if self.in_flight_by_upstream[upstream.name] <= 0:
+            del self.in_flight_by_upstream[upstream.name]
+
+    def _takes_work(self, upstream):
+        return not upstream.draining and not self._is_leaving(upstream.name)
+
+    def _load(self, upstream):
+        return self.in_flight_by_upstream[upstream.name] / max(1, upstream.slots)
+
+    def _least_loaded(self, usable):
+        # Ties are broken at random, lest every host start with the same upstream.
+        return min(usable, key=lambda u: (self._load(u), random.random()))
+
+    def _by_prefix(self, usable, prefix_key, max_load_percent):
+        by_name = {u.name: u for u in usable}
+        total = sum(self.in_flight_by_upstream[name] for name in by_name) + 1
+        mean = total / len(by_name)
+        for name in util.rendezvous_order(prefix_key, by_name):
+            load = self.in_flight_by_upstream[name] + 1
+            if load <= max(1, mean * max_load_percent / PERCENT):
+                return by_name[name]
+        return self._least_loaded(usable)
--- /dev/null
+++ b/goldcrestmoor/request/slots.py
@@ -0,0 +1,205 @@
+"""One upstream's slots and queue, at its owner."""
+
+import asyncio
+import logging
+
+from goldcrestmoor.clock import MS_PER_SECOND
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.request.admission_messages import Granted, StillQueued
+
+log = logging.getLogger("goldcrestmoor.admission")
+
+GRANT_MS = 10_000
+POLL_HOLD_MS = 400
+POLL_LOST_MS = 3000
+MIN_RETRY_AFTER_MS = 1000
+
+
+class Holder:
+    """A grant that a host holds.
+
+    :param host: the host.
+    :param entry: the :class:`~goldcrestmoor.request.fair_queue.Entry`.
+    :param expires_ms: when it lapses, on the clock's scale.
+    """
+
+    __slots__ = ("host", "entry", "expires_ms")
+
+    def __init__(self, host, entry, expires_ms):
+        self.host = host
+        self.entry = entry
+        self.expires_ms = expires_ms
+
+
+class Waiter:
+    """A queued request, and the future that its polls wait on.
+
+    :param host: the host that asked.
+    :param entry: the :class:`~goldcrestmoor.request.fair_queue.Entry`.
+    :param polled_ms: when it asked last, on the clock's scale.
+    """
+
+    __slots__ = ("host", "entry", "polled_ms", "future")
+
+    def __init__(self, host, entry, polled_ms):
+        self.host = host
+        self.entry = entry
+        self.polled_ms = polled_ms
+        self.future = asyncio.get_running_loop().create_future()
+
+
+class Slots:
+    """What one upstream runs and what waits for it.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param queue: the :class:`~goldcrestmoor.request.fair_queue.FairQueue`.
+    """
+
+    __slots__ = ("queue", "holders_by_id", "waiters_by_id", "_clock")
+
+    def __init__(self, *, clock, queue):
+        self.queue = queue
+        self.holders_by_id = {}
+        self.waiters_by_id = {}
+        self._clock = clock
+
+    @property
+    def idle(self):
+        """Whether nothing runs and nothing waits."""
+        return not self.holders_by_id and not self.waiters_by_id
+
+    def enqueue(self, host, entry):
+        """Queue a request.
+
+        :param host: the host that asked.
+        :param entry: the :class:`~goldcrestmoor.request.fair_queue.Entry`.
+        :return: its :class:`Waiter`.
+        :raises ServiceError: ``OVERLOADED``.
+        """
+        self.queue.push(entry)
+        waiter = Waiter(host, entry, self._clock.now_ms())
+        self.waiters_by_id[entry.id] = waiter
+        return waiter
+
+    async def hold(self, waiter):
+        """Wait for a while until a queued request is granted or refused.
+
+        :param waiter: the :class:`Waiter`.
+        :return: ``Granted`` or ``StillQueued``.
+        :raises ServiceError: what the request was refused with.
+        """
+        hold_ms = min(POLL_HOLD_MS, waiter.entry.deadline.remaining_ms())
+        await asyncio.wait([waiter.future], timeout=hold_ms / MS_PER_SECOND)
+        if not waiter.future.done() and waiter.entry.deadline.passed():
+            self.queue.remove(waiter.entry)
+            self.refuse(waiter.entry, ErrorKind.QUEUE_TIMEOUT)
+        if not waiter.future.done():
+            return StillQueued(len(self.queue))
+        self.waiters_by_id.pop(waiter.entry.id, None)
+        if waiter.future.cancelled():
+            raise ServiceError(ErrorKind.QUEUE_TIMEOUT, "The request was given up.")
+        return waiter.future.result()
+
+    def fill(self, capacity):
+        """Grant free slots to the requests that go next.
+
+        :param capacity: how many may run at a time.
+        """
+        self.refuse_expired()
+        while len(self.holders_by_id) < capacity:
+            entry = self.queue.pop()
+            if entry is None:
+                return
+            self.queue.started()
+            self._grant(entry)
+
+    def refuse_expired(self):
+        """Answer the queued requests whose deadline has passed."""
+        for entry in self.queue.expire():
+            self.refuse(entry, ErrorKind.QUEUE_TIMEOUT)
+
+    def refuse_all(self):
+        """Answer every queued request: the upstream takes no new work."""
+        for entry in self.queue.clear():
+            self.refuse(entry, ErrorKind.NO_UPSTREAM)
+
+    def refuse(self, entry, kind):
+        """Answer a request that has been taken from the queue.
+
+        :param entry: its entry.
+        :param kind: the :class:`~goldcrestmoor.errors.ErrorKind`.
+        """
+        waiter = self.waiters_by_id.pop(entry.id, None)
+        if waiter is None or waiter.future.done():
+            return
+        error = ServiceError(kind, "The upstream takes no new work.")
+        if kind == ErrorKind.QUEUE_TIMEOUT:
+            wait_ms = round(self.queue.expected_wait_ms(entry))
+            after_ms = max(MIN_RETRY_AFTER_MS, wait_ms)
+            error = ServiceError(kind, "No slot came free in time.", after_ms)
+        waiter.future.set_exception(error)
+        # Between two polls nobody waits for it, which is no fault.
+        waiter.future.exception()
+
+    def adopt(self, host, entry):
+        """Count a grant that another owner gave, or keep a known one.
+
+        :param host: the host that holds it.
+        :param entry: its entry.
+        """
+        expires_ms = self._clock.now_ms() + GRANT_MS
+        self.holders_by_id[entry.id] = Holder(host, entry, expires_ms)
+
+    def release(self, grant_id, used_tokens):
+        """Take a slot back, or give up a queued request.
+
+        :param grant_id: the grant.
+        :param used_tokens: what the request cost in the end, in tokens.
+        :return: the entry whose slot it was, or None.
+        """
+        waiter = self.waiters_by_id.get(grant_id)
+        if waiter is not None:
+            self._forget(waiter)
+        holder = self.holders_by_id.pop(grant_id, None)
+        if holder is None:
+            return None
+        self.queue.charge(holder.entry, used_tokens - holder.entry.cost_tokens)
+        return holder.entry
+
+    def drop_lapsed(self):
+        """Drop what its host no longer asks for."""
+        now_ms = self._clock.now_ms()
+        self._drop_holders(lambda holder: holder.expires_ms <= now_ms)
+        self._drop_waiters(lambda waiter: waiter.polled_ms + POLL_LOST_MS <= now_ms)
+
+    def drop_hosts(self, is_gone):
+        """Drop what gone hosts hold and wait for.
+
+        :param is_gone: tells whether a host is gone.
+        """
+        self._drop_holders(lambda holder: is_gone(holder.host))
+        self._drop_waiters(lambda waiter: is_gone(waiter.host))
+
+    def _grant(self, entry):
+        waiter = self.waiters_by_id.get(entry.id)
+        if waiter is None or waiter.future.done():
+            return
+        self.adopt(waiter.host, entry)
+        queued_ms = self._clock.now_ms() - entry.queued_ms
+        waiter.future.set_result(Granted(queued_ms))
+
+    def _forget(self, waiter):
+        self.waiters_by_id.pop(waiter.entry.id, None)
+        self.queue.remove(waiter.entry)
+        waiter.future.cancel()
+
+    def _drop_holders(self, is_over):
+        for grant_id, holder in list(self.holders_by_id.items()):
+            if is_over(holder):
+                del self.holders_by_id[grant_id]
+                log.info("Dropped a grant that %s no longer holds.", holder.host)
+
+    def _drop_waiters(self, is_over):
+        for waiter in list(self.waiters_by_id.values()):
+            if is_over(waiter):
+                self._forget(waiter)
--- a/goldcrestmoor/tracing.py
+++ b/goldcrestmoor/tracing.py
@@ -39,6 +39,25 @@
         yield current
 
 
+@contextlib.contextmanager
+def detached_span(name, **attributes):
+    """Record one hop whose code runs in pieces, such as a generator's.
+
+    The span is not made the current one, which a generator must not do.
+
+    :param name: what the hop does.
+    :param attributes: what is kept on the span.
+    :return: a context manager that gives the span's ``traceparent``.
+    """
+    current = _tracer.start_span(name, attributes=attributes)
+    carrier = {}
+    propagate.inject(carrier, trace.set_span_in_context(current))
+    try:
+        yield carrier.get(_TRACEPARENT, "")
+    finally:
+        current.end()
+
+
 def traceparent():
     """Return the current span's context as a ``traceparent``, or an empty string."""
     carrier = {}
--- /dev/null
+++ b/test/standins/app.py
@@ -0,0 +1,77 @@
+"""A plain application service that counts what it ran.
+
+It answers ``GET /panel/...`` and takes ``POST /notes``. ``POST /control/mode`` sets
+a fault by name, and ``GET /control/counts`` tells what ran.
+"""
+
+import asyncio
+import collections
+
+from test.standins.server import Drop, Response, Server, json_response, main
+
+CLOSE_AFTER_RUN = "close_after_run"
+CLOSE_BEFORE_RUN = "close_before_run"
+SLOW = "slow"
+WRONG_LENGTH = "wrong_length"
+LARGE_BODY_BYTES = 200_000
+
+
+class App:
+    """The service's state; calling it handles a request."""
+
+    def __init__(self, options):
+        self.name = options.get("name", "app")
+        self.mode = options.get("mode", "")
+        self.slow_s = options.get("slow_s", 0.05)
+        self.count_by_id = collections.Counter()
+        self.received = 0
+        self.slow = asyncio.Event()
+
+    async def __call__(self, request):
+        if request.path.startswith("/control/"):
+            return self._control(request)
+        self.received += 1
+        if self.mode == CLOSE_BEFORE_RUN:
+            raise Drop
+        note_id = request.headers.get("x-note-id") or request.path
+        self.count_by_id[f"{request.method} {note_id}"] += 1
+        if self.mode == CLOSE_AFTER_RUN:
+            raise Drop
+        if self.mode == SLOW:
+            await asyncio.sleep(self.slow_s)
+        if self.mode == WRONG_LENGTH:
+            return Response(200, _cut_short())
+        return self._answer(request)
+
+    def _answer(self, request):
+        if request.path == "/large":
+            return Response(200, b"x" * LARGE_BODY_BYTES)
+        if request.method in ("GET", "HEAD"):
+            target = f"{request.path}?{request.query}"
+            return json_response({"app": self.name, "panel": target})
+        return json_response({"app": self.name, "saved": request.body.decode()}, 201)
+
+    def _control(self, request):
+        if request.path == "/control/mode":
+            options = request.json()
+            self.mode = options["mode"]
+            self.slow_s = options.get("slow_s", self.slow_s)
+            return json_response({})
+        return json_response(
+            {"received": self.received, "count_by_id": dict(self.count_by_id)}
+        )
+
+
+async def _cut_short():
+    yield b'{"app":'
+    raise Drop
+
+
+def make_server(**options):
+    """Return the service and a server for it on a free port, for use in a test."""
+    app = App(options)
+    return app, Server(app, "127.0.0.1", options.get("port", 0))
+
+
+if __name__ == "__main__":
+    main(App)
--- /dev/null
+++ b/test/standins/engine.py
@@ -0,0 +1,255 @@
+"""A model engine: continuous batching, a prefix cache, weight versions, faults.
+
+The text depends on the prompt, the seed and the token's index alone, so that a
+resumed stream can be checked. Control, by ``POST /control/set``: any option of
+:class:`Options`. ``GET /control/counts`` tells what ran.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import hashlib
+import json
+import math
+import os
+
+from test.standins.server import Drop, Response, Server, json_response, main
+
+STOP_AFTER_MIN = 4
+
+
+@dataclasses.dataclass
+class Options:
+    """What the engine is like.
+
+    ``slots`` streams run at full speed; each one more slows all down. Tokens of
+    the prompt that the prefix cache holds cost no time.
+    """
+
+    model: str = "lm"
+    version: int = 1
+    slots: int = 8
+    token_ms: float = 1.0
+    batch_slowdown: float = 0.05
+    overload_slowdown: float = 0.5
+    prompt_token_ms: float = 0.05
+    cache_tokens: int = 4096
+    report_lag_ms: int = 200
+    swap_ms: int = 50
+    mean_tokens: int = 0
+    fencing: bool = True
+    role: str = "generate"
+    fail_swap: bool = False
+    silent: bool = False
+    silent_after: int = -1
+    cut_after: int = -1
+    state_version: bool = True
+    end_mark: bool = True
+
+
+def token_text(prompt, seed, index):
+    """Return the text of one token."""
+    digest = hashlib.sha256(f"{prompt}/{seed}/{index}".encode()).hexdigest()
+    return f"{digest[:4]} "
+
+
+def expected_text(prompt, seed, tokens):
+    """Return the whole text of a completion."""
+    return "".join(token_text(prompt, seed, i) for i in range(tokens))
+
+
+def natural_length(prompt, seed, mean_tokens):
+    """Return a heavy-tailed length, the same for equal prompts and seeds."""
+    digest = hashlib.sha256(f"{prompt}/{seed}/length".encode()).digest()
+    uniform = (int.from_bytes(digest[:6], "big") + 1) / (1 << 48)
+    # A Pareto tail of exponent 2 has its mean at twice its least value.
+    return max(STOP_AFTER_MIN, round(mean_tokens / 2 / math.sqrt(uniform)))
+
+
+class PrefixCache:
+    """Prompts that were worked on, the oldest dropped first."""
+
+    def __init__(self, max_tokens):
+        self.max_tokens = max_tokens
+        self.words_by_prompt = collections.OrderedDict()
+        self.hits = 0
+
+    def missing(self, words):
+        """Return how many of a prompt's tokens are not cached, and cache it."""
+        best = max(
+            (_common(words, w) for w in self.words_by_prompt.values()), default=0
+        )
+        self.hits += bool(best)
+        self.words_by_prompt[" ".join(words)] = words
+        while sum(map(len, self.words_by_prompt.values())) > self.max_tokens:
+            self.words_by_prompt.popitem(last=False)
+        return len(words) - best
+
+
+def _common(a, b):
+    count = 0
+    for x, y in zip(a, b, strict=False):
+        if x != y:
+            break
+        count += 1
+    return count
+
+
+class Engine:
+    """The engine's state; calling it handles a request."""
+
+    def __init__(self, options=None, **kwargs):
+        names = {field.name for field in dataclasses.fields(Options)}
+        known = {k: v for k, v in (options or kwargs).items() if k in names}
+        self.options = Options(**known)
+        self.cache = PrefixCache(self.options.cache_tokens)
+        self.running = 0
+        self.started = 0
+        self.finished = 0
+        self.cancelled = 0
+        self.tokens = 0
+        self.orders = []
+        self.fencing = 0
+        self.max_running = 0
+        self.prefilled = 0
+        self.cancelled_ids = set()
+        self.report = self._load()
+        self.report_due = 0.0
+
+    async def __call__(self, request):
+        match request.path:
+            case "/v1/completions":
+                return await self._complete(request)
+            case "/state":
+                return json_response(self._late_report())
+            case "/orders":
+                return await self._order(request.json())
+            case "/cancel":
+                self.cancelled_ids.add(request.json()["request_id"])
+                return json_response({})
+            case "/control/set":
+                for name, value in request.json().items():
+                    setattr(self.options, name, value)
+                return json_response({})
+            case "/control/crash":
+                os._exit(1)
+            case "/control/counts":
+                return json_response(self.counts())
+        return json_response({}, 404)
+
+    def counts(self):
+        """Return what ran so far."""
+        return {
+            "started": self.started,
+            "finished": self.finished,
+            "cancelled": self.cancelled,
+            "running": self.running,
+            "max_running": self.max_running,
+            "tokens": self.tokens,
+            "cache_hits": self.cache.hits,
+            "orders": self.orders,
+            "version": self.options.version,
+        }
+
+    def _load(self):
+        options = self.options
+        return {
+            "model": options.model,
+            "version": options.version,
+            "running": min(self.running, options.slots),
+            "waiting": max(0, self.running - options.slots),
+            "role": options.role,
+        }
+
+    def _late_report(self):
+        now = asyncio.get_running_loop().time()
+        if now >= self.report_due:
+            self.report_due = now + self.options.report_lag_ms / 1000
+            self.report, late = self._load(), self.report
+            late["version"] = self.options.version
+            return late
+        return self.report
+
+    async def _order(self, order):
+        options = self.options
+        self.orders.append(order)
+        if options.fencing:
+            if order["fencing"] < self.fencing:
+                return json_response({"version": options.version}, 409)
+            self.fencing = order["fencing"]
+        await asyncio.sleep(options.swap_ms / 1000)
+        if not options.fail_swap:
+            options.model, options.version = order["model"], order["version"]
+        return json_response({"version": options.version})
+
+    async def _complete(self, request):
+        await self._be_silent(self.options.silent)
+        body = request.json()
+        request_id = request.headers.get("x-request-id", "")
+        return Response(
+            200,
+            self._stream(body, request_id),
+            [("content-type", "text/event-stream")],
+        )
+
+    async def _be_silent(self, silent):
+        if silent:
+            await asyncio.Event().wait()
+
+    def _token_s(self):
+        options = self.options
+        over = max(0, self.running - options.slots)
+        slowdown = 1 + options.batch_slowdown * self.running
+        return options.token_ms * (slowdown + options.overload_slowdown * over) / 1000
+
+    async def _stream(self, body, request_id):
+        self.running += 1
+        self.started += 1
+        self.max_running = max(self.max_running, self.running)
+        ended = False
+        try:
+            prompt, resumed = body["prompt"], body.get("resume_text", "")
+            missing = self.cache.missing((prompt + " " + resumed).split())
+            self.prefilled += missing
+            await asyncio.sleep(missing * self.options.prompt_token_ms / 1000)
+            async for event in self._events(body, prompt, resumed, request_id):
+                yield event
+            if self.options.end_mark:
+                yield b"data: [DONE]\n\n"
+            ended = True
+            self.finished += 1
+        finally:
+            self.cancelled += not ended
+            self.running -= 1
+
+    async def _events(self, body, prompt, resumed, request_id):
+        options = self.options
+        first = len(resumed.split())
+        last = first + body["max_tokens"]
+        reason = "length"
+        if options.mean_tokens:
+            natural = natural_length(prompt, body["seed"], options.mean_tokens)
+            if natural <= last:
+                last, reason = max(natural, first + 1), "stop"
+        for index in range(first, last):
+            if index - first == options.cut_after or request_id in self.cancelled_ids:
+                raise Drop
+            await self._be_silent(index - first == options.silent_after)
+            await asyncio.sleep(self._token_s())
+            self.tokens += 1
+            choice = {"text": token_text(prompt, body["seed"], index)}
+            choice["finish_reason"] = reason if index == last - 1 else None
+            event = {"choices": [choice], "tokens": 1}
+            if options.state_version:
+                event["version"] = options.version
+            yield b"data: " + json.dumps(event).encode() + b"\n\n"
+
+
+def make_server(**options):
+    """Return the engine and a server for it on a free port, for use in a test."""
+    engine = Engine(options)
+    return engine, Server(engine, "127.0.0.1", options.get("port", 0))
+
+
+if __name__ == "__main__":
+    main(Engine)
--- a/test/standins/server.py
+++ b/test/standins/server.py
@@ -87,7 +87,7 @@
         try:
             while await self._serve_one(connection, reader, writer):
                 connection.start_next_cycle()
-        except (Drop, ConnectionError, h11.ProtocolError, asyncio.IncompleteReadError):
+        except (Drop, ConnectionError, h11.ProtocolError, asyncio.CancelledError):
             pass
         finally:
             self._writers.discard(writer)
@@ -109,14 +109,23 @@
         if isinstance(body, bytes):
             writer.write(connection.send(h11.Data(data=body)))
         else:
-            async for chunk in body:
-                writer.write(connection.send(h11.Data(data=chunk)))
-                await writer.drain()
+            await _write_chunks(connection, writer, body)
         writer.write(connection.send(h11.EndOfMessage()))
         await writer.drain()
         return connection.our_state is h11.DONE and connection.their_state is h11.DONE
 
 
+async def _write_chunks(connection, writer, body):
+    try:
+        async for chunk in body:
+            writer.write(connection.send(h11.Data(data=chunk)))
+            await writer.drain()
+    finally:
+        # A generator left suspended would count as running until collected.
+        if hasattr(body, "aclose"):
+            await body.aclose()
+
+
 async def _read_request(connection, reader):
     head, body = None, []
     while True:
--- /dev/null
+++ b/test/test_apps.py
@@ -0,0 +1,140 @@
+"""Application requests are answered whole, and run at most once when they must."""
+
+import json
+import unittest
+
+from goldcrestmoor.clock import Clock, Deadline
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.request.apps import Applications, AppRequest
+from goldcrestmoor.request.placement import Placement, TwoChoices
+from goldcrestmoor.request.retry_budget import RetryBudget
+from test import _common, _request_fakes as fakes
+from test.standins import app as standin
+
+
+def make_request(method="POST", target="/notes", body=b"a note", note_id="n1"):
+    headers = ((b"x-note-id", note_id.encode()),)
+    return AppRequest("app", method, target, headers, body)
+
+
+class AppsTestCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.clock = Clock()
+        self.http = fakes.FakeHttp()
+        self.app, self.server = await self.start_app(name="one")
+        self.lease = fakes.FakeLease(
+            fakes.upstream("app-1", "app", port=self.server.port)
+        )
+        self.applications = self.make_applications()
+
+    def make_applications(self):
+        placement = Placement(zone="zone-a", lease=self.lease, policy=TwoChoices())
+        return Applications(
+            clock=self.clock,
+            http=self.http,
+            placement=placement,
+            budget=RetryBudget(10),
+            **fakes.parts(),
+        )
+
+    async def start_app(self, **options):
+        app, server = standin.make_server(**options)
+        await server.start()
+        self.addAsyncCleanup(server.close)
+        return app, server
+
+    def add_dead_upstream(self):
+        dead = fakes.upstream("app-0", "app", port=_common.free_port())
+        self.lease.replace(dead)
+        return dead
+
+    async def fetch(self, request, timeout_ms=60_000, check=None):
+        deadline = Deadline.after(self.clock, timeout_ms)
+        return await self.applications.fetch(request, deadline, "r1", check)
+
+    async def fetch_error(self, *args, **kwargs):
+        with self.assertRaises(ServiceError) as caught:
+            await self.fetch(*args, **kwargs)
+        return caught.exception
+
+
+class ApplicationsTest(AppsTestCase):
+    async def test_the_answer_is_passed_on_whole(self):
+        answer = await self.fetch(make_request("GET", "/panel/7?a=1"))
+        self.assertEqual(json.loads(answer.body)["panel"], "/panel/7?a=1")
+
+    async def test_a_note_whose_answer_is_lost_is_not_sent_again(self):
+        self.app.mode = standin.CLOSE_AFTER_RUN
+        error = await self.fetch_error(make_request())
+        self.assertEqual(error.kind, ErrorKind.UPSTREAM_FAILED)
+        self.assertEqual(self.app.count_by_id, {"POST n1": 1})
+
+    async def test_an_idempotent_request_moves_on(self):
+        self.app.mode = standin.CLOSE_AFTER_RUN
+        other, server = await self.start_app(name="two")
+        self.lease.replace(fakes.upstream("app-2", "app", port=server.port))
+        for i in range(10):
+            answer = await self.fetch(make_request("GET", f"/panel/{i}"))
+            self.assertEqual(json.loads(answer.body)["app"], "two")
+
+    async def test_a_note_that_no_byte_was_written_of_may_move_on(self):
+        self.add_dead_upstream()
+        for i in range(10):
+            answer = await self.fetch(make_request(note_id=f"n{i}"))
+            self.assertEqual(answer.status, 201)
+        self.assertEqual(set(self.app.count_by_id.values()), {1})
+        self.assertEqual(len(self.app.count_by_id), 10)
+
+    async def test_not_run_is_said_only_when_it_was_not(self):
+        await self.server.close()
+        error = await self.fetch_error(make_request())
+        self.assertEqual(error.answer.ran, "not run")
+        self.assertEqual(self.app.received, 0)
+
+    async def test_a_failure_that_may_have_run_outweighs_a_later_refusal(self):
+        self.app.mode = standin.CLOSE_AFTER_RUN
+        error = await self.fetch_error(make_request("PUT"))
+        # No other upstream is left, but the first may have run it.
+        self.assertEqual(error.kind, ErrorKind.UPSTREAM_FAILED)
+
+    async def test_a_body_that_ends_early_is_an_error(self):
+        self.app.mode = standin.WRONG_LENGTH
+        error = await self.fetch_error(make_request("GET", "/panel/1"))
+        self.assertEqual(error.kind, ErrorKind.UPSTREAM_FAILED)
+
+    async def test_a_passed_deadline_sends_nothing(self):
+        error = await self.fetch_error(make_request(), timeout_ms=0)
+        self.assertEqual(error.answer.ran, "not run")
+        self.assertEqual(self.http.requests, 0)
+
+    async def test_retries_stay_within_their_budget(self):
+        self.app.mode = standin.CLOSE_AFTER_RUN
+        other, server = await self.start_app(name="two", mode=standin.CLOSE_AFTER_RUN)
+        self.lease.replace(fakes.upstream("app-2", "app", port=server.port))
+        for i in range(200):
+            await self.fetch_error(make_request("GET", f"/panel/{i}"))
+        # A tenth of the requests, and what an idle pool may save up.
+        self.assertLessEqual(self.http.requests, 200 + 20 + 10)
+
+
+class PlacementTest(unittest.TestCase):
+    def names(self, lease, **options):
+        placement = Placement(
+            zone="zone-a", lease=lease, policy=TwoChoices(), **options
+        )
+        return [u.name for u in placement.usable("lm")]
+
+    def test_the_own_zone_goes_first(self):
+        lease = fakes.FakeLease(fakes.upstream("a"), fakes.upstream("b", zone="zone-b"))
+        self.assertEqual(self.names(lease), ["a"])
+        lease.replace(fakes.upstream("a", draining=True))
+        self.assertEqual(self.names(lease), ["b"])
+        self.assertEqual(self.names(lease, is_leaving=lambda name: True), [])
+
+    def test_unhealthy_upstreams_are_passed_over(self):
+        class Health:
+            def usable(self, names):
+                return [name for name in names if name != "a"]
+
+        lease = fakes.FakeLease(fakes.upstream("a"), fakes.upstream("b"))
+        self.assertEqual(self.names(lease, health=Health()), ["b"])
--- /dev/null
+++ b/test/test_completions.py
@@ -0,0 +1,198 @@
+"""Completions name their versions and move from engine to engine."""
+
+import asyncio
+import contextlib
+import unittest
+
+from goldcrestmoor.adapters.engine import EngineClient
+from goldcrestmoor.clock import Clock, Deadline
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.request.admission import AdmissionClient
+from goldcrestmoor.request.admission_owner import AdmissionOwner
+from goldcrestmoor.request.completions import Completions
+from goldcrestmoor.request.piece import join
+from goldcrestmoor.request.placement import LeastLoaded, Placement
+from goldcrestmoor.request.retry_budget import RetryBudget
+from test import _request_fakes as fakes
+from test._common import eventually
+from test.standins import engine as standin
+
+HOST = "host-a1"
+PROMPT = "say something"
+
+
+class CompletionsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.clock = Clock()
+        self.account = fakes.account("trainer", "trainer")
+        self.lease = fakes.FakeLease(accounts=[self.account])
+        self.engines_by_name = {}
+        await self.add_engine("lm-1")
+        self.lease.configuration.pools_by_name["lm"] = fakes.Pool("lm", "engine", "lm")
+        parts = fakes.parts()
+        limits = fakes.limits(progress_timeout_ms=300)
+        links = fakes.FakeNetwork().links(HOST)
+        self.owner = AdmissionOwner(
+            clock=self.clock, lease=self.lease, settings=limits, links=links, **parts
+        )
+        admission = AdmissionClient(
+            clock=self.clock,
+            host_id=HOST,
+            links=links,
+            ownership=fakes.FakeOwnership(HOST),
+            owner=self.owner,
+            decisions=parts["decisions"],
+        )
+        self.placement = Placement(
+            zone="zone-a", lease=self.lease, policy=LeastLoaded()
+        )
+        self.engine_client = EngineClient(http=fakes.FakeHttp())
+        self.completions = Completions(
+            clock=self.clock,
+            engines=self.engine_client,
+            admission=admission,
+            placement=self.placement,
+            lease=self.lease,
+            budget=RetryBudget(10),
+            settings=limits,
+            **parts,
+        )
+        self.addAsyncCleanup(self.completions.close)
+
+    async def add_engine(self, name, **options):
+        engine, server = standin.make_server(**options)
+        await server.start()
+        self.addAsyncCleanup(server.close)
+        self.engines_by_name[name] = engine
+        self.lease.replace(fakes.upstream(name, port=server.port))
+        return engine
+
+    def generate(self, max_tokens=20, **options):
+        return self.completions.generate(
+            account=self.account,
+            pool="lm",
+            prompt=PROMPT,
+            max_tokens=max_tokens,
+            seed=7,
+            deadline=Deadline.after(self.clock, 60_000),
+            request_id="r1",
+            **options,
+        )
+
+    async def pieces(self, *args, **options):
+        async with contextlib.aclosing(self.generate(*args, **options)) as stream:
+            return [piece async for piece in stream]
+
+    async def error(self, *args, **options):
+        with self.assertRaises(ServiceError) as caught:
+            await self.pieces(*args, **options)
+        return caught.exception
+
+    def check_whole(self, pieces, tokens=20):
+        text = "".join(piece.text for piece in pieces)
+        self.assertEqual(text, standin.expected_text(PROMPT, 7, tokens))
+        self.assertEqual(sum(piece.tokens for piece in pieces), tokens)
+        self.assertEqual(pieces[-1].finish_reason, "length")
+
+    async def test_a_whole_text_names_its_version(self):
+        pieces = await self.pieces()
+        self.check_whole(pieces)
+        self.assertEqual({piece.version for piece in pieces}, {1})
+        self.assertEqual(self.owner.in_flight("lm-1"), 0)
+
+    async def test_a_failed_stream_goes_on_elsewhere_from_its_tokens(self):
+        self.engines_by_name["lm-1"].options.cut_after = 8
+        other = await self.add_engine("lm-2", version=2)
+        self.lease.replace(
+            fakes.upstream(
+                "lm-2",
+                zone="zone-b",
+                port=self.lease.configuration.upstreams_by_name["lm-2"].port,
+            )
+        )
+        pieces = await self.pieces()
+        self.check_whole(pieces)
+        segments = [(s.version, s.tokens) for s in join(pieces)]
+        self.assertEqual(segments, [(1, 8), (2, 12)])
+        self.assertEqual(other.tokens, 12)
+
+    async def test_a_swap_in_the_middle_of_a_stream_shows_in_the_segments(self):
+        stream = self.generate(40)
+        pieces = []
+        async for piece in stream:
+            pieces.append(piece)
+            if len(pieces) == 5:
+                self.engines_by_name["lm-1"].options.version = 2
+        self.check_whole(pieces, 40)
+        self.assertEqual([s.version for s in join(pieces)], [1, 2])
+
+    async def test_a_silent_engine_is_left_long_before_the_deadline(self):
+        self.engines_by_name["lm-1"].options.silent_after = 3
+        await self.add_engine("lm-2")
+        self.lease.replace(
+            fakes.upstream(
+                "lm-2",
+                zone="zone-b",
+                port=self.lease.configuration.upstreams_by_name["lm-2"].port,
+            )
+        )
+        self.check_whole(await self.pieces())
+
+    async def test_a_stream_without_its_end_mark_is_an_error(self):
+        self.engines_by_name["lm-1"].options.end_mark = False
+        stream = self.engine_client.stream(
+            self.lease.configuration.upstreams_by_name["lm-1"],
+            model="lm",
+            prompt=PROMPT,
+            max_tokens=3,
+            seed=7,
+            request_id="s1",
+            timeout_ms=60_000,
+        )
+        with self.assertRaises(ServiceError) as caught:
+            [piece async for piece in stream]
+        self.assertEqual(caught.exception.kind, ErrorKind.UPSTREAM_FAILED)
+
+    async def test_an_engine_that_states_no_version_gives_nothing(self):
+        self.engines_by_name["lm-1"].options.state_version = False
+        error = await self.error()
+        self.assertEqual(error.kind, ErrorKind.UPSTREAM_FAILED)
+
+    async def test_tokens_that_are_too_old_end_the_stream(self):
+        error = await self.error(min_version=2)
+        self.assertEqual(error.kind, ErrorKind.VERSION_CONFLICT)
+        engine = self.engines_by_name["lm-1"]
+        await eventually(lambda: engine.cancelled_ids)
+
+    async def test_closing_cancels_the_stream_and_frees_the_slot(self):
+        stream = self.generate(10_000)
+        await anext(stream)
+        self.assertEqual(self.owner.in_flight("lm-1"), 1)
+        await stream.aclose()
+        engine = self.engines_by_name["lm-1"]
+        await eventually(lambda: engine.cancelled_ids)
+        await eventually(lambda: engine.running == 0)
+        await eventually(lambda: self.owner.in_flight("lm-1") == 0)
+
+    async def test_no_more_than_the_slots_run_at_a_time(self):
+        await asyncio.gather(*(self.pieces() for _ in range(12)))
+        self.assertLessEqual(self.engines_by_name["lm-1"].max_running, 2)
+
+    async def test_orders_with_an_old_fencing_number_are_refused(self):
+        upstream = self.lease.configuration.upstreams_by_name["lm-1"]
+        order = self.engine_client.order
+        options = {"model": "lm", "timeout_ms": 60_000}
+        self.assertEqual(await order(upstream, version=2, fencing=5, **options), 2)
+        with self.assertRaises(ServiceError) as caught:
+            await order(upstream, version=1, fencing=4, **options)
+        self.assertEqual(caught.exception.kind, ErrorKind.VERSION_CONFLICT)
+        state = await self.engine_client.state(upstream, timeout_ms=60_000)
+        self.assertEqual((state.model, state.version), ("lm", 2))
+
+    async def test_a_failed_swap_is_told_by_the_version_read_back(self):
+        self.engines_by_name["lm-1"].options.fail_swap = True
+        upstream = self.lease.configuration.upstreams_by_name["lm-1"]
+        version = await self.engine_client.order(
+            upstream, model="lm", version=2, fencing=1, timeout_ms=60_000
+        )
+        self.assertEqual(version, 1)
--- /dev/null
+++ b/test/test_fair_queue.py
@@ -0,0 +1,111 @@
+"""Queues keep to the accounts' shares, and refuse early."""
+
+import collections
+import unittest
+
+from goldcrestmoor.clock import Deadline
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.request.fair_queue import Entry, FairQueue
+from test._request_fakes import FakeClock
+
+
+class FairQueueTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = FakeClock()
+        self.queue = self.make_queue()
+
+    def make_queue(self, max_length=1000, floor_percent=0):
+        return FairQueue(
+            clock=self.clock, max_length=max_length, floor_percent=floor_percent
+        )
+
+    def push(self, account, share=1, cost=10, kind="trainer", within_ms=10**6):
+        deadline = Deadline.after(self.clock, within_ms)
+        entry = Entry("", account, kind, share, cost, deadline, self.clock.now_ms())
+        self.queue.push(entry)
+        return entry
+
+    def tokens_of(self, count):
+        tokens = collections.Counter()
+        for _ in range(count):
+            entry = self.queue.pop()
+            tokens[entry.account] += entry.cost_tokens
+        return tokens
+
+    def test_tokens_follow_the_shares(self):
+        for _ in range(200):
+            self.push("big", share=3, cost=10)
+            self.push("small", share=1, cost=10)
+        self.assertEqual(self.tokens_of(100), {"big": 750, "small": 250})
+
+    def test_costly_requests_count_for_more(self):
+        for _ in range(200):
+            self.push("costly", cost=40)
+            self.push("cheap", cost=10)
+        tokens = self.tokens_of(100)
+        self.assertAlmostEqual(tokens["costly"], tokens["cheap"], delta=40)
+
+    def test_an_idle_share_is_lent_out_and_is_back_at_once(self):
+        for _ in range(100):
+            self.push("busy")
+        self.assertEqual(self.tokens_of(50)["busy"], 500)
+        for _ in range(50):
+            self.push("back")
+        # Neither is held to the past: from here on they alternate.
+        self.assertEqual(self.tokens_of(20), {"busy": 100, "back": 100})
+
+    def test_no_account_starves(self):
+        for _ in range(500):
+            self.push("flood", share=50)
+        entry = self.push("one", share=1)
+        taken = [self.queue.pop() for _ in range(60)]
+        self.assertIn(entry, taken)
+
+    def test_applications_together_keep_their_floor(self):
+        self.queue = self.make_queue(floor_percent=20)
+        for _ in range(500):
+            self.push("trainer", share=99)
+            self.push("app", share=1, kind="application")
+        self.assertEqual(self.tokens_of(100)["app"], 200)
+
+    def test_unused_tokens_are_given_back(self):
+        first = self.push("a", cost=1000)
+        self.push("a")
+        self.push("b")
+        self.assertIs(self.queue.pop(), first)
+        self.queue.charge(first, -1000)
+        self.assertEqual({self.queue.pop().account for _ in range(2)}, {"a", "b"})
+
+    def test_a_full_queue_refuses(self):
+        self.queue = self.make_queue(max_length=1)
+        self.push("a")
+        with self.assertRaises(ServiceError) as caught:
+            self.push("a")
+        self.assertEqual(caught.exception.kind, ErrorKind.OVERLOADED)
+        self.assertGreater(caught.exception.retry_after_ms, 0)
+
+    def test_a_deadline_that_cannot_be_met_is_refused_by_the_drain_rate(self):
+        for _ in range(20):
+            self.push("a")
+        for _ in range(10):
+            self.clock.ms += 100
+            self.queue.pop()
+            self.queue.started()
+        self.push("a", within_ms=1200)
+        with self.assertRaises(ServiceError) as caught:
+            self.push("a", within_ms=1000)
+        self.assertEqual(caught.exception.kind, ErrorKind.OVERLOADED)
+        self.assertEqual(caught.exception.retry_after_ms, 1200)
+
+    def test_a_halted_queue_shows_in_the_expected_wait(self):
+        self.test_a_deadline_that_cannot_be_met_is_refused_by_the_drain_rate()
+        self.clock.ms += 5000
+        with self.assertRaises(ServiceError):
+            self.push("a", within_ms=20_000)
+
+    def test_expired_entries_are_taken_out(self):
+        late = self.push("a", within_ms=5)
+        self.push("a")
+        self.clock.ms += 10
+        self.assertEqual(list(self.queue.expire()), [late])
+        self.assertEqual(len(self.queue), 1)
