--- a/goldcrestmoor/request/admission.py
+++ b/goldcrestmoor/request/admission.py
@@ -19,7 +19,6 @@
 
 RENEW_MS = GRANT_MS // 4
 CALL_TIMEOUT_MS = POLL_HOLD_MS + 800
-MAX_OWNERS_ASKED = 2
 MAX_UNOWNED_PER_UPSTREAM = 2
 SELF_ADMITTED = ""
 
@@ -147,16 +146,16 @@
                 self._links.send(owner, message)
 
     def _owners(self, upstream):
+        """Yield the hosts to ask, the second only when the first cannot be."""
         first = self._ownership.owner_of_upstream(upstream)
-        owners = [first] if first else []
-        if self._membership is not None:
-            ids = [record.id for record in self._membership.live(upstream.zone)]
-            owners += [
-                host
-                for host in util.rendezvous_order(upstream.name, ids)
-                if host != first
-            ]
-        return owners[:MAX_OWNERS_ASKED]
+        if first:
+            yield first
+        if self._membership is None:
+            return
+        ids = [record.id for record in self._membership.live(upstream.zone)]
+        others = [host for host in ids if host != first]
+        if others:
+            yield util.rendezvous(upstream.name, others)
 
     async def _ask(self, account, grant, deadline, request_id):
         """Poll an owner until it grants or refuses."""
--- a/test/_request_fakes.py
+++ b/test/_request_fakes.py
@@ -115,6 +115,10 @@
 
         self.tasks.start(deliver())
 
+    async def settle(self):
+        """Wait until every sent message has been handled."""
+        await asyncio.gather(*self.tasks._tasks, return_exceptions=True)
+
 
 class FakeOwnership:
     def __init__(self, owner):
