--- a/goldcrestmoor/process/http_server.py
+++ b/goldcrestmoor/process/http_server.py
@@ -113,6 +113,7 @@
             self._serve,
             http=_protocol_class(self._metrics),
             ws="none",
+            interface="asgi3",
             lifespan="off",
             log_config=None,
             access_log=False,
