--- a/goldcrestmoor/request/app_routes.py
+++ b/goldcrestmoor/request/app_routes.py
@@ -1,7 +1,7 @@
 """The routes of applications, and of the keys that their callers use."""
 
 import msgspec
-from blacksheep import Content, Request, Response
+from blacksheep import Content, Request, Response, StreamedContent
 
 from goldcrestmoor import logs
 from goldcrestmoor.errors import ErrorKind, ServiceError
@@ -26,12 +26,8 @@
     lifetime_ms: int
 
 
-class _HeadContent(Content):
-    """No body, but the length that the body would have."""
-
-    def __init__(self, content_type, length):
-        super().__init__(content_type, b"")
-        self.length = length
+async def _nothing():
+    yield b""
 
 
 def register_routes(
@@ -110,7 +106,9 @@
         else:
             headers.append((name, value))
     if method == "HEAD" and length is not None:
-        return Response(answer.status, headers, _HeadContent(content_type, length))
+        # There is no body, but the length that the body would have.
+        content = StreamedContent(content_type, _nothing, length)
+        return Response(answer.status, headers, content)
     if not answer.body:
         if content_type is not None:
             headers.append((b"content-type", content_type))
--- a/goldcrestmoor/request/apps.py
+++ b/goldcrestmoor/request/apps.py
@@ -129,14 +129,16 @@
         :return: an :class:`AppAnswer`.
         :raises ServiceError: the failure that says most about whether it ran.
         """
-        self._budget.earn(request.pool)
+        self._budget.note_request(request.pool)
         failures = []
         avoid = set()
         while True:
             try:
-                upstream = self._placement.choose(request.pool, avoid=avoid)
+                upstream = self._placement.choose(
+                    request.pool, avoid=avoid, may_probe=request.idempotent
+                )
             except ServiceError as e:
-                raise most_telling([*failures, e]) from None
+                raise most_telling(failures or [e]) from None
             try:
                 return await self._send(upstream, request, deadline, request_id, check)
             except ServiceError as e:
@@ -190,7 +192,7 @@
             return False
         if last.answer.ran != Ran.NOT_RUN and not request.idempotent:
             return False
-        return self._budget.spend(request.pool)
+        return self._budget.try_retry(request.pool)
 
     def _record(self, upstream, ok, started_ms):
         if self._health is not None:
--- a/goldcrestmoor/request/completions.py
+++ b/goldcrestmoor/request/completions.py
@@ -139,7 +139,7 @@
         :raises ServiceError: ``VERSION_CONFLICT`` when an engine's tokens are older
             than ``min_version``; else what admission or the last engine gave.
         """
-        self._budget.earn(pool)
+        self._budget.note_request(pool)
         progress = _Progress(resume_text, max_tokens, avoid)
         while not progress.finished:
             if progress.tokens_left <= 0:
@@ -199,7 +199,7 @@
             raise error
         if len(progress.failures) > MAX_FAILURES or deadline.passed():
             raise most_telling(progress.failures)
-        if not self._budget.spend(pool):
+        if not self._budget.try_retry(pool):
             raise most_telling(progress.failures)
         self._metrics.retries.labels(error.code).inc()
         progress.avoid.add(upstream.name)
@@ -212,6 +212,7 @@
         stream_id = util.new_id()
         model = self._lease.view().configuration.pools_by_name[pool].model
         started_ms = self._clock.now_ms()
+        first_ms = None
         used = 0
         in_flight = False
         self._placement.begin(upstream)
@@ -232,13 +233,15 @@
             in_flight = True
             async with contextlib.aclosing(stream):
                 async for piece in self._unless_silent(stream, deadline):
+                    if first_ms is None:
+                        first_ms = self._clock.now_ms() - started_ms
                     used += piece.tokens
                     yield piece
             in_flight = False
-            self._record(upstream, True, started_ms)
+            self._record(upstream, True, first_ms)
         except ServiceError as e:
             if e.kind in MOVABLE:
-                self._record(upstream, False, started_ms)
+                self._record(upstream, False)
             raise
         finally:
             self._placement.end(upstream)
@@ -268,7 +271,6 @@
         except ServiceError as e:
             log.info("Could not cancel a stream at %s: %s", upstream.name, e)
 
-    def _record(self, upstream, ok, started_ms):
+    def _record(self, upstream, ok, first_ms=None):
         if self._health is not None:
-            latency_ms = self._clock.now_ms() - started_ms
-            self._health.record(upstream.name, ok, latency_ms)
+            self._health.record(upstream.name, ok, first_ms)
--- a/goldcrestmoor/request/placement.py
+++ b/goldcrestmoor/request/placement.py
@@ -56,15 +56,20 @@
         self._turn = itertools.count()
         self.in_flight_by_upstream = collections.Counter()
 
-    def choose(self, pool, prefix_key="", avoid=()):
+    def choose(self, pool, prefix_key="", avoid=(), may_probe=True):
         """Return the upstream that a request goes to.
 
         :param pool: the pool's name.
         :param prefix_key: what requests with a common prefix share, if anything.
         :param avoid: names of upstreams to pass over.
+        :param may_probe: whether the request may be the one that tries an unhealthy
+            upstream again.
         :raises ServiceError: ``NO_UPSTREAM`` when none may take new work.
         """
         usable = self.usable(pool, avoid)
+        probed = self._probed(pool, avoid, usable) if may_probe else None
+        if probed is not None:
+            return probed
         if not usable:
             text = f"No upstream of {pool} takes new work."
             raise ServiceError(ErrorKind.NO_UPSTREAM, text)
@@ -85,8 +90,7 @@
         :param pool: the pool's name.
         :param avoid: names of upstreams to pass over.
         """
-        members = self._lease.view().configuration.upstreams_of(pool)
-        takes = [u for u in members if self._takes_work(u) and u.name not in avoid]
+        takes = self._taking_work(pool, avoid)
         if self._health is not None:
             names = set(self._health.usable([u.name for u in takes]))
             takes = [u for u in takes if u.name in names]
@@ -111,6 +115,22 @@
         if self.in_flight_by_upstream[upstream.name] <= 0:
             del self.in_flight_by_upstream[upstream.name]
 
+    def _taking_work(self, pool, avoid):
+        members = self._lease.view().configuration.upstreams_of(pool)
+        return [u for u in members if self._takes_work(u) and u.name not in avoid]
+
+    def _probed(self, pool, avoid, usable):
+        """Return an unhealthy upstream of the own zone whose time to be tried came."""
+        if self._health is None:
+            return None
+        names = {u.name for u in usable}
+        for upstream in self._taking_work(pool, avoid):
+            if upstream.name in names or upstream.zone != self._zone:
+                continue
+            if self._health.try_probe(upstream.name):
+                return upstream
+        return None
+
     def _takes_work(self, upstream):
         return not upstream.draining and not self._is_leaving(upstream.name)
 
--- a/goldcrestmoor/request/retry_budget.py
+++ b/goldcrestmoor/request/retry_budget.py
@@ -16,7 +16,7 @@
         self._percent = percent
         self._saved_by_pool = {}
 
-    def earn(self, pool):
+    def note_request(self, pool):
         """Count a first attempt.
 
         :param pool: the pool's name, of the configuration.
@@ -24,7 +24,7 @@
         saved = self._saved_by_pool.get(pool, MAX_SAVED)
         self._saved_by_pool[pool] = min(MAX_SAVED, saved + self._percent / PERCENT)
 
-    def spend(self, pool):
+    def try_retry(self, pool):
         """Tell whether one more attempt may be made, and count it.
 
         :param pool: the pool's name.
--- a/test/test_apps.py
+++ b/test/test_apps.py
@@ -6,7 +6,7 @@
 from goldcrestmoor.clock import Clock, Deadline
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.request.apps import Applications, AppRequest
-from goldcrestmoor.request.placement import Placement, TwoChoices
+from goldcrestmoor.request.placement import Placement, PrefixAffinity, TwoChoices
 from goldcrestmoor.request.retry_budget import RetryBudget
 from test import _common, _request_fakes as fakes
 from test.standins import app as standin
@@ -118,6 +118,17 @@
 
 
 class PlacementTest(unittest.TestCase):
+    def test_a_prefix_stays_on_one_upstream_until_that_has_too_much(self):
+        lease = fakes.FakeLease(*(fakes.upstream(f"lm-{i}") for i in range(4)))
+        placement = Placement(zone="zone-a", lease=lease, policy=PrefixAffinity())
+        home = placement.choose("lm", "prefix")
+        self.assertEqual(placement.choose("lm", "prefix"), home)
+        for _ in range(8):
+            chosen = placement.choose("lm", "prefix")
+            placement.begin(chosen)
+        # Eight streams of one prefix are spread with little more than the mean.
+        self.assertLessEqual(max(placement.in_flight_by_upstream.values()), 3)
+
     def names(self, lease, **options):
         placement = Placement(
             zone="zone-a", lease=lease, policy=TwoChoices(), **options
@@ -136,5 +147,19 @@
             def usable(self, names):
                 return [name for name in names if name != "a"]
 
+            def try_probe(self, name):
+                return self.probe_due
+
         lease = fakes.FakeLease(fakes.upstream("a"), fakes.upstream("b"))
-        self.assertEqual(self.names(lease, health=Health()), ["b"])
+        health = Health()
+        self.assertEqual(self.names(lease, health=health), ["b"])
+        placement = Placement(
+            zone="zone-a", lease=lease, policy=TwoChoices(), health=health
+        )
+        for health.probe_due, may_probe, name in (
+            (True, True, "a"),
+            (True, False, "b"),
+            (False, True, "b"),
+        ):
+            chosen = placement.choose("lm", may_probe=may_probe)
+            self.assertEqual(chosen.name, name)
--- a/test/test_completions.py
+++ b/test/test_completions.py
@@ -21,7 +21,7 @@
 PROMPT = "say something"
 
 
-class CompletionsTest(unittest.IsolatedAsyncioTestCase):
+class CompletionsTestCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.clock = Clock()
         self.account = fakes.account("trainer", "trainer")
@@ -94,6 +94,8 @@
         self.assertEqual(sum(piece.tokens for piece in pieces), tokens)
         self.assertEqual(pieces[-1].finish_reason, "length")
 
+
+class CompletionsTest(CompletionsTestCase):
     async def test_a_whole_text_names_its_version(self):
         pieces = await self.pieces()
         self.check_whole(pieces)
