--- a/goldcrestmoor/settings.py
+++ b/goldcrestmoor/settings.py
@@ -196,6 +196,12 @@
         raise UserError(_describe(e, name), EXIT_BAD_SETTINGS) from e
 
 
+def default_limits():
+    """Return the limits that hold where no settings file says otherwise."""
+    limits = _defaults()["limits"]
+    return TypeAdapter(LimitSettings).validate_json(json.dumps(limits))
+
+
 def _defaults():
     text = resources.files("goldcrestmoor").joinpath("defaults.json").read_text()
     return json.loads(text)
--- a/goldcrestmoor/util.py
+++ b/goldcrestmoor/util.py
@@ -35,7 +35,7 @@
     :param nodes: the nodes' names.
     :raises ValueError: when there are no nodes.
     """
-    return max(nodes, key=lambda node: (xxhash.xxh64_intdigest(f"{node}/{key}"), node))
+    return max(nodes, key=lambda node: _weight(key, node))
 
 
 def rendezvous_order(key, nodes):
@@ -46,11 +46,16 @@
     """
     return sorted(
         nodes,
-        key=lambda node: (xxhash.xxh64_intdigest(f"{node}/{key}"), node),
+        key=lambda node: _weight(key, node),
         reverse=True,
     )
 
 
+def _weight(key, node):
+    # The hash takes bytes only.
+    return xxhash.xxh64_intdigest(f"{node}/{key}".encode()), node
+
+
 class TaskGroup:
     """Tasks that end with their owner, and whose failures are logged."""
 
--- /dev/null
+++ b/goldcrestmoor/version/step_routes.py
@@ -0,0 +1,168 @@
+"""The HTTP routes of trainers."""
+
+import msgspec
+from blacksheep import Content, Response
+
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.version.step_messages import PullSamples
+from goldcrestmoor.version.steps import GroupSpec, Sample, Slot, StepSpec, check_name
+
+DEFAULT_DEADLINE_MS = 3_600_000
+
+
+class _Strict(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    pass
+
+
+class GroupBody(_Strict, frozen=True):
+    """One group of a submission."""
+
+    index: int
+    prompt: str
+    samples: int
+    max_tokens: int
+    seed: int = 0
+
+
+class SubmitBody(_Strict, frozen=True):
+    """The body of ``POST /v1/steps``.
+
+    :param model: the pool whose engines make the samples.
+    :param deadline_ms: how long the step is worked on, in milliseconds.
+    """
+
+    step: str
+    model: str
+    base_version: int
+    groups: tuple[GroupBody, ...]
+    deadline_ms: int = DEFAULT_DEADLINE_MS
+
+
+class PullBody(_Strict, frozen=True):
+    """The body of ``POST /v1/steps/{step}/pull``.
+
+    :param version: the trainer's weight version.
+    :param held: slots that the trainer has.
+    :param groups_held: groups that it has whole.
+    :param wait_ms: how long to wait for a first sample, in milliseconds.
+    :param max: the most samples to answer with; 0 for the service's own bound.
+    """
+
+    version: int
+    held: tuple[Slot, ...] = ()
+    groups_held: tuple[int, ...] = ()
+    wait_ms: int = 0
+    max: int = 0
+
+
+class PullAnswer(msgspec.Struct, frozen=True):
+    """The answer to a pull.
+
+    :param complete: whether the trainer has the whole step with these samples.
+    """
+
+    samples: tuple[Sample, ...]
+    complete: bool
+
+
+class StepAnswer(msgspec.Struct, frozen=True):
+    """The answer to a submission or a cancellation."""
+
+    step: str
+
+
+class PublishBody(_Strict, frozen=True):
+    """The body of ``POST /v1/versions``."""
+
+    model: str
+    version: int
+
+
+def register_routes(app, *, authenticator, holder, weights):
+    """Add the trainers' routes to an application.
+
+    :param app: the blacksheep application.
+    :param authenticator: the ``Authenticator``.
+    :param holder: the :class:`~goldcrestmoor.version.step_holder.StepHolder`.
+    :param weights: takes new weight versions, by ``publish``.
+    """
+
+    async def submit(request):
+        account = _trainer(authenticator, request)
+        body = await _body(request, SubmitBody)
+        if body.model not in account.pools:
+            raise ServiceError(ErrorKind.FORBIDDEN, "The pool is not the account's.")
+        groups = tuple(
+            GroupSpec(g.index, g.prompt, g.samples, g.max_tokens, g.seed)
+            for g in body.groups
+        )
+        spec = StepSpec(
+            account.name,
+            body.step,
+            body.model,
+            body.base_version,
+            groups,
+            body.deadline_ms,
+        )
+        await holder.submit(spec)
+        return _json(StepAnswer(spec.step), 202)
+
+    async def pull(request):
+        account = _trainer(authenticator, request)
+        step = _step(request)
+        body = await _body(request, PullBody)
+        message = PullSamples(
+            account.name,
+            step,
+            body.groups_held,
+            body.held,
+            body.version,
+            max(0, body.wait_ms),
+            body.max if body.max > 0 else holder.max_pull_samples,
+        )
+        answer = await holder.pull(message)
+        return _json(PullAnswer(answer.samples, answer.complete))
+
+    async def cancel(request):
+        account = _trainer(authenticator, request)
+        step = _step(request)
+        await holder.cancel(account.name, step)
+        return _json(StepAnswer(step))
+
+    async def publish(request):
+        account = _trainer(authenticator, request)
+        body = await _body(request, PublishBody)
+        if body.version < 1:
+            raise ServiceError(ErrorKind.BAD_REQUEST, "Versions start at 1.")
+        await weights.publish(body.model, body.version, account)
+        return _json(body)
+
+    app.router.add_post("/v1/steps", submit)
+    app.router.add_post("/v1/steps/{step}/pull", pull)
+    app.router.add_post("/v1/steps/{step}/cancel", cancel)
+    app.router.add_post("/v1/versions", publish)
+
+
+def _trainer(authenticator, request):
+    account = authenticator.account(list(request.headers))
+    if account.kind != "trainer":
+        raise ServiceError(ErrorKind.FORBIDDEN, "The account is not a trainer's.")
+    return account
+
+
+def _step(request):
+    step = request.route_values["step"]
+    check_name(step)
+    return step
+
+
+async def _body(request, kind):
+    try:
+        return msgspec.json.decode(await request.read() or b"", type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as e:
+        raise ServiceError(ErrorKind.BAD_REQUEST, f"Bad body: {e}.") from e
+
+
+def _json(value, status=200):
+    content = Content(b"application/json", msgspec.json.encode(value))
+    return Response(status, content=content)
--- /dev/null
+++ b/goldcrestmoor/version/step_run.py
@@ -0,0 +1,329 @@
+"""Making the samples of one step: start, watch, hedge, record."""
+
+import asyncio
+import contextlib
+import logging
+
+from goldcrestmoor import util
+from goldcrestmoor.clock import MS_PER_SECOND
+from goldcrestmoor.errors import ServiceError
+from goldcrestmoor.request.piece import join
+from goldcrestmoor.version import stragglers
+from goldcrestmoor.version.configuration import StreamRule
+from goldcrestmoor.version.steps import make_sample
+
+log = logging.getLogger("goldcrestmoor.steps")
+
+TICK_MS = 200
+RETRY_MIN_MS = 50
+RETRY_MAX_MS = 3000
+MAX_STREAMS = 512
+PERCENT = 100
+
+
+class _Stream:
+    """One stream that is to fill a slot."""
+
+    __slots__ = ("slot", "group", "pieces", "started_ms", "request_id", "task", "hedge")
+
+    def __init__(self, slot, group, started_ms, pieces=(), hedge=False):
+        self.slot = slot
+        self.group = group
+        self.pieces = list(pieces)
+        self.started_ms = started_ms
+        self.request_id = util.new_id()
+        self.task = None
+        self.hedge = hedge
+
+    def tokens(self):
+        """Return the tokens received."""
+        return sum(piece.tokens for piece in self.pieces)
+
+    def older_than(self, version):
+        """Tell whether a token was made by an older version."""
+        return any(piece.version < version for piece in self.pieces)
+
+
+class StepRun:
+    """Fill a step's slots until its deadline.
+
+    :param state: the :class:`~goldcrestmoor.version.step_state.StepState`.
+    :param clock: the clock.
+    :param completions: the ``Completions``.
+    :param store: the :class:`~goldcrestmoor.version.step_store.StepStore`.
+    :param lease: the ``ConfigurationLease``.
+    :param decisions: the ``Decisions``.
+    :param metrics: the ``Metrics``.
+    :param hedge_percent: second copies allowed, of the step's slots.
+    """
+
+    def __init__(
+        self,
+        *,
+        state,
+        clock,
+        completions,
+        store,
+        lease,
+        decisions,
+        metrics,
+        hedge_percent,
+    ):
+        self._state = state
+        self._clock = clock
+        self._completions = completions
+        self._store = store
+        self._lease = lease
+        self._decisions = decisions
+        self._metrics = metrics
+        self._hedges_left = -(-len(state.slots) * hedge_percent // PERCENT)
+        self._lengths = stragglers.Lengths()
+        self._streams_by_slot = {}
+        self._retry_by_slot = {}
+        self._recording = {}
+        self._version = state.trainer_version
+        self._tasks = util.TaskGroup()
+
+    async def run(self):
+        """Work until the step's deadline or until cancelled."""
+        try:
+            while not self._state.deadline.passed():
+                account = self._account()
+                if account is not None:
+                    self._drop_stale(account)
+                    self._start_streams(account)
+                    self._hedge(account)
+                    self._start_records(account)
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(TICK_MS / MS_PER_SECOND):
+                        await self._state.wait_changed()
+        finally:
+            await self._tasks.close()
+
+    def _account(self):
+        accounts = self._lease.view().configuration.accounts_by_name
+        return accounts.get(self._state.spec.account)
+
+    def _drop_stale(self, account):
+        for slot in self._state.drop_stale(account.staleness_bound):
+            self._count("dropped_stale")
+            log.info("Slot %s of step %s went stale.", slot, self._state.spec.step)
+        version = self._state.trainer_version
+        oldest = self._floor(account)
+        if version != self._version:
+            self._version = version
+            match account.delivery.on_version_change:
+                case StreamRule.CANCEL:
+                    oldest = version
+                case StreamRule.FINISH | StreamRule.RESUME:
+                    # The engine finishes or resumes a stream across its swap; here
+                    # only those that cannot come in under the bound are stopped.
+                    pass
+        for streams in list(self._streams_by_slot.values()):
+            for stream in streams:
+                if stream.older_than(oldest):
+                    self._stop(stream, "Too old for the trainer's version.")
+
+    def _floor(self, account):
+        return max(0, self._state.trainer_version - account.staleness_bound)
+
+    def _limit(self):
+        configuration = self._lease.view().configuration
+        upstreams = configuration.upstreams_of(self._state.spec.pool)
+        return min(MAX_STREAMS, sum(u.slots for u in upstreams))
+
+    def _running(self):
+        return sum(len(streams) for streams in self._streams_by_slot.values())
+
+    def _start_streams(self, account):
+        wanted = self._state.to_make()
+        for slot in [s for s in self._streams_by_slot if s not in wanted]:
+            for stream in self._streams_by_slot[slot]:
+                self._stop(stream, "The slot needs no sample.")
+        now_ms = self._clock.now_ms()
+        idle = self._limit() - self._running()
+        startable = [
+            slot
+            for slot in wanted
+            if slot not in self._streams_by_slot and self._may_retry(slot, now_ms)
+        ]
+        bounds = {i: g.max_tokens for i, g in self._state.group_by_index.items()}
+        for slot in stragglers.start_order(startable, self._lengths, bounds)[:idle]:
+            group = self._state.group_by_index[slot.group]
+            self._start(_Stream(slot, group, now_ms), account)
+
+    def _may_retry(self, slot, now_ms):
+        retry = self._retry_by_slot.get(slot)
+        return retry is None or retry[0] <= now_ms
+
+    def _start(self, stream, account, avoid=()):
+        self._streams_by_slot.setdefault(stream.slot, []).append(stream)
+        text = f"Sample {stream.slot.group}/{stream.slot.index} of a step."
+        self._decisions.note("steps", stream.request_id, text)
+        stream.task = self._tasks.start(self._make(stream, account, avoid))
+
+    def _stop(self, stream, reason):
+        self._decisions.note("steps", stream.request_id, f"Cancelled. {reason}")
+        self._remove(stream)
+        stream.task.cancel()
+
+    def _remove(self, stream):
+        streams = self._streams_by_slot.get(stream.slot, [])
+        if stream in streams:
+            streams.remove(stream)
+        if not streams:
+            self._streams_by_slot.pop(stream.slot, None)
+
+    async def _make(self, stream, account, avoid):
+        try:
+            await self._receive(stream, account, avoid)
+        except ServiceError as e:
+            self._metrics.retries.labels(e.kind.value).inc()
+            self._retry_later(stream, e.retry_after_ms)
+            return
+        finally:
+            self._remove(stream)
+        sample = self._sample(stream, account)
+        if sample is None:
+            self._retry_later(stream)
+        else:
+            await self._finish(stream, sample, account)
+
+    async def _receive(self, stream, account, avoid):
+        spec = self._state.spec
+        pieces = self._completions.generate(
+            account=account,
+            pool=spec.pool,
+            prompt=stream.group.prompt,
+            max_tokens=stream.group.max_tokens,
+            seed=stream.group.seed + stream.slot.index,
+            deadline=self._state.deadline,
+            request_id=stream.request_id,
+            resume_text="".join(piece.text for piece in stream.pieces),
+            min_version=self._floor(account),
+            avoid=avoid,
+            prefix_key=f"{spec.account}/{spec.step}/{stream.group.index}",
+        )
+        async with contextlib.aclosing(pieces):
+            async for piece in pieces:
+                stream.pieces.append(piece)
+                if piece.version < self._floor(account):
+                    return
+
+    def _sample(self, stream, account):
+        pieces = stream.pieces
+        if not pieces or not pieces[-1].finish_reason:
+            self._count("dropped_cut")
+            return None
+        if any(not piece.version for piece in pieces):
+            self._count("dropped_no_version")
+            log.warning("An engine stated no version; its sample is dropped.")
+            return None
+        if stream.older_than(self._floor(account)):
+            self._count("dropped_stale")
+            return None
+        # A piece without tokens ends a stream and made none of its text.
+        made = [piece for piece in pieces if piece.tokens or piece.text] or pieces
+        return make_sample(stream.slot, join(made), pieces[-1].finish_reason)
+
+    def _retry_later(self, stream, after_ms=0):
+        # The backoff's jitter keeps the slots of a step from coming back all at once
+        # after an engine's crash.
+        _, backoff = self._retry_by_slot.get(stream.slot) or (
+            0,
+            util.Backoff(RETRY_MIN_MS, RETRY_MAX_MS),
+        )
+        at_ms = self._clock.now_ms() + max(after_ms, backoff.next_ms())
+        self._retry_by_slot[stream.slot] = (at_ms, backoff)
+
+    async def _finish(self, stream, sample, account):
+        if not self._state.put(sample):
+            self._count("dropped_second")
+            return
+        self._retry_by_slot.pop(stream.slot, None)
+        elapsed_ms = self._clock.now_ms() - stream.started_ms
+        self._lengths.add(stream.group.index, stream.tokens(), elapsed_ms)
+        for loser in list(self._streams_by_slot.get(stream.slot, ())):
+            self._stop(loser, "Another copy finished first.")
+        # When the group is whole, its record decides instead.
+        if not self._state.unrecorded(stream.group.index):
+            await self._replicate(sample, account)
+
+    async def _replicate(self, sample, account):
+        # With no other host alive the sample is handed out all the same: a slot
+        # that the trainer has is never answered again, recorded or not.
+        state = self._state
+        winner = await self._store.save_sample(
+            state.spec, sample, self._floor(account), state.zone
+        )
+        state.settle(sample, winner)
+
+    def _hedge(self, account):
+        if not account.delivery.hedge or self._hedges_left <= 0:
+            return
+        if self._state.to_make() - self._streams_by_slot.keys():
+            return
+        single = [s[0] for s in self._streams_by_slot.values() if len(s) == 1]
+        for stream in single:
+            idle = self._limit() - self._running()
+            progress = self._progress(stream)
+            decision = stragglers.decide(
+                progress, stream.group.index, self._lengths, idle, self._hedges_left
+            )
+            match decision:
+                case stragglers.Wait():
+                    continue
+                case stragglers.Copy(gain_ms):
+                    self._start_hedge(stream, (), gain_ms, account)
+                case stragglers.Continue(gain_ms):
+                    self._start_hedge(stream, stream.pieces, gain_ms, account)
+
+    def _progress(self, stream):
+        elapsed_ms = self._clock.now_ms() - stream.started_ms
+        return stragglers.Progress(stream.tokens(), elapsed_ms, stream.group.max_tokens)
+
+    def _start_hedge(self, stream, pieces, gain_ms, account):
+        self._hedges_left -= 1
+        self._count("hedged")
+        text = f"A second copy starts, to save about {gain_ms} ms."
+        self._decisions.note("steps", stream.request_id, text)
+        now_ms = self._clock.now_ms()
+        hedge = _Stream(stream.slot, stream.group, now_ms, pieces, hedge=True)
+        avoid = tuple({piece.upstream for piece in stream.pieces[-1:]})
+        self._start(hedge, account, avoid)
+
+    def _start_records(self, account):
+        now_ms = self._clock.now_ms()
+        for group in self._state.group_by_index:
+            if self._recording.get(group, 0) > now_ms:
+                continue
+            samples = self._state.unrecorded(group)
+            if samples:
+                # The entry keeps a second writer away; it is replaced by the time
+                # of the next attempt when the write fails.
+                self._recording[group] = self._state.deadline.at_ms
+                self._tasks.start(self._record(group, samples, account))
+
+    async def _record(self, group, samples, account):
+        state = self._state
+        number = state.next_round(group)
+        try:
+            record = await self._store.records.save_group(
+                state.spec, group, number, samples
+            )
+        except ServiceError as e:
+            log.info("Group %s of step %s waits: %s", group, state.spec.step, e)
+            for sample in samples:
+                if not state.is_ready(sample.slot):
+                    await self._replicate(sample, account)
+            self._recording[group] = self._clock.now_ms() + max(
+                RETRY_MAX_MS, e.retry_after_ms
+            )
+            return
+        if not record.own:
+            log.info("Group %s of step %s was recorded before.", group, state.spec.step)
+        del self._recording[group]
+        state.adopt(record)
+
+    def _count(self, outcome):
+        self._metrics.samples.labels(self._state.spec.account, outcome).inc()
--- /dev/null
+++ b/goldcrestmoor/version/step_state.py
@@ -0,0 +1,166 @@
+"""One step at its holder: which slots have samples, and who may get them."""
+
+import asyncio
+
+from goldcrestmoor.version.steps import Held, oldest_version
+
+
+class StepState:
+    """The samples of a step and the trainer's last word about it.
+
+    :param spec: the step's specification.
+    :param zone: the account's availability zone.
+    :param deadline: until when the step is worked on.
+    """
+
+    __slots__ = (
+        "spec",
+        "zone",
+        "deadline",
+        "group_by_index",
+        "slots",
+        "_slots_by_group",
+        "sample_by_slot",
+        "trainer_version",
+        "held",
+        "_ready",
+        "_recorded",
+        "_rounds_by_group",
+        "_changed",
+    )
+
+    def __init__(self, spec, zone, deadline):
+        self.spec = spec
+        self.zone = zone
+        self.deadline = deadline
+        self.group_by_index = {group.index: group for group in spec.groups}
+        self.slots = frozenset(spec.slots())
+        self._slots_by_group = {group.index: [] for group in spec.groups}
+        for slot in spec.slots():
+            self._slots_by_group[slot.group].append(slot)
+        self.sample_by_slot = {}
+        self.trainer_version = spec.base_version
+        self.held = Held()
+        self._ready = set()
+        self._recorded = set()
+        self._rounds_by_group = {}
+        self._changed = asyncio.Event()
+
+    def put(self, sample):
+        """Take in a sample unless its slot has one.
+
+        :return: whether it was taken.
+        """
+        if sample.slot not in self.slots or sample.slot in self.sample_by_slot:
+            return False
+        self.sample_by_slot[sample.slot] = sample
+        self._wake()
+        return True
+
+    def settle(self, sample, winner):
+        """Let the winner of a slot be delivered, in place of a sample made here.
+
+        :param sample: the sample made here.
+        :param winner: the one that was kept first; often the same.
+        """
+        if self.sample_by_slot.get(sample.slot) is sample:
+            self.sample_by_slot[sample.slot] = winner
+            self._ready.add(sample.slot)
+            self._wake()
+
+    def is_ready(self, slot):
+        """Tell whether a slot's sample may be delivered."""
+        return slot in self._ready
+
+    def adopt(self, record):
+        """Take in a recorded round of a group, which goes before other samples.
+
+        :param record: a :class:`~goldcrestmoor.version.step_records.GroupRecord`.
+        """
+        for sample in record.samples:
+            if sample.slot not in self.slots:
+                continue
+            self.sample_by_slot[sample.slot] = sample
+            self._ready.add(sample.slot)
+            self._recorded.add(sample.slot)
+        self._rounds_by_group[record.group] = record.round + 1
+        self._wake()
+
+    def next_round(self, group):
+        """Return the number of a group's next round.
+
+        :param group: the group's index.
+        """
+        return self._rounds_by_group.get(group, 0)
+
+    def unrecorded(self, group):
+        """Return a group's samples to record, once no slot of it lacks one.
+
+        :param group: the group's index.
+        """
+        slots = self._slots_by_group[group]
+        if any(s not in self.sample_by_slot and s not in self.held for s in slots):
+            return []
+        wanted = (s for s in slots if s not in self._recorded)
+        return [self.sample_by_slot[s] for s in wanted if s in self.sample_by_slot]
+
+    def to_make(self):
+        """Return the slots that the trainer lacks and that have no sample."""
+        filled = self.sample_by_slot
+        return {s for s in self.slots if s not in filled and s not in self.held}
+
+    def note_pull(self, held, version):
+        """Take in what a trainer says of itself.
+
+        :param held: the :class:`Held` slots.
+        :param version: its weight version; an older one than before is a pull that
+            came late and changes nothing.
+        """
+        self.held = held
+        self.trainer_version = max(self.trainer_version, version)
+        self._wake()
+
+    def drop_stale(self, bound):
+        """Drop samples that the trainer lacks and may no longer get.
+
+        :param bound: the most versions that a sample may lag behind.
+        :return: the slots that were dropped.
+        """
+        floor = self.trainer_version - bound
+        stale = [
+            slot
+            for slot, sample in self.sample_by_slot.items()
+            if slot not in self.held and oldest_version(sample) < floor
+        ]
+        for slot in stale:
+            del self.sample_by_slot[slot]
+            self._ready.discard(slot)
+            self._recorded.discard(slot)
+        return stale
+
+    def answer(self, held, bound, max_samples):
+        """Return deliverable samples that a trainer lacks.
+
+        :param held: the slots that it has.
+        :param bound: the most versions that a sample may lag behind.
+        :param max_samples: the most samples to return.
+        :return: the samples, and whether the trainer is whole with them.
+        """
+        floor = self.trainer_version - bound
+        lacking = sorted(slot for slot in self.slots if slot not in held)
+        fresh = [
+            self.sample_by_slot[slot]
+            for slot in lacking
+            if slot in self._ready
+            and oldest_version(self.sample_by_slot[slot]) >= floor
+        ]
+        samples = tuple(fresh[:max_samples])
+        return samples, len(samples) == len(lacking)
+
+    async def wait_changed(self):
+        """Wait until a sample or a pull comes in."""
+        await self._changed.wait()
+
+    def _wake(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
--- /dev/null
+++ b/goldcrestmoor/version/steps.py
@@ -0,0 +1,159 @@
+"""What a step is made of: its groups, slots and samples."""
+
+import hashlib
+import re
+
+import msgspec
+
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.request.piece import Segment
+
+MAX_GROUPS = 4096
+MAX_SLOTS = 16384
+MAX_TOKENS = 1_048_576
+MAX_DEADLINE_MS = 86_400_000
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+
+
+class Slot(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """One place for a sample.
+
+    :param group: the group's index.
+    :param index: the sample's index in the group.
+    """
+
+    group: int
+    index: int
+
+
+class GroupSpec(msgspec.Struct, frozen=True):
+    """Samples of one prompt.
+
+    :param index: the group's index, unique in the step.
+    :param prompt: the prompt that all of its samples share.
+    :param samples: how many samples are wanted.
+    :param max_tokens: the bound on each sample's length, in tokens.
+    :param seed: the seed of the first sample; the others count up from it.
+    """
+
+    index: int
+    prompt: str
+    samples: int
+    max_tokens: int
+    seed: int = 0
+
+
+class StepSpec(msgspec.Struct, frozen=True):
+    """One step as its trainer submitted it.
+
+    :param account: the trainer's account.
+    :param step: the step's name, unique for the account.
+    :param pool: the pool whose engines make the samples.
+    :param base_version: the trainer's weight version when it submitted.
+    :param groups: the groups of samples.
+    :param deadline_ms: how long a holder works on the step, in milliseconds.
+    """
+
+    account: str
+    step: str
+    pool: str
+    base_version: int
+    groups: tuple[GroupSpec, ...]
+    deadline_ms: int
+
+    def slots(self):
+        """Yield every slot of the step in order."""
+        for group in self.groups:
+            for index in range(group.samples):
+                yield Slot(group.index, index)
+
+
+class Sample(msgspec.Struct, frozen=True):
+    """What was made for one slot.
+
+    :param slot: the slot that it fills.
+    :param segments: its text by weight version, in order.
+    :param finish_reason: ``stop`` or ``length``.
+    :param digest: tells two samples of one slot apart.
+    """
+
+    slot: Slot
+    segments: tuple[Segment, ...]
+    finish_reason: str
+    digest: str
+
+
+class Held(msgspec.Struct, frozen=True):
+    """The slots that a trainer says it has.
+
+    :param groups: groups of which it has every slot.
+    :param slots: further single slots.
+    """
+
+    groups: frozenset[int] = frozenset()
+    slots: frozenset[Slot] = frozenset()
+
+    def __contains__(self, slot):
+        return slot.group in self.groups or slot in self.slots
+
+
+def make_sample(slot, segments, finish_reason):
+    """Return a sample with its digest.
+
+    :param slot: the slot that it fills.
+    :param segments: its segments, in order.
+    :param finish_reason: why it ended.
+    """
+    segments = tuple(segments)
+    data = msgspec.json.encode((slot, segments, finish_reason))
+    digest = hashlib.sha256(data).hexdigest()[:32]
+    return Sample(slot, segments, finish_reason, digest)
+
+
+def oldest_version(sample):
+    """Return the oldest weight version that made any of a sample's tokens.
+
+    :param sample: a :class:`Sample`.
+    """
+    return min(segment.version for segment in sample.segments)
+
+
+def digest_of(spec):
+    """Return what tells a step's specification from any other.
+
+    :param spec: a :class:`StepSpec`.
+    """
+    return hashlib.sha256(msgspec.json.encode(spec)).hexdigest()
+
+
+def check_name(step):
+    """Refuse a step's name that could reach another step's records.
+
+    :param step: the name.
+    :raises ServiceError: ``BAD_REQUEST``.
+    """
+    if not _NAME.fullmatch(step):
+        raise ServiceError(ErrorKind.BAD_REQUEST, "The step's name is not valid.")
+
+
+def check(spec):
+    """Refuse a specification that no holder could work on.
+
+    :param spec: a :class:`StepSpec`.
+    :raises ServiceError: ``BAD_REQUEST``.
+    """
+    check_name(spec.step)
+    indexes = {group.index for group in spec.groups}
+    if not spec.groups or len(indexes) != len(spec.groups):
+        raise ServiceError(ErrorKind.BAD_REQUEST, "Groups need unique indexes.")
+    if len(spec.groups) > MAX_GROUPS:
+        raise ServiceError(ErrorKind.BAD_REQUEST, "The step has too many groups.")
+    for group in spec.groups:
+        if group.index < 0 or group.samples < 1:
+            raise ServiceError(ErrorKind.BAD_REQUEST, "A group is out of range.")
+        if not 1 <= group.max_tokens <= MAX_TOKENS:
+            raise ServiceError(ErrorKind.BAD_REQUEST, "max_tokens is out of range.")
+    if sum(group.samples for group in spec.groups) > MAX_SLOTS:
+        raise ServiceError(ErrorKind.BAD_REQUEST, "The step has too many samples.")
+    if not 1 <= spec.deadline_ms <= MAX_DEADLINE_MS or spec.base_version < 0:
+        raise ServiceError(ErrorKind.BAD_REQUEST, "The step is out of range.")
--- /dev/null
+++ b/goldcrestmoor/version/stragglers.py
@@ -0,0 +1,152 @@
+"""Which slots to start first, and when a second copy of a slot pays."""
+
+import statistics
+
+import msgspec
+
+DEFAULT_FILL = 0.5
+HEDGE_START_MS = 300
+MIN_GAIN_MS = 1
+
+
+class Wait(msgspec.Struct, frozen=True):
+    """Leave the stream alone.
+
+    :param reason: why, as a short sentence.
+    """
+
+    reason: str
+
+
+class Copy(msgspec.Struct, frozen=True):
+    """Start the slot over on another engine, beside the first stream.
+
+    :param gain_ms: the time that this is expected to save, in milliseconds.
+    """
+
+    gain_ms: int
+
+
+class Continue(msgspec.Struct, frozen=True):
+    """Go on from the tokens received on another engine, beside the first stream.
+
+    :param gain_ms: the time that this is expected to save, in milliseconds.
+    """
+
+    gain_ms: int
+
+
+class Progress(msgspec.Struct, frozen=True):
+    """How far a stream is.
+
+    :param tokens: the tokens received.
+    :param elapsed_ms: the time since it was started, in milliseconds.
+    :param max_tokens: the most tokens that it may have.
+    """
+
+    tokens: int
+    elapsed_ms: int
+    max_tokens: int
+
+
+class Lengths:
+    """Lengths and rates seen in one step, and what they let one expect."""
+
+    __slots__ = ("_lengths_by_group", "_rates")
+
+    def __init__(self):
+        self._lengths_by_group = {}
+        self._rates = []
+
+    def add(self, group, tokens, elapsed_ms):
+        """Take in a finished stream.
+
+        :param group: the group's index.
+        :param tokens: its length, in tokens.
+        :param elapsed_ms: how long it took, in milliseconds.
+        """
+        self._lengths_by_group.setdefault(group, []).append(tokens)
+        self._rates.append(tokens / max(1, elapsed_ms))
+
+    def expected(self, group, max_tokens):
+        """Return the expected length of a sample in tokens.
+
+        The group's own prompt says most; then the other groups; then the bound.
+
+        :param group: the group's index.
+        :param max_tokens: the bound on its length, in tokens.
+        """
+        own = self._lengths_by_group.get(group)
+        if own:
+            return min(max_tokens, statistics.fmean(own))
+        if self._lengths_by_group:
+            means = [statistics.fmean(v) for v in self._lengths_by_group.values()]
+            return min(max_tokens, statistics.fmean(means))
+        return max_tokens * DEFAULT_FILL
+
+    def remaining(self, group, tokens, max_tokens):
+        """Return the tokens that a stream is expected to lack.
+
+        Only the lengths beyond the stream's own say something about it; a stream
+        that has passed all of them may go on to its bound.
+
+        :param group: the group's index.
+        :param tokens: the tokens received.
+        :param max_tokens: the bound on its length, in tokens.
+        """
+        longer = [n for n in self._lengths_by_group.get(group, ()) if n > tokens]
+        if longer:
+            return statistics.fmean(longer) - tokens
+        expected = self.expected(group, max_tokens)
+        if expected > tokens:
+            return expected - tokens
+        return (max_tokens - tokens) * DEFAULT_FILL
+
+    def usual_rate(self):
+        """Return the median rate in tokens a millisecond, or None."""
+        return statistics.median(self._rates) if self._rates else None
+
+
+def start_order(slots, lengths, max_tokens_by_group):
+    """Return slots longest first, by their expected length.
+
+    :param slots: the slots to start.
+    :param lengths: the step's :class:`Lengths`.
+    :param max_tokens_by_group: the bounds, in tokens.
+    """
+    expected_by_group = {
+        group: lengths.expected(group, max_tokens)
+        for group, max_tokens in max_tokens_by_group.items()
+    }
+    return sorted(slots, key=lambda slot: (-expected_by_group[slot.group], slot))
+
+
+def decide(progress, group, lengths, idle_slots, hedges_left):
+    """Decide whether a stream gets a second copy.
+
+    :param progress: the stream's :class:`Progress`.
+    :param group: its group's index.
+    :param lengths: the step's :class:`Lengths`.
+    :param idle_slots: engine slots that no stream of the step needs.
+    :param hedges_left: the copies that the budget still allows.
+    :return: :class:`Wait`, :class:`Copy` or :class:`Continue`.
+    """
+    if idle_slots <= 0:
+        return Wait("No engine slot is idle.")
+    if hedges_left <= 0:
+        return Wait("The budget of second copies is used up.")
+    usual = lengths.usual_rate()
+    if usual is None:
+        return Wait("No stream has finished yet.")
+    lacking = lengths.remaining(group, progress.tokens, progress.max_tokens)
+    anew_ms = HEDGE_START_MS + lacking / usual
+    own_rate = progress.tokens / max(1, progress.elapsed_ms)
+    if progress.tokens == 0:
+        # Nothing is known but that the first token takes longer than it should:
+        # a stream is expected to stay silent as long as it has been already.
+        gain_ms = int(progress.elapsed_ms - HEDGE_START_MS)
+        return Copy(gain_ms) if gain_ms >= MIN_GAIN_MS else Wait("It may start soon.")
+    gain_ms = int(lacking / own_rate - anew_ms)
+    if gain_ms < MIN_GAIN_MS:
+        return Wait("A second copy would not be sooner.")
+    return Continue(gain_ms)
--- /dev/null
+++ b/test/_step_fakes.py
@@ -0,0 +1,252 @@
+"""Fakes of the steps' neighbours: the platform, peers, engines and a fleet."""
+
+import asyncio
+import collections
+import importlib.util
+import sys
+import types
+
+import msgspec
+
+from goldcrestmoor import util
+from goldcrestmoor.clock import Clock
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.process.decisions import Decisions
+from goldcrestmoor.process.metrics import Metrics
+from goldcrestmoor.request.piece import Piece
+from goldcrestmoor.version import configuration as config
+from test import _common
+
+if importlib.util.find_spec("goldcrestmoor.adapters.table") is None:
+    _table = types.ModuleType("goldcrestmoor.adapters.table")
+    _fields_by_name = {
+        "Check": ("table", "key", "version"),
+        "Write": ("table", "key", "value"),
+        "Committed": ("version_by_key",),
+        "CheckFailed": ("row",),
+        "Row": ("key", "version", "value"),
+    }
+    for _name, _fields in _fields_by_name.items():
+        setattr(_table, _name, collections.namedtuple(_name, _fields))
+    sys.modules["goldcrestmoor.adapters.table"] = _table
+
+from goldcrestmoor.adapters.table import CheckFailed, Committed, Row  # noqa: E402
+
+from goldcrestmoor.version.step_holder import StepHolder  # noqa: E402
+from goldcrestmoor.version.step_messages import PullSamples  # noqa: E402
+from goldcrestmoor.version.step_store import StepStore  # noqa: E402
+from goldcrestmoor.version.steps import GroupSpec, StepSpec  # noqa: E402
+
+ACCOUNT = "tuner"
+ZONE = "zone-a"
+
+
+class FakePlatform:
+    """A table service and an object store that can be out or lose answers."""
+
+    def __init__(self):
+        self.row_by_key = {}
+        self.object_by_key = {}
+        self.out = False
+        self.answers_to_lose = 0
+        self.writes = 0
+
+    def _check_up(self):
+        if self.out:
+            raise ServiceError(ErrorKind.PLATFORM_UNAVAILABLE)
+
+    async def put(self, key, data):
+        self._check_up()
+        self.object_by_key[key] = data
+
+    async def get(self, *key):
+        self._check_up()
+        if len(key) == 1:
+            return self.object_by_key.get(key[0])
+        return self.row_by_key.get(key)
+
+    async def scan(self, table, prefix):
+        self._check_up()
+        found = self.row_by_key.items()
+        return [r for (t, k), r in found if t == table and k.startswith(prefix)]
+
+    async def transact(self, checks, writes):
+        self._check_up()
+        for check in checks:
+            row = self.row_by_key.get((check.table, check.key))
+            if (row.version if row else 0) != check.version:
+                return CheckFailed(row)
+        for write in writes:
+            self.writes += 1
+            key = (write.table, write.key)
+            if write.value is None:
+                self.row_by_key.pop(key, None)
+            else:
+                self.row_by_key[key] = Row(write.key, 1, write.value)
+        if self.answers_to_lose:
+            self.answers_to_lose -= 1
+            raise ServiceError(ErrorKind.OUTCOME_UNKNOWN)
+        return Committed({})
+
+
+class FakeEngines:
+    """Make streams by a script, else short ones at the current version."""
+
+    def __init__(self):
+        self.version = 1
+        self.calls = []
+        self.script_by_seed = {}
+        self.closed = 0
+
+    async def generate(self, **call):
+        self.calls.append(call)
+        seed = call["seed"]
+        scripts = self.script_by_seed.get(seed, [])
+        number = sum(1 for c in self.calls if c["seed"] == seed) - 1
+        try:
+            if number < len(scripts):
+                async for piece in scripts[number](call):
+                    yield piece
+                return
+            await asyncio.sleep(0)
+            text = f"{seed}-{len(self.calls)}"
+            yield Piece(text, 3, self.version, "engine-1", "stop")
+        finally:
+            self.closed += 1
+
+
+class FakeLinks:
+    """Peers in one process; a pair of hosts may be cut."""
+
+    def __init__(self, host_id, network):
+        self.host_id = host_id
+        self._network = network
+        self.handler_by_class = {}
+        network.links_by_id[host_id] = self
+
+    def register(self, kind, handler):
+        self.handler_by_class[kind] = handler
+
+    async def call(self, host_id, message, timeout_ms):
+        peer = self._network.links_by_id.get(host_id)
+        if peer is None or {host_id, self.host_id} & self._network.down:
+            raise ServiceError(ErrorKind.PEER_UNREACHABLE)
+        kind = type(message)
+        data = msgspec.msgpack.encode(message)
+        copy = msgspec.msgpack.decode(data, type=kind)
+        return await peer.handler_by_class[kind](self.host_id, copy)
+
+
+Host = collections.namedtuple("Host", ("id", "zone"))
+
+
+class FakeFleet:
+    """Several hosts with their holders, over one platform."""
+
+    def __init__(self, *host_ids, bound=1, slots=16, **delivery):
+        self.platform = FakePlatform()
+        self.engines = FakeEngines()
+        self.clock = Clock()
+        self.links_by_id = {}
+        self.down = set()
+        self.holder_of = {}
+        self.set_account(bound, **delivery)
+        self.slots = slots
+        self.host_by_id = {i: _FakeHost(i, self) for i in host_ids}
+
+    def set_account(self, bound, **delivery):
+        rules = config.DeliveryRules(**delivery)
+        self.account = config.Account(
+            ACCOUNT,
+            "trainer",
+            util.hash_token("secret"),
+            ("lm",),
+            staleness_bound=bound,
+            zone=ZONE,
+            delivery=rules,
+        )
+
+    def view(self):
+        upstream = config.Upstream(
+            "engine-1", "lm", ZONE, "127.0.0.1", 1, slots=self.slots
+        )
+        document = config.Configuration(
+            1,
+            {ACCOUNT: self.account},
+            {"lm": config.Pool("lm", config.UpstreamKind.ENGINE, "m")},
+            {"engine-1": upstream},
+        )
+        return config.View(document, False)
+
+    def live(self, zone=None):
+        return [Host(i, ZONE) for i in self.host_by_id if i not in self.down]
+
+    async def close(self):
+        for host in self.host_by_id.values():
+            await host.close()
+
+
+class _FakeHost:
+    def __init__(self, host_id, fleet):
+        self.host_id = host_id
+        self._fleet = fleet
+        self.links = FakeLinks(host_id, fleet)
+        self.metrics = Metrics()
+        self.store = StepStore(
+            clock=fleet.clock,
+            table=fleet.platform,
+            objects=fleet.platform,
+            links=self.links,
+            membership=fleet,
+            host_id=host_id,
+        )
+        self.holder = StepHolder(
+            clock=fleet.clock,
+            completions=fleet.engines,
+            store=self.store,
+            links=self.links,
+            ownership=self,
+            lease=fleet,
+            decisions=Decisions(fleet.clock),
+            metrics=self.metrics,
+            settings=_common.make_settings(host_id, ZONE),
+        )
+        self._writer = asyncio.get_running_loop().create_task(self.store.run())
+
+    def holder_of_step(self, account, zone, step):
+        # Hosts that see different members disagree about the holder.
+        chosen = self._fleet.holder_of.get(self.host_id)
+        if chosen:
+            return chosen
+        live = [host.id for host in self._fleet.live()]
+        return util.rendezvous(f"{account}/{step}", live)
+
+    async def pull(self, step, held=(), version=1, wait_ms=10000, most=128, groups=()):
+        message = PullSamples(
+            ACCOUNT, step, tuple(groups), tuple(held), version, wait_ms, most
+        )
+        return await self.holder.pull(message)
+
+    async def collect(self, step, version=1, held=()):
+        """Pull until whole and return the samples by slot, and all answers."""
+        sample_by_slot = dict.fromkeys(held)
+        answered = []
+        async with asyncio.timeout(_common.EVENT_TIMEOUT_S):
+            while True:
+                answer = await self.pull(step, sample_by_slot, version)
+                answered += answer.samples
+                sample_by_slot |= {s.slot: s for s in answer.samples}
+                if answer.complete:
+                    return sample_by_slot, answered
+
+    async def close(self):
+        self._writer.cancel()
+        await self.holder.close()
+
+
+def make_spec(step="s1", groups=2, samples=3, base_version=1, deadline_ms=600_000):
+    """Return a small step whose slots all have different seeds."""
+    made = tuple(
+        GroupSpec(i, f"prompt {i}", samples, 100, seed=100 * i) for i in range(groups)
+    )
+    return StepSpec(ACCOUNT, step, "lm", base_version, made, deadline_ms)
--- /dev/null
+++ b/test/test_steps.py
@@ -0,0 +1,340 @@
+"""Every slot of a step reaches its trainer once, fresh, whatever fails."""
+
+import asyncio
+import unittest
+
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.request.piece import Piece, Segment
+from goldcrestmoor.version.configuration import StreamRule
+from goldcrestmoor.version.steps import Slot, check, oldest_version
+from test import _common
+from test._step_fakes import ACCOUNT, FakeFleet, make_spec
+
+
+def stream(*pieces, gate=None, reached=None):
+    """Return a script of an engine that waits for a gate before its last piece."""
+
+    async def run(call):
+        for number, piece in enumerate(pieces):
+            if gate is not None and number == len(pieces) - 1:
+                if reached is not None:
+                    reached.set()
+                await gate.wait()
+            yield piece
+
+    return run
+
+
+class StepTestCase(unittest.IsolatedAsyncioTestCase):
+    def make_fleet(self, *args, **kwargs):
+        fleet = FakeFleet(*args, **kwargs)
+        self.addAsyncCleanup(fleet.close)
+        return fleet
+
+    async def assert_refused(self, kind, awaitable):
+        with self.assertRaises(ServiceError) as caught:
+            await awaitable
+        self.assertEqual(caught.exception.kind, kind)
+
+
+class DeliveryTest(StepTestCase):
+    async def test_every_slot_comes_once_through_any_host(self):
+        fleet = self.make_fleet("a", "b", "c")
+        await fleet.host_by_id["a"].holder.submit(make_spec())
+        got, answered = await fleet.host_by_id["b"].collect("s1")
+        self.assertEqual(set(got), set(make_spec().slots()))
+        self.assertEqual(len(answered), 6)
+        again = await fleet.host_by_id["c"].pull("s1", got)
+        self.assertEqual((again.samples, again.complete), ((), True))
+
+    async def test_a_late_pull_is_answered_from_the_same_samples(self):
+        fleet = self.make_fleet("a", "b")
+        await fleet.host_by_id["a"].holder.submit(make_spec())
+        first, _ = await fleet.host_by_id["a"].collect("s1")
+        # The trainer restarts with nothing, then with a part of it.
+        second, _ = await fleet.host_by_id["b"].collect("s1")
+        self.assertEqual(first, second)
+        part = [Slot(0, 0), Slot(1, 2)]
+        _, answered = await fleet.host_by_id["b"].collect("s1", held=part)
+        self.assertEqual({s.slot for s in answered}, set(first) - set(part))
+
+    async def test_a_whole_group_may_be_named_by_its_index(self):
+        fleet = self.make_fleet("a")
+        await fleet.host_by_id["a"].holder.submit(make_spec())
+        await fleet.host_by_id["a"].collect("s1")
+        answer = await fleet.host_by_id["a"].pull("s1", groups=[0])
+        self.assertEqual({s.slot.group for s in answer.samples}, {1})
+
+    async def test_submission_repeats_and_conflicts(self):
+        fleet = self.make_fleet("a", "b")
+        for host in fleet.host_by_id.values():
+            await host.holder.submit(make_spec())
+        other = make_spec(samples=4)
+        for host in fleet.host_by_id.values():
+            await self.assert_refused(
+                ErrorKind.STEP_CONFLICT, host.holder.submit(other)
+            )
+
+    async def test_an_unknown_step_says_so(self):
+        fleet = self.make_fleet("a", "b")
+        pull = fleet.host_by_id["a"].pull("nothing")
+        await self.assert_refused(ErrorKind.STEP_UNKNOWN, pull)
+
+    async def test_a_cancelled_step_is_forgotten(self):
+        fleet = self.make_fleet("a", "b")
+        await fleet.host_by_id["a"].holder.submit(make_spec())
+        await fleet.host_by_id["b"].holder.cancel(ACCOUNT, "s1")
+        pull = fleet.host_by_id["a"].pull("s1")
+        await self.assert_refused(ErrorKind.STEP_UNKNOWN, pull)
+
+    async def test_names_cannot_reach_other_records(self):
+        for name in ("", "../x", "a/b", "x" * 65):
+            with self.assertRaises(ServiceError):
+                check(make_spec(step=name))
+
+
+class RecordTest(StepTestCase):
+    async def test_one_row_is_written_for_each_group(self):
+        fleet = self.make_fleet("a", "b")
+        await fleet.host_by_id["a"].holder.submit(make_spec(groups=3, samples=5))
+        await fleet.host_by_id["a"].collect("s1")
+        tables = fleet.platform.row_by_key
+        await _common.eventually(lambda: sum(t == "groups" for t, _ in tables) == 3)
+        self.assertEqual(fleet.platform.writes, 4)
+
+    async def test_of_two_holders_the_first_recorded_wins(self):
+        fleet = self.make_fleet("a", "b")
+        # The two hosts cannot hear each other, so each becomes a holder.
+        fleet.holder_of = {"a": "a", "b": "b"}
+        a, b = fleet.host_by_id["a"], fleet.host_by_id["b"]
+        gate = asyncio.Event()
+        fleet.engines.script_by_seed[0] = [
+            stream(Piece("first", 1, 1, "e", "stop")),
+            stream(Piece("second", 1, 1, "e", "stop"), gate=gate),
+        ]
+        spec = make_spec(groups=1, samples=1)
+        await a.holder.submit(spec)
+        pulled = asyncio.create_task(b.pull("s1"))
+        await _common.eventually(lambda: fleet.engines.calls)
+        got, _ = await a.collect("s1")
+        gate.set()
+        late = await pulled
+        self.assertEqual(got[Slot(0, 0)], late.samples[0])
+        self.assertEqual(late.samples[0].segments[0].text, "first")
+
+    async def test_a_loser_of_the_record_adopts_the_winners_samples(self):
+        fleet = self.make_fleet("a")
+        records = fleet.host_by_id["a"].store.records
+        spec = make_spec(groups=1, samples=1)
+        slot = Slot(0, 0)
+        from goldcrestmoor.version.steps import make_sample
+
+        own = make_sample(slot, [Segment(1, "own", 1)], "stop")
+        other = make_sample(slot, [Segment(1, "other", 1)], "stop")
+        first = await records.save_group(spec, 0, 0, [own])
+        second = await records.save_group(spec, 0, 0, [other])
+        self.assertTrue(first.own)
+        self.assertFalse(second.own)
+        self.assertEqual(second.samples, (own,))
+
+    async def test_lost_answers_are_settled(self):
+        fleet = self.make_fleet("a", "b")
+        fleet.platform.answers_to_lose = 1
+        await fleet.host_by_id["a"].holder.submit(make_spec(groups=1))
+        fleet.platform.answers_to_lose = 1
+        got, _ = await fleet.host_by_id["a"].collect("s1")
+        await _common.eventually(
+            lambda: any(t == "groups" for t, _ in fleet.platform.row_by_key)
+        )
+        again, _ = await fleet.host_by_id["b"].collect("s1")
+        self.assertEqual(got, again)
+
+    async def test_the_platform_is_out_for_the_whole_step(self):
+        fleet = self.make_fleet("a", "b", "c")
+        fleet.platform.out = True
+        await fleet.host_by_id["a"].holder.submit(make_spec())
+        got, answered = await fleet.host_by_id["b"].collect("s1")
+        self.assertEqual((len(got), len(answered)), (6, 6))
+
+    async def test_nothing_is_accepted_that_only_one_host_has(self):
+        fleet = self.make_fleet("a")
+        fleet.platform.out = True
+        submit = fleet.host_by_id["a"].holder.submit(make_spec())
+        await self.assert_refused(ErrorKind.PLATFORM_UNAVAILABLE, submit)
+
+    async def test_results_reach_the_platform_when_it_is_back(self):
+        fleet = self.make_fleet("a", "b")
+        fleet.platform.out = True
+        a = fleet.host_by_id["a"]
+        await a.holder.submit(make_spec(groups=1))
+        answer = await a.pull("s1")
+        self.assertTrue(answer.samples)
+        fleet.platform.out = False
+        await _common.eventually(
+            lambda: {t for t, _ in fleet.platform.row_by_key} == {"steps", "groups"}
+        )
+
+    async def test_a_holder_dies_with_the_platform_out(self):
+        fleet = self.make_fleet("a", "b")
+        fleet.platform.out = True
+        gate = asyncio.Event()
+        wait = stream(Piece("x", 1, 1, "e", "stop"), gate=gate)
+        fleet.engines.script_by_seed[2] = [wait]
+        fleet.holder_of = {"a": "a", "b": "a"}
+        a, b = fleet.host_by_id["a"], fleet.host_by_id["b"]
+        await a.holder.submit(make_spec(groups=1))
+        kept = b.links.handler_by_class
+        await _common.eventually(lambda: kept and len(_kept(b)) == 2)
+        fleet.down.add("a")
+        await a.close()
+        made_before = {c["seed"] for c in fleet.engines.calls}
+        self.assertEqual(made_before, {0, 1, 2})
+        got, _ = await b.collect("s1")
+        self.assertEqual(len(got), 3)
+        seeds = [c["seed"] for c in fleet.engines.calls]
+        self.assertEqual((seeds.count(0), seeds.count(1), seeds.count(2)), (1, 1, 2))
+
+
+def _kept(host):
+    kept = host.store._kept_by_key.get((ACCOUNT, "s1"))
+    return kept.sample_by_slot if kept else {}
+
+
+class StalenessTest(StepTestCase):
+    async def test_a_sample_goes_stale_in_a_row(self):
+        fleet = self.make_fleet("a", "b")
+        await fleet.host_by_id["a"].holder.submit(make_spec())
+        await fleet.host_by_id["a"].collect("s1")
+        fleet.engines.version = 3
+        got, _ = await fleet.host_by_id["b"].collect("s1", version=3)
+        self.assertEqual({oldest_version(s) for s in got.values()}, {3})
+
+    async def test_the_remade_round_is_found_by_another_holder(self):
+        fleet = self.make_fleet("a", "b")
+        spec = make_spec(groups=1)
+        await fleet.host_by_id["a"].holder.submit(spec)
+        await fleet.host_by_id["a"].collect("s1")
+        fleet.engines.version = 3
+        got, _ = await fleet.host_by_id["a"].collect("s1", version=3)
+        await _common.eventually(
+            lambda: sum(t == "groups" for t, _ in fleet.platform.row_by_key) == 2
+        )
+        records = await fleet.host_by_id["b"].store.records.load_groups(spec)
+        self.assertEqual([record.round for record in records], [0, 1])
+        self.assertEqual({s.slot: s for s in records[1].samples}, got)
+
+    async def test_a_sample_goes_stale_in_flight(self):
+        fleet = self.make_fleet("a", "b")
+        gate, reached = asyncio.Event(), asyncio.Event()
+        old = Piece("old", 1, 1, "e"), Piece("", 1, 1, "e", "stop")
+        fleet.engines.script_by_seed[0] = [stream(*old, gate=gate, reached=reached)]
+        a = fleet.host_by_id["a"]
+        await a.holder.submit(make_spec(groups=1, samples=1))
+        await reached.wait()
+        fleet.engines.version = 3
+        got, _ = await a.collect("s1", version=3)
+        # The first stream was never let go on, so it was dropped in flight.
+        self.assertEqual(oldest_version(got[Slot(0, 0)]), 3)
+        self.assertEqual(fleet.engines.calls[1]["min_version"], 2)
+        self.assertEqual(fleet.engines.closed, 2)
+
+    async def test_the_version_moves_between_check_and_answer(self):
+        fleet = self.make_fleet("a")
+        a = fleet.host_by_id["a"]
+        gate = asyncio.Event()
+        script = stream(Piece("x", 1, 1, "e", "stop"), gate=gate)
+        fleet.engines.script_by_seed[0] = [script]
+        await a.holder.submit(make_spec(groups=1, samples=1))
+        waiting = asyncio.create_task(a.pull("s1", version=1))
+        await _common.eventually(lambda: fleet.engines.calls)
+        await a.pull("s1", version=5, wait_ms=0)
+        fleet.engines.version = 5
+        gate.set()
+        answer = await waiting
+        self.assertEqual([oldest_version(s) for s in answer.samples], [5])
+
+    async def test_the_oldest_segment_counts(self):
+        fleet = self.make_fleet("a")
+        pieces = Piece("a", 1, 1, "e"), Piece("b", 1, 4, "e", "stop")
+        fleet.engines.script_by_seed[0] = [stream(*pieces)]
+        fleet.engines.version = 4
+        a = fleet.host_by_id["a"]
+        await a.holder.submit(make_spec(groups=1, samples=1, base_version=1))
+        got, _ = await a.collect("s1", version=4)
+        self.assertEqual(oldest_version(got[Slot(0, 0)]), 4)
+
+    async def test_a_swap_in_mid_stream_lists_its_segments(self):
+        fleet = self.make_fleet("a")
+        pieces = [
+            Piece("a", 1, 1, "e"),
+            Piece("b", 2, 1, "e"),
+            Piece("c", 1, 2, "e", "stop"),
+        ]
+        fleet.engines.script_by_seed[0] = [stream(*pieces)]
+        a = fleet.host_by_id["a"]
+        await a.holder.submit(make_spec(groups=1, samples=1))
+        got, _ = await a.collect("s1", version=2)
+        expected = (Segment(1, "ab", 3), Segment(2, "c", 1))
+        self.assertEqual(got[Slot(0, 0)].segments, expected)
+
+    async def test_a_stream_that_states_no_version_gives_no_sample(self):
+        fleet = self.make_fleet("a", bound=9)
+        script = stream(Piece("x", 1, 0, "e"), Piece("y", 1, 1, "e", "stop"))
+        fleet.engines.script_by_seed[0] = [script]
+        a = fleet.host_by_id["a"]
+        await a.holder.submit(make_spec(groups=1, samples=1))
+        got, _ = await a.collect("s1")
+        self.assertEqual(oldest_version(got[Slot(0, 0)]), 1)
+        self.assertEqual(len(fleet.engines.calls), 2)
+
+    async def test_the_rule_cancel_stops_older_streams_at_once(self):
+        fleet = self.make_fleet("a", bound=5, on_version_change=StreamRule.CANCEL)
+        gate, reached = asyncio.Event(), asyncio.Event()
+        old = Piece("old", 1, 1, "e"), Piece("", 1, 1, "e", "stop")
+        fleet.engines.script_by_seed[0] = [stream(*old, gate=gate, reached=reached)]
+        a = fleet.host_by_id["a"]
+        await a.holder.submit(make_spec(groups=1, samples=1))
+        await reached.wait()
+        fleet.engines.version = 2
+        got, _ = await a.collect("s1", version=2)
+        self.assertEqual(oldest_version(got[Slot(0, 0)]), 2)
+
+
+class HedgeTest(StepTestCase):
+    async def test_copies_that_both_finish_give_one_sample(self):
+        fleet = self.make_fleet("a", "b")
+        gate = asyncio.Event()
+        slow = Piece("slow", 1, 1, "e1"), Piece(" end", 1, 1, "e1", "stop")
+        fleet.engines.script_by_seed[2] = [
+            stream(*slow, gate=gate),
+            stream(Piece(" fast", 5, 1, "e2", "stop"), gate=gate),
+        ]
+        a = fleet.host_by_id["a"]
+        await a.holder.submit(make_spec(groups=1))
+        calls = fleet.engines.calls
+        await _common.eventually(lambda: [c["seed"] for c in calls].count(2) == 2)
+        hedge = [c for c in calls if c["seed"] == 2][1]
+        self.assertEqual(hedge["resume_text"], "slow")
+        self.assertEqual(hedge["avoid"], ("e1",))
+        # Both copies finish at the same moment.
+        gate.set()
+        got, answered = await a.collect("s1")
+        self.assertEqual((len(got), len(answered)), (3, 3))
+        text = "".join(s.text for s in got[Slot(0, 2)].segments)
+        self.assertIn(text, ("slow end", "slow fast"))
+        again, _ = await fleet.host_by_id["b"].collect("s1")
+        self.assertEqual(again, got)
+
+    async def test_failed_streams_are_made_again(self):
+        fleet = self.make_fleet("a")
+
+        async def fail(call):
+            raise ServiceError(ErrorKind.NO_UPSTREAM, retry_after_ms=1)
+            yield
+
+        fleet.engines.script_by_seed[0] = [fail, stream(Piece("cut", 1, 1, "e"))]
+        a = fleet.host_by_id["a"]
+        await a.holder.submit(make_spec(groups=1, samples=1))
+        got, _ = await a.collect("s1")
+        self.assertEqual(got[Slot(0, 0)].finish_reason, "stop")
+        self.assertEqual(len(fleet.engines.calls), 3)
--- /dev/null
+++ b/test/test_stragglers.py
@@ -0,0 +1,55 @@
+"""Second copies are started only when they pay."""
+
+import unittest
+
+from goldcrestmoor.version.steps import Slot
+from goldcrestmoor.version.stragglers import (
+    Continue,
+    Copy,
+    Lengths,
+    Progress,
+    Wait,
+    decide,
+    start_order,
+)
+
+
+def lengths(**tokens_by_group):
+    made = Lengths()
+    for group, tokens in tokens_by_group.items():
+        made.add(int(group[1:]), tokens, tokens * 10)
+    return made
+
+
+class StartOrderTest(unittest.TestCase):
+    def test_longest_expected_first(self):
+        slots = [Slot(0, 1), Slot(1, 1), Slot(2, 0)]
+        known = lengths(g0=10, g1=90)
+        order = start_order(slots, known, {0: 100, 1: 100, 2: 100})
+        self.assertEqual(order, [Slot(1, 1), Slot(2, 0), Slot(0, 1)])
+
+    def test_without_lengths_the_bound_decides(self):
+        order = start_order([Slot(0, 0), Slot(1, 0)], Lengths(), {0: 10, 1: 20})
+        self.assertEqual(order, [Slot(1, 0), Slot(0, 0)])
+
+
+class DecideTest(unittest.TestCase):
+    def test_a_slow_stream_is_continued_elsewhere(self):
+        slow = Progress(tokens=50, elapsed_ms=50_000, max_tokens=100)
+        decision = decide(slow, 0, lengths(g0=100), 1, 1)
+        # 50 tokens remain: 50 s at its own rate; 0.5 s and the start elsewhere.
+        self.assertEqual(decision, Continue(49_200))
+
+    def test_a_silent_start_is_copied(self):
+        silent = Progress(tokens=0, elapsed_ms=5000, max_tokens=100)
+        self.assertIsInstance(decide(silent, 0, lengths(g0=50), 1, 1), Copy)
+
+    def test_a_stream_at_the_usual_rate_is_left_alone(self):
+        usual = Progress(tokens=50, elapsed_ms=500, max_tokens=100)
+        self.assertIsInstance(decide(usual, 0, lengths(g0=100), 1, 1), Wait)
+
+    def test_budget_and_idle_slots_bound_the_copies(self):
+        slow = Progress(tokens=50, elapsed_ms=50_000, max_tokens=100)
+        for idle, left in ((0, 1), (1, 0)):
+            self.assertIsInstance(decide(slow, 0, lengths(g0=100), idle, left), Wait)
+        self.assertIsInstance(decide(slow, 0, Lengths(), 1, 1), Wait)
