Add the clients of trainers and applications

Cause: exactly once rests on what the trainer says it has, so that a client has to keep the held set, judge versions on arrival and change hosts without harm. Ruled out: resending in the transport; only the clients know what may be repeated. Conclusion: an attempt of unknown fate is never turned into "not saved".

--- /dev/null
+++ b/goldcrestmoor/client/notes.py
@@ -0,0 +1,133 @@
+"""The applications' client: a note is saved at most once."""
+
+import enum
+import logging
+
+import msgspec
+
+from goldcrestmoor.client.transport import (
+    HostRing,
+    checked,
+    make_transport,
+    not_run,
+)
+from goldcrestmoor.clock import Clock, Deadline
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.util import Backoff, new_id
+
+log = logging.getLogger("goldcrestmoor.client")
+
+MINT_TIMEOUT_MS = 2000
+ATTEMPT_TIMEOUT_MS = 8000
+BACKOFF_MIN_MS = 50
+BACKOFF_MAX_MS = 1000
+KEY_HEADER = b"idempotency-key"
+
+
+class Outcome(enum.StrEnum):
+    """What became of a note."""
+
+    SAVED = "saved"
+    NOT_SAVED = "not saved"
+    UNKNOWN = "unknown"
+
+
+class Saved(msgspec.Struct, frozen=True):
+    """The fate of a note.
+
+    :param outcome: whether it was saved.
+    :param key: the key that it was sent with.
+    :param body: the application's answer, when it was saved.
+    :param reason: why it was not, or why that is not known.
+    """
+
+    outcome: Outcome
+    key: str
+    body: bytes = b""
+    reason: str = ""
+
+
+class KeyAnswer(msgspec.Struct, frozen=True):
+    """The answer to ``POST /v1/keys``."""
+
+    key: str
+
+
+class NotesClient:
+    """Save notes through any host, each at most once.
+
+    :param urls: the hosts, such as ``["http://127.0.0.1:8080"]``.
+    :param token: the application account's token.
+    :param transport: sends the requests; made from the token when left out.
+    :param clock: the clock.
+    """
+
+    __slots__ = ("_hosts", "_transport", "_clock")
+
+    def __init__(self, urls, token, transport=None, clock=None):
+        self._hosts = HostRing(urls)
+        self._transport = transport or make_transport(token)
+        self._clock = clock or Clock()
+
+    async def save(self, path, body, timeout_ms):
+        """Save one note.
+
+        :param path: the note's target, such as ``/apps/fit-desk/notes``.
+        :param body: the note, as bytes.
+        :param timeout_ms: how long to try, in milliseconds.
+        :return: what became of it, as :class:`Saved`.
+        """
+        deadline = Deadline.after(self._clock, timeout_ms)
+        key = await self._mint(deadline)
+        headers = [(KEY_HEADER, key.encode())]
+        backoff = Backoff(BACKOFF_MIN_MS, BACKOFF_MAX_MS)
+        unknown = False
+        while True:
+            attempt_ms = max(1, min(ATTEMPT_TIMEOUT_MS, deadline.remaining_ms()))
+            try:
+                response = await self._transport.post(
+                    self._hosts.current, path, body, attempt_ms, headers
+                )
+                return Saved(Outcome.SAVED, key, checked(response))
+            except ServiceError as e:
+                # Once an attempt's fate is unknown, a later attempt that was not
+                # run says nothing of the earlier one.
+                unknown = unknown or not not_run(e)
+                if deadline.passed() or _is_final(e):
+                    outcome = Outcome.UNKNOWN if unknown else Outcome.NOT_SAVED
+                    return Saved(outcome, key, reason=str(e))
+                pause_ms = max(backoff.next_ms(), _wanted_pause_ms(e))
+            self._hosts.move_on()
+            await self._clock.sleep_ms(min(pause_ms, deadline.remaining_ms()))
+
+    async def _mint(self, deadline):
+        for _ in range(len(self._hosts)):
+            timeout_ms = min(MINT_TIMEOUT_MS, deadline.remaining_ms())
+            if timeout_ms <= 0:
+                break
+            try:
+                response = await self._transport.post(
+                    self._hosts.current, "/v1/keys", b"", timeout_ms
+                )
+                return msgspec.json.decode(checked(response), type=KeyAnswer).key
+            except (ServiceError, msgspec.MsgspecError) as e:
+                log.info("Host %s minted no key: %s", self._hosts.current, e)
+                self._hosts.move_on()
+        return new_id()
+
+
+def _is_final(error):
+    return error.kind in (
+        ErrorKind.BAD_REQUEST,
+        ErrorKind.UNAUTHORIZED,
+        ErrorKind.FORBIDDEN,
+        ErrorKind.NOT_FOUND,
+        ErrorKind.TOO_LARGE,
+        ErrorKind.KEY_REUSED,
+        ErrorKind.KEY_EXPIRED,
+        ErrorKind.OUTCOME_UNKNOWN,
+    )
+
+
+def _wanted_pause_ms(error):
+    return error.retry_after_ms if error.kind == ErrorKind.IN_PROGRESS else 0
--- /dev/null
+++ b/goldcrestmoor/client/trainer.py
@@ -0,0 +1,228 @@
+"""The trainers' client: every sample of a step, each taken once."""
+
+import logging
+
+import msgspec
+
+from goldcrestmoor.client.transport import HostRing, checked, make_transport
+from goldcrestmoor.clock import Clock, Deadline
+from goldcrestmoor.errors import ErrorKind, Retry, ServiceError
+from goldcrestmoor.util import Backoff
+from goldcrestmoor.version.step_routes import (
+    PublishBody,
+    PullAnswer,
+    PullBody,
+    SubmitBody,
+)
+from goldcrestmoor.version.steps import oldest_version
+
+log = logging.getLogger("goldcrestmoor.client")
+
+PULL_WAIT_MS = 5000
+TIMEOUT_MARGIN_MS = 3000
+REQUEST_TIMEOUT_MS = 10000
+BACKOFF_MIN_MS = 50
+BACKOFF_MAX_MS = 2000
+DEFAULT_DEADLINE_MS = 3_600_000
+_RESUBMIT = (ErrorKind.STEP_UNKNOWN, ErrorKind.PLATFORM_UNAVAILABLE)
+
+
+class Step:
+    """A step at its trainer: what was submitted and what has come in.
+
+    :param body: the submission.
+    """
+
+    __slots__ = ("body", "sample_by_slot", "staleness_by_slot", "_size_by_group")
+
+    def __init__(self, body):
+        self.body = body
+        self.sample_by_slot = {}
+        self.staleness_by_slot = {}
+        self._size_by_group = {group.index: group.samples for group in body.groups}
+
+    def complete(self):
+        """Tell whether every slot has its sample."""
+        return len(self.sample_by_slot) == sum(self._size_by_group.values())
+
+    def held(self):
+        """Return the groups held whole and the further slots held."""
+        slots_by_group = {}
+        for slot in self.sample_by_slot:
+            slots_by_group.setdefault(slot.group, []).append(slot)
+        whole = {
+            g for g, s in slots_by_group.items() if len(s) == self._size_by_group[g]
+        }
+        single = (s for s in sorted(self.sample_by_slot) if s.group not in whole)
+        return tuple(sorted(whole)), tuple(single)
+
+    def wants(self, slot):
+        """Tell whether a slot is the step's and lacks a sample."""
+        size = self._size_by_group.get(slot.group, 0)
+        return 0 <= slot.index < size and slot not in self.sample_by_slot
+
+
+class TrainerClient:
+    """Submit steps, collect their samples and publish weights.
+
+    :param urls: the hosts, such as ``["http://127.0.0.1:8080"]``.
+    :param token: the trainer account's token.
+    :param staleness_bound: the most versions that a sample may lag behind.
+    :param transport: sends the requests; made from the token when left out.
+    :param clock: the clock.
+    """
+
+    __slots__ = (
+        "version",
+        "idle_ms",
+        "dropped_stale",
+        "dropped_held",
+        "_staleness_bound",
+        "_hosts",
+        "_transport",
+        "_clock",
+    )
+
+    def __init__(self, urls, token, staleness_bound, transport=None, clock=None):
+        self.version = 0
+        self.idle_ms = 0
+        self.dropped_stale = 0
+        self.dropped_held = 0
+        self._staleness_bound = staleness_bound
+        self._hosts = HostRing(urls)
+        self._transport = transport or make_transport(token)
+        self._clock = clock or Clock()
+
+    async def publish(self, model, version, timeout_ms=REQUEST_TIMEOUT_MS):
+        """Publish a new weight version and go on from it.
+
+        :param model: the model.
+        :param version: the new version.
+        :param timeout_ms: how long to try, in milliseconds.
+        """
+        # The trainer has the new weights already: samples are judged by them even
+        # while no host can be told.
+        self.version = max(self.version, version)
+        body = PublishBody(model, version)
+        await self._ask("/v1/versions", body, self._deadline(timeout_ms))
+
+    async def submit(self, step, model, groups, timeout_ms, deadline_ms=None):
+        """Submit a step; a repeat of the same step is harmless.
+
+        :param step: the step's name.
+        :param model: the pool whose engines make the samples.
+        :param groups: the groups, as ``GroupBody`` of the routes.
+        :param timeout_ms: how long to try, in milliseconds.
+        :param deadline_ms: how long the service works on it, in milliseconds.
+        :return: the :class:`Step`.
+        """
+        deadline_ms = deadline_ms or DEFAULT_DEADLINE_MS
+        body = SubmitBody(step, model, self.version, tuple(groups), deadline_ms)
+        await self._submit(body, self._deadline(timeout_ms))
+        return Step(body)
+
+    async def collect(self, step, timeout_ms):
+        """Pull until the step is whole.
+
+        :param step: the :class:`Step`.
+        :param timeout_ms: how long to try, in milliseconds.
+        :return: the samples by slot.
+        :raises ServiceError: the last error, when time is up.
+        """
+        deadline = self._deadline(timeout_ms)
+        while not step.complete():
+            if deadline.passed():
+                raise ServiceError(ErrorKind.QUEUE_TIMEOUT, "The step is not whole.")
+            await self.pull(step, deadline)
+        await self._acknowledge(step)
+        return step.sample_by_slot
+
+    async def pull(self, step, deadline):
+        """Pull once and take in what comes.
+
+        :param step: the :class:`Step`.
+        :param deadline: until when to try.
+        :return: the samples that were taken.
+        """
+        started_ms = self._clock.now_ms()
+        wait_ms = min(PULL_WAIT_MS, deadline.remaining_ms())
+        try:
+            answer = await self._pull(step, wait_ms, deadline)
+        except ServiceError as e:
+            if e.kind not in _RESUBMIT:
+                raise
+            log.info("Step %s is submitted again: %s", step.body.step, e)
+            await self._submit(step.body, deadline)
+            return []
+        finally:
+            self.idle_ms += self._clock.now_ms() - started_ms
+        return [sample for sample in answer.samples if self._take(step, sample)]
+
+    def _take(self, step, sample):
+        if not step.wants(sample.slot):
+            self.dropped_held += 1
+            return False
+        lag = self.version - oldest_version(sample)
+        if lag > self._staleness_bound:
+            # The version may have moved on while the answer was on its way.
+            self.dropped_stale += 1
+            return False
+        step.sample_by_slot[sample.slot] = sample
+        step.staleness_by_slot[sample.slot] = max(0, lag)
+        return True
+
+    async def _pull(self, step, wait_ms, deadline):
+        groups, slots = step.held()
+        body = PullBody(self.version, slots, groups, wait_ms)
+        path = f"/v1/steps/{step.body.step}/pull"
+        data = await self._ask(
+            path, body, deadline, wait_ms + TIMEOUT_MARGIN_MS, _RESUBMIT
+        )
+        try:
+            return msgspec.json.decode(data, type=PullAnswer)
+        except msgspec.MsgspecError as e:
+            raise ServiceError(ErrorKind.UPSTREAM_FAILED, "Bad answer.") from e
+
+    async def _acknowledge(self, step):
+        # The last pull names every slot, so that the service may forget the step;
+        # when it fails, the step's deadline does the same.
+        try:
+            await self._pull(step, 0, self._deadline(TIMEOUT_MARGIN_MS))
+        except ServiceError as e:
+            log.info("Step %s was not acknowledged: %s", step.body.step, e)
+
+    async def _submit(self, body, deadline):
+        await self._ask("/v1/steps", body, deadline)
+
+    def _deadline(self, timeout_ms):
+        return Deadline.after(self._clock, timeout_ms)
+
+    async def _ask(
+        self, path, body, deadline, timeout_ms=REQUEST_TIMEOUT_MS, stops_on=()
+    ):
+        # Every request of a trainer is idempotent, so that it may be sent again
+        # through another host whatever became of it.
+        data = msgspec.json.encode(body)
+        backoff = Backoff(BACKOFF_MIN_MS, BACKOFF_MAX_MS)
+        while True:
+            wait_ms = max(1, min(timeout_ms, deadline.remaining_ms()))
+            try:
+                response = await self._transport.post(
+                    self._hosts.current, path, data, wait_ms
+                )
+                return checked(response)
+            except ServiceError as e:
+                if e.kind in stops_on or _is_final(e):
+                    raise
+                if deadline.passed():
+                    raise
+                log.info("Host %s failed: %s", self._hosts.current, e)
+            self._hosts.move_on()
+            pause_ms = min(backoff.next_ms(), deadline.remaining_ms())
+            await self._clock.sleep_ms(pause_ms)
+
+
+def _is_final(error):
+    # A submission whose outcome is unknown is settled by repeating it.
+    unsettled = error.kind == ErrorKind.OUTCOME_UNKNOWN
+    return error.answer.retry == Retry.NEVER and not unsettled
--- a/goldcrestmoor/util.py
+++ b/goldcrestmoor/util.py
@@ -35,7 +35,7 @@
     :param nodes: the nodes' names.
     :raises ValueError: when there are no nodes.
     """
-    return max(nodes, key=lambda node: _weight(key, node))
+    return max(nodes, key=lambda node: _weight(node, key))
 
 
 def rendezvous_order(key, nodes):
@@ -44,15 +44,10 @@
     :param key: the key's text.
     :param nodes: the nodes' names.
     """
-    return sorted(
-        nodes,
-        key=lambda node: _weight(key, node),
-        reverse=True,
-    )
+    return sorted(nodes, key=lambda node: _weight(node, key), reverse=True)
 
 
-def _weight(key, node):
-    # The hash takes bytes only.
+def _weight(node, key):
     return xxhash.xxh64_intdigest(f"{node}/{key}".encode()), node
 
 
--- a/goldcrestmoor/version/step_holder.py
+++ b/goldcrestmoor/version/step_holder.py
@@ -159,9 +159,9 @@
         await self._tasks.close()
 
     async def _at_holder(self, account, step, message, timeout_ms, here):
-        zone = self._zone(account)
-        first = self._ownership.holder_of_step(account, zone, step)
-        others = self._store.hosts_for(account, step, zone)
+        found = self._account(account)
+        first = self._ownership.holder_of_step(found, step)
+        others = self._store.hosts_for(account, step, found.zone)
         hosts = list(dict.fromkeys([first, *others]))[:MAX_TRIES]
         for host_id in hosts:
             if host_id == self._host_id:
--- a/goldcrestmoor/version/step_store.py
+++ b/goldcrestmoor/version/step_store.py
@@ -86,8 +86,8 @@
         """
         near = [host.id for host in self._membership.live(zone)] if zone else []
         far = [host.id for host in self._membership.live() if host.id not in near]
-        key = f"{account}/{step}"
-        return util.rendezvous_order(key, near) + util.rendezvous_order(key, far)
+        duty = f"step/{account}/{step}"
+        return util.rendezvous_order(duty, near) + util.rendezvous_order(duty, far)
 
     async def save_step(self, spec, zone):
         """Make a submission durable.
--- a/test/_step_fakes.py
+++ b/test/_step_fakes.py
@@ -213,13 +213,13 @@
         )
         self._writer = asyncio.get_running_loop().create_task(self.store.run())
 
-    def holder_of_step(self, account, zone, step):
+    def holder_of_step(self, account, step):
         # Hosts that see different members disagree about the holder.
         chosen = self._fleet.holder_of.get(self.host_id)
         if chosen:
             return chosen
         live = [host.id for host in self._fleet.live()]
-        return util.rendezvous(f"{account}/{step}", live)
+        return util.rendezvous(f"step/{account.name}/{step}", live)
 
     async def pull(self, step, held=(), version=1, wait_ms=10000, most=128, groups=()):
         message = PullSamples(
