Hand steps over, and add the fleet of processes for demo and proofs

Cause: a host that is no longer a step's holder went on to make samples that no pull would ever reach; and the demo and the proofs need real processes. Ruled out: stopping for want of pulls (a trainer may submit ahead of its need). Change: a holder stops once ownership names another host and no pull has come for 5 s. test/fleet.py starts platform, upstreams and daemons from a plan and signals each by its id; test/demo.py runs a step, fetches, notes and a command on it. The demo has not run: its stand-ins and daemons are not in yet.

--- a/goldcrestmoor/version/step_holder.py
+++ b/goldcrestmoor/version/step_holder.py
@@ -30,6 +30,7 @@
 PULL_SLICE_MS = 2000
 CALL_MARGIN_MS = 1500
 SUBMIT_TIMEOUT_MS = 5000
+HANDOVER_MS = 5000
 
 
 class _Work:
@@ -205,7 +206,7 @@
     async def _on_pull(self, sender_id, message):
         state = await self._find(message.account, message.step)
         held = Held(frozenset(message.groups_held), frozenset(message.held))
-        state.note_pull(held, message.version)
+        state.note_pull(held, message.version, self._clock.now_ms())
         deadline = Deadline.after(self._clock, message.wait_ms)
         while True:
             bound = self._account(message.account).staleness_bound
@@ -260,7 +261,7 @@
         if found is None:
             raise ServiceError(ErrorKind.STEP_UNKNOWN, "The step is not known.")
         deadline = Deadline.after(self._clock, found.deadline_ms)
-        state = StepState(found, zone, deadline)
+        state = StepState(found, zone, deadline, self._clock.now_ms())
         for record in groups:
             state.adopt(record)
         for sample in samples:
@@ -280,10 +281,23 @@
             decisions=self._decisions,
             metrics=self._metrics,
             hedge_percent=self._settings.hedge_percent,
+            is_wanted=self._is_wanted,
         )
         await run.run()
         self._drop(key)
 
+    def _is_wanted(self, state):
+        # A host that is no longer the holder goes on while pulls still reach it,
+        # then leaves the rest to the new one. What it made is kept elsewhere.
+        if self._clock.now_ms() - state.pulled_ms < HANDOVER_MS:
+            return True
+        accounts = self._lease.view().configuration.accounts_by_name
+        account = accounts.get(state.spec.account)
+        if account is None:
+            return True
+        holder = self._ownership.holder_of_step(account, state.spec.step)
+        return holder == self._host_id
+
     def _check_room(self):
         if len(self._work_by_key) + len(self._loading_by_key) > MAX_STEPS:
             raise ServiceError(ErrorKind.OVERLOADED, "Too many steps are held here.")
--- a/goldcrestmoor/version/step_run.py
+++ b/goldcrestmoor/version/step_run.py
@@ -4,13 +4,13 @@
 import contextlib
 import logging
 
-from goldcrestmoor import util
+from goldcrestmoor import tracing, util
 from goldcrestmoor.clock import MS_PER_SECOND
 from goldcrestmoor.errors import ServiceError
-from goldcrestmoor.request.piece import join
 from goldcrestmoor.version import stragglers
 from goldcrestmoor.version.configuration import StreamRule
-from goldcrestmoor.version.steps import make_sample
+from goldcrestmoor.version.step_recorder import StepRecorder
+from goldcrestmoor.version.step_stream import Stream
 
 log = logging.getLogger("goldcrestmoor.steps")
 
@@ -21,29 +21,6 @@
 PERCENT = 100
 
 
-class _Stream:
-    """One stream that is to fill a slot."""
-
-    __slots__ = ("slot", "group", "pieces", "started_ms", "request_id", "task", "hedge")
-
-    def __init__(self, slot, group, started_ms, pieces=(), hedge=False):
-        self.slot = slot
-        self.group = group
-        self.pieces = list(pieces)
-        self.started_ms = started_ms
-        self.request_id = util.new_id()
-        self.task = None
-        self.hedge = hedge
-
-    def tokens(self):
-        """Return the tokens received."""
-        return sum(piece.tokens for piece in self.pieces)
-
-    def older_than(self, version):
-        """Tell whether a token was made by an older version."""
-        return any(piece.version < version for piece in self.pieces)
-
-
 class StepRun:
     """Fill a step's slots until its deadline.
 
@@ -55,6 +32,7 @@
     :param decisions: the ``Decisions``.
     :param metrics: the ``Metrics``.
     :param hedge_percent: second copies allowed, of the step's slots.
+    :param is_wanted: tells whether this host is still to work on the step.
     """
 
     def __init__(
@@ -68,32 +46,35 @@
         decisions,
         metrics,
         hedge_percent,
+        is_wanted,
     ):
         self._state = state
         self._clock = clock
         self._completions = completions
-        self._store = store
         self._lease = lease
         self._decisions = decisions
         self._metrics = metrics
+        self._is_wanted = is_wanted
         self._hedges_left = -(-len(state.slots) * hedge_percent // PERCENT)
         self._lengths = stragglers.Lengths()
         self._streams_by_slot = {}
         self._retry_by_slot = {}
-        self._recording = {}
         self._version = state.trainer_version
         self._tasks = util.TaskGroup()
+        self._recorder = StepRecorder(
+            state=state, store=store, clock=clock, tasks=self._tasks
+        )
 
     async def run(self):
-        """Work until the step's deadline or until cancelled."""
+        """Work until the deadline, until another host holds the step or cancelled."""
         try:
-            while not self._state.deadline.passed():
+            while not self._state.deadline.passed() and self._is_wanted(self._state):
                 account = self._account()
                 if account is not None:
                     self._drop_stale(account)
                     self._start_streams(account)
                     self._hedge(account)
-                    self._start_records(account)
+                    self._recorder.start(self._floor(account))
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(TICK_MS / MS_PER_SECOND):
                         await self._state.wait_changed()
@@ -120,7 +101,7 @@
                     # only those that cannot come in under the bound are stopped.
                     pass
         for streams in list(self._streams_by_slot.values()):
-            for stream in streams:
+            for stream in list(streams):
                 if stream.older_than(oldest):
                     self._stop(stream, "Too old for the trainer's version.")
 
@@ -138,7 +119,7 @@
     def _start_streams(self, account):
         wanted = self._state.to_make()
         for slot in [s for s in self._streams_by_slot if s not in wanted]:
-            for stream in self._streams_by_slot[slot]:
+            for stream in list(self._streams_by_slot[slot]):
                 self._stop(stream, "The slot needs no sample.")
         now_ms = self._clock.now_ms()
         idle = self._limit() - self._running()
@@ -150,7 +131,7 @@
         bounds = {i: g.max_tokens for i, g in self._state.group_by_index.items()}
         for slot in stragglers.start_order(startable, self._lengths, bounds)[:idle]:
             group = self._state.group_by_index[slot.group]
-            self._start(_Stream(slot, group, now_ms), account)
+            self._start(Stream(slot, group, now_ms), account)
 
     def _may_retry(self, slot, now_ms):
         retry = self._retry_by_slot.get(slot)
@@ -175,8 +156,10 @@
             self._streams_by_slot.pop(stream.slot, None)
 
     async def _make(self, stream, account, avoid):
+        name = f"{stream.slot.group}/{stream.slot.index}"
         try:
-            await self._receive(stream, account, avoid)
+            with tracing.span("step.sample", account=account.name, slot=name):
+                await self._receive(stream, account, avoid)
         except ServiceError as e:
             self._metrics.retries.labels(e.kind.value).inc()
             self._retry_later(stream, e.retry_after_ms)
@@ -199,7 +182,7 @@
             seed=stream.group.seed + stream.slot.index,
             deadline=self._state.deadline,
             request_id=stream.request_id,
-            resume_text="".join(piece.text for piece in stream.pieces),
+            resume_text=stream.text(),
             min_version=self._floor(account),
             avoid=avoid,
             prefix_key=f"{spec.account}/{spec.step}/{stream.group.index}",
@@ -211,20 +194,17 @@
                     return
 
     def _sample(self, stream, account):
-        pieces = stream.pieces
-        if not pieces or not pieces[-1].finish_reason:
+        if not stream.ended():
             self._count("dropped_cut")
             return None
-        if any(not piece.version for piece in pieces):
+        if not stream.states_versions():
             self._count("dropped_no_version")
             log.warning("An engine stated no version; its sample is dropped.")
             return None
         if stream.older_than(self._floor(account)):
             self._count("dropped_stale")
             return None
-        # A piece without tokens ends a stream and made none of its text.
-        made = [piece for piece in pieces if piece.tokens or piece.text] or pieces
-        return make_sample(stream.slot, join(made), pieces[-1].finish_reason)
+        return stream.sample()
 
     def _retry_later(self, stream, after_ms=0):
         # The backoff's jitter keeps the slots of a step from coming back all at once
@@ -245,18 +225,9 @@
         self._lengths.add(stream.group.index, stream.tokens(), elapsed_ms)
         for loser in list(self._streams_by_slot.get(stream.slot, ())):
             self._stop(loser, "Another copy finished first.")
-        # When the group is whole, its record decides instead.
-        if not self._state.unrecorded(stream.group.index):
-            await self._replicate(sample, account)
-
-    async def _replicate(self, sample, account):
-        # With no other host alive the sample is handed out all the same: a slot
-        # that the trainer has is never answered again, recorded or not.
-        state = self._state
-        winner = await self._store.save_sample(
-            state.spec, sample, self._floor(account), state.zone
-        )
-        state.settle(sample, winner)
+        if stream.is_hedge:
+            self._count("hedge_won")
+        await self._recorder.keep(sample, self._floor(account))
 
     def _hedge(self, account):
         if not account.delivery.hedge or self._hedges_left <= 0:
@@ -266,7 +237,7 @@
         single = [s[0] for s in self._streams_by_slot.values() if len(s) == 1]
         for stream in single:
             idle = self._limit() - self._running()
-            progress = self._progress(stream)
+            progress = stream.progress(self._clock.now_ms())
             decision = stragglers.decide(
                 progress, stream.group.index, self._lengths, idle, self._hedges_left
             )
@@ -278,52 +249,15 @@
                 case stragglers.Continue(gain_ms):
                     self._start_hedge(stream, stream.pieces, gain_ms, account)
 
-    def _progress(self, stream):
-        elapsed_ms = self._clock.now_ms() - stream.started_ms
-        return stragglers.Progress(stream.tokens(), elapsed_ms, stream.group.max_tokens)
-
     def _start_hedge(self, stream, pieces, gain_ms, account):
         self._hedges_left -= 1
         self._count("hedged")
         text = f"A second copy starts, to save about {gain_ms} ms."
         self._decisions.note("steps", stream.request_id, text)
         now_ms = self._clock.now_ms()
-        hedge = _Stream(stream.slot, stream.group, now_ms, pieces, hedge=True)
+        hedge = Stream(stream.slot, stream.group, now_ms, pieces, is_hedge=True)
         avoid = tuple({piece.upstream for piece in stream.pieces[-1:]})
         self._start(hedge, account, avoid)
 
-    def _start_records(self, account):
-        now_ms = self._clock.now_ms()
-        for group in self._state.group_by_index:
-            if self._recording.get(group, 0) > now_ms:
-                continue
-            samples = self._state.unrecorded(group)
-            if samples:
-                # The entry keeps a second writer away; it is replaced by the time
-                # of the next attempt when the write fails.
-                self._recording[group] = self._state.deadline.at_ms
-                self._tasks.start(self._record(group, samples, account))
-
-    async def _record(self, group, samples, account):
-        state = self._state
-        number = state.next_round(group)
-        try:
-            record = await self._store.records.save_group(
-                state.spec, group, number, samples
-            )
-        except ServiceError as e:
-            log.info("Group %s of step %s waits: %s", group, state.spec.step, e)
-            for sample in samples:
-                if not state.is_ready(sample.slot):
-                    await self._replicate(sample, account)
-            self._recording[group] = self._clock.now_ms() + max(
-                RETRY_MAX_MS, e.retry_after_ms
-            )
-            return
-        if not record.own:
-            log.info("Group %s of step %s was recorded before.", group, state.spec.step)
-        del self._recording[group]
-        state.adopt(record)
-
     def _count(self, outcome):
         self._metrics.samples.labels(self._state.spec.account, outcome).inc()
--- a/goldcrestmoor/version/step_state.py
+++ b/goldcrestmoor/version/step_state.py
@@ -11,6 +11,7 @@
     :param spec: the step's specification.
     :param zone: the account's availability zone.
     :param deadline: until when the step is worked on.
+    :param now_ms: the present time, on the clock's scale.
     """
 
     __slots__ = (
@@ -23,13 +24,14 @@
         "sample_by_slot",
         "trainer_version",
         "held",
+        "pulled_ms",
         "_ready",
         "_recorded",
         "_rounds_by_group",
         "_changed",
     )
 
-    def __init__(self, spec, zone, deadline):
+    def __init__(self, spec, zone, deadline, now_ms):
         self.spec = spec
         self.zone = zone
         self.deadline = deadline
@@ -41,6 +43,7 @@
         self.sample_by_slot = {}
         self.trainer_version = spec.base_version
         self.held = Held()
+        self.pulled_ms = now_ms
         self._ready = set()
         self._recorded = set()
         self._rounds_by_group = {}
@@ -109,14 +112,16 @@
         filled = self.sample_by_slot
         return {s for s in self.slots if s not in filled and s not in self.held}
 
-    def note_pull(self, held, version):
+    def note_pull(self, held, version, now_ms):
         """Take in what a trainer says of itself.
 
         :param held: the :class:`Held` slots.
         :param version: its weight version; an older one than before is a pull that
             came late and changes nothing.
+        :param now_ms: the present time, on the clock's scale.
         """
         self.held = held
+        self.pulled_ms = now_ms
         self.trainer_version = max(self.trainer_version, version)
         self._wake()
 
--- /dev/null
+++ b/goldcrestmoor/version/step_stream.py
@@ -0,0 +1,73 @@
+"""One stream that is to fill a slot."""
+
+from goldcrestmoor import util
+from goldcrestmoor.request.piece import join
+from goldcrestmoor.version.steps import make_sample
+from goldcrestmoor.version.stragglers import Progress
+
+
+class Stream:
+    """What has come in for a slot from one engine after another.
+
+    :param slot: the slot to fill.
+    :param group: its group's specification.
+    :param started_ms: when it was started, on the clock's scale.
+    :param pieces: what it goes on from.
+    :param is_hedge: whether it is a second copy.
+    """
+
+    __slots__ = (
+        "slot",
+        "group",
+        "pieces",
+        "started_ms",
+        "request_id",
+        "task",
+        "is_hedge",
+    )
+
+    def __init__(self, slot, group, started_ms, pieces=(), is_hedge=False):
+        self.slot = slot
+        self.group = group
+        self.pieces = list(pieces)
+        self.started_ms = started_ms
+        self.request_id = util.new_id()
+        self.task = None
+        self.is_hedge = is_hedge
+
+    def tokens(self):
+        """Return the tokens received."""
+        return sum(piece.tokens for piece in self.pieces)
+
+    def text(self):
+        """Return the text received."""
+        return "".join(piece.text for piece in self.pieces)
+
+    def older_than(self, version):
+        """Tell whether a token was made by an older version.
+
+        :param version: the weight version.
+        """
+        return any(piece.version < version for piece in self.pieces)
+
+    def states_versions(self):
+        """Tell whether every piece states the version that made it."""
+        return all(piece.version for piece in self.pieces)
+
+    def ended(self):
+        """Tell whether the engine said that the sample is whole."""
+        return bool(self.pieces) and bool(self.pieces[-1].finish_reason)
+
+    def progress(self, now_ms):
+        """Return how far it is.
+
+        :param now_ms: the present time, on the clock's scale.
+        """
+        elapsed_ms = now_ms - self.started_ms
+        return Progress(self.tokens(), elapsed_ms, self.group.max_tokens)
+
+    def sample(self):
+        """Return the sample that its pieces make up."""
+        # A piece without tokens ends a stream and made none of its text.
+        made = [p for p in self.pieces if p.tokens or p.text] or self.pieces
+        return make_sample(self.slot, join(made), self.pieces[-1].finish_reason)
--- /dev/null
+++ b/test/demo.py
@@ -0,0 +1,150 @@
+"""Run a small fleet through a step, app fetches, notes and a command.
+
+``make demo`` runs this; it exits with 1 when anything was doubled or lost.
+"""
+
+import asyncio
+import json
+import statistics
+import sys
+
+import msgspec
+
+from goldcrestmoor.client.notes import NotesClient, Outcome
+from goldcrestmoor.client.trainer import TrainerClient
+from goldcrestmoor.version.step_routes import GroupBody
+from test.fleet import AccountPlan, Fleet, Plan, PoolPlan, http_get
+
+LIMIT_S = 55
+STEP_TIMEOUT_MS = 40_000
+NOTE_TIMEOUT_MS = 10_000
+GROUPS = 8
+SAMPLES_PER_GROUP = 8
+MAX_TOKENS = 48
+FETCHES = 40
+NOTES = 20
+TRAINER_TOKEN = "demo-trainer"
+APP_TOKEN = "demo-desk"
+MODEL = "summaries"
+STALENESS_BOUND = 1
+
+PLAN = Plan(
+    hosts_by_zone={"zone-a": 2, "zone-b": 2},
+    pools=(
+        PoolPlan("lm-pool", "engine", {"zone-a": 1, "zone-b": 1}, MODEL),
+        PoolPlan("dash-api", "application", {"zone-a": 1, "zone-b": 1}),
+    ),
+    accounts=(
+        AccountPlan(
+            "trainer",
+            "trainer",
+            TRAINER_TOKEN,
+            ("lm-pool",),
+            share=4,
+            staleness_bound=STALENESS_BOUND,
+            zone="zone-a",
+        ),
+        AccountPlan("desk", "application", APP_TOKEN, ("dash-api",)),
+    ),
+)
+
+
+class Tally(msgspec.Struct):
+    """What the run came to, and what went wrong."""
+
+    lines: list[str] = []
+    faults: list[str] = []
+
+
+async def run_step(fleet, tally):
+    """Run one step as its trainer."""
+    client = TrainerClient(fleet.urls(), TRAINER_TOKEN, STALENESS_BOUND)
+    client.version = 1
+    groups = [
+        GroupBody(i, f"Summarize panel {i}.", SAMPLES_PER_GROUP, MAX_TOKENS, 100 * i)
+        for i in range(GROUPS)
+    ]
+    step = await client.submit("demo-1", "lm-pool", groups, STEP_TIMEOUT_MS)
+    got = await client.collect(step, STEP_TIMEOUT_MS)
+    wanted = GROUPS * SAMPLES_PER_GROUP
+    doubled, lost = client.dropped_held, wanted - len(got)
+    tally.lines.append(
+        f"samples delivered {len(got)} of {wanted}, doubled {doubled}, lost {lost}"
+    )
+    if doubled or lost:
+        tally.faults.append("A sample was doubled or lost.")
+    staleness = list(step.staleness_by_slot.values())
+    mean, worst = statistics.fmean(staleness), max(staleness)
+    tally.lines.append(f"trainer idle {client.idle_ms} ms")
+    tally.lines.append(f"staleness mean {mean:.2f}, maximum {worst} versions")
+    if worst > STALENESS_BOUND:
+        tally.faults.append("A sample was too old.")
+
+
+async def fetch(fleet, tally):
+    """Fetch panels through all hosts in turn."""
+    headers = {"Authorization": f"Bearer {APP_TOKEN}"}
+    whole = 0
+    for number in range(FETCHES):
+        url = fleet.urls()[number % len(fleet.hosts)]
+        path = f"/apps/dash-api/panels/{number}"
+        status, body = await http_get(url + path, headers)
+        whole += status == 200 and bool(body)
+    tally.lines.append(f"fetches answered {whole} of {FETCHES}")
+    if whole < FETCHES:
+        tally.faults.append("A fetch was not answered.")
+
+
+async def save_notes(fleet, tally):
+    """Save notes; the applications' own count is the witness."""
+    client = NotesClient(fleet.urls(), APP_TOKEN)
+    saved = 0
+    for number in range(NOTES):
+        body = json.dumps({"note": f"note-{number}"}).encode()
+        answer = await client.save("/apps/dash-api/notes", body, NOTE_TIMEOUT_MS)
+        saved += answer.outcome == Outcome.SAVED
+    ran = await notes_ran(fleet)
+    tally.lines.append(f"notes saved {saved} of {NOTES}, doubled {max(0, ran - saved)}")
+    if saved < NOTES or ran != saved:
+        tally.faults.append(f"{saved} notes were saved; {ran} ran.")
+
+
+async def notes_ran(fleet):
+    """Return how many notes the applications say that they ran."""
+    apps = [u for u in fleet.upstreams if u.pool == "dash-api"]
+    counts = [await fleet.get_json(app, "/count") for app in apps]
+    return sum(count["notes"] for count in counts)
+
+
+async def command(fleet, tally):
+    """Give one operator command."""
+    code, output = await fleet.ask("SHOW UPSTREAMS", fleet.hosts[-1].id)
+    tally.lines.append(output.rstrip())
+    if code:
+        tally.faults.append(f"The operator's command exited with {code}.")
+
+
+async def run():
+    """Run everything at once and return the tally."""
+    tally = Tally()
+    async with asyncio.timeout(LIMIT_S), Fleet(PLAN) as fleet:
+        await asyncio.gather(
+            run_step(fleet, tally),
+            fetch(fleet, tally),
+            save_notes(fleet, tally),
+            command(fleet, tally),
+        )
+    return tally
+
+
+def main():
+    """Print what the run came to."""
+    tally = asyncio.run(run())
+    print("\n".join(tally.lines))
+    for fault in tally.faults:
+        print(fault, file=sys.stderr)
+    sys.exit(1 if tally.faults else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/test/fleet.py
@@ -0,0 +1,413 @@
+"""A fleet of real processes on loopback: platform, upstreams and daemons.
+
+Each host and upstream has an address of its own, ``127.0.<zone>.<number>``.
+"""
+
+import asyncio
+import json
+import pathlib
+import shutil
+import tempfile
+import urllib.error
+import urllib.request
+
+import msgspec
+
+from goldcrestmoor import util
+from goldcrestmoor.clock import MS_PER_SECOND
+from test import _common, _process
+
+PLATFORM_ADDRESS = "127.0.0.2"
+UPSTREAM_NUMBER_BASE = 100
+REGION = "local"
+HTTP_TIMEOUT_S = 5
+
+
+class PoolPlan(msgspec.Struct, frozen=True):
+    """A pool of stand-ins.
+
+    :param name: the pool's name.
+    :param kind: ``engine`` or ``application``.
+    :param count_by_zone: how many upstreams each zone has.
+    :param model: the model of its engines.
+    :param slots: what each upstream runs at a time.
+    :param options: further settings of the stand-ins.
+    """
+
+    name: str
+    kind: str
+    count_by_zone: dict[str, int]
+    model: str = ""
+    slots: int = 16
+    options: dict = {}
+
+
+class AccountPlan(msgspec.Struct, frozen=True):
+    """A client account.
+
+    :param name: its name.
+    :param kind: ``trainer`` or ``application``.
+    :param token: what it sends.
+    :param pools: the pools that it may use.
+    :param share: its weight.
+    :param staleness_bound: the most versions that a sample may lag behind.
+    :param zone: where its steps are held.
+    """
+
+    name: str
+    kind: str
+    token: str
+    pools: tuple[str, ...]
+    share: int = 1
+    staleness_bound: int = 1
+    zone: str = ""
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """What a fleet is made of.
+
+    :param hosts_by_zone: how many daemons each zone has.
+    :param pools: the pools.
+    :param accounts: the accounts.
+    :param settings: sections that go over every daemon's settings.
+    :param platform: further settings of the platform's stand-in.
+    """
+
+    hosts_by_zone: dict[str, int]
+    pools: tuple[PoolPlan, ...] = ()
+    accounts: tuple[AccountPlan, ...] = ()
+    settings: dict = {}
+    platform: dict = {}
+
+
+class Endpoint(msgspec.Struct, frozen=True):
+    """A process's name and place.
+
+    :param id: its name.
+    :param zone: its availability zone.
+    :param address: its address.
+    :param port: the port that it serves HTTP on.
+    :param peer_port: a daemon's port for peers.
+    :param pool: an upstream's pool.
+    """
+
+    id: str
+    zone: str
+    address: str
+    port: int
+    peer_port: int = 0
+    pool: str = ""
+
+    @property
+    def url(self):
+        """The address as callers write it."""
+        return f"http://{self.address}:{self.port}"
+
+
+def direct(source, target, address, port):
+    """Return where a process finds another: without a proxy, at its own place."""
+    return address, port
+
+
+class Fleet:
+    """Start a plan's processes; use as an async context manager.
+
+    :param plan: the :class:`Plan`.
+    :param route: gives the address and port by which ``source`` reaches
+        ``target``, so that a proxy can be put between two processes; the source is
+        empty for upstreams, as the configuration names them once for all hosts.
+        Daemons' links to ``platform`` and to upstreams go through it.
+    """
+
+    def __init__(self, plan, route=direct):
+        self.plan = plan
+        self.directory = pathlib.Path(tempfile.mkdtemp(prefix="goldcrestmoor-"))
+        self.process_by_id = {}
+        self.platform = Endpoint("platform", "", PLATFORM_ADDRESS, 0)
+        self.hosts = self._place_hosts()
+        self.upstreams = self._place_upstreams()
+        self.endpoint_by_id = {e.id: e for e in (*self.hosts, *self.upstreams)}
+        self._route = route
+
+    async def __aenter__(self):
+        try:
+            await self.start()
+        except BaseException:
+            await self.close()
+            raise
+        return self
+
+    async def __aexit__(self, *exception):
+        await self.close()
+
+    async def start(self):
+        """Start everything and wait until every host is ready for callers."""
+        await self.start_platform()
+        await asyncio.gather(*(self.start_upstream(u.id) for u in self.upstreams))
+        await asyncio.gather(*(self.start_host(h.id) for h in self.hosts))
+        if self.plan.pools or self.plan.accounts:
+            await self.ask_file(configuration_text(self.plan, self))
+        await asyncio.gather(*(self.wait_ready(h.id) for h in self.hosts))
+
+    async def close(self):
+        """End every process by its id and drop the logs."""
+        await _process.stop_all(self.process_by_id.values())
+        shutil.rmtree(self.directory, ignore_errors=True)
+
+    async def start_platform(self):
+        """Start the platform's stand-in, which lists all hosts and upstreams."""
+        port = self.platform.port or _common.free_port(PLATFORM_ADDRESS)
+        self.platform = msgspec.structs.replace(self.platform, port=port)
+        options = {
+            "address": PLATFORM_ADDRESS,
+            "port": port,
+            "hosts": self.listed_hosts(),
+            **self.plan.platform,
+        }
+        await self._start_stand_in("platform", "platform", options)
+
+    async def start_upstream(self, upstream_id):
+        """Start, or start again, an upstream's stand-in."""
+        endpoint = self.endpoint_by_id[upstream_id]
+        pool = self._pool(endpoint.pool)
+        kind = "engine" if pool.kind == "engine" else "app"
+        options = {
+            "address": endpoint.address,
+            "port": endpoint.port,
+            **({"model": pool.model, "slots": pool.slots} if kind == "engine" else {}),
+            **pool.options,
+        }
+        await self._start_stand_in(upstream_id, kind, options)
+
+    async def start_host(self, host_id):
+        """Start, or start again, a daemon, and wait until it serves."""
+        path = self.directory / f"{host_id}.json"
+        path.write_text(json.dumps(self.settings_of(host_id), indent=4))
+        arguments = ["goldcrestmoor", "serve", str(path)]
+        process = _process.Process(host_id, arguments, self.directory)
+        self.process_by_id[host_id] = process
+        await self._wait_for(host_id, "/healthz")
+
+    async def wait_ready(self, host_id):
+        """Wait until a host tells the balancer that it is ready."""
+        await self._wait_for(host_id, "/readyz")
+
+    def settings_of(self, host_id):
+        """Return a daemon's settings document."""
+        host = self.endpoint_by_id[host_id]
+        address, port = self._route(
+            host_id, "platform", self.platform.address, self.platform.port
+        )
+        peers = [
+            {
+                "id": peer.id,
+                "zone": peer.zone,
+                "address": peer.address,
+                "peer_port": peer.peer_port,
+            }
+            for peer in self.hosts
+            if peer.id != host_id
+        ]
+        sections = {name: dict(value) for name, value in self.plan.settings.items()}
+        document = _common.settings_document(host_id, host.zone, **sections)
+        document["host"] |= {
+            "region": REGION,
+            "address": host.address,
+            "http_port": host.port,
+            "peer_port": host.peer_port,
+        }
+        document["platform"] |= {"address": address, "port": port}
+        document["peers"] = peers
+        return document
+
+    def listed_hosts(self, state_by_id=None):
+        """Return the platform's list of hosts and upstreams.
+
+        :param state_by_id: states other than ``live``.
+        """
+        states = state_by_id or {}
+        return [
+            {
+                "id": e.id,
+                "kind": "upstream" if e.pool else "host",
+                "zone": e.zone,
+                "address": e.address,
+                "http_port": e.port,
+                "peer_port": e.peer_port,
+                "state": states.get(e.id, "live"),
+            }
+            for e in (*self.hosts, *self.upstreams)
+        ]
+
+    def upstream_place(self, upstream_id):
+        """Return the address and port at which the daemons find an upstream."""
+        e = self.endpoint_by_id[upstream_id]
+        return self._route("", upstream_id, e.address, e.port)
+
+    def urls(self, zone=None):
+        """Return the hosts' addresses for clients, of one zone or of all."""
+        return [h.url for h in self.hosts if zone in (None, h.zone)]
+
+    async def ask(self, command, host_id=None, *, is_json=False):
+        """Give one operator command through the command line.
+
+        :param command: the command's text.
+        :param host_id: the host to ask; the first when left out.
+        :return: the exit code and what was printed.
+        """
+        extra = [f"--json={is_json}"] if is_json else []
+        return await self._ask([command, *extra], host_id)
+
+    async def ask_file(self, text, host_id=None):
+        """Give the commands of a text through the command line.
+
+        :raises AssertionError: when they were not all accepted.
+        """
+        path = self.directory / "commands.txt"
+        path.write_text(text)
+        code, output = await self._ask(["--file", str(path)], host_id)
+        if code:
+            raise AssertionError(f"ask exited with {code}:\n{output}\n{text}")
+        return output
+
+    async def _ask(self, arguments, host_id):
+        url = self.endpoint_by_id[host_id or self.hosts[0].id].url
+        name = f"ask-{util.new_id()}"
+        command = [
+            "goldcrestmoor",
+            "ask",
+            *arguments,
+            "--url",
+            url,
+            "--token",
+            _common.OPERATOR_TOKEN,
+        ]
+        process = _process.Process(name, command, self.directory)
+        self.process_by_id[name] = process
+        code = await process.wait()
+        del self.process_by_id[name]
+        return code, process.log()
+
+    def kill(self, process_id):
+        """End a process at once."""
+        self.process_by_id[process_id].kill()
+
+    def freeze(self, process_id):
+        """Stop a process without its noticing."""
+        self.process_by_id[process_id].freeze()
+
+    def thaw(self, process_id):
+        """Let a frozen process go on."""
+        self.process_by_id[process_id].thaw()
+
+    def terminate(self, process_id):
+        """Ask a process to shut down gracefully."""
+        self.process_by_id[process_id].terminate()
+
+    async def get_json(self, endpoint, path):
+        """Return the decoded answer of a stand-in or daemon, or None."""
+        status, body = await http_get(f"{endpoint.url}{path}")
+        return json.loads(body) if status == 200 else None
+
+    async def _start_stand_in(self, name, kind, options):
+        process = _process.stand_in(name, kind, options, self.directory)
+        self.process_by_id[name] = process
+        await process.ready_port()
+
+    async def _wait_for(self, host_id, path):
+        process = self.process_by_id[host_id]
+        url = self.endpoint_by_id[host_id].url + path
+        status = None
+
+        async def answered():
+            nonlocal status
+            if not process.alive():
+                raise AssertionError(f"{host_id} ended early:\n{process.log_tail()}")
+            status, _ = await http_get(url)
+            return status == 200
+
+        try:
+            await _common.eventually(answered)
+        except AssertionError as e:
+            text = f"{url} answered {status}; its log:\n{process.log_tail()}"
+            raise AssertionError(f"{e}\n{text}") from e
+
+    def _pool(self, name):
+        return next(pool for pool in self.plan.pools if pool.name == name)
+
+    def _place_hosts(self):
+        hosts = []
+        for number, (zone, count) in enumerate(self.plan.hosts_by_zone.items(), 1):
+            for index in range(1, count + 1):
+                address = f"127.0.{number}.{index}"
+                ports = _common.free_port(address), _common.free_port(address)
+                hosts.append(Endpoint(f"{zone}-{index}", zone, address, *ports))
+        return hosts
+
+    def _place_upstreams(self):
+        upstreams = []
+        zones = list(self.plan.hosts_by_zone)
+        next_by_zone = dict.fromkeys(zones, UPSTREAM_NUMBER_BASE)
+        for pool in self.plan.pools:
+            number = 0
+            for zone, count in pool.count_by_zone.items():
+                for _ in range(count):
+                    number += 1
+                    next_by_zone[zone] += 1
+                    address = f"127.0.{zones.index(zone) + 1}.{next_by_zone[zone]}"
+                    port = _common.free_port(address)
+                    name = f"{pool.name}-{number}"
+                    upstreams.append(
+                        Endpoint(name, zone, address, port, pool=pool.name)
+                    )
+        return upstreams
+
+
+def configuration_text(plan, fleet):
+    """Return the commands that create a plan's pools, upstreams and accounts.
+
+    :param plan: the :class:`Plan`.
+    :param fleet: gives each upstream's place.
+    """
+    lines = []
+    pool_by_name = {pool.name: pool for pool in plan.pools}
+    for pool in plan.pools:
+        model = f" MODEL {pool.model}" if pool.model else ""
+        lines.append(f"CREATE POOL {pool.name} KIND {pool.kind}{model};")
+    for upstream in fleet.upstreams:
+        address, port = fleet.upstream_place(upstream.id)
+        slots = pool_by_name[upstream.pool].slots
+        lines.append(
+            f"CREATE UPSTREAM {upstream.id} POOL {upstream.pool} "
+            f"ZONE {upstream.zone} ADDRESS {address} PORT {port} SLOTS {slots};"
+        )
+    for account in plan.accounts:
+        zone = f" ZONE {account.zone}" if account.zone else ""
+        lines.append(
+            f"CREATE ACCOUNT {account.name} KIND {account.kind} "
+            f"TOKEN_HASH {util.hash_token(account.token)} "
+            f"POOLS {', '.join(account.pools)} SHARE {account.share} "
+            f"STALENESS {account.staleness_bound}{zone};"
+        )
+    return "\n".join(lines) + "\n"
+
+
+async def http_get(url, headers=None, timeout_ms=HTTP_TIMEOUT_S * MS_PER_SECOND):
+    """Send one GET request.
+
+    :return: the status, or None when there was no answer, and the body.
+    """
+    return await asyncio.to_thread(_http_get, url, headers or {}, timeout_ms)
+
+
+def _http_get(url, headers, timeout_ms):
+    request = urllib.request.Request(url, headers=headers)
+    try:
+        with urllib.request.urlopen(
+            request, timeout=timeout_ms / MS_PER_SECOND
+        ) as response:
+            return response.status, response.read()
+    except urllib.error.HTTPError as e:
+        return e.code, e.read()
+    except OSError:
+        return None, b""
--- a/test/test_steps.py
+++ b/test/test_steps.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.request.piece import Piece, Segment
+from goldcrestmoor.version import step_holder
 from goldcrestmoor.version.configuration import StreamRule
-from goldcrestmoor.version.steps import Slot, check, oldest_version
+from goldcrestmoor.version.step_state import StepState
+from goldcrestmoor.version.steps import Held, Slot, check, make_sample, oldest_version
 from test import _common
 from test._step_fakes import ACCOUNT, FakeFleet, make_spec
 
@@ -93,6 +96,42 @@
                 check(make_spec(step=name))
 
 
+class StateTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.state = StepState(make_spec(groups=1, samples=2), "zone-a", None, 0)
+        self.slot = Slot(0, 0)
+
+    def put(self, *versions):
+        segments = [Segment(version, "x", 1) for version in versions]
+        sample = make_sample(self.slot, segments, "stop")
+        taken = self.state.put(sample)
+        self.state.settle(sample, sample)
+        return taken
+
+    async def test_a_slot_takes_one_sample(self):
+        self.assertTrue(self.put(1))
+        self.assertFalse(self.put(2))
+        samples, _ = self.state.answer(Held(), 1, 10)
+        self.assertEqual([oldest_version(s) for s in samples], [1])
+
+    async def test_the_answer_checks_the_oldest_segment(self):
+        self.put(1, 4)
+        self.state.note_pull(Held(), 4, 0)
+        self.assertEqual(self.state.answer(Held(), 2, 10), ((), False))
+        self.assertEqual(len(self.state.answer(Held(), 3, 10)[0]), 1)
+
+    async def test_nothing_is_answered_before_it_is_recorded(self):
+        sample = make_sample(self.slot, [Segment(1, "x", 1)], "stop")
+        self.state.put(sample)
+        self.assertEqual(self.state.answer(Held(), 1, 10), ((), False))
+
+    async def test_stale_samples_are_to_be_made_again(self):
+        self.put(1, 4)
+        self.state.note_pull(Held(), 4, 0)
+        self.assertEqual(self.state.drop_stale(2), [self.slot])
+        self.assertIn(self.slot, self.state.to_make())
+
+
 class RecordTest(StepTestCase):
     async def test_one_row_is_written_for_each_group(self):
         fleet = self.make_fleet("a", "b")
@@ -127,8 +166,6 @@
         records = fleet.host_by_id["a"].store.records
         spec = make_spec(groups=1, samples=1)
         slot = Slot(0, 0)
-        from goldcrestmoor.version.steps import make_sample
-
         own = make_sample(slot, [Segment(1, "own", 1)], "stop")
         other = make_sample(slot, [Segment(1, "other", 1)], "stop")
         first = await records.save_group(spec, 0, 0, [own])
@@ -137,6 +174,18 @@
         self.assertFalse(second.own)
         self.assertEqual(second.samples, (own,))
 
+    async def test_a_lost_answer_is_settled_by_the_rows_token(self):
+        fleet = self.make_fleet("a")
+        records = fleet.host_by_id["a"].store.records
+        spec = make_spec(groups=1, samples=1)
+        sample = make_sample(Slot(0, 0), [Segment(1, "own", 1)], "stop")
+        fleet.platform.answers_to_lose = 1
+        record = await records.save_group(spec, 0, 0, [sample])
+        self.assertTrue(record.own)
+        fleet.platform.answers_to_lose = 1
+        await records.save_spec(spec)
+        self.assertEqual(await records.load_spec(ACCOUNT, "s1"), spec)
+
     async def test_lost_answers_are_settled(self):
         fleet = self.make_fleet("a", "b")
         fleet.platform.answers_to_lose = 1
@@ -200,6 +249,24 @@
     return kept.sample_by_slot if kept else {}
 
 
+class HandoverTest(StepTestCase):
+    async def test_a_host_that_is_not_the_holder_any_more_stops(self):
+        fleet = self.make_fleet("a", "b")
+        fleet.holder_of = {"a": "a", "b": "a"}
+        gate = asyncio.Event()
+        waiting = stream(Piece("x", 1, 1, "e", "stop"), gate=gate)
+        fleet.engines.script_by_seed[0] = [waiting]
+        a, b = fleet.host_by_id["a"], fleet.host_by_id["b"]
+        with mock.patch.object(step_holder, "HANDOVER_MS", 1):
+            await a.holder.submit(make_spec(groups=1, samples=1))
+            await _common.eventually(lambda: fleet.engines.calls)
+            fleet.holder_of = {"a": "b", "b": "b"}
+            await _common.eventually(lambda: not a.holder.steps())
+            await _common.eventually(lambda: fleet.engines.closed == 1)
+            got, _ = await b.collect("s1")
+        self.assertEqual(len(got), 1)
+
+
 class StalenessTest(StepTestCase):
     async def test_a_sample_goes_stale_in_a_row(self):
         fleet = self.make_fleet("a", "b")
