Give steps up on shutdown, and bound answers by their text

Cause: a leaving host cut off what it had made but not yet replicated, and went on answering peers; one answer of long samples could exceed what peers take. Change: StepHolder.hand_over waits until every sample is kept elsewhere and sends later pulls on; answers end at 4 million characters but hold at least one sample. Routing to the holder has a module of its own. Not done: tokens of streams still in flight are made again by the next holder.

--- a/goldcrestmoor/version/step_holder.py
+++ b/goldcrestmoor/version/step_holder.py
@@ -13,6 +13,7 @@
     PullSamples,
     SubmitStep,
 )
+from goldcrestmoor.version.step_router import StepRouter
 from goldcrestmoor.version.step_run import StepRun
 from goldcrestmoor.version.step_state import StepState
 from goldcrestmoor.version.steps import (
@@ -26,11 +27,12 @@
 log = logging.getLogger("goldcrestmoor.steps")
 
 MAX_STEPS = 64
-MAX_TRIES = 3
 PULL_SLICE_MS = 2000
 CALL_MARGIN_MS = 1500
 SUBMIT_TIMEOUT_MS = 5000
-HANDOVER_MS = 5000
+UNWANTED_MS = 5000
+HAND_OVER_TIMEOUT_MS = 5000
+HAND_OVER_POLL_MS = 20
 
 
 class _Work:
@@ -73,16 +75,21 @@
         self._clock = clock
         self._completions = completions
         self._store = store
-        self._links = links
-        self._ownership = ownership
+        self._router = StepRouter(
+            links=links,
+            ownership=ownership,
+            store=store,
+            lease=lease,
+            host_id=settings.host.id,
+        )
         self._lease = lease
         self._decisions = decisions
         self._metrics = metrics
         self._settings = settings.steps
-        self._host_id = settings.host.id
         self._work_by_key = {}
         self._loading_by_key = {}
         self._tasks = util.TaskGroup()
+        self._is_leaving = False
         links.register(PullSamples, self._on_pull)
         links.register(SubmitStep, self._on_submit)
         links.register(CancelStep, self._on_cancel)
@@ -94,7 +101,7 @@
         :raises ServiceError: ``STEP_CONFLICT``, ``PLATFORM_UNAVAILABLE`` and others.
         """
         check(spec)
-        await self._at_holder(
+        await self._router.at_holder(
             spec.account,
             spec.step,
             SubmitStep(spec),
@@ -119,7 +126,7 @@
             slice_ms = min(deadline.remaining_ms(), PULL_SLICE_MS)
             limit = min(message.max_samples, self._settings.max_pull_samples)
             part = _with_wait(message, slice_ms, limit)
-            answer = await self._at_holder(
+            answer = await self._router.at_holder(
                 message.account,
                 message.step,
                 part,
@@ -140,7 +147,7 @@
         """
         check_name(step)
         message = CancelStep(account, step)
-        await self._at_holder(
+        await self._router.at_holder(
             account, step, message, SUBMIT_TIMEOUT_MS, self._on_cancel
         )
 
@@ -153,43 +160,24 @@
         """Return the states of the steps held here."""
         return [work.state for work in self._work_by_key.values()]
 
+    async def hand_over(self):
+        """Give up the steps held here, once what was made is kept elsewhere."""
+        self._is_leaving = True
+        deadline = Deadline.after(self._clock, HAND_OVER_TIMEOUT_MS)
+        while not deadline.passed() and not all(s.settled() for s in self.steps()):
+            await self._clock.sleep_ms(HAND_OVER_POLL_MS)
+        await self.close()
+
     async def close(self):
         """Stop all work."""
         for loading in self._loading_by_key.values():
             loading.cancel()
         await self._tasks.close()
 
-    async def _at_holder(self, account, step, message, timeout_ms, here):
-        found = self._account(account)
-        first = self._ownership.holder_of_step(found, step)
-        others = self._store.hosts_for(account, step, found.zone)
-        hosts = list(dict.fromkeys([first, *others]))[:MAX_TRIES]
-        for host_id in hosts:
-            if host_id == self._host_id:
-                break
-            try:
-                return await self._links.call(host_id, message, timeout_ms)
-            except ServiceError as e:
-                if e.kind not in (ErrorKind.PEER_UNREACHABLE, ErrorKind.DRAINING):
-                    raise
-                log.info("Host %s does not hold step %s: %s", host_id, step, e)
-        return await here(self._host_id, message)
-
-    def _zone(self, account):
-        found = self._lease.view().configuration.accounts_by_name.get(account)
-        return found.zone if found else ""
-
-    def _account(self, name):
-        view = self._lease.view()
-        account = view.configuration.accounts_by_name.get(name)
-        if account is None:
-            kind = ErrorKind.CONFIG_LAPSED if view.lapsed else ErrorKind.FORBIDDEN
-            raise ServiceError(kind, "The account is not served here.")
-        return account
-
     async def _on_submit(self, sender_id, message):
+        self._check_staying()
         spec = message.spec
-        zone = self._zone(spec.account)
+        zone = self._router.zone(spec.account)
         work = self._work_by_key.get((spec.account, spec.step))
         if work is not None:
             if digest_of(work.state.spec) != digest_of(spec):
@@ -204,12 +192,13 @@
         return wire.Done()
 
     async def _on_pull(self, sender_id, message):
+        self._check_staying()
         state = await self._find(message.account, message.step)
         held = Held(frozenset(message.groups_held), frozenset(message.held))
         state.note_pull(held, message.version, self._clock.now_ms())
         deadline = Deadline.after(self._clock, message.wait_ms)
         while True:
-            bound = self._account(message.account).staleness_bound
+            bound = self._router.account(message.account).staleness_bound
             samples, complete = state.answer(held, bound, message.max_samples)
             if samples or complete or deadline.passed():
                 break
@@ -232,7 +221,7 @@
     async def _on_cancel(self, sender_id, message):
         key = (message.account, message.step)
         self._drop(key)
-        await self._store.forget(*key, self._zone(message.account))
+        await self._store.forget(*key, self._router.zone(message.account))
         await self._store.records.delete_spec(*key)
         return wire.Done()
 
@@ -251,7 +240,7 @@
     async def _load(self, key, spec):
         self._check_room()
         account, step = key
-        zone = self._zone(account)
+        zone = self._router.zone(account)
         try:
             found, groups, samples = await self._store.load(account, step, zone)
         except ServiceError:
@@ -289,14 +278,13 @@
     def _is_wanted(self, state):
         # A host that is no longer the holder goes on while pulls still reach it,
         # then leaves the rest to the new one. What it made is kept elsewhere.
-        if self._clock.now_ms() - state.pulled_ms < HANDOVER_MS:
-            return True
-        accounts = self._lease.view().configuration.accounts_by_name
-        account = accounts.get(state.spec.account)
-        if account is None:
+        if self._clock.now_ms() - state.pulled_ms < UNWANTED_MS:
             return True
-        holder = self._ownership.holder_of_step(account, state.spec.step)
-        return holder == self._host_id
+        return self._router.is_here(state.spec.account, state.spec.step)
+
+    def _check_staying(self):
+        if self._is_leaving:
+            raise ServiceError(ErrorKind.DRAINING, "This host is shutting down.")
 
     def _check_room(self):
         if len(self._work_by_key) + len(self._loading_by_key) > MAX_STEPS:
--- /dev/null
+++ b/goldcrestmoor/version/step_router.py
@@ -0,0 +1,87 @@
+"""Finding the holder of a step and asking it."""
+
+import logging
+
+from goldcrestmoor.errors import ErrorKind, ServiceError
+
+log = logging.getLogger("goldcrestmoor.steps")
+
+MAX_TRIES = 3
+_MOVE_ON = (ErrorKind.PEER_UNREACHABLE, ErrorKind.DRAINING)
+
+
+class StepRouter:
+    """Take messages about a step to its holder.
+
+    :param links: the ``PeerLinks``.
+    :param ownership: the ``Ownership``.
+    :param store: the :class:`~goldcrestmoor.version.step_store.StepStore`.
+    :param lease: the ``ConfigurationLease``.
+    :param host_id: this host.
+    """
+
+    __slots__ = ("_links", "_ownership", "_store", "_lease", "_host_id")
+
+    def __init__(self, *, links, ownership, store, lease, host_id):
+        self._links = links
+        self._ownership = ownership
+        self._store = store
+        self._lease = lease
+        self._host_id = host_id
+
+    async def at_holder(self, account, step, message, timeout_ms, here):
+        """Have a message handled by the holder, or by the next host that can.
+
+        :param account: the account's name.
+        :param step: the step's name.
+        :param message: the message.
+        :param timeout_ms: how long to wait for each host, in milliseconds.
+        :param here: handles the message on this host; as a peer's handler does.
+        :return: the answer.
+        """
+        found = self.account(account)
+        first = self._ownership.holder_of_step(found, step)
+        others = self._store.hosts_for(account, step, found.zone)
+        for host_id in list(dict.fromkeys([first, *others]))[:MAX_TRIES]:
+            if host_id == self._host_id:
+                break
+            try:
+                return await self._links.call(host_id, message, timeout_ms)
+            except ServiceError as e:
+                if e.kind not in _MOVE_ON:
+                    raise
+                log.info("Host %s does not hold step %s: %s", host_id, step, e)
+        return await here(self._host_id, message)
+
+    def is_here(self, account, step):
+        """Tell whether this host is a step's holder, as far as it knows.
+
+        :param account: the account's name.
+        :param step: the step's name.
+        """
+        found = self._lease.view().configuration.accounts_by_name.get(account)
+        if found is None:
+            return True
+        return self._ownership.holder_of_step(found, step) == self._host_id
+
+    def zone(self, account):
+        """Return an account's zone; empty when the account is not served here.
+
+        :param account: the account's name.
+        """
+        found = self._lease.view().configuration.accounts_by_name.get(account)
+        return found.zone if found else ""
+
+    def account(self, name):
+        """Return an account.
+
+        :param name: its name.
+        :raises ServiceError: ``CONFIG_LAPSED`` when this host is cut off and does not
+            serve it meanwhile, else ``FORBIDDEN``.
+        """
+        view = self._lease.view()
+        account = view.configuration.accounts_by_name.get(name)
+        if account is None:
+            kind = ErrorKind.CONFIG_LAPSED if view.lapsed else ErrorKind.FORBIDDEN
+            raise ServiceError(kind, "The account is not served here.")
+        return account
--- a/goldcrestmoor/version/step_state.py
+++ b/goldcrestmoor/version/step_state.py
@@ -4,6 +4,8 @@
 
 from goldcrestmoor.version.steps import Held, oldest_version
 
+MAX_ANSWER_CHARACTERS = 4_000_000
+
 
 class StepState:
     """The samples of a step and the trainer's last word about it.
@@ -159,9 +161,13 @@
             if slot in self._ready
             and oldest_version(self.sample_by_slot[slot]) >= floor
         ]
-        samples = tuple(fresh[:max_samples])
+        samples = tuple(_within(fresh[:max_samples], MAX_ANSWER_CHARACTERS))
         return samples, len(samples) == len(lacking)
 
+    def settled(self):
+        """Tell whether every sample is recorded or kept by another host."""
+        return len(self._ready) == len(self.sample_by_slot)
+
     async def wait_changed(self):
         """Wait until a sample or a pull comes in."""
         await self._changed.wait()
@@ -169,3 +175,13 @@
     def _wake(self):
         self._changed.set()
         self._changed = asyncio.Event()
+
+
+def _within(samples, max_characters):
+    """Yield samples until their text exceeds a bound; always the first one."""
+    total = 0
+    for sample in samples:
+        total += sum(len(segment.text) for segment in sample.segments)
+        if total > max_characters and sample is not samples[0]:
+            return
+        yield sample
--- a/test/test_steps.py
+++ b/test/test_steps.py
@@ -6,7 +6,7 @@
 
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.request.piece import Piece, Segment
-from goldcrestmoor.version import step_holder
+from goldcrestmoor.version import step_holder, step_state
 from goldcrestmoor.version.configuration import StreamRule
 from goldcrestmoor.version.step_rows import make_source
 from goldcrestmoor.version.step_state import StepState
@@ -131,6 +131,14 @@
         self.assertEqual(self.state.answer(Held(), 2, 10), ((), False))
         self.assertEqual(len(self.state.answer(Held(), 3, 10)[0]), 1)
 
+    async def test_an_answer_is_bounded_but_never_empty(self):
+        for index in range(2):
+            self.slot = Slot(0, index)
+            self.put(1)
+        with mock.patch.object(step_state, "MAX_ANSWER_CHARACTERS", 0):
+            samples, is_complete = self.state.answer(Held(), 1, 10)
+        self.assertEqual((len(samples), is_complete), (1, False))
+
     async def test_nothing_is_answered_before_it_is_recorded(self):
         sample = make_sample(self.slot, [Segment(1, "x", 1)], "stop")
         self.state.put(sample)
@@ -268,7 +276,7 @@
         waiting = stream(Piece("x", 1, 1, "e", "stop"), gate=gate)
         fleet.engines.script_by_seed[0] = [waiting]
         a, b = fleet.host_by_id["a"], fleet.host_by_id["b"]
-        with mock.patch.object(step_holder, "HANDOVER_MS", 1):
+        with mock.patch.object(step_holder, "UNWANTED_MS", 1):
             await a.holder.submit(make_spec(groups=1, samples=1))
             await _common.eventually(lambda: fleet.engines.calls)
             fleet.holder_of = {"a": "b", "b": "b"}
@@ -277,6 +285,23 @@
             got, _ = await b.collect("s1")
         self.assertEqual(len(got), 1)
 
+    async def test_a_leaving_host_hands_over_what_it_made(self):
+        fleet = self.make_fleet("a", "b")
+        fleet.platform.out = True
+        fleet.holder_of = {"a": "a", "b": "a"}
+        gate = asyncio.Event()
+        waiting = stream(Piece("x", 1, 1, "e", "stop"), gate=gate)
+        fleet.engines.script_by_seed[2] = [waiting]
+        a, b = fleet.host_by_id["a"], fleet.host_by_id["b"]
+        await a.holder.submit(make_spec(groups=1))
+        await _common.eventually(lambda: len(fleet.engines.calls) == 3)
+        await _common.eventually(lambda: len(a.holder.steps()[0].sample_by_slot) == 2)
+        await a.holder.hand_over()
+        # The other host still takes the leaving one for the holder.
+        got, _ = await b.collect("s1")
+        self.assertEqual(len(got), 3)
+        self.assertEqual(len(fleet.engines.calls), 4)
+
 
 class StalenessTest(StepTestCase):
     async def test_a_sample_goes_stale_in_a_row(self):
