--- a/goldcrestmoor/settings.py
+++ b/goldcrestmoor/settings.py
@@ -197,8 +197,9 @@
 
 
 def default_limits():
-    """Return the shipped limits, for clients that have no settings of their own."""
-    return LimitSettings(**_defaults()["limits"])
+    """Return the limits that hold where no settings file says otherwise."""
+    limits = _defaults()["limits"]
+    return TypeAdapter(LimitSettings).validate_json(json.dumps(limits))
 
 
 def _defaults():
