Make the choice of upstreams cheap in large pools

Cause: every choice computed the median of each upstream's latencies, and every release counted the idle connections of all targets.

Ruled out: sampling a few upstreams, as a single slow one would be missed.

Change: medians are kept as outcomes come in, a pool's latencies are compared twice a second, those that are out are kept in a set, and the pool counts its idle connections as they come and go.

--- a/goldcrestmoor/connection/health.py
+++ b/goldcrestmoor/connection/health.py
@@ -15,6 +15,8 @@
 # A probe whose outcome is never recorded does not hold up the next one for good.
 PROBE_LIFETIME_MS = 30_000
 
+# Latencies are compared this often, as it costs time with each upstream of a pool.
+JUDGE_INTERVAL_MS = 500
 SLOW_FACTOR = 4
 SLOW_MARGIN_MS = 50
 LATENCIES_KEPT = 20
@@ -33,6 +35,8 @@
         "slow_bound_ms",
         "reason",
         "latencies_ms",
+        "median_ms",
+        "judged_at_ms",
     )
 
     def __init__(self):
@@ -43,11 +47,17 @@
         self.slow_bound_ms = None
         self.reason = ""
         self.latencies_ms = collections.deque(maxlen=LATENCIES_KEPT)
+        self.median_ms = None
+        self.judged_at_ms = None
 
-    def median_ms(self):
-        if len(self.latencies_ms) < LATENCIES_NEEDED:
-            return None
-        return statistics.median(self.latencies_ms)
+    def add_latency(self, latency_ms):
+        self.latencies_ms.append(latency_ms)
+        if len(self.latencies_ms) >= LATENCIES_NEEDED:
+            self.median_ms = statistics.median(self.latencies_ms)
+
+    def forget_latencies(self):
+        self.latencies_ms.clear()
+        self.median_ms = None
 
 
 class UpstreamHealth:
@@ -56,11 +66,12 @@
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     """
 
-    __slots__ = ("_clock", "_state_by_upstream")
+    __slots__ = ("_clock", "_state_by_upstream", "_out")
 
     def __init__(self, *, clock):
         self._clock = clock
         self._state_by_upstream = collections.OrderedDict()
+        self._out = set()
 
     def record(self, upstream, ok, latency_ms=None):
         """Note what a request met.
@@ -80,7 +91,7 @@
         if state.out_until_ms is not None:
             self._record_return(upstream, state, latency_ms)
         elif latency_ms is not None:
-            state.latencies_ms.append(latency_ms)
+            state.add_latency(latency_ms)
 
     def _record_failure(self, upstream, state):
         state.failures += 1
@@ -99,6 +110,7 @@
                 self._take_out(upstream, state, state.reason)
             return
         log.info("%s is back in use.", upstream)
+        self._out.discard(upstream)
         state.out_until_ms = None
         state.slow_bound_ms = None
         state.rounds = 0
@@ -110,7 +122,8 @@
         duration_ms = int(random.uniform(bound_ms / 2, bound_ms))
         state.out_until_ms = self._clock.now_ms() + duration_ms
         state.reason = reason
-        state.latencies_ms.clear()
+        state.forget_latencies()
+        self._out.add(upstream)
         log.warning("%s is out for %d ms: %s.", upstream, duration_ms, reason)
 
     def usable(self, upstream_names):
@@ -124,19 +137,31 @@
         """
         names = list(upstream_names)
         most_out = max(1, len(names) // POOL_PART_OUT) if len(names) > 1 else 0
-        if self._count_out(names) < most_out:
-            self._judge_slowest(names)
-        out = [name for name in names if self._is_out(name)]
+        if most_out and self._is_judging_due(names[0]):
+            self._judge_slowest(names, most_out)
+        if not self._out:
+            return names
+        out = [name for name in names if name in self._out]
         out.sort(key=self._badness, reverse=True)
         left_out = set(out[:most_out])
         return [name for name in names if name not in left_out]
 
-    def _judge_slowest(self, names):
-        states = [(name, self._state_by_upstream.get(name)) for name in names]
+    def _is_judging_due(self, first_name):
+        state, now_ms = self._state(first_name), self._clock.now_ms()
+        judged_at_ms = state.judged_at_ms
+        if judged_at_ms is not None and now_ms < judged_at_ms + JUDGE_INTERVAL_MS:
+            return False
+        state.judged_at_ms = now_ms
+        return True
+
+    def _judge_slowest(self, names, most_out):
+        if sum(name in self._out for name in names) >= most_out:
+            return
+        states = ((name, self._state_by_upstream.get(name)) for name in names)
         medians = [
-            (state.median_ms(), name)
+            (state.median_ms, name)
             for name, state in states
-            if state is not None and state.median_ms() is not None
+            if state is not None and state.median_ms is not None
         ]
         if len(medians) < 2:
             return
@@ -144,10 +169,9 @@
         peers_ms = statistics.median(ms for ms, name in medians if name != slowest)
         bound_ms = peers_ms * SLOW_FACTOR + SLOW_MARGIN_MS
         if slowest_ms > bound_ms:
-            state = self._state_by_upstream[slowest]
-            state.slow_bound_ms = bound_ms
+            self._state_by_upstream[slowest].slow_bound_ms = bound_ms
             reason = f"median of {slowest_ms:.0f} ms, its peers {peers_ms:.0f} ms"
-            self._take_out(slowest, state, reason)
+            self._take_out(slowest, self._state_by_upstream[slowest], reason)
 
     def try_probe(self, upstream):
         """Take the right to send one request to an upstream that is out.
@@ -177,13 +201,6 @@
         wait_ms = max(0, state.out_until_ms - self._clock.now_ms())
         return f"{state.reason}; tried again in {wait_ms} ms"
 
-    def _count_out(self, names):
-        return sum(self._is_out(name) for name in names)
-
-    def _is_out(self, name):
-        state = self._state_by_upstream.get(name)
-        return state is not None and state.out_until_ms is not None
-
     def _badness(self, name):
         state = self._state_by_upstream[name]
         return state.failures, state.rounds, name
@@ -193,6 +210,7 @@
         if state is None:
             state = self._state_by_upstream[upstream] = _State()
             if len(self._state_by_upstream) > MAX_UPSTREAMS:
-                self._state_by_upstream.popitem(last=False)
+                forgotten, _ = self._state_by_upstream.popitem(last=False)
+                self._out.discard(forgotten)
         self._state_by_upstream.move_to_end(upstream)
         return state
--- a/goldcrestmoor/connection/http_pool.py
+++ b/goldcrestmoor/connection/http_pool.py
@@ -22,11 +22,21 @@
 
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param limits: the :class:`~goldcrestmoor.settings.LimitSettings`.
+    :ivar idle_count: how many idle connections are kept.
     """
 
-    __slots__ = ("_clock", "_limits", "_idle_by_target", "_tasks", "_reaper", "_closed")
+    __slots__ = (
+        "idle_count",
+        "_clock",
+        "_limits",
+        "_idle_by_target",
+        "_tasks",
+        "_reaper",
+        "_closed",
+    )
 
     def __init__(self, *, clock, limits):
+        self.idle_count = 0
         self._clock = clock
         self._limits = limits
         self._idle_by_target = {}
@@ -60,6 +70,7 @@
         oldest_ms = self._clock.now_ms() - bound_ms
         while idle and idle[-1].idle_since_ms >= oldest_ms:
             connection = idle.pop()
+            self.idle_count -= 1
             if not idle:
                 del self._idle_by_target[target]
             if connection.is_clean():
@@ -72,14 +83,16 @@
 
         :param connection: the :class:`HttpConnection`.
         """
-        if self._closed or self.idle_count() >= MAX_IDLE or not connection.finish():
+        if self._closed or self.idle_count >= MAX_IDLE or not connection.finish():
             connection.abort()
             return
         connection.idle_since_ms = self._clock.now_ms()
         idle = self._idle_by_target.setdefault(connection.target, collections.deque())
         idle.append(connection)
+        self.idle_count += 1
         if len(idle) > MAX_IDLE_PER_TARGET:
             idle.popleft().abort()
+            self.idle_count -= 1
         if self._reaper is None or self._reaper.done():
             self._reaper = self._tasks.start(self._reap(), "pool reaper")
 
@@ -90,10 +103,7 @@
         """
         for connection in self._idle_by_target.pop(target, ()):
             connection.abort()
-
-    def idle_count(self):
-        """Return how many idle connections are kept."""
-        return sum(len(idle) for idle in self._idle_by_target.values())
+            self.idle_count -= 1
 
     async def close(self):
         """Close every idle connection and keep no more."""
@@ -117,5 +127,6 @@
                 kept.append(connection)
             else:
                 connection.abort()
+                self.idle_count -= 1
         if kept:
             self._idle_by_target[target] = kept
--- a/test/test_health.py
+++ b/test/test_health.py
@@ -98,6 +98,16 @@
         self.health.record("lm-2", True, 120)
         self.assertEqual(self.health.usable(POOL), POOL)
 
+    def test_latencies_are_compared_again_after_a_while(self):
+        for upstream in POOL:
+            self.answer(upstream, 100)
+        self.assertEqual(self.health.usable(POOL), POOL)
+        for _ in range(health.LATENCIES_KEPT):
+            self.health.record("lm-0", True, 2000)
+        self.assertEqual(self.health.usable(POOL), POOL)
+        self.clock.ms += health.JUDGE_INTERVAL_MS
+        self.assertEqual(self.health.usable(POOL), POOL[1:])
+
     def test_memory_is_bounded(self):
         for n in range(health.MAX_UPSTREAMS + 10):
             self.health.record(f"u{n}", True, 1)
--- a/test/test_http_client.py
+++ b/test/test_http_client.py
@@ -363,15 +363,16 @@
         self.limits.idle_connection_ms = 50
         raw, port = await self.start_raw(lambda _: [LENGTH_ANSWER])
         await asyncio.gather(*(self.get(port) for _ in range(40)))
-        self.assertLessEqual(self.client._pool.idle_count(), 32)
-        await _common.eventually(lambda: self.client._pool.idle_count() == 0)
+        self.assertLessEqual(self.client._pool.idle_count, 32)
+        await _common.eventually(lambda: self.client._pool.idle_count == 0)
+        self.assertEqual(self.client._pool._idle_by_target, {})
 
     async def test_an_early_answer_to_a_large_body_is_read(self):
         answer = LENGTH_ANSWER.replace(b"200 OK", b"413 No")
         _, port = await self.start_raw(lambda _: [answer, "silence"])
         response = await self.get(port, "POST", body=b"x" * 8_000_000)
         self.assertEqual(response.status, 413)
-        self.assertEqual(self.client._pool.idle_count(), 0)
+        self.assertEqual(self.client._pool.idle_count, 0)
 
     async def test_a_head_request_has_no_body(self):
         answer = LENGTH_ANSWER[: -len(BODY)]
