Stop renewing a lease that can't be handed over, and two smaller faults

Cause, each seen red first:

- A host that stopped with an order unanswered kept renewing the model's lease with nobody at work under it; no other host could take over.
- One malformed row of the versions table hid all rows after it.
- A PeerLinks closed and opened anew in one process at the same port answered nobody: the authenticator's cancelled task still watched a file descriptor that a new socket had been given.

Ruled out for the last: the peer's reconnecting.

Change: such a lease is abandoned, so that it lapses and the next holder waits out the longest order; rows are read one by one; closing lets the authenticator end before its descriptor is free.

--- a/goldcrestmoor/connection/peer_sockets.py
+++ b/goldcrestmoor/connection/peer_sockets.py
@@ -1,5 +1,7 @@
 """The zmq sockets between daemons: their options, keys and authenticator."""
 
+import asyncio
+
 import zmq
 import zmq.asyncio
 import zmq.auth.asyncio
@@ -74,10 +76,14 @@
         socket.connect(f"tcp://{address}:{port}")
         return socket
 
-    def close(self):
+    async def close(self):
         """Close the context. Its sockets must have been closed before."""
         self._authenticator.stop()
+        # The authenticator's cancelled task still watches its socket. It must
+        # end before another socket can be given the same file descriptor.
+        await asyncio.sleep(0)
         self._context.destroy(linger=0)
+        await asyncio.sleep(0)
 
     def _socket(self, kind):
         socket = self._context.socket(kind)
--- a/goldcrestmoor/connection/peers.py
+++ b/goldcrestmoor/connection/peers.py
@@ -110,7 +110,7 @@
         await self._tasks.close()
         if self._router is not None:
             self._router.close(linger=0)
-        self._sockets.close()
+        await self._sockets.close()
 
     async def call(self, host_id, message, timeout_ms):
         """Ask a peer and wait for its answer.
--- a/goldcrestmoor/process/leases.py
+++ b/goldcrestmoor/process/leases.py
@@ -156,6 +156,13 @@
         except ServiceError as e:
             log.warning("Lease %s was not released: %s.", lease.name, e)
 
+    def abandon(self, lease):
+        """Stop renewing a lease, but keep others from taking it before it lapses.
+
+        :param lease: the :class:`Lease`.
+        """
+        self._forget(lease)
+
     async def release_all(self):
         """Give up every lease."""
         for lease in list(self._leases_by_name.values()):
--- a/goldcrestmoor/version/weight_orders.py
+++ b/goldcrestmoor/version/weight_orders.py
@@ -143,3 +143,6 @@
             del self._drivers_by_model[model]
             if driver.is_settled():
                 await self._leases.release(driver.lease)
+            else:
+                # An order may still take effect, so the next holder must wait.
+                self._leases.abandon(driver.lease)
--- a/goldcrestmoor/version/weights.py
+++ b/goldcrestmoor/version/weights.py
@@ -122,7 +122,7 @@
         while True:
             try:
                 for row in await self._table.scan(TABLE, ""):
-                    self._take(row.key, _decode(row.value).version)
+                    self._take_row(row)
                 backoff.reset()
                 await self._clock.sleep_ms(POLL_MS - random.uniform(0, POLL_JITTER_MS))
             except ServiceError as e:
@@ -154,6 +154,12 @@
         self._take(message.model, message.version)
         self._spread.pass_on(message, message.targets)
 
+    def _take_row(self, row):
+        try:
+            self._take(row.key, _decode(row.value).version)
+        except ServiceError as e:
+            log.error("The row of %s was not read: %s", row.key, e)
+
     def _take(self, model, version):
         known = self._versions_by_model
         is_full = model not in known and len(known) >= MAX_MODELS
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -9,6 +9,7 @@
 from goldcrestmoor.clock import Clock
 from goldcrestmoor.connection.peers import PeerLinks
 from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.process.member_table import FORGET_MS
 from goldcrestmoor.process.membership import Membership
 from goldcrestmoor.process.membership_messages import HostState
 from goldcrestmoor.process.metrics import Metrics
@@ -226,6 +227,17 @@
         cut_off = self.members_by_id["host-2"]
         await self.wait_until(lambda: "engine-1" in cut_off.leaving_upstreams())
 
+    async def test_a_long_dead_host_is_forgotten_unless_it_is_listed(self):
+        await self.start_fleet(4)
+        self.kill("host-3")
+        table = self.members_by_id["host-0"].table
+        await self.wait_until(lambda: table.find("host-3").state is HostState.DEAD)
+        self.clock._now_ms += 2 * FORGET_MS
+        table.expire({"host-3"})
+        self.assertIsNotNone(table.find("host-3"))
+        table.expire(())
+        self.assertIsNone(table.find("host-3"))
+
     async def test_bytes_for_a_host_do_not_grow_with_the_fleet(self):
         figures = []
         for count in (10, 350):
--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -157,6 +157,24 @@
         self.assertEqual(await _common.eventually(answered), Ask("again"))
         self.assertIsNot(self.a._links_by_host_id["host-b"], old)
 
+    async def test_a_restarted_peer_is_reached_again(self):
+        self.b.register(Ask, self.echo)
+        await self.call("first")
+        address, port = self.endpoints["host-b"]
+        await self.b.close()
+        again = await self.start_links(
+            "host-b", host={"address": address, "peer_port": port}
+        )
+        again.register(Ask, self.echo)
+
+        async def answered():
+            try:
+                return await self.call("again", peer_link.SILENT_MS)
+            except ServiceError:
+                return None
+
+        self.assertEqual(await _common.eventually(answered), Ask("again"))
+
     async def test_an_overloaded_host_still_answers_urgent_messages(self):
         self.b.register(Ask, self.echo)
         self.b._running_handlers = 10**6
--- a/test/test_weights.py
+++ b/test/test_weights.py
@@ -36,6 +36,7 @@
         self.highest_fencing = 0
         self.failing_swaps = 0
         self.refusals = 0
+        self.lost_answers = 0
         self.loaded = []
         self.loading = False
 
@@ -46,6 +47,9 @@
         if self.refusals:
             self.refusals -= 1
             raise ServiceError(ErrorKind.OVERLOADED, "", 2000)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise ServiceError(ErrorKind.UPSTREAM_TIMEOUT)
         self.loading = True
         await self.clock.sleep_ms(LOAD_MS)
         self.loading = False
@@ -254,6 +258,30 @@
         await self.wait_until(lambda: self.all_run(2), ORDER_TIMEOUT_MS)
         await stopping
 
+    async def test_a_host_that_stops_with_an_order_unanswered_hands_nothing_over(self):
+        self.add_engines(1, fencing=False)
+        (engine,) = self.engines_by_name.values()
+        engine.lost_answers = 10**6
+        old = self.add_host("host-a")
+        await self.publish(1)
+        await self.wait_until(lambda: engine.lost_answers < 10**6)
+        stopping = asyncio.ensure_future(old.orders.stop())
+        stopped_ms = self.clock.now_ms()
+        new = self.add_host("host-b")
+        engine.lost_answers = 0
+        await self.wait_until(lambda: new.orders.is_driving("lm"))
+        await self.wait_until(lambda: self.all_run(1))
+        self.assertGreater(engine.loaded[0][0], stopped_ms + ORDER_TIMEOUT_MS)
+        await stopping
+
+    async def test_a_malformed_row_hides_no_other(self):
+        self.table.apply([], [_table.seam.Write("versions", "a-model", b"?")])
+        host = self.add_host("host-a")
+        await self.publish(1)
+        other = self.add_host("host-b")
+        await self.wait_until(lambda: other.versions.current("lm") == 1)
+        self.assertEqual(host.versions.current("a-model"), 0)
+
     async def test_a_message_spreads_to_all_with_few_copies_each(self):
         sent = []
         ids = [f"host-{i}" for i in range(350)]
