--- a/goldcrestmoor/request/app_routes.py
+++ b/goldcrestmoor/request/app_routes.py
@@ -5,7 +5,7 @@
 
 from goldcrestmoor import logs
 from goldcrestmoor.errors import ErrorKind, ServiceError
-from goldcrestmoor.request.apps import AppRequest, end_to_end
+from goldcrestmoor.request.apps import AppRequest, passed_on
 from goldcrestmoor.request.authentication import check_pool
 from goldcrestmoor.request.body import read_deadline
 from goldcrestmoor.version.configuration import UpstreamKind
@@ -89,7 +89,7 @@
         pool.decode("latin-1"),
         request.method,
         target.decode("latin-1"),
-        end_to_end(request.headers),
+        passed_on(request.headers),
         await request.read() or b"",
     )
 
--- a/goldcrestmoor/request/apps.py
+++ b/goldcrestmoor/request/apps.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from goldcrestmoor import tracing
+from goldcrestmoor.connection.http_client import end_to_end
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
 from goldcrestmoor.request.failures import most_telling
 
@@ -12,23 +13,14 @@
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
 MAX_ATTEMPTS = 3
-# These belong to one connection, or are for this service alone.
-DROPPED_HEADERS = frozenset(
+# These are for this service alone, or are set anew for the upstream.
+PRIVATE_HEADERS = frozenset(
     {
         b"authorization",
-        b"connection",
         b"content-length",
         b"expect",
         b"host",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
         b"traceparent",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
         b"x-request-id",
         b"x-timeout-ms",
     }
@@ -70,17 +62,13 @@
     body: bytes
 
 
-def end_to_end(headers):
-    """Return the headers that are passed on.
+def passed_on(headers):
+    """Return the headers that are passed on to the other side.
 
     :param headers: ``(name, value)`` byte pairs.
     """
-    pairs = [(name.lower(), value) for name, value in headers]
-    dropped = set(DROPPED_HEADERS)
-    for name, value in pairs:
-        if name == b"connection":
-            dropped.update(token.strip().lower() for token in value.split(b","))
-    return tuple((name, value) for name, value in pairs if name not in dropped)
+    pairs = end_to_end(headers)
+    return tuple(pair for pair in pairs if pair[0] not in PRIVATE_HEADERS)
 
 
 class Applications:
@@ -173,7 +161,7 @@
                     idempotent=request.idempotent,
                 )
             self._record(upstream, True, started_ms)
-            headers = end_to_end(response.headers)
+            headers = passed_on(response.headers)
             if request.method == "HEAD":
                 headers += _content_length(response.headers)
             return AppAnswer(response.status, headers, response.body)
--- /dev/null
+++ b/goldcrestmoor/request/claims.py
@@ -0,0 +1,245 @@
+"""Requests under callers' own keys: a claim row is written before sending."""
+
+import logging
+import re
+
+import msgspec
+
+from goldcrestmoor import util
+from goldcrestmoor.adapters.table import Check, CheckFailed, Write
+from goldcrestmoor.clock import Deadline
+from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
+from goldcrestmoor.request.apps import AppAnswer
+from goldcrestmoor.request.key_memory import MAX_KEPT_BODY_BYTES, digest_of
+from goldcrestmoor.request.key_messages import AskOutcome, KeyedAnswer
+
+log = logging.getLogger("goldcrestmoor.keys")
+
+TABLE = "claims"
+HOLD_MS = 5000
+SETTLE_BACKOFF_MS = 50
+SETTLE_BACKOFF_MAX_MS = 500
+KEY_PATTERN = re.compile(r"^[A-Za-z0-9._:-]{1,128}$")
+RUNNING = "running"
+DONE = "done"
+UNKNOWN = "unknown"
+
+
+class Claim(msgspec.Struct, frozen=True):
+    """One row of the claims table.
+
+    :param token: what tells this claim from any other.
+    :param host: the host that holds it, and alone sends.
+    :param incarnation: which run of that host.
+    :param digest: the request's digest.
+    :param claimed_wall_ms: when it was claimed, on the wall clock.
+    :param state: ``running``, ``done`` or ``unknown``.
+    :param answer: the recorded answer; None while running, or when too large.
+    """
+
+    token: str
+    host: str
+    incarnation: str
+    digest: str
+    claimed_wall_ms: int
+    state: str = RUNNING
+    answer: AppAnswer | None = None
+
+
+class Claims:
+    """Send under keys that callers chose.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param host_id: this host.
+    :param incarnation: this run of it.
+    :param table: the ``TableClient``.
+    :param memory: the :class:`~goldcrestmoor.request.key_memory.KeyMemory`.
+    :param applications: the :class:`~goldcrestmoor.request.apps.Applications`.
+    :param links: the ``PeerLinks``.
+    :param settings: the :class:`~goldcrestmoor.settings.IdempotencySettings`.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_host_id",
+        "_incarnation",
+        "_table",
+        "_memory",
+        "_applications",
+        "_links",
+        "_settings",
+        "_tasks",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock,
+        host_id,
+        incarnation,
+        table,
+        memory,
+        applications,
+        links,
+        settings,
+    ):
+        self._clock = clock
+        self._host_id = host_id
+        self._incarnation = str(incarnation)
+        self._table = table
+        self._memory = memory
+        self._applications = applications
+        self._links = links
+        self._settings = settings
+        self._tasks = util.TaskGroup()
+        links.register(AskOutcome, self._on_ask)
+
+    async def run(self, account, key, request, deadline, request_id):
+        """Send a request under a caller's key, or return its recorded answer.
+
+        :param account: the account's name.
+        :param key: the key.
+        :param request: the :class:`~goldcrestmoor.request.apps.AppRequest`.
+        :param deadline: when the answer must be there.
+        :param request_id: the request.
+        :return: an :class:`~goldcrestmoor.request.apps.AppAnswer`.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE`` when no claim could be
+            written, ``KEY_REUSED``, ``IN_PROGRESS`` or ``OUTCOME_UNKNOWN``.
+        """
+        if not KEY_PATTERN.match(key):
+            raise ServiceError(ErrorKind.BAD_REQUEST, "The key is malformed.")
+        digest = digest_of(request)
+        full_key = f"{account}/{key}"
+        outcome = self._memory.find(full_key, digest)
+        if outcome is None:
+            expires_ms = self._clock.now_ms() + self._settings.key_lifetime_ms
+
+            async def send():
+                return await self._claim_and_send(
+                    full_key, digest, request, deadline, request_id
+                )
+
+            outcome = self._memory.start(full_key, digest, expires_ms, send)
+        return await self._memory.wait(outcome, deadline)
+
+    async def close(self):
+        """Give up writing outcomes."""
+        await self._tasks.close()
+
+    async def _claim_and_send(self, key, digest, request, deadline, request_id):
+        own = Claim(
+            util.new_id(),
+            self._host_id,
+            self._incarnation,
+            digest,
+            self._clock.wall_ms(),
+        )
+        hold = Deadline.after(self._clock, HOLD_MS)
+        claim, version = await self._claim(key, own, deadline)
+        if claim.token != own.token:
+            return await self._outcome_of(key, claim, digest, deadline)
+
+        def check():
+            # The clock also runs while the process is frozen.
+            if hold.passed():
+                text = "The claim ran out before the request was sent."
+                raise ServiceError(ErrorKind.QUEUE_TIMEOUT, text)
+
+        try:
+            answer = await self._applications.fetch(
+                request, deadline, request_id, check
+            )
+        except ServiceError as e:
+            state = None if e.answer.ran == Ran.NOT_RUN else UNKNOWN
+            self._record(key, version, own, state)
+            raise
+        self._record(key, version, own, DONE, answer)
+        return answer
+
+    async def _claim(self, key, own, deadline):
+        """Write the claim, or find whose it is.
+
+        :return: the row's :class:`Claim` and its version.
+        """
+        backoff = util.Backoff(SETTLE_BACKOFF_MS, SETTLE_BACKOFF_MAX_MS)
+        checks = [Check(TABLE, key, 0)]
+        writes = [Write(TABLE, key, msgspec.json.encode(own))]
+        while not deadline.passed():
+            try:
+                result = await self._table.transact(checks, writes)
+            except ServiceError as e:
+                if e.kind != ErrorKind.OUTCOME_UNKNOWN:
+                    raise _unavailable() from e
+                # The write may have taken effect, or may still do so. Writing the
+                # same claim again settles it: a row with this token is this claim.
+                await self._clock.sleep_ms(backoff.next_ms())
+                continue
+            if not isinstance(result, CheckFailed):
+                return own, result.version_by_key[f"{TABLE}/{key}"]
+            if result.row is not None:
+                claim = msgspec.json.decode(result.row.value, type=Claim)
+                return claim, result.row.version
+        raise _unavailable()
+
+    async def _outcome_of(self, key, claim, digest, deadline):
+        """Return what came of a request that another claim stands for."""
+        if claim.digest != digest:
+            text = "The key was used with another request."
+            raise ServiceError(ErrorKind.KEY_REUSED, text)
+        if claim.state == DONE:
+            if claim.answer is None:
+                text = "It ran; the answer was not kept."
+                raise ServiceError(ErrorKind.ANSWER_NOT_KEPT, text)
+            return claim.answer
+        own = (self._host_id, self._incarnation)
+        if claim.state == UNKNOWN or (claim.host, claim.incarnation) == own:
+            raise _unknown("It may have run.")
+        account, _, caller_key = key.partition("/")
+        message = AskOutcome(account, caller_key, digest, deadline.remaining_ms())
+        try:
+            answer = await self._links.call(
+                claim.host, message, max(1, deadline.remaining_ms())
+            )
+        except ServiceError as e:
+            if e.kind != ErrorKind.PEER_UNREACHABLE:
+                raise
+            raise _unknown("The host that sent it does not answer.") from e
+        return answer.answer
+
+    async def _on_ask(self, sender, message):
+        key = f"{message.account}/{message.key}"
+        outcome = self._memory.find(key, message.digest)
+        if outcome is None:
+            raise _unknown("This host does not remember the request.")
+        # Half the time is left for the answer to travel.
+        deadline = Deadline.after(self._clock, message.remaining_ms // 2)
+        return KeyedAnswer(await self._memory.wait(outcome, deadline))
+
+    def _record(self, key, version, own, state, answer=None):
+        """Write the outcome in the background; a claim that was not used is freed."""
+        value = None
+        if state is not None:
+            kept = answer
+            if answer is not None and len(answer.body) > MAX_KEPT_BODY_BYTES:
+                kept = None
+            value = msgspec.json.encode(
+                msgspec.structs.replace(own, state=state, answer=kept)
+            )
+        write = self._write_outcome(key, version, value)
+        self._tasks.start(write, name="claim outcome")
+
+    async def _write_outcome(self, key, version, value):
+        checks = [Check(TABLE, key, version)]
+        try:
+            await self._table.transact(checks, [Write(TABLE, key, value)])
+        except ServiceError as e:
+            log.info("The outcome of a claim was not written: %s", e)
+
+
+def _unavailable():
+    text = "No claim could be written. Use a key of POST /v1/keys meanwhile."
+    return ServiceError(ErrorKind.PLATFORM_UNAVAILABLE, text)
+
+
+def _unknown(text):
+    return ServiceError(ErrorKind.OUTCOME_UNKNOWN, f"{text} It will not be sent.")
--- a/goldcrestmoor/request/completion_routes.py
+++ b/goldcrestmoor/request/completion_routes.py
@@ -24,7 +24,9 @@
 MAX_PREFIX_CHARACTERS = 256
 
 
-def register_routes(app, *, clock, authenticator, completions, lease, settings):
+def register_routes(
+    app, *, clock, authenticator, completions, lease, metrics, settings
+):
     """Add ``POST /v1/completions`` to an application.
 
     :param app: the blacksheep application.
@@ -32,9 +34,24 @@
     :param authenticator: the ``Authenticator``.
     :param completions: the :class:`~.completions.Completions`.
     :param lease: gives the :class:`~goldcrestmoor.version.configuration.View`.
+    :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
     :param settings: the :class:`~goldcrestmoor.settings.LimitSettings`.
     """
 
+    async def counted(pieces, account):
+        """Pass pieces on, and count how the completion ended."""
+        outcome = "given_up"
+        try:
+            async with contextlib.aclosing(pieces):
+                async for piece in pieces:
+                    yield piece
+            outcome = "answered"
+        except ServiceError as e:
+            outcome = e.code
+            raise
+        finally:
+            metrics.requests.labels(account.name, outcome).inc()
+
     async def complete(request: Request) -> Response:
         account = authenticator.account(request.headers)
         asked = await read_json(request, CompletionRequest)
@@ -53,6 +70,7 @@
             request_id=request_id,
             prefix_key=asked.prompt[:MAX_PREFIX_CHARACTERS],
         )
+        pieces = counted(pieces, account)
         if asked.stream:
             return await _streamed(pieces, request_id, asked.model)
         async with contextlib.aclosing(pieces):
--- a/test/_request_fakes.py
+++ b/test/_request_fakes.py
@@ -1,13 +1,12 @@
-"""Fakes of the seams that a request meets: peers, ownership, the lease, HTTP."""
+"""Fakes of the seams that a request meets: peers, ownership, the lease."""
 
 import asyncio
 import contextlib
 import types
 
-import h11
-
 from goldcrestmoor import util, wire
 from goldcrestmoor.clock import Clock
+from goldcrestmoor.connection.http_client import HttpClient
 from goldcrestmoor.errors import ErrorKind, ServiceError, from_body, to_body
 from goldcrestmoor.process.decisions import Decisions
 from goldcrestmoor.process.metrics import Metrics
@@ -150,81 +149,19 @@
             callback()
 
 
-class Response:
-    def __init__(self, status, headers):
-        self.status = status
-        self.headers = headers
-        self.body = None
-
-
-class FakeHttp:
-    """An HTTP client over fresh connections that never resends."""
+class CountingHttp(HttpClient):
+    """The HTTP client, which counts and can be held up before it connects."""
 
     def __init__(self):
+        super().__init__(clock=Clock(), limits=limits())
         self.requests = 0
         self.before_connect = None
 
-    async def request(
-        self, address, port, method, target, headers, body, timeout_ms, **options
-    ):
-        async with self.stream(
-            address, port, method, target, headers, body, timeout_ms
-        ) as response:
-            chunks = [chunk async for chunk in response.body()]
-        return types.SimpleNamespace(
-            status=response.status, headers=response.headers, body=b"".join(chunks)
-        )
-
-    @contextlib.asynccontextmanager
-    async def stream(
-        self, address, port, method, target, headers, body, timeout_ms, **options
-    ):
+    async def request(self, *args, **options):
         self.requests += 1
         if self.before_connect is not None:
             await self.before_connect()
-        try:
-            reader, writer = await asyncio.open_connection(address, port)
-        except OSError as e:
-            raise ServiceError(ErrorKind.UPSTREAM_UNREACHABLE) from e
-        try:
-            async with asyncio.timeout(timeout_ms / 1000):
-                yield await self._exchange(
-                    reader, writer, method, target, headers, body
-                )
-        except (h11.RemoteProtocolError, ConnectionError) as e:
-            raise ServiceError(ErrorKind.UPSTREAM_FAILED) from e
-        except TimeoutError as e:
-            raise ServiceError(ErrorKind.UPSTREAM_TIMEOUT) from e
-        finally:
-            writer.transport.abort()
-
-    async def _exchange(self, reader, writer, method, target, headers, body):
-        connection = h11.Connection(h11.CLIENT)
-        fields = [(b"host", b"upstream"), *headers]
-        fields.append((b"content-length", str(len(body)).encode()))
-        head = h11.Request(method=method, target=target, headers=fields)
-        writer.write(connection.send(head))
-        writer.write(connection.send(h11.Data(data=body)))
-        writer.write(connection.send(h11.EndOfMessage()))
-
-        async def next_event():
-            while (event := connection.next_event()) is h11.NEED_DATA:
-                connection.receive_data(await reader.read(65536))
-            return event
-
-        event = await next_event()
-        if not isinstance(event, h11.Response):
-            raise ConnectionError
-        response = Response(event.status_code, list(event.headers))
-
-        async def chunks():
-            while isinstance(event := await next_event(), h11.Data):
-                yield bytes(event.data)
-            if not isinstance(event, h11.EndOfMessage):
-                raise ConnectionError
-
-        response.body = chunks
-        return response
+        return await super().request(*args, **options)
 
 
 def parts():
--- a/test/test_apps.py
+++ b/test/test_apps.py
@@ -20,7 +20,7 @@
 class AppsTestCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.clock = Clock()
-        self.http = fakes.FakeHttp()
+        self.http = fakes.CountingHttp()
         self.app, self.server = await self.start_app(name="one")
         self.lease = fakes.FakeLease(
             fakes.upstream("app-1", "app", port=self.server.port)
--- a/test/test_completions.py
+++ b/test/test_completions.py
@@ -46,7 +46,7 @@
         self.placement = Placement(
             zone="zone-a", lease=self.lease, policy=LeastLoaded()
         )
-        self.engine_client = EngineClient(http=fakes.FakeHttp())
+        self.engine_client = EngineClient(http=fakes.CountingHttp())
         self.completions = Completions(
             clock=self.clock,
             engines=self.engine_client,
--- a/test/test_http_server.py
+++ b/test/test_http_server.py
@@ -15,7 +15,7 @@
 from goldcrestmoor.request.completion_answers import CompletionRequest
 from test import _common
 from test._common import eventually
-from test._request_fakes import FakeHttp
+from test._request_fakes import CountingHttp
 
 MAX_BODY_BYTES = 1000
 MAX_HEADER_BYTES = 4096
@@ -77,7 +77,7 @@
         app.router.add_get("/stream", stream)
 
     async def ask(self, method, target, headers=(), body=b""):
-        return await FakeHttp().request(
+        return await CountingHttp().request(
             "127.0.0.1", self.port, method, target, headers, body, TIMEOUT_MS
         )
 
@@ -151,7 +151,7 @@
         return True
 
     async def test_a_stream_ends_when_its_caller_goes(self):
-        opened = FakeHttp().stream(
+        opened = CountingHttp().stream(
             "127.0.0.1", self.port, "GET", "/stream", [], b"", TIMEOUT_MS
         )
         async with opened as response:
--- a/test/test_routes.py
+++ b/test/test_routes.py
@@ -31,7 +31,7 @@
 
     async def ask(self, method, target, account="clinic", headers=(), body=b""):
         sent = [(b"authorization", BEARER + account.encode()), *headers]
-        return await fakes.FakeHttp().request(
+        return await fakes.CountingHttp().request(
             "127.0.0.1",
             self.settings.host.http_port,
             method,
@@ -143,10 +143,12 @@
 class CompletionRoutesTest(CompletionsTestCase, RoutesTestCase):
     async def asyncSetUp(self):
         await super().asyncSetUp()
+        self.metrics = Metrics()
         server, common = await self.serve()
         completion_routes.register_routes(
             server.application,
             completions=self.completions,
+            metrics=self.metrics,
             settings=self.settings.limits,
             **common,
         )
@@ -181,6 +183,9 @@
         self.assertTrue(last.startswith("event: error\ndata: "))
         error = json.loads(last.partition("data: ")[2])["error"]
         self.assertEqual(error["code"], "upstream_failed")
+        labels = {"account": "trainer", "outcome": "upstream_failed"}
+        name = "goldcrestmoor_requests_total"
+        self.assertEqual(self.metrics.registry.get_sample_value(name, labels), 1)
 
     async def test_a_failure_before_the_first_token_has_its_own_status(self):
         self.engines_by_name["lm-1"].options.state_version = False
