--- a/goldcrestmoor/adapters/engine.py
+++ b/goldcrestmoor/adapters/engine.py
@@ -108,8 +108,17 @@
             )
             async with opened as response:
                 _check_status(response.status, upstream)
+                last = None
                 async for data in _events(response.body(), upstream):
-                    yield _piece(data, upstream)
+                    if last is not None:
+                        yield last
+                    last = _piece(data, upstream)
+                    if not last.finish_reason:
+                        yield last
+                        last = None
+                # The piece that ends the text counts only with the end mark.
+                if last is not None:
+                    yield last
 
     async def order(self, upstream, *, model, version, fencing, timeout_ms):
         """Order an engine to load a weight version, and return what it then runs.
--- a/goldcrestmoor/process/http_server.py
+++ b/goldcrestmoor/process/http_server.py
@@ -10,6 +10,7 @@
 import msgspec
 import uvicorn
 from blacksheep import Application, Content, Response, Router
+from blacksheep.scribe import send_asgi_response
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
 from goldcrestmoor import errors, logs, tracing, util
@@ -20,6 +21,7 @@
 
 KEEP_ALIVE_S = 30
 STOP_GRACE_MS = 2000
+UNCOUNTED_PATHS = frozenset({"/healthz", "/readyz", "/metrics"})
 EXIT_CANNOT_LISTEN = 1
 REQUEST_ID = re.compile(r"^[A-Za-z0-9._-]{1,64}$")
 
@@ -86,15 +88,26 @@
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param settings: the host's :class:`~goldcrestmoor.settings.Settings`.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
+    :param in_flight: counts requests by ``track()``, and refuses them while the
+        host shuts down; None to take all.
     """
 
-    __slots__ = ("application", "_clock", "_settings", "_metrics", "_server", "_task")
-
-    def __init__(self, *, clock, settings, metrics):
+    __slots__ = (
+        "application",
+        "_clock",
+        "_settings",
+        "_metrics",
+        "_in_flight",
+        "_server",
+        "_task",
+    )
+
+    def __init__(self, *, clock, settings, metrics, in_flight=None):
         self.application = Application(router=Router(), show_error_details=False)
         self._clock = clock
         self._settings = settings
         self._metrics = metrics
+        self._in_flight = in_flight
         self._server = None
         self._task = None
         handlers = self.application.exceptions_handlers
@@ -165,7 +178,7 @@
                 watch = _StreamWatch(receive, _with_request_id(send, request_id))
                 max_bytes = self._settings.limits.max_body_bytes
                 await watch.run(
-                    self.application(scope, _bounded(receive, max_bytes), watch.send)
+                    self._handle(scope, _bounded(receive, max_bytes), watch.send)
                 )
         finally:
             logs.request_id.reset(token)
@@ -173,6 +186,19 @@
             known = route if route in ("apps", "v1", "operator") else "other"
             self._metrics.request_seconds.labels(known).observe(elapsed_s)
 
+    async def _handle(self, scope, receive, send):
+        if self._in_flight is None or scope["path"] in UNCOUNTED_PATHS:
+            await self.application(scope, receive, send)
+            return
+        try:
+            with self._in_flight.track():
+                await self.application(scope, receive, send)
+        except ServiceError as e:
+            # The application answers its own errors; this one came before it.
+            response = error_response(e, logs.request_id.get())
+            response.add_header(b"Connection", b"close")
+            await send_asgi_response(response, send)
+
     async def _answer_error(self, app, request, error):
         if error.kind in (ErrorKind.BAD_REQUEST, ErrorKind.TOO_LARGE):
             self._metrics.bad_input.labels("request").inc()
--- a/goldcrestmoor/request/bound_keys.py
+++ b/goldcrestmoor/request/bound_keys.py
@@ -5,7 +5,11 @@
 from goldcrestmoor.clock import Deadline
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.request.key_memory import digest_of
-from goldcrestmoor.request.key_messages import KeyedAnswer, SendWithKey
+from goldcrestmoor.request.key_messages import (
+    KeyedAnswer,
+    SendWithKey,
+    time_to_answer_ms,
+)
 
 log = logging.getLogger("goldcrestmoor.keys")
 
@@ -123,7 +127,8 @@
         minted = self._mint.parse(message.key, message.account)
         if not self._mint.is_own(minted):
             raise _unknown("The host that minted the key has restarted.")
-        deadline = Deadline.after(self._clock, message.remaining_ms)
+        remaining_ms = time_to_answer_ms(message.remaining_ms)
+        deadline = Deadline.after(self._clock, remaining_ms)
         answer = await self._run_here(
             message.account,
             message.key,
--- a/goldcrestmoor/request/claims.py
+++ b/goldcrestmoor/request/claims.py
@@ -11,7 +11,11 @@
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
 from goldcrestmoor.request.apps import AppAnswer
 from goldcrestmoor.request.key_memory import MAX_KEPT_BODY_BYTES, digest_of
-from goldcrestmoor.request.key_messages import AskOutcome, KeyedAnswer
+from goldcrestmoor.request.key_messages import (
+    AskOutcome,
+    KeyedAnswer,
+    time_to_answer_ms,
+)
 
 log = logging.getLogger("goldcrestmoor.keys")
 
@@ -211,8 +215,8 @@
         outcome = self._memory.find(key, message.digest)
         if outcome is None:
             raise _unknown("This host does not remember the request.")
-        # Half the time is left for the answer to travel.
-        deadline = Deadline.after(self._clock, message.remaining_ms // 2)
+        remaining_ms = time_to_answer_ms(message.remaining_ms)
+        deadline = Deadline.after(self._clock, remaining_ms)
         return KeyedAnswer(await self._memory.wait(outcome, deadline))
 
     def _record(self, key, version, own, state, answer=None):
--- a/test/test_completions.py
+++ b/test/test_completions.py
@@ -155,6 +155,14 @@
             [piece async for piece in stream]
         self.assertEqual(caught.exception.kind, ErrorKind.UPSTREAM_FAILED)
 
+    async def test_a_text_is_not_ended_by_a_stream_without_its_end_mark(self):
+        self.engines_by_name["lm-1"].options.end_mark = False
+        pieces = []
+        with self.assertRaises(ServiceError):
+            async for piece in self.generate():
+                pieces.append(piece)
+        self.assertEqual([p.finish_reason for p in pieces if p.finish_reason], [])
+
     async def test_an_engine_that_states_no_version_gives_nothing(self):
         self.engines_by_name["lm-1"].options.state_version = False
         error = await self.error()
--- a/test/test_http_server.py
+++ b/test/test_http_server.py
@@ -32,6 +32,8 @@
         )
         self.port = self.settings.host.http_port
         self.metrics = Metrics()
+        self.open = True
+        self.tracked = 0
         self.server = self.make_server()
         self.entered = asyncio.Event()
         self.go_on = asyncio.Event()
@@ -41,7 +43,21 @@
         self.addAsyncCleanup(self.server.stop, 0)
 
     def make_server(self):
-        return HttpServer(clock=Clock(), settings=self.settings, metrics=self.metrics)
+        return HttpServer(
+            clock=Clock(),
+            settings=self.settings,
+            metrics=self.metrics,
+            in_flight=self,
+        )
+
+    @contextlib.contextmanager
+    def track(self):
+        """Count requests as the shutdown does."""
+        if not self.open:
+            raise ServiceError(ErrorKind.DRAINING)
+        self.tracked += 1
+        yield
+        self.tracked -= 1
 
     def add_routes(self, app):
         async def overloaded(request: Request) -> Response:
@@ -150,6 +166,18 @@
             return False
         return True
 
+    async def test_a_host_that_shuts_down_refuses_new_requests_only(self):
+        asking = asyncio.create_task(self.ask("GET", "/wait"))
+        await self.entered.wait()
+        self.assertEqual(self.tracked, 1)
+        self.open = False
+        answer = await self.ask("GET", "/wait")
+        self.assertEqual(json.loads(answer.body)["code"], "draining")
+        self.assertEqual((await self.ask("GET", "/healthz")).status, 404)
+        self.go_on.set()
+        self.assertEqual((await asking).status, 200)
+        self.assertEqual(self.tracked, 0)
+
     async def test_a_stream_ends_when_its_caller_goes(self):
         opened = CountingHttp().stream(
             "127.0.0.1", self.port, "GET", "/stream", [], b"", TIMEOUT_MS
