Bound how long a caller's request may take to arrive

Cause: a head or body that stopped coming held its connection for good.

Ruled out: an answer on a connection that has sent nothing, since it could be taken for the answer to a later request; it is closed instead.

Change: the head and each part of the body must come within the progress timeout; outcomes of keys past their lifetime are dropped every few seconds rather than only when memory is full.

Conclusion: the server's tests pass with requests cut off at five places.

--- /dev/null
+++ b/goldcrestmoor/process/http_protocol.py
@@ -0,0 +1,71 @@
+"""One connection from a caller: refusals as JSON, and heads that come in time."""
+
+import h11
+import msgspec
+from uvicorn.protocols.http.h11_impl import H11Protocol
+
+from goldcrestmoor import errors
+from goldcrestmoor.clock import MS_PER_SECOND
+from goldcrestmoor.errors import ErrorKind, ServiceError
+
+
+def protocol_class(metrics, head_timeout_ms):
+    """Return uvicorn's protocol with this service's refusals and timeout.
+
+    :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
+    :param head_timeout_ms: how long a request's head may take, in milliseconds.
+    """
+
+    class Protocol(H11Protocol):
+        """HTTP/1.1 whose refusals are JSON, and whose heads come in time."""
+
+        head_timer = None
+
+        def connection_made(self, transport):
+            super().connection_made(transport)
+            self._start_head_timer()
+
+        def connection_lost(self, exc):
+            self._stop_head_timer()
+            super().connection_lost(exc)
+
+        def data_received(self, data):
+            super().data_received(data)
+            has_part = bool(self.conn.trailing_data[0])
+            if self.conn.their_state is not h11.IDLE or not has_part:
+                self._stop_head_timer()
+            elif self.head_timer is None:
+                self._start_head_timer()
+
+        def send_400_response(self, msg):
+            self._refuse(ServiceError(ErrorKind.BAD_REQUEST, "The head is malformed."))
+
+        def _start_head_timer(self):
+            self.head_timer = self.loop.call_later(
+                head_timeout_ms / MS_PER_SECOND, self._head_is_late
+            )
+
+        def _stop_head_timer(self):
+            if self.head_timer is not None:
+                self.head_timer.cancel()
+                self.head_timer = None
+
+        def _head_is_late(self):
+            if not self.conn.trailing_data[0]:
+                # An answer here could be taken for that of a later request.
+                self.transport.close()
+                return
+            text = f"The head did not come within {head_timeout_ms} ms."
+            self._refuse(ServiceError(ErrorKind.BAD_REQUEST, text))
+
+        def _refuse(self, error):
+            metrics.bad_input.labels("http").inc()
+            body = msgspec.json.encode(errors.to_body(error))
+            head = (
+                "HTTP/1.1 400 Bad Request\r\nContent-Type: application/json\r\n"
+                f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+            )
+            self.transport.write(head.encode() + body)
+            self.transport.close()
+
+    return Protocol
--- a/goldcrestmoor/process/http_server.py
+++ b/goldcrestmoor/process/http_server.py
@@ -11,11 +11,11 @@
 import uvicorn
 from blacksheep import Application, Content, Response, Router
 from blacksheep.scribe import send_asgi_response
-from uvicorn.protocols.http.h11_impl import H11Protocol
 
 from goldcrestmoor import errors, logs, tracing, util
 from goldcrestmoor.clock import MS_PER_SECOND
 from goldcrestmoor.errors import ErrorKind, ServiceError, UserError
+from goldcrestmoor.process.http_protocol import protocol_class
 
 log = logging.getLogger("goldcrestmoor.http")
 
@@ -64,22 +64,6 @@
         self.ready.set()
 
 
-def _protocol_class(metrics):
-    class Protocol(H11Protocol):
-        def send_400_response(self, msg):
-            metrics.bad_input.labels("http").inc()
-            error = ServiceError(ErrorKind.BAD_REQUEST, "The request is not HTTP.")
-            body = msgspec.json.encode(errors.to_body(error))
-            head = (
-                "HTTP/1.1 400 Bad Request\r\nContent-Type: application/json\r\n"
-                f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
-            )
-            self.transport.write(head.encode() + body)
-            self.transport.close()
-
-    return Protocol
-
-
 class HttpServer:
     """Serve callers on the host's address.
 
@@ -120,11 +104,11 @@
 
         :raises UserError: when the address cannot be listened on.
         """
-        host = self._settings.host
+        host, limits = self._settings.host, self._settings.limits
         listener = _listen(host.address, host.http_port)
         config = uvicorn.Config(
             self._serve,
-            http=_protocol_class(self._metrics),
+            http=protocol_class(self._metrics, limits.progress_timeout_ms),
             ws="none",
             interface="asgi3",
             lifespan="off",
@@ -134,7 +118,7 @@
             server_header=False,
             backlog=host.listen_backlog,
             timeout_keep_alive=KEEP_ALIVE_S,
-            h11_max_incomplete_event_size=self._settings.limits.max_header_bytes,
+            h11_max_incomplete_event_size=limits.max_header_bytes,
         )
         await self.application.start()
         self._server = _Server(config)
@@ -176,10 +160,8 @@
         try:
             with tracing.span(f"{scope['method']} /{route}", parent or None):
                 watch = _StreamWatch(receive, _with_request_id(send, request_id))
-                max_bytes = self._settings.limits.max_body_bytes
-                await watch.run(
-                    self._handle(scope, _bounded(receive, max_bytes), watch.send)
-                )
+                bounded = _bounded(receive, self._settings.limits)
+                await watch.run(self._handle(scope, bounded, watch.send))
         finally:
             logs.request_id.reset(token)
             elapsed_s = (self._clock.now_ms() - started_ms) / MS_PER_SECOND
@@ -205,8 +187,8 @@
         elif error.kind == ErrorKind.UNAUTHORIZED:
             self._metrics.bad_input.labels("token").inc()
         response = error_response(error, logs.request_id.get())
-        if error.kind == ErrorKind.TOO_LARGE:
-            # What is left of the body is not read, so the connection is of no use.
+        if error.kind in (ErrorKind.TOO_LARGE, ErrorKind.BAD_REQUEST):
+            # What may be left of the body is not read, so the connection is of no use.
             response.add_header(b"Connection", b"close")
         return response
 
@@ -272,15 +254,22 @@
     return listener
 
 
-def _bounded(receive, max_bytes):
+def _bounded(receive, limits):
     total = 0
+    wait_s = limits.progress_timeout_ms / MS_PER_SECOND
 
     async def receive_bounded():
         nonlocal total
-        message = await receive()
+        try:
+            async with asyncio.timeout(wait_s):
+                message = await receive()
+        except TimeoutError:
+            text = "The body stopped coming."
+            raise ServiceError(ErrorKind.BAD_REQUEST, text) from None
         total += len(message.get("body", b""))
-        if total > max_bytes:
-            raise ServiceError(ErrorKind.TOO_LARGE, f"Bodies end at {max_bytes} bytes.")
+        if total > limits.max_body_bytes:
+            text = f"Bodies end at {limits.max_body_bytes} bytes."
+            raise ServiceError(ErrorKind.TOO_LARGE, text)
         return message
 
     return receive_bounded
--- a/goldcrestmoor/request/key_memory.py
+++ b/goldcrestmoor/request/key_memory.py
@@ -10,6 +10,7 @@
 MAX_KEPT_BODY_BYTES = 1 << 16
 MAX_KEPT_TOTAL_BYTES = 16 << 20
 FULL_RETRY_AFTER_MS = 5000
+SWEEP_MS = 5000
 
 
 def digest_of(request):
@@ -60,13 +61,16 @@
     :param settings: the :class:`~goldcrestmoor.settings.IdempotencySettings`.
     """
 
-    __slots__ = ("_clock", "_settings", "_outcomes_by_key", "_kept_bytes", "_tasks")
+    __slots__ = ("_clock", "_settings", "_outcomes_by_key", "_kept_bytes", "_tasks") + (
+        "_swept_ms",
+    )
 
     def __init__(self, *, clock, settings):
         self._clock = clock
         self._settings = settings
         self._outcomes_by_key = {}
         self._kept_bytes = 0
+        self._swept_ms = clock.now_ms()
         self._tasks = util.TaskGroup()
 
     def __len__(self):
@@ -170,12 +174,12 @@
         outcome.error = ServiceError(ErrorKind.ANSWER_NOT_KEPT, text)
 
     def _make_room(self):
-        if len(self._outcomes_by_key) < self._settings.max_remembered:
-            return
         now_ms = self._clock.now_ms()
-        for key, outcome in list(self._outcomes_by_key.items()):
-            if outcome.expires_ms <= now_ms and outcome.done.is_set():
-                self._drop(key)
+        if now_ms >= self._swept_ms + SWEEP_MS:
+            self._swept_ms = now_ms
+            for key, outcome in list(self._outcomes_by_key.items()):
+                if outcome.expires_ms <= now_ms and outcome.done.is_set():
+                    self._drop(key)
         if len(self._outcomes_by_key) >= self._settings.max_remembered:
             text = "Too many keys are remembered."
             raise ServiceError(ErrorKind.OVERLOADED, text, FULL_RETRY_AFTER_MS)
--- a/test/test_http_server.py
+++ b/test/test_http_server.py
@@ -20,6 +20,7 @@
 MAX_BODY_BYTES = 1000
 MAX_HEADER_BYTES = 4096
 TIMEOUT_MS = 60_000
+PROGRESS_TIMEOUT_MS = 500
 
 
 class HttpServerTest(unittest.IsolatedAsyncioTestCase):
@@ -28,6 +29,7 @@
             limits={
                 "max_body_bytes": MAX_BODY_BYTES,
                 "max_header_bytes": MAX_HEADER_BYTES,
+                "progress_timeout_ms": PROGRESS_TIMEOUT_MS,
             }
         )
         self.port = self.settings.host.http_port
@@ -150,6 +152,20 @@
             self.assertIn(b'"bad_request"', answer)
         self.assertEqual(self.bad_input("http"), 3)
 
+    async def test_a_request_that_stops_coming_is_refused(self):
+        head = b"POST /read HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n"
+        # A connection without a request is closed with no answer.
+        self.assertEqual(await self.ask_raw(b""), b"")
+        for data in (b"GET / HT", head[:-1], head, head + b"{"):
+            answer = await self.ask_raw(data)
+            self.assertIn(b" 400 ", answer, data)
+
+    async def test_a_slow_answer_is_not_taken_for_a_slow_request(self):
+        asking = asyncio.create_task(self.ask("GET", "/wait"))
+        await asyncio.sleep(2 * PROGRESS_TIMEOUT_MS / 1000)
+        self.go_on.set()
+        self.assertEqual((await asking).status, 200)
+
     async def test_a_request_in_flight_is_finished_on_stop(self):
         asking = asyncio.create_task(self.ask("GET", "/wait"))
         await self.entered.wait()
