--- a/test/test_completions.py
+++ b/test/test_completions.py
@@ -46,7 +46,7 @@
         self.placement = Placement(
             zone="zone-a", lease=self.lease, policy=LeastLoaded()
         )
-        self.engine_client = EngineClient(http=fakes.FakeHttp())
+        self.engine_client = EngineClient(http=fakes.CountingHttp())
         self.completions = Completions(
             clock=self.clock,
             engines=self.engine_client,
@@ -155,6 +155,14 @@
             [piece async for piece in stream]
         self.assertEqual(caught.exception.kind, ErrorKind.UPSTREAM_FAILED)
 
+    async def test_a_text_is_not_ended_by_a_stream_without_its_end_mark(self):
+        self.engines_by_name["lm-1"].options.end_mark = False
+        pieces = []
+        with self.assertRaises(ServiceError):
+            async for piece in self.generate():
+                pieces.append(piece)
+        self.assertEqual([p.finish_reason for p in pieces if p.finish_reason], [])
+
     async def test_an_engine_that_states_no_version_gives_nothing(self):
         self.engines_by_name["lm-1"].options.state_version = False
         error = await self.error()
--- a/test/test_http_server.py
+++ b/test/test_http_server.py
@@ -15,11 +15,12 @@
 from goldcrestmoor.request.completion_answers import CompletionRequest
 from test import _common
 from test._common import eventually
-from test._request_fakes import FakeHttp
+from test._request_fakes import CountingHttp
 
 MAX_BODY_BYTES = 1000
 MAX_HEADER_BYTES = 4096
 TIMEOUT_MS = 60_000
+PROGRESS_TIMEOUT_MS = 500
 
 
 class HttpServerTest(unittest.IsolatedAsyncioTestCase):
@@ -28,10 +29,13 @@
             limits={
                 "max_body_bytes": MAX_BODY_BYTES,
                 "max_header_bytes": MAX_HEADER_BYTES,
+                "progress_timeout_ms": PROGRESS_TIMEOUT_MS,
             }
         )
         self.port = self.settings.host.http_port
         self.metrics = Metrics()
+        self.open = True
+        self.tracked = 0
         self.server = self.make_server()
         self.entered = asyncio.Event()
         self.go_on = asyncio.Event()
@@ -41,7 +45,21 @@
         self.addAsyncCleanup(self.server.stop, 0)
 
     def make_server(self):
-        return HttpServer(clock=Clock(), settings=self.settings, metrics=self.metrics)
+        return HttpServer(
+            clock=Clock(),
+            settings=self.settings,
+            metrics=self.metrics,
+            in_flight=self,
+        )
+
+    @contextlib.contextmanager
+    def track(self):
+        """Count requests as the shutdown does."""
+        if not self.open:
+            raise ServiceError(ErrorKind.DRAINING)
+        self.tracked += 1
+        yield
+        self.tracked -= 1
 
     def add_routes(self, app):
         async def overloaded(request: Request) -> Response:
@@ -77,7 +95,7 @@
         app.router.add_get("/stream", stream)
 
     async def ask(self, method, target, headers=(), body=b""):
-        return await FakeHttp().request(
+        return await CountingHttp().request(
             "127.0.0.1", self.port, method, target, headers, body, TIMEOUT_MS
         )
 
@@ -134,6 +152,20 @@
             self.assertIn(b'"bad_request"', answer)
         self.assertEqual(self.bad_input("http"), 3)
 
+    async def test_a_request_that_stops_coming_is_refused(self):
+        head = b"POST /read HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n"
+        # A connection without a request is closed with no answer.
+        self.assertEqual(await self.ask_raw(b""), b"")
+        for data in (b"GET / HT", head[:-1], head, head + b"{"):
+            answer = await self.ask_raw(data)
+            self.assertIn(b" 400 ", answer, data)
+
+    async def test_a_slow_answer_is_not_taken_for_a_slow_request(self):
+        asking = asyncio.create_task(self.ask("GET", "/wait"))
+        await asyncio.sleep(2 * PROGRESS_TIMEOUT_MS / 1000)
+        self.go_on.set()
+        self.assertEqual((await asking).status, 200)
+
     async def test_a_request_in_flight_is_finished_on_stop(self):
         asking = asyncio.create_task(self.ask("GET", "/wait"))
         await self.entered.wait()
@@ -150,8 +182,20 @@
             return False
         return True
 
+    async def test_a_host_that_shuts_down_refuses_new_requests_only(self):
+        asking = asyncio.create_task(self.ask("GET", "/wait"))
+        await self.entered.wait()
+        self.assertEqual(self.tracked, 1)
+        self.open = False
+        answer = await self.ask("GET", "/wait")
+        self.assertEqual(json.loads(answer.body)["code"], "draining")
+        self.assertEqual((await self.ask("GET", "/healthz")).status, 404)
+        self.go_on.set()
+        self.assertEqual((await asking).status, 200)
+        self.assertEqual(self.tracked, 0)
+
     async def test_a_stream_ends_when_its_caller_goes(self):
-        opened = FakeHttp().stream(
+        opened = CountingHttp().stream(
             "127.0.0.1", self.port, "GET", "/stream", [], b"", TIMEOUT_MS
         )
         async with opened as response:
