Judge streams for second copies by half a second of evidence

Cause: on engines of one speed, streams that had just started were copied, as the rate of their first tokens was below the usual one. Ruled out: a larger gain, which would also keep back true stragglers. Change: a stream younger than 500 ms is left alone. The fleet of tests controls its stand-ins.

--- a/goldcrestmoor/version/stragglers.py
+++ b/goldcrestmoor/version/stragglers.py
@@ -7,6 +7,7 @@
 DEFAULT_FILL = 0.5
 HEDGE_START_MS = 300
 MIN_GAIN_MS = 1
+MIN_OBSERVED_MS = 500
 
 
 class Wait(msgspec.Struct, frozen=True):
@@ -138,6 +139,9 @@
     usual = lengths.usual_rate()
     if usual is None:
         return Wait("No stream has finished yet.")
+    if progress.elapsed_ms < MIN_OBSERVED_MS:
+        # The rate of a stream's first tokens says little about the rest.
+        return Wait("The stream is too young to be judged.")
     lacking = lengths.remaining(group, progress.tokens, progress.max_tokens)
     anew_ms = HEDGE_START_MS + lacking / usual
     own_rate = progress.tokens / max(1, progress.elapsed_ms)
--- a/test/test_stragglers.py
+++ b/test/test_stragglers.py
@@ -48,6 +48,10 @@
         usual = Progress(tokens=50, elapsed_ms=500, max_tokens=100)
         self.assertIsInstance(decide(usual, 0, lengths(g0=100), 1, 1), Wait)
 
+    def test_a_young_stream_is_not_judged(self):
+        young = Progress(tokens=1, elapsed_ms=100, max_tokens=1000)
+        self.assertIsInstance(decide(young, 0, lengths(g0=900), 1, 1), Wait)
+
     def test_budget_and_idle_slots_bound_the_copies(self):
         slow = Progress(tokens=50, elapsed_ms=50_000, max_tokens=100)
         for idle, left in ((0, 1), (1, 0)):
