Test the steps against the real table types

Cause: the adapter's CheckFailed carries the failed row's table and key; fakes that made it with the row alone failed once the adapter was there. Change: the fakes of the steps and of the configuration give all three; the module that stood in for the adapter in the steps' fakes is gone. Conclusion: the fakes can no longer differ from the adapter's types.

--- a/test/_configuration.py
+++ b/test/_configuration.py
@@ -68,7 +68,7 @@
         for check in checks:
             row = self.row_by_key.get((check.table, check.key))
             if (row.version if row else 0) != check.version:
-                return table.CheckFailed(row)
+                return table.CheckFailed(row, check.table, check.key)
         version_by_key = {}
         for write in writes:
             key = (write.table, write.key)
--- a/test/_step_fakes.py
+++ b/test/_step_fakes.py
@@ -2,43 +2,23 @@
 
 import asyncio
 import collections
-import sys
-import types
 
 import msgspec
 
 from goldcrestmoor import util
+from goldcrestmoor.adapters.table import CheckFailed, Committed, Row
 from goldcrestmoor.clock import Clock
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.process.decisions import Decisions
 from goldcrestmoor.process.metrics import Metrics
 from goldcrestmoor.request.piece import Piece
 from goldcrestmoor.version import configuration as config
+from goldcrestmoor.version.step_holder import StepHolder
+from goldcrestmoor.version.step_messages import PullSamples
+from goldcrestmoor.version.step_store import StepStore
+from goldcrestmoor.version.steps import GroupSpec, StepSpec
 from test import _common
 
-try:
-    import goldcrestmoor.adapters.table  # noqa: F401
-except ImportError:
-    # The adapter is written beside this; its types are stated by its seam.
-    _table = types.ModuleType("goldcrestmoor.adapters.table")
-    _fields_by_name = {
-        "Check": ("table", "key", "version"),
-        "Write": ("table", "key", "value"),
-        "Committed": ("version_by_key",),
-        "CheckFailed": ("row",),
-        "Row": ("key", "version", "value"),
-    }
-    for _name, _fields in _fields_by_name.items():
-        setattr(_table, _name, collections.namedtuple(_name, _fields))
-    sys.modules["goldcrestmoor.adapters.table"] = _table
-
-from goldcrestmoor.adapters.table import CheckFailed, Committed, Row  # noqa: E402
-
-from goldcrestmoor.version.step_holder import StepHolder  # noqa: E402
-from goldcrestmoor.version.step_messages import PullSamples  # noqa: E402
-from goldcrestmoor.version.step_store import StepStore  # noqa: E402
-from goldcrestmoor.version.steps import GroupSpec, StepSpec  # noqa: E402
-
 ACCOUNT = "tuner"
 ZONE = "zone-a"
 
@@ -77,7 +57,7 @@
         for check in checks:
             row = self.row_by_key.get((check.table, check.key))
             if (row.version if row else 0) != check.version:
-                return CheckFailed(row)
+                return CheckFailed(row, check.table, check.key)
         for write in writes:
             self.writes += 1
             key = (write.table, write.key)
