Catch a note that is sent again through another upstream

Cause: with one upstream only, the test of a lost answer passed also when the rule against a second send was taken out.

Change: two upstreams, three ways to fail and both methods; the two apps' counts together are the witness.

Conclusion: red without the rule, green with it.

--- a/test/test_apps.py
+++ b/test/test_apps.py
@@ -64,10 +64,20 @@
         self.assertEqual(json.loads(answer.body)["panel"], "/panel/7?a=1")
 
     async def test_a_note_whose_answer_is_lost_is_not_sent_again(self):
-        self.app.mode = standin.CLOSE_AFTER_RUN
-        error = await self.fetch_error(make_request())
-        self.assertEqual(error.kind, ErrorKind.UPSTREAM_FAILED)
-        self.assertEqual(self.app.count_by_id, {"POST n1": 1})
+        other, server = await self.start_app(name="two")
+        self.lease.replace(fakes.upstream("app-2", "app", port=server.port))
+        modes = (
+            standin.CLOSE_AFTER_RUN,
+            standin.CLOSE_BEFORE_RUN,
+            standin.WRONG_LENGTH,
+        )
+        for mode in modes:
+            self.app.mode = other.mode = mode
+            for method in ("POST", "PATCH"):
+                before = self.app.received + other.received
+                error = await self.fetch_error(make_request(method))
+                self.assertEqual(error.kind, ErrorKind.UPSTREAM_FAILED)
+                self.assertEqual(self.app.received + other.received, before + 1)
 
     async def test_an_idempotent_request_moves_on(self):
         self.app.mode = standin.CLOSE_AFTER_RUN
