Do not let the kernel hold answers back

Cause: the listening socket named no protocol, so asyncio left Nagle's algorithm on; an answer of head and body waited for a delayed acknowledgement.

Ruled out: the HTTP client and the stand-ins, whose sockets asyncio made with the protocol named.

Change: the listener names TCP; a test reads the option from an accepted connection, seen red.

--- a/goldcrestmoor/process/http_server.py
+++ b/goldcrestmoor/process/http_server.py
@@ -242,7 +242,10 @@
 
 
 def _listen(address, port):
-    listener = socket.socket(socket.AF_INET6 if ":" in address else socket.AF_INET)
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    # Without the protocol's name asyncio leaves Nagle's algorithm on, and an answer
+    # of two writes waits for the caller's delayed acknowledgement.
+    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         listener.bind((address, port))
--- a/test/test_http_server.py
+++ b/test/test_http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import socket
 import unittest
 
 from blacksheep import Request, Response, StreamedContent
@@ -166,6 +167,16 @@
         self.go_on.set()
         self.assertEqual((await asking).status, 200)
 
+    async def test_answers_are_not_held_back_by_the_kernel(self):
+        asking = asyncio.create_task(self.ask("GET", "/wait"))
+        await self.entered.wait()
+        (connection,) = self.server._server.server_state.connections
+        accepted = connection.transport.get_extra_info("socket")
+        option = accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        self.assertTrue(option)
+        self.go_on.set()
+        await asking
+
     async def test_a_request_in_flight_is_finished_on_stop(self):
         asking = asyncio.create_task(self.ask("GET", "/wait"))
         await self.entered.wait()
