--- a/goldcrestmoor/commands/__init__.py
+++ b/goldcrestmoor/commands/__init__.py
@@ -6,11 +6,13 @@
 from goldcrestmoor.commands.ask import ask
 from goldcrestmoor.commands.check import check
 from goldcrestmoor.commands.keygen import keygen
+from goldcrestmoor.commands.replay import replay
 from goldcrestmoor.commands.serve import serve
 
 COMMAND_BY_NAME = {
     "ask": ask,
     "check": check,
     "keygen": keygen,
+    "replay": replay,
     "serve": serve,
 }
--- /dev/null
+++ b/goldcrestmoor/process/callers.py
@@ -0,0 +1,239 @@
+"""What serves callers: the HTTP server and the parts behind its routes."""
+
+from goldcrestmoor import util
+from goldcrestmoor.process import health
+from goldcrestmoor.process.http_server import HttpServer
+from goldcrestmoor.request import app_routes, completion_routes
+from goldcrestmoor.request.admission import AdmissionClient
+from goldcrestmoor.request.admission_owner import AdmissionOwner
+from goldcrestmoor.request.apps import Applications
+from goldcrestmoor.request.authentication import Authenticator
+from goldcrestmoor.request.bound_keys import BoundKeys
+from goldcrestmoor.request.claim_sweeper import ClaimSweeper
+from goldcrestmoor.request.claims import Claims
+from goldcrestmoor.request.completions import Completions
+from goldcrestmoor.request.key_memory import KeyMemory
+from goldcrestmoor.request.keys import Keys
+from goldcrestmoor.request.minted_key import KeyMint
+from goldcrestmoor.request.placement import Placement, PrefixAffinity, TwoChoices
+from goldcrestmoor.version import step_routes
+from goldcrestmoor.version.step_holder import StepHolder
+from goldcrestmoor.version.step_store import StepStore
+
+
+class Callers:
+    """Everything on one host that serves applications and trainers.
+
+    :param daemon: the :class:`~goldcrestmoor.process.daemon.Daemon` whose parts are
+        used.
+    """
+
+    __slots__ = (
+        "admission_owner",
+        "admission",
+        "completions",
+        "applications",
+        "holder",
+        "server",
+        "_memory",
+        "_claims",
+        "_store",
+        "_daemon",
+    )
+
+    def __init__(self, daemon):
+        self._daemon = daemon
+        self._make_admission()
+        self._make_steps()
+        self.applications = Applications(
+            clock=daemon.clock,
+            http=daemon.http,
+            placement=self._placement(TwoChoices()),
+            budget=daemon.budget,
+            metrics=daemon.metrics,
+            decisions=daemon.decisions,
+            health=daemon.health,
+        )
+        self.server = HttpServer(
+            clock=daemon.clock,
+            settings=daemon.settings,
+            metrics=daemon.metrics,
+            in_flight=daemon.in_flight,
+        )
+        self._register_routes(self._make_keys())
+
+    async def start(self, tasks):
+        """Start to serve.
+
+        :param tasks: the :class:`~goldcrestmoor.util.TaskGroup` to run in.
+        """
+        tasks.start(self.admission.run(), "admission")
+        tasks.start(self.admission_owner.run(), "owner")
+        tasks.start(self._store.run(), "step store")
+        tasks.start(self._sweeper().run(), "claim sweeper")
+        await self.server.start()
+
+    async def hand_over(self):
+        """Give up the steps held here."""
+        await self.holder.hand_over()
+
+    async def close(self, timeout_ms):
+        """Stop serving.
+
+        :param timeout_ms: how long requests in flight may take, in milliseconds.
+        """
+        await self.server.stop(timeout_ms)
+        await self.holder.close()
+        await self.completions.close()
+        await self._claims.close()
+        await self._memory.close()
+
+    def _sweeper(self):
+        daemon = self._daemon
+        return ClaimSweeper(
+            clock=daemon.clock,
+            host_id=daemon.settings.host.id,
+            table=daemon.table,
+            membership=daemon.membership,
+            lease=daemon.lease,
+        )
+
+    def _placement(self, policy):
+        daemon = self._daemon
+        return Placement(
+            zone=daemon.settings.host.zone,
+            lease=daemon.lease,
+            policy=policy,
+            health=daemon.health,
+            is_leaving=self._is_leaving,
+        )
+
+    def _is_leaving(self, upstream):
+        return upstream in self._daemon.membership.leaving_upstreams()
+
+    def _make_admission(self):
+        daemon = self._daemon
+        self.admission_owner = AdmissionOwner(
+            clock=daemon.clock,
+            lease=daemon.lease,
+            settings=daemon.settings.limits,
+            links=daemon.links,
+            metrics=daemon.metrics,
+            decisions=daemon.decisions,
+            membership=daemon.membership,
+            is_leaving=self._is_leaving,
+        )
+        self.admission = AdmissionClient(
+            clock=daemon.clock,
+            host_id=daemon.settings.host.id,
+            links=daemon.links,
+            ownership=daemon.ownership,
+            membership=daemon.membership,
+            owner=self.admission_owner,
+            decisions=daemon.decisions,
+        )
+
+    def _make_steps(self):
+        daemon = self._daemon
+        self.completions = Completions(
+            clock=daemon.clock,
+            engines=daemon.engines,
+            admission=self.admission,
+            placement=self._placement(PrefixAffinity()),
+            lease=daemon.lease,
+            budget=daemon.budget,
+            settings=daemon.settings.limits,
+            metrics=daemon.metrics,
+            decisions=daemon.decisions,
+            health=daemon.health,
+        )
+        self._store = StepStore(
+            clock=daemon.clock,
+            table=daemon.table,
+            objects=daemon.objects,
+            links=daemon.links,
+            membership=daemon.membership,
+            host_id=daemon.settings.host.id,
+        )
+        self.holder = StepHolder(
+            clock=daemon.clock,
+            completions=self.completions,
+            store=self._store,
+            links=daemon.links,
+            ownership=daemon.ownership,
+            lease=daemon.lease,
+            decisions=daemon.decisions,
+            metrics=daemon.metrics,
+            settings=daemon.settings,
+        )
+
+    def _make_keys(self):
+        daemon = self._daemon
+        settings = daemon.settings
+        # A key must name the very process that minted it, also after a restart within
+        # the same millisecond.
+        incarnation = util.new_id()
+        mint = KeyMint(
+            clock=daemon.clock,
+            host_id=settings.host.id,
+            incarnation=incarnation,
+            secret=settings.security.fleet_secret_key,
+        )
+        self._memory = KeyMemory(clock=daemon.clock, settings=settings.idempotency)
+        bound = BoundKeys(
+            clock=daemon.clock,
+            mint=mint,
+            memory=self._memory,
+            applications=self.applications,
+            links=daemon.links,
+            membership=daemon.membership,
+            lease=daemon.lease,
+            settings=settings.idempotency,
+        )
+        self._claims = Claims(
+            clock=daemon.clock,
+            host_id=settings.host.id,
+            incarnation=incarnation,
+            table=daemon.table,
+            memory=self._memory,
+            applications=self.applications,
+            links=daemon.links,
+            settings=settings.idempotency,
+        )
+        return Keys(mint=mint, bound=bound, claims=self._claims)
+
+    def _register_routes(self, keys):
+        daemon = self._daemon
+        app = self.server.application
+        authenticator = Authenticator(daemon.lease)
+        health.register_routes(
+            app,
+            metrics=daemon.metrics,
+            shutdown=daemon.shutdown,
+            configuration=daemon.configuration,
+        )
+        app_routes.register_routes(
+            app,
+            clock=daemon.clock,
+            authenticator=authenticator,
+            applications=self.applications,
+            keys=keys,
+            lease=daemon.lease,
+            metrics=daemon.metrics,
+            settings=daemon.settings,
+        )
+        completion_routes.register_routes(
+            app,
+            clock=daemon.clock,
+            authenticator=authenticator,
+            completions=self.completions,
+            lease=daemon.lease,
+            metrics=daemon.metrics,
+            settings=daemon.settings.limits,
+        )
+        step_routes.register_routes(
+            app,
+            authenticator=authenticator,
+            holder=self.holder,
+            weights=daemon.versions,
+        )
--- a/goldcrestmoor/process/membership.py
+++ b/goldcrestmoor/process/membership.py
@@ -125,6 +125,15 @@
         )
         return (host.address, host.peer_port) if host else None
 
+    def own(self):
+        """Return this host's own record."""
+        return self.table.own
+
+    def all(self):
+        """Return the records of all known hosts, in the order of their ids."""
+        records = [self.table.own, *self.table.others()]
+        return sorted(records, key=lambda record: record.id)
+
     def leaving_upstreams(self):
         """Return the names of the upstreams that the host list calls leaving."""
         return self.listed.leaving_upstreams()
