Ask a silent replica last for a while

Ruled out: the same for holders; a late answer would give the step two holders. Change: a host that did not answer about a step is asked last for 5 s. Conclusion: one sample at a time pays for a dead replica.

--- a/goldcrestmoor/version/step_store.py
+++ b/goldcrestmoor/version/step_store.py
@@ -25,6 +25,8 @@
 MAX_UNWRITTEN_STEPS = 64
 REPLICA_CANDIDATES = 3
 PEER_TIMEOUT_MS = 1000
+SILENT_MS = 5000
+MAX_SILENT_HOSTS = 1024
 BACKOFF_MIN_MS = 200
 BACKOFF_MAX_MS = 5000
 _PLATFORM_ERRORS = (ErrorKind.PLATFORM_UNAVAILABLE, ErrorKind.OUTCOME_UNKNOWN)
@@ -69,6 +71,7 @@
         self._kept_by_key = collections.OrderedDict()
         self._unwritten_by_key = collections.OrderedDict()
         self._unwritten = asyncio.Event()
+        self._silent_until_by_host = {}
         links.register(StoreStep, self._on_store_step)
         links.register(StoreSamples, self._on_store_samples)
         links.register(FetchStep, self._on_fetch_step)
@@ -218,7 +221,13 @@
 
     def _others(self, account, step, zone):
         hosts = self.hosts_for(account, step, zone)
-        return [h for h in hosts if h != self._host_id][:REPLICA_CANDIDATES]
+        others = [h for h in hosts if h != self._host_id][:REPLICA_CANDIDATES]
+        # A host that did not answer is asked last for a while, so that not every
+        # sample waits for it until the fleet takes it for dead.
+        now_ms = self._clock.now_ms()
+        return sorted(
+            others, key=lambda h: self._silent_until_by_host.get(h, 0) > now_ms
+        )
 
     async def _replicate(self, message, zone):
         spec = message.spec
@@ -232,6 +241,9 @@
             return await self._links.call(host_id, message, PEER_TIMEOUT_MS)
         except ServiceError as e:
             log.info("Host %s did not answer about a step: %s", host_id, e)
+            self._silent_until_by_host[host_id] = self._clock.now_ms() + SILENT_MS
+            while len(self._silent_until_by_host) > MAX_SILENT_HOSTS:
+                self._silent_until_by_host.pop(next(iter(self._silent_until_by_host)))
             return None
 
     def _keep(self, spec):
--- a/test/test_steps.py
+++ b/test/test_steps.py
@@ -12,7 +12,7 @@
 from goldcrestmoor.version.step_state import StepState
 from goldcrestmoor.version.steps import Held, Slot, check, make_sample, oldest_version
 from test import _common
-from test._step_fakes import ACCOUNT, FakeFleet, make_spec
+from test._step_fakes import ACCOUNT, ZONE, FakeFleet, make_spec
 
 
 def stream(*pieces, gate=None, reached=None):
@@ -242,6 +242,18 @@
             lambda: {t for t, _ in fleet.platform.row_by_key} == {"steps", "groups"}
         )
 
+    async def test_a_silent_replica_is_not_asked_for_every_sample(self):
+        fleet = self.make_fleet("a", "b", "c")
+        a = fleet.host_by_id["a"]
+        fleet.holder_of = {"a": "a"}
+        first = a.store._others(ACCOUNT, "s1", ZONE)[0]
+        # The fleet still takes the host for alive, but it does not answer.
+        fleet.links_by_id.pop(first)
+        await a.holder.submit(make_spec(samples=8))
+        got, _ = await a.collect("s1")
+        self.assertEqual(len(got), 16)
+        self.assertNotEqual(a.store._others(ACCOUNT, "s1", ZONE)[0], first)
+
     async def test_a_holder_dies_with_the_platform_out(self):
         fleet = self.make_fleet("a", "b")
         fleet.platform.out = True
