Put links between zones: a network for the proofs, outgoing source addresses

Cause: availability zones must be cut from one another and from the platform, and one proxy a target cannot tell its sources apart. Ruled out: a proxy per pair of hosts, a full mesh of listeners; network namespaces, which need rights that not every machine gives. Change: connections go out from host.address, so a link knows the source's zone; host.advertised_peer_port lets something stand before the peer port; test/network.py cuts and mends zones. The fleet's test of routes, which only looked at settings, is replaced by one that cuts a zone of real processes off and sees each side's membership. A test that disconnected a peer socket by its endpoint now takes the endpoint from the socket, as it carries the source. Conclusion: the proofs can cut zones.

--- a/goldcrestmoor/connection/http_client.py
+++ b/goldcrestmoor/connection/http_client.py
@@ -49,14 +49,15 @@
 
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param limits: the :class:`~goldcrestmoor.settings.LimitSettings`.
+    :param source: the IP address that connections go out from; any when left out.
     """
 
     __slots__ = ("_clock", "_limits", "_pool")
 
-    def __init__(self, *, clock, limits):
+    def __init__(self, *, clock, limits, source=None):
         self._clock = clock
         self._limits = limits
-        self._pool = HttpPool(clock=clock, limits=limits)
+        self._pool = HttpPool(clock=clock, limits=limits, source=source)
 
     async def request(
         self,
--- a/goldcrestmoor/connection/http_connection.py
+++ b/goldcrestmoor/connection/http_connection.py
@@ -51,10 +51,11 @@
         writer.transport.pause_reading()
 
     @classmethod
-    async def dial(cls, target, timeout_ms, limits):
+    async def dial(cls, target, timeout_ms, limits, source=None):
         """Open a connection.
 
         :param target: the ``(address, port)`` pair.
+        :param source: the IP address that it goes out from; any when left out.
         :param timeout_ms: how long the handshake may take, in milliseconds.
         :param limits: the :class:`~goldcrestmoor.settings.LimitSettings`.
         :raises ServiceError: ``UPSTREAM_UNREACHABLE``; nothing was written.
@@ -62,7 +63,9 @@
         address, port = target
         try:
             async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
-                reader, writer = await asyncio.open_connection(address, port)
+                reader, writer = await asyncio.open_connection(
+                    address, port, local_addr=(source, 0) if source else None
+                )
         except TimeoutError as e:
             raise unreachable(target, "no connection in time") from e
         except OSError as e:
--- a/goldcrestmoor/connection/http_pool.py
+++ b/goldcrestmoor/connection/http_pool.py
@@ -22,6 +22,7 @@
 
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param limits: the :class:`~goldcrestmoor.settings.LimitSettings`.
+    :param source: the IP address that connections go out from; any when left out.
     :ivar idle_count: how many idle connections are kept.
     """
 
@@ -29,14 +30,16 @@
         "idle_count",
         "_clock",
         "_limits",
+        "_source",
         "_idle_by_target",
         "_tasks",
         "_reaper",
         "_closed",
     )
 
-    def __init__(self, *, clock, limits):
+    def __init__(self, *, clock, limits, source=None):
         self.idle_count = 0
+        self._source = source
         self._clock = clock
         self._limits = limits
         self._idle_by_target = {}
@@ -59,7 +62,9 @@
         if connection is not None:
             return connection
         timeout_ms = min(self._limits.connect_timeout_ms, deadline.remaining_ms())
-        connection = await HttpConnection.dial(target, timeout_ms, self._limits)
+        connection = await HttpConnection.dial(
+            target, timeout_ms, self._limits, self._source
+        )
         if connection.is_clean():
             return connection
         connection.abort()
--- a/goldcrestmoor/connection/peer_sockets.py
+++ b/goldcrestmoor/connection/peer_sockets.py
@@ -34,11 +34,19 @@
     """A zmq context whose sockets all carry the fleet's keys.
 
     :param security: the :class:`~goldcrestmoor.settings.SecuritySettings`.
+    :param address: this host's IP address, from which connections go out.
     """
 
-    __slots__ = ("_public_key", "_secret_key", "_context", "_authenticator")
+    __slots__ = (
+        "_public_key",
+        "_secret_key",
+        "_address",
+        "_context",
+        "_authenticator",
+    )
 
-    def __init__(self, security):
+    def __init__(self, security, address):
+        self._address = address
         self._public_key = security.fleet_public_key.encode()
         self._secret_key = security.fleet_secret_key.encode()
         self._context = zmq.asyncio.Context(IO_THREADS)
@@ -73,7 +81,7 @@
         # Nothing is queued for a peer that is not there: a message that has
         # waited for a connection would arrive long after its caller gave up.
         socket.immediate = True
-        socket.connect(f"tcp://{address}:{port}")
+        socket.connect(f"tcp://{self._address}:0;{address}:{port}")
         return socket
 
     async def close(self):
--- a/goldcrestmoor/connection/peers.py
+++ b/goldcrestmoor/connection/peers.py
@@ -70,7 +70,7 @@
         self._host = settings.host
         self._directory = directory
         self._metrics = metrics
-        self._sockets = PeerSockets(settings.security)
+        self._sockets = PeerSockets(settings.security, settings.host.address)
         self._router = None
         # A late reply to a former process of this host must match no call.
         self._incarnation = secrets.token_bytes(INCARNATION_BYTES)
--- a/goldcrestmoor/process/daemon.py
+++ b/goldcrestmoor/process/daemon.py
@@ -114,7 +114,9 @@
 
     def _make_outside_clients(self):
         limits = self.settings.limits
-        self.http = HttpClient(clock=self.clock, limits=limits)
+        self.http = HttpClient(
+            clock=self.clock, limits=limits, source=self.settings.host.address
+        )
         self.budget = RetryBudget(clock=self.clock, percent=limits.retry_budget_percent)
         self.health = UpstreamHealth(clock=self.clock)
         platform = {
--- a/goldcrestmoor/process/membership.py
+++ b/goldcrestmoor/process/membership.py
@@ -69,7 +69,7 @@
             host.region,
             host.address,
             host.http_port,
-            host.peer_port,
+            host.advertised_peer_port or host.peer_port,
             # A restarted host starts above its former incarnation; should its
             # wall clock be behind, it is told so and raises the number.
             clock.wall_ms(),
--- a/goldcrestmoor/settings.py
+++ b/goldcrestmoor/settings.py
@@ -18,6 +18,7 @@
 Percent = Annotated[int, Field(ge=0, le=100)]
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
 Hash = Annotated[str, Field(pattern=r"^([0-9a-f]{64})?$")]
+OptionalPort = Annotated[int, Field(ge=0, le=65535)]
 CurveKey = Annotated[str, Field(min_length=40, max_length=40)]
 
 _strict = dataclass(config=ConfigDict(extra="forbid", strict=True), slots=True)
@@ -33,6 +34,7 @@
     address: str
     http_port: Port
     peer_port: Port
+    advertised_peer_port: OptionalPort
     listen_backlog: Count
 
 
--- a/test/fault_proxy.py
+++ b/test/fault_proxy.py
@@ -50,6 +50,8 @@
         "_server",
         "_pairs",
         "_silent_pairs",
+        "_source_by_pair",
+        "_blocked_prefixes",
     )
 
     def __init__(self, target_address, target_port, address="127.0.0.1", port=0):
@@ -63,6 +65,8 @@
         self._server = None
         self._pairs = {}
         self._silent_pairs = set()
+        self._source_by_pair = {}
+        self._blocked_prefixes = set()
 
     async def start(self):
         """Start to listen."""
@@ -103,6 +107,25 @@
         """Drop all bytes of the connections that are open; new ones work."""
         self._silent_pairs.update(self._pairs)
 
+    def block(self, prefixes):
+        """Drop all bytes from and to the sources whose addresses begin so.
+
+        Connections that lost bytes are cut when the block is taken back, since no
+        retransmission mends them here.
+
+        :param prefixes: the address prefixes; none takes the block back.
+        """
+        held = [p for p in self._pairs if self._is_blocked(p)]
+        self._blocked_prefixes = set(prefixes)
+        for pair in held:
+            if not self._is_blocked(pair):
+                for writer in self._pairs[pair]:
+                    writer.transport.abort()
+
+    def _is_blocked(self, pair):
+        source = self._source_by_pair.get(pair, "")
+        return any(source.startswith(prefix) for prefix in self._blocked_prefixes)
+
     async def refuse(self):
         """Refuse new connections and cut the open ones."""
         await self.close()
@@ -121,12 +144,16 @@
         self.accepted += 1
         pair = self.accepted
         self._pairs[pair] = (writer,)
+        self._source_by_pair[pair] = writer.get_extra_info("peername")[0]
+        if self._is_blocked(pair):
+            await self._hold(pair, reader, writer)
+            return
         try:
             far_reader, far_writer = await asyncio.open_connection(
                 self.target_address, self.target_port
             )
         except OSError:
-            del self._pairs[pair]
+            self._forget(pair)
             writer.transport.abort()
             return
         self._pairs[pair] = (writer, far_writer)
@@ -138,9 +165,25 @@
         except OSError:
             pass
         finally:
-            for each in self._pairs.pop(pair):
+            for each in self._pairs[pair]:
                 each.transport.abort()
-            self._silent_pairs.discard(pair)
+            self._forget(pair)
+
+    async def _hold(self, pair, reader, writer):
+        """Take a blocked source's bytes and answer nothing."""
+        try:
+            while await reader.read(READ_BYTES):
+                pass
+        except OSError:
+            pass
+        finally:
+            writer.transport.abort()
+            self._forget(pair)
+
+    def _forget(self, pair):
+        self._pairs.pop(pair, None)
+        self._source_by_pair.pop(pair, None)
+        self._silent_pairs.discard(pair)
 
     async def _pump(self, pair, direction, reader, writer):
         passed = 0
@@ -149,7 +192,8 @@
             if faults.delay_ms:
                 await asyncio.sleep(faults.delay_ms / 1000)
                 faults = self._faults_by_direction[direction]
-            if faults.is_silent or pair in self._silent_pairs:
+            silent = faults.is_silent or pair in self._silent_pairs
+            if silent or self._is_blocked(pair):
                 continue
             bound = faults.cut_after_bytes
             if bound is not None and passed + len(data) >= bound:
--- a/test/fleet.py
+++ b/test/fleet.py
@@ -16,6 +16,7 @@
 from goldcrestmoor import util
 from goldcrestmoor.clock import MS_PER_SECOND
 from test import _common, _process
+from test.network import PLATFORM
 
 PLATFORM_ADDRESS = "127.0.0.2"
 UPSTREAM_NUMBER_BASE = 100
@@ -105,22 +106,15 @@
         return f"http://{self.address}:{self.port}"
 
 
-def direct(source, target, address, port):
-    """Return where a process finds another: without a proxy, at its own place."""
-    return address, port
-
-
 class Fleet:
     """Start a plan's processes; use as an async context manager.
 
     :param plan: the :class:`Plan`.
-    :param route: gives the address and port by which ``source`` reaches
-        ``target``, so that a proxy can be put between two processes; the source is
-        empty for upstreams, as the configuration names them once for all hosts.
-        Daemons' links to ``platform`` and to upstreams go through it.
+    :param network: the :class:`~test.network.Network` that the processes meet
+        through; they meet directly when left out.
     """
 
-    def __init__(self, plan, route=direct):
+    def __init__(self, plan, network=None):
         self.plan = plan
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="goldcrestmoor-"))
         self.process_by_id = {}
@@ -129,7 +123,7 @@
         self.hosts = self._place_hosts()
         self.upstreams = self._place_upstreams()
         self.endpoint_by_id = {e.id: e for e in (*self.hosts, *self.upstreams)}
-        self._route = route
+        self._network = network
 
     async def __aenter__(self):
         try:
@@ -144,6 +138,8 @@
 
     async def start(self):
         """Start everything and wait until every host is ready for callers."""
+        if self._network is not None:
+            await self._add_links()
         await self.start_platform()
         await asyncio.gather(*(self.start_upstream(u.id) for u in self.upstreams))
         await asyncio.gather(*(self.start_host(h.id) for h in self.hosts))
@@ -154,8 +150,26 @@
     async def close(self):
         """End every process by its id and drop the logs."""
         await _process.stop_all(self.process_by_id.values())
+        if self._network is not None:
+            await self._network.close()
         shutil.rmtree(self.directory, ignore_errors=True)
 
+    async def _add_links(self):
+        port = _common.free_port(PLATFORM_ADDRESS)
+        self.platform = msgspec.structs.replace(self.platform, port=port)
+        add = self._network.add
+        await add(PLATFORM, "", PLATFORM_ADDRESS, port)
+        for host in self.hosts:
+            await add(host.id, host.zone, host.address, host.peer_port)
+        for upstream in self.upstreams:
+            await add(upstream.id, upstream.zone, upstream.address, upstream.port)
+
+    def _meeting_port(self, target_id, port):
+        """Return the port at which others meet a target."""
+        if self._network is None or target_id not in self._network.links_by_id:
+            return port
+        return self._network.links_by_id[target_id].port
+
     async def start_platform(self):
         """Start the platform's stand-in, which lists all hosts and upstreams."""
         port = self.platform.port or _common.free_port(PLATFORM_ADDRESS)
@@ -205,15 +219,13 @@
     def settings_of(self, host_id):
         """Return a daemon's settings document."""
         host = self.endpoint_by_id[host_id]
-        address, port = self._route(
-            host_id, "platform", self.platform.address, self.platform.port
-        )
+        port = self._meeting_port(PLATFORM, self.platform.port)
         peers = [
             {
                 "id": peer.id,
                 "zone": peer.zone,
                 "address": peer.address,
-                "peer_port": peer.peer_port,
+                "peer_port": self._meeting_port(peer.id, peer.peer_port),
             }
             for peer in self.hosts
             if peer.id != host_id
@@ -225,8 +237,9 @@
             "address": host.address,
             "http_port": host.port,
             "peer_port": host.peer_port,
+            "advertised_peer_port": self._meeting_port(host.id, host.peer_port),
         }
-        document["platform"] |= {"address": address, "port": port}
+        document["platform"] |= {"address": PLATFORM_ADDRESS, "port": port}
         document["peers"] = peers
         return document
 
@@ -243,7 +256,7 @@
                 "zone": e.zone,
                 "address": e.address,
                 "http_port": e.port,
-                "peer_port": e.peer_port,
+                "peer_port": self._meeting_port(e.id, e.peer_port),
                 "state": states.get(e.id, "live"),
             }
             for e in (*self.hosts, *self.upstreams)
@@ -252,7 +265,7 @@
     def upstream_place(self, upstream_id):
         """Return the address and port at which the daemons find an upstream."""
         e = self.endpoint_by_id[upstream_id]
-        return self._route("", upstream_id, e.address, e.port)
+        return e.address, self._meeting_port(upstream_id, e.port)
 
     def urls(self, zone=None):
         """Return the hosts' addresses for clients, of one zone or of all."""
--- a/test/test_fleet.py
+++ b/test/test_fleet.py
@@ -1,5 +1,6 @@
 """The fleet's processes are placed, signalled and ended one by one."""
 
+import json
 import shutil
 import tempfile
 import unittest
@@ -8,6 +9,7 @@
 from goldcrestmoor.language import parser
 from test import _common, _process, demo
 from test.fleet import Fleet, configuration_text, http_get
+from test.network import Network
 
 ADDRESS = "127.0.1.1"
 FROZEN_TIMEOUT_MS = 300
@@ -69,17 +71,26 @@
         statements = parser.parse(configuration_text(demo.PLAN, fleet)).statements
         self.assertEqual(len(statements), 8)
 
-    async def test_a_route_puts_a_proxy_before_the_platform_and_upstreams(self):
-        asked = []
+    async def test_a_cut_zone_keeps_its_own_and_loses_the_rest(self):
+        network = Network()
+        fleet = self.make_fleet(network=network)
+        await fleet.start()
+        near, far = fleet.hosts[0], fleet.hosts[-1]
 
-        def route(source, target, address, port):
-            asked.append((source, target))
-            return "127.0.9.9", 9
+        async def known_by(host):
+            _, text = await fleet.ask("SHOW HOSTS", host.id, is_json=True)
+            rows = json.loads(text)["rows"]
+            return {row[0] for row in rows if row[5] == "alive"}
 
-        fleet = self.make_fleet(route=route)
-        host = fleet.hosts[0]
-        document = fleet.settings_of(host.id)
-        self.assertEqual(document["platform"]["address"], "127.0.9.9")
-        self.assertIn("'127.0.9.9' PORT 9", configuration_text(demo.PLAN, fleet))
-        self.assertIn((host.id, "platform"), asked)
-        self.assertIn(("", "lm-pool-1"), asked)
+        async def alone():
+            own = {h.id for h in fleet.hosts if h.zone == far.zone}
+            return await known_by(far) == own
+
+        async def together():
+            return len(await known_by(near)) == len(await known_by(far)) == 4
+
+        await _common.eventually(together)
+        network.cut(far.zone)
+        await _common.eventually(alone)
+        network.mend()
+        await _common.eventually(together)
--- a/test/test_peers.py
+++ b/test/test_peers.py
@@ -144,7 +144,7 @@
         silent = zmq.asyncio.Context.instance().socket(zmq.ROUTER)
         self.addCleanup(silent.close, 0)
         port = silent.bind_to_random_port("tcp://127.0.0.1")
-        old._socket.disconnect("tcp://{}:{}".format(*old.endpoint))
+        old._socket.disconnect(old._socket.last_endpoint)
         old._socket.connect(f"tcp://127.0.0.1:{port}")
         timeout_ms = peer_link.SILENT_MS
 
