Drop the types that stood in for the table client

Cause: tests of three parts were written before the table client was merged and carried copies of its types. Ruled out: keeping them for running a part alone; the client is always there. Conclusion: one definition of each type.

--- a/test/_configuration.py
+++ b/test/_configuration.py
@@ -4,10 +4,7 @@
 import functools
 import types
 
-from test._table_types import table
-
-# The types stand in for those of the table client, so that they come first.
-# isort: split
+from goldcrestmoor.adapters import table
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.language.changes import apply_changes
 from goldcrestmoor.language.parser import parse
--- a/test/_table.py
+++ b/test/_table.py
@@ -1,49 +1,9 @@
 """A table service in memory, with outages and lost answers."""
 
-import sys
-import types
-from importlib import util
-
-import msgspec
-
+from goldcrestmoor.adapters import table as seam
 from goldcrestmoor.errors import ErrorKind, ServiceError
 
 
-class _Check(msgspec.Struct, frozen=True):
-    table: str
-    key: str
-    version: int
-
-
-class _Write(msgspec.Struct, frozen=True):
-    table: str
-    key: str
-    value: bytes | None
-
-
-class _Row(msgspec.Struct, frozen=True):
-    key: str
-    version: int
-    value: bytes
-
-
-class _Committed(msgspec.Struct, frozen=True):
-    version_by_key: dict
-
-
-class _CheckFailed(msgspec.Struct, frozen=True):
-    row: _Row | None
-
-
-if util.find_spec("goldcrestmoor.adapters.table") is None:
-    stand_in = types.ModuleType("goldcrestmoor.adapters.table")
-    stand_in.Check, stand_in.Write, stand_in.Row = _Check, _Write, _Row
-    stand_in.Committed, stand_in.CheckFailed = _Committed, _CheckFailed
-    sys.modules["goldcrestmoor.adapters.table"] = stand_in
-
-from goldcrestmoor.adapters import table as seam  # noqa: E402
-
-
 class FakeTable:
     """The rows, and what goes wrong with the next requests."""
 
@@ -62,7 +22,7 @@
         for check in checks:
             row = self.rows_by_name.get((check.table, check.key))
             if (row.version if row else 0) != check.version:
-                return seam.CheckFailed(row)
+                return seam.CheckFailed(row, check.table, check.key)
         versions = {}
         for write in writes:
             name = (write.table, write.key)
--- a/test/test_configuration.py
+++ b/test/test_configuration.py
@@ -7,10 +7,6 @@
 
 from hypothesis import given, settings as hypothesis_settings, strategies
 
-from test import _common
-from test._configuration import World, changing
-
-# isort: split
 from goldcrestmoor.clock import Deadline
 from goldcrestmoor.errors import ErrorKind
 from goldcrestmoor.version import configuration as documents
@@ -24,6 +20,8 @@
     cut_off_part,
     narrow,
 )
+from test import _common
+from test._configuration import World, changing
 
 SHARE_OF_TISZA = "ALTER ACCOUNT tisza SHARE %d"
 TERMS_OF_TISZA = "ALTER ACCOUNT tisza CUTOFF STALENESS %d"
--- a/test/test_language.py
+++ b/test/test_language.py
@@ -13,10 +13,6 @@
 import uvicorn
 from blacksheep.server.routing import Router
 
-from test import _common
-from test._configuration import INITIAL, World
-
-# isort: split
 from goldcrestmoor import util
 from goldcrestmoor.commands.ask import ask
 from goldcrestmoor.errors import ErrorKind, ServiceError, UserError
@@ -28,6 +24,8 @@
 from goldcrestmoor.language.routes import register_routes
 from goldcrestmoor.process.decisions import Decisions
 from goldcrestmoor.version.configuration import Configuration, StreamRule
+from test import _common
+from test._configuration import INITIAL, World
 
 UPSTREAM_ROWS = [("u1", "zone-a", 4), ("u2", "zone-b", 16), ("u3", "zone-a", 8)]
 
--- a/test/test_leases.py
+++ b/test/test_leases.py
@@ -2,12 +2,9 @@
 
 import unittest
 
-from test import _table  # Stands in for an adapter that is not there.
-
-# isort: split
-
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.process.leases import LeaseClient
+from test import _table
 from test._fleet import HostClock, ManualClock
 
 DURATION_MS = 6000
--- a/test/test_weights.py
+++ b/test/test_weights.py
@@ -4,10 +4,6 @@
 import unittest
 from types import SimpleNamespace
 
-from test import _table  # Stands in for an adapter that is not there.
-
-# isort: split
-
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.process.leases import LeaseClient
 from goldcrestmoor.process.metrics import Metrics
@@ -20,6 +16,7 @@
 from goldcrestmoor.version.weight_messages import VersionPublished
 from goldcrestmoor.version.weight_orders import LEASE_MS, WeightOrders
 from goldcrestmoor.version.weights import WeightVersions
+from test import _table
 from test._fleet import FakeLinks, HostClock, ManualClock, Network
 
 GENEROUS_MS = 120_000
