Prove that a caller gets the whole answer to its own request

The link can now inject bytes and add them to what passes; the application stand-in answers in chunks and after random times.

--- a/test/fault_proxy.py
+++ b/test/fault_proxy.py
@@ -22,12 +22,13 @@
 class Faults:
     """The faults of one direction of a link."""
 
-    __slots__ = ("delay_ms", "cut_after_bytes", "is_silent")
+    __slots__ = ("delay_ms", "cut_after_bytes", "is_silent", "suffix")
 
     def __init__(self):
         self.delay_ms = 0
         self.cut_after_bytes = None
         self.is_silent = False
+        self.suffix = b""
 
 
 class Link:
@@ -107,6 +108,16 @@
         """Drop all bytes of the connections that are open; new ones work."""
         self._silent_pairs.update(self._pairs)
 
+    def inject(self, data, direction=DOWN):
+        """Write bytes that no end sent on the connections that are open."""
+        for writers in self._pairs.values():
+            writers[0 if direction == DOWN else -1].write(data)
+
+    def append(self, data, direction=DOWN):
+        """Add bytes to each piece of data that passes."""
+        for faults in self._select(direction):
+            faults.suffix = data
+
     def block(self, prefixes):
         """Drop all bytes from and to the sources whose addresses begin so.
 
@@ -200,7 +211,7 @@
                 writer.write(data[: bound - passed])
                 await writer.drain()
                 raise ConnectionAbortedError
-            writer.write(data)
+            writer.write(data + faults.suffix)
             passed += len(data)
             self.bytes_by_direction[direction] += len(data)
             await writer.drain()
--- /dev/null
+++ b/test/proofs/_requests.py
@@ -0,0 +1,226 @@
+"""A small fleet behind fault-injecting links, and callers that see what came whole."""
+
+import asyncio
+import contextlib
+import http.client
+import json
+import unittest
+
+import msgspec
+
+from goldcrestmoor.clock import MS_PER_SECOND
+from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
+from test._common import eventually
+from test.fleet import AccountPlan, Fleet, Plan, PoolPlan, http_get
+from test.network import Network
+
+TOKEN = "desk-token"
+CALLER_TIMEOUT_MS = 20_000
+REQUEST_TIMEOUT_MS = 15_000
+SETTINGS = {
+    "configuration": {"poll_ms": 200, "lease_ms": 1000, "lease_margin_ms": 200},
+    "limits": {
+        "request_timeout_ms": REQUEST_TIMEOUT_MS,
+        "queue_timeout_ms": 2000,
+    },
+    "membership": {"host_list_poll_ms": 500},
+    "shutdown": {"unready_ms": 500, "drain_ms": 15_000},
+}
+
+
+def make_plan(hosts, apps=None, engines=None, **options):
+    """Return a plan with a pool ``desk`` of applications and one ``lm`` of engines.
+
+    :param hosts: daemons by zone.
+    :param apps: applications by zone.
+    :param engines: engines by zone.
+    :param options: ``app``, ``engine`` and ``settings`` go over what is usual,
+        ``slots`` is what each upstream runs at a time.
+    """
+    slots = options.get("slots", 16)
+    pools = []
+    if apps:
+        desk = PoolPlan("desk", "application", apps, options=options.get("app", {}))
+        pools.append(desk)
+    if engines:
+        engine = options.get("engine", {})
+        pools.append(PoolPlan("lm", "engine", engines, "m", slots, engine))
+    names = tuple(pool.name for pool in pools)
+    account = AccountPlan("desk", "application", TOKEN, names)
+    extra = options.get("settings", {})
+    settings = {
+        name: SETTINGS.get(name, {}) | extra.get(name, {})
+        for name in SETTINGS.keys() | extra.keys()
+    }
+    return Plan(hosts, tuple(pools), (account,), settings)
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """What a caller got.
+
+    :param status: the status, or 0 when no whole answer came.
+    :param body: the whole body.
+    :param headers: the headers, by name in lower case.
+    """
+
+    status: int
+    body: bytes = b""
+    headers: dict[str, str] = {}
+
+    @property
+    def code(self):
+        """The error's kind; empty when it is none of the service's."""
+        return self._error().get("code", "")
+
+    @property
+    def ran(self):
+        """What an error says of whether the request ran."""
+        return self._error().get("ran", "")
+
+    def json(self):
+        """Return the decoded body."""
+        return json.loads(self.body)
+
+    def _error(self):
+        if self.status < 400 or not self.body.startswith(b"{"):
+            return {}
+        return self.json()
+
+
+def call_once(url, method, path, body=None, headers=None, on_status=None):
+    """Send one request on a connection of its own, from a thread."""
+    place = url.removeprefix("http://")
+    timeout_s = CALLER_TIMEOUT_MS / MS_PER_SECOND
+    connection = http.client.HTTPConnection(place, timeout=timeout_s)
+    sent = {"Authorization": f"Bearer {TOKEN}", **(headers or {})}
+    try:
+        connection.request(method, path, body, sent)
+        response = connection.getresponse()
+        if on_status is not None:
+            on_status(response.status)
+        got = {name.lower(): value for name, value in response.getheaders()}
+        return Answer(response.status, response.read(), got)
+    except (OSError, http.client.HTTPException):
+        return Answer(0)
+    finally:
+        connection.close()
+
+
+class RequestCase(unittest.IsolatedAsyncioTestCase):
+    """A fleet of ``PLAN`` with the calls that proofs make of it."""
+
+    PLAN = None
+
+    async def asyncSetUp(self):
+        self.network = Network()
+        self.fleet = Fleet(self.PLAN, self.network)
+        self.addAsyncCleanup(self.fleet.close)
+        await self.fleet.start()
+        self.hosts = [host.id for host in self.fleet.hosts]
+        self.upstreams = [upstream.id for upstream in self.fleet.upstreams]
+
+    async def call(self, host, method, path, body=None, headers=None, on_status=None):
+        """Send one request to a host, by its name."""
+        url = self.fleet.endpoint_by_id[host].url
+        arguments = (url, method, path, body, headers, on_status)
+        return await asyncio.to_thread(call_once, *arguments)
+
+    async def fetch(self, host, name, **headers):
+        """Fetch a panel."""
+        path = f"/apps/desk/panel/{name}"
+        return await self.call(host, "GET", path, None, headers)
+
+    async def note(self, host, name, key=None, **headers):
+        """Save a note, under a key if one is given."""
+        headers["X-Note-Id"] = name
+        if key:
+            headers["Idempotency-Key"] = key
+        return await self.call(host, "POST", "/apps/desk/notes", name, headers)
+
+    async def complete(self, host, tokens, *, stream=False, prompt="p", **options):
+        """Ask for a completion."""
+        asked = {"model": "lm", "prompt": prompt, "max_tokens": tokens}
+        body = json.dumps(asked | {"stream": stream})
+        return await self.call(host, "POST", "/v1/completions", body, **options)
+
+    async def mint(self, host):
+        """Return a key that a host minted."""
+        answer = await self.call(host, "POST", "/v1/keys")
+        self.assertEqual(answer.status, 201, answer.body)
+        return answer.json()["key"]
+
+    async def counts(self, upstream):
+        """Return what an upstream counted, asked past its link."""
+        endpoint = self.fleet.endpoint_by_id[upstream]
+        return await self.fleet.get_json(endpoint, "/control/counts")
+
+    async def runs(self, name):
+        """Return how often the applications ran a note, or a path."""
+        total = 0
+        for upstream in self.fleet.upstreams:
+            if upstream.pool == "desk":
+                count_by_id = (await self.counts(upstream.id))["count_by_id"]
+                total += sum(
+                    count
+                    for text, count in count_by_id.items()
+                    if text.partition(" ")[2] == name
+                )
+        return total
+
+    async def set_app(self, upstream, mode, **options):
+        """Set an application's fault."""
+        endpoint = self.fleet.endpoint_by_id[upstream]
+        await self.fleet.control(endpoint, "mode", mode=mode, **options)
+
+    async def set_engine(self, upstream, **options):
+        """Set an engine's options."""
+        await self.fleet.control(self.fleet.endpoint_by_id[upstream], "set", **options)
+
+    async def outage(self, on):
+        """Begin or end an outage of the platform."""
+        await self.fleet.control(self.fleet.platform_control, "outage", on=on)
+
+    async def ready(self, host):
+        """Tell whether a host wants requests from the balancer."""
+        url = f"{self.fleet.endpoint_by_id[host].url}/readyz"
+        return (await http_get(url))[0] == 200
+
+    async def metric(self, host, name):
+        """Return the sum of a counter over its labels."""
+        _, text = await http_get(f"{self.fleet.endpoint_by_id[host].url}/metrics")
+        lines = (line for line in text.decode().splitlines() if line.startswith(name))
+        return sum(float(line.rpartition(" ")[2]) for line in lines)
+
+    async def answers(self, host):
+        """Wait until a host answers a fetch whole."""
+
+        async def is_answered():
+            return (await self.fetch(host, "warm")).status == 200
+
+        await eventually(is_answered)
+
+    async def check_not_run(self, answer, name):
+        """Hold an error to what it says, with the applications as witness."""
+        runs = await self.runs(name)
+        self.assertLessEqual(runs, 1)
+        if answer.ran == Ran.NOT_RUN:
+            self.assertEqual(runs, 0, f"{name}: {answer.body}")
+        if answer.status == 201:
+            self.assertEqual(runs, 1, name)
+
+
+def error_of(answer):
+    """Return the :class:`ServiceError` that an answer stands for."""
+    return ServiceError(ErrorKind(answer.code))
+
+
+@contextlib.asynccontextmanager
+async def in_background(coroutine):
+    """Run a coroutine while the block runs, and give its task."""
+    task = asyncio.ensure_future(coroutine)
+    try:
+        yield task
+    finally:
+        if not task.done():
+            task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
--- a/test/standins/app.py
+++ b/test/standins/app.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import random
 
 from test.standins.server import Drop, Response, Server, json_response, main
 
@@ -23,6 +24,7 @@
         self.name = options.get("name", "app")
         self.mode = options.get("mode", "")
         self.slow_s = options.get("slow_s", 0.05)
+        self.jitter_s = options.get("jitter_ms", 0) / 1000
         self.count_by_id = collections.Counter()
         self.received = 0
         self.slow = asyncio.Event()
@@ -41,11 +43,15 @@
             await asyncio.sleep(self.slow_s)
         if self.mode == WRONG_LENGTH:
             return Response(200, _cut_short())
+        if self.jitter_s:
+            await asyncio.sleep(random.uniform(0, self.jitter_s))
         return self._answer(request)
 
     def _answer(self, request):
         if request.path == "/large":
             return Response(200, b"x" * LARGE_BODY_BYTES)
+        if request.path == "/chunked":
+            return Response(200, _in_chunks())
         if request.method in ("GET", "HEAD"):
             target = f"{request.path}?{request.query}"
             return json_response({"app": self.name, "panel": target})
@@ -62,6 +68,11 @@
         )
 
 
+async def _in_chunks():
+    for part in (b"first ", b"second ", b"third"):
+        yield part
+
+
 async def _cut_short():
     yield b'{"app":'
     raise Drop
