Drain what is sent for peers; notice silent connections by progress

Seen red: a host that was told to stop cut off a note that it sent under its own key for another host (502 outcome_unknown instead of 201), since only callers' HTTP requests were counted. Keyed requests and the writing of their outcomes are now counted too, and new ones from peers are refused while draining.

Seen red: a fetch and a note on a connection gone silent ended with the caller's timeout (15,004 ms), as TCP acknowledgements can still come. An application must begin its answer within progress_timeout_ms, and a further attempt dials anew.

Seen red: a call to a peer that waits for long ended with the caller's timeout (14,980 ms) when its link went silent and no probe used it. A link that is silent for a second while a call waits is pinged; the host that minted a key is asked once more on the new link, which is the same request to it.

--- a/goldcrestmoor/connection/http_client.py
+++ b/goldcrestmoor/connection/http_client.py
@@ -117,6 +117,7 @@
         head_timeout_ms=None,
         progress_timeout_ms=None,
         allow_close_delimited=False,
+        fresh=False,
     ):
         """Send a request once and give its answer as it comes.
 
@@ -136,6 +137,7 @@
         :param progress_timeout_ms: how long the body may be silent.
         :param allow_close_delimited: take a body that only the connection's close
             ends, though a cut one looks whole.
+        :param fresh: dial a new connection, whatever idle ones there are.
         :return: a context manager that gives a :class:`ResponseStream`.
         :raises ServiceError: ``UPSTREAM_UNREACHABLE`` when no byte was written,
             ``UPSTREAM_FAILED`` or ``UPSTREAM_TIMEOUT`` when some may have been,
@@ -145,7 +147,7 @@
         deadline = Deadline.after(self._clock, timeout_ms or limits.request_timeout_ms)
         request = _make_request(address, port, method, target, headers, body)
         peer = (address, port)
-        connection = await self._pool.acquire(peer, deadline, idempotent)
+        connection = await self._pool.acquire(peer, deadline, idempotent, fresh)
         response = ResponseStream(
             connection, deadline, progress_timeout_ms or limits.progress_timeout_ms
         )
--- a/goldcrestmoor/connection/http_pool.py
+++ b/goldcrestmoor/connection/http_pool.py
@@ -47,18 +47,19 @@
         self._reaper = None
         self._closed = False
 
-    async def acquire(self, target, deadline, idempotent):
+    async def acquire(self, target, deadline, idempotent, fresh=False):
         """Return a clean connection, an idle one where that is safe.
 
         :param target: the ``(address, port)`` pair.
         :param deadline: the request's deadline.
         :param idempotent: whether the request may be repeated.
+        :param fresh: pass over the idle ones.
         :raises ServiceError: ``UPSTREAM_UNREACHABLE``; nothing was written.
         """
         bound_ms = self._limits.idle_connection_ms
         if not idempotent:
             bound_ms = min(bound_ms, VERIFIED_IDLE_MS)
-        connection = self._take_idle(target, bound_ms)
+        connection = None if fresh else self._take_idle(target, bound_ms)
         if connection is not None:
             return connection
         timeout_ms = min(self._limits.connect_timeout_ms, deadline.remaining_ms())
--- a/goldcrestmoor/connection/peer_link.py
+++ b/goldcrestmoor/connection/peer_link.py
@@ -29,6 +29,7 @@
         "host_id",
         "endpoint",
         "used_ms",
+        "is_pinged",
         "pending_by_call_id",
         "_clock",
         "_socket",
@@ -43,6 +44,7 @@
         self.host_id = host_id
         self.endpoint = endpoint
         self.used_ms = clock.now_ms()
+        self.is_pinged = False
         self.pending_by_call_id = {}
         self._clock = clock
         self._socket = socket
@@ -78,6 +80,11 @@
         silent_ms = self._clock.now_ms() - self._received_ms
         return self._unanswered >= SILENT_CALLS and silent_ms >= SILENT_MS
 
+    def is_in_doubt(self):
+        """Tell whether it has been silent for so long that it should be asked."""
+        silent_ms = self._clock.now_ms() - self._received_ms
+        return silent_ms >= SILENT_MS and not self.is_pinged
+
     def close(self):
         """Close the socket at once; calls that still wait are given up."""
         for task in self._tasks:
--- a/goldcrestmoor/connection/peers.py
+++ b/goldcrestmoor/connection/peers.py
@@ -8,7 +8,7 @@
 
 import zmq
 
-from goldcrestmoor import tracing
+from goldcrestmoor import tracing, wire
 from goldcrestmoor.clock import MS_PER_SECOND, Deadline
 from goldcrestmoor.connection import frames
 from goldcrestmoor.connection.peer_link import PeerLink
@@ -29,9 +29,18 @@
 COUNTER_BYTES = frames.CALL_ID_BYTES - INCARNATION_BYTES
 WHERE = "peer"
 
+# A call may wait long for its answer; meanwhile the link is asked to show that it
+# still carries anything.
+PING_AFTER_MS = 1000
+PING_TIMEOUT_MS = 1000
+
 call_deadline = contextvars.ContextVar("call_deadline", default=None)
 
 
+class Ping(wire.Message, frozen=True):
+    """Asks for any answer, to see that a link is not silent."""
+
+
 class PeerLinks:
     """This daemon's links to its peers.
 
@@ -82,6 +91,7 @@
         self._pending = 0
         self._closed = False
         self._tasks = TaskGroup()
+        self.register(Ping, self._on_ping, urgent=True)
 
     def register(self, message_class, handler, urgent=False):
         """Choose the handler of a message class.
@@ -155,7 +165,7 @@
         try:
             if not self._put(link, frames.KIND_CALL, call_id, message, deadline):
                 raise ServiceError(ErrorKind.PEER_UNREACHABLE, "The link is full.")
-            await asyncio.wait((future,), timeout=timeout_ms / MS_PER_SECOND)
+            await self._wait(link, future, deadline)
         finally:
             self._pending -= 1
             link.pending_by_call_id.pop(call_id, None)
@@ -166,6 +176,26 @@
             self._drop(link)
         raise ServiceError(ErrorKind.PEER_UNREACHABLE, f"No answer from {host_id}.")
 
+    async def _wait(self, link, future, deadline):
+        """Wait for a reply, and have a link that says nothing looked at meanwhile."""
+        while not future.done() and not deadline.passed():
+            wait_ms = min(PING_AFTER_MS, deadline.remaining_ms())
+            await asyncio.wait((future,), timeout=wait_ms / MS_PER_SECOND)
+            if not future.done() and link.is_in_doubt() and not deadline.passed():
+                link.is_pinged = True
+                self._tasks.start(self._ping(link), f"ping {link.host_id}")
+
+    async def _ping(self, link):
+        try:
+            await self._call(link.host_id, Ping(), PING_TIMEOUT_MS)
+        except ServiceError as e:
+            log.debug("No sign of %s: %s", link.host_id, e)
+        finally:
+            link.is_pinged = False
+
+    async def _on_ping(self, sender, message):
+        return Done()
+
     def _link(self, host_id):
         if self._closed:
             raise ServiceError(ErrorKind.PEER_UNREACHABLE, "This host is closing.")
--- a/goldcrestmoor/process/callers.py
+++ b/goldcrestmoor/process/callers.py
@@ -53,6 +53,7 @@
             metrics=daemon.metrics,
             decisions=daemon.decisions,
             health=daemon.health,
+            head_timeout_ms=daemon.settings.limits.progress_timeout_ms,
         )
         self.server = HttpServer(
             clock=daemon.clock,
@@ -179,7 +180,11 @@
             incarnation=incarnation,
             secret=settings.security.fleet_secret_key,
         )
-        self._memory = KeyMemory(clock=daemon.clock, settings=settings.idempotency)
+        self._memory = KeyMemory(
+            clock=daemon.clock,
+            settings=settings.idempotency,
+            in_flight=daemon.in_flight,
+        )
         bound = BoundKeys(
             clock=daemon.clock,
             mint=mint,
--- a/goldcrestmoor/process/shutdown.py
+++ b/goldcrestmoor/process/shutdown.py
@@ -15,13 +15,17 @@
 
 
 class InFlight:
-    """Counts the requests that are being served, and stops taking new ones."""
+    """Counts the requests that are being served, and stops taking new ones.
 
-    __slots__ = ("count", "_is_open")
+    :ivar count: how many are being served.
+    :ivar is_open: whether new ones are taken.
+    """
+
+    __slots__ = ("count", "is_open")
 
     def __init__(self):
         self.count = 0
-        self._is_open = True
+        self.is_open = True
 
     @contextlib.contextmanager
     def track(self):
@@ -29,8 +33,14 @@
 
         :raises ServiceError: ``DRAINING`` once the host stops taking work.
         """
-        if not self._is_open:
+        if not self.is_open:
             raise ServiceError(ErrorKind.DRAINING, "This host is shutting down.")
+        with self.hold():
+            yield
+
+    @contextlib.contextmanager
+    def hold(self):
+        """Count what belongs to a request that was taken, for the block's length."""
         self.count += 1
         try:
             yield
@@ -39,7 +49,7 @@
 
     def stop(self):
         """Take no new requests."""
-        self._is_open = False
+        self.is_open = False
 
 
 class Shutdown:
--- a/goldcrestmoor/request/apps.py
+++ b/goldcrestmoor/request/apps.py
@@ -81,6 +81,8 @@
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
     :param decisions: the :class:`~goldcrestmoor.process.decisions.Decisions`.
     :param health: an ``UpstreamHealth``, or None.
+    :param head_timeout_ms: how long an upstream may take to begin its answer, in
+        milliseconds; only the request's deadline bounds it when left out.
     """
 
     __slots__ = (
@@ -91,10 +93,20 @@
         "_metrics",
         "_decisions",
         "_health",
+        "_head_timeout_ms",
     )
 
     def __init__(
-        self, *, clock, http, placement, budget, metrics, decisions, health=None
+        self,
+        *,
+        clock,
+        http,
+        placement,
+        budget,
+        metrics,
+        decisions,
+        health=None,
+        head_timeout_ms=None,
     ):
         self._clock = clock
         self._http = http
@@ -103,6 +115,7 @@
         self._metrics = metrics
         self._decisions = decisions
         self._health = health
+        self._head_timeout_ms = head_timeout_ms
 
     async def fetch(self, request, deadline, request_id, check=None):
         """Send a request and return its whole answer.
@@ -128,7 +141,11 @@
             except ServiceError as e:
                 raise most_telling(failures or [e]) from None
             try:
-                return await self._send(upstream, request, deadline, request_id, check)
+                # What has cut one connection off silently has often cut off all that
+                # are open, so a further attempt goes on a new one.
+                return await self._send(
+                    upstream, request, deadline, request_id, check, fresh=bool(failures)
+                )
             except ServiceError as e:
                 failures.append(e)
                 avoid.add(upstream.name)
@@ -138,7 +155,7 @@
                 text = f"Left {upstream.name} for another: {e.message}"
                 self._decisions.note("apps", request_id, text)
 
-    async def _send(self, upstream, request, deadline, request_id, check):
+    async def _send(self, upstream, request, deadline, request_id, check, fresh):
         if deadline.passed():
             raise ServiceError(ErrorKind.QUEUE_TIMEOUT, "No time was left to send it.")
         text = f"Sent to {upstream.name} of {upstream.zone}."
@@ -159,6 +176,8 @@
                     request.body,
                     max(1, deadline.remaining_ms()),
                     idempotent=request.idempotent,
+                    head_timeout_ms=self._head_timeout_ms,
+                    fresh=fresh,
                 )
             self._record(upstream, True, started_ms)
             headers = passed_on(response.headers)
--- a/goldcrestmoor/request/bound_keys.py
+++ b/goldcrestmoor/request/bound_keys.py
@@ -2,6 +2,8 @@
 
 import logging
 
+import msgspec
+
 from goldcrestmoor.clock import Deadline
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.request.key_memory import digest_of
@@ -14,6 +16,7 @@
 log = logging.getLogger("goldcrestmoor.keys")
 
 DEAD = "dead"
+MAX_ASKS = 2
 
 
 class BoundKeys:
@@ -85,16 +88,27 @@
         message = SendWithKey(
             account, key, request, deadline.remaining_ms(), request_id
         )
-        try:
-            answer = await self._links.call(
-                minted.host, message, max(1, deadline.remaining_ms())
-            )
-        except ServiceError as e:
-            if e.kind != ErrorKind.PEER_UNREACHABLE:
-                raise
-            raise _unknown("The host that minted the key does not answer.") from e
+        answer = await self._ask(minted.host, message, deadline)
         return answer.answer
 
+    async def _ask(self, host, message, deadline):
+        """Ask the host that minted a key to send, or for what came of it.
+
+        A link may go silent while that host works. Asking once more, on a link
+        that is dialled anew, gets the same outcome.
+        """
+        for _ in range(MAX_ASKS):
+            if deadline.passed():
+                break
+            remaining_ms = max(1, deadline.remaining_ms())
+            message = msgspec.structs.replace(message, remaining_ms=remaining_ms)
+            try:
+                return await self._links.call(host, message, remaining_ms)
+            except ServiceError as e:
+                if e.kind != ErrorKind.PEER_UNREACHABLE:
+                    raise
+        raise _unknown("The host that minted the key does not answer.")
+
     async def _run_here(self, account, key, minted, request, deadline, request_id):
         digest = digest_of(request)
         full_key = f"{account}/{key}"
@@ -127,6 +141,10 @@
         minted = self._mint.parse(message.key, message.account)
         if not self._mint.is_own(minted):
             raise _unknown("The host that minted the key has restarted.")
+        full_key = f"{message.account}/{message.key}"
+        digest = digest_of(message.request)
+        if not self._memory.is_open and self._memory.find(full_key, digest) is None:
+            raise ServiceError(ErrorKind.DRAINING, "The key's host is shutting down.")
         remaining_ms = time_to_answer_ms(message.remaining_ms)
         deadline = Deadline.after(self._clock, remaining_ms)
         answer = await self._run_here(
--- a/goldcrestmoor/request/key_memory.py
+++ b/goldcrestmoor/request/key_memory.py
@@ -1,6 +1,7 @@
 """What this host remembers of the requests that it sent with keys."""
 
 import asyncio
+import contextlib
 import hashlib
 
 from goldcrestmoor import util
@@ -59,13 +60,17 @@
 
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param settings: the :class:`~goldcrestmoor.settings.IdempotencySettings`.
+    :param in_flight: counts what a shutdown waits for, by ``hold()``, and tells by
+        ``is_open`` whether new work is taken; None when there is no such count.
     """
 
     __slots__ = ("_clock", "_settings", "_outcomes_by_key", "_kept_bytes", "_tasks") + (
         "_swept_ms",
+        "_in_flight",
     )
 
-    def __init__(self, *, clock, settings):
+    def __init__(self, *, clock, settings, in_flight=None):
+        self._in_flight = in_flight
         self._clock = clock
         self._settings = settings
         self._outcomes_by_key = {}
@@ -76,6 +81,17 @@
     def __len__(self):
         return len(self._outcomes_by_key)
 
+    @property
+    def is_open(self):
+        """Whether this host takes new work."""
+        return self._in_flight is None or self._in_flight.is_open
+
+    def hold(self):
+        """Return a context manager that a shutdown waits for."""
+        if self._in_flight is None:
+            return contextlib.nullcontext()
+        return self._in_flight.hold()
+
     def find(self, key, digest):
         """Return the outcome of a key, or None.
 
@@ -139,7 +155,8 @@
 
     async def _run(self, key, outcome, send):
         try:
-            outcome.answer = await send()
+            with self.hold():
+                outcome.answer = await send()
             self._keep(outcome)
         except ServiceError as e:
             outcome.error = e
