Bound the settling of a claim; prove at most once and not run

Seen red: with the platform down behind something that takes connections, the writing of a claim was repeated until the caller's deadline, and the answer was in_progress with its fate unknown. After 3 s the claim is given up, which is not run as nothing was sent; the row is deleted later, and until then whoever asks is told that nothing was sent.

--- a/goldcrestmoor/request/claims.py
+++ b/goldcrestmoor/request/claims.py
@@ -23,6 +23,10 @@
 HOLD_MS = 5000
 SETTLE_BACKOFF_MS = 50
 SETTLE_BACKOFF_MAX_MS = 500
+SETTLE_MS = 3000
+WITHDRAW_MS = 60_000
+WITHDRAW_BACKOFF_MAX_MS = 5000
+MAX_WITHDRAWN = 1000
 KEY_PATTERN = re.compile(r"^[A-Za-z0-9._:-]{1,128}$")
 RUNNING = "running"
 DONE = "done"
@@ -73,6 +77,7 @@
         "_links",
         "_settings",
         "_tasks",
+        "_withdrawn_by_key",
     )
 
     def __init__(
@@ -96,6 +101,7 @@
         self._links = links
         self._settings = settings
         self._tasks = util.TaskGroup()
+        self._withdrawn_by_key = {}
         links.register(AskOutcome, self._on_ask)
 
     async def run(self, account, key, request, deadline, request_id):
@@ -166,9 +172,10 @@
         :return: the row's :class:`Claim` and its version.
         """
         backoff = util.Backoff(SETTLE_BACKOFF_MS, SETTLE_BACKOFF_MAX_MS)
+        settled = Deadline.after(self._clock, min(SETTLE_MS, deadline.remaining_ms()))
         checks = [Check(TABLE, key, 0)]
         writes = [Write(TABLE, key, msgspec.json.encode(own))]
-        while not deadline.passed():
+        while not settled.passed():
             try:
                 result = await self._table.transact(checks, writes)
             except ServiceError as e:
@@ -183,8 +190,36 @@
             if result.row is not None:
                 claim = msgspec.json.decode(result.row.value, type=Claim)
                 return claim, result.row.version
+        self._withdraw(key, own)
         raise _unavailable()
 
+    def _withdraw(self, key, own):
+        """Give up a claim that may have been written: nothing is sent under it."""
+        if len(self._withdrawn_by_key) < MAX_WITHDRAWN:
+            self._withdrawn_by_key[key] = own.token
+            self._tasks.start(self._delete(key, own.token), name="claim withdrawal")
+
+    async def _delete(self, key, token):
+        backoff = util.Backoff(SETTLE_BACKOFF_MS, WITHDRAW_BACKOFF_MAX_MS)
+        deadline = Deadline.after(self._clock, WITHDRAW_MS)
+        try:
+            while not deadline.passed():
+                try:
+                    row = await self._table.get(TABLE, key)
+                    if row is not None:
+                        claim = msgspec.json.decode(row.value, type=Claim)
+                        if claim.token == token:
+                            checks = [Check(TABLE, key, row.version)]
+                            await self._table.transact(
+                                checks, [Write(TABLE, key, None)]
+                            )
+                    return
+                except ServiceError:
+                    await self._clock.sleep_ms(backoff.next_ms())
+        finally:
+            if self._withdrawn_by_key.get(key) == token:
+                del self._withdrawn_by_key[key]
+
     async def _outcome_of(self, key, claim, digest, deadline):
         """Return what came of a request that another claim stands for."""
         if claim.digest != digest:
@@ -196,6 +231,8 @@
                 raise ServiceError(ErrorKind.ANSWER_NOT_KEPT, text)
             return claim.answer
         own = (self._host_id, self._incarnation)
+        if claim.token == self._withdrawn_by_key.get(key):
+            raise _unavailable()
         if claim.state == UNKNOWN or (claim.host, claim.incarnation) == own:
             raise _unknown("It may have run.")
         account, _, caller_key = key.partition("/")
@@ -213,6 +250,8 @@
     async def _on_ask(self, sender, message):
         key = f"{message.account}/{message.key}"
         outcome = self._memory.find(key, message.digest)
+        if outcome is None and key in self._withdrawn_by_key:
+            raise _unavailable()
         if outcome is None:
             raise _unknown("This host does not remember the request.")
         remaining_ms = time_to_answer_ms(message.remaining_ms)
@@ -235,7 +274,8 @@
     async def _write_outcome(self, key, version, value):
         checks = [Check(TABLE, key, version)]
         try:
-            await self._table.transact(checks, [Write(TABLE, key, value)])
+            with self._memory.hold():
+                await self._table.transact(checks, [Write(TABLE, key, value)])
         except ServiceError as e:
             log.info("The outcome of a claim was not written: %s", e)
 
