Leave upstreams within 5 s by list, operator or their own answers

There was no way for an upstream to say that it is leaving: an answer with X-Upstream-State: leaving, or an engine's role, now does, and is told to the other hosts at once and by probes.

--- a/goldcrestmoor/adapters/engine.py
+++ b/goldcrestmoor/adapters/engine.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from goldcrestmoor import tracing
+from goldcrestmoor.adapters.leaving import says_leaving
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.request.piece import Piece
 
@@ -11,6 +12,7 @@
 END_MARK = b"[DONE]"
 MAX_EVENT_BYTES = 1 << 20
 MAX_ERROR_BYTES = 1 << 16
+ROLE_LEAVING = "leaving"
 STATUS_OK = 200
 STATUS_CONFLICT = 409
 STATUS_OVERLOADED = (429, 503)
@@ -52,12 +54,15 @@
     """Speak to engines.
 
     :param http: the ``HttpClient``.
+    :param on_leaving: called with the name of an engine that answers that it is
+        leaving.
     """
 
-    __slots__ = ("_http",)
+    __slots__ = ("_http", "_on_leaving")
 
-    def __init__(self, *, http):
+    def __init__(self, *, http, on_leaving=None):
         self._http = http
+        self._on_leaving = on_leaving or (lambda name: None)
 
     async def stream(
         self,
@@ -107,6 +112,8 @@
                 timeout_ms,
             )
             async with opened as response:
+                if says_leaving(response.headers):
+                    self._on_leaving(upstream.name)
                 _check_status(response.status, upstream)
                 last = None
                 async for data in _events(response.body(), upstream):
@@ -150,7 +157,10 @@
         """
         response = await self._request(upstream, "GET", "/state", b"", timeout_ms)
         _check_status(response.status, upstream)
-        return _decode(response.body, EngineState, upstream)
+        state = _decode(response.body, EngineState, upstream)
+        if state.role == ROLE_LEAVING:
+            self._on_leaving(upstream.name)
+        return state
 
     async def cancel(self, upstream, request_id, *, timeout_ms):
         """End a stream that nobody reads any more.
--- a/goldcrestmoor/process/callers.py
+++ b/goldcrestmoor/process/callers.py
@@ -53,6 +53,7 @@
             metrics=daemon.metrics,
             decisions=daemon.decisions,
             health=daemon.health,
+            on_leaving=daemon.leaving.note,
             head_timeout_ms=daemon.settings.limits.progress_timeout_ms,
         )
         self.server = HttpServer(
@@ -106,11 +107,17 @@
             lease=daemon.lease,
             policy=policy,
             health=daemon.health,
-            is_leaving=self._is_leaving,
+            is_leaving=self.is_leaving,
         )
 
-    def _is_leaving(self, upstream):
-        return upstream in self._daemon.membership.leaving_upstreams()
+    def is_leaving(self, upstream):
+        """Tell whether an upstream is leaving, by the host list or its own answers.
+
+        :param upstream: the upstream's name.
+        """
+        daemon = self._daemon
+        listed = daemon.membership.leaving_upstreams()
+        return upstream in listed or daemon.leaving.is_leaving(upstream)
 
     def _make_admission(self):
         daemon = self._daemon
@@ -122,7 +129,7 @@
             metrics=daemon.metrics,
             decisions=daemon.decisions,
             membership=daemon.membership,
-            is_leaving=self._is_leaving,
+            is_leaving=self.is_leaving,
         )
         self.admission = AdmissionClient(
             clock=daemon.clock,
--- a/goldcrestmoor/process/daemon.py
+++ b/goldcrestmoor/process/daemon.py
@@ -17,6 +17,7 @@
 from goldcrestmoor.process.callers import Callers
 from goldcrestmoor.process.decisions import Decisions
 from goldcrestmoor.process.leases import LeaseClient
+from goldcrestmoor.process.leaving_answers import LeavingAnswers
 from goldcrestmoor.process.membership import Membership
 from goldcrestmoor.process.metrics import Metrics
 from goldcrestmoor.process.operators import Operators
@@ -59,6 +60,7 @@
         "ownership",
         "leases",
         "spread",
+        "leaving",
         "versions",
         "engines",
         "engine_versions",
@@ -127,7 +129,6 @@
         self.table = TableClient(**platform)
         self.objects = ObjectClient(**platform)
         self.host_list = HostListClient(**platform)
-        self.engines = EngineClient(http=self.http)
 
     def _make_fleet(self):
         host = self.settings.host
@@ -153,6 +154,11 @@
         self.spread = Spread(
             links=self.links, membership=self.membership, host_id=host.id
         )
+        self.leaving = LeavingAnswers(
+            clock=self.clock, links=self.links, spread=self.spread
+        )
+        self.engines = EngineClient(http=self.http, on_leaving=self.leaving.note)
+        self.membership.share_leaving(self.leaving, self._draining_upstreams)
         self.lease = ConfigurationLease(
             clock=self.clock,
             table=self.table,
@@ -191,6 +197,10 @@
             strategy=AllAtOnce(),
         )
 
+    def _draining_upstreams(self):
+        upstreams = self.configuration().upstreams_by_name.values()
+        return [upstream.name for upstream in upstreams if upstream.draining]
+
     def _peers_by_distance(self):
         zone = self.settings.host.zone
         known = [record.id for record in self.membership.live(zone)]
--- a/goldcrestmoor/process/listed_hosts.py
+++ b/goldcrestmoor/process/listed_hosts.py
@@ -42,6 +42,7 @@
         "_host_list",
         "_poll_ms",
         "_read_ms",
+        "_is_failing",
         "_leaving",
     )
 
@@ -51,6 +52,7 @@
         self._host_list = host_list
         self._poll_ms = poll_ms
         self._read_ms = None
+        self._is_failing = False
         self._leaving = frozenset()
 
     def is_stale(self):
@@ -59,6 +61,10 @@
             return True
         return self._clock.now_ms() - self._read_ms > STALE_POLLS * self._poll_ms
 
+    def is_unread(self):
+        """Tell whether the list is stale, or could not be read just now."""
+        return self._is_failing or self.is_stale()
+
     def leaving_upstreams(self):
         """Return the names of the upstreams that are leaving."""
         return self._leaving
@@ -68,7 +74,7 @@
 
         :param names: the upstreams that are leaving.
         """
-        if self.is_stale() and len(self._leaving) < MAX_LEAVING_UPSTREAMS:
+        if self.is_unread() and len(self._leaving) < MAX_LEAVING_UPSTREAMS:
             self._leaving = self._leaving.union(names)
 
     async def run(self):
@@ -77,11 +83,13 @@
         while True:
             try:
                 self._take(await self._host_list.fetch())
+                self._is_failing = False
                 backoff.reset()
                 # Hosts that were started together must not read together.
                 jitter_ms = self._clock.now_ms() % (self._poll_ms // JITTER_DIVISOR + 1)
                 await self._clock.sleep_ms(self._poll_ms - jitter_ms)
             except ServiceError as e:
+                self._is_failing = True
                 log.warning("The host list was not read: %s.", e)
                 await self._clock.sleep_ms(backoff.next_ms())
 
--- a/goldcrestmoor/process/membership.py
+++ b/goldcrestmoor/process/membership.py
@@ -54,6 +54,8 @@
         "_seeds_by_id",
         "_ring",
         "_callbacks",
+        "_leaving_answers",
+        "_draining",
         "_live",
         "_live_ids",
         "_probes",
@@ -90,6 +92,8 @@
         self._seeds_by_id = {peer.id: peer for peer in seeds}
         self._ring = ProbeRing(self.table, self._candidate_ids, self._rng)
         self._callbacks = []
+        self._leaving_answers = None
+        self._draining = tuple
         self._live = [own]
         self._live_ids = None
         self._probes = 0
@@ -138,6 +142,15 @@
         """Return the names of the upstreams that the host list calls leaving."""
         return self.listed.leaving_upstreams()
 
+    def share_leaving(self, answers, draining):
+        """Tell other hosts of upstreams that leave without the list's saying so.
+
+        :param answers: the :class:`~.leaving_answers.LeavingAnswers`.
+        :param draining: returns the names of those that operators drain.
+        """
+        self._leaving_answers = answers
+        self._draining = draining
+
     def on_change(self, callback):
         """Have a function called when the set of live hosts has changed.
 
@@ -218,7 +231,7 @@
         record = self.table.find(target)
         was_dead = record is not None and record.state is HostState.DEAD
         probe = Probe(
-            self.table.own, self.table.take_updates(target), self.listed.is_stale()
+            self.table.own, self.table.take_updates(target), self.listed.is_unread()
         )
         try:
             answer = await self._links.call(
@@ -231,6 +244,8 @@
             return True
         self._merge(answer.sender, *answer.updates)
         self.listed.take_leaving(answer.leaving_upstreams)
+        if self._leaving_answers:
+            self._leaving_answers.take(answer.answered_leaving)
         if was_dead:
             await self._sync_again(target)
         return True
@@ -287,10 +302,13 @@
     async def _on_probe(self, sender, probe):
         self._merge(probe.sender, *probe.updates)
         leaving = ()
-        if probe.list_is_stale and not self.listed.is_stale():
-            leaving = sorted(self.leaving_upstreams())[:MAX_LEAVING_UPSTREAMS]
+        if probe.list_is_stale and not self.listed.is_unread():
+            known = self.leaving_upstreams().union(self._draining())
+            leaving = sorted(known)[:MAX_LEAVING_UPSTREAMS]
         updates = self.table.take_updates(probe.sender.id)
-        return ProbeAnswer(self.table.own, updates, tuple(leaving))
+        answers = self._leaving_answers
+        answered = answers.left_ms_by_name() if answers else {}
+        return ProbeAnswer(self.table.own, updates, tuple(leaving), answered)
 
     async def _on_probe_for(self, sender, message):
         self._merge(message.target)
--- a/goldcrestmoor/process/membership_messages.py
+++ b/goldcrestmoor/process/membership_messages.py
@@ -59,11 +59,14 @@
     :param updates: news of other hosts.
     :param leaving_upstreams: what the host list names as leaving, for an asker
         that cannot read it.
+    :param answered_leaving: the upstreams that answered that they are leaving, and
+        for how long that counts, in milliseconds.
     """
 
     sender: HostRecord
     updates: tuple[HostRecord, ...] = ()
     leaving_upstreams: tuple[str, ...] = ()
+    answered_leaving: dict[str, int] = {}
 
 
 class ProbeFor(wire.Message, frozen=True):
--- a/goldcrestmoor/process/operators.py
+++ b/goldcrestmoor/process/operators.py
@@ -82,7 +82,6 @@
 
     async def _upstreams(self):
         daemon = self._daemon
-        leaving = daemon.membership.leaving_upstreams()
         owner = daemon.callers.admission_owner
         rows = [
             (
@@ -92,7 +91,7 @@
                 f"{upstream.address}:{upstream.port}",
                 upstream.slots,
                 upstream.draining,
-                upstream.name in leaving,
+                daemon.callers.is_leaving(upstream.name),
                 daemon.ownership.owner_of_upstream(upstream),
                 daemon.engine_versions.version_of(upstream),
                 daemon.health.reason(upstream.name) or "good",
--- a/goldcrestmoor/request/apps.py
+++ b/goldcrestmoor/request/apps.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from goldcrestmoor import tracing
+from goldcrestmoor.adapters.leaving import STATE_HEADER, says_leaving
 from goldcrestmoor.connection.http_client import end_to_end
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
 from goldcrestmoor.request.failures import most_telling
@@ -23,6 +24,7 @@
         b"traceparent",
         b"x-request-id",
         b"x-timeout-ms",
+        STATE_HEADER,
     }
 )
 
@@ -83,6 +85,8 @@
     :param health: an ``UpstreamHealth``, or None.
     :param head_timeout_ms: how long an upstream may take to begin its answer, in
         milliseconds; only the request's deadline bounds it when left out.
+    :param on_leaving: called with the name of an upstream that answers that it is
+        leaving.
     """
 
     __slots__ = (
@@ -94,6 +98,7 @@
         "_decisions",
         "_health",
         "_head_timeout_ms",
+        "_on_leaving",
     )
 
     def __init__(
@@ -107,6 +112,7 @@
         decisions,
         health=None,
         head_timeout_ms=None,
+        on_leaving=None,
     ):
         self._clock = clock
         self._http = http
@@ -116,6 +122,7 @@
         self._decisions = decisions
         self._health = health
         self._head_timeout_ms = head_timeout_ms
+        self._on_leaving = on_leaving or (lambda name: None)
 
     async def fetch(self, request, deadline, request_id, check=None):
         """Send a request and return its whole answer.
@@ -180,6 +187,8 @@
                     fresh=fresh,
                 )
             self._record(upstream, True, started_ms)
+            if says_leaving(response.headers):
+                self._on_leaving(upstream.name)
             headers = passed_on(response.headers)
             if request.method == "HEAD":
                 headers += _content_length(response.headers)
--- a/test/proofs/notes_in_outage.py
+++ b/test/proofs/notes_in_outage.py
@@ -59,9 +59,6 @@
                 self.network.cut("zone-b")
         return await count_notes(self, self.hosts[1], NOTES)
 
-    async def runTest(self):
-        """Print the table, a fleet for each fault."""
-
 
 FAULTS = (
     "none",
@@ -78,7 +75,7 @@
     print(f"notes landed of {NOTES}, sent at once through a host of zone-b")
     print(f"{'fault':<24}{'claim rows':>12}{'bound keys':>12}")
     for fault in FAULTS:
-        case = Comparison()
+        case = Comparison("asyncSetUp")
         try:
             await case.asyncSetUp()
             landed = await case.count(fault)
--- a/test/standins/app.py
+++ b/test/standins/app.py
@@ -13,6 +13,7 @@
 CLOSE_AFTER_RUN = "close_after_run"
 CLOSE_BEFORE_RUN = "close_before_run"
 SLOW = "slow"
+LEAVING = "leaving"
 WRONG_LENGTH = "wrong_length"
 LARGE_BODY_BYTES = 200_000
 
@@ -37,6 +38,8 @@
             raise Drop
         note_id = request.headers.get("x-note-id") or request.path
         self.count_by_id[f"{request.method} {note_id}"] += 1
+        if self.mode == LEAVING:
+            return json_response({}, 503, [("x-upstream-state", "leaving")])
         if self.mode == CLOSE_AFTER_RUN:
             raise Drop
         if self.mode == SLOW:
--- a/test/standins/engine.py
+++ b/test/standins/engine.py
@@ -16,6 +16,7 @@
 from test.standins.server import Drop, Response, Server, json_response, main
 
 STOP_AFTER_MIN = 4
+LEAVING = "leaving"
 
 
 @dataclasses.dataclass
@@ -105,6 +106,7 @@
         self.cache = PrefixCache(self.options.cache_tokens)
         self.running = 0
         self.started = 0
+        self.refused = 0
         self.finished = 0
         self.cancelled = 0
         self.tokens = 0
@@ -141,6 +143,7 @@
         """Return what ran so far."""
         return {
             "started": self.started,
+            "refused": self.refused,
             "finished": self.finished,
             "cancelled": self.cancelled,
             "running": self.running,
@@ -184,6 +187,9 @@
 
     async def _complete(self, request):
         await self._be_silent(self.options.silent)
+        if self.options.role == LEAVING:
+            self.refused += 1
+            return json_response({}, 503, [("x-upstream-state", LEAVING)])
         body = request.json()
         request_id = request.headers.get("x-request-id", "")
         return Response(
