--- a/test/proofs/_requests.py
+++ b/test/proofs/_requests.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from goldcrestmoor.clock import MS_PER_SECOND
-from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
+from goldcrestmoor.errors import Ran
 from test._common import eventually
 from test.fleet import AccountPlan, Fleet, Plan, PoolPlan, http_get
 from test.network import Network
@@ -110,9 +110,10 @@
     """A fleet of ``PLAN`` with the calls that proofs make of it."""
 
     PLAN = None
+    has_links = True
 
     async def asyncSetUp(self):
-        self.network = Network()
+        self.network = Network() if self.has_links else None
         self.fleet = Fleet(self.PLAN, self.network)
         self.addAsyncCleanup(self.fleet.close)
         await self.fleet.start()
@@ -209,11 +210,6 @@
             self.assertEqual(runs, 1, name)
 
 
-def error_of(answer):
-    """Return the :class:`ServiceError` that an answer stands for."""
-    return ServiceError(ErrorKind(answer.code))
-
-
 @contextlib.asynccontextmanager
 async def in_background(coroutine):
     """Run a coroutine while the block runs, and give its task."""
--- a/test/proofs/test_whole_answers.py
+++ b/test/proofs/test_whole_answers.py
@@ -3,6 +3,9 @@
 import asyncio
 import json
 
+import msgspec
+
+from test._common import eventually
 from test.fault_proxy import DOWN
 from test.proofs._requests import RequestCase, make_plan
 from test.standins import app, engine
@@ -163,3 +166,65 @@
                 answer = await self.fetch(self.hosts[0], name)
                 self.assertEqual(answer.status, 200, answer)
                 self.check_own(answer, name)
+
+
+class SwappedPlacesTest(RequestCase):
+    """Two daemons come back with each other's addresses and ports."""
+
+    PLAN = make_plan({"zone-a": 3}, {"zone-a": 1})
+    has_links = False
+
+    async def swap(self, a, b):
+        """Kill two hosts, and start each in the other's place."""
+        fleet = self.fleet
+        old = {host: fleet.endpoint_by_id[host] for host in (a, b)}
+        for host in (a, b):
+            fleet.kill(host)
+            await fleet.process_by_id[host].wait()
+        for host, other in ((a, b), (b, a)):
+            fleet.endpoint_by_id[host] = msgspec.structs.replace(old[other], id=host)
+        fleet.hosts = [fleet.endpoint_by_id[host.id] for host in fleet.hosts]
+        control = fleet.platform_control
+        await fleet.control(control, "hosts", hosts=fleet.listed_hosts())
+        await asyncio.gather(*(fleet.start_host(host) for host in (a, b)))
+        await asyncio.gather(*(fleet.wait_ready(host) for host in (a, b)))
+
+    async def test_no_answer_goes_to_another_caller(self):
+        a, b, c = self.hosts
+        keys = {
+            name: await self.mint(host) for name, host in (("to-a", a), ("to-b", b))
+        }
+        await self.set_app("desk-1", app.SLOW, slow_s=1)
+        pending = [
+            asyncio.ensure_future(self.note(c, name, key)) for name, key in keys.items()
+        ]
+        await eventually(lambda: self.have_run(*keys))
+        await self.swap(a, b)
+        answers = [*await asyncio.gather(*pending)]
+        for host in self.hosts:
+            answers += [await self.note(host, name, key) for name, key in keys.items()]
+        for answer in answers:
+            self.assertEqual(answer.code, "outcome_unknown", answer)
+        self.assertTrue(await self.have_run(*keys))
+        await self.set_app("desk-1", "")
+        await eventually(lambda: self.is_known(a))
+        names = [f"own-{n}" for n in range(CALLERS)]
+        minted = [await self.mint(self.hosts[n % 3]) for n in range(CALLERS)]
+        sent = (
+            self.note(self.hosts[(n + 1) % 3], name, minted[n])
+            for n, name in enumerate(names)
+        )
+        for name, answer in zip(names, await asyncio.gather(*sent), strict=True):
+            self.assertEqual(answer.json().get("saved"), name, answer)
+            self.assertEqual(await self.runs(name), 1)
+
+    async def have_run(self, *names):
+        return all([await self.runs(name) == 1 for name in names])
+
+    async def is_known(self, host):
+        """Tell whether each other host reaches one in its new place."""
+        answers = [
+            await self.note(other, f"known-{other}", await self.mint(host))
+            for other in self.hosts
+        ]
+        return all(answer.status == 201 for answer in answers)
