Let refusals of leaving upstreams not use up a completion's tries

Three upstreams that leave at one time could refuse a queued completion one after another and end it with no_upstream though a fourth was free.

--- a/goldcrestmoor/request/completions.py
+++ b/goldcrestmoor/request/completions.py
@@ -184,7 +184,8 @@
 
     def _pass_over(self, error, upstream, progress, request_id):
         """Go to another engine when one takes no work, or raise its error."""
-        progress.refusals += 1
+        # An upstream that takes no new work says nothing of the load on the others.
+        progress.refusals += error.kind != ErrorKind.NO_UPSTREAM
         if error.kind not in REFUSALS or progress.refusals >= MAX_REFUSALS:
             raise most_telling([*progress.failures, error])
         progress.failures.append(error)
--- a/test/_common.py
+++ b/test/_common.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import random
 import socket
 import time
@@ -14,6 +15,8 @@
 POLL_S = 0.02
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
+
+_numbers = itertools.count(random.randrange(LAST_PORT - FIRST_PORT))
 OPERATOR_TOKEN = "operator-token"
 
 FLEET_PUBLIC_KEY, FLEET_SECRET_KEY = (key.decode() for key in zmq.curve_keypair())
@@ -23,10 +26,10 @@
     """Return a TCP port that was free a moment ago.
 
     It is none of those that the kernel gives to outgoing connections, which could
-    take it before its server does.
+    take it before its server does, and none that was returned lately.
     """
     while True:
-        port = random.randrange(FIRST_PORT, LAST_PORT)
+        port = FIRST_PORT + next(_numbers) % (LAST_PORT - FIRST_PORT)
         with socket.socket() as s, contextlib.suppress(OSError):
             s.bind((address, port))
             return port
--- a/test/proofs/test_at_most_once_hosts.py
+++ b/test/proofs/test_at_most_once_hosts.py
@@ -13,7 +13,9 @@
 
 
 class HostsTest(NotesCase):
-    PLAN = make_plan({"zone-a": 2}, {"zone-a": 2})
+    PLAN = make_plan(
+        {"zone-a": 2}, {"zone-a": 2}, settings={"platform": {"timeout_ms": 10_000}}
+    )
 
     async def test_a_host_that_freezes_between_its_claim_and_the_sending(self):
         first, other = self.hosts
--- a/test/proofs/test_graceful_shutdown.py
+++ b/test/proofs/test_graceful_shutdown.py
@@ -139,7 +139,10 @@
         {"zone-a": 2},
         engines={"zone-a": 1},
         engine={"token_ms": 100},
-        settings={"shutdown": {"unready_ms": 100, "drain_ms": 1500}},
+        settings={
+            "shutdown": {"unready_ms": 100, "drain_ms": 1500},
+            "limits": {"request_timeout_ms": 300_000},
+        },
     )
 
     async def test_a_stream_without_end_does_not_hold_it_up(self):
--- a/test/proofs/test_leaving_upstream.py
+++ b/test/proofs/test_leaving_upstream.py
@@ -63,12 +63,20 @@
         await self.fleet.control(self.fleet.platform_control, "hosts", hosts=hosts)
         await self.set_engine(BY_ANSWER.format("lm"), role="leaving")
         await self.set_app(BY_ANSWER.format("desk"), "leaving")
-        return [
-            asyncio.ensure_future(
-                self.fleet.ask(f"DRAIN UPSTREAM '{BY_OPERATOR.format(pool)}'")
-            )
-            for pool in POOLS
-        ]
+        drains = (f"DRAIN UPSTREAM '{BY_OPERATOR.format(pool)}';" for pool in POOLS)
+        order = asyncio.ensure_future(self.fleet.ask(" ".join(drains)))
+        version = await self.written_version()
+        await eventually(lambda: self.is_written_after(version))
+        return order
+
+    async def written_version(self):
+        """Return the version of the configuration that the platform has."""
+        path = "/tables/configuration/head"
+        row = await self.fleet.get_json(self.fleet.platform_control, path)
+        return row["version"]
+
+    async def is_written_after(self, version):
+        return await self.written_version() > version
 
     async def check_no_new_work(self, since_s, is_thawed=False):
         """From five seconds after a moment on, no work goes to those that leave."""
@@ -107,16 +115,16 @@
         ]
         self.network.cut("zone-b", from_zones=False)
         await eventually(lambda: len(self.answers) > 30)
+        order = await self.leave()
         since_s = time.monotonic()
-        orders = await self.leave()
         self.fleet.freeze(frozen)
         # The zone can learn of it from the host that goes on.
         await self.check_no_new_work(since_s)
         self.fleet.thaw(frozen)
         await self.check_no_new_work(time.monotonic(), is_thawed=True)
         self.is_over = True
-        for code, text in await asyncio.gather(*orders):
-            self.assertEqual(code, 0, text)
+        code, text = await order
+        self.assertEqual(code, 0, text)
         for n, answer in enumerate(await asyncio.gather(*streams)):
             self.assertEqual(answer.status, 200, (n, answer))
             text = answer.json()["choices"][0]["text"]
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -21,6 +21,7 @@
 from test._fleet import FakeLinks, HostClock, ManualClock, Network
 
 GENEROUS_MS = 60_000
+LEAVING_BOUND_MS = 5000
 CONTROL_BYTES_PER_S = 7000
 
 
@@ -228,6 +229,16 @@
         cut_off = self.members_by_id["host-2"]
         await self.wait_until(lambda: "engine-1" in cut_off.leaving_upstreams())
 
+    async def test_a_host_that_has_just_lost_the_list_takes_a_peers_reading(self):
+        await self.start_fleet(3)
+        await self.clock.advance(GENEROUS_MS)
+        self.host_list.cut_off.add("host-2")
+        self.host_list.add("upstream", "engine-1", "leaving")
+        cut_off = self.members_by_id["host-2"]
+        # Of the five seconds a read that is not refused takes some to fail.
+        await self.clock.advance(LEAVING_BOUND_MS - self.settings.platform.timeout_ms)
+        self.assertIn("engine-1", cut_off.leaving_upstreams())
+
     async def test_a_long_dead_host_is_forgotten_unless_it_is_listed(self):
         await self.start_fleet(4)
         self.kill("host-3")
