Hold up only the poll in the fakes, not a driver beside it

Ruled out: the product; the stack ended in the fake's gate. Change: the gate binds the poll's own task.

--- a/test/_configuration.py
+++ b/test/_configuration.py
@@ -88,6 +88,7 @@
         self.platform = platform
         self.cut = False
         self.gate = None
+        self.gated_task = None
 
     def _reach(self):
         if self.cut:
@@ -98,9 +99,10 @@
         if len(key) == 1:
             return self.platform.data_by_key.get(key[0])
         row = self.platform.read(key)
-        gate, self.gate = self.gate, None
-        if gate is not None:
-            await gate.wait()
+        # Only the poll is held up, not a driver that shares this client.
+        if asyncio.current_task() is self.gated_task:
+            self.gated_task = None
+            await self.gate.wait()
         return row
 
     async def put(self, key, data):
@@ -212,13 +214,14 @@
         if self.poll_task is None:
             self.gate = self.platform.gate = asyncio.Event()
             self.poll_task = asyncio.ensure_future(self.lease.poll())
+            self.platform.gated_task = self.poll_task
             await asyncio.sleep(0)
 
     async def end_poll(self):
         if self.poll_task is not None:
+            task, self.poll_task = self.poll_task, None
             self.gate.set()
-            await self.poll_task
-            self.poll_task = None
+            await task
 
 
 class World:
