Let racing drivers of a history share its events

Cause: two drivers popped from one emptied list. Ruled out: nothing further. Change: the step checks before it pops.

--- a/test/test_configuration.py
+++ b/test/test_configuration.py
@@ -353,8 +353,10 @@
         self.check()
 
     async def step(self):
-        for action in self.actions[:2]:
-            self.actions.pop(0)
+        for _ in range(2):
+            if not self.actions:
+                return
+            action = self.actions.pop(0)
             await self._act(*action)
             self.check()
 
