--- /dev/null
+++ b/test/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""What must always hold, proved with real processes under faults."""
--- a/test/standins/app.py
+++ b/test/standins/app.py
@@ -48,7 +48,10 @@
             return Response(200, b"x" * LARGE_BODY_BYTES)
         if request.method in ("GET", "HEAD"):
             target = f"{request.path}?{request.query}"
-            return json_response({"app": self.name, "panel": target})
+            trace = request.headers.get("traceparent", "")
+            return json_response(
+                {"app": self.name, "panel": target, "traceparent": trace}
+            )
         return json_response({"app": self.name, "saved": request.body.decode()}, 201)
 
     def _control(self, request):
--- /dev/null
+++ b/test/test_commands.py
@@ -0,0 +1,84 @@
+"""The command line, as a person at a terminal meets it."""
+
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+import unittest
+
+import goldcrestmoor
+from goldcrestmoor import util
+from goldcrestmoor.commands import COMMAND_BY_NAME
+from test import _common
+
+TIMEOUT_S = 60
+
+
+def run(*arguments):
+    """Run the command line and return its exit code and its two outputs."""
+    done = subprocess.run(
+        [sys.executable, "-m", "goldcrestmoor", *arguments],
+        cwd=pathlib.Path(__file__).resolve().parent.parent,
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_S,
+        check=False,
+    )
+    return done.returncode, done.stdout, done.stderr
+
+
+class CommandsTest(unittest.TestCase):
+    def write(self, document):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name) / "host.json"
+        path.write_text(json.dumps(document))
+        return str(path)
+
+    def test_the_version_is_told(self):
+        code, output, _ = run("--version")
+        self.assertEqual((code, output.split()[1]), (0, goldcrestmoor.__version__))
+
+    def test_help_names_every_command(self):
+        code, output, error = run("--help")
+        self.assertEqual(code, 0)
+        for name in COMMAND_BY_NAME:
+            self.assertIn(name, output + error)
+
+    def test_good_settings_are_called_good(self):
+        code, output, _ = run("check", self.write(_common.settings_document()))
+        self.assertEqual(code, 0)
+        self.assertIn("host-a1", output)
+
+    def test_bad_settings_end_check_and_serve_with_2_and_no_traceback(self):
+        document = _common.settings_document(limits={"max_body_bytes": "many"})
+        document["host"]["zone"] = "No Zone"
+        for command in ("check", "serve"):
+            code, _, error = run(command, self.write(document))
+            self.assertEqual(code, 2)
+            self.assertIn("limits.max_body_bytes", error)
+            self.assertIn("host.zone", error)
+            self.assertNotIn("Traceback", error)
+
+    def test_new_keys_fit_into_settings(self):
+        code, output, _ = run("keygen")
+        made = json.loads(output)
+        document = _common.settings_document() | {"security": made["security"]}
+        self.assertEqual(code, 0)
+        self.assertEqual(run("check", self.write(document))[0], 0)
+        token_hash = made["security"]["operator_token_hash"]
+        self.assertEqual(util.hash_token(made["operator_token"]), token_hash)
+
+    def test_asking_a_host_that_is_not_there_says_so(self):
+        url = f"http://127.0.0.1:{_common.free_port()}"
+        code, _, error = run("ask", "SHOW HOSTS", "--url", url, "--token", "x")
+        self.assertNotEqual(code, 0)
+        self.assertIn("goldcrestmoor:", error)
+        self.assertNotIn("Traceback", error)
+
+    def test_a_trace_that_is_none_is_refused(self):
+        path = self.write({"no": "trace"})
+        code, _, error = run("replay", path, "--fleet", path)
+        self.assertEqual(code, 2)
+        self.assertIn("line 1", error)
