Look an account up again right before each effect

Cause: the routes let a caller in before its body was read, and what was queued kept the account that it had been queued with. With real processes, a note, a completion, a step and a version whose bodies ended after an accepted DROP ACCOUNT were answered 201, 200, 403 and 200, and four requests queued for a busy engine ran after it.

Ruled out: a check in the admission owner alone, since the entry host connects to the upstream by itself and may be frozen in between.

Change: the account is looked up again after the body; applications check it once there is a connection, just before the first byte; completions check it after admission; a pull checks it before its answer. The fake keys of the routes' test take the new parameter.

--- a/goldcrestmoor/connection/http_client.py
+++ b/goldcrestmoor/connection/http_client.py
@@ -117,6 +117,7 @@
         head_timeout_ms=None,
         progress_timeout_ms=None,
         allow_close_delimited=False,
+        before_send=None,
     ):
         """Send a request once and give its answer as it comes.
 
@@ -136,6 +137,8 @@
         :param progress_timeout_ms: how long the body may be silent.
         :param allow_close_delimited: take a body that only the connection's close
             ends, though a cut one looks whole.
+        :param before_send: called once there is a connection, just before the first
+            byte is written; raises to prevent it.
         :return: a context manager that gives a :class:`ResponseStream`.
         :raises ServiceError: ``UPSTREAM_UNREACHABLE`` when no byte was written,
             ``UPSTREAM_FAILED`` or ``UPSTREAM_TIMEOUT`` when some may have been,
@@ -152,6 +155,8 @@
         try:
             if deadline.passed():
                 raise unreachable(peer, "no time was left to send the request")
+            if before_send is not None:
+                before_send()
             connection.send(request, body)
             await response.read_head(method, head_timeout_ms, allow_close_delimited)
             yield response
--- a/goldcrestmoor/request/app_routes.py
+++ b/goldcrestmoor/request/app_routes.py
@@ -6,7 +6,7 @@
 from goldcrestmoor import logs
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.request.apps import AppRequest, passed_on
-from goldcrestmoor.request.authentication import check_pool
+from goldcrestmoor.request.authentication import check_pool, check_served
 from goldcrestmoor.request.body import read_deadline
 from goldcrestmoor.version.configuration import UpstreamKind
 
@@ -46,19 +46,30 @@
     """
 
     async def forward(request: Request) -> Response:
-        account = authenticator.account(request.headers)
+        authenticator.account(request.headers)
         asked = await _read(request)
+        # The body may have taken long to come, so the account is looked up again.
+        account = authenticator.account(request.headers)
         configuration = lease.view().configuration
         check_pool(account, configuration, asked.pool, UpstreamKind.APPLICATION)
         deadline = read_deadline(request, clock, settings.limits.request_timeout_ms)
         request_id = logs.request_id.get()
         key = request.get_first_header(KEY_HEADER)
+
+        def check():
+            check_served(lease.view(), account, asked.pool)
+
         try:
             if key is None or asked.idempotent:
-                answer = await applications.fetch(asked, deadline, request_id)
+                answer = await applications.fetch(asked, deadline, request_id, check)
             else:
                 answer = await keys.run(
-                    account.name, key.decode("latin-1"), asked, deadline, request_id
+                    account.name,
+                    key.decode("latin-1"),
+                    asked,
+                    deadline,
+                    request_id,
+                    check,
                 )
         except ServiceError as e:
             metrics.requests.labels(account.name, e.code).inc()
--- a/goldcrestmoor/request/apps.py
+++ b/goldcrestmoor/request/apps.py
@@ -148,8 +148,6 @@
         try:
             with tracing.span("app request", upstream=upstream.name):
                 headers = _headers(request, request_id)
-                if check is not None:
-                    check()
                 response = await self._http.request(
                     upstream.address,
                     upstream.port,
@@ -159,6 +157,7 @@
                     request.body,
                     max(1, deadline.remaining_ms()),
                     idempotent=request.idempotent,
+                    before_send=check,
                 )
             self._record(upstream, True, started_ms)
             headers = passed_on(response.headers)
--- a/goldcrestmoor/request/authentication.py
+++ b/goldcrestmoor/request/authentication.py
@@ -62,6 +62,25 @@
     return found
 
 
+def check_served(view, account, pool):
+    """Raise when an account that was let in earlier may no longer use a pool.
+
+    Call it right before an effect: the configuration may have changed while the
+    request's body came in, while it was queued or while the process was frozen.
+
+    :param view: the :class:`~goldcrestmoor.version.configuration.View` of now.
+    :param account: the account as it was let in.
+    :param pool: the pool's name.
+    :raises ServiceError: ``UNAUTHORIZED``, ``CONFIG_LAPSED`` or ``FORBIDDEN``.
+    """
+    known = view.configuration.accounts_by_name.get(account.name)
+    if known is None or known.token_hash != account.token_hash:
+        kind = ErrorKind.CONFIG_LAPSED if view.lapsed else ErrorKind.UNAUTHORIZED
+        raise ServiceError(kind, "The account is no longer served here.")
+    if pool not in known.pools:
+        raise ServiceError(ErrorKind.FORBIDDEN, "The account may not use this pool.")
+
+
 def _read_token(headers):
     for name, value in headers:
         if name.lower() != b"authorization":
--- a/goldcrestmoor/request/bound_keys.py
+++ b/goldcrestmoor/request/bound_keys.py
@@ -4,6 +4,7 @@
 
 from goldcrestmoor.clock import Deadline
 from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.request.authentication import check_served
 from goldcrestmoor.request.key_memory import digest_of
 from goldcrestmoor.request.key_messages import (
     KeyedAnswer,
@@ -62,7 +63,7 @@
         self._settings = settings
         links.register(SendWithKey, self._on_send)
 
-    async def run(self, account, key, request, deadline, request_id):
+    async def run(self, account, key, request, deadline, request_id, check=None):
         """Send a request under a minted key, or return its recorded answer.
 
         :param account: the account's name.
@@ -70,6 +71,7 @@
         :param request: the :class:`~goldcrestmoor.request.apps.AppRequest`.
         :param deadline: when the answer must be there.
         :param request_id: the request.
+        :param check: called just before each send; raises to prevent it.
         :return: an :class:`~goldcrestmoor.request.apps.AppAnswer`.
         :raises ServiceError: ``OUTCOME_UNKNOWN`` when the host that minted the key
             cannot be asked, ``KEY_EXPIRED``, ``KEY_REUSED`` or ``IN_PROGRESS``.
@@ -77,7 +79,7 @@
         minted = self._mint.parse(key, account)
         if self._mint.is_own(minted):
             return await self._run_here(
-                account, key, minted, request, deadline, request_id
+                account, key, minted, request, deadline, request_id, check
             )
         record = self._membership.find(minted.host)
         if record is None or str(record.state) == DEAD:
@@ -95,7 +97,9 @@
             raise _unknown("The host that minted the key does not answer.") from e
         return answer.answer
 
-    async def _run_here(self, account, key, minted, request, deadline, request_id):
+    async def _run_here(
+        self, account, key, minted, request, deadline, request_id, check_account
+    ):
         digest = digest_of(request)
         full_key = f"{account}/{key}"
         outcome = self._memory.find(full_key, digest)
@@ -107,6 +111,8 @@
                 if self._clock.now_ms() >= expires_ms:
                     text = "The key is too old to be sent with."
                     raise ServiceError(ErrorKind.KEY_EXPIRED, text)
+                if check_account is not None:
+                    check_account()
 
             check()
 
@@ -129,6 +135,10 @@
             raise _unknown("The host that minted the key has restarted.")
         remaining_ms = time_to_answer_ms(message.remaining_ms)
         deadline = Deadline.after(self._clock, remaining_ms)
+
+        def check():
+            check_served(self._lease.view(), account, message.request.pool)
+
         answer = await self._run_here(
             message.account,
             message.key,
@@ -136,6 +146,7 @@
             message.request,
             deadline,
             message.request_id,
+            check,
         )
         return KeyedAnswer(answer)
 
--- a/goldcrestmoor/request/claims.py
+++ b/goldcrestmoor/request/claims.py
@@ -98,7 +98,7 @@
         self._tasks = util.TaskGroup()
         links.register(AskOutcome, self._on_ask)
 
-    async def run(self, account, key, request, deadline, request_id):
+    async def run(self, account, key, request, deadline, request_id, check=None):
         """Send a request under a caller's key, or return its recorded answer.
 
         :param account: the account's name.
@@ -106,6 +106,7 @@
         :param request: the :class:`~goldcrestmoor.request.apps.AppRequest`.
         :param deadline: when the answer must be there.
         :param request_id: the request.
+        :param check: called just before each send; raises to prevent it.
         :return: an :class:`~goldcrestmoor.request.apps.AppAnswer`.
         :raises ServiceError: ``PLATFORM_UNAVAILABLE`` when no claim could be
             written, ``KEY_REUSED``, ``IN_PROGRESS`` or ``OUTCOME_UNKNOWN``.
@@ -120,7 +121,7 @@
 
             async def send():
                 return await self._claim_and_send(
-                    full_key, digest, request, deadline, request_id
+                    full_key, digest, request, deadline, request_id, check
                 )
 
             outcome = self._memory.start(full_key, digest, expires_ms, send)
@@ -130,7 +131,9 @@
         """Give up writing outcomes."""
         await self._tasks.close()
 
-    async def _claim_and_send(self, key, digest, request, deadline, request_id):
+    async def _claim_and_send(
+        self, key, digest, request, deadline, request_id, check_account
+    ):
         own = Claim(
             util.new_id(),
             self._host_id,
@@ -148,6 +151,8 @@
             if hold.passed():
                 text = "The claim ran out before the request was sent."
                 raise ServiceError(ErrorKind.QUEUE_TIMEOUT, text)
+            if check_account is not None:
+                check_account()
 
         try:
             answer = await self._applications.fetch(
--- a/goldcrestmoor/request/completion_routes.py
+++ b/goldcrestmoor/request/completion_routes.py
@@ -53,8 +53,10 @@
             metrics.requests.labels(account.name, outcome).inc()
 
     async def complete(request: Request) -> Response:
-        account = authenticator.account(request.headers)
+        authenticator.account(request.headers)
         asked = await read_json(request, CompletionRequest)
+        # The body may have taken long to come, so the account is looked up again.
+        account = authenticator.account(request.headers)
         if not 0 < asked.max_tokens <= MAX_TOKENS:
             raise ServiceError(ErrorKind.BAD_REQUEST, "max_tokens is out of range.")
         configuration = lease.view().configuration
--- a/goldcrestmoor/request/completions.py
+++ b/goldcrestmoor/request/completions.py
@@ -7,6 +7,7 @@
 from goldcrestmoor import util
 from goldcrestmoor.clock import MS_PER_SECOND
 from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.request.authentication import check_served
 from goldcrestmoor.request.failures import most_telling
 from goldcrestmoor.request.piece import Piece
 
@@ -24,6 +25,9 @@
         ErrorKind.UPSTREAM_TIMEOUT,
     }
 )
+NOT_SERVED = frozenset(
+    {ErrorKind.UNAUTHORIZED, ErrorKind.CONFIG_LAPSED, ErrorKind.FORBIDDEN}
+)
 REFUSALS = frozenset({ErrorKind.NO_UPSTREAM, ErrorKind.OVERLOADED})
 
 
@@ -156,7 +160,7 @@
             except ServiceError as e:
                 self._pass_over(e, upstream, progress, request_id)
                 continue
-            stream = self._read(grant, pool, prompt, seed, deadline, progress)
+            stream = self._read(grant, account, pool, prompt, seed, deadline, progress)
             try:
                 async with contextlib.aclosing(stream):
                     async for piece in stream:
@@ -195,6 +199,8 @@
     def _move(self, error, pool, upstream, progress, deadline, request_id):
         """Go on with another engine after a failure, or raise it."""
         progress.failures.append(error)
+        if error.kind in NOT_SERVED:
+            raise most_telling(progress.failures)
         if error.kind not in MOVABLE | REFUSALS:
             raise error
         if len(progress.failures) > MAX_FAILURES or deadline.passed():
@@ -206,7 +212,7 @@
         text = f"Moved on from {upstream.name} with {len(progress.text)} characters"
         self._decisions.note("completions", request_id, f"{text}: {error.message}")
 
-    async def _read(self, grant, pool, prompt, seed, deadline, progress):
+    async def _read(self, grant, account, pool, prompt, seed, deadline, progress):
         """Yield the pieces of one engine's stream, under a granted slot."""
         upstream = grant.upstream
         stream_id = util.new_id()
@@ -230,6 +236,7 @@
             if not self._placement.takes_work(upstream.name):
                 text = f"{upstream.name} takes no new work."
                 raise ServiceError(ErrorKind.NO_UPSTREAM, text)
+            check_served(self._lease.view(), account, pool)
             in_flight = True
             async with contextlib.aclosing(stream):
                 async for piece in self._unless_silent(stream, deadline):
--- a/goldcrestmoor/request/keys.py
+++ b/goldcrestmoor/request/keys.py
@@ -25,7 +25,7 @@
         """
         return self._mint.mint(account)
 
-    async def run(self, account, key, request, deadline, request_id):
+    async def run(self, account, key, request, deadline, request_id, check=None):
         """Send a request under a key, or return its recorded answer.
 
         :param account: the account's name.
@@ -33,8 +33,8 @@
         :param request: the :class:`~goldcrestmoor.request.apps.AppRequest`.
         :param deadline: when the answer must be there.
         :param request_id: the request.
+        :param check: called just before each send; raises to prevent it.
         :return: an :class:`~goldcrestmoor.request.apps.AppAnswer`.
         """
-        if is_minted(key):
-            return await self._bound.run(account, key, request, deadline, request_id)
-        return await self._claims.run(account, key, request, deadline, request_id)
+        run = self._bound.run if is_minted(key) else self._claims.run
+        return await run(account, key, request, deadline, request_id, check)
--- a/goldcrestmoor/version/step_routes.py
+++ b/goldcrestmoor/version/step_routes.py
@@ -88,8 +88,7 @@
     """
 
     async def submit(request):
-        account = _trainer(authenticator, request)
-        body = await _body(request, SubmitBody)
+        account, body = await _ask(authenticator, request, SubmitBody)
         if body.model not in account.pools:
             raise ServiceError(ErrorKind.FORBIDDEN, "The pool is not the account's.")
         groups = tuple(
@@ -108,9 +107,8 @@
         return _json(StepAnswer(spec.step), 202)
 
     async def pull(request):
-        account = _trainer(authenticator, request)
+        account, body = await _ask(authenticator, request, PullBody)
         step = _step(request)
-        body = await _body(request, PullBody)
         message = PullSamples(
             account.name,
             step,
@@ -121,6 +119,8 @@
             body.max if body.max > 0 else holder.max_pull_samples,
         )
         answer = await holder.pull(message)
+        # The pull may have waited long, and its account be gone meanwhile.
+        _trainer(authenticator, request)
         return _json(PullAnswer(answer.samples, answer.complete))
 
     async def cancel(request):
@@ -130,8 +130,7 @@
         return _json(StepAnswer(step))
 
     async def publish(request):
-        account = _trainer(authenticator, request)
-        body = await _body(request, PublishBody)
+        account, body = await _ask(authenticator, request, PublishBody)
         if body.version < 1:
             raise ServiceError(ErrorKind.BAD_REQUEST, "Versions start at 1.")
         await weights.publish(body.model, body.version, account.name)
@@ -150,6 +149,13 @@
     return account
 
 
+async def _ask(authenticator, request, kind):
+    """Return the account and the body, which may have taken long to come."""
+    _trainer(authenticator, request)
+    body = await _body(request, kind)
+    return _trainer(authenticator, request), body
+
+
 def _step(request):
     step = request.route_values["step"]
     check_name(step)
--- /dev/null
+++ b/test/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs of what must always hold, with real processes under faults."""
--- a/test/test_routes.py
+++ b/test/test_routes.py
@@ -52,7 +52,7 @@
         self.applications = applications
         self.used = []
 
-    async def run(self, account, key, request, deadline, request_id):
+    async def run(self, account, key, request, deadline, request_id, check=None):
         self.used.append((account, key))
         return await self.applications.fetch(request, deadline, request_id)
 
