--- a/test/proofs/__init__.py
+++ b/test/proofs/__init__.py
@@ -1,1 +1,1 @@
-"""Proofs of what must always hold, with real processes under faults."""
+"""What must always hold, proved with real processes under faults."""
