Let thawed hosts acknowledge, and refused terms leave no trace

Cause: two faults that the proofs with real processes met. A host that was frozen, or only suspected for a moment, raises its incarnation; its acknowledgements went on to carry the one it had started with, so that every later change of cut-off terms was refused naming it, for 60 s of trying and until its restart. And each refused change left a proposal in doubt on the hosts, so that after 64 of them all hosts refused all others.

Ruled out: withdrawing proposals by a message, which a silent host would miss.

Change: acknowledgements carry the incarnation of the moment. A proposal carries the version of the row that it is kept in, and the row is only written while the head stands at the proposal's base; so an earlier proposal with the same base can no longer come into force, and hosts drop it.

--- a/goldcrestmoor/process/daemon.py
+++ b/goldcrestmoor/process/daemon.py
@@ -161,7 +161,7 @@
             links=self.links,
             peers=self._peers_by_distance,
             host_id=host.id,
-            incarnation=self.membership.own().incarnation,
+            incarnation=lambda: self.membership.own().incarnation,
         )
 
     def _make_versions(self):
--- a/goldcrestmoor/version/configuration_driver.py
+++ b/goldcrestmoor/version/configuration_driver.py
@@ -155,7 +155,8 @@
         proposal = propose(token, base.version, cut_off_part(old), cut_off_part(new))
         guards = ()
         if not proposal.is_empty():
-            guards = (await self._store.propose(proposal),)
+            proposal, guard = await self._store.propose(proposal)
+            guards = (guard,)
             silent = await self._prepare(proposal, deadline)
             if silent:
                 reason = f"Cut-off terms not acknowledged by {', '.join(silent)}."
--- a/goldcrestmoor/version/configuration_lease.py
+++ b/goldcrestmoor/version/configuration_lease.py
@@ -41,7 +41,7 @@
     :param links: the peer links, to ask peers and to answer them; none by default.
     :param peers: gives the ids of the hosts to ask at start, the nearest first.
     :param host_id: this host's id.
-    :param incarnation: this host's incarnation.
+    :param incarnation: gives this host's incarnation, which grows while it runs.
     """
 
     __slots__ = (
@@ -72,7 +72,7 @@
         links=None,
         peers=None,
         host_id="",
-        incarnation=0,
+        incarnation=lambda: 0,
     ):
         self._clock = clock
         self._store = ConfigurationStore(clock=clock, table=table, objects=objects)
@@ -169,7 +169,7 @@
             sent_ms = self._clock.now_ms()
             try:
                 offer = await self._links.call(
-                    host_id, FetchConfiguration(self._incarnation), PEER_TIMEOUT_MS
+                    host_id, FetchConfiguration(self._incarnation()), PEER_TIMEOUT_MS
                 )
                 self._take(offer, sent_ms)
             except (ServiceError, msgspec.MsgspecError) as e:
@@ -193,7 +193,7 @@
         self._keep_proposals([proposal])
         self._forget_given()
         given = tuple(given for given, _ in self._given_by_host.values())
-        return CutOffPrepared(self._host_id, self._incarnation, given)
+        return CutOffPrepared(self._host_id, self._incarnation(), given)
 
     def offer(self, host_id, incarnation):
         """Return what a peer may take from this host, and remember the peer.
@@ -267,6 +267,16 @@
         for proposal in proposals:
             if proposal.base >= self._version:
                 self._proposals_by_token[proposal.token] = proposal
+        # A later one against the same base keeps those before it from being written.
+        newest = {}
+        for proposal in self._proposals_by_token.values():
+            number = newest.get(proposal.base, 0)
+            newest[proposal.base] = max(number, proposal.number)
+        self._proposals_by_token = {
+            token: proposal
+            for token, proposal in self._proposals_by_token.items()
+            if proposal.number >= newest[proposal.base]
+        }
         self._update_lapsed()
 
     def _update_lapsed(self):
--- a/goldcrestmoor/version/configuration_store.py
+++ b/goldcrestmoor/version/configuration_store.py
@@ -132,17 +132,23 @@
         """Keep proposed cut-off terms where a starting host finds them.
 
         :param proposal: the :class:`~goldcrestmoor.version.cut_off.Proposal`.
-        :return: the check that no other proposal has taken its place, for
-            :meth:`write`.
+        :return: the proposal with its number, and the check that no other proposal
+            has taken its place, for :meth:`write`.
         :raises ServiceError: ``PLATFORM_UNAVAILABLE``, or ``CONFIG_CONFLICT`` when
             another change is under way.
         """
         row = await self._table.get(TABLE, PROPOSAL_KEY)
         version = row.version if row else 0
+        proposal = msgspec.structs.replace(proposal, number=version + 1)
         write = Write(TABLE, PROPOSAL_KEY, msgspec.json.encode(proposal))
+        # With the head still at the base, whatever was proposed against it before
+        # has not been written, and from here on it never can be.
+        checks = [
+            Check(TABLE, PROPOSAL_KEY, version),
+            Check(TABLE, HEAD_KEY, proposal.base),
+        ]
         try:
-            check = Check(TABLE, PROPOSAL_KEY, version)
-            answer = await self._table.transact([check], [write])
+            answer = await self._table.transact(checks, [write])
         except ServiceError as e:
             # A proposal changes nothing by itself, so that the operator's change
             # surely was not made.
@@ -153,7 +159,7 @@
             raise ServiceError(
                 ErrorKind.CONFIG_CONFLICT, "Another change is under way."
             )
-        return Check(TABLE, PROPOSAL_KEY, version + 1)
+        return proposal, Check(TABLE, PROPOSAL_KEY, version + 1)
 
     async def write(self, base, configuration, token, deadline, guards=()):
         """Write a configuration as the version after a head.
--- a/goldcrestmoor/version/cut_off.py
+++ b/goldcrestmoor/version/cut_off.py
@@ -46,12 +46,15 @@
     :param accounts_by_name: accounts with their new terms; None when no longer
         served.
     :param places_by_upstream: upstreams with their new places; None when dropped.
+    :param number: the version of the row that it was kept in; of two with the same
+        base only the one with the higher number can come into force.
     """
 
     token: str
     base: int
     accounts_by_name: dict[str, Account | None] = {}
     places_by_upstream: dict[str, Place | None] = {}
+    number: int = 0
 
     def is_empty(self):
         """Tell whether nothing changes that a lapsed host acts on."""
--- a/test/_configuration.py
+++ b/test/_configuration.py
@@ -197,7 +197,7 @@
             "host_id": host_id,
         }
         self.lease = ConfigurationLease(
-            **common, peers=lambda: sorted(world.hosts), incarnation=incarnation
+            **common, peers=lambda: sorted(world.hosts), incarnation=lambda: incarnation
         )
         self.driver = ConfigurationDriver(
             **common,
--- /dev/null
+++ b/test/proofs/test_configuration_cut_off_terms.py
@@ -0,0 +1,105 @@
+"""Proofs about the terms under which hosts without the platform serve."""
+
+from test import _common
+from test.proofs._fleet import (
+    ACCEPTED,
+    OK,
+    REFUSED,
+    FleetCase,
+    account,
+)
+
+LAPSED = 503
+DROP = "DROP ACCOUNT desk"
+
+
+class TermsTest(FleetCase):
+    async def start(self, *args, **kwargs):
+        """Start with an account that is served by hosts that are cut off."""
+        await super().start(account("desk", rest=""), *args, **kwargs)
+
+    async def dead(self, seen_from, host_id):
+        """Wait until a host believes another one dead."""
+
+        async def is_dead():
+            rows = await self.show(seen_from, "SHOW HOSTS")
+            return any((r["id"], r["state"]) == (host_id, "dead") for r in rows)
+
+        await _common.eventually(is_dead)
+
+    async def refused_naming(self, host_id, driver):
+        """Give the change until it is refused for one silent host."""
+
+        async def refused():
+            answer = await self.change(DROP, driver)
+            self.assertEqual(answer.code, REFUSED, answer.text)
+            return f"not acknowledged by {host_id}." in answer.text
+
+        await _common.eventually(refused)
+
+    async def accept(self, driver):
+        """Give the change until every host has acknowledged it."""
+
+        async def accepted():
+            answer = await self.change(DROP, driver)
+            return answer.code == ACCEPTED
+
+        await _common.eventually(accepted)
+
+    async def test_a_silent_host_refuses_and_its_return_accepts(self):
+        await self.start(hosts=2)
+        silent = self.ids[-1]
+        self.fleet.freeze(silent)
+        await self.refused_naming(silent, self.ids[0])
+        await self.assert_served("desk", self.ids[:-1])
+        self.fleet.thaw(silent)
+        await self.accept(self.ids[0])
+        self.network.cut("zone-b")
+        for _ in range(3):
+            await self.assert_never_served("desk")
+
+    async def test_a_lapsed_host_acts_on_the_stricter_terms_in_doubt(self):
+        await self.start(hosts=2)
+        doubtful, silent = self.ids[2], self.ids[1]
+        # The doubtful host acknowledges, the silent one keeps it from being made.
+        self.fleet.freeze(silent)
+        await self.refused_naming(silent, self.ids[0])
+        await self.assert_served("desk", [doubtful])
+        self.network.cut("zone-b")
+
+        async def lapsed():
+            return await self.fetch(doubtful, "desk") == LAPSED
+
+        await _common.eventually(lapsed)
+        await self.assert_never_served("desk", [doubtful])
+        self.network.mend()
+        self.fleet.thaw(silent)
+        # It never came into force, so that all serve again.
+        await self.assert_served("desk")
+
+    async def test_a_host_that_a_peer_started_is_found(self):
+        await self.start()
+        peer, new = self.ids[1], "zone-b-2"
+        await self.add_host(new, peer)
+        await self.outage()
+        await self.fleet.start_host(new)
+        await self.fleet.wait_ready(new)
+        self.assertEqual(await self.fetch(new, "desk"), OK)
+        # Nobody believes it alive and the list lacks it; only its peer remembers.
+        self.fleet.freeze(new)
+        await self.dead(self.ids[0], new)
+        await self.dead(peer, new)
+        await self.outage("")
+        await self.refused_naming(new, self.ids[0])
+        self.fleet.thaw(new)
+        await self.accept(self.ids[0])
+        await self.assert_never_served("desk", [*self.ids, new])
+
+    async def add_host(self, new, peer):
+        """Place another daemon that only knows one peer and is not listed."""
+        number = int(self.fleet.endpoint_by_id[peer].address.split(".")[2])
+        address = f"127.0.{number}.9"
+        ports = _common.free_port(address), _common.free_port(address)
+        endpoint = type(self.fleet.platform)(new, "zone-b", address, *ports)
+        self.fleet.endpoint_by_id[new] = endpoint
+        await self.network.add(new, "zone-b", address, ports[1])
--- /dev/null
+++ b/test/proofs/test_orders.py
@@ -0,0 +1,121 @@
+"""Proofs about orders to engines while holders of the lease freeze and wake."""
+
+import asyncio
+
+from test import _common
+from test.fleet import PoolPlan
+from test.proofs._fleet import ACCEPTED, MODEL, FleetCase, row_value
+
+# The longest order and the lease with its margin: how long a holder that ignores
+# fencing must be waited out.
+LONGEST_ORDER_MS = 10_000
+WOKEN_S = 4
+POOLS = (
+    PoolPlan("fencing", "engine", {"zone-a": 1}, MODEL),
+    PoolPlan("ignoring", "engine", {"zone-b": 1}, MODEL, options={"fencing": False}),
+)
+
+
+class OrdersTest(FleetCase):
+    async def start_engines(self):
+        """Start two engines of one model, one of which ignores fencing numbers."""
+        await self.start(pools=POOLS)
+        self.checks, self.ignores = self.fleet.upstreams
+        name = self.ignores.id
+        address, port = self.fleet.upstream_place(name)
+        text = (
+            f"DROP UPSTREAM {name}; CREATE UPSTREAM {name} POOL ignoring ZONE zone-b "
+            f"ADDRESS '{address}' PORT {port} SLOTS 16 FENCING OFF"
+        )
+        answer = await self.change(text)
+        self.assertEqual(answer.code, ACCEPTED, answer.text)
+
+    async def load(self, version, host_id):
+        """Order a version through a host."""
+        answer = await self.change(f"LOAD VERSION {version} FOR MODEL {MODEL}", host_id)
+        self.assertEqual(answer.code, ACCEPTED, answer.text)
+
+    async def counts(self, engine):
+        """Return an engine's own counts."""
+        return await self.fleet.get_json(engine, "/control/counts")
+
+    async def runs(self, engine, version):
+        """Wait until an engine runs a version."""
+
+        async def is_on():
+            return (await self.counts(engine))["version"] == version
+
+        await _common.eventually(is_on)
+
+    async def holder(self):
+        """Return the host that holds the model's lease, by the platform's row."""
+        control = self.fleet.platform_control
+        row = await self.fleet.get_json(control, f"/tables/leases/weights%2F{MODEL}")
+        return row_value(row)["holder"]
+
+    async def test_a_holder_is_frozen_and_wakes(self):
+        await self.start_engines()
+        await self.load(2, self.ids[0])
+        for engine in (self.checks, self.ignores):
+            await self.runs(engine, 2)
+        old = await self.holder()
+        new = next(i for i in self.ids if i != old)
+        # The order to the one that ignores numbers is on its way when the holder
+        # freezes, and the version moves on while it stands still.
+        link = self.network.links_by_id[self.ignores.id]
+        link.delay(500)
+        await self.load(3, new)
+        self.fleet.freeze(old)
+        link.delay(0)
+        await self.load(4, new)
+        await self.runs(self.checks, 4)
+        await self.load(5, new)
+        for engine in (self.checks, self.ignores):
+            await self.runs(engine, 5)
+        self.fleet.thaw(old)
+        await asyncio.sleep(WOKEN_S)
+        for engine in (self.checks, self.ignores):
+            counts = await self.counts(engine)
+            numbers = [order["fencing"] for order in counts["orders"]]
+            self.assertEqual(numbers, sorted(numbers), engine.id)
+            versions = [order["version"] for order in counts["orders"]]
+            self.assertEqual(versions, sorted(versions), engine.id)
+            self.assertEqual(counts["version"], 5)
+
+    async def test_a_late_order_is_waited_out(self):
+        await self.start_engines()
+        await self.load(2, self.ids[0])
+        await self.runs(self.ignores, 2)
+        old = await self.holder()
+        new = next(i for i in self.ids if i != old)
+        # Its last order reaches the engine late, when the next holder is at work.
+        link = self.network.links_by_id[self.ignores.id]
+        link.delay(LONGEST_ORDER_MS - 1000, "up")
+        await self.load(3, old)
+        await self.runs(self.checks, 3)
+        self.fleet.kill(old)
+        await self.load(4, new)
+        await self.runs(self.checks, 4)
+        link.delay(0)
+        await self.runs(self.ignores, 4)
+        orders = (await self.counts(self.ignores))["orders"]
+        self.assertEqual([o["version"] for o in orders][-2:], [3, 4])
+
+    async def test_a_failed_swap_is_ordered_again(self):
+        await self.start_engines()
+        await self.fleet.control(self.checks, "set", fail_swap=True)
+        await self.load(2, self.ids[0])
+        await self.runs(self.ignores, 2)
+
+        async def tried_twice():
+            return len((await self.counts(self.checks))["orders"]) >= 2
+
+        await _common.eventually(tried_twice)
+        rows = await self.show(self.ids[0], "SHOW UPSTREAMS")
+        version_by_name = {row["name"]: row["version"] for row in rows}
+        self.assertNotEqual(version_by_name[self.checks.id], 2)
+        await self.fleet.control(self.checks, "set", fail_swap=False)
+        await self.runs(self.checks, 2)
+        # Each order names the version to run, so that a repeat is harmless.
+        orders = (await self.counts(self.checks))["orders"]
+        self.assertEqual({o["version"] for o in orders}, {2})
--- a/test/test_configuration.py
+++ b/test/test_configuration.py
@@ -13,6 +13,7 @@
 from goldcrestmoor.version import configuration as documents
 from goldcrestmoor.version.configuration import Configuration
 from goldcrestmoor.version.configuration_driver import Accepted, Refused, Unknown
+from goldcrestmoor.version.configuration_lease import MAX_PROPOSALS
 from goldcrestmoor.version.configuration_messages import PrepareCutOff
 from goldcrestmoor.version.configuration_store import Head
 from goldcrestmoor.version.cut_off import (
@@ -230,6 +231,14 @@
         answer = await self.change(TERMS_OF_TISZA % 1)
         self.assertEqual((type(answer), answer.version), (Refused, 1))
 
+    async def test_refused_terms_leave_room_for_later_ones(self):
+        self.world.network.silent = {"h2"}
+        for bound in range(MAX_PROPOSALS + 1):
+            answer = await self.change(TERMS_OF_TISZA % (bound % 2))
+            self.assertEqual(answer.silent_hosts, ("h2",))
+        self.world.network.silent = set()
+        self.assertIsInstance(await self.change(TERMS_OF_TISZA % 1), Accepted)
+
     async def test_a_host_that_starts_while_terms_are_proposed_learns_of_them(self):
         async def start():
             self.platform.before_write = None
