--- a/goldcrestmoor/request/apps.py
+++ b/goldcrestmoor/request/apps.py
@@ -165,8 +165,6 @@
         try:
             with tracing.span("app request", upstream=upstream.name):
                 headers = _headers(request, request_id)
-                if check is not None:
-                    check()
                 response = await self._http.request(
                     upstream.address,
                     upstream.port,
@@ -178,6 +176,7 @@
                     idempotent=request.idempotent,
                     head_timeout_ms=self._head_timeout_ms,
                     fresh=fresh,
+                    before_send=check,
                 )
             self._record(upstream, True, started_ms)
             headers = passed_on(response.headers)
