Use the engines of every zone, and let policies be chosen

Cause: Placement gave only the own zone's upstreams, so a step's holder used 2 of the 6 engines at today's sizes, and work queued at one owner while other engines were idle.

Change: every zone with hosts that answer takes work. Engines are chosen by load, the own zone among equals; application requests stay in the own zone while it has a free slot. A zone whose hosts are all silent is used only when nothing else is. Upstreams that are out are probed in all of those zones. What waits counts as load of the asking host. A queued request asks, once a poll, another owner for an idle slot and moves there; until then it keeps its place.

The policies and their plain ways are chosen in the settings' section policy.

Ruled out: a second queue place at another owner, which would count twice against the account's share.

--- a/goldcrestmoor/process/callers.py
+++ b/goldcrestmoor/process/callers.py
@@ -1,7 +1,7 @@
 """What serves callers: the HTTP server and the parts behind its routes."""
 
 from goldcrestmoor import util
-from goldcrestmoor.process import health
+from goldcrestmoor.process import health, policies
 from goldcrestmoor.process.http_server import HttpServer
 from goldcrestmoor.request import app_routes, completion_routes
 from goldcrestmoor.request.admission import AdmissionClient
@@ -15,7 +15,7 @@
 from goldcrestmoor.request.key_memory import KeyMemory
 from goldcrestmoor.request.keys import Keys
 from goldcrestmoor.request.minted_key import KeyMint
-from goldcrestmoor.request.placement import Placement, PrefixAffinity, TwoChoices
+from goldcrestmoor.request.placement import Placement, TwoChoices
 from goldcrestmoor.version import step_routes
 from goldcrestmoor.version.step_holder import StepHolder
 from goldcrestmoor.version.step_store import StepStore
@@ -106,6 +106,7 @@
             policy=policy,
             health=daemon.health,
             is_leaving=self._is_leaving,
+            zone_answers=lambda zone: bool(daemon.membership.live(zone)),
         )
 
     def _is_leaving(self, upstream):
@@ -122,6 +123,8 @@
             decisions=daemon.decisions,
             membership=daemon.membership,
             is_leaving=self._is_leaving,
+            order=policies.queue_order(daemon.settings.policy),
+            refuses_early=daemon.settings.policy.early_refusal,
         )
         self.admission = AdmissionClient(
             clock=daemon.clock,
@@ -139,13 +142,16 @@
             clock=daemon.clock,
             engines=daemon.engines,
             admission=self.admission,
-            placement=self._placement(PrefixAffinity()),
+            placement=self._placement(
+                policies.engine_placement(daemon.settings.policy)
+            ),
             lease=daemon.lease,
             budget=daemon.budget,
             settings=daemon.settings.limits,
             metrics=daemon.metrics,
             decisions=daemon.decisions,
             health=daemon.health,
+            resumes=daemon.settings.policy.stragglers != "restart",
         )
         self._store = StepStore(
             clock=daemon.clock,
--- a/goldcrestmoor/process/daemon.py
+++ b/goldcrestmoor/process/daemon.py
@@ -14,6 +14,7 @@
 from goldcrestmoor.connection.http_client import HttpClient
 from goldcrestmoor.connection.peers import PeerLinks
 from goldcrestmoor.connection.retry_budget import RetryBudget
+from goldcrestmoor.process import policies
 from goldcrestmoor.process.callers import Callers
 from goldcrestmoor.process.decisions import Decisions
 from goldcrestmoor.process.leases import LeaseClient
@@ -26,7 +27,6 @@
 from goldcrestmoor.util import TaskGroup
 from goldcrestmoor.version.configuration_lease import ConfigurationLease
 from goldcrestmoor.version.engine_versions import EngineVersionTable
-from goldcrestmoor.version.rollout_strategies import AllAtOnce
 from goldcrestmoor.version.weight_orders import WeightOrders
 from goldcrestmoor.version.weights import WeightVersions
 
@@ -188,7 +188,7 @@
             engines=self.engines,
             metrics=self.metrics,
             host_id=self.settings.host.id,
-            strategy=AllAtOnce(),
+            strategy=policies.rollout(self.settings.policy),
         )
 
     def _peers_by_distance(self):
--- a/goldcrestmoor/request/admission.py
+++ b/goldcrestmoor/request/admission.py
@@ -86,14 +86,20 @@
             await self._clock.sleep_ms(RENEW_MS)
             await self.renew()
 
-    async def acquire(self, account, upstream, cost_tokens, deadline, request_id):
+    async def acquire(
+        self, account, upstream, cost_tokens, deadline, request_id, others=None
+    ):
         """Wait for a slot.
 
+        A request that has to queue is moved to another upstream whose owner has an
+        idle slot; until then it keeps its place.
+
         :param account: the :class:`~goldcrestmoor.version.configuration.Account`.
         :param upstream: the :class:`~goldcrestmoor.version.configuration.Upstream`.
         :param cost_tokens: what the request is expected to cost, in tokens.
         :param deadline: when it must have started.
         :param request_id: the request.
+        :param others: gives the upstreams that would do as well, best first.
         :return: a :class:`Grant`, to be given back by :meth:`release`.
         :raises ServiceError: ``OVERLOADED``, ``QUEUE_TIMEOUT`` or ``NO_UPSTREAM``;
             the request was not run.
@@ -101,17 +107,16 @@
         grant_id = f"{self._host_id}/{util.new_id()}"
         for owner in self._owners(upstream):
             grant = Grant(grant_id, upstream, account.name, cost_tokens, owner)
+            asking = self._ask(account, grant, deadline, request_id, others)
             try:
-                answer = await self._ask(account, grant, deadline, request_id)
+                grant = await asking
             except ServiceError as e:
                 if e.kind != ErrorKind.PEER_UNREACHABLE:
                     raise
                 text = f"The owner {owner} of {upstream.name} does not answer."
                 self._decisions.note("admission", request_id, text)
                 continue
-            self._grants_by_id[grant_id] = grant
-            text = f"{owner} granted {upstream.name} after {answer.queued_ms} ms."
-            self._decisions.note("admission", request_id, text)
+            self._grants_by_id[grant.id] = grant
             return grant
         return self._admit_unowned(account, upstream, cost_tokens, request_id)
 
@@ -157,32 +162,72 @@
         if others:
             yield util.rendezvous(upstream.name, others)
 
-    async def _ask(self, account, grant, deadline, request_id):
-        """Poll an owner until it grants or refuses."""
+    async def _ask(self, account, grant, deadline, request_id, others):
+        """Poll an owner until it grants or refuses, and look for an idle slot."""
+        tried = {grant.upstream.name}
         try:
             while True:
-                message = Acquire(
-                    grant.id,
-                    grant.upstream.name,
-                    account.name,
-                    account.kind,
-                    account.share,
-                    grant.cost_tokens,
-                    deadline.remaining_ms(),
-                    request_id,
-                )
+                message = _acquire_message(account, grant, deadline, request_id)
                 answer = await self._call(grant.owner, message)
                 if isinstance(answer, Granted):
-                    return answer
+                    self._note_granted(grant, answer, request_id)
+                    return grant
                 if deadline.passed():
                     raise ServiceError(
                         ErrorKind.QUEUE_TIMEOUT, "No slot came free in time."
                     )
+                if others is None:
+                    continue
+                moved = await self._try_other(
+                    account, grant, deadline, request_id, others, tried
+                )
+                if moved is not None:
+                    self._tell_released(grant, 0)
+                    return moved
         except (ServiceError, asyncio.CancelledError):
             # The owner may have granted all the same, with the answer lost.
             self._tell_released(grant, 0)
             raise
 
+    async def _try_other(self, account, grant, deadline, request_id, others, tried):
+        """Ask one other upstream's owner for an idle slot; return a grant or None."""
+        candidates = list(others())
+        left = [u for u in candidates if u.name not in tried]
+        if not left:
+            # Each has been asked once: start over, as slots come free meanwhile.
+            tried.clear()
+            tried.add(grant.upstream.name)
+            left = [u for u in candidates if u.name not in tried]
+        if not left:
+            return None
+        upstream = left[0]
+        tried.add(upstream.name)
+        owner = self._ownership.owner_of_upstream(upstream)
+        if not owner:
+            return None
+        grant_id = f"{self._host_id}/{util.new_id()}"
+        other = Grant(grant_id, upstream, account.name, grant.cost_tokens, owner)
+        message = _acquire_message(account, other, deadline, request_id, False)
+        try:
+            answer = await self._call(owner, message)
+        except ServiceError as e:
+            if e.kind == ErrorKind.PEER_UNREACHABLE:
+                self._tell_released(other, 0)
+            return None
+        except asyncio.CancelledError:
+            self._tell_released(other, 0)
+            raise
+        if not isinstance(answer, Granted):
+            self._tell_released(other, 0)
+            return None
+        self._note_granted(other, answer, request_id)
+        return other
+
+    def _note_granted(self, grant, answer, request_id):
+        name, waited_ms = grant.upstream.name, answer.queued_ms
+        text = f"{grant.owner} granted {name} after {waited_ms} ms."
+        self._decisions.note("admission", request_id, text)
+
     async def _call(self, owner, message):
         if owner == self._host_id:
             return await self._owner.on_acquire(owner, message)
@@ -204,3 +249,17 @@
         text = f"Admitted to {upstream.name} here, since no owner can be asked."
         self._decisions.note("admission", request_id, text)
         return Grant(util.new_id(), upstream, account.name, cost_tokens, SELF_ADMITTED)
+
+
+def _acquire_message(account, grant, deadline, request_id, may_queue=True):
+    return Acquire(
+        grant.id,
+        grant.upstream.name,
+        account.name,
+        account.kind,
+        account.share,
+        grant.cost_tokens,
+        deadline.remaining_ms(),
+        request_id,
+        may_queue,
+    )
--- a/goldcrestmoor/request/admission_messages.py
+++ b/goldcrestmoor/request/admission_messages.py
@@ -16,6 +16,7 @@
     :param cost_tokens: what the request is expected to cost, in tokens.
     :param remaining_ms: the time in which it must have started, in milliseconds.
     :param request_id: the request.
+    :param may_queue: whether it may wait; else it is refused unless a slot is idle.
     """
 
     grant_id: str
@@ -26,6 +27,7 @@
     cost_tokens: int
     remaining_ms: int
     request_id: str = ""
+    may_queue: bool = True
 
 
 class Granted(wire.Message, frozen=True):
--- a/goldcrestmoor/request/admission_owner.py
+++ b/goldcrestmoor/request/admission_owner.py
@@ -11,7 +11,7 @@
     Release,
     RenewGrants,
 )
-from goldcrestmoor.request.fair_queue import Entry, FairQueue
+from goldcrestmoor.request.fair_queue import WEIGHTED_FAIR, Entry, FairQueue
 from goldcrestmoor.request.slots import GRANT_MS, Slots
 from goldcrestmoor.wire import Done
 
@@ -34,6 +34,9 @@
     :param links: the ``PeerLinks``.
     :param membership: the ``Membership``, or None.
     :param is_leaving: tells whether the host list names an upstream as leaving.
+    :param order: the queues' order, of :mod:`goldcrestmoor.request.fair_queue`.
+    :param refuses_early: whether a request that can't be served in time is refused
+        when it comes.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
     :param decisions: the :class:`~goldcrestmoor.process.decisions.Decisions`.
     """
@@ -44,6 +47,8 @@
         "_settings",
         "_membership",
         "_is_leaving",
+        "_order",
+        "_refuses_early",
         "_metrics",
         "_decisions",
         "_slots_by_upstream",
@@ -60,12 +65,16 @@
         decisions,
         membership=None,
         is_leaving=None,
+        order=WEIGHTED_FAIR,
+        refuses_early=True,
     ):
         self._clock = clock
         self._lease = lease
         self._settings = settings
         self._membership = membership
         self._is_leaving = is_leaving or (lambda name: False)
+        self._order = order
+        self._refuses_early = refuses_early
         self._metrics = metrics
         self._decisions = decisions
         self._slots_by_upstream = {}
@@ -115,6 +124,9 @@
                 return Granted()
             waiter = slots.waiters_by_id.get(message.grant_id)
             if waiter is None:
+                if not message.may_queue and not self._has_idle_slot(name, slots):
+                    text = f"{name} has no idle slot."
+                    raise ServiceError(ErrorKind.OVERLOADED, text)
                 remaining_ms = min(
                     message.remaining_ms, self._settings.queue_timeout_ms
                 )
@@ -212,10 +224,17 @@
                 clock=self._clock,
                 max_length=self._settings.max_queue_per_upstream,
                 floor_percent=self._settings.application_floor_percent,
+                order=self._order,
+                refuses_early=self._refuses_early,
             )
             self._slots_by_upstream[name] = Slots(clock=self._clock, queue=queue)
         return self._slots_by_upstream[name]
 
+    def _has_idle_slot(self, name, slots):
+        upstreams = self._lease.view().configuration.upstreams_by_name
+        capacity = upstreams[name].slots
+        return not slots.waiters_by_id and len(slots.holders_by_id) < capacity
+
     def _entry(self, grant_id, account, cost_tokens, remaining_ms, kind="", share=1):
         known = self._lease.view().configuration.accounts_by_name.get(account)
         if known is not None:
--- a/goldcrestmoor/request/completions.py
+++ b/goldcrestmoor/request/completions.py
@@ -66,6 +66,8 @@
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
     :param decisions: the :class:`~goldcrestmoor.process.decisions.Decisions`.
     :param health: an ``UpstreamHealth``, or None.
+    :param resumes: whether a failed stream goes on elsewhere from its tokens; else
+        it fails.
     """
 
     __slots__ = (
@@ -79,6 +81,7 @@
         "_metrics",
         "_decisions",
         "_health",
+        "_resumes",
         "_tasks",
     )
 
@@ -95,6 +98,7 @@
         metrics,
         decisions,
         health=None,
+        resumes=True,
     ):
         self._clock = clock
         self._engines = engines
@@ -106,6 +110,7 @@
         self._metrics = metrics
         self._decisions = decisions
         self._health = health
+        self._resumes = resumes
         self._tasks = util.TaskGroup()
 
     async def generate(
@@ -149,13 +154,24 @@
                 return
             upstream = self._choose(pool, prefix_key, progress)
             cost = len(prompt + progress.text) // CHARACTERS_PER_TOKEN
+            cost += progress.tokens_left
+            # What waits counts too, so that work started at once is spread.
+            self._placement.begin(upstream)
             try:
                 grant = await self._admission.acquire(
-                    account, upstream, cost + progress.tokens_left, deadline, request_id
+                    account,
+                    upstream,
+                    cost,
+                    deadline,
+                    request_id,
+                    lambda: self._placement.others(pool, progress.avoid),
                 )
             except ServiceError as e:
                 self._pass_over(e, upstream, progress, request_id)
                 continue
+            finally:
+                self._placement.end(upstream)
+            upstream = grant.upstream
             stream = self._read(grant, pool, prompt, seed, deadline, progress)
             try:
                 async with contextlib.aclosing(stream):
@@ -197,6 +213,8 @@
         progress.failures.append(error)
         if error.kind not in MOVABLE | REFUSALS:
             raise error
+        if progress.text and not self._resumes:
+            raise most_telling(progress.failures)
         if len(progress.failures) > MAX_FAILURES or deadline.passed():
             raise most_telling(progress.failures)
         if not self._budget.try_retry(pool):
--- a/goldcrestmoor/request/fair_queue.py
+++ b/goldcrestmoor/request/fair_queue.py
@@ -1,8 +1,11 @@
 """Weighted fair queueing of one upstream's requests across accounts."""
 
 import collections
+import itertools
 import math
 
+import msgspec
+
 from goldcrestmoor.errors import ErrorKind, ServiceError
 
 PERCENT = 100
@@ -12,6 +15,17 @@
 APPLICATION = "application"
 
 
+class WeightedFair(msgspec.Struct, frozen=True):
+    """The account that is furthest behind its share goes next."""
+
+
+class FirstComeFirstServed(msgspec.Struct, frozen=True):
+    """The request that has waited longest goes next, whosever it is."""
+
+
+WEIGHTED_FAIR = WeightedFair()
+
+
 class Entry:
     """One queued request.
 
@@ -32,6 +46,7 @@
         "cost_tokens",
         "deadline",
         "queued_ms",
+        "number",
     )
 
     def __init__(self, id, account, kind, share, cost_tokens, deadline, queued_ms):
@@ -42,6 +57,7 @@
         self.cost_tokens = max(1, cost_tokens)
         self.deadline = deadline
         self.queued_ms = queued_ms
+        self.number = 0
 
 
 class FairQueue:
@@ -56,28 +72,45 @@
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param max_length: the most requests that wait.
     :param floor_percent: the application accounts' least part.
+    :param order: one of the orders of this module.
+    :param refuses_early: whether a request is refused when it would wait longer than
+        its deadline or when the queue is full.
     """
 
     __slots__ = (
         "_clock",
         "_max_length",
         "_floor_percent",
+        "_order",
+        "_refuses_early",
         "_queues_by_account",
         "_virtual_by_account",
         "_virtual_now",
         "_length",
+        "_numbers",
         "_interval_ms",
         "_last_start_ms",
     )
 
-    def __init__(self, *, clock, max_length, floor_percent):
+    def __init__(
+        self,
+        *,
+        clock,
+        max_length,
+        floor_percent,
+        order=WEIGHTED_FAIR,
+        refuses_early=True,
+    ):
         self._clock = clock
         self._max_length = max_length
         self._floor_percent = floor_percent
+        self._order = order
+        self._refuses_early = refuses_early
         self._queues_by_account = {}
         self._virtual_by_account = collections.OrderedDict()
         self._virtual_now = 0.0
         self._length = 0
+        self._numbers = itertools.count()
         self._interval_ms = None
         self._last_start_ms = None
 
@@ -97,17 +130,23 @@
         :raises ServiceError: ``OVERLOADED`` when the queue is full or too slow for
             the entry's deadline, with when to come back.
         """
-        wait_ms = self.expected_wait_ms(entry)
-        if self._length >= self._max_length or wait_ms > entry.deadline.remaining_ms():
-            after_ms = max(MIN_RETRY_AFTER_MS, math.ceil(wait_ms))
-            text = f"The queue is about {after_ms} ms long."
-            raise ServiceError(ErrorKind.OVERLOADED, text, after_ms)
+        if self._refuses_early:
+            self._check_room(entry)
         if entry.account not in self._queues_by_account:
             self._join(entry.account)
         queue = self._queues_by_account.setdefault(entry.account, collections.deque())
+        entry.number = next(self._numbers)
         queue.append(entry)
         self._length += 1
 
+    def _check_room(self, entry):
+        wait_ms = self.expected_wait_ms(entry)
+        is_full = self._length >= self._max_length
+        if is_full or wait_ms > entry.deadline.remaining_ms():
+            after_ms = max(MIN_RETRY_AFTER_MS, math.ceil(wait_ms))
+            text = f"The queue is about {after_ms} ms long."
+            raise ServiceError(ErrorKind.OVERLOADED, text, after_ms)
+
     def pop(self):
         """Take the request that goes next, or None.
 
@@ -115,13 +154,22 @@
         """
         if not self._queues_by_account:
             return None
-        behind = min(self._queues_by_account, key=self._virtual_by_account.__getitem__)
+        behind = self._next_account()
         self._virtual_now = max(self._virtual_now, self._virtual_by_account[behind])
         entry = self._queues_by_account[behind][0]
         self.charge(entry, entry.cost_tokens)
         self._take(entry)
         return entry
 
+    def _next_account(self):
+        match self._order:
+            case FirstComeFirstServed():
+                queues = self._queues_by_account
+                return min(queues, key=lambda name: queues[name][0].number)
+            case _:
+                virtual = self._virtual_by_account
+                return min(self._queues_by_account, key=virtual.__getitem__)
+
     def charge(self, entry, tokens):
         """Count tokens against an entry's account; negative to give some back.
 
@@ -156,6 +204,8 @@
         if self._last_start_ms is not None:
             # A queue that has come to a halt shows in the time since its last start.
             interval_ms = max(interval_ms, self._clock.now_ms() - self._last_start_ms)
+        if isinstance(self._order, FirstComeFirstServed):
+            return (self._length + 1) * interval_ms
         own = len(self._queues_by_account.get(entry.account, ()))
         part = self._weight(entry) / self._total_weight(entry)
         ahead = min(self._length, own / part)
--- a/goldcrestmoor/request/placement.py
+++ b/goldcrestmoor/request/placement.py
@@ -13,7 +13,10 @@
 
 
 class LeastLoaded(msgspec.Struct, frozen=True):
-    """Take the upstream with the fewest requests of this host per slot."""
+    """Take the upstream with the fewest requests of this host per slot.
+
+    Among equals the own zone goes first.
+    """
 
 
 class PrefixAffinity(msgspec.Struct, frozen=True):
@@ -26,7 +29,11 @@
 
 
 class TwoChoices(msgspec.Struct, frozen=True):
-    """Take the less loaded of two upstreams drawn at random."""
+    """Take the less loaded of two upstreams drawn at random.
+
+    They are drawn from the own zone while it has a free slot, since the way to
+    another zone would show in a short request.
+    """
 
 
 class RoundRobin(msgspec.Struct, frozen=True):
@@ -41,18 +48,29 @@
     :param policy: one of the policies of this module.
     :param health: an ``UpstreamHealth``, or None.
     :param is_leaving: tells whether the host list names an upstream as leaving.
+    :param zone_answers: tells whether a zone has hosts that answer this one.
     """
 
-    __slots__ = ("_zone", "_lease", "_policy", "_health", "_is_leaving", "_turn") + (
+    __slots__ = (
         "in_flight_by_upstream",
+        "_zone",
+        "_lease",
+        "_policy",
+        "_health",
+        "_is_leaving",
+        "_zone_answers",
+        "_turn",
     )
 
-    def __init__(self, *, zone, lease, policy, health=None, is_leaving=None):
+    def __init__(
+        self, *, zone, lease, policy, health=None, is_leaving=None, zone_answers=None
+    ):
         self._zone = zone
         self._lease = lease
         self._policy = policy
         self._health = health
         self._is_leaving = is_leaving or (lambda name: False)
+        self._zone_answers = zone_answers or (lambda zone: True)
         self._turn = itertools.count()
         self.in_flight_by_upstream = collections.Counter()
 
@@ -77,7 +95,8 @@
             case PrefixAffinity(max_load_percent) if prefix_key:
                 return self._by_prefix(usable, prefix_key, max_load_percent)
             case TwoChoices():
-                drawn = random.sample(usable, min(2, len(usable)))
+                near = self._own_zone_with_room(usable)
+                drawn = random.sample(near, min(2, len(near)))
                 return min(drawn, key=self._load)
             case RoundRobin():
                 return usable[next(self._turn) % len(usable)]
@@ -85,7 +104,7 @@
                 return self._least_loaded(usable)
 
     def usable(self, pool, avoid=()):
-        """Return the upstreams that may take new work, the own zone's if it has any.
+        """Return the upstreams that may take new work, of all zones that answer.
 
         :param pool: the pool's name.
         :param avoid: names of upstreams to pass over.
@@ -94,8 +113,17 @@
         if self._health is not None:
             names = set(self._health.usable([u.name for u in takes]))
             takes = [u for u in takes if u.name in names]
-        own = [u for u in takes if u.zone == self._zone]
-        return own or takes
+        # A zone whose hosts are all silent is most likely cut off from this one.
+        return [u for u in takes if self._is_near(u)] or takes
+
+    def others(self, pool, avoid=()):
+        """Yield upstreams that a queued request may be moved to, least loaded first.
+
+        :param pool: the pool's name.
+        :param avoid: names of upstreams to pass over.
+        """
+        usable = self.usable(pool, avoid)
+        yield from sorted(usable, key=lambda u: (self._load(u), random.random()))
 
     def takes_work(self, name):
         """Tell whether an upstream may be sent new work at this moment.
@@ -120,17 +148,24 @@
         return [u for u in members if self._takes_work(u) and u.name not in avoid]
 
     def _probed(self, pool, avoid, usable):
-        """Return an unhealthy upstream of the own zone whose time to be tried came."""
+        """Return an unhealthy upstream whose time to be tried again has come."""
         if self._health is None:
             return None
         names = {u.name for u in usable}
         for upstream in self._taking_work(pool, avoid):
-            if upstream.name in names or upstream.zone != self._zone:
+            if upstream.name in names or not self._is_near(upstream):
                 continue
             if self._health.try_probe(upstream.name):
                 return upstream
         return None
 
+    def _is_near(self, upstream):
+        return upstream.zone == self._zone or self._zone_answers(upstream.zone)
+
+    def _own_zone_with_room(self, usable):
+        own = [u for u in usable if u.zone == self._zone and self._load(u) < 1]
+        return own or usable
+
     def _takes_work(self, upstream):
         return not upstream.draining and not self._is_leaving(upstream.name)
 
@@ -139,7 +174,10 @@
 
     def _least_loaded(self, usable):
         # Ties are broken at random, lest every host start with the same upstream.
-        return min(usable, key=lambda u: (self._load(u), random.random()))
+        return min(
+            usable,
+            key=lambda u: (self._load(u), u.zone != self._zone, random.random()),
+        )
 
     def _by_prefix(self, usable, prefix_key, max_load_percent):
         by_name = {u.name: u for u in usable}
--- a/goldcrestmoor/settings.py
+++ b/goldcrestmoor/settings.py
@@ -121,6 +121,19 @@
     max_pull_samples: Count
 
 
+@_strict
+class PolicySettings:
+    """How work is ordered and placed, each against its plain way."""
+
+    queue: Literal["fair", "fifo"]
+    early_refusal: bool
+    placement: Literal["prefix", "least_loaded", "round_robin"]
+    start_order: Literal["longest_first", "as_numbered"]
+    stragglers: Literal["hedge", "resume", "restart"]
+    rollout: Literal["all_at_once", "rolling"]
+    rolling_percent: Annotated[int, Field(ge=1, le=100)]
+
+
 @_strict
 class ShutdownSettings:
     """How long a graceful shutdown waits."""
@@ -157,6 +170,7 @@
     membership: MembershipSettings
     idempotency: IdempotencySettings
     steps: StepSettings
+    policy: PolicySettings
     shutdown: ShutdownSettings
     log: LogSettings
     tracing: TracingSettings
--- a/goldcrestmoor/version/step_holder.py
+++ b/goldcrestmoor/version/step_holder.py
@@ -7,6 +7,7 @@
 from goldcrestmoor import util, wire
 from goldcrestmoor.clock import Deadline
 from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.process import policies
 from goldcrestmoor.version.step_messages import (
     CancelStep,
     PulledSamples,
@@ -86,6 +87,8 @@
         self._decisions = decisions
         self._metrics = metrics
         self._settings = settings.steps
+        self._start_order = policies.start_order(settings.policy)
+        self._hedges = settings.policy.stragglers == "hedge"
         self._work_by_key = {}
         self._loading_by_key = {}
         self._tasks = util.TaskGroup()
@@ -269,8 +272,9 @@
             lease=self._lease,
             decisions=self._decisions,
             metrics=self._metrics,
-            hedge_percent=self._settings.hedge_percent,
+            hedge_percent=self._settings.hedge_percent if self._hedges else 0,
             is_wanted=self._is_wanted,
+            start_order=self._start_order,
         )
         await run.run()
         self._drop(key)
--- a/goldcrestmoor/version/step_run.py
+++ b/goldcrestmoor/version/step_run.py
@@ -33,6 +33,7 @@
     :param metrics: the ``Metrics``.
     :param hedge_percent: second copies allowed, of the step's slots.
     :param is_wanted: tells whether this host is still to work on the step.
+    :param start_order: a class of :mod:`goldcrestmoor.version.stragglers`.
     """
 
     def __init__(
@@ -47,6 +48,7 @@
         metrics,
         hedge_percent,
         is_wanted,
+        start_order=stragglers.LONGEST_FIRST,
     ):
         self._state = state
         self._clock = clock
@@ -55,6 +57,7 @@
         self._decisions = decisions
         self._metrics = metrics
         self._is_wanted = is_wanted
+        self._start_order = start_order
         self._hedges_left = -(-len(state.slots) * hedge_percent // PERCENT)
         self._lengths = stragglers.Lengths()
         self._streams_by_slot = {}
@@ -129,7 +132,10 @@
             if slot not in self._streams_by_slot and self._may_retry(slot, now_ms)
         ]
         bounds = {i: g.max_tokens for i, g in self._state.group_by_index.items()}
-        for slot in stragglers.start_order(startable, self._lengths, bounds)[:idle]:
+        ordered = stragglers.start_order(
+            startable, self._lengths, bounds, self._start_order
+        )
+        for slot in ordered[:idle]:
             group = self._state.group_by_index[slot.group]
             self._start(Stream(slot, group, now_ms), account)
 
--- a/goldcrestmoor/version/stragglers.py
+++ b/goldcrestmoor/version/stragglers.py
@@ -10,6 +10,17 @@
 MIN_OBSERVED_MS = 500
 
 
+class LongestFirst(msgspec.Struct, frozen=True):
+    """Start the slots that are expected to take longest first."""
+
+
+class AsNumbered(msgspec.Struct, frozen=True):
+    """Start the slots in the order of their numbers."""
+
+
+LONGEST_FIRST = LongestFirst()
+
+
 class Wait(msgspec.Struct, frozen=True):
     """Leave the stream alone.
 
@@ -108,13 +119,16 @@
         return statistics.median(self._rates) if self._rates else None
 
 
-def start_order(slots, lengths, max_tokens_by_group):
-    """Return slots longest first, by their expected length.
+def start_order(slots, lengths, max_tokens_by_group, order=LONGEST_FIRST):
+    """Return slots in the order in which they are to start.
 
     :param slots: the slots to start.
     :param lengths: the step's :class:`Lengths`.
     :param max_tokens_by_group: the bounds, in tokens.
+    :param order: :class:`LongestFirst` or :class:`AsNumbered`.
     """
+    if isinstance(order, AsNumbered):
+        return sorted(slots)
     expected_by_group = {
         group: lengths.expected(group, max_tokens)
         for group, max_tokens in max_tokens_by_group.items()
--- a/test/test_admission.py
+++ b/test/test_admission.py
@@ -73,6 +73,29 @@
         self.assertEqual(self.owner.in_flight("lm-1"), 2)
         return grants
 
+    async def test_a_queued_request_moves_to_an_idle_upstream(self):
+        await self.fill()
+        other = fakes.upstream("lm-2", slots=1)
+        self.lease.replace(other)
+
+        async def acquire_either():
+            deadline = Deadline.after(self.clock, 60_000)
+            return await self.entry.acquire(
+                self.trainer, self.upstream, 100, deadline, "r1", lambda: [other]
+            )
+
+        moved = await acquire_either()
+        self.assertEqual(moved.upstream.name, "lm-2")
+        await eventually(lambda: self.owner.queued("lm-1") == 0)
+        # With no idle slot anywhere, it keeps its place until one comes free.
+        waiting = asyncio.create_task(acquire_either())
+        self.addAsyncCleanup(self.end, waiting)
+        await eventually(lambda: self.owner.queued("lm-1") == 1)
+        self.entry.release(moved, 5)
+        self.assertEqual((await waiting).upstream.name, "lm-2")
+        await eventually(lambda: self.owner.queued("lm-1") == 0)
+        self.assertEqual(self.owner.queued("lm-2"), 0)
+
     async def error_of(self, awaitable):
         with self.assertRaises(ServiceError) as caught:
             await awaitable
--- a/test/test_stragglers.py
+++ b/test/test_stragglers.py
@@ -4,6 +4,7 @@
 
 from goldcrestmoor.version.steps import Slot
 from goldcrestmoor.version.stragglers import (
+    AsNumbered,
     Continue,
     Copy,
     Lengths,
@@ -28,6 +29,11 @@
         order = start_order(slots, known, {0: 100, 1: 100, 2: 100})
         self.assertEqual(order, [Slot(1, 1), Slot(2, 0), Slot(0, 1)])
 
+    def test_the_plain_order_is_by_number(self):
+        slots = [Slot(1, 0), Slot(0, 1), Slot(0, 0)]
+        order = start_order(slots, lengths(g1=90), {0: 10, 1: 100}, AsNumbered())
+        self.assertEqual(order, sorted(slots))
+
     def test_without_lengths_the_bound_decides(self):
         order = start_order([Slot(0, 0), Slot(1, 0)], Lengths(), {0: 10, 1: 20})
         self.assertEqual(order, [Slot(1, 0), Slot(0, 0)])
