Replay a fleet at a deployment's size; compare policies with their plain ways

Cause: the replay tool had never met a fleet, and no policy had been measured.

Traces have application completions, several trainers and weights published in the middle of a step. The engine stand-in can end texts by themselves with lengths that differ by prompt, and stands still while it loads weights.

Found: generated entries were not in the order of their times, so that arrivals were played late; they are sorted now and the test holds it.

--- a/goldcrestmoor/load/applications.py
+++ b/goldcrestmoor/load/applications.py
@@ -1,10 +1,14 @@
-"""Application requests as a replay sends them."""
+"""Application requests as a replay sends them, each once."""
 
 import urllib.parse
 
+import msgspec
+
 from goldcrestmoor.client.transport import checked
+from goldcrestmoor.request.completion_answers import CompletionRequest
 
 FETCH_TIMEOUT_MS = 10_000
+ANSWER_MARGIN_MS = 1000
 
 
 async def fetch(http, url, token, pool, path):
@@ -17,19 +21,44 @@
     :param path: the path below the pool's route.
     :raises ServiceError: what was answered, or what became of the connection.
     """
+    target = f"/apps/{pool}{path}"
+    return await _send(http, url, token, "GET", target, b"", FETCH_TIMEOUT_MS)
+
+
+async def complete(http, url, token, entry):
+    """Ask for one text once and return the answer's body.
+
+    :param http: the :class:`~goldcrestmoor.connection.http_client.HttpClient`.
+    :param url: the host.
+    :param token: the application account's token.
+    :param entry: the :class:`~goldcrestmoor.load.trace.Completion`.
+    :raises ServiceError: what was answered, or what became of the connection.
+    """
+    asked = CompletionRequest(entry.pool, entry.prompt, entry.max_tokens, entry.seed)
+    body = msgspec.json.encode(asked)
+    return await _send(
+        http, url, token, "POST", "/v1/completions", body, entry.timeout_ms
+    )
+
+
+async def _send(http, url, token, method, target, body, timeout_ms):
     parts = urllib.parse.urlsplit(url)
     headers = [
         (b"host", parts.netloc.encode()),
         (b"authorization", b"Bearer " + token.encode()),
+        (b"x-timeout-ms", str(timeout_ms).encode()),
     ]
+    if body:
+        headers.append((b"content-type", b"application/json"))
+        headers.append((b"content-length", str(len(body)).encode()))
     response = await http.request(
         parts.hostname,
         parts.port,
-        "GET",
-        f"/apps/{pool}{path}",
+        method,
+        target,
         headers,
-        b"",
-        FETCH_TIMEOUT_MS,
-        idempotent=True,
+        body,
+        timeout_ms + ANSWER_MARGIN_MS,
+        idempotent=method == "GET",
     )
     return checked(response)
--- a/goldcrestmoor/load/fleet_control.py
+++ b/goldcrestmoor/load/fleet_control.py
@@ -7,11 +7,22 @@
 FAULT_TIMEOUT_MS = 10_000
 
 
+class Runs(msgspec.Struct, frozen=True):
+    """What the upstreams say that they ran.
+
+    :param runs_by_note: how often each note was run, by its id.
+    :param engine_tokens: the tokens that all engines made.
+    """
+
+    runs_by_note: dict[str, int] = {}
+    engine_tokens: int = 0
+
+
 class FleetControl:
     """Ask a fleet's runner for faults and for what its upstreams ran.
 
     The runner answers ``POST /faults`` with ``{"action", "target"}`` and
-    ``GET /runs`` with the number of runs of each note body.
+    ``GET /runs`` with :class:`Runs`.
 
     :param http: an :class:`~goldcrestmoor.connection.http_client.HttpClient`.
     :param address: the runner's IP address.
@@ -34,10 +45,10 @@
         body = msgspec.json.encode({"action": fault.action, "target": fault.target})
         await self._ask("POST", "/faults", body)
 
-    async def runs_by_note(self):
-        """Return how often the upstreams ran each note, by its body."""
+    async def runs(self):
+        """Return the :class:`Runs` of the upstreams so far."""
         response = await self._ask("GET", "/runs", b"")
-        return msgspec.json.decode(response.body, type=dict[str, int])
+        return msgspec.json.decode(response.body, type=Runs)
 
     async def _ask(self, method, target, body):
         response = await self._http.request(
--- a/goldcrestmoor/load/generate.py
+++ b/goldcrestmoor/load/generate.py
@@ -1,16 +1,42 @@
-"""Make traces at the sizes of the two deployments."""
+"""Make traces at the sizes of the two deployments.
 
+``python -m goldcrestmoor.load.generate DIRECTORY`` writes them all, one directory a
+deployment.
+"""
+
+import pathlib
 import random
+import sys
 
 import msgspec
 
-from goldcrestmoor.load.trace import Fault, Fetch, Group, Head, Note, Outcomes, Step
+from goldcrestmoor.load import trace
+from goldcrestmoor.load.trace import (
+    Completion,
+    Fault,
+    Fetch,
+    Group,
+    Head,
+    Note,
+    Outcomes,
+    Publish,
+    Step,
+)
 
-DURATION_MS = 20_000
-TOKENS_MEDIAN = 60
-TOKENS_SIGMA = 0.8
-TOKENS_MAX = 600
-TRAIN_MS = 1500
+DURATION_MS = 12_000
+ARRIVALS_PERCENT = 80
+STEPS = 3
+MAX_TOKENS = 150
+TRAIN_MS = 500
+PROMPT_WORDS = 40
+PUBLISH_INTERVAL_MS = 3500
+COMPLETION_TOKENS = 60
+COMPLETION_TIMEOUT_MS = 4000
+BURST_FACTOR = 30
+OTHER_TRAINER_SAMPLES = 16
+PERCENT = 100
+MS_PER_SECOND = 1000
+DEFAULT_SEED = 1
 
 
 class Deployment(msgspec.Struct, frozen=True):
@@ -18,13 +44,14 @@
 
     :param name: the deployment's name.
     :param trainer: the trainer's account.
+    :param other_trainers: the accounts of trainers that share the engines.
     :param application: the application's account.
     :param engine_pool: the pool of its engines.
     :param application_pool: the pool of its application service.
-    :param engines: its engines' names.
     :param zones: its availability zones.
     :param fetches_per_s: application requests a second.
     :param notes_per_s: notes a second.
+    :param completions_per_s: texts a second that the application asks for.
     :param groups: groups a step.
     :param samples: samples a group.
     :param staleness_bound: the trainer's bound, in versions.
@@ -32,13 +59,14 @@
 
     name: str
     trainer: str
+    other_trainers: tuple[str, ...]
     application: str
     engine_pool: str
     application_pool: str
-    engines: tuple[str, ...]
     zones: tuple[str, ...]
     fetches_per_s: float
     notes_per_s: float
+    completions_per_s: float
     groups: int
     samples: int
     staleness_bound: int
@@ -47,30 +75,32 @@
 DEPLOYMENT_BY_NAME = {
     "tisza": Deployment(
         name="tisza",
-        trainer="summaries",
+        trainer="summary-trainer",
+        other_trainers=("notice-trainer", "minutes-trainer"),
         application="dashboards",
         engine_pool="lm-pool",
         application_pool="dash-api",
-        engines=tuple(f"lm-{n}" for n in range(1, 7)),
         zones=("szeged-a", "szeged-b", "hodmezo"),
         fetches_per_s=40,
         notes_per_s=0.5,
+        completions_per_s=4,
         groups=8,
-        samples=8,
+        samples=16,
         staleness_bound=2,
     ),
     "derwent": Deployment(
         name="derwent",
-        trainer="coach",
-        application="fitters",
+        trainer="coach-trainer",
+        other_trainers=("stride-trainer", "insole-trainer"),
+        application="fitting-bench",
         engine_pool="coach-lm",
         application_pool="fit-desk",
-        engines=tuple(f"coach-{n}" for n in range(1, 7)),
         zones=("hobart-hall", "kingston-hall", "glenorchy-hall"),
         fetches_per_s=10,
         notes_per_s=4,
+        completions_per_s=2,
         groups=8,
-        samples=8,
+        samples=16,
         staleness_bound=1,
     ),
 }
@@ -83,6 +113,7 @@
     "cut",
     "outage",
     "burst",
+    "shares",
 )
 
 
@@ -102,88 +133,138 @@
     )
     entries = [
         *_steps(deployment, scenario, rng),
-        *_arrivals(deployment, scenario, rng),
+        *_publishing(deployment, scenario),
+        *_fetches(deployment, rng),
+        *_notes(deployment, scenario, rng),
+        *_completions(deployment, scenario, rng),
         *_faults(deployment, scenario),
     ]
-    return head, entries
+    return head, sorted(entries, key=lambda entry: entry.at_ms)
 
 
 def _outcomes(deployment, scenario):
+    is_quiet = scenario in ("calm", "straggler", "weights", "shares")
     return Outcomes(
-        notes_lost_percent=0 if scenario != "cut" else None,
+        notes_lost_percent=None if scenario == "cut" else 0,
         staleness_max=deployment.staleness_bound,
-        fetch_failed_percent=0
-        if scenario in ("calm", "straggler", "weights")
-        else None,
+        fetch_failed_percent=0 if is_quiet else None,
+        completion_failed_percent=0 if is_quiet else None,
     )
 
 
 def _steps(deployment, scenario, rng):
-    for number in range(1, 5):
+    yield from _steps_of(deployment, scenario, rng, deployment.trainer)
+    if scenario == "shares":
+        for account in deployment.other_trainers:
+            samples = OTHER_TRAINER_SAMPLES
+            yield from _steps_of(deployment, scenario, rng, account, samples)
+
+
+def _steps_of(deployment, scenario, rng, account, samples=None):
+    publishes = scenario in ("calm", "crash", "cut", "outage", "burst")
+    for number in range(1, STEPS + 1):
         yield Step(
             at_ms=0,
-            account=deployment.trainer,
+            account=account,
             pool=deployment.engine_pool,
             step=f"{scenario}-{number}",
-            groups=tuple(_groups(deployment, scenario, rng)),
+            groups=tuple(_groups(deployment, rng, samples or deployment.samples)),
             train_ms=TRAIN_MS,
-            publish=number + 1 if scenario != "straggler" else 0,
+            publish=number + 1 if publishes else 0,
         )
 
 
-def _groups(deployment, scenario, rng):
+def _groups(deployment, rng, samples):
     for number in range(deployment.groups):
-        length = _length(rng)
-        if scenario == "straggler" and number == 0:
-            length = TOKENS_MAX
         yield Group(
-            prompt=f"Group {number}: " + " ".join(_words(rng, 40)),
-            samples=deployment.samples,
-            max_tokens=length,
+            prompt=f"Group {number}: " + " ".join(_words(rng, PROMPT_WORDS)),
+            samples=samples,
+            max_tokens=MAX_TOKENS,
             seed=rng.randrange(1 << 30),
         )
 
 
-def _length(rng):
-    length = rng.lognormvariate(0, TOKENS_SIGMA) * TOKENS_MEDIAN
-    return max(4, min(TOKENS_MAX, int(length)))
-
-
 def _words(rng, count):
     for _ in range(count):
         yield "".join(rng.choice("abcdefghijklmnop") for _ in range(5))
 
 
-def _arrivals(deployment, scenario, rng):
-    for at_ms in _times(deployment.fetches_per_s, scenario, rng):
+def _publishing(deployment, scenario):
+    """Publish while a step is under way, as an asynchronous trainer does."""
+    if scenario != "weights":
+        return
+    times = range(PUBLISH_INTERVAL_MS // 2, DURATION_MS, PUBLISH_INTERVAL_MS)
+    for version, at_ms in enumerate(times, 2):
+        yield Publish(at_ms, deployment.trainer, deployment.engine_pool, version)
+
+
+def _fetches(deployment, rng):
+    for at_ms in _times(deployment.fetches_per_s, rng):
         path = f"/panels/{rng.randrange(200)}"
         yield Fetch(at_ms, deployment.application, deployment.application_pool, path)
-    for number, at_ms in enumerate(_times(deployment.notes_per_s, "calm", rng)):
-        body = f"note {scenario} {number} {rng.randrange(1 << 30)}"
+
+
+def _notes(deployment, scenario, rng):
+    for number, at_ms in enumerate(_times(deployment.notes_per_s, rng)):
+        body = f"note-{scenario}-{number}-{rng.randrange(1 << 30)}"
         yield Note(
             at_ms, deployment.application, deployment.application_pool, "/notes", body
         )
 
 
-def _times(rate_per_s, scenario, rng):
+def _completions(deployment, scenario, rng):
+    factor = BURST_FACTOR if scenario == "burst" else 1
+    for at_ms in _times(deployment.completions_per_s, rng, factor):
+        yield Completion(
+            at_ms=at_ms,
+            account=deployment.application,
+            pool=deployment.engine_pool,
+            prompt=" ".join(_words(rng, PROMPT_WORDS)),
+            max_tokens=COMPLETION_TOKENS,
+            seed=rng.randrange(1 << 30),
+            timeout_ms=COMPLETION_TIMEOUT_MS,
+        )
+
+
+def _times(rate_per_s, rng, burst_factor=1):
     at_ms = 0.0
     while True:
-        busy = scenario == "burst" and DURATION_MS / 4 < at_ms < DURATION_MS / 2
-        at_ms += rng.expovariate(rate_per_s * (10 if busy else 1)) * 1000
-        if at_ms >= DURATION_MS * 0.8:
+        busy = DURATION_MS / 6 < at_ms < DURATION_MS / 2
+        rate = rate_per_s * (burst_factor if busy else 1)
+        at_ms += rng.expovariate(rate) * MS_PER_SECOND
+        if at_ms >= DURATION_MS * ARRIVALS_PERCENT / PERCENT:
             return
         yield int(at_ms)
 
 
 def _faults(deployment, scenario):
-    begin_ms, end_ms = DURATION_MS // 5, DURATION_MS // 2
+    engine = f"{deployment.engine_pool}-1"
+    begin_ms, end_ms = DURATION_MS // 10, DURATION_MS // 2
     match scenario:
+        case "straggler":
+            yield Fault(0, "slow", engine)
+            yield Fault(end_ms * 3 // 2, "usual", engine)
         case "crash":
-            yield Fault(begin_ms, "kill", deployment.engines[0])
-            yield Fault(end_ms, "start", deployment.engines[0])
+            yield Fault(begin_ms, "kill", engine)
+            yield Fault(end_ms, "start", engine)
         case "cut":
             yield Fault(begin_ms, "cut", deployment.zones[-1])
             yield Fault(end_ms, "mend", deployment.zones[-1])
         case "outage":
             yield Fault(begin_ms, "outage", "platform")
             yield Fault(end_ms, "recover", "platform")
+
+
+def main():
+    """Write every trace below the directory that the first argument names."""
+    directory = pathlib.Path(sys.argv[1])
+    for deployment in DEPLOYMENT_BY_NAME.values():
+        folder = directory / deployment.name
+        folder.mkdir(parents=True, exist_ok=True)
+        for scenario in SCENARIOS:
+            head, entries = make(deployment, scenario, DEFAULT_SEED)
+            trace.write(folder / f"{scenario}.jsonl", head, entries)
+
+
+if __name__ == "__main__":
+    main()
--- a/goldcrestmoor/load/player.py
+++ b/goldcrestmoor/load/player.py
@@ -3,13 +3,16 @@
 import asyncio
 import logging
 
+import msgspec
+
 from goldcrestmoor.client.notes import NotesClient, Outcome
 from goldcrestmoor.client.trainer import TrainerClient
 from goldcrestmoor.clock import Deadline
 from goldcrestmoor.errors import ErrorKind, ServiceError
-from goldcrestmoor.load.applications import fetch
+from goldcrestmoor.load.applications import complete, fetch
 from goldcrestmoor.load.tally import Tally
-from goldcrestmoor.load.trace import Fault, Fetch, Note, Step
+from goldcrestmoor.load.trace import Completion, Fault, Fetch, Note, Publish, Step
+from goldcrestmoor.request.completion_answers import CompletionAnswer
 from goldcrestmoor.util import TaskGroup
 from goldcrestmoor.version.step_routes import GroupBody
 
@@ -18,6 +21,8 @@
 STEP_TIMEOUT_MS = 120_000
 PUBLISH_TIMEOUT_MS = 30_000
 NOTE_TIMEOUT_MS = 30_000
+NOTE_HEADER = b"x-note-id"
+FIRST_VERSION = 1
 
 
 class Player:
@@ -47,6 +52,7 @@
         "_control",
         "_started_ms",
         "_notes_by_account",
+        "_trainer_by_account",
     )
 
     def __init__(
@@ -70,6 +76,7 @@
         self._control = control
         self._started_ms = 0
         self._notes_by_account = {}
+        self._trainer_by_account = {}
 
     async def play(self, entries):
         """Play all entries and wait until their work is over.
@@ -79,9 +86,10 @@
         """
         self._started_ms = self._clock.now_ms()
         steps = [entry for entry in entries if isinstance(entry, Step)]
+        accounts = dict.fromkeys(step.account for step in steps)
+        self._trainer_by_account = {name: self._trainer(name) for name in accounts}
         trainers = [
-            asyncio.create_task(self._train(account, steps))
-            for account in {step.account for step in steps}
+            asyncio.create_task(self._train(account, steps)) for account in accounts
         ]
         tasks = TaskGroup()
         pending = [
@@ -109,6 +117,10 @@
                 await self._fetch(entry, number)
             case Note():
                 await self._save(entry)
+            case Completion():
+                await self._complete(entry, number)
+            case Publish():
+                await self._publish(entry.account, entry.pool, entry.version)
             case Fault():
                 await self._inject(entry)
 
@@ -123,6 +135,18 @@
             self.tally.errors_by_kind[e.code] += 1
         self.tally.fetch.record(self._elapsed_ms(entry.at_ms))
 
+    async def _complete(self, entry, number):
+        url = self._urls[number % len(self._urls)]
+        token = self._token_by_account[entry.account]
+        try:
+            body = await complete(self._http, url, token, entry)
+            answer = msgspec.json.decode(body, type=CompletionAnswer)
+            self.tally.tokens_delivered += answer.usage.completion_tokens
+        except ServiceError as e:
+            self.tally.completion_failed += 1
+            self.tally.errors_by_kind[e.code] += 1
+        self.tally.completion.record(self._elapsed_ms(entry.at_ms))
+
     async def _save(self, entry):
         self.tally.notes_asked += 1
         client = self._notes_by_account.get(entry.account)
@@ -131,7 +155,9 @@
             client = NotesClient(self._urls, token, clock=self._clock)
             self._notes_by_account[entry.account] = client
         path = f"/apps/{entry.pool}{entry.path}"
-        saved = await client.save(path, entry.body.encode(), NOTE_TIMEOUT_MS)
+        # The application counts its runs by this name, which makes it the witness.
+        headers = [(NOTE_HEADER, entry.body.encode())]
+        saved = await client.save(path, entry.body.encode(), NOTE_TIMEOUT_MS, headers)
         self.tally.notes_saved += saved.outcome == Outcome.SAVED
         self.tally.notes_unknown += saved.outcome == Outcome.UNKNOWN
         self.tally.note.record(self._elapsed_ms(entry.at_ms))
@@ -140,24 +166,28 @@
         if self._control is None:
             raise ServiceError(
                 ErrorKind.BAD_REQUEST,
-                "The trace has faults, but --faults is not given.",
+                "The trace has faults, but the fleet's plan names no control.",
             )
         log.info("Injecting %s on %s.", fault.action, fault.target)
         await self._control.inject(fault)
 
-    async def _train(self, account, steps):
+    def _trainer(self, account):
         client = TrainerClient(
             self._urls,
             self._token_by_account[account],
             self._staleness_by_account[account],
             clock=self._clock,
         )
-        client.version = 1
+        client.version = FIRST_VERSION
+        return client
+
+    async def _train(self, account, steps):
+        client = self._trainer_by_account[account]
         for step in steps:
             if step.account == account:
                 await self._wait_until(step.at_ms)
                 await self._run_step(client, step)
-        self.tally.idle_ms += client.idle_ms
+        self.tally.idle_ms_by_account[account] += client.idle_ms
         self.tally.doubled += client.dropped_held
 
     async def _run_step(self, client, step):
@@ -176,12 +206,22 @@
             await client.collect(submitted, deadline.remaining_ms())
         except ServiceError as e:
             self.tally.errors_by_kind[e.code] += 1
-        self.tally.samples_delivered += len(submitted.sample_by_slot)
+        samples = submitted.sample_by_slot
+        self.tally.samples_delivered += len(samples)
+        self.tally.tokens_delivered += sum(
+            segment.tokens for s in samples.values() for segment in s.segments
+        )
         self.tally.staleness += submitted.staleness_by_slot.values()
         took_ms = self._clock.now_ms() - began_ms
-        self.tally.step_ms_max = max(self.tally.step_ms_max, took_ms)
+        self.tally.step_ms_by_account[step.account].append(took_ms)
         log.info("Step %s took %d ms.", step.step, took_ms)
         await self._clock.sleep_ms(step.train_ms)
         if step.publish:
-            model = self._model_by_pool[step.pool]
-            await client.publish(model, step.publish, PUBLISH_TIMEOUT_MS)
+            await self._publish(step.account, step.pool, step.publish)
+
+    async def _publish(self, account, pool, version):
+        client = self._trainer_by_account[account]
+        try:
+            await client.publish(self._model_by_pool[pool], version, PUBLISH_TIMEOUT_MS)
+        except ServiceError as e:
+            self.tally.errors_by_kind[e.code] += 1
--- a/goldcrestmoor/load/replay.py
+++ b/goldcrestmoor/load/replay.py
@@ -6,7 +6,7 @@
 from goldcrestmoor.connection.http_client import HttpClient
 from goldcrestmoor.errors import ServiceError
 from goldcrestmoor.load import costs
-from goldcrestmoor.load.fleet_control import FleetControl
+from goldcrestmoor.load.fleet_control import FleetControl, Runs
 from goldcrestmoor.load.player import Player
 from goldcrestmoor.load.report import Report
 
@@ -41,10 +41,10 @@
         before = await _readings(http, plan.urls)
         wall_ms = await player.play(entries)
         after = await _readings(http, plan.urls)
-        runs_by_note = await control.runs_by_note() if control else {}
+        runs = await control.runs() if control else Runs()
     finally:
         await http.close()
-    return _report(head, player.tally, wall_ms, before, after, runs_by_note)
+    return _report(head, player.tally, wall_ms, before, after, runs)
 
 
 async def _readings(http, urls):
@@ -58,8 +58,11 @@
     return reading_by_url
 
 
-def _report(head, tally, wall_ms, before, after, runs_by_note):
+def _report(head, tally, wall_ms, before, after, runs):
     both = [url for url in after if url in before]
+    trainers = max(1, len(tally.idle_ms_by_account))
+    idle_ms = tally.idle_ms_by_account.total()
+    steps = tally.step_ms_by_account
     return Report(
         name=head.name,
         seed=head.seed,
@@ -68,18 +71,23 @@
         samples_delivered=tally.samples_delivered,
         doubled=tally.doubled,
         lost=tally.samples_asked - tally.samples_delivered,
-        idle_ms=tally.idle_ms,
-        idle_percent=100 * tally.idle_ms / max(1, wall_ms),
-        step_ms_max=tally.step_ms_max,
+        idle_ms=idle_ms,
+        idle_percent=100 * idle_ms / max(1, wall_ms * trainers),
+        step_ms_max=max((max(ms) for ms in steps.values()), default=0),
+        step_ms_by_account={a: statistics.fmean(ms) for a, ms in steps.items()},
+        tokens_made=runs.engine_tokens,
+        tokens_delivered=tally.tokens_delivered,
         staleness_mean=statistics.fmean(tally.staleness) if tally.staleness else 0.0,
         staleness_max=max(tally.staleness, default=0),
         notes_asked=tally.notes_asked,
         notes_saved=tally.notes_saved,
         notes_unknown=tally.notes_unknown,
-        notes_doubled=sum(1 for runs in runs_by_note.values() if runs > 1),
+        notes_doubled=sum(n > 1 for n in runs.runs_by_note.values()),
         fetch=tally.fetch.result(),
         note=tally.note.result(),
         fetch_failed=tally.fetch_failed,
+        completion=tally.completion.result(),
+        completion_failed=tally.completion_failed,
         errors_by_kind=dict(tally.errors_by_kind),
         retries=int(
             sum(after[u].get(RETRIES, 0) - before[u].get(RETRIES, 0) for u in both)
--- a/goldcrestmoor/load/report.py
+++ b/goldcrestmoor/load/report.py
@@ -29,7 +29,13 @@
 
 
 class Report(msgspec.Struct, frozen=True):
-    """Everything that a replay measured."""
+    """Everything that a replay measured.
+
+    :param idle_percent: the trainers' mean idle time, in percent of the replay.
+    :param step_ms_by_account: the mean time until a trainer's step was whole.
+    :param tokens_made: tokens that the engines made, for whatever became of them.
+    :param tokens_delivered: tokens in delivered samples and answered completions.
+    """
 
     name: str
     seed: int
@@ -41,6 +47,9 @@
     idle_ms: int
     idle_percent: float
     step_ms_max: int
+    step_ms_by_account: dict[str, float]
+    tokens_made: int
+    tokens_delivered: int
     staleness_mean: float
     staleness_max: int
     notes_asked: int
@@ -50,6 +59,8 @@
     fetch: Latency
     note: Latency
     fetch_failed: int
+    completion: Latency
+    completion_failed: int
     errors_by_kind: dict[str, int]
     retries: int
     daemons: tuple[DaemonCost, ...]
@@ -81,6 +92,9 @@
         "step_ms": report.step_ms_max,
         "fetch_p99_ms": report.fetch.p99_ms,
         "fetch_failed_percent": _percent(report.fetch_failed, report.fetch.count),
+        "completion_failed_percent": _percent(
+            report.completion_failed, report.completion.count
+        ),
     }
     for name, measured in measured_by_name.items():
         bound = getattr(outcomes, name)
@@ -105,8 +119,11 @@
     ]
     rows += _latency_rows("fetch", report.fetch)
     rows += _latency_rows("note", report.note)
+    rows += _latency_rows("completion", report.completion)
+    rows += [(f"step of {a}, ms", ms) for a, ms in report.step_ms_by_account.items()]
     rows += [(f"errors {kind}", n) for kind, n in report.errors_by_kind.items()]
-    lines = [tabulate(rows, headers=("outcome", "measured"), floatfmt=".1f")]
+    rows = [(n, f"{v:.1f}" if isinstance(v, float) else v) for n, v in rows]
+    lines = [tabulate(rows, headers=("outcome", "measured"), disable_numparse=True)]
     costs = [msgspec.structs.astuple(cost) for cost in report.daemons]
     if costs:
         headers = DaemonCost.__struct_fields__
--- a/goldcrestmoor/load/tally.py
+++ b/goldcrestmoor/load/tally.py
@@ -45,6 +45,8 @@
         "fetch",
         "note",
         "fetch_failed",
+        "completion",
+        "completion_failed",
         "errors_by_kind",
         "notes_asked",
         "notes_saved",
@@ -52,8 +54,9 @@
         "samples_asked",
         "samples_delivered",
         "doubled",
-        "idle_ms",
-        "step_ms_max",
+        "tokens_delivered",
+        "idle_ms_by_account",
+        "step_ms_by_account",
         "staleness",
     )
 
@@ -61,6 +64,8 @@
         self.fetch = LatencyTally()
         self.note = LatencyTally()
         self.fetch_failed = 0
+        self.completion = LatencyTally()
+        self.completion_failed = 0
         self.errors_by_kind = collections.Counter()
         self.notes_asked = 0
         self.notes_saved = 0
@@ -68,6 +73,7 @@
         self.samples_asked = 0
         self.samples_delivered = 0
         self.doubled = 0
-        self.idle_ms = 0
-        self.step_ms_max = 0
+        self.tokens_delivered = 0
+        self.idle_ms_by_account = collections.Counter()
+        self.step_ms_by_account = collections.defaultdict(list)
         self.staleness = []
--- a/goldcrestmoor/load/trace.py
+++ b/goldcrestmoor/load/trace.py
@@ -17,6 +17,8 @@
     :param step_ms: the time until a step is whole, at most, in milliseconds.
     :param fetch_p99_ms: 99th percentile of fetch latency, at most.
     :param fetch_failed_percent: fetches without an answer, at most, in percent.
+    :param completion_failed_percent: an application's completions that were not
+        made in time, at most, in percent.
     """
 
     lost: int | None = 0
@@ -28,6 +30,7 @@
     step_ms: int | None = None
     fetch_p99_ms: float | None = None
     fetch_failed_percent: float | None = None
+    completion_failed_percent: float | None = None
 
 
 class Head(msgspec.Struct, frozen=True, tag="head", forbid_unknown_fields=True):
@@ -64,6 +67,23 @@
     body: str
 
 
+class Completion(
+    msgspec.Struct, frozen=True, tag="completion", forbid_unknown_fields=True
+):
+    """One text that an application asks for.
+
+    :param timeout_ms: how long it may take, in milliseconds.
+    """
+
+    at_ms: int
+    account: str
+    pool: str
+    prompt: str
+    max_tokens: int
+    seed: int
+    timeout_ms: int
+
+
 class Group(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The samples of one prompt.
 
@@ -100,6 +120,15 @@
     publish: int = 0
 
 
+class Publish(msgspec.Struct, frozen=True, tag="publish", forbid_unknown_fields=True):
+    """A weight version that a trainer publishes in the middle of its steps."""
+
+    at_ms: int
+    account: str
+    pool: str
+    version: int
+
+
 class Fault(msgspec.Struct, frozen=True, tag="fault", forbid_unknown_fields=True):
     """One fault, carried out by whoever runs the fleet.
 
@@ -113,7 +142,7 @@
     target: str
 
 
-Entry = Fetch | Note | Step | Fault
+Entry = Fetch | Note | Completion | Step | Publish | Fault
 _decoder = msgspec.json.Decoder(Head | Entry)
 _encoder = msgspec.json.Encoder()
 
--- /dev/null
+++ b/test/compare.py
@@ -0,0 +1,195 @@
+"""Compare a policy with its plain way on the same traces and seeds.
+
+``python -m test.compare stragglers --deployment tisza --runs 5`` replays the policy's
+traces against fresh fleets, the ways in turn for each seed, and prints the median and
+the spread of each outcome.
+"""
+
+import argparse
+import asyncio
+import statistics
+
+import msgspec
+from tabulate import tabulate
+
+from goldcrestmoor import settings
+from goldcrestmoor.load import generate, report as reports
+from goldcrestmoor.load.replay import replay
+from goldcrestmoor.load.report import Report
+from test.replay_fleet import ReplayFleet, make_plan
+
+DEFAULT_RUNS = 5
+PERCENT = 100
+
+
+class Way(msgspec.Struct, frozen=True):
+    """One way to do it.
+
+    :param name: what it is called in the table.
+    :param policy: what differs in the settings' section ``policy``.
+    :param terms: what follows in the trainers' ``CREATE ACCOUNT``.
+    """
+
+    name: str
+    policy: dict = {}
+    terms: str = ""
+
+
+class Comparison(msgspec.Struct, frozen=True):
+    """A policy's ways, the plain one first.
+
+    :param scenarios: the traces' scenarios.
+    :param ways: the :class:`Way` objects.
+    :param engine: what differs in the engines' options.
+    """
+
+    scenarios: tuple[str, ...]
+    ways: tuple[Way, ...]
+    engine: dict = {}
+
+
+COMPARISON_BY_NAME = {
+    "shares": Comparison(
+        ("shares",), (Way("fifo", {"queue": "fifo"}), Way("fair", {"queue": "fair"}))
+    ),
+    "placement": Comparison(
+        ("calm",),
+        (
+            Way("round robin", {"placement": "round_robin"}),
+            Way("least loaded", {"placement": "least_loaded"}),
+            Way("prefix", {"placement": "prefix"}),
+        ),
+        # A missed prefix of 40 words costs as much time as 20 tokens.
+        {"prompt_token_ms": 10, "cache_tokens": 400},
+    ),
+    "stragglers": Comparison(
+        ("straggler", "crash"),
+        (
+            Way("plain", {"stragglers": "restart", "start_order": "as_numbered"}),
+            Way("longest first", {"stragglers": "restart"}),
+            Way("and resume", {"stragglers": "resume"}),
+            Way("and hedge", {"stragglers": "hedge"}),
+        ),
+    ),
+    "rollout": Comparison(
+        ("calm", "weights"),
+        (
+            Way("all at once", {"rollout": "all_at_once"}),
+            Way("rolling 17%", {"rollout": "rolling", "rolling_percent": 17}),
+            Way("rolling 50%", {"rollout": "rolling", "rolling_percent": 50}),
+        ),
+    ),
+    "streams": Comparison(
+        ("weights",),
+        (
+            Way("finish", terms="ON VERSION CHANGE finish"),
+            Way("cancel", terms="ON VERSION CHANGE cancel"),
+        ),
+    ),
+    "overload": Comparison(
+        ("burst",),
+        (
+            Way("unbounded fifo", {"queue": "fifo", "early_refusal": False}),
+            Way("early refusal", {"queue": "fifo"}),
+            Way("and fair", {"queue": "fair"}),
+        ),
+    ),
+}
+
+
+def outcomes(deployment, report: Report):
+    """Yield the names and values that a comparison shows.
+
+    :param deployment: the trace's deployment.
+    :param report: what a replay measured.
+    """
+    steps = report.step_ms_by_account
+    yield "trainers idle, %", report.idle_percent
+    yield "step, ms", steps[deployment.trainer]
+    others = [steps[name] for name in deployment.other_trainers if name in steps]
+    if others:
+        yield "others' step, ms", statistics.fmean(others)
+    yield "staleness, mean", report.staleness_mean
+    yield "tokens made / delivered", report.tokens_made / report.tokens_delivered
+    yield "completions failed, %", _percent(report.completion_failed, report.completion)
+    yield "completion p50, ms", report.completion.p50_ms
+    yield "completion p99, ms", report.completion.p99_ms
+    yield "fetch p99, ms", report.fetch.p99_ms
+    yield "fetches failed, %", _percent(report.fetch_failed, report.fetch)
+    yield "notes not saved", report.notes_asked - report.notes_saved
+    yield "retries", report.retries
+
+
+def _percent(failed, latency):
+    return PERCENT * failed / max(1, latency.count)
+
+
+async def run_once(deployment, scenario, seed, way, engine):
+    """Replay one trace against a fresh fleet.
+
+    :return: the report and what it missed of the stated outcomes.
+    """
+    head, entries = generate.make(deployment, scenario, seed)
+    plan = make_plan(deployment, way.policy, terms=way.terms, **engine)
+    async with ReplayFleet(plan, has_network=scenario == "cut") as fleet:
+        limits = settings.default_limits()
+        report = await replay(head, entries, fleet.replay_plan(), limits)
+    return report, list(reports.misses(report, head.outcomes))
+
+
+async def compare(deployment, comparison, scenario, seeds):
+    """Return the table of one scenario, and the missed outcomes as text."""
+    values_by_way, missed = {way.name: {} for way in comparison.ways}, []
+    for seed in seeds:
+        for way in comparison.ways:
+            report, misses = await run_once(
+                deployment, scenario, seed, way, comparison.engine
+            )
+            for name, value in outcomes(deployment, report):
+                values_by_way[way.name].setdefault(name, []).append(value)
+            missed += [f"seed {seed}, {way.name}: {miss}" for miss in misses]
+    return _table(values_by_way), missed
+
+
+def _table(values_by_way):
+    names = dict.fromkeys(name for v in values_by_way.values() for name in v)
+    rows = [
+        [name, *(_cell(values.get(name, [])) for values in values_by_way.values())]
+        for name in names
+    ]
+    headers = ["median (least to most)", *values_by_way]
+    return tabulate(rows, headers=headers, disable_numparse=True)
+
+
+def _cell(values):
+    if not values:
+        return ""
+    least, most = min(values), max(values)
+    return f"{statistics.median(values):.4g} ({least:.4g} to {most:.4g})"
+
+
+async def run(options):
+    """Print one table a scenario."""
+    deployment = generate.DEPLOYMENT_BY_NAME[options.deployment]
+    comparison = COMPARISON_BY_NAME[options.policy]
+    for scenario in options.scenario or comparison.scenarios:
+        seeds = range(1, options.runs + 1)
+        table, missed = await compare(deployment, comparison, scenario, seeds)
+        print(f"{deployment.name}, {scenario}, {options.runs} runs\n\n{table}\n")
+        for line in missed:
+            print(f"missed: {line}")
+
+
+def main():
+    """Read the arguments and compare."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("policy", choices=sorted(COMPARISON_BY_NAME))
+    names = sorted(generate.DEPLOYMENT_BY_NAME)
+    parser.add_argument("--deployment", choices=names, default="tisza")
+    parser.add_argument("--scenario", action="append", choices=generate.SCENARIOS)
+    parser.add_argument("--runs", type=int, default=DEFAULT_RUNS)
+    asyncio.run(run(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- a/test/fleet.py
+++ b/test/fleet.py
@@ -54,6 +54,7 @@
     :param share: its weight.
     :param staleness_bound: the most versions that a sample may lag behind.
     :param zone: where its steps are held.
+    :param terms: further clauses of ``CREATE ACCOUNT``.
     """
 
     name: str
@@ -63,6 +64,7 @@
     share: int = 1
     staleness_bound: int = 1
     zone: str = ""
+    terms: str = ""
 
 
 class Plan(msgspec.Struct, frozen=True):
@@ -423,7 +425,7 @@
             f"CREATE ACCOUNT {account.name} KIND {account.kind} "
             f"TOKEN '{account.token}' "
             f"POOLS ({', '.join(account.pools)}) SHARE {account.share} "
-            f"STALENESS {account.staleness_bound}{zone};"
+            f"STALENESS {account.staleness_bound}{zone} {account.terms};"
         )
     return "\n".join(lines) + "\n"
 
--- a/test/standins/engine.py
+++ b/test/standins/engine.py
@@ -23,7 +23,9 @@
     """What the engine is like.
 
     ``slots`` streams run at full speed; each one more slows all down. Tokens of
-    the prompt that the prefix cache holds cost no time.
+    the prompt that the prefix cache holds cost no time. With ``mean_tokens`` a text
+    ends by itself; ``prompt_spread`` is how far prompts differ in their mean, in
+    powers of two. With ``swap_pauses`` streams stand still while weights load.
     """
 
     model: str = "lm"
@@ -36,7 +38,9 @@
     cache_tokens: int = 4096
     report_lag_ms: int = 200
     swap_ms: int = 50
+    swap_pauses: bool = False
     mean_tokens: int = 0
+    prompt_spread: float = 0
     fencing: bool = True
     role: str = "generate"
     fail_swap: bool = False
@@ -58,8 +62,10 @@
     return "".join(token_text(prompt, seed, i) for i in range(tokens))
 
 
-def natural_length(prompt, seed, mean_tokens):
+def natural_length(prompt, seed, mean_tokens, prompt_spread=0):
     """Return a heavy-tailed length, the same for equal prompts and seeds."""
+    of_prompt = hashlib.sha256(f"{prompt}/spread".encode()).digest()
+    mean_tokens *= 2 ** (prompt_spread * (of_prompt[0] / 127.5 - 1))
     digest = hashlib.sha256(f"{prompt}/{seed}/length".encode()).digest()
     uniform = (int.from_bytes(digest[:6], "big") + 1) / (1 << 48)
     # A Pareto tail of exponent 2 has its mean at twice its least value.
@@ -113,6 +119,8 @@
         self.max_running = 0
         self.prefilled = 0
         self.cancelled_ids = set()
+        self.at_work = asyncio.Event()
+        self.at_work.set()
         self.report = self._load()
         self.report_due = 0.0
 
@@ -177,7 +185,10 @@
             if order["fencing"] < self.fencing:
                 return json_response({"version": options.version}, 409)
             self.fencing = order["fencing"]
+        if options.swap_pauses:
+            self.at_work.clear()
         await asyncio.sleep(options.swap_ms / 1000)
+        self.at_work.set()
         if not options.fail_swap:
             options.model, options.version = order["model"], order["version"]
         return json_response({"version": options.version})
@@ -228,7 +239,9 @@
         last = first + body["max_tokens"]
         reason = "length"
         if options.mean_tokens:
-            natural = natural_length(prompt, body["seed"], options.mean_tokens)
+            natural = natural_length(
+                prompt, body["seed"], options.mean_tokens, options.prompt_spread
+            )
             if natural <= last:
                 last, reason = max(natural, first + 1), "stop"
         for index in range(first, last):
@@ -236,6 +249,7 @@
                 raise Drop
             await self._be_silent(index - first == options.silent_after)
             await asyncio.sleep(self._token_s())
+            await self.at_work.wait()
             self.tokens += 1
             choice = {"text": token_text(prompt, body["seed"], index)}
             choice["finish_reason"] = reason if index == last - 1 else None
--- a/test/test_load.py
+++ b/test/test_load.py
@@ -23,7 +23,7 @@
                     trace.write(self.path, head, entries)
                     read_head, read_entries = trace.read(self.path)
                     self.assertEqual(read_head, head)
-                    self.assertCountEqual(read_entries, entries)
+                    self.assertEqual(read_entries, entries)
 
     def test_the_same_seed_gives_the_same_trace(self):
         deployment = generate.DEPLOYMENT_BY_NAME["tisza"]
