Let an account that comes back join at what the others really used

Cause: the queue charged expected costs at the start and gave the rest back at the end, but an account joined at a virtual time that only grew. Where requests use far less than they are expected to (30 of 150 tokens), it joined far ahead of the account that flooded the queue and waited for it to catch up.

Ruled out: the polls and the moves between owners; a simulation of the queue alone showed the same shares.

Change: what was used and what is in flight are counted apart; one joins at the least of what the others used. When nothing runs or waits, nobody is owed anything.

The tests that charged by hand settle instead, with the same expectations.

--- a/goldcrestmoor/request/fair_queue.py
+++ b/goldcrestmoor/request/fair_queue.py
@@ -12,6 +12,7 @@
 RATE_WEIGHT = 0.2
 MAX_IDLE_ACCOUNTS = 1000
 MIN_RETRY_AFTER_MS = 100
+ROUNDING = 1e-6
 APPLICATION = "application"
 
 
@@ -47,6 +48,7 @@
         "deadline",
         "queued_ms",
         "number",
+        "pending",
     )
 
     def __init__(self, id, account, kind, share, cost_tokens, deadline, queued_ms):
@@ -58,16 +60,18 @@
         self.deadline = deadline
         self.queued_ms = queued_ms
         self.number = 0
+        self.pending = 0.0
 
 
 class FairQueue:
     """Order requests so that each account gets its share of the tokens.
 
-    Each account has a virtual time, which grows by tokens over weight as its
-    requests start; the account that is furthest behind goes next. An account that
-    was idle joins at the present virtual time: its share was lent out meanwhile,
-    and is its own again with the next slot. Application accounts together get at
-    least the floor's part of the weight.
+    Each account has a virtual time, which grows by the tokens that its requests used
+    over its weight, and by the expected cost of those in flight; the account that is
+    furthest behind goes next. An account that was idle joins at the least virtual
+    time of the others, with what they have in flight left out: its share was lent
+    out meanwhile, and is its own again with the next slots. Application accounts
+    together get at least the floor's part of the weight.
 
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param max_length: the most requests that wait.
@@ -85,7 +89,7 @@
         "_refuses_early",
         "_queues_by_account",
         "_virtual_by_account",
-        "_virtual_now",
+        "_pending_by_account",
         "_length",
         "_numbers",
         "_interval_ms",
@@ -108,7 +112,7 @@
         self._refuses_early = refuses_early
         self._queues_by_account = {}
         self._virtual_by_account = collections.OrderedDict()
-        self._virtual_now = 0.0
+        self._pending_by_account = {}
         self._length = 0
         self._numbers = itertools.count()
         self._interval_ms = None
@@ -154,10 +158,10 @@
         """
         if not self._queues_by_account:
             return None
-        behind = self._next_account()
-        self._virtual_now = max(self._virtual_now, self._virtual_by_account[behind])
-        entry = self._queues_by_account[behind][0]
-        self.charge(entry, entry.cost_tokens)
+        entry = self._queues_by_account[self._next_account()][0]
+        entry.pending = entry.cost_tokens / self._weight(entry)
+        pending = self._pending_by_account.get(entry.account, 0.0)
+        self._pending_by_account[entry.account] = pending + entry.pending
         self._take(entry)
         return entry
 
@@ -167,19 +171,26 @@
                 queues = self._queues_by_account
                 return min(queues, key=lambda name: queues[name][0].number)
             case _:
-                virtual = self._virtual_by_account
-                return min(self._queues_by_account, key=virtual.__getitem__)
+                return min(self._queues_by_account, key=self._position)
 
-    def charge(self, entry, tokens):
-        """Count tokens against an entry's account; negative to give some back.
+    def _position(self, account):
+        pending = self._pending_by_account.get(account, 0.0)
+        return self._virtual_by_account[account] + pending
 
-        :param entry: the :class:`Entry` that used them.
-        :param tokens: how many.
+    def settle(self, entry, used_tokens):
+        """Count what a request used in the end, in place of its expected cost.
+
+        :param entry: the :class:`Entry`, which is no longer in flight.
+        :param used_tokens: how many tokens it used.
         """
         if entry.account not in self._virtual_by_account:
             self._join(entry.account)
-        weight = self._weight(entry)
-        self._virtual_by_account[entry.account] += tokens / weight
+        used = used_tokens / self._weight(entry)
+        self._virtual_by_account[entry.account] += used
+        left = self._pending_by_account.pop(entry.account, 0.0) - entry.pending
+        entry.pending = 0.0
+        if left > ROUNDING:
+            self._pending_by_account[entry.account] = left
 
     def started(self):
         """Note that a queued entry was started, for the drain rate."""
@@ -246,12 +257,17 @@
             del self._queues_by_account[entry.account]
 
     def _join(self, account):
+        busy = self._queues_by_account.keys() | self._pending_by_account.keys()
+        others = [self._virtual_by_account[name] for name in busy - {account}]
+        if not busy:
+            # Nobody is owed anything once all work is done.
+            self._virtual_by_account.clear()
         known = self._virtual_by_account.get(account, 0.0)
-        self._virtual_by_account[account] = max(known, self._virtual_now)
+        self._virtual_by_account[account] = max(known, min(others, default=0.0))
         self._virtual_by_account.move_to_end(account)
         if len(self._virtual_by_account) > MAX_IDLE_ACCOUNTS:
             for name in self._virtual_by_account:
-                if name not in self._queues_by_account and name != account:
+                if name not in busy and name != account:
                     del self._virtual_by_account[name]
                     break
 
--- a/goldcrestmoor/request/slots.py
+++ b/goldcrestmoor/request/slots.py
@@ -163,7 +163,7 @@
         holder = self.holders_by_id.pop(grant_id, None)
         if holder is None:
             return None
-        self.queue.charge(holder.entry, used_tokens - holder.entry.cost_tokens)
+        self.queue.settle(holder.entry, max(0, used_tokens))
         return holder.entry
 
     def drop_lapsed(self):
@@ -183,6 +183,7 @@
     def _grant(self, entry):
         waiter = self.waiters_by_id.get(entry.id)
         if waiter is None or waiter.future.done():
+            self.queue.settle(entry, 0)
             return
         self.adopt(waiter.host, entry)
         queued_ms = self._clock.now_ms() - entry.queued_ms
@@ -197,6 +198,7 @@
         for grant_id, holder in list(self.holders_by_id.items()):
             if is_over(holder):
                 del self.holders_by_id[grant_id]
+                self.queue.settle(holder.entry, holder.entry.cost_tokens)
                 log.info("Dropped a grant that %s no longer holds.", holder.host)
 
     def _drop_waiters(self, is_over):
--- a/test/test_fair_queue.py
+++ b/test/test_fair_queue.py
@@ -33,6 +33,7 @@
         for _ in range(count):
             entry = self.queue.pop()
             tokens[entry.account] += entry.cost_tokens
+            self.queue.settle(entry, entry.cost_tokens)
         return tokens
 
     def test_tokens_follow_the_shares(self):
@@ -57,6 +58,20 @@
         # Neither is held to the past: from here on they alternate.
         self.assertEqual(self.tokens_of(20), {"busy": 100, "back": 100})
 
+    def test_an_account_that_comes_back_is_not_held_behind_expected_costs(self):
+        # A flood of requests that are expected to cost much and use little.
+        for _ in range(300):
+            self.push("flood", cost=200)
+        flying = [self.queue.pop() for _ in range(8)]
+        for _ in range(300):
+            self.push("back", share=4, cost=200)
+        started = collections.Counter()
+        for _ in range(200):
+            self.queue.settle(flying.pop(0), 20)
+            flying.append(self.queue.pop())
+            started[flying[-1].account] += 1
+        self.assertGreaterEqual(started["back"], 150)
+
     def test_no_account_starves(self):
         for _ in range(500):
             self.push("flood", share=50)
@@ -87,7 +102,7 @@
         self.push("a")
         self.push("b")
         self.assertIs(self.queue.pop(), first)
-        self.queue.charge(first, -1000)
+        self.queue.settle(first, 0)
         self.assertEqual({self.queue.pop().account for _ in range(2)}, {"a", "b"})
 
     def test_a_full_queue_refuses(self):
