--- a/goldcrestmoor/load/player.py
+++ b/goldcrestmoor/load/player.py
@@ -6,15 +6,14 @@
 import msgspec
 
 from goldcrestmoor.client.notes import NotesClient, Outcome
-from goldcrestmoor.client.trainer import TrainerClient
-from goldcrestmoor.clock import Deadline
+from goldcrestmoor.client.trainer import Step as ClientStep, TrainerClient
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.load.applications import complete, fetch
 from goldcrestmoor.load.tally import Tally
 from goldcrestmoor.load.trace import Completion, Fault, Fetch, Note, Publish, Step
 from goldcrestmoor.request.completion_answers import CompletionAnswer
 from goldcrestmoor.util import TaskGroup
-from goldcrestmoor.version.step_routes import GroupBody
+from goldcrestmoor.version.step_routes import GroupBody, SubmitBody
 
 log = logging.getLogger("goldcrestmoor.replay")
 
@@ -198,14 +197,7 @@
             GroupBody(number, group.prompt, group.samples, group.max_tokens, group.seed)
             for number, group in enumerate(step.groups)
         ]
-        submitted = await client.submit(
-            step.step, step.pool, groups, STEP_TIMEOUT_MS, STEP_TIMEOUT_MS
-        )
-        deadline = Deadline.after(self._clock, STEP_TIMEOUT_MS)
-        try:
-            await client.collect(submitted, deadline.remaining_ms())
-        except ServiceError as e:
-            self.tally.errors_by_kind[e.code] += 1
+        submitted = await self._collect(client, step, groups)
         samples = submitted.sample_by_slot
         self.tally.samples_delivered += len(samples)
         self.tally.tokens_delivered += sum(
@@ -219,6 +211,19 @@
         if step.publish:
             await self._publish(step.account, step.pool, step.publish)
 
+    async def _collect(self, client, step, groups):
+        """Return the step with whatever samples came in."""
+        body = SubmitBody(step.step, step.pool, client.version, tuple(groups))
+        submitted = ClientStep(body)
+        try:
+            submitted = await client.submit(
+                step.step, step.pool, groups, STEP_TIMEOUT_MS, STEP_TIMEOUT_MS
+            )
+            await client.collect(submitted, STEP_TIMEOUT_MS)
+        except ServiceError as e:
+            self.tally.errors_by_kind[e.code] += 1
+        return submitted
+
     async def _publish(self, account, pool, version):
         client = self._trainer_by_account[account]
         try:
--- a/goldcrestmoor/settings.py
+++ b/goldcrestmoor/settings.py
@@ -130,6 +130,7 @@
     placement: Literal["prefix", "least_loaded", "round_robin"]
     start_order: Literal["longest_first", "as_numbered"]
     stragglers: Literal["hedge", "resume", "restart"]
+    drop_early: bool
     rollout: Literal["all_at_once", "rolling"]
     rolling_percent: Annotated[int, Field(ge=1, le=100)]
 
--- a/goldcrestmoor/version/step_holder.py
+++ b/goldcrestmoor/version/step_holder.py
@@ -88,7 +88,7 @@
         self._metrics = metrics
         self._settings = settings.steps
         self._start_order = policies.start_order(settings.policy)
-        self._hedges = settings.policy.stragglers == "hedge"
+        self._policy = settings.policy
         self._work_by_key = {}
         self._loading_by_key = {}
         self._tasks = util.TaskGroup()
@@ -264,6 +264,7 @@
         return state
 
     async def _run(self, key, state):
+        hedges = self._policy.stragglers == "hedge"
         run = StepRun(
             state=state,
             clock=self._clock,
@@ -272,9 +273,11 @@
             lease=self._lease,
             decisions=self._decisions,
             metrics=self._metrics,
-            hedge_percent=self._settings.hedge_percent if self._hedges else 0,
+            hedge_percent=self._settings.hedge_percent if hedges else 0,
             is_wanted=self._is_wanted,
             start_order=self._start_order,
+            resumes=self._policy.stragglers != "restart",
+            drops_early=self._policy.drop_early,
         )
         await run.run()
         self._drop(key)
--- a/goldcrestmoor/version/step_run.py
+++ b/goldcrestmoor/version/step_run.py
@@ -9,6 +9,7 @@
 from goldcrestmoor.errors import ServiceError
 from goldcrestmoor.version import stragglers
 from goldcrestmoor.version.configuration import StreamRule
+from goldcrestmoor.version.publishing_pace import PublishingPace
 from goldcrestmoor.version.step_recorder import StepRecorder
 from goldcrestmoor.version.step_stream import Stream
 
@@ -34,6 +35,9 @@
     :param hedge_percent: second copies allowed, of the step's slots.
     :param is_wanted: tells whether this host is still to work on the step.
     :param start_order: a class of :mod:`goldcrestmoor.version.stragglers`.
+    :param resumes: whether a slot that is tried again goes on from its tokens.
+    :param drops_early: whether a stream is stopped that is expected to be too old
+        when it ends.
     """
 
     def __init__(
@@ -49,6 +53,8 @@
         hedge_percent,
         is_wanted,
         start_order=stragglers.LONGEST_FIRST,
+        resumes=True,
+        drops_early=False,
     ):
         self._state = state
         self._clock = clock
@@ -58,6 +64,10 @@
         self._metrics = metrics
         self._is_wanted = is_wanted
         self._start_order = start_order
+        self._resumes = resumes
+        self._drops_early = drops_early
+        self._pace = PublishingPace(state.trainer_version)
+        self._kept_by_slot = {}
         self._hedges_left = -(-len(state.slots) * hedge_percent // PERCENT)
         self._lengths = stragglers.Lengths()
         self._streams_by_slot = {}
@@ -93,6 +103,7 @@
             self._count("dropped_stale")
             log.info("Slot %s of step %s went stale.", slot, self._state.spec.step)
         version = self._state.trainer_version
+        self._pace.note(version, self._clock.now_ms())
         oldest = self._floor(account)
         if version != self._version:
             self._version = version
@@ -107,6 +118,23 @@
             for stream in list(streams):
                 if stream.older_than(oldest):
                     self._stop(stream, "Too old for the trainer's version.")
+                elif self._is_doomed(stream, account.staleness_bound):
+                    self._count("dropped_early")
+                    self._stop(stream, "It will be too old when it ends.")
+
+    def _is_doomed(self, stream, bound):
+        """Tell whether a stream will be too old, and one begun now would not be."""
+        if not self._drops_early or not stream.pieces:
+            return False
+        now_ms = self._clock.now_ms()
+        oldest = min(piece.version for piece in stream.pieces)
+        if oldest >= self._state.trainer_version:
+            return False
+        too_old_ms = self._pace.too_old_from_ms(oldest, bound)
+        left_ms = self._lengths.finish_ms(stream.progress(now_ms), stream.group.index)
+        if too_old_ms is None or left_ms is None:
+            return False
+        return now_ms + left_ms > too_old_ms
 
     def _floor(self, account):
         return max(0, self._state.trainer_version - account.staleness_bound)
@@ -137,7 +165,21 @@
         )
         for slot in ordered[:idle]:
             group = self._state.group_by_index[slot.group]
-            self._start(Stream(slot, group, now_ms), account)
+            pieces = self._kept(slot, group, account)
+            self._start(Stream(slot, group, now_ms, pieces), account)
+
+    def _keep(self, stream):
+        """Keep the tokens of a stream that failed, for the slot's next try."""
+        kept = self._kept_by_slot.get(stream.slot, ())
+        if self._resumes and len(stream.pieces) > len(kept):
+            self._kept_by_slot[stream.slot] = stream.pieces
+
+    def _kept(self, slot, group, account):
+        pieces = self._kept_by_slot.pop(slot, ())
+        is_usable = sum(piece.tokens for piece in pieces) < group.max_tokens and all(
+            piece.version >= self._floor(account) for piece in pieces
+        )
+        return pieces if is_usable else ()
 
     def _may_retry(self, slot, now_ms):
         retry = self._retry_by_slot.get(slot)
@@ -168,6 +210,7 @@
                 await self._receive(stream, account, avoid)
         except ServiceError as e:
             self._metrics.retries.labels(e.kind.value).inc()
+            self._keep(stream)
             self._retry_later(stream, e.retry_after_ms)
             return
         finally:
@@ -227,6 +270,7 @@
             self._count("dropped_second")
             return
         self._retry_by_slot.pop(stream.slot, None)
+        self._kept_by_slot.pop(stream.slot, None)
         elapsed_ms = self._clock.now_ms() - stream.started_ms
         self._lengths.add(stream.group.index, stream.tokens(), elapsed_ms)
         for loser in list(self._streams_by_slot.get(stream.slot, ())):
--- a/goldcrestmoor/version/stragglers.py
+++ b/goldcrestmoor/version/stragglers.py
@@ -114,6 +114,18 @@
             return expected - tokens
         return (max_tokens - tokens) * DEFAULT_FILL
 
+    def finish_ms(self, progress, group):
+        """Return how long a stream is expected to take still, or None.
+
+        :param progress: the stream's :class:`Progress`.
+        :param group: its group's index.
+        """
+        usual = self.usual_rate()
+        if usual is None:
+            return None
+        lacking = self.remaining(group, progress.tokens, progress.max_tokens)
+        return lacking / usual
+
     def usual_rate(self):
         """Return the median rate in tokens a millisecond, or None."""
         return statistics.median(self._rates) if self._rates else None
--- a/test/compare.py
+++ b/test/compare.py
@@ -84,6 +84,7 @@
         (
             Way("finish", terms="ON VERSION CHANGE finish"),
             Way("cancel", terms="ON VERSION CHANGE cancel"),
+            Way("drop early", {"drop_early": True}, "ON VERSION CHANGE finish"),
         ),
     ),
     "overload": Comparison(
--- a/test/test_steps.py
+++ b/test/test_steps.py
@@ -454,3 +454,22 @@
         got, _ = await a.collect("s1")
         self.assertEqual(got[Slot(0, 0)].finish_reason, "stop")
         self.assertEqual(len(fleet.engines.calls), 3)
+
+    async def test_a_slot_is_tried_again_from_its_tokens(self):
+        fleet = self.make_fleet("a")
+
+        async def fail(call):
+            yield Piece("half ", 40, 1, "e")
+            raise ServiceError(ErrorKind.UPSTREAM_FAILED)
+
+        fleet.engines.script_by_seed[0] = [
+            fail,
+            stream(Piece("whole", 1, 1, "e", "stop")),
+        ]
+        a = fleet.host_by_id["a"]
+        await a.holder.submit(make_spec(groups=1, samples=1))
+        got, _ = await a.collect("s1")
+        text = "".join(s.text for s in got[Slot(0, 0)].segments)
+        self.assertEqual(text, "half whole")
+        again = fleet.engines.calls[1]
+        self.assertEqual((again["resume_text"], again["max_tokens"]), ("half ", 60))
--- a/test/test_stragglers.py
+++ b/test/test_stragglers.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from goldcrestmoor.version.publishing_pace import PublishingPace
 from goldcrestmoor.version.steps import Slot
 from goldcrestmoor.version.stragglers import (
     AsNumbered,
@@ -39,6 +40,17 @@
         self.assertEqual(order, [Slot(1, 0), Slot(0, 0)])
 
 
+class PublishingPaceTest(unittest.TestCase):
+    def test_the_time_of_being_too_old_follows_the_intervals(self):
+        pace = PublishingPace(1)
+        self.assertIsNone(pace.too_old_from_ms(1, bound=1))
+        for version, now_ms in ((2, 1000), (3, 3000), (3, 3500), (5, 7000)):
+            pace.note(version, now_ms)
+        # Two versions took 4 s: version 6 is due at 9 s and makes version 4 too old.
+        self.assertEqual(pace.too_old_from_ms(4, bound=1), 9000)
+        self.assertEqual(pace.too_old_from_ms(5, bound=1), 11_000)
+
+
 class DecideTest(unittest.TestCase):
     def test_a_slow_stream_is_continued_elsewhere(self):
         slow = Progress(tokens=50, elapsed_ms=50_000, max_tokens=100)
