--- a/test/_configuration.py
+++ b/test/_configuration.py
@@ -4,10 +4,7 @@
 import functools
 import types
 
-from test._table_types import table
-
-# The types stand in for those of the table client, so that they come first.
-# isort: split
+from goldcrestmoor.adapters import table
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.language.changes import apply_changes
 from goldcrestmoor.language.parser import parse
@@ -58,6 +55,7 @@
         self.host_ids = []
         self.lose_after = 0
         self.lose_before = 0
+        self.cut_when_lost = 0
         self.before_write = None
         self.writes = 0
 
@@ -87,6 +85,7 @@
         self.platform = platform
         self.cut = False
         self.gate = None
+        self.gated_task = None
 
     def _reach(self):
         if self.cut:
@@ -97,9 +96,10 @@
         if len(key) == 1:
             return self.platform.data_by_key.get(key[0])
         row = self.platform.read(key)
-        gate, self.gate = self.gate, None
-        if gate is not None:
-            await gate.wait()
+        # Only the poll is held up, not a driver that shares this client.
+        if asyncio.current_task() is self.gated_task:
+            self.gated_task = None
+            await self.gate.wait()
         return row
 
     async def put(self, key, data):
@@ -113,13 +113,19 @@
         self._reach()
         if platform.lose_before:
             platform.lose_before -= 1
-            raise ServiceError(ErrorKind.OUTCOME_UNKNOWN)
+            self._lose()
         answer = platform.transact(checks, writes)
         if platform.lose_after:
             platform.lose_after -= 1
-            raise ServiceError(ErrorKind.OUTCOME_UNKNOWN)
+            self._lose()
         return answer
 
+    def _lose(self):
+        if self.platform.cut_when_lost:
+            self.platform.cut_when_lost -= 1
+            self.cut = True
+        raise ServiceError(ErrorKind.OUTCOME_UNKNOWN)
+
     async def fetch(self):
         self._reach()
         return [
@@ -205,13 +211,14 @@
         if self.poll_task is None:
             self.gate = self.platform.gate = asyncio.Event()
             self.poll_task = asyncio.ensure_future(self.lease.poll())
+            self.platform.gated_task = self.poll_task
             await asyncio.sleep(0)
 
     async def end_poll(self):
         if self.poll_task is not None:
+            task, self.poll_task = self.poll_task, None
             self.gate.set()
-            await self.poll_task
-            self.poll_task = None
+            await task
 
 
 class World:
