--- a/goldcrestmoor/request/fair_queue.py
+++ b/goldcrestmoor/request/fair_queue.py
@@ -1,17 +1,32 @@
 """Weighted fair queueing of one upstream's requests across accounts."""
 
 import collections
+import itertools
 import math
 
+import msgspec
+
 from goldcrestmoor.errors import ErrorKind, ServiceError
 
 PERCENT = 100
 RATE_WEIGHT = 0.2
 MAX_IDLE_ACCOUNTS = 1000
 MIN_RETRY_AFTER_MS = 100
+ROUNDING = 1e-6
 APPLICATION = "application"
 
 
+class WeightedFair(msgspec.Struct, frozen=True):
+    """The account that is furthest behind its share goes next."""
+
+
+class FirstComeFirstServed(msgspec.Struct, frozen=True):
+    """The request that has waited longest goes next, whosever it is."""
+
+
+WEIGHTED_FAIR = WeightedFair()
+
+
 class Entry:
     """One queued request.
 
@@ -32,6 +47,8 @@
         "cost_tokens",
         "deadline",
         "queued_ms",
+        "number",
+        "pending",
     )
 
     def __init__(self, id, account, kind, share, cost_tokens, deadline, queued_ms):
@@ -42,42 +59,62 @@
         self.cost_tokens = max(1, cost_tokens)
         self.deadline = deadline
         self.queued_ms = queued_ms
+        self.number = 0
+        self.pending = 0.0
 
 
 class FairQueue:
     """Order requests so that each account gets its share of the tokens.
 
-    Each account has a virtual time, which grows by tokens over weight as its
-    requests start; the account that is furthest behind goes next. An account that
-    was idle joins at the present virtual time: its share was lent out meanwhile,
-    and is its own again with the next slot. Application accounts together get at
-    least the floor's part of the weight.
+    Each account has a virtual time, which grows by the tokens that its requests used
+    over its weight, and by the expected cost of those in flight; the account that is
+    furthest behind goes next. An account that was idle joins at the least virtual
+    time of the others, with what they have in flight left out: its share was lent
+    out meanwhile, and is its own again with the next slots. Application accounts
+    together get at least the floor's part of the weight.
 
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param max_length: the most requests that wait.
     :param floor_percent: the application accounts' least part.
+    :param order: one of the orders of this module.
+    :param refuses_early: whether a request is refused when it would wait longer than
+        its deadline or when the queue is full.
     """
 
     __slots__ = (
         "_clock",
         "_max_length",
         "_floor_percent",
+        "_order",
+        "_refuses_early",
         "_queues_by_account",
         "_virtual_by_account",
-        "_virtual_now",
+        "_pending_by_account",
         "_length",
+        "_numbers",
         "_interval_ms",
         "_last_start_ms",
     )
 
-    def __init__(self, *, clock, max_length, floor_percent):
+    def __init__(
+        self,
+        *,
+        clock,
+        max_length,
+        floor_percent,
+        order=WEIGHTED_FAIR,
+        refuses_early=True,
+    ):
         self._clock = clock
         self._max_length = max_length
         self._floor_percent = floor_percent
+        self._order = order
+        self._refuses_early = refuses_early
         self._queues_by_account = {}
         self._virtual_by_account = collections.OrderedDict()
-        self._virtual_now = 0.0
+        self._pending_by_account = {}
         self._length = 0
+        self._numbers = itertools.count()
         self._interval_ms = None
         self._last_start_ms = None
 
@@ -97,17 +134,23 @@
         :raises ServiceError: ``OVERLOADED`` when the queue is full or too slow for
             the entry's deadline, with when to come back.
         """
-        wait_ms = self.expected_wait_ms(entry)
-        if self._length >= self._max_length or wait_ms > entry.deadline.remaining_ms():
-            after_ms = max(MIN_RETRY_AFTER_MS, math.ceil(wait_ms))
-            text = f"The queue is about {after_ms} ms long."
-            raise ServiceError(ErrorKind.OVERLOADED, text, after_ms)
+        if self._refuses_early:
+            self._check_room(entry)
         if entry.account not in self._queues_by_account:
             self._join(entry.account)
         queue = self._queues_by_account.setdefault(entry.account, collections.deque())
+        entry.number = next(self._numbers)
         queue.append(entry)
         self._length += 1
 
+    def _check_room(self, entry):
+        wait_ms = self.expected_wait_ms(entry)
+        is_full = self._length >= self._max_length
+        if is_full or wait_ms > entry.deadline.remaining_ms():
+            after_ms = max(MIN_RETRY_AFTER_MS, math.ceil(wait_ms))
+            text = f"The queue is about {after_ms} ms long."
+            raise ServiceError(ErrorKind.OVERLOADED, text, after_ms)
+
     def pop(self):
         """Take the request that goes next, or None.
 
@@ -115,23 +158,39 @@
         """
         if not self._queues_by_account:
             return None
-        behind = min(self._queues_by_account, key=self._virtual_by_account.__getitem__)
-        self._virtual_now = max(self._virtual_now, self._virtual_by_account[behind])
-        entry = self._queues_by_account[behind][0]
-        self.charge(entry, entry.cost_tokens)
+        entry = self._queues_by_account[self._next_account()][0]
+        entry.pending = entry.cost_tokens / self._weight(entry)
+        pending = self._pending_by_account.get(entry.account, 0.0)
+        self._pending_by_account[entry.account] = pending + entry.pending
         self._take(entry)
         return entry
 
-    def charge(self, entry, tokens):
-        """Count tokens against an entry's account; negative to give some back.
+    def _next_account(self):
+        match self._order:
+            case FirstComeFirstServed():
+                queues = self._queues_by_account
+                return min(queues, key=lambda name: queues[name][0].number)
+            case _:
+                return min(self._queues_by_account, key=self._position)
+
+    def _position(self, account):
+        pending = self._pending_by_account.get(account, 0.0)
+        return self._virtual_by_account[account] + pending
+
+    def settle(self, entry, used_tokens):
+        """Count what a request used in the end, in place of its expected cost.
 
-        :param entry: the :class:`Entry` that used them.
-        :param tokens: how many.
+        :param entry: the :class:`Entry`, which is no longer in flight.
+        :param used_tokens: how many tokens it used.
         """
         if entry.account not in self._virtual_by_account:
             self._join(entry.account)
-        weight = self._weight(entry)
-        self._virtual_by_account[entry.account] += tokens / weight
+        used = used_tokens / self._weight(entry)
+        self._virtual_by_account[entry.account] += used
+        left = self._pending_by_account.pop(entry.account, 0.0) - entry.pending
+        entry.pending = 0.0
+        if left > ROUNDING:
+            self._pending_by_account[entry.account] = left
 
     def started(self):
         """Note that a queued entry was started, for the drain rate."""
@@ -156,6 +215,8 @@
         if self._last_start_ms is not None:
             # A queue that has come to a halt shows in the time since its last start.
             interval_ms = max(interval_ms, self._clock.now_ms() - self._last_start_ms)
+        if isinstance(self._order, FirstComeFirstServed):
+            return (self._length + 1) * interval_ms
         own = len(self._queues_by_account.get(entry.account, ()))
         part = self._weight(entry) / self._total_weight(entry)
         ahead = min(self._length, own / part)
@@ -196,12 +257,17 @@
             del self._queues_by_account[entry.account]
 
     def _join(self, account):
+        busy = self._queues_by_account.keys() | self._pending_by_account.keys()
+        others = [self._virtual_by_account[name] for name in busy - {account}]
+        if not busy:
+            # Nobody is owed anything once all work is done.
+            self._virtual_by_account.clear()
         known = self._virtual_by_account.get(account, 0.0)
-        self._virtual_by_account[account] = max(known, self._virtual_now)
+        self._virtual_by_account[account] = max(known, min(others, default=0.0))
         self._virtual_by_account.move_to_end(account)
         if len(self._virtual_by_account) > MAX_IDLE_ACCOUNTS:
             for name in self._virtual_by_account:
-                if name not in self._queues_by_account and name != account:
+                if name not in busy and name != account:
                     del self._virtual_by_account[name]
                     break
 
--- a/goldcrestmoor/version/stragglers.py
+++ b/goldcrestmoor/version/stragglers.py
@@ -10,6 +10,17 @@
 MIN_OBSERVED_MS = 500
 
 
+class LongestFirst(msgspec.Struct, frozen=True):
+    """Start the slots that are expected to take longest first."""
+
+
+class AsNumbered(msgspec.Struct, frozen=True):
+    """Start the slots in the order of their numbers."""
+
+
+LONGEST_FIRST = LongestFirst()
+
+
 class Wait(msgspec.Struct, frozen=True):
     """Leave the stream alone.
 
@@ -103,18 +114,33 @@
             return expected - tokens
         return (max_tokens - tokens) * DEFAULT_FILL
 
+    def finish_ms(self, progress, group):
+        """Return how long a stream is expected to take still, or None.
+
+        :param progress: the stream's :class:`Progress`.
+        :param group: its group's index.
+        """
+        usual = self.usual_rate()
+        if usual is None:
+            return None
+        lacking = self.remaining(group, progress.tokens, progress.max_tokens)
+        return lacking / usual
+
     def usual_rate(self):
         """Return the median rate in tokens a millisecond, or None."""
         return statistics.median(self._rates) if self._rates else None
 
 
-def start_order(slots, lengths, max_tokens_by_group):
-    """Return slots longest first, by their expected length.
+def start_order(slots, lengths, max_tokens_by_group, order=LONGEST_FIRST):
+    """Return slots in the order in which they are to start.
 
     :param slots: the slots to start.
     :param lengths: the step's :class:`Lengths`.
     :param max_tokens_by_group: the bounds, in tokens.
+    :param order: :class:`LongestFirst` or :class:`AsNumbered`.
     """
+    if isinstance(order, AsNumbered):
+        return sorted(slots)
     expected_by_group = {
         group: lengths.expected(group, max_tokens)
         for group, max_tokens in max_tokens_by_group.items()
--- a/test/test_fair_queue.py
+++ b/test/test_fair_queue.py
@@ -5,7 +5,7 @@
 
 from goldcrestmoor.clock import Deadline
 from goldcrestmoor.errors import ErrorKind, ServiceError
-from goldcrestmoor.request.fair_queue import Entry, FairQueue
+from goldcrestmoor.request.fair_queue import Entry, FairQueue, FirstComeFirstServed
 from test._request_fakes import FakeClock
 
 
@@ -14,9 +14,12 @@
         self.clock = FakeClock()
         self.queue = self.make_queue()
 
-    def make_queue(self, max_length=1000, floor_percent=0):
+    def make_queue(self, max_length=1000, floor_percent=0, **policy):
         return FairQueue(
-            clock=self.clock, max_length=max_length, floor_percent=floor_percent
+            clock=self.clock,
+            max_length=max_length,
+            floor_percent=floor_percent,
+            **policy,
         )
 
     def push(self, account, share=1, cost=10, kind="trainer", within_ms=10**6):
@@ -30,6 +33,7 @@
         for _ in range(count):
             entry = self.queue.pop()
             tokens[entry.account] += entry.cost_tokens
+            self.queue.settle(entry, entry.cost_tokens)
         return tokens
 
     def test_tokens_follow_the_shares(self):
@@ -54,6 +58,20 @@
         # Neither is held to the past: from here on they alternate.
         self.assertEqual(self.tokens_of(20), {"busy": 100, "back": 100})
 
+    def test_an_account_that_comes_back_is_not_held_behind_expected_costs(self):
+        # A flood of requests that are expected to cost much and use little.
+        for _ in range(300):
+            self.push("flood", cost=200)
+        flying = [self.queue.pop() for _ in range(8)]
+        for _ in range(300):
+            self.push("back", share=4, cost=200)
+        started = collections.Counter()
+        for _ in range(200):
+            self.queue.settle(flying.pop(0), 20)
+            flying.append(self.queue.pop())
+            started[flying[-1].account] += 1
+        self.assertGreaterEqual(started["back"], 150)
+
     def test_no_account_starves(self):
         for _ in range(500):
             self.push("flood", share=50)
@@ -68,12 +86,23 @@
             self.push("app", share=1, kind="application")
         self.assertEqual(self.tokens_of(100)["app"], 200)
 
+    def test_the_plain_queue_serves_who_came_first(self):
+        self.queue = self.make_queue(order=FirstComeFirstServed())
+        pushed = [self.push(name) for name in ("a", "a", "b", "a", "b")]
+        self.assertEqual([self.queue.pop() for _ in pushed], pushed)
+
+    def test_the_plain_queue_refuses_nothing(self):
+        self.queue = self.make_queue(max_length=1, refuses_early=False)
+        for _ in range(3):
+            self.push("a")
+        self.assertEqual(len(self.queue), 3)
+
     def test_unused_tokens_are_given_back(self):
         first = self.push("a", cost=1000)
         self.push("a")
         self.push("b")
         self.assertIs(self.queue.pop(), first)
-        self.queue.charge(first, -1000)
+        self.queue.settle(first, 0)
         self.assertEqual({self.queue.pop().account for _ in range(2)}, {"a", "b"})
 
     def test_a_full_queue_refuses(self):
