Count the platform's bytes as control, and measure fleets of 2 to 32

Cause: control bytes counted peers only, so reads of the host list and of the table service cost nothing on paper. Change: the platform adapters count both directions under 'platform <service>' (lines of HTTP, not TCP), and 'python -m test.slopes fleets' prints CPU, memory and bytes by message class.

--- a/goldcrestmoor/adapters/platform.py
+++ b/goldcrestmoor/adapters/platform.py
@@ -14,6 +14,8 @@
 STATUS_CONFLICT = 409
 STATUS_TOO_MANY = 429
 STATUS_UNAVAILABLE = 503
+FIRST_LINES_BYTES = 64
+HEADER_LINE_BYTES = 4
 
 _JSON_HEADERS = [(b"content-type", b"application/json")]
 
@@ -29,24 +31,27 @@
 
     :param http: the :class:`~goldcrestmoor.connection.http_client.HttpClient`.
     :param settings: the :class:`~goldcrestmoor.settings.PlatformSettings`.
+    :param metrics: where the bytes are counted, or None.
     """
 
-    __slots__ = ("_http", "_settings")
+    __slots__ = ("_http", "_settings", "_metrics")
 
-    def __init__(self, *, http, settings):
+    def __init__(self, *, http, settings, metrics=None):
         self._http = http
         self._settings = settings
+        self._metrics = metrics
 
-    async def read(self, target, statuses=(STATUS_OK, STATUS_NOT_FOUND)):
+    async def read(self, target, statuses=(STATUS_OK, STATUS_NOT_FOUND), headers=()):
         """Read, whatever happens on the way.
 
         :param target: the path and query.
         :param statuses: the statuses that are answers.
+        :param headers: further ``(name, value)`` byte pairs.
         :return: the :class:`~goldcrestmoor.connection.http_client.HttpResponse`.
         :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
         """
         try:
-            response = await self._send("GET", target, b"", idempotent=True)
+            response = await self._send("GET", target, b"", True, headers)
         except ServiceError as e:
             raise unavailable(e.message) from e
         if response.status not in statuses:
@@ -80,18 +85,31 @@
             raise unavailable(message, retry_after_ms(response))
         raise outcome_unknown(message)
 
-    async def _send(self, method, target, body, idempotent):
+    async def _send(self, method, target, body, idempotent, headers=()):
         settings = self._settings
-        return await self._http.request(
+        if method == "POST":
+            headers = [*headers, *_JSON_HEADERS]
+        self._count(target, "sent", headers, target.encode() + body)
+        response = await self._http.request(
             settings.address,
             settings.port,
             method,
             target,
-            _JSON_HEADERS if method == "POST" else [],
+            headers,
             body,
             timeout_ms=settings.timeout_ms,
             idempotent=idempotent,
         )
+        self._count(target, "received", response.headers, response.body)
+        return response
+
+    def _count(self, target, direction, headers, body):
+        if self._metrics is None:
+            return
+        name = "platform " + target.split("/", 2)[1].partition("?")[0]
+        size = sum(len(k) + len(v) + HEADER_LINE_BYTES for k, v in headers)
+        size += FIRST_LINES_BYTES + len(body)
+        self._metrics.control_bytes.labels(name, direction).inc(size)
 
 
 def decode_read(data, decoder):
--- a/goldcrestmoor/adapters/table.py
+++ b/goldcrestmoor/adapters/table.py
@@ -95,12 +95,13 @@
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param http: the :class:`~goldcrestmoor.connection.http_client.HttpClient`.
     :param settings: the :class:`~goldcrestmoor.settings.PlatformSettings`.
+    :param metrics: where the bytes are counted, or None.
     """
 
     __slots__ = ("_platform",)
 
-    def __init__(self, *, clock, http, settings):
-        self._platform = Platform(http=http, settings=settings)
+    def __init__(self, *, clock, http, settings, metrics=None):
+        self._platform = Platform(http=http, settings=settings, metrics=metrics)
 
     async def get(self, table, key):
         """Return a row, or ``None``.
--- a/goldcrestmoor/adapters/weights.py
+++ b/goldcrestmoor/adapters/weights.py
@@ -17,13 +17,14 @@
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param http: the :class:`~goldcrestmoor.connection.http_client.HttpClient`.
     :param settings: the :class:`~goldcrestmoor.settings.PlatformSettings`.
+    :param metrics: where the bytes are counted, or None.
     """
 
     __slots__ = ("_clock", "_platform", "_closed_until_ms")
 
-    def __init__(self, *, clock, http, settings):
+    def __init__(self, *, clock, http, settings, metrics=None):
         self._clock = clock
-        self._platform = Platform(http=http, settings=settings)
+        self._platform = Platform(http=http, settings=settings, metrics=metrics)
         self._closed_until_ms = 0
 
     async def exists(self, model, version):
--- a/goldcrestmoor/process/daemon.py
+++ b/goldcrestmoor/process/daemon.py
@@ -121,6 +121,7 @@
             "clock": self.clock,
             "http": self.http,
             "settings": self.settings.platform,
+            "metrics": self.metrics,
         }
         self.table = TableClient(**platform)
         self.objects = ObjectClient(**platform)
@@ -170,7 +171,10 @@
             links=self.links,
             spread=self.spread,
             weight_store=WeightStoreClient(
-                clock=self.clock, http=self.http, settings=platform
+                clock=self.clock,
+                http=self.http,
+                settings=platform,
+                metrics=self.metrics,
             ),
         )
         self.engine_versions = EngineVersionTable(
--- a/goldcrestmoor/process/metrics.py
+++ b/goldcrestmoor/process/metrics.py
@@ -95,7 +95,10 @@
         )
         self.live_hosts = self._gauge("live_hosts", "Hosts believed alive.", "zone")
         self.control_bytes = self._counter(
-            "control_bytes", "Bytes to and from peers.", "message", "direction"
+            "control_bytes",
+            "Bytes to and from peers and the platform.",
+            "message",
+            "direction",
         )
         self.bad_input = self._counter(
             "bad_input", "Input that was refused, by where.", "where"
--- /dev/null
+++ b/test/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of what a daemon costs; ``python -m test.slopes`` runs them."""
--- /dev/null
+++ b/test/bench/fleets.py
@@ -0,0 +1,151 @@
+"""What daemons spend for control, in fleets of several sizes, idle and busy."""
+
+import asyncio
+import contextlib
+import os
+
+from prometheus_client.parser import text_string_to_metric_families
+
+from test import fleet
+from test.bench.table import show, slope
+
+SIZES = (2, 4, 8, 16, 32)
+SETTLE_S = 6
+MEASURE_S = 10
+CALLERS = 4
+PAUSE_S = 0.1
+ZONES = ("zone-a", "zone-b")
+TOKEN = "bench-token"
+KB = 1000
+MB = 1_000_000
+
+
+class Reading:
+    """One daemon's metrics at one moment.
+
+    :param text: what ``/metrics`` answered.
+    """
+
+    __slots__ = ("cpu_s", "resident_bytes", "bytes_by_class")
+
+    def __init__(self, text):
+        self.cpu_s = self.resident_bytes = 0
+        self.bytes_by_class = {}
+        for family in text_string_to_metric_families(text):
+            for sample in family.samples:
+                self._take(sample)
+
+    def _take(self, sample):
+        match sample.name:
+            case "process_cpu_seconds_total":
+                self.cpu_s = sample.value
+            case "process_resident_memory_bytes":
+                self.resident_bytes = sample.value
+            case "goldcrestmoor_control_bytes_total":
+                name = sample.labels["message"], sample.labels["direction"]
+                self.bytes_by_class[name] = sample.value
+
+
+def plan(hosts):
+    """Return a fleet's plan with an application pool.
+
+    :param hosts: how many daemons.
+    """
+    counts = {zone: hosts // len(ZONES) for zone in ZONES}
+    pools = (fleet.PoolPlan("dash", "application", {"zone-a": 1, "zone-b": 1}),)
+    accounts = (fleet.AccountPlan("clerk", "application", TOKEN, ("dash",)),)
+    return fleet.Plan(hosts_by_zone=counts, pools=pools, accounts=accounts)
+
+
+async def read_all(running):
+    """Return a :class:`Reading` of each daemon, and the platform's counts."""
+    answers = await asyncio.gather(
+        *(fleet.http_get(f"{host.url}/metrics") for host in running.hosts)
+    )
+    stats = await running.get_json(running.platform_control, "/control/stats")
+    return [Reading(body.decode()) for _, body in answers], stats
+
+
+async def measure(running, seconds):
+    """Return each daemon's mean costs over some seconds.
+
+    :return: CPU s/s, resident bytes, bytes/s by class, and platform calls/s.
+    """
+    before, counts = await read_all(running)
+    await asyncio.sleep(seconds)
+    after, later = await read_all(running)
+    pairs = list(zip(before, after, strict=True))
+    count = len(pairs) * seconds
+    cpu = sum(b.cpu_s - a.cpu_s for a, b in pairs) / count
+    resident = sum(b.resident_bytes for b in after) / len(after)
+    by_class = {}
+    for a, b in pairs:
+        for name, value in b.bytes_by_class.items():
+            spent = (value - a.bytes_by_class.get(name, 0)) / count
+            by_class[name] = by_class.get(name, 0) + spent
+    calls = {
+        name: (later[name] - counts.get(name, 0)) / seconds for name in sorted(later)
+    }
+    return cpu, resident, by_class, calls
+
+
+async def _call(url):
+    headers = {"Authorization": f"Bearer {TOKEN}"}
+    while True:
+        await fleet.http_get(f"{url}/apps/dash/panel", headers)
+        await asyncio.sleep(PAUSE_S)
+
+
+@contextlib.asynccontextmanager
+async def load(running):
+    """Fetch panels through the daemons from a few callers."""
+    urls = [host.url for host in running.hosts]
+    tasks = [asyncio.create_task(_call(urls[i % len(urls)])) for i in range(CALLERS)]
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _run(sizes, seconds):
+    rows, class_rows, bytes_by_size = [], [], []
+    for size in sizes:
+        async with fleet.Fleet(plan(size)) as running:
+            await asyncio.sleep(SETTLE_S)
+            idle = await measure(running, seconds)
+            async with load(running):
+                busy = await measure(running, seconds)
+        for state, (cpu, resident, by_class, calls) in (("idle", idle), ("busy", busy)):
+            total = sum(by_class.values())
+            reads = calls.get("reads", 0) / size
+            listed = calls.get("host_reads", 0) / size
+            writes = calls.get("writes", 0) / size
+            rows.append(
+                (size, state, 100 * cpu, resident / MB, total / KB)
+                + (reads, listed, writes)
+            )
+        bytes_by_size.append((size, sum(idle[2].values()) / KB))
+        for (name, direction), rate in sorted(idle[2].items()):
+            class_rows.append((size, name, direction, rate))
+    show(
+        "Per daemon: processor, memory, control bytes, platform calls",
+        ("daemons", "load", "cpu %", "MB", "KB/s", "reads/s", "lists/s", "writes/s"),
+        rows,
+    )
+    show(
+        "Idle, per daemon: control bytes a second by message class",
+        ("daemons", "class", "direction", "bytes/s"),
+        class_rows,
+    )
+    if len(sizes) > 1:
+        print(f"  slope: {slope(bytes_by_size):.4f} KB/s for each further daemon")
+
+
+def run():
+    """Print the costs at each size; ``SLOPES_SIZES`` chooses the sizes."""
+    chosen = os.environ.get("SLOPES_SIZES")
+    sizes = [int(n) for n in chosen.split(",")] if chosen else SIZES
+    seconds = float(os.environ.get("SLOPES_SECONDS", MEASURE_S))
+    asyncio.run(_run(sizes, seconds))
