--- /dev/null
+++ b/test/bench/documents.py
@@ -0,0 +1,99 @@
+"""The configuration's cost as a function of its size."""
+
+import time
+import tracemalloc
+
+from goldcrestmoor import util
+from goldcrestmoor.version import configuration as documents
+from goldcrestmoor.version.configuration import (
+    Account,
+    Configuration,
+    Pool,
+    Upstream,
+    UpstreamKind,
+)
+from goldcrestmoor.version.cut_off import lapsed_configuration
+from test.bench.table import show, slope
+
+SIZES = ((20, 10), (200, 50), (700, 10), (700, 200))
+POOLS = 10
+ZONES = 5
+REPEATS = 20
+KIB = 1024
+CHANGES_PER_S = 3400 / 86_400
+
+
+def make(upstreams, accounts):
+    """Return a configuration.
+
+    :param upstreams: how many upstreams it has.
+    :param accounts: how many accounts.
+    """
+    pools = [Pool(f"pool-{i}", UpstreamKind.ENGINE, f"model-{i}") for i in range(POOLS)]
+    names = tuple(pool.name for pool in pools)
+    return Configuration(
+        1,
+        {a.name: a for a in (_account(i, names) for i in range(accounts))},
+        {pool.name: pool for pool in pools},
+        {u.name: u for u in (_upstream(i) for i in range(upstreams))},
+    )
+
+
+def _account(i, pools):
+    token_hash = util.hash_token(f"token {i}")
+    return Account(f"account-{i}", "trainer", token_hash, pools[:3], share=1 + i % 9)
+
+
+def _upstream(i):
+    zone = i % ZONES
+    address = f"10.{zone}.{i // 250}.{i % 250}"
+    return Upstream(f"upstream-{i}", f"pool-{i % POOLS}", f"zone-{zone}", address, 8000)
+
+
+def cpu_ms(function):
+    """Return the processor time of one call, in milliseconds."""
+    function()
+    started = time.process_time()
+    for _ in range(REPEATS):
+        function()
+    return (time.process_time() - started) * 1000 / REPEATS
+
+
+def kept_bytes(make_object):
+    """Return the memory that an object keeps, in bytes."""
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    kept = make_object()
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return after - before
+
+
+def _row(upstreams, accounts):
+    configuration = make(upstreams, accounts)
+    data = documents.encode(configuration)
+
+    def adopt():
+        adopted = documents.decode(data)
+        return adopted, lapsed_configuration(adopted, ())
+
+    size = len(data)
+    return (
+        (upstreams, accounts, size / KIB, size * CHANGES_PER_S)
+        + (cpu_ms(lambda: documents.encode(configuration)), cpu_ms(adopt))
+        + (kept_bytes(adopt) / KIB,)
+    )
+
+
+def run():
+    """Print the cost at each size."""
+    rows = [_row(*size) for size in SIZES]
+    columns = ("upstreams", "accounts", "KiB", "B/s at 3,400 a day")
+    columns += ("encode ms", "adopt ms", "kept KiB")
+    show("One configuration document, per host that adopts it", columns, rows)
+    few = [row for row in rows if row[1] <= rows[1][1]]
+    print(f"  slope: {slope((r[0], r[6]) for r in few):.3g} KiB kept an upstream")
+    big, small = rows[3], rows[2]
+    added = big[1] - small[1]
+    print(f"  slope: {(big[6] - small[6]) / added:.3g} KiB kept an account")
