Let two hosts a zone read the host list and tell the others

Cause: every host read the whole list every 2 s; with 1,050 entries that is 147 KB a read. Ruled out: reading less often (a leaving upstream must get no new work 5 s after the zone can first learn of it) and carrying the list by gossip (it is the platform's, and only what leaves matters to all). Change: the first two hosts of a zone by rendezvous read it at every poll and pass the leaving upstreams on through their zone; hosts that hear nothing for 1.25 polls read it themselves, staggered by rank, and pass it on too. An upstream comes back only once no reading named it for two polls, so that a late message undoes nothing. Entity tags spare the unchanged list, where the platform gives them.

--- a/goldcrestmoor/adapters/hosts.py
+++ b/goldcrestmoor/adapters/hosts.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from goldcrestmoor.adapters import platform
-from goldcrestmoor.adapters.platform import STATUS_OK, Platform
+from goldcrestmoor.adapters.platform import STATUS_NOT_MODIFIED, STATUS_OK, Platform
 
 
 class ListedKind(enum.StrEnum):
@@ -59,16 +59,30 @@
     :param metrics: where the bytes are counted, or None.
     """
 
-    __slots__ = ("_platform",)
+    __slots__ = ("_platform", "_tag", "_entries")
 
     def __init__(self, *, clock, http, settings, metrics=None):
         self._platform = Platform(http=http, settings=settings, metrics=metrics)
+        self._tag = None
+        self._entries = ()
 
     async def fetch(self):
         """Return the list's entries.
 
-        :return: a list of :class:`ListedHost`.
+        A platform that gives entity tags is asked only for a list that differs
+        from the last one.
+
+        :return: a list of :class:`ListedHost`, the same object while unchanged.
         :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
         """
-        response = await self._platform.read("/hosts", (STATUS_OK,))
-        return platform.decode_read(response.body, _decoder).hosts
+        headers, statuses = (), (STATUS_OK,)
+        if self._tag is not None:
+            headers = ((b"if-none-match", self._tag),)
+            statuses = (STATUS_OK, STATUS_NOT_MODIFIED)
+        response = await self._platform.read("/hosts", statuses, headers)
+        if response.status == STATUS_NOT_MODIFIED:
+            return self._entries
+        entries = platform.decode_read(response.body, _decoder).hosts
+        self._tag = dict(response.headers).get(b"etag")
+        self._entries = entries if self._tag is not None else ()
+        return entries
--- a/goldcrestmoor/adapters/platform.py
+++ b/goldcrestmoor/adapters/platform.py
@@ -10,6 +10,7 @@
 from goldcrestmoor.errors import ErrorKind, ServiceError
 
 STATUS_OK = 200
+STATUS_NOT_MODIFIED = 304
 STATUS_NOT_FOUND = 404
 STATUS_CONFLICT = 409
 STATUS_TOO_MANY = 429
--- a/goldcrestmoor/process/listed_hosts.py
+++ b/goldcrestmoor/process/listed_hosts.py
@@ -1,7 +1,8 @@
-"""The platform's lagging host list, as last read."""
+"""The platform's lagging host list, as last read here or by a host near by."""
 
 import enum
 import logging
+import random
 
 from goldcrestmoor.errors import ServiceError
 from goldcrestmoor.util import Backoff
@@ -9,9 +10,15 @@
 log = logging.getLogger("goldcrestmoor.membership")
 
 STALE_POLLS = 3
+READERS = 2
+SILENT_POLLS = 1.25
+MAX_STAGGER_CHECKS = 4
+HOLD_POLLS = 2
+CHECKS_PER_POLL = 8
 MAX_BACKOFF_POLLS = 5
 MAX_LEAVING_UPSTREAMS = 64
-JITTER_DIVISOR = 4
+REFRESH_MS = 600_000
+JITTER = 0.25
 
 
 class ListedKind(enum.StrEnum):
@@ -29,11 +36,19 @@
 
 
 class ListedHosts:
-    """Polls the host list, and knows how old its last reading is.
+    """Reads the host list, or hears what others read, and knows how old that is.
+
+    The list grows with the fleet, so that a few hosts of each zone read it often
+    and tell the others what is leaving. Hosts that hear of no reading for a while
+    read it themselves, the next ones in rank first, and tell the others likewise.
 
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param host_list: the :class:`~goldcrestmoor.adapters.hosts.HostListClient`.
     :param poll_ms: how often it is read, in milliseconds.
+    :param rank: gives this host's place among its zone's hosts for this duty, from
+        0; the first :data:`READERS` read at every poll.
+    :param on_read: called with the names of the leaving upstreams after a reading
+        that the zone's other hosts should hear of.
     """
 
     __slots__ = (
@@ -41,57 +56,122 @@
         "_clock",
         "_host_list",
         "_poll_ms",
+        "_rank",
+        "_on_read",
+        "_entries",
         "_read_ms",
+        "_known_ms",
+        "_next_refresh_ms",
+        "_named_ms_by_upstream",
         "_leaving",
     )
 
-    def __init__(self, *, clock, host_list, poll_ms):
+    def __init__(self, *, clock, host_list, poll_ms, rank=None, on_read=None):
         self.hosts_by_id = {}
         self._clock = clock
         self._host_list = host_list
         self._poll_ms = poll_ms
+        self._rank = rank or (lambda: 0)
+        self._on_read = on_read or (lambda names: None)
+        self._entries = None
         self._read_ms = None
+        self._known_ms = None
+        self._next_refresh_ms = 0
+        self._named_ms_by_upstream = {}
         self._leaving = frozenset()
 
     def is_stale(self):
         """Tell whether the last reading is too old to go by alone."""
-        if self._read_ms is None:
+        if self._known_ms is None:
             return True
-        return self._clock.now_ms() - self._read_ms > STALE_POLLS * self._poll_ms
+        return self._clock.now_ms() - self._known_ms > STALE_POLLS * self._poll_ms
 
     def leaving_upstreams(self):
         """Return the names of the upstreams that are leaving."""
         return self._leaving
 
     def take_leaving(self, names):
-        """Take in what a peer read, while this host cannot read the list.
+        """Take in what a peer knows, while this host learns of no reading.
 
         :param names: the upstreams that are leaving.
         """
         if self.is_stale() and len(self._leaving) < MAX_LEAVING_UPSTREAMS:
+            now_ms = self._clock.now_ms()
+            self._named_ms_by_upstream.update(dict.fromkeys(names, now_ms))
             self._leaving = self._leaving.union(names)
 
+    def take_reading(self, names):
+        """Take in what the list names as leaving, read here or by another host.
+
+        :param names: all upstreams that are leaving.
+        """
+        now_ms = self._clock.now_ms()
+        named = self._named_ms_by_upstream
+        named.update(dict.fromkeys(names, now_ms))
+        # A reading that was long on its way must not bring an upstream back
+        # that a newer one names, so that one reading without it is not enough.
+        oldest_ms = now_ms - HOLD_POLLS * self._poll_ms
+        for name in [name for name, at_ms in named.items() if at_ms < oldest_ms]:
+            del named[name]
+        self._leaving = frozenset(named)
+        self._known_ms = now_ms
+
     async def run(self):
-        """Poll the list until cancelled."""
+        """Keep the list's readings fresh until cancelled."""
         backoff = Backoff(self._poll_ms, self._poll_ms * MAX_BACKOFF_POLLS)
         while True:
+            if not self._is_due():
+                await self._clock.sleep_ms(self._poll_ms / CHECKS_PER_POLL)
+                continue
             try:
-                self._take(await self._host_list.fetch())
+                await self._read()
                 backoff.reset()
-                # Hosts that were started together must not read together.
-                jitter_ms = self._clock.now_ms() % (self._poll_ms // JITTER_DIVISOR + 1)
-                await self._clock.sleep_ms(self._poll_ms - jitter_ms)
             except ServiceError as e:
                 log.warning("The host list was not read: %s.", e)
                 await self._clock.sleep_ms(backoff.next_ms())
 
+    def _is_due(self):
+        now_ms = self._clock.now_ms()
+        if self._read_ms is None or now_ms >= self._next_refresh_ms:
+            return True
+        if self._rank() >= READERS:
+            return self._hears_nothing()
+        # Rounded up to the next check, readings must not come too late.
+        interval_ms = self._poll_ms * (1 - 1 / CHECKS_PER_POLL)
+        return now_ms - self._read_ms >= interval_ms
+
+    def _hears_nothing(self):
+        # One after the other, so that the first can spare the rest their reading.
+        checks = min(max(0, self._rank() - READERS) // READERS, MAX_STAGGER_CHECKS)
+        polls = SILENT_POLLS + checks / CHECKS_PER_POLL
+        return self._clock.now_ms() - self._known_ms >= polls * self._poll_ms
+
+    async def _read(self):
+        sent_ms = self._clock.now_ms()
+        # A starting host's first reading is for itself alone.
+        is_first = self._read_ms is None
+        is_shared = not is_first and (self._rank() < READERS or self._hears_nothing())
+        entries = await self._host_list.fetch()
+        if entries is not self._entries:
+            self._take(list(entries))
+            self._entries = entries
+        self._read_ms = sent_ms
+        # Hosts that were started together must not read together.
+        self._next_refresh_ms = sent_ms + REFRESH_MS * random.uniform(1 - JITTER, 1)
+        leaving = _leaving(entries)
+        self.take_reading(leaving)
+        # A reading that took long, as in a freeze, is news to nobody.
+        if is_shared and self._clock.now_ms() - sent_ms < self._poll_ms:
+            self._on_read(leaving)
+
     def _take(self, entries):
-        entries = list(entries)
         hosts = (entry for entry in entries if entry.kind == ListedKind.HOST)
         self.hosts_by_id = {host.id: host for host in hosts}
-        self._leaving = frozenset(
-            entry.id
-            for entry in entries
-            if entry.kind == ListedKind.UPSTREAM and entry.state == ListedState.LEAVING
-        )
-        self._read_ms = self._clock.now_ms()
+
+
+def _leaving(entries):
+    return tuple(
+        entry.id
+        for entry in entries
+        if entry.kind == ListedKind.UPSTREAM and entry.state == ListedState.LEAVING
+    )
--- a/goldcrestmoor/process/membership.py
+++ b/goldcrestmoor/process/membership.py
@@ -10,6 +10,7 @@
 from goldcrestmoor.process.membership_messages import (
     HostRecord,
     HostState,
+    ListRead,
     Probe,
     ProbeAnswer,
     ProbeFor,
@@ -18,7 +19,8 @@
     SyncRequest,
 )
 from goldcrestmoor.process.probe_ring import ProbeRing
-from goldcrestmoor.util import Backoff, TaskGroup
+from goldcrestmoor.process.spread import Spread
+from goldcrestmoor.util import Backoff, TaskGroup, rendezvous_order
 
 log = logging.getLogger("goldcrestmoor.membership")
 
@@ -30,6 +32,7 @@
 JOIN_BACKOFF_MAX_MS = 5000
 FROZEN_MS = 1000
 LEAVE_FANOUT = 8
+MAX_LISTED_LEAVING = 256
 
 
 class Membership:
@@ -56,6 +59,8 @@
         "_callbacks",
         "_live",
         "_live_ids",
+        "_list_rank",
+        "_spread",
         "_probes",
         "_synced_ms",
         "_tasks",
@@ -80,6 +85,8 @@
             clock=clock,
             host_list=host_list,
             poll_ms=settings.membership.host_list_poll_ms,
+            rank=lambda: self._list_rank,
+            on_read=self._spread_reading,
         )
         self._clock = clock
         self._settings = settings.membership
@@ -92,12 +99,15 @@
         self._callbacks = []
         self._live = [own]
         self._live_ids = None
+        self._list_rank = 0
+        self._spread = Spread(links=links, membership=self, host_id=own.id)
         self._probes = 0
         self._synced_ms = None
         self._tasks = TaskGroup()
         links.register(Probe, self._on_probe, urgent=True)
         links.register(ProbeFor, self._on_probe_for)
         links.register(SyncRequest, self._on_sync, urgent=True)
+        links.register(ListRead, self._on_list_read, urgent=True)
 
     def live(self, zone=None):
         """Return the records of the hosts that may be given work.
@@ -188,12 +198,19 @@
         if ids == self._live_ids:
             return
         self._live_ids = ids
+        self._list_rank = self._rank_for_list()
         self._metrics.live_hosts.clear()
         for record in self._live:
             self._metrics.live_hosts.labels(record.zone).inc()
         for callback in self._callbacks:
             callback()
 
+    def _rank_for_list(self):
+        own = self.table.own
+        near = [record.id for record in self.live(own.zone)]
+        order = rendezvous_order(f"host list/{own.zone}", near)
+        return order.index(own.id) if own.id in order else len(order)
+
     def _candidate_ids(self):
         heard_of = {**self._seeds_by_id, **self.listed.hosts_by_id}
         known = (self.table.find(host_id) for host_id in heard_of)
@@ -300,6 +317,15 @@
         self._merge(message.sender)
         return SyncAnswer(*self.table.page(message.after, SYNC_PAGE_RECORDS))
 
+    async def _on_list_read(self, sender, message):
+        self.listed.take_reading(message.leaving_upstreams)
+        self._spread.pass_on(message, message.targets)
+
+    def _spread_reading(self, leaving):
+        # Hosts that are told nothing read the list themselves.
+        if len(leaving) <= MAX_LISTED_LEAVING:
+            self._spread.start(ListRead(leaving), self.table.own.zone)
+
     def _merge(self, *records):
         for record in records:
             self.table.merge(record)
--- a/goldcrestmoor/process/membership_messages.py
+++ b/goldcrestmoor/process/membership_messages.py
@@ -98,3 +98,14 @@
 
     records: tuple[HostRecord, ...]
     more: bool = False
+
+
+class ListRead(wire.Message, frozen=True):
+    """Says that the host list was just read, and what it names as leaving.
+
+    :param leaving_upstreams: the upstreams that are leaving, all of them.
+    :param targets: the hosts that the receiver passes the message on to.
+    """
+
+    leaving_upstreams: tuple[str, ...] = ()
+    targets: tuple[str, ...] = ()
--- a/goldcrestmoor/process/spread.py
+++ b/goldcrestmoor/process/spread.py
@@ -23,13 +23,14 @@
         self._membership = membership
         self._host_id = host_id
 
-    def start(self, message):
+    def start(self, message, zone=None):
         """Send a message to every other live host.
 
         :param message: a message with a field ``targets``.
+        :param zone: an availability zone; all zones when left out.
         """
         live = sorted(
-            self._membership.live(), key=lambda record: (record.zone, record.id)
+            self._membership.live(zone), key=lambda record: (record.zone, record.id)
         )
         ids = (record.id for record in live if record.id != self._host_id)
         self.pass_on(message, tuple(ids))
--- a/test/bench/fleets.py
+++ b/test/bench/fleets.py
@@ -7,6 +7,7 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from test import fleet
+from test.bench.control import LISTED, listed
 from test.bench.table import show, slope
 
 SIZES = (2, 4, 8, 16, 32)
@@ -89,6 +90,13 @@
     return cpu, resident, by_class, calls
 
 
+async def grow_list(running):
+    """Fill the platform's list up with upstreams that nobody uses."""
+    hosts = running.listed_hosts()
+    more = listed(max(0, LISTED - len(hosts)))
+    await running.control(running.platform_control, "hosts", hosts=hosts + more)
+
+
 async def _call(url):
     headers = {"Authorization": f"Bearer {TOKEN}"}
     while True:
@@ -113,6 +121,7 @@
     rows, class_rows, bytes_by_size = [], [], []
     for size in sizes:
         async with fleet.Fleet(plan(size)) as running:
+            await grow_list(running)
             await asyncio.sleep(SETTLE_S)
             idle = await measure(running, seconds)
             async with load(running):
@@ -130,7 +139,7 @@
         for (name, direction), rate in sorted(idle[2].items()):
             class_rows.append((size, name, direction, rate))
     show(
-        "Per daemon: processor, memory, control bytes, platform calls",
+        f"Per daemon, {LISTED} listed: processor, memory, bytes, platform calls",
         ("daemons", "load", "cpu %", "MB", "KB/s", "reads/s", "lists/s", "writes/s"),
         rows,
     )
--- a/test/standins/platform.py
+++ b/test/standins/platform.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import collections
+import hashlib
 import json
 import sys
 import time
@@ -45,6 +46,7 @@
         "listed",
         "listed_next",
         "host_lag_ms",
+        "has_tags",
         "weights",
         "weight_reads_per_s",
         "weight_times",
@@ -64,6 +66,7 @@
         self.listed = options.get("hosts", [])
         self.listed_next = None
         self.host_lag_ms = options.get("host_lag_ms", 0)
+        self.has_tags = options.get("has_tags", True)
         self.weights = options.get("weights", {})
         self.weight_reads_per_s = options.get("weight_reads_per_s", 0)
         self.weight_times = collections.deque()
@@ -99,7 +102,7 @@
             case "GET", ["objects", key]:
                 return self._count("reads", self._get_object(key))
             case "GET", ["hosts"]:
-                return self._count("host_reads", self._hosts())
+                return self._count("host_reads", self._hosts(request))
             case "GET", ["weights", model, version]:
                 return self._count("weight_reads", self._weight(model, int(version)))
         return Response(404)
@@ -162,10 +165,17 @@
             return Response(404)
         return Response(200, self.objects[key])
 
-    def _hosts(self):
+    def _hosts(self, request):
         if self.listed_next is not None and time.monotonic() >= self.listed_next[0]:
             self.listed, self.listed_next = self.listed_next[1], None
-        return json_response({"hosts": self.listed})
+        response = json_response({"hosts": self.listed})
+        if not self.has_tags:
+            return response
+        tag = hashlib.sha256(response.body).hexdigest()
+        if request.headers.get("if-none-match") == tag:
+            return Response(304, headers=[("etag", tag)])
+        response.headers.append(("etag", tag))
+        return response
 
     def _weight(self, model, version):
         now = time.monotonic()
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -65,7 +65,9 @@
     ]
 
 
-class MembershipTest(unittest.IsolatedAsyncioTestCase):
+class MembershipTestCase(unittest.IsolatedAsyncioTestCase):
+    """Start hosts in memory whose clock and network the test controls."""
+
     async def asyncSetUp(self):
         self.clock = ManualClock()
         self.network = Network(self.clock)
@@ -116,6 +118,8 @@
         members = self.members_by_id if members is None else members
         return all(self.seen_by(host_id) == expected for host_id in members)
 
+
+class MembershipTest(MembershipTestCase):
     async def test_hosts_find_one_another_and_notice_a_death(self):
         await self.start_fleet(6, ("zone-a", "zone-b"))
         self.kill("host-5")
--- a/test/test_table.py
+++ b/test/test_table.py
@@ -193,6 +193,22 @@
 
         await _common.eventually(is_leaving)
 
+    async def test_an_unchanged_host_list_is_not_sent_again(self):
+        await self.check_host_list(has_tags=True)
+
+    async def test_a_platform_without_tags_sends_the_whole_host_list(self):
+        await self.check_host_list(has_tags=False)
+
+    async def check_host_list(self, has_tags):
+        await self.start(hosts=[], has_tags=has_tags)
+        hosts = self.make(HostListClient)
+        first = await hosts.fetch()
+        self.assertEqual(await hosts.fetch() is first, has_tags)
+        entry = {"id": "a", "kind": "host", "zone": "z", "address": ADDRESS}
+        entry |= {"http_port": 1, "peer_port": 2, "state": "live"}
+        await self.control("hosts", hosts=[entry])
+        self.assertEqual([host.id for host in await hosts.fetch()], ["a"])
+
     async def test_the_weight_store_is_not_asked_before_its_time(self):
         await self.start(weights={"m": [1]}, weight_reads_per_s=2)
         weights = self.make(WeightStoreClient)
--- a/test/test_weights.py
+++ b/test/test_weights.py
@@ -101,7 +101,7 @@
             name = f"engine-{len(self.engines_by_name)}-{i}"
             self.engines_by_name[name] = FakeEngine(self.clock, fencing)
 
-    def live(self):
+    def live(self, zone=None):
         return [SimpleNamespace(id=i, zone="z") for i in self.hosts_by_id]
 
     def add_host(self, host_id, strategy=None):
@@ -286,7 +286,7 @@
         sent = []
         ids = [f"host-{i}" for i in range(350)]
         membership = SimpleNamespace(
-            live=lambda: [SimpleNamespace(id=i, zone="z") for i in ids]
+            live=lambda zone=None: [SimpleNamespace(id=i, zone="z") for i in ids]
         )
 
         def make(host_id):
