Read weight versions often only where engines are ordered

Cause: every host scanned the versions every second, 350 reads a second of the table service, though only the host that orders a model's engines acts on them. Change: a host reads them at once and every second while it drives a model, else every 15 s; published versions still spread by message.

--- a/goldcrestmoor/version/weight_orders.py
+++ b/goldcrestmoor/version/weight_orders.py
@@ -40,6 +40,7 @@
         "_leases",
         "_ownership",
         "_configuration",
+        "_versions",
         "_host_id",
         "_driver_parts",
         "_drivers_by_model",
@@ -65,6 +66,7 @@
         self._leases = leases
         self._ownership = ownership
         self._configuration = configuration
+        self._versions = versions
         self._host_id = host_id
         self._driver_parts = {
             "clock": clock,
@@ -138,7 +140,8 @@
 
     async def _drive(self, model, driver):
         try:
-            await driver.run(lambda: self._is_candidate(model))
+            async with self._versions.followed():
+                await driver.run(lambda: self._is_candidate(model))
         finally:
             del self._drivers_by_model[model]
             if driver.is_settled():
--- a/goldcrestmoor/version/weights.py
+++ b/goldcrestmoor/version/weights.py
@@ -1,5 +1,7 @@
 """The weight version that each model's engines are to run."""
 
+import asyncio
+import contextlib
 import logging
 import random
 import secrets
@@ -15,7 +17,8 @@
 
 TABLE = "versions"
 POLL_MS = 1000
-POLL_JITTER_MS = 200
+IDLE_POLL_MS = 15_000
+POLL_JITTER = 0.2
 POLL_BACKOFF_MAX_MS = 10_000
 PUBLISH_TRIES = 5
 MAX_MODELS = 1000
@@ -56,6 +59,8 @@
         "_weight_store",
         "_versions_by_model",
         "_callbacks",
+        "_drivers",
+        "_followed",
     )
 
     def __init__(self, *, clock, table, links, spread, weight_store=None):
@@ -65,6 +70,8 @@
         self._weight_store = weight_store
         self._versions_by_model = {}
         self._callbacks = []
+        self._drivers = 0
+        self._followed = asyncio.Event()
         links.register(VersionPublished, self._on_published)
 
     def current(self, model):
@@ -116,19 +123,52 @@
         self._take(model, version)
         self._spread.start(VersionPublished(model, version))
 
+    @contextlib.asynccontextmanager
+    async def followed(self):
+        """Have the versions read often while the context lasts, and at its start.
+
+        Only the host that orders engines must learn of each version soon when
+        the message about it is lost.
+        """
+        self._drivers += 1
+        try:
+            await self._read()
+            self._followed.set()
+            yield
+        finally:
+            self._drivers -= 1
+
     async def run(self):
         """Read the current versions until cancelled."""
         backoff = Backoff(POLL_MS, POLL_BACKOFF_MAX_MS)
         while True:
-            try:
-                for row in await self._table.scan(TABLE, ""):
-                    self._take_row(row)
+            if await self._read():
                 backoff.reset()
-                await self._clock.sleep_ms(POLL_MS - random.uniform(0, POLL_JITTER_MS))
-            except ServiceError as e:
-                log.warning("The versions were not read: %s.", e)
+                await self._rest()
+            else:
                 await self._clock.sleep_ms(backoff.next_ms())
 
+    async def _read(self):
+        try:
+            for row in await self._table.scan(TABLE, ""):
+                self._take_row(row)
+        except ServiceError as e:
+            log.warning("The versions were not read: %s.", e)
+            return False
+        return True
+
+    async def _rest(self):
+        interval_ms = POLL_MS if self._drivers else IDLE_POLL_MS
+        interval_ms *= random.uniform(1 - POLL_JITTER, 1)
+        self._followed.clear()
+        rest = asyncio.ensure_future(self._clock.sleep_ms(interval_ms))
+        woken = asyncio.ensure_future(self._followed.wait())
+        try:
+            await asyncio.wait((rest, woken), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            rest.cancel()
+            woken.cancel()
+
     async def _check_exists(self, model, version):
         if self._weight_store is None:
             return
