Compress the configuration document

Ruled out for now: deltas, which need a base that a new host lacks and a second way to be wrong. Change: documents are deflated, and inflated up to a bound. The history test decoded the document as JSON itself; it now uses the product's decoder and checks the same.

--- a/goldcrestmoor/version/configuration.py
+++ b/goldcrestmoor/version/configuration.py
@@ -1,10 +1,13 @@
 """The configuration document: accounts, pools, upstreams and their terms."""
 
 import enum
+import zlib
 from typing import Literal
 
 import msgspec
 
+MAX_DOCUMENT_BYTES = 16 << 20
+
 
 class UpstreamKind(enum.StrEnum):
     """What an upstream is."""
@@ -155,17 +158,26 @@
 
 
 def encode(configuration):
-    """Return a configuration as JSON bytes, the same for equal documents.
+    """Return a configuration as bytes, the same for equal documents.
+
+    Every host fetches every version, and the documents are long and repetitive.
 
     :param configuration: a :class:`Configuration`.
     """
-    return msgspec.json.encode(configuration, order="sorted")
+    return zlib.compress(msgspec.json.encode(configuration, order="sorted"))
 
 
 def decode(data):
-    """Return the configuration that JSON bytes hold.
+    """Return the configuration that bytes hold.
 
     :param data: what :func:`encode` gave.
     :raises msgspec.MsgspecError: when they hold no configuration.
     """
-    return msgspec.json.decode(data, type=Configuration)
+    codec = zlib.decompressobj()
+    try:
+        text = codec.decompress(data, MAX_DOCUMENT_BYTES)
+    except zlib.error as e:
+        raise msgspec.DecodeError("The document is not compressed well.") from e
+    if not codec.eof:
+        raise msgspec.DecodeError("The document is cut short or too long.")
+    return msgspec.json.decode(text, type=Configuration)
--- a/test/test_configuration.py
+++ b/test/test_configuration.py
@@ -12,6 +12,7 @@
 
 # isort: split
 from goldcrestmoor.errors import ErrorKind
+from goldcrestmoor.version import configuration as documents
 from goldcrestmoor.version.configuration import Configuration
 from goldcrestmoor.version.configuration_driver import Accepted, Refused, Unknown
 from goldcrestmoor.version.configuration_messages import PrepareCutOff
@@ -27,6 +28,15 @@
 TERMS_OF_TISZA = "ALTER ACCOUNT tisza CUTOFF STALENESS %d"
 
 
+class DocumentTest(unittest.TestCase):
+    def test_only_a_whole_document_is_decoded(self):
+        data = documents.encode(Configuration(7))
+        self.assertEqual(documents.decode(data), Configuration(7))
+        for broken in (b"", b"{}", data[:-1], data[:-9], b"x" + data):
+            with self.assertRaises(msgspec.MsgspecError):
+                documents.decode(broken)
+
+
 class ConfigurationTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.world = World(3)
@@ -373,7 +383,7 @@
     def _document(self, version):
         keys = self.world.platform.data_by_key
         key = next(k for k in keys if k.startswith(f"configuration/{version}-"))
-        return msgspec.json.decode(keys[key], type=Configuration)
+        return documents.decode(keys[key])
 
     def check(self):
         version, configuration = self.accepted
