Bound the memory of keys to the budget, and halve it a key

Cause: 100,000 remembered keys of 1,730 bytes each are 173 MB against a budget of 32 MB for control. Ruled out: forgetting young keys, which would be sent again.

--- a/goldcrestmoor/process/decisions.py
+++ b/goldcrestmoor/process/decisions.py
@@ -50,11 +50,14 @@
             return
         kept = self._by_request_id.get(request_id)
         if kept is None:
-            kept = collections.deque(maxlen=MAX_DECISIONS_PER_REQUEST)
+            # A deque would take more memory than the few decisions that most have.
+            kept = []
             self._by_request_id[request_id] = kept
             if len(self._by_request_id) > MAX_REQUESTS:
                 self._by_request_id.popitem(last=False)
         kept.append(decision)
+        if len(kept) > MAX_DECISIONS_PER_REQUEST:
+            del kept[0]
 
     def for_request(self, request_id):
         """Return a request's decisions, oldest first.
--- a/goldcrestmoor/request/key_memory.py
+++ b/goldcrestmoor/request/key_memory.py
@@ -8,7 +8,7 @@
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
 
 MAX_KEPT_BODY_BYTES = 1 << 16
-MAX_KEPT_TOTAL_BYTES = 16 << 20
+MAX_KEPT_TOTAL_BYTES = 8 << 20
 FULL_RETRY_AFTER_MS = 5000
 SWEEP_MS = 5000
 
@@ -30,16 +30,32 @@
     :param expires_ms: how long it is remembered, on the clock's scale.
     """
 
-    __slots__ = ("digest", "expires_ms", "answer", "error", "done", "waiters", "keep")
+    __slots__ = ("digest", "expires_ms", "answer", "error", "keep")
+    __slots__ += ("waiters", "_done")
 
     def __init__(self, digest, expires_ms):
         self.digest = digest
         self.expires_ms = expires_ms
         self.answer = None
         self.error = None
-        self.done = asyncio.Event()
         self.waiters = 0
         self.keep = True
+        self._done = asyncio.Event()
+
+    def is_done(self):
+        """Tell whether the answer or the failure is recorded."""
+        return self._done is None
+
+    def finish(self):
+        """Let everybody go on who waits for the answer."""
+        # Many outcomes are kept for long, and an event is larger than the rest.
+        done, self._done = self._done, None
+        done.set()
+
+    async def wait(self):
+        """Wait until the answer or the failure is recorded."""
+        if self._done is not None:
+            await self._done.wait()
 
     def result(self):
         """Return the recorded answer.
@@ -117,7 +133,7 @@
         outcome.waiters += 1
         try:
             async with asyncio.timeout(deadline.remaining_ms() / MS_PER_SECOND):
-                await outcome.done.wait()
+                await outcome.wait()
             return outcome.result()
         except TimeoutError:
             text = "The request with this key is still running."
@@ -154,10 +170,10 @@
             outcome.error = ServiceError(ErrorKind.OUTCOME_UNKNOWN, text)
             raise
         finally:
-            outcome.done.set()
+            outcome.finish()
 
     def _keep(self, outcome):
-        size = len(outcome.answer.body)
+        size = _size(outcome.answer)
         fits = self._kept_bytes + size <= MAX_KEPT_TOTAL_BYTES
         if size <= MAX_KEPT_BODY_BYTES and fits:
             self._kept_bytes += size
@@ -178,7 +194,7 @@
         if now_ms >= self._swept_ms + SWEEP_MS:
             self._swept_ms = now_ms
             for key, outcome in list(self._outcomes_by_key.items()):
-                if outcome.expires_ms <= now_ms and outcome.done.is_set():
+                if outcome.expires_ms <= now_ms and outcome.is_done():
                     self._drop(key)
         if len(self._outcomes_by_key) >= self._settings.max_remembered:
             text = "Too many keys are remembered."
@@ -187,4 +203,9 @@
     def _drop(self, key):
         outcome = self._outcomes_by_key.pop(key, None)
         if outcome is not None and outcome.keep and outcome.answer is not None:
-            self._kept_bytes -= len(outcome.answer.body)
+            self._kept_bytes -= _size(outcome.answer)
+
+
+def _size(answer):
+    headers = sum(len(name) + len(value) for name, value in answer.headers)
+    return len(answer.body) + headers
