Measure and profile a hop through a daemon

python -m test.slopes hop compares a direct call, a bare blacksheep forwarder and a daemon in one run, with callers in processes of their own; python -m test.slopes profile shows where a daemon's time goes.

--- /dev/null
+++ b/test/bench/forwarder.py
@@ -0,0 +1,71 @@
+"""A bare forwarder: blacksheep in front, the daemon's HTTP client behind.
+
+``python -m test.bench.forwarder ADDRESS PORT APP_ADDRESS APP_PORT ENGINE_ADDRESS
+ENGINE_PORT`` passes every request on to one of two upstreams and does nothing else:
+no accounts, no choice of an upstream, no spans, no metrics.
+"""
+
+import asyncio
+import sys
+
+import uvicorn
+from blacksheep import Application, Content, Request, Response, StreamedContent
+
+from goldcrestmoor.clock import Clock
+from goldcrestmoor.connection.http_client import HttpClient
+from test import _common
+
+COMPLETIONS = "/v1/completions"
+
+
+def make_application(http, app_place, engine_place):
+    """Return the forwarder as a blacksheep application.
+
+    :param http: the ``HttpClient``.
+    :param app_place: the application's address and port.
+    :param engine_place: the engine's address and port.
+    """
+    app = Application(show_error_details=True)
+
+    async def fetch(request: Request) -> Response:
+        target = "/" + request.route_values["tail"]
+        answer = await http.request(*app_place, "GET", target, idempotent=True)
+        content = Content(b"application/json", answer.body)
+        return Response(answer.status, None, content)
+
+    async def complete(request: Request) -> Response:
+        body = await request.read()
+
+        async def chunks():
+            headers = [(b"content-type", b"application/json")]
+            opened = http.stream(*engine_place, "POST", COMPLETIONS, headers, body)
+            async with opened as answer:
+                async for chunk in answer.body():
+                    yield chunk
+
+        return Response(200, None, StreamedContent(b"text/event-stream", chunks))
+
+    app.router.add_get("/apps/dash/*", fetch)
+    app.router.add_post(COMPLETIONS, complete)
+    return app
+
+
+async def main(address, port, *places):
+    """Serve until killed."""
+    http = HttpClient(clock=Clock(), limits=_common.make_settings().limits)
+    app_place, engine_place = zip(places[::2], map(int, places[1::2]), strict=True)
+    app = make_application(http, app_place, engine_place)
+    await app.start()
+    config = uvicorn.Config(
+        app, host=address, port=int(port), http="h11", ws="none", lifespan="off",
+        log_config=None, access_log=False,
+    )  # fmt: skip
+    server = uvicorn.Server(config)
+    serving = asyncio.create_task(server.serve())
+    await _common.eventually(lambda: server.started)
+    print(f"ready {port}", flush=True)
+    await serving
+
+
+if __name__ == "__main__":
+    asyncio.run(main(*sys.argv[1:]))
--- /dev/null
+++ b/test/bench/hop.py
@@ -0,0 +1,157 @@
+"""What one hop through a daemon costs, beside a direct call and a bare forwarder."""
+
+import asyncio
+import json
+import os
+import statistics
+
+from test import _common, fleet
+from test.bench.caller import TOKEN
+from test.bench.fleets import read_all
+from test.bench.processes import ADDRESS, Directory
+from test.bench.table import show
+
+RUNS = 5
+SECONDS = 3
+CALLERS = 16
+CALLER_PROCESSES = 2
+STREAM_TOKENS = 200
+WAYS = ("direct", "forwarder", "daemon")
+LIMITS = {"max_queue_per_upstream": 1024}
+
+
+def plan():
+    """Return a fleet of one daemon before fast stand-ins."""
+    pools = (
+        fleet.PoolPlan("dash", "application", {"zone-a": 2}),
+        fleet.PoolPlan(
+            "lm-pool",
+            "engine",
+            {"zone-a": 4},
+            model="lm",
+            slots=64,
+            options={"token_ms": 0, "prompt_token_ms": 0},
+        ),
+    )
+    names = ("dash", "lm-pool")
+    account = fleet.AccountPlan("caller", "application", TOKEN, names)
+    return fleet.Plan(
+        hosts_by_zone={"zone-a": 1},
+        pools=pools,
+        accounts=(account,),
+        settings={"limits": LIMITS},
+    )
+
+
+class Bench:
+    """One daemon, one forwarder and their upstreams.
+
+    :param running: the fleet.
+    :param processes: the :class:`Directory` of the callers.
+    """
+
+    def __init__(self, running, processes):
+        self._running = running
+        self._processes = processes
+        self._places = {}
+        self._started = 0
+
+    async def start(self):
+        """Start the forwarder."""
+        app = next(u for u in self._running.upstreams if u.pool == "dash")
+        engine = next(u for u in self._running.upstreams if u.pool == "lm-pool")
+        port = _common.free_port(ADDRESS)
+        places = [app.address, app.port, engine.address, engine.port]
+        arguments = ["test.bench.forwarder", ADDRESS, str(port), *map(str, places)]
+        await self._processes.start("forwarder", arguments).ready_port()
+        host = self._running.hosts[0]
+        self._places = {
+            ("fetch", "direct"): (app.address, app.port),
+            ("stream", "direct"): (engine.address, engine.port),
+        }
+        for kind in ("fetch", "stream"):
+            self._places[kind, "forwarder"] = ADDRESS, port
+            self._places[kind, "daemon"] = host.address, host.port
+
+    async def call(self, kind, way, callers=1, processes=1, seconds=SECONDS):
+        """Run callers, and return their reports."""
+        address, port = self._places[kind, way]
+        arguments = [kind, address, port, callers, seconds, STREAM_TOKENS]
+        started = []
+        for _ in range(processes):
+            self._started += 1
+            words = ["test.bench.caller", *map(str, arguments)]
+            started.append(self._processes.start(f"caller-{self._started}", words))
+        for process in started:
+            code = await process.wait(seconds + _common.EVENT_TIMEOUT_S)
+            if code:
+                raise AssertionError(process.log_tail())
+        reports = [json.loads(p.log().splitlines()[-1]) for p in started]
+        for report in reports:
+            if report["failures"]:
+                raise AssertionError(f"{kind} through {way}: {report}")
+        return reports
+
+    async def cpu_s(self):
+        """Return the processor seconds that the daemon has spent."""
+        readings, _ = await read_all(self._running)
+        return readings[0].cpu_s
+
+
+async def _latency(bench, runs):
+    values = {}
+    for _ in range(runs):
+        for kind in ("fetch", "stream"):
+            for way in WAYS:
+                (report,) = await bench.call(kind, way)
+                values.setdefault((kind, way), []).append(report)
+    rows = []
+    for kind, name in (("fetch", "whole"), ("stream", "first"), ("stream", "whole")):
+        for p in (50, 99):
+            rows.append((f"{kind} {name}", f"p{p}", *_ratios(values, kind, name, p)))
+    columns = ("what", "at", "direct us", "forwarder/direct", "daemon/direct")
+    columns += ("daemon/forwarder", "least", "most")
+    show(
+        f"One call at a time; medians of {runs} runs, ratios run by run", columns, rows
+    )
+
+
+def _ratios(values, kind, name, percentile):
+    field = f"{name}_{percentile}"
+    direct, forwarder, daemon = (
+        [report[field] for report in values[kind, way]] for way in WAYS
+    )
+    hops = [b / a for a, b in zip(forwarder, daemon, strict=True)]
+    to_forwarder = [b / a for a, b in zip(direct, forwarder, strict=True)]
+    to_daemon = [b / a for a, b in zip(direct, daemon, strict=True)]
+    medians = (statistics.median(v) for v in (direct, to_forwarder, to_daemon, hops))
+    return *medians, min(hops), max(hops)
+
+
+async def _throughput(bench, runs):
+    rows = []
+    for kind, field in (("fetch", "calls"), ("stream", "events")):
+        rates = []
+        for _ in range(runs):
+            before = await bench.cpu_s()
+            reports = await bench.call(kind, "daemon", CALLERS, CALLER_PROCESSES)
+            spent = await bench.cpu_s() - before
+            rates.append(sum(report[field] for report in reports) / spent)
+        unit = "requests" if kind == "fetch" else "tokens"
+        rows.append((unit, statistics.median(rates), min(rates), max(rates)))
+    columns = ("a second of one core", "median", "least", "most")
+    show(f"One daemon, {runs} runs", columns, rows)
+
+
+async def _run():
+    runs = int(os.environ.get("SLOPES_RUNS", RUNS))
+    async with Directory() as processes, fleet.Fleet(plan()) as running:
+        bench = Bench(running, processes)
+        await bench.start()
+        await _throughput(bench, runs)
+        await _latency(bench, runs)
+
+
+def run():
+    """Print latency as ratios, and work per core; ``SLOPES_RUNS`` sets the runs."""
+    asyncio.run(_run())
--- a/test/slopes.py
+++ b/test/slopes.py
@@ -10,6 +10,7 @@
     "memory",
     "spreading",
     "hop",
+    "profile",
 )
 
 
