--- a/goldcrestmoor/process/daemon.py
+++ b/goldcrestmoor/process/daemon.py
@@ -14,6 +14,7 @@
 from goldcrestmoor.connection.http_client import HttpClient
 from goldcrestmoor.connection.peers import PeerLinks
 from goldcrestmoor.connection.retry_budget import RetryBudget
+from goldcrestmoor.process import policies
 from goldcrestmoor.process.callers import Callers
 from goldcrestmoor.process.decisions import Decisions
 from goldcrestmoor.process.leases import LeaseClient
@@ -27,7 +28,6 @@
 from goldcrestmoor.util import TaskGroup
 from goldcrestmoor.version.configuration_lease import ConfigurationLease
 from goldcrestmoor.version.engine_versions import EngineVersionTable
-from goldcrestmoor.version.rollout_strategies import AllAtOnce
 from goldcrestmoor.version.weight_orders import WeightOrders
 from goldcrestmoor.version.weights import WeightVersions
 
@@ -125,6 +125,7 @@
             "clock": self.clock,
             "http": self.http,
             "settings": self.settings.platform,
+            "metrics": self.metrics,
         }
         self.table = TableClient(**platform)
         self.objects = ObjectClient(**platform)
@@ -157,7 +158,9 @@
         self.leaving = LeavingAnswers(
             clock=self.clock, links=self.links, spread=self.spread
         )
-        self.engines = EngineClient(http=self.http, on_leaving=self.leaving.note)
+        self.engines = EngineClient(
+            http=self.http, clock=self.clock, on_leaving=self.leaving.note
+        )
         self.membership.share_leaving(self.leaving, self._draining_upstreams)
         self.lease = ConfigurationLease(
             clock=self.clock,
@@ -167,7 +170,7 @@
             links=self.links,
             peers=self._peers_by_distance,
             host_id=host.id,
-            incarnation=self.membership.own().incarnation,
+            incarnation=lambda: self.membership.own().incarnation,
         )
 
     def _make_versions(self):
@@ -178,7 +181,10 @@
             links=self.links,
             spread=self.spread,
             weight_store=WeightStoreClient(
-                clock=self.clock, http=self.http, settings=platform
+                clock=self.clock,
+                http=self.http,
+                settings=platform,
+                metrics=self.metrics,
             ),
         )
         self.engine_versions = EngineVersionTable(
@@ -194,7 +200,7 @@
             engines=self.engines,
             metrics=self.metrics,
             host_id=self.settings.host.id,
-            strategy=AllAtOnce(),
+            strategy=policies.rollout(self.settings.policy),
         )
 
     def _draining_upstreams(self):
--- a/goldcrestmoor/request/completions.py
+++ b/goldcrestmoor/request/completions.py
@@ -1,12 +1,11 @@
 """Text from a pool of engines, carried from one engine to the next on failure."""
 
-import asyncio
 import contextlib
 import logging
 
 from goldcrestmoor import util
-from goldcrestmoor.clock import MS_PER_SECOND
 from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.request.authentication import check_served
 from goldcrestmoor.request.failures import most_telling
 from goldcrestmoor.request.piece import Piece
 
@@ -24,6 +23,9 @@
         ErrorKind.UPSTREAM_TIMEOUT,
     }
 )
+NOT_SERVED = frozenset(
+    {ErrorKind.UNAUTHORIZED, ErrorKind.CONFIG_LAPSED, ErrorKind.FORBIDDEN}
+)
 REFUSALS = frozenset({ErrorKind.NO_UPSTREAM, ErrorKind.OVERLOADED})
 
 
@@ -66,6 +68,8 @@
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
     :param decisions: the :class:`~goldcrestmoor.process.decisions.Decisions`.
     :param health: an ``UpstreamHealth``, or None.
+    :param resumes: whether a failed stream goes on elsewhere from its tokens; else
+        it fails.
     """
 
     __slots__ = (
@@ -79,6 +83,7 @@
         "_metrics",
         "_decisions",
         "_health",
+        "_resumes",
         "_tasks",
     )
 
@@ -95,6 +100,7 @@
         metrics,
         decisions,
         health=None,
+        resumes=True,
     ):
         self._clock = clock
         self._engines = engines
@@ -106,6 +112,7 @@
         self._metrics = metrics
         self._decisions = decisions
         self._health = health
+        self._resumes = resumes
         self._tasks = util.TaskGroup()
 
     async def generate(
@@ -149,14 +156,25 @@
                 return
             upstream = self._choose(pool, prefix_key, progress)
             cost = len(prompt + progress.text) // CHARACTERS_PER_TOKEN
+            cost += progress.tokens_left
+            # What waits counts too, so that work started at once is spread.
+            self._placement.begin(upstream)
             try:
                 grant = await self._admission.acquire(
-                    account, upstream, cost + progress.tokens_left, deadline, request_id
+                    account,
+                    upstream,
+                    cost,
+                    deadline,
+                    request_id,
+                    lambda: self._placement.others(pool, progress.avoid),
                 )
             except ServiceError as e:
                 self._pass_over(e, upstream, progress, request_id)
                 continue
-            stream = self._read(grant, pool, prompt, seed, deadline, progress)
+            finally:
+                self._placement.end(upstream)
+            upstream = grant.upstream
+            stream = self._read(grant, account, pool, prompt, seed, deadline, progress)
             try:
                 async with contextlib.aclosing(stream):
                     async for piece in stream:
@@ -196,8 +214,12 @@
     def _move(self, error, pool, upstream, progress, deadline, request_id):
         """Go on with another engine after a failure, or raise it."""
         progress.failures.append(error)
+        if error.kind in NOT_SERVED:
+            raise most_telling(progress.failures)
         if error.kind not in MOVABLE | REFUSALS:
             raise error
+        if progress.text and not self._resumes:
+            raise most_telling(progress.failures)
         if len(progress.failures) > MAX_FAILURES or deadline.passed():
             raise most_telling(progress.failures)
         if not self._budget.try_retry(pool):
@@ -207,7 +229,7 @@
         text = f"Moved on from {upstream.name} with {len(progress.text)} characters"
         self._decisions.note("completions", request_id, f"{text}: {error.message}")
 
-    async def _read(self, grant, pool, prompt, seed, deadline, progress):
+    async def _read(self, grant, account, pool, prompt, seed, deadline, progress):
         """Yield the pieces of one engine's stream, under a granted slot."""
         upstream = grant.upstream
         stream_id = util.new_id()
@@ -226,14 +248,16 @@
             request_id=stream_id,
             timeout_ms=max(1, deadline.remaining_ms()),
             resume_text=progress.text,
+            silence_ms=self._settings.progress_timeout_ms,
         )
         try:
             if not self._placement.takes_work(upstream.name):
                 text = f"{upstream.name} takes no new work."
                 raise ServiceError(ErrorKind.NO_UPSTREAM, text)
+            check_served(self._lease.view(), account, pool)
             in_flight = True
             async with contextlib.aclosing(stream):
-                async for piece in self._unless_silent(stream, deadline):
+                async for piece in stream:
                     if first_ms is None:
                         first_ms = self._clock.now_ms() - started_ms
                     used += piece.tokens
@@ -250,20 +274,6 @@
             if in_flight:
                 self._tasks.start(self._cancel(upstream, stream_id), name="cancel")
 
-    async def _unless_silent(self, stream, deadline):
-        silence_ms = self._settings.progress_timeout_ms
-        while True:
-            wait_ms = min(silence_ms, deadline.remaining_ms())
-            try:
-                async with asyncio.timeout(wait_ms / MS_PER_SECOND):
-                    piece = await anext(stream)
-            except StopAsyncIteration:
-                return
-            except TimeoutError:
-                text = f"The engine was silent for {wait_ms} ms."
-                raise ServiceError(ErrorKind.UPSTREAM_TIMEOUT, text) from None
-            yield piece
-
     async def _cancel(self, upstream, stream_id):
         try:
             await self._engines.cancel(
--- a/goldcrestmoor/version/step_holder.py
+++ b/goldcrestmoor/version/step_holder.py
@@ -7,6 +7,7 @@
 from goldcrestmoor import util, wire
 from goldcrestmoor.clock import Deadline
 from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.process import policies
 from goldcrestmoor.version.step_messages import (
     CancelStep,
     PulledSamples,
@@ -86,6 +87,8 @@
         self._decisions = decisions
         self._metrics = metrics
         self._settings = settings.steps
+        self._start_order = policies.start_order(settings.policy)
+        self._policy = settings.policy
         self._work_by_key = {}
         self._loading_by_key = {}
         self._tasks = util.TaskGroup()
@@ -261,6 +264,7 @@
         return state
 
     async def _run(self, key, state):
+        hedges = self._policy.stragglers == "hedge"
         run = StepRun(
             state=state,
             clock=self._clock,
@@ -269,8 +273,11 @@
             lease=self._lease,
             decisions=self._decisions,
             metrics=self._metrics,
-            hedge_percent=self._settings.hedge_percent,
+            hedge_percent=self._settings.hedge_percent if hedges else 0,
             is_wanted=self._is_wanted,
+            start_order=self._start_order,
+            resumes=self._policy.stragglers != "restart",
+            drops_early=self._policy.drop_early,
         )
         await run.run()
         self._drop(key)
--- a/test/fault_proxy.py
+++ b/test/fault_proxy.py
@@ -83,6 +83,11 @@
             self._server = None
         self.cut()
 
+    @property
+    def open_count(self):
+        """How many connections are open."""
+        return len(self._pairs)
+
     def delay(self, ms, direction=BOTH):
         """Hold back each piece of data."""
         for faults in self._select(direction):
--- a/test/proofs/test_not_run.py
+++ b/test/proofs/test_not_run.py
@@ -72,6 +72,7 @@
         for n in range(5):
             self.assertEqual((await self.note(self.host, f"idle-{n}")).status, 201)
             self.link.cut()
+            await eventually(lambda: not self.link.open_count)
             answer = await self.note(self.host, f"closed-{n}")
             self.assertEqual(answer.status, 201, answer)
 
