Say unknown, not forbidden, where a host has restarted

The key's process is now looked at before the account, and what a second asking says is not said of the first.

--- a/goldcrestmoor/request/bound_keys.py
+++ b/goldcrestmoor/request/bound_keys.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from goldcrestmoor.clock import Deadline
-from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
 from goldcrestmoor.request.authentication import check_served
 from goldcrestmoor.request.key_memory import digest_of
 from goldcrestmoor.request.key_messages import (
@@ -110,6 +110,9 @@
             try:
                 return await self._links.call(host, message, remaining_ms)
             except ServiceError as e:
+                if attempt and e.answer.ran == Ran.NOT_RUN:
+                    # What it says is true of the second asking alone.
+                    break
                 if e.kind != ErrorKind.PEER_UNREACHABLE:
                     raise
         raise _unknown("The host that minted the key does not answer.")
@@ -142,14 +145,14 @@
         return await self._memory.wait(outcome, deadline)
 
     async def _on_send(self, sender, message):
+        minted = self._mint.parse(message.key, message.account)
+        if not self._mint.is_own(minted):
+            raise _unknown("The host that minted the key has restarted.")
         accounts = self._lease.view().configuration.accounts_by_name
         account = accounts.get(message.account)
         if account is None or message.request.pool not in account.pools:
             text = "The account may not use this pool."
             raise ServiceError(ErrorKind.FORBIDDEN, text)
-        minted = self._mint.parse(message.key, message.account)
-        if not self._mint.is_own(minted):
-            raise _unknown("The host that minted the key has restarted.")
         full_key = f"{message.account}/{message.key}"
         digest = digest_of(message.request)
         if not self._memory.is_open and self._memory.find(full_key, digest) is None:
--- a/test/fault_proxy.py
+++ b/test/fault_proxy.py
@@ -83,10 +83,9 @@
             self._server = None
         self.cut()
 
-    @property
-    def open_count(self):
-        """How many connections are open."""
-        return len(self._pairs)
+    def any_open(self, pairs):
+        """Tell whether any of the connections that :meth:`cut` returned is open."""
+        return any(pair in self._pairs for pair in pairs)
 
     def delay(self, ms, direction=BOTH):
         """Hold back each piece of data."""
@@ -94,10 +93,12 @@
             faults.delay_ms = ms
 
     def cut(self):
-        """Cut the connections that are open."""
+        """Cut the connections that are open, and return their numbers."""
+        pairs = list(self._pairs)
         for writers in list(self._pairs.values()):
             for writer in writers:
                 writer.transport.abort()
+        return pairs
 
     def cut_after(self, n, direction=DOWN):
         """Cut each connection after its first n bytes in a direction."""
--- a/test/proofs/_requests.py
+++ b/test/proofs/_requests.py
@@ -177,6 +177,12 @@
         """Set an engine's options."""
         await self.fleet.control(self.fleet.endpoint_by_id[upstream], "set", **options)
 
+    async def cut_link(self, upstream):
+        """Cut an upstream's open connections, and wait until they are gone."""
+        link = self.network.links_by_id[upstream]
+        pairs = link.cut()
+        await eventually(lambda: not link.any_open(pairs))
+
     async def outage(self, on):
         """Begin or end an outage of the platform."""
         await self.fleet.control(self.fleet.platform_control, "outage", on=on)
--- a/test/proofs/test_at_most_once.py
+++ b/test/proofs/test_at_most_once.py
@@ -19,7 +19,7 @@
                 for upstream in self.upstreams:
                     await self.set_app(upstream, "")
                     if not is_reused:
-                        self.network.links_by_id[upstream].cut()
+                        await self.cut_link(upstream)
                 if is_reused:
                     for i in range(6):
                         await self.note(self.hosts[0], f"warm-{name}-{i}")
--- a/test/proofs/test_not_run.py
+++ b/test/proofs/test_not_run.py
@@ -29,6 +29,7 @@
     async def test_refused_and_unreachable(self):
         await self.note(self.host, "first")
         await self.link.refuse()
+        await self.cut_link("desk-1")
         await self.expect("refused", "upstream_unreachable", "not run")
         await self.link.heal()
         answer = await self.note(self.host, "again")
@@ -49,7 +50,7 @@
                 if is_reused:
                     await self.note(self.host, f"warm-{n}")
                 else:
-                    self.link.cut()
+                    await self.cut_link("desk-1")
                 # On a reused connection the request before has passed already.
                 self.link.cut_after(n + size * is_reused, UP)
                 name = f"cut-{n}-{is_reused}"
@@ -62,17 +63,16 @@
         await self.expect("after", "upstream_failed", "unknown")
         self.assertEqual(await self.runs("after"), 1)
         await self.set_app("desk-1", "")
-        self.link.cut()
+        await self.cut_link("desk-1")
         self.link.cut_after(10, DOWN)
         await self.expect("during", "upstream_failed", "unknown")
         self.assertEqual(await self.runs("during"), 1)
-        self.link.cut()
+        await self.cut_link("desk-1")
         await self.link.heal()
         # The upstream closes its idle connections: nothing may be lost by it.
         for n in range(5):
             self.assertEqual((await self.note(self.host, f"idle-{n}")).status, 201)
-            self.link.cut()
-            await eventually(lambda: not self.link.open_count)
+            await self.cut_link("desk-1")
             answer = await self.note(self.host, f"closed-{n}")
             self.assertEqual(answer.status, 201, answer)
 
--- a/test/proofs/test_whole_answers.py
+++ b/test/proofs/test_whole_answers.py
@@ -39,7 +39,7 @@
         self.assertGreater(size, len(whole.body) // 2)
         for n in range(size):
             # A connection that is open has passed bytes already.
-            link.cut()
+            await self.cut_link(upstream)
             link.cut_after(n, DOWN)
             answer = await ask()
             if answer.body == whole.body and n >= size - spare_bytes:
@@ -84,7 +84,7 @@
         self.assertTrue(whole.body.endswith(b"data: [DONE]\n\n"))
         size = link.bytes_by_direction[DOWN] - before
         for n in range(0, size, 7):
-            link.cut()
+            await self.cut_link("lm-1")
             link.cut_after(n, DOWN)
             answer = await self.complete(self.hosts[0], 3, stream=True)
             if b"[DONE]" in answer.body:
--- a/test/test_keys.py
+++ b/test/test_keys.py
@@ -225,6 +225,21 @@
         await self.send(self.mint(), host=1)
         self.check_ran(1)
 
+    async def test_what_a_second_asking_says_is_not_said_of_the_first(self):
+        kinds = [ErrorKind.PEER_UNREACHABLE, ErrorKind.FORBIDDEN]
+        call = mock.AsyncMock(side_effect=map(ServiceError, kinds))
+        self.keys_by_host[HOSTS[1]]._bound._links = types.SimpleNamespace(call=call)
+        kind = await self.send_error(self.mint(), host=1)
+        self.assertEqual(kind, ErrorKind.OUTCOME_UNKNOWN)
+        self.assertEqual(call.await_count, 2)
+
+    async def test_a_restarted_host_without_a_configuration_says_unknown(self):
+        key = self.mint()
+        self.keys_by_host[HOSTS[0]] = self.make_host(HOSTS[0], incarnation=2)
+        self.lease.configuration.accounts_by_name.clear()
+        kind = await self.send_error(key, host=1)
+        self.assertEqual(kind, ErrorKind.OUTCOME_UNKNOWN)
+
     async def test_a_dead_or_cut_off_host_gives_unknown_and_sends_nothing(self):
         key = self.mint()
         self.network.cut.add(HOSTS[0])
