--- a/goldcrestmoor/load/generate.py
+++ b/goldcrestmoor/load/generate.py
@@ -27,6 +27,8 @@
 ARRIVALS_PERCENT = 80
 STEPS = 3
 MAX_TOKENS = 150
+# Steps that share the engines are bound by throughput, not by their longest sample.
+SHARED_MAX_TOKENS = 50
 TRAIN_MS = 500
 PROMPT_WORDS = 40
 PUBLISH_INTERVAL_MS = 2000
@@ -168,18 +170,19 @@
             account=account,
             pool=deployment.engine_pool,
             step=f"{scenario}-{number}",
-            groups=tuple(_groups(deployment, rng, samples or deployment.samples)),
+            groups=tuple(_groups(deployment, scenario, rng, samples)),
             train_ms=TRAIN_MS,
             publish=number + 1 if publishes else 0,
         )
 
 
-def _groups(deployment, rng, samples):
+def _groups(deployment, scenario, rng, samples):
+    max_tokens = SHARED_MAX_TOKENS if scenario == "shares" else MAX_TOKENS
     for number in range(deployment.groups):
         yield Group(
             prompt=f"Group {number}: " + " ".join(_words(rng, PROMPT_WORDS)),
-            samples=samples,
-            max_tokens=MAX_TOKENS,
+            samples=samples or deployment.samples,
+            max_tokens=max_tokens,
             seed=rng.randrange(1 << 30),
         )
 
