Refuse what would start too late to end in time

Change: the owner learns how long each account's requests hold a slot and takes it off the time that one may wait. What a slot is free for starts at once all the same.

--- a/goldcrestmoor/request/admission_owner.py
+++ b/goldcrestmoor/request/admission_owner.py
@@ -127,8 +127,10 @@
                 if not message.may_queue and not self._has_idle_slot(name, slots):
                     text = f"{name} has no idle slot."
                     raise ServiceError(ErrorKind.OVERLOADED, text)
+                # What starts too late to end in time would cost tokens for nothing.
                 remaining_ms = min(
-                    message.remaining_ms, self._settings.queue_timeout_ms
+                    slots.queue.start_within_ms(message.account, message.remaining_ms),
+                    self._settings.queue_timeout_ms,
                 )
                 entry = self._entry(
                     message.grant_id,
--- a/goldcrestmoor/request/fair_queue.py
+++ b/goldcrestmoor/request/fair_queue.py
@@ -12,6 +12,7 @@
 RATE_WEIGHT = 0.2
 MAX_IDLE_ACCOUNTS = 1000
 MIN_RETRY_AFTER_MS = 100
+LEAST_WAIT_MS = 50
 ROUNDING = 1e-6
 APPLICATION = "application"
 
@@ -49,6 +50,7 @@
         "queued_ms",
         "number",
         "pending",
+        "started_ms",
     )
 
     def __init__(self, id, account, kind, share, cost_tokens, deadline, queued_ms):
@@ -61,6 +63,7 @@
         self.queued_ms = queued_ms
         self.number = 0
         self.pending = 0.0
+        self.started_ms = None
 
 
 class FairQueue:
@@ -90,6 +93,7 @@
         "_queues_by_account",
         "_virtual_by_account",
         "_pending_by_account",
+        "_service_ms_by_account",
         "_length",
         "_numbers",
         "_interval_ms",
@@ -113,6 +117,7 @@
         self._queues_by_account = {}
         self._virtual_by_account = collections.OrderedDict()
         self._pending_by_account = {}
+        self._service_ms_by_account = collections.OrderedDict()
         self._length = 0
         self._numbers = itertools.count()
         self._interval_ms = None
@@ -162,6 +167,7 @@
         entry.pending = entry.cost_tokens / self._weight(entry)
         pending = self._pending_by_account.get(entry.account, 0.0)
         self._pending_by_account[entry.account] = pending + entry.pending
+        entry.started_ms = self._clock.now_ms()
         self._take(entry)
         return entry
 
@@ -185,6 +191,8 @@
         """
         if entry.account not in self._virtual_by_account:
             self._join(entry.account)
+        if used_tokens and entry.started_ms is not None:
+            self._note_service(entry)
         used = used_tokens / self._weight(entry)
         self._virtual_by_account[entry.account] += used
         left = self._pending_by_account.pop(entry.account, 0.0) - entry.pending
@@ -192,6 +200,26 @@
         if left > ROUNDING:
             self._pending_by_account[entry.account] = left
 
+    def start_within_ms(self, account, remaining_ms):
+        """Return how long a request may wait and still end in time.
+
+        :param account: the account's name.
+        :param remaining_ms: the time until it must have ended, in milliseconds.
+        """
+        if not self._refuses_early:
+            return remaining_ms
+        service_ms = round(self._service_ms_by_account.get(account, 0))
+        return max(LEAST_WAIT_MS, remaining_ms - service_ms)
+
+    def _note_service(self, entry):
+        service_ms = self._clock.now_ms() - entry.started_ms
+        known = self._service_ms_by_account
+        mean_ms = known.get(entry.account, service_ms)
+        known[entry.account] = mean_ms + RATE_WEIGHT * (service_ms - mean_ms)
+        known.move_to_end(entry.account)
+        if len(known) > MAX_IDLE_ACCOUNTS:
+            known.popitem(last=False)
+
     def started(self):
         """Note that a queued entry was started, for the drain rate."""
         now_ms = self._clock.now_ms()
--- a/test/compare.py
+++ b/test/compare.py
@@ -28,11 +28,13 @@
     :param name: what it is called in the table.
     :param policy: what differs in the settings' section ``policy``.
     :param terms: what follows in the trainers' ``CREATE ACCOUNT``.
+    :param floor_percent: the applications' part of the engines.
     """
 
     name: str
     policy: dict = {}
     terms: str = ""
+    floor_percent: int = 20
 
 
 class Comparison(msgspec.Struct, frozen=True):
@@ -92,7 +94,8 @@
         (
             Way("unbounded fifo", {"queue": "fifo", "early_refusal": False}),
             Way("early refusal", {"queue": "fifo"}),
-            Way("and fair", {"queue": "fair"}),
+            Way("and fair, floor 20%", {"queue": "fair"}),
+            Way("and fair, floor 50%", {"queue": "fair"}, floor_percent=50),
         ),
     ),
 }
@@ -132,6 +135,7 @@
     """
     head, entries = generate.make(deployment, scenario, seed)
     plan = make_plan(deployment, way.policy, terms=way.terms, **engine)
+    plan.settings["limits"] = {"application_floor_percent": way.floor_percent}
     async with ReplayFleet(plan, has_network=scenario == "cut") as fleet:
         limits = settings.default_limits()
         report = await replay(head, entries, fleet.replay_plan(), limits)
--- a/test/test_fair_queue.py
+++ b/test/test_fair_queue.py
@@ -126,6 +126,18 @@
         self.assertEqual(caught.exception.kind, ErrorKind.OVERLOADED)
         self.assertEqual(caught.exception.retry_after_ms, 1200)
 
+    def test_what_could_not_end_in_time_waits_no_longer(self):
+        self.assertEqual(self.queue.start_within_ms("a", 5000), 5000)
+        for _ in range(3):
+            self.push("a")
+            entry = self.queue.pop()
+            self.clock.ms += 2000
+            self.queue.settle(entry, 10)
+        self.assertEqual(self.queue.start_within_ms("a", 5000), 3000)
+        self.assertGreater(self.queue.start_within_ms("a", 1000), 0)
+        plain = self.make_queue(refuses_early=False)
+        self.assertEqual(plain.start_within_ms("a", 5000), 5000)
+
     def test_a_halted_queue_shows_in_the_expected_wait(self):
         self.test_a_deadline_that_cannot_be_met_is_refused_by_the_drain_rate()
         self.clock.ms += 5000
