--- a/goldcrestmoor/request/admission_owner.py
+++ b/goldcrestmoor/request/admission_owner.py
@@ -11,7 +11,8 @@
     Release,
     RenewGrants,
 )
-from goldcrestmoor.request.fair_queue import WEIGHTED_FAIR, Entry, FairQueue
+from goldcrestmoor.request.fair_queue import WEIGHTED_FAIR, FairQueue
+from goldcrestmoor.request.queue_entry import Entry
 from goldcrestmoor.request.slots import GRANT_MS, Slots
 from goldcrestmoor.wire import Done
 
--- a/goldcrestmoor/request/fair_queue.py
+++ b/goldcrestmoor/request/fair_queue.py
@@ -28,44 +28,6 @@
 WEIGHTED_FAIR = WeightedFair()
 
 
-class Entry:
-    """One queued request.
-
-    :param id: the grant that it waits for.
-    :param account: the account's name.
-    :param kind: the account's kind.
-    :param share: the account's weight.
-    :param cost_tokens: what it is expected to cost, in tokens.
-    :param deadline: when it must have started.
-    :param queued_ms: when it was queued, on the clock's scale.
-    """
-
-    __slots__ = (
-        "id",
-        "account",
-        "kind",
-        "share",
-        "cost_tokens",
-        "deadline",
-        "queued_ms",
-        "number",
-        "pending",
-        "started_ms",
-    )
-
-    def __init__(self, id, account, kind, share, cost_tokens, deadline, queued_ms):
-        self.id = id
-        self.account = account
-        self.kind = kind
-        self.share = max(1, share)
-        self.cost_tokens = max(1, cost_tokens)
-        self.deadline = deadline
-        self.queued_ms = queued_ms
-        self.number = 0
-        self.pending = 0.0
-        self.started_ms = None
-
-
 class FairQueue:
     """Order requests so that each account gets its share of the tokens.
 
@@ -135,7 +97,7 @@
     def push(self, entry):
         """Queue a request.
 
-        :param entry: the :class:`Entry`.
+        :param entry: the :class:`~goldcrestmoor.request.queue_entry.Entry`.
         :raises ServiceError: ``OVERLOADED`` when the queue is full or too slow for
             the entry's deadline, with when to come back.
         """
@@ -186,7 +148,7 @@
     def settle(self, entry, used_tokens):
         """Count what a request used in the end, in place of its expected cost.
 
-        :param entry: the :class:`Entry`, which is no longer in flight.
+        :param entry: its entry, which is no longer in flight.
         :param used_tokens: how many tokens it used.
         """
         if entry.account not in self._virtual_by_account:
@@ -234,7 +196,7 @@
     def expected_wait_ms(self, entry):
         """Return how long an entry would wait, by the measured drain rate.
 
-        :param entry: the :class:`Entry`, not yet queued.
+        :param entry: its entry, not yet queued.
         :return: milliseconds; zero while no rate has been measured.
         """
         if not self._length:
@@ -253,7 +215,7 @@
     def remove(self, entry):
         """Drop a queued entry; nothing happens when it is not queued.
 
-        :param entry: the :class:`Entry`.
+        :param entry: the :class:`~goldcrestmoor.request.queue_entry.Entry`.
         """
         queue = self._queues_by_account.get(entry.account, ())
         if entry in queue:
--- /dev/null
+++ b/goldcrestmoor/request/queue_entry.py
@@ -0,0 +1,39 @@
+"""A request that waits for a slot, or uses one."""
+
+
+class Entry:
+    """One queued request.
+
+    :param id: the grant that it waits for.
+    :param account: the account's name.
+    :param kind: the account's kind.
+    :param share: the account's weight.
+    :param cost_tokens: what it is expected to cost, in tokens.
+    :param deadline: when it must have started.
+    :param queued_ms: when it was queued, on the clock's scale.
+    """
+
+    __slots__ = (
+        "id",
+        "account",
+        "kind",
+        "share",
+        "cost_tokens",
+        "deadline",
+        "queued_ms",
+        "number",
+        "pending",
+        "started_ms",
+    )
+
+    def __init__(self, id, account, kind, share, cost_tokens, deadline, queued_ms):
+        self.id = id
+        self.account = account
+        self.kind = kind
+        self.share = max(1, share)
+        self.cost_tokens = max(1, cost_tokens)
+        self.deadline = deadline
+        self.queued_ms = queued_ms
+        self.number = 0
+        self.pending = 0.0
+        self.started_ms = None
--- a/goldcrestmoor/request/slots.py
+++ b/goldcrestmoor/request/slots.py
@@ -19,7 +19,7 @@
     """A grant that a host holds.
 
     :param host: the host.
-    :param entry: the :class:`~goldcrestmoor.request.fair_queue.Entry`.
+    :param entry: the :class:`~goldcrestmoor.request.queue_entry.Entry`.
     :param expires_ms: when it lapses, on the clock's scale.
     """
 
@@ -35,7 +35,7 @@
     """A queued request, and the future that its polls wait on.
 
     :param host: the host that asked.
-    :param entry: the :class:`~goldcrestmoor.request.fair_queue.Entry`.
+    :param entry: the :class:`~goldcrestmoor.request.queue_entry.Entry`.
     :param polled_ms: when it asked last, on the clock's scale.
     """
 
@@ -72,7 +72,7 @@
         """Queue a request.
 
         :param host: the host that asked.
-        :param entry: the :class:`~goldcrestmoor.request.fair_queue.Entry`.
+        :param entry: the :class:`~goldcrestmoor.request.queue_entry.Entry`.
         :return: its :class:`Waiter`.
         :raises ServiceError: ``OVERLOADED``.
         """
--- /dev/null
+++ b/goldcrestmoor/version/kept_pieces.py
@@ -0,0 +1,44 @@
+"""What failed streams of a step made, for the next try of their slots."""
+
+
+class KeptPieces:
+    """Keep the longest of each slot's failed streams.
+
+    :param is_on: whether anything is kept at all.
+    """
+
+    __slots__ = ("_is_on", "_pieces_by_slot")
+
+    def __init__(self, is_on):
+        self._is_on = is_on
+        self._pieces_by_slot = {}
+
+    def keep(self, stream):
+        """Keep the pieces of a stream that failed.
+
+        :param stream: the :class:`~goldcrestmoor.version.step_stream.Stream`.
+        """
+        kept = self._pieces_by_slot.get(stream.slot, ())
+        if self._is_on and len(stream.pieces) > len(kept):
+            self._pieces_by_slot[stream.slot] = stream.pieces
+
+    def take(self, slot, max_tokens, oldest_version):
+        """Return the pieces that a slot's next stream goes on from, often none.
+
+        :param slot: the slot.
+        :param max_tokens: the most tokens of a sample; pieces that have as many are
+            of no use, as they lack their end.
+        :param oldest_version: the oldest weight version that may be delivered.
+        """
+        pieces = self._pieces_by_slot.pop(slot, ())
+        is_full = sum(piece.tokens for piece in pieces) >= max_tokens
+        if is_full or any(piece.version < oldest_version for piece in pieces):
+            return ()
+        return pieces
+
+    def forget(self, slot):
+        """Drop what is kept for a slot that has its sample.
+
+        :param slot: the slot.
+        """
+        self._pieces_by_slot.pop(slot, None)
--- a/goldcrestmoor/version/step_run.py
+++ b/goldcrestmoor/version/step_run.py
@@ -9,6 +9,7 @@
 from goldcrestmoor.errors import ServiceError
 from goldcrestmoor.version import stragglers
 from goldcrestmoor.version.configuration import StreamRule
+from goldcrestmoor.version.kept_pieces import KeptPieces
 from goldcrestmoor.version.publishing_pace import PublishingPace
 from goldcrestmoor.version.step_recorder import StepRecorder
 from goldcrestmoor.version.step_stream import Stream
@@ -64,10 +65,9 @@
         self._metrics = metrics
         self._is_wanted = is_wanted
         self._start_order = start_order
-        self._resumes = resumes
         self._drops_early = drops_early
         self._pace = PublishingPace(state.trainer_version)
-        self._kept_by_slot = {}
+        self._kept = KeptPieces(resumes)
         self._hedges_left = -(-len(state.slots) * hedge_percent // PERCENT)
         self._lengths = stragglers.Lengths()
         self._streams_by_slot = {}
@@ -165,22 +165,9 @@
         )
         for slot in ordered[:idle]:
             group = self._state.group_by_index[slot.group]
-            pieces = self._kept(slot, group, account)
+            pieces = self._kept.take(slot, group.max_tokens, self._floor(account))
             self._start(Stream(slot, group, now_ms, pieces), account)
 
-    def _keep(self, stream):
-        """Keep the tokens of a stream that failed, for the slot's next try."""
-        kept = self._kept_by_slot.get(stream.slot, ())
-        if self._resumes and len(stream.pieces) > len(kept):
-            self._kept_by_slot[stream.slot] = stream.pieces
-
-    def _kept(self, slot, group, account):
-        pieces = self._kept_by_slot.pop(slot, ())
-        is_usable = sum(piece.tokens for piece in pieces) < group.max_tokens and all(
-            piece.version >= self._floor(account) for piece in pieces
-        )
-        return pieces if is_usable else ()
-
     def _may_retry(self, slot, now_ms):
         retry = self._retry_by_slot.get(slot)
         return retry is None or retry[0] <= now_ms
@@ -210,7 +197,7 @@
                 await self._receive(stream, account, avoid)
         except ServiceError as e:
             self._metrics.retries.labels(e.kind.value).inc()
-            self._keep(stream)
+            self._kept.keep(stream)
             self._retry_later(stream, e.retry_after_ms)
             return
         finally:
@@ -270,7 +257,7 @@
             self._count("dropped_second")
             return
         self._retry_by_slot.pop(stream.slot, None)
-        self._kept_by_slot.pop(stream.slot, None)
+        self._kept.forget(stream.slot)
         elapsed_ms = self._clock.now_ms() - stream.started_ms
         self._lengths.add(stream.group.index, stream.tokens(), elapsed_ms)
         for loser in list(self._streams_by_slot.get(stream.slot, ())):
--- a/test/test_fair_queue.py
+++ b/test/test_fair_queue.py
@@ -5,7 +5,8 @@
 
 from goldcrestmoor.clock import Deadline
 from goldcrestmoor.errors import ErrorKind, ServiceError
-from goldcrestmoor.request.fair_queue import Entry, FairQueue, FirstComeFirstServed
+from goldcrestmoor.request.fair_queue import FairQueue, FirstComeFirstServed
+from goldcrestmoor.request.queue_entry import Entry
 from test._request_fakes import FakeClock
 
 
