--- a/goldcrestmoor/request/completions.py
+++ b/goldcrestmoor/request/completions.py
@@ -1,12 +1,11 @@
 """Text from a pool of engines, carried from one engine to the next on failure."""
 
-import asyncio
 import contextlib
 import logging
 
 from goldcrestmoor import util
-from goldcrestmoor.clock import MS_PER_SECOND
 from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.request.authentication import check_served
 from goldcrestmoor.request.failures import most_telling
 from goldcrestmoor.request.piece import Piece
 
@@ -24,6 +23,9 @@
         ErrorKind.UPSTREAM_TIMEOUT,
     }
 )
+NOT_SERVED = frozenset(
+    {ErrorKind.UNAUTHORIZED, ErrorKind.CONFIG_LAPSED, ErrorKind.FORBIDDEN}
+)
 REFUSALS = frozenset({ErrorKind.NO_UPSTREAM, ErrorKind.OVERLOADED})
 
 
@@ -172,7 +174,7 @@
             finally:
                 self._placement.end(upstream)
             upstream = grant.upstream
-            stream = self._read(grant, pool, prompt, seed, deadline, progress)
+            stream = self._read(grant, account, pool, prompt, seed, deadline, progress)
             try:
                 async with contextlib.aclosing(stream):
                     async for piece in stream:
@@ -211,6 +213,8 @@
     def _move(self, error, pool, upstream, progress, deadline, request_id):
         """Go on with another engine after a failure, or raise it."""
         progress.failures.append(error)
+        if error.kind in NOT_SERVED:
+            raise most_telling(progress.failures)
         if error.kind not in MOVABLE | REFUSALS:
             raise error
         if progress.text and not self._resumes:
@@ -224,7 +228,7 @@
         text = f"Moved on from {upstream.name} with {len(progress.text)} characters"
         self._decisions.note("completions", request_id, f"{text}: {error.message}")
 
-    async def _read(self, grant, pool, prompt, seed, deadline, progress):
+    async def _read(self, grant, account, pool, prompt, seed, deadline, progress):
         """Yield the pieces of one engine's stream, under a granted slot."""
         upstream = grant.upstream
         stream_id = util.new_id()
@@ -243,14 +247,16 @@
             request_id=stream_id,
             timeout_ms=max(1, deadline.remaining_ms()),
             resume_text=progress.text,
+            silence_ms=self._settings.progress_timeout_ms,
         )
         try:
             if not self._placement.takes_work(upstream.name):
                 text = f"{upstream.name} takes no new work."
                 raise ServiceError(ErrorKind.NO_UPSTREAM, text)
+            check_served(self._lease.view(), account, pool)
             in_flight = True
             async with contextlib.aclosing(stream):
-                async for piece in self._unless_silent(stream, deadline):
+                async for piece in stream:
                     if first_ms is None:
                         first_ms = self._clock.now_ms() - started_ms
                     used += piece.tokens
@@ -267,20 +273,6 @@
             if in_flight:
                 self._tasks.start(self._cancel(upstream, stream_id), name="cancel")
 
-    async def _unless_silent(self, stream, deadline):
-        silence_ms = self._settings.progress_timeout_ms
-        while True:
-            wait_ms = min(silence_ms, deadline.remaining_ms())
-            try:
-                async with asyncio.timeout(wait_ms / MS_PER_SECOND):
-                    piece = await anext(stream)
-            except StopAsyncIteration:
-                return
-            except TimeoutError:
-                text = f"The engine was silent for {wait_ms} ms."
-                raise ServiceError(ErrorKind.UPSTREAM_TIMEOUT, text) from None
-            yield piece
-
     async def _cancel(self, upstream, stream_id):
         try:
             await self._engines.cancel(
--- a/goldcrestmoor/request/key_memory.py
+++ b/goldcrestmoor/request/key_memory.py
@@ -1,6 +1,7 @@
 """What this host remembers of the requests that it sent with keys."""
 
 import asyncio
+import contextlib
 import hashlib
 
 from goldcrestmoor import util
@@ -8,7 +9,7 @@
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
 
 MAX_KEPT_BODY_BYTES = 1 << 16
-MAX_KEPT_TOTAL_BYTES = 16 << 20
+MAX_KEPT_TOTAL_BYTES = 8 << 20
 FULL_RETRY_AFTER_MS = 5000
 SWEEP_MS = 5000
 
@@ -30,16 +31,32 @@
     :param expires_ms: how long it is remembered, on the clock's scale.
     """
 
-    __slots__ = ("digest", "expires_ms", "answer", "error", "done", "waiters", "keep")
+    __slots__ = ("digest", "expires_ms", "answer", "error", "keep")
+    __slots__ += ("waiters", "_done")
 
     def __init__(self, digest, expires_ms):
         self.digest = digest
         self.expires_ms = expires_ms
         self.answer = None
         self.error = None
-        self.done = asyncio.Event()
         self.waiters = 0
         self.keep = True
+        self._done = asyncio.Event()
+
+    def is_done(self):
+        """Tell whether the answer or the failure is recorded."""
+        return self._done is None
+
+    def finish(self):
+        """Let everybody go on who waits for the answer."""
+        # Many outcomes are kept for long, and an event is larger than the rest.
+        done, self._done = self._done, None
+        done.set()
+
+    async def wait(self):
+        """Wait until the answer or the failure is recorded."""
+        if self._done is not None:
+            await self._done.wait()
 
     def result(self):
         """Return the recorded answer.
@@ -59,13 +76,17 @@
 
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param settings: the :class:`~goldcrestmoor.settings.IdempotencySettings`.
+    :param in_flight: counts what a shutdown waits for, by ``hold()``, and tells by
+        ``is_open`` whether new work is taken; None when there is no such count.
     """
 
     __slots__ = ("_clock", "_settings", "_outcomes_by_key", "_kept_bytes", "_tasks") + (
         "_swept_ms",
+        "_in_flight",
     )
 
-    def __init__(self, *, clock, settings):
+    def __init__(self, *, clock, settings, in_flight=None):
+        self._in_flight = in_flight
         self._clock = clock
         self._settings = settings
         self._outcomes_by_key = {}
@@ -76,6 +97,17 @@
     def __len__(self):
         return len(self._outcomes_by_key)
 
+    @property
+    def is_open(self):
+        """Whether this host takes new work."""
+        return self._in_flight is None or self._in_flight.is_open
+
+    def hold(self):
+        """Return a context manager that a shutdown waits for."""
+        if self._in_flight is None:
+            return contextlib.nullcontext()
+        return self._in_flight.hold()
+
     def find(self, key, digest):
         """Return the outcome of a key, or None.
 
@@ -117,7 +149,7 @@
         outcome.waiters += 1
         try:
             async with asyncio.timeout(deadline.remaining_ms() / MS_PER_SECOND):
-                await outcome.done.wait()
+                await outcome.wait()
             return outcome.result()
         except TimeoutError:
             text = "The request with this key is still running."
@@ -139,7 +171,8 @@
 
     async def _run(self, key, outcome, send):
         try:
-            outcome.answer = await send()
+            with self.hold():
+                outcome.answer = await send()
             self._keep(outcome)
         except ServiceError as e:
             outcome.error = e
@@ -154,10 +187,10 @@
             outcome.error = ServiceError(ErrorKind.OUTCOME_UNKNOWN, text)
             raise
         finally:
-            outcome.done.set()
+            outcome.finish()
 
     def _keep(self, outcome):
-        size = len(outcome.answer.body)
+        size = _size(outcome.answer)
         fits = self._kept_bytes + size <= MAX_KEPT_TOTAL_BYTES
         if size <= MAX_KEPT_BODY_BYTES and fits:
             self._kept_bytes += size
@@ -178,7 +211,7 @@
         if now_ms >= self._swept_ms + SWEEP_MS:
             self._swept_ms = now_ms
             for key, outcome in list(self._outcomes_by_key.items()):
-                if outcome.expires_ms <= now_ms and outcome.done.is_set():
+                if outcome.expires_ms <= now_ms and outcome.is_done():
                     self._drop(key)
         if len(self._outcomes_by_key) >= self._settings.max_remembered:
             text = "Too many keys are remembered."
@@ -187,4 +220,9 @@
     def _drop(self, key):
         outcome = self._outcomes_by_key.pop(key, None)
         if outcome is not None and outcome.keep and outcome.answer is not None:
-            self._kept_bytes -= len(outcome.answer.body)
+            self._kept_bytes -= _size(outcome.answer)
+
+
+def _size(answer):
+    headers = sum(len(name) + len(value) for name, value in answer.headers)
+    return len(answer.body) + headers
--- a/test/test_configuration.py
+++ b/test/test_configuration.py
@@ -3,7 +3,6 @@
 import asyncio
 import functools
 import unittest
-import zlib
 
 import msgspec
 from hypothesis import example, given, settings as hypothesis_settings, strategies
@@ -13,6 +12,7 @@
 from goldcrestmoor.version import configuration as documents
 from goldcrestmoor.version.configuration import Configuration
 from goldcrestmoor.version.configuration_driver import Accepted, Refused, Unknown
+from goldcrestmoor.version.configuration_lease import MAX_PROPOSALS
 from goldcrestmoor.version.configuration_messages import PrepareCutOff
 from goldcrestmoor.version.configuration_store import Head
 from goldcrestmoor.version.cut_off import (
@@ -29,6 +29,15 @@
 TERMS_OF_TISZA = "ALTER ACCOUNT tisza CUTOFF STALENESS %d"
 
 
+class DocumentTest(unittest.TestCase):
+    def test_only_a_whole_document_is_decoded(self):
+        data = documents.encode(Configuration(7))
+        self.assertEqual(documents.decode(data), Configuration(7))
+        for broken in (b"", b"{}", data[:-1], data[:-9], b"x" + data):
+            with self.assertRaises(msgspec.MsgspecError):
+                documents.decode(broken)
+
+
 class ConfigurationTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.world = World(3)
@@ -230,6 +239,14 @@
         answer = await self.change(TERMS_OF_TISZA % 1)
         self.assertEqual((type(answer), answer.version), (Refused, 1))
 
+    async def test_refused_terms_leave_room_for_later_ones(self):
+        self.world.network.silent = {"h2"}
+        for bound in range(MAX_PROPOSALS + 1):
+            answer = await self.change(TERMS_OF_TISZA % (bound % 2))
+            self.assertEqual(answer.silent_hosts, ("h2",))
+        self.world.network.silent = set()
+        self.assertIsInstance(await self.change(TERMS_OF_TISZA % 1), Accepted)
+
     async def test_a_host_that_starts_while_terms_are_proposed_learns_of_them(self):
         async def start():
             self.platform.before_write = None
@@ -398,7 +415,7 @@
         head = msgspec.json.decode(row.value, type=Head)
         tokens = (r.token for r in head.recent_tokens if r.version == version)
         key = f"configuration/{version}-{next(tokens)}"
-        return documents.decode(zlib.decompress(platform.data_by_key[key]))
+        return documents.decode(platform.data_by_key[key])
 
     def check(self):
         version, configuration = self.accepted
