--- a/goldcrestmoor/process/callers.py
+++ b/goldcrestmoor/process/callers.py
@@ -53,6 +53,7 @@
             metrics=daemon.metrics,
             decisions=daemon.decisions,
             health=daemon.health,
+            on_leaving=daemon.leaving.note,
             head_timeout_ms=daemon.settings.limits.progress_timeout_ms,
         )
         self.server = HttpServer(
@@ -106,12 +107,18 @@
             lease=daemon.lease,
             policy=policy,
             health=daemon.health,
-            is_leaving=self._is_leaving,
+            is_leaving=self.is_leaving,
             zone_answers=lambda zone: bool(daemon.membership.live(zone)),
         )
 
-    def _is_leaving(self, upstream):
-        return upstream in self._daemon.membership.leaving_upstreams()
+    def is_leaving(self, upstream):
+        """Tell whether an upstream is leaving, by the host list or its own answers.
+
+        :param upstream: the upstream's name.
+        """
+        daemon = self._daemon
+        listed = daemon.membership.leaving_upstreams()
+        return upstream in listed or daemon.leaving.is_leaving(upstream)
 
     def _make_admission(self):
         daemon = self._daemon
@@ -123,7 +130,7 @@
             metrics=daemon.metrics,
             decisions=daemon.decisions,
             membership=daemon.membership,
-            is_leaving=self._is_leaving,
+            is_leaving=self.is_leaving,
             order=policies.queue_order(daemon.settings.policy),
             refuses_early=daemon.settings.policy.early_refusal,
         )
