--- /dev/null
+++ b/test/proofs/test_membership_faults.py
@@ -0,0 +1,147 @@
+"""Proofs about who is believed alive: bytes, freezes, a wrong list and cuts."""
+
+import asyncio
+import re
+import time
+
+from test import _common
+from test.fleet import http_get
+from test.proofs._fleet import SHORT, FleetCase
+
+TARGET_BYTES_PER_S = 7000
+WINDOW_S = 5
+# From 4 to 16 hosts an exchange between all would grow fivefold.
+MAX_GROWTH = 1.5
+FREEZES = 5
+FROZEN_S = 2.5
+AWAKE_S = 0.6
+PROBES = re.compile(r'control_bytes_total{.*message="(Probe|Sync)\w*"} (\S+)')
+
+
+class MembershipCase(FleetCase):
+    async def metrics(self, host_id):
+        """Return a host's metrics as text."""
+        url = self.fleet.endpoint_by_id[host_id].url
+        return (await http_get(f"{url}/metrics"))[1].decode()
+
+    async def alive_by(self, host_id):
+        """Return the hosts that a host calls alive."""
+        rows = await self.show(host_id, "SHOW HOSTS")
+        return {row["id"] for row in rows if row["state"] == "alive"}
+
+    async def live_by(self, host_id):
+        """Return how many hosts a host gives work to."""
+        text = await self.metrics(host_id)
+        counts = re.findall(r"^goldcrestmoor_live_hosts{.*} (\S+)$", text, re.M)
+        return sum(float(count) for count in counts)
+
+    async def agreed(self, alive, host_ids=None):
+        """Wait until hosts agree on who is alive."""
+        for host_id in host_ids or alive:
+
+            async def agrees(host_id=host_id):
+                return await self.alive_by(host_id) == set(alive)
+
+            await _common.eventually(agrees)
+
+
+class BytesTest(MembershipCase):
+    async def test_bytes_of_a_host_do_not_grow_with_the_fleet(self):
+        rates = {}
+        for hosts in (2, 4, 8):
+            await self.start(hosts=hosts, pools=(), settings={})
+            await self.agreed(self.ids)
+            rates[2 * hosts] = await self.rate()
+            await self.fleet.close()
+        self.assertGreater(min(rates.values()), 0)
+        self.assertLess(max(rates.values()), TARGET_BYTES_PER_S, rates)
+        self.assertLess(rates[16], MAX_GROWTH * rates[4], rates)
+
+    async def rate(self):
+        """Return the bytes a second of the busiest host's membership messages."""
+        before, started = await self.bytes_by_host(), time.monotonic()
+        await asyncio.sleep(WINDOW_S)
+        after, seconds = await self.bytes_by_host(), time.monotonic() - started
+        return max((after[i] - before[i]) / seconds for i in self.ids)
+
+    async def bytes_by_host(self):
+        """Return the bytes of membership messages so far."""
+        texts = await asyncio.gather(*(self.metrics(i) for i in self.ids))
+        return {
+            host_id: sum(float(value) for _, value in PROBES.findall(text))
+            for host_id, text in zip(self.ids, texts, strict=True)
+        }
+
+
+class FreezeTest(MembershipCase):
+    async def test_a_host_that_freezes_again_and_again_is_held_back(self):
+        await self.start(hosts=2, pools=())
+        observer, frozen = self.ids[0], self.ids[-1]
+        await self.agreed(self.ids)
+        returns, was_live = 0, True
+        for _ in range(FREEZES):
+            for freeze, seconds in ((True, FROZEN_S), (False, AWAKE_S)):
+                (self.fleet.freeze if freeze else self.fleet.thaw)(frozen)
+                end = time.monotonic() + seconds
+                while time.monotonic() < end:
+                    is_live = await self.live_by(observer) == len(self.ids)
+                    returns += is_live and not was_live
+                    was_live = is_live
+                    await asyncio.sleep(0.05)
+        # It gets its work back once, and then is held back for longer each time.
+        self.assertLessEqual(returns, 2)
+        await self.agreed(self.ids)
+
+        async def all_live():
+            return await self.live_by(observer) == len(self.ids)
+
+        await _common.eventually(all_live)
+
+    async def test_a_host_that_wakes_calls_nobody_dead(self):
+        await self.start(hosts=2, pools=())
+        frozen = self.ids[-1]
+        await self.agreed(self.ids)
+        self.fleet.freeze(frozen)
+        await self.agreed(self.ids[:-1])
+        self.fleet.thaw(frozen)
+        await self.agreed(self.ids)
+        log = self.fleet.process_by_id[frozen].log()
+        self.assertIn("stood still", log)
+        self.assertNotIn("is dead", log)
+
+
+class ListTest(MembershipCase):
+    async def test_a_wrong_list_is_only_an_input(self):
+        await self.start(hosts=2, pools=())
+        # The list names a host that never was, and of the others only the first.
+        first, killed = self.ids[0], self.ids[-1]
+        entry = next(e for e in self.fleet.listed_hosts() if e["id"] == first)
+        ghost = entry | {"id": "ghost", "peer_port": _common.free_port("127.0.1.7")}
+        ghost["address"] = "127.0.1.7"
+        await self.list_hosts([entry, ghost])
+        await asyncio.sleep(2 * SHORT["membership"]["suspect_ms"] / 1000)
+        await self.agreed(self.ids)
+        # It goes on to name a host that is dead.
+        dead = next(e for e in self.fleet.listed_hosts() if e["id"] == killed)
+        await self.list_hosts([entry, ghost, dead])
+        self.fleet.kill(killed)
+        await self.agreed(self.ids[:-1])
+        # One that it does not name comes back and is found by all.
+        await self.list_hosts([entry, ghost])
+        await self.fleet.start_host(killed)
+        await self.agreed(self.ids)
+
+    async def list_hosts(self, entries):
+        """Have the platform list these."""
+        control = self.fleet.platform_control
+        await self.fleet.control(control, "hosts", hosts=entries)
+
+    async def test_zones_part_and_meet_again(self):
+        await self.start(hosts=2, pools=())
+        near, far = self.ids[:2], self.ids[2:]
+        await self.agreed(self.ids)
+        self.network.cut("zone-b")
+        await self.agreed(near)
+        await self.agreed(far)
+        self.network.mend()
+        await self.agreed(self.ids)
