Listen below the range of outgoing ports in tests

Daemons connect from their own addresses, so an outgoing connection could take a port that a peer was to listen on: seen twice, as 'Address already in use' and as a BadStatusLine from a zmq socket on an HTTP port. Ports for listening now come from 10000 to 31999. A cut HTTP answer counts as no answer in http_get and http_post.

--- a/test/_common.py
+++ b/test/_common.py
@@ -1,6 +1,8 @@
 """What many tests share: settings, ports and processes."""
 
 import asyncio
+import contextlib
+import random
 import socket
 import time
 
@@ -10,16 +12,23 @@
 
 EVENT_TIMEOUT_S = 60
 POLL_S = 0.02
+LISTEN_PORTS = (10_000, 32_000)
 OPERATOR_TOKEN = "operator-token"
 
 FLEET_PUBLIC_KEY, FLEET_SECRET_KEY = (key.decode() for key in zmq.curve_keypair())
 
 
 def free_port(address="127.0.0.1"):
-    """Return a TCP port that was free a moment ago."""
-    with socket.socket() as s:
-        s.bind((address, 0))
-        return s.getsockname()[1]
+    """Return a TCP port that was free a moment ago.
+
+    It lies below the range that outgoing connections take theirs from: daemons
+    connect from their own addresses, and would take a peer's port before it listens.
+    """
+    while True:
+        port = random.randrange(*LISTEN_PORTS)
+        with socket.socket() as s, contextlib.suppress(OSError):
+            s.bind((address, port))
+            return port
 
 
 def settings_document(host_id="host-a1", zone="zone-a", **sections):
--- a/test/fault_proxy.py
+++ b/test/fault_proxy.py
@@ -162,7 +162,7 @@
                 self._pump(pair, UP, reader, far_writer),
                 self._pump(pair, DOWN, far_reader, writer),
             )
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             pass
         finally:
             for each in self._pairs[pair]:
--- a/test/fleet.py
+++ b/test/fleet.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import http.client
 import json
 import pathlib
 import shutil
@@ -454,5 +455,5 @@
             return response.status, response.read()
     except urllib.error.HTTPError as e:
         return e.code, e.read()
-    except OSError:
+    except (OSError, http.client.HTTPException):
         return None, b""
