Leave an engine that keeps its old weights

Cause: a stream whose engine had failed its swap ended with version_conflict, and the next try of the slot went to the same engine of the own zone, for ever: the proof test_an_engine_that_keeps_its_old_version_gives_nothing waited 60 s in vain. The stream now goes on at another engine. It costs no retry budget, as the old engine did no work of use.

--- a/goldcrestmoor/request/completions.py
+++ b/goldcrestmoor/request/completions.py
@@ -136,7 +136,7 @@
         :param min_version: the oldest weight version that is of use.
         :param avoid: names of engines to pass over.
         :param prefix_key: what prompts with a common prefix share.
-        :raises ServiceError: ``VERSION_CONFLICT`` when an engine's tokens are older
+        :raises ServiceError: ``VERSION_CONFLICT`` when the engines' tokens are older
             than ``min_version``; else what admission or the last engine gave.
         """
         self._budget.note_request(pool)
@@ -195,11 +195,14 @@
     def _move(self, error, pool, upstream, progress, deadline, request_id):
         """Go on with another engine after a failure, or raise it."""
         progress.failures.append(error)
-        if error.kind not in MOVABLE | REFUSALS:
+        if error.kind not in MOVABLE | REFUSALS | {ErrorKind.VERSION_CONFLICT}:
             raise error
         if len(progress.failures) > MAX_FAILURES or deadline.passed():
             raise most_telling(progress.failures)
-        if not self._budget.try_retry(pool):
+        # An engine that keeps its old weights gave no token of use, and goes on being
+        # chosen until it swaps: leaving it is no retry of work that it did.
+        is_old = error.kind == ErrorKind.VERSION_CONFLICT
+        if not is_old and not self._budget.try_retry(pool):
             raise most_telling(progress.failures)
         self._metrics.retries.labels(error.code).inc()
         progress.avoid.add(upstream.name)
