--- a/goldcrestmoor/adapters/objects.py
+++ b/goldcrestmoor/adapters/objects.py
@@ -29,6 +29,21 @@
             "PUT", platform.path("objects", key), data, (STATUS_OK,), idempotent=True
         )
 
+    async def delete(self, key):
+        """Delete an object, if there is one.
+
+        :param key: the object's key.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE`` when surely not deleted, else
+            ``OUTCOME_UNKNOWN``.
+        """
+        await self._platform.write(
+            "DELETE",
+            platform.path("objects", key),
+            b"",
+            (STATUS_OK, STATUS_NOT_FOUND),
+            idempotent=True,
+        )
+
     async def get(self, key):
         """Return an object's bytes, or ``None``.
 
--- a/goldcrestmoor/process/callers.py
+++ b/goldcrestmoor/process/callers.py
@@ -17,8 +17,11 @@
 from goldcrestmoor.request.minted_key import KeyMint
 from goldcrestmoor.request.placement import Placement, PrefixAffinity, TwoChoices
 from goldcrestmoor.version import step_routes
+from goldcrestmoor.version.step_front import StepFront
 from goldcrestmoor.version.step_holder import StepHolder
+from goldcrestmoor.version.step_router import StepRouter
 from goldcrestmoor.version.step_store import StepStore
+from goldcrestmoor.version.step_sweeper import StepSweeper
 
 
 class Callers:
@@ -34,6 +37,8 @@
         "completions",
         "applications",
         "holder",
+        "_steps",
+        "_step_sweeper",
         "server",
         "_memory",
         "_claims",
@@ -71,6 +76,7 @@
         tasks.start(self.admission_owner.run(), "owner")
         tasks.start(self._store.run(), "step store")
         tasks.start(self._sweeper().run(), "claim sweeper")
+        tasks.start(self._step_sweeper.run(), "step sweeper")
         await self.server.start()
 
     async def hand_over(self):
@@ -155,17 +161,39 @@
             membership=daemon.membership,
             host_id=daemon.settings.host.id,
         )
+        router = StepRouter(
+            links=daemon.links,
+            ownership=daemon.ownership,
+            store=self._store,
+            lease=daemon.lease,
+            host_id=daemon.settings.host.id,
+        )
         self.holder = StepHolder(
             clock=daemon.clock,
             completions=self.completions,
             store=self._store,
             links=daemon.links,
-            ownership=daemon.ownership,
+            router=router,
             lease=daemon.lease,
+            versions=daemon.versions,
             decisions=daemon.decisions,
             metrics=daemon.metrics,
             settings=daemon.settings,
         )
+        self._steps = StepFront(
+            clock=daemon.clock,
+            router=router,
+            holder=self.holder,
+            versions=daemon.versions,
+            metrics=daemon.metrics,
+            settings=daemon.settings,
+        )
+        self._step_sweeper = StepSweeper(
+            clock=daemon.clock,
+            records=self._store.records,
+            ownership=daemon.ownership,
+            host_id=daemon.settings.host.id,
+        )
 
     def _make_keys(self):
         daemon = self._daemon
@@ -234,6 +262,6 @@
         step_routes.register_routes(
             app,
             authenticator=authenticator,
-            holder=self.holder,
+            steps=self._steps,
             weights=daemon.versions,
         )
--- /dev/null
+++ b/goldcrestmoor/version/step_front.py
@@ -0,0 +1,123 @@
+"""The steps' front on every host: it takes requests to the step's holder."""
+
+from goldcrestmoor.clock import Deadline
+from goldcrestmoor.version.step_messages import (
+    CancelStep,
+    PulledSamples,
+    PullSamples,
+    SubmitStep,
+)
+from goldcrestmoor.version.steps import check, check_name, oldest_version
+
+PULL_SLICE_MS = 1000
+CALL_MARGIN_MS = 1000
+SUBMIT_TIMEOUT_MS = 5000
+
+
+class StepFront:
+    """What trainers' requests come to, on whichever host they reach.
+
+    :param clock: the clock.
+    :param router: the :class:`~goldcrestmoor.version.step_router.StepRouter`.
+    :param holder: this host's
+        :class:`~goldcrestmoor.version.step_holder.StepHolder`.
+    :param versions: the :class:`~goldcrestmoor.version.weights.WeightVersions`.
+    :param metrics: the ``Metrics``.
+    :param settings: the host's settings.
+    """
+
+    __slots__ = ("_clock", "_router", "_holder", "_versions", "_metrics", "_settings")
+
+    def __init__(self, *, clock, router, holder, versions, metrics, settings):
+        self._clock = clock
+        self._router = router
+        self._holder = holder
+        self._versions = versions
+        self._metrics = metrics
+        self._settings = settings.steps
+
+    @property
+    def max_pull_samples(self):
+        """The most samples in one answer."""
+        return self._settings.max_pull_samples
+
+    async def submit(self, spec):
+        """Accept a step at its holder.
+
+        :param spec: the :class:`~goldcrestmoor.version.steps.StepSpec`.
+        :raises ServiceError: ``STEP_CONFLICT``, ``PLATFORM_UNAVAILABLE`` and others.
+        """
+        check(spec)
+        await self._router.at_holder(
+            spec.account,
+            spec.step,
+            SubmitStep(spec),
+            SUBMIT_TIMEOUT_MS,
+            self._holder.on_submit,
+        )
+
+    async def pull(self, message):
+        """Return samples that a trainer lacks, waiting for a first one.
+
+        :param message: the :class:`PullSamples`.
+        :return: the :class:`PulledSamples`.
+        :raises ServiceError: ``STEP_UNKNOWN`` when the step has to be submitted.
+        """
+        check_name(message.step)
+        started_ms = self._clock.now_ms()
+        wait_ms = min(message.wait_ms, self._settings.pull_wait_ms)
+        deadline = Deadline.after(self._clock, wait_ms)
+        while True:
+            # The wait is cut into slices, so that a holder that dies or freezes
+            # meanwhile is noticed long before the caller's own wait is over.
+            slice_ms = min(deadline.remaining_ms(), PULL_SLICE_MS)
+            limit = min(message.max_samples, self._settings.max_pull_samples)
+            part = _with_wait(message, slice_ms, limit)
+            answer = await self._router.at_holder(
+                message.account,
+                message.step,
+                part,
+                slice_ms + CALL_MARGIN_MS,
+                self._holder.on_pull,
+            )
+            answer = self._fresh(message, answer)
+            if answer.samples or answer.complete or deadline.passed():
+                break
+        idle_ms = self._clock.now_ms() - started_ms
+        self._metrics.trainer_idle_ms.labels(message.account).inc(idle_ms)
+        return answer
+
+    async def cancel(self, account, step):
+        """Stop work on a step and forget it.
+
+        :param account: the account's name.
+        :param step: the step's name.
+        """
+        check_name(step)
+        message = CancelStep(account, step)
+        await self._router.at_holder(
+            account, step, message, SUBMIT_TIMEOUT_MS, self._holder.on_cancel
+        )
+
+    def _fresh(self, message, answer):
+        """Return an answer without what went stale on its way from the holder."""
+        model = self._router.model(answer.pool)
+        published = self._versions.published_by(message.account, model)
+        bound = self._router.account(message.account).staleness_bound
+        floor = max(message.version, published) - bound
+        fresh = tuple(s for s in answer.samples if oldest_version(s) >= floor)
+        if len(fresh) == len(answer.samples):
+            return answer
+        return PulledSamples(fresh, False, answer.pool)
+
+
+def _with_wait(message, wait_ms, max_samples):
+    return PullSamples(
+        message.account,
+        message.step,
+        message.groups_held,
+        message.held,
+        message.version,
+        wait_ms,
+        max_samples,
+    )
--- a/goldcrestmoor/version/step_holder.py
+++ b/goldcrestmoor/version/step_holder.py
@@ -1,4 +1,4 @@
-"""Accepting steps and answering pulls, here or at the step's holder."""
+"""Holding steps: accepting them, working on them and answering pulls."""
 
 import asyncio
 import contextlib
@@ -13,23 +13,13 @@
     PullSamples,
     SubmitStep,
 )
-from goldcrestmoor.version.step_router import StepRouter
 from goldcrestmoor.version.step_run import StepRun
 from goldcrestmoor.version.step_state import StepState
-from goldcrestmoor.version.steps import (
-    Held,
-    check,
-    check_name,
-    digest_of,
-    oldest_version,
-)
+from goldcrestmoor.version.steps import Held, digest_of, oldest_version
 
 log = logging.getLogger("goldcrestmoor.steps")
 
 MAX_STEPS = 64
-PULL_SLICE_MS = 1000
-CALL_MARGIN_MS = 1000
-SUBMIT_TIMEOUT_MS = 5000
 UNWANTED_MS = 5000
 HAND_OVER_TIMEOUT_MS = 5000
 HAND_OVER_POLL_MS = 20
@@ -46,14 +36,15 @@
 
 
 class StepHolder:
-    """The steps' front on every host, and the holder of some of them.
+    """The steps that this host holds.
 
     :param clock: the clock.
     :param completions: the ``Completions``.
     :param store: the :class:`~goldcrestmoor.version.step_store.StepStore`.
     :param links: the ``PeerLinks``.
-    :param ownership: the ``Ownership``.
+    :param router: the :class:`~goldcrestmoor.version.step_router.StepRouter`.
     :param lease: the ``ConfigurationLease``.
+    :param versions: the :class:`~goldcrestmoor.version.weights.WeightVersions`.
     :param decisions: the ``Decisions``.
     :param metrics: the ``Metrics``.
     :param settings: the host's settings.
@@ -66,8 +57,9 @@
         completions,
         store,
         links,
-        ownership,
+        router,
         lease,
+        versions,
         decisions,
         metrics,
         settings,
@@ -75,14 +67,9 @@
         self._clock = clock
         self._completions = completions
         self._store = store
-        self._router = StepRouter(
-            links=links,
-            ownership=ownership,
-            store=store,
-            lease=lease,
-            host_id=settings.host.id,
-        )
+        self._router = router
         self._lease = lease
+        self._versions = versions
         self._decisions = decisions
         self._metrics = metrics
         self._settings = settings.steps
@@ -90,71 +77,9 @@
         self._loading_by_key = {}
         self._tasks = util.TaskGroup()
         self._is_leaving = False
-        links.register(PullSamples, self._on_pull)
-        links.register(SubmitStep, self._on_submit)
-        links.register(CancelStep, self._on_cancel)
-
-    async def submit(self, spec):
-        """Accept a step at its holder.
-
-        :param spec: the :class:`~goldcrestmoor.version.steps.StepSpec`.
-        :raises ServiceError: ``STEP_CONFLICT``, ``PLATFORM_UNAVAILABLE`` and others.
-        """
-        check(spec)
-        await self._router.at_holder(
-            spec.account,
-            spec.step,
-            SubmitStep(spec),
-            SUBMIT_TIMEOUT_MS,
-            self._on_submit,
-        )
-
-    async def pull(self, message):
-        """Return samples that a trainer lacks, waiting for a first one.
-
-        :param message: the :class:`PullSamples`.
-        :return: the :class:`PulledSamples`.
-        :raises ServiceError: ``STEP_UNKNOWN`` when the step has to be submitted.
-        """
-        check_name(message.step)
-        started_ms = self._clock.now_ms()
-        wait_ms = min(message.wait_ms, self._settings.pull_wait_ms)
-        deadline = Deadline.after(self._clock, wait_ms)
-        while True:
-            # The wait is cut into slices, so that a holder that dies or freezes
-            # meanwhile is noticed long before the caller's own wait is over.
-            slice_ms = min(deadline.remaining_ms(), PULL_SLICE_MS)
-            limit = min(message.max_samples, self._settings.max_pull_samples)
-            part = _with_wait(message, slice_ms, limit)
-            answer = await self._router.at_holder(
-                message.account,
-                message.step,
-                part,
-                slice_ms + CALL_MARGIN_MS,
-                self._on_pull,
-            )
-            if answer.samples or answer.complete or deadline.passed():
-                break
-        idle_ms = self._clock.now_ms() - started_ms
-        self._metrics.trainer_idle_ms.labels(message.account).inc(idle_ms)
-        return answer
-
-    async def cancel(self, account, step):
-        """Stop work on a step and forget it.
-
-        :param account: the account's name.
-        :param step: the step's name.
-        """
-        check_name(step)
-        message = CancelStep(account, step)
-        await self._router.at_holder(
-            account, step, message, SUBMIT_TIMEOUT_MS, self._on_cancel
-        )
-
-    @property
-    def max_pull_samples(self):
-        """The most samples in one answer."""
-        return self._settings.max_pull_samples
+        links.register(PullSamples, self.on_pull)
+        links.register(SubmitStep, self.on_submit)
+        links.register(CancelStep, self.on_cancel)
 
     def steps(self):
         """Return the states of the steps held here."""
@@ -174,7 +99,12 @@
             loading.cancel()
         await self._tasks.close()
 
-    async def _on_submit(self, sender_id, message):
+    async def on_submit(self, sender_id, message):
+        """Accept a step and start on it.
+
+        :param sender_id: the asking host.
+        :param message: the :class:`SubmitStep`.
+        """
         self._check_staying()
         spec = message.spec
         zone = self._router.zone(spec.account)
@@ -191,13 +121,20 @@
         await self._find(spec.account, spec.step, spec)
         return wire.Done()
 
-    async def _on_pull(self, sender_id, message):
+    async def on_pull(self, sender_id, message):
+        """Return samples that a trainer lacks, waiting for a first one.
+
+        :param sender_id: the asking host.
+        :param message: the :class:`PullSamples`.
+        :return: the :class:`PulledSamples`.
+        """
         self._check_staying()
         state = await self._find(message.account, message.step)
         held = Held(frozenset(message.groups_held), frozenset(message.held))
         state.note_pull(held, message.version, self._clock.now_ms())
         deadline = Deadline.after(self._clock, message.wait_ms)
         while True:
+            self._note_published(state)
             bound = self._router.account(message.account).staleness_bound
             samples, complete = state.answer(held, bound, message.max_samples)
             if samples or complete or deadline.passed():
@@ -208,7 +145,12 @@
         self._note_delivery(state, samples)
         if complete and not samples:
             self._tasks.start(self._forget(state))
-        return PulledSamples(samples, complete)
+        return PulledSamples(samples, complete, state.spec.pool)
+
+    def _note_published(self, state):
+        # A trainer that has published a version has it, whichever its pulls named.
+        model = self._router.model(state.spec.pool)
+        state.note_version(self._versions.published_by(state.spec.account, model))
 
     def _note_delivery(self, state, samples):
         account = state.spec.account
@@ -218,11 +160,16 @@
         if samples:
             self._metrics.samples.labels(account, "answered").inc(len(samples))
 
-    async def _on_cancel(self, sender_id, message):
+    async def on_cancel(self, sender_id, message):
+        """Stop work on a step and delete what is kept of it.
+
+        :param sender_id: the asking host.
+        :param message: the :class:`CancelStep`.
+        """
         key = (message.account, message.step)
-        self._drop(key)
+        await self._end(key)
         await self._store.forget(*key, self._router.zone(message.account))
-        await self._store.records.delete_spec(*key)
+        await self._store.records.delete(*key)
         return wire.Done()
 
     async def _find(self, account, step, spec=None):
@@ -273,11 +220,14 @@
             is_wanted=self._is_wanted,
         )
         await run.run()
-        self._drop(key)
+        work = self._work_by_key.get(key)
+        if work is not None and work.state is state:
+            del self._work_by_key[key]
 
     def _is_wanted(self, state):
         # A host that is no longer the holder goes on while pulls still reach it,
         # then leaves the rest to the new one. What it made is kept elsewhere.
+        self._note_published(state)
         if self._clock.now_ms() - state.pulled_ms < UNWANTED_MS:
             return True
         return self._router.is_here(state.spec.account, state.spec.step)
@@ -290,26 +240,22 @@
         if len(self._work_by_key) + len(self._loading_by_key) > MAX_STEPS:
             raise ServiceError(ErrorKind.OVERLOADED, "Too many steps are held here.")
 
-    def _drop(self, key):
+    async def _end(self, key):
+        # What still runs would have others keep the step anew.
         work = self._work_by_key.pop(key, None)
-        if work is not None and work.task is not asyncio.current_task():
+        if work is not None:
             work.task.cancel()
+            await asyncio.wait([work.task])
 
     async def _forget(self, state):
         key = (state.spec.account, state.spec.step)
         work = self._work_by_key.get(key)
         if work is not None and work.state is state:
-            self._drop(key)
+            await self._end(key)
             await self._store.forget(*key, state.zone)
-
-
-def _with_wait(message, wait_ms, max_samples):
-    return PullSamples(
-        message.account,
-        message.step,
-        message.groups_held,
-        message.held,
-        message.version,
-        wait_ms,
-        max_samples,
-    )
+            try:
+                await self._store.records.delete(*key)
+            except ServiceError as e:
+                log.info(
+                    "The records of step %s are left to the sweeper: %s", key[1], e
+                )
--- a/goldcrestmoor/version/step_messages.py
+++ b/goldcrestmoor/version/step_messages.py
@@ -30,10 +30,13 @@
     :param known: whether the host has the step's specification; it keeps nothing
         without.
     :param samples: the samples that came first for these slots.
+    :param settled: whether they are to stay; else the host asks others about its own
+        ones itself.
     """
 
     known: bool
     samples: tuple[Sample, ...] = ()
+    settled: bool = True
 
 
 class FetchStep(wire.Message, frozen=True):
@@ -86,10 +89,12 @@
     """Samples that the trainer lacks.
 
     :param complete: whether the trainer has the whole step with these.
+    :param pool: the pool whose engines made them.
     """
 
     samples: tuple[Sample, ...]
     complete: bool
+    pool: str = ""
 
 
 class CancelStep(wire.Message, frozen=True):
--- a/goldcrestmoor/version/step_recorder.py
+++ b/goldcrestmoor/version/step_recorder.py
@@ -18,7 +18,9 @@
     :param tasks: the :class:`~goldcrestmoor.util.TaskGroup` of the step.
     """
 
-    __slots__ = ("_state", "_store", "_clock", "_tasks", "_next_ms_by_group")
+    __slots__ = ("_state", "_store", "_clock", "_tasks", "_next_ms_by_group") + (
+        "_unkept",
+    )
 
     def __init__(self, *, state, store, clock, tasks):
         self._state = state
@@ -26,39 +28,43 @@
         self._clock = clock
         self._tasks = tasks
         self._next_ms_by_group = {}
+        self._unkept = set()
 
-    def start(self, floor):
-        """Start to record every group that is whole and not recorded.
-
-        :param floor: the oldest weight version that the trainer still takes.
-        """
+    def start(self):
+        """Start to record every group that is whole and not recorded."""
         now_ms = self._clock.now_ms()
         for group in self._state.group_by_index:
             if self._next_ms_by_group.get(group, 0) > now_ms:
                 continue
             samples = self._state.unrecorded(group)
-            if samples:
+            # Other hosts are asked first, so that no sample waits for the platform
+            # and two holders that share a replica record the same ones.
+            if samples and all(self._is_settled(sample) for sample in samples):
                 # The entry keeps a second writer away until this one has ended.
                 self._next_ms_by_group[group] = self._state.deadline.at_ms
-                self._tasks.start(self._record(group, samples, floor))
+                self._tasks.start(self._record(group, samples))
+
+    def _is_settled(self, sample):
+        return self._state.is_ready(sample.slot) or sample.digest in self._unkept
 
     async def keep(self, sample, floor):
-        """Have another host keep a new sample, unless its group can be recorded.
+        """Have another host keep a new sample.
 
         :param sample: the sample.
         :param floor: the oldest weight version that the trainer still takes.
         """
-        if not self._state.unrecorded(sample.slot.group):
-            await self._replicate(sample, floor)
-
-    async def _replicate(self, sample, floor):
-        # With no other host alive the sample is handed out all the same: a slot
-        # that the trainer has is never answered again, recorded or not.
         state = self._state
         winner = await self._store.save_sample(state.spec, sample, floor, state.zone)
-        state.settle(sample, winner)
+        if winner is None and state.unrecorded(sample.slot.group):
+            # The group's record is tried before it is handed out without either.
+            self._unkept.add(sample.digest)
+            self.start()
+            return
+        # With no other host alive the sample is handed out all the same: a slot
+        # that the trainer has is never answered again, recorded or not.
+        state.settle(sample, winner or sample)
 
-    async def _record(self, group, samples, floor):
+    async def _record(self, group, samples):
         state = self._state
         number = state.next_round(group)
         try:
@@ -67,16 +73,14 @@
             )
         except ServiceError as e:
             log.info("Group %s of step %s waits: %s", group, state.spec.step, e)
-            await self._replicate_waiting(samples, floor)
+            for sample in samples:
+                state.settle(sample, sample)
             retry_ms = max(RETRY_MS, e.retry_after_ms)
             self._next_ms_by_group[group] = self._clock.now_ms() + retry_ms
             return
+        finally:
+            self._unkept.difference_update(sample.digest for sample in samples)
         if not record.own:
             log.info("Group %s of step %s was recorded before.", group, state.spec.step)
         del self._next_ms_by_group[group]
         state.adopt(record)
-
-    async def _replicate_waiting(self, samples, floor):
-        for sample in samples:
-            if not self._state.is_ready(sample.slot):
-                await self._replicate(sample, floor)
--- a/goldcrestmoor/version/step_records.py
+++ b/goldcrestmoor/version/step_records.py
@@ -1,5 +1,6 @@
 """The records of steps on the platform: specifications and finished groups."""
 
+import contextlib
 import logging
 
 import msgspec
@@ -14,6 +15,8 @@
 STEPS_TABLE = "steps"
 GROUPS_TABLE = "groups"
 WRITE_ATTEMPTS = 4
+RETENTION_MS = 3_600_000
+ROWS_PER_TRANSACTION = 50
 
 
 class StepRow(msgspec.Struct, frozen=True):
@@ -22,6 +25,7 @@
     digest: str
     object_key: str
     token: str
+    expires_wall_ms: int = 0
 
 
 class GroupRow(msgspec.Struct, frozen=True):
@@ -29,6 +33,14 @@
 
     object_key: str
     token: str
+    expires_wall_ms: int = 0
+
+
+class _Expiring(msgspec.Struct):
+    """What both kinds of rows say of their end."""
+
+    object_key: str
+    expires_wall_ms: int = 0
 
 
 class GroupRecord(msgspec.Struct, frozen=True):
@@ -47,15 +59,17 @@
 
 
 class StepRecords:
-    """Write each record once and read it back.
+    """Write each record once, read it back and delete it in the end.
 
+    :param clock: the clock.
     :param table: a ``TableClient``.
     :param objects: an ``ObjectClient``.
     """
 
-    __slots__ = ("_table", "_objects")
+    __slots__ = ("_clock", "_table", "_objects")
 
-    def __init__(self, *, table, objects):
+    def __init__(self, *, clock, table, objects):
+        self._clock = clock
         self._table = table
         self._objects = objects
 
@@ -69,7 +83,7 @@
         digest = digest_of(spec)
         object_key = f"steps/{spec.account}/{spec.step}/{digest}"
         await self._objects.put(object_key, msgspec.msgpack.encode(spec))
-        row = StepRow(digest, object_key, util.new_id())
+        row = StepRow(digest, object_key, util.new_id(), self._expiry(spec))
         key = f"{spec.account}/{spec.step}"
         found = await self._create(STEPS_TABLE, key, row)
         if found.digest != digest:
@@ -89,14 +103,53 @@
         found = msgspec.msgpack.decode(row.value, type=StepRow)
         return await self._load(found.object_key, StepSpec)
 
-    async def delete_spec(self, account, step):
-        """Forget a cancelled step.
+    async def delete(self, account, step):
+        """Delete all records of a step, its own row last.
 
         :param account: the account's name.
         :param step: the step's name.
         """
         key = f"{account}/{step}"
-        await self._table.transact([], [Write(STEPS_TABLE, key, None)])
+        await self._delete(
+            GROUPS_TABLE, await self._table.scan(GROUPS_TABLE, f"{key}/")
+        )
+        row = await self._table.get(STEPS_TABLE, key)
+        await self._delete(STEPS_TABLE, [row] if row else [])
+
+    async def delete_expired(self, max_rows):
+        """Delete records whose step is long past its deadline.
+
+        :param max_rows: how many at most.
+        :return: how many were deleted.
+        """
+        deleted = 0
+        for table in (GROUPS_TABLE, STEPS_TABLE):
+            rows = await self._table.scan(table, "")
+            old = [row for row in rows if self._is_expired(row)]
+            batch = old[: max_rows - deleted]
+            await self._delete(table, batch)
+            deleted += len(batch)
+        return deleted
+
+    async def _delete(self, table, rows):
+        for start in range(0, len(rows), ROWS_PER_TRANSACTION):
+            batch = rows[start : start + ROWS_PER_TRANSACTION]
+            # The object goes first: a row that is left over is found again.
+            for row in batch:
+                found = msgspec.msgpack.decode(row.value, type=_Expiring)
+                await self._objects.delete(found.object_key)
+            # A row that was written anew meanwhile keeps the whole batch; what is
+            # left expires.
+            checks = [Check(table, row.key, row.version) for row in batch]
+            writes = [Write(table, row.key, None) for row in batch]
+            await self._table.transact(checks, writes)
+
+    def _is_expired(self, row):
+        expires_ms = msgspec.msgpack.decode(row.value, type=_Expiring).expires_wall_ms
+        return 0 < expires_ms < self._clock.wall_ms()
+
+    def _expiry(self, spec):
+        return self._clock.wall_ms() + spec.deadline_ms + RETENTION_MS
 
     async def save_group(self, spec, group, number, samples):
         """Record one round of a group, or learn what was recorded before.
@@ -112,10 +165,13 @@
         object_key = f"groups/{spec.account}/{spec.step}/{group}/{number}/{token}"
         await self._objects.put(object_key, data)
         key = f"{spec.account}/{spec.step}/{digest_of(spec)[:16]}/{group}/{number}"
-        found = await self._create(GROUPS_TABLE, key, GroupRow(object_key, token))
+        row = GroupRow(object_key, token, self._expiry(spec))
+        found = await self._create(GROUPS_TABLE, key, row)
         if found.token == token:
             return GroupRecord(group, number, tuple(samples), True)
         winner = await self._load(found.object_key, tuple[Sample, ...])
+        with contextlib.suppress(ServiceError):
+            await self._objects.delete(object_key)
         return GroupRecord(group, number, winner)
 
     async def load_groups(self, spec):
--- a/goldcrestmoor/version/step_router.py
+++ b/goldcrestmoor/version/step_router.py
@@ -72,6 +72,14 @@
         found = self._lease.view().configuration.accounts_by_name.get(account)
         return found.zone if found else ""
 
+    def model(self, pool):
+        """Return the model of a pool; empty when the pool is not known here.
+
+        :param pool: the pool's name.
+        """
+        found = self._lease.view().configuration.pools_by_name.get(pool)
+        return found.model if found else ""
+
     def account(self, name):
         """Return an account.
 
--- a/goldcrestmoor/version/step_routes.py
+++ b/goldcrestmoor/version/step_routes.py
@@ -4,6 +4,7 @@
 from blacksheep import Content, Response
 
 from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.request.body import read_json
 from goldcrestmoor.version.step_messages import PullSamples
 from goldcrestmoor.version.steps import GroupSpec, Sample, Slot, StepSpec, check_name
 
@@ -78,18 +79,18 @@
     version: int
 
 
-def register_routes(app, *, authenticator, holder, weights):
+def register_routes(app, *, authenticator, steps, weights):
     """Add the trainers' routes to an application.
 
     :param app: the blacksheep application.
     :param authenticator: the ``Authenticator``.
-    :param holder: the :class:`~goldcrestmoor.version.step_holder.StepHolder`.
+    :param steps: the :class:`~goldcrestmoor.version.step_front.StepFront`.
     :param weights: takes new weight versions, by ``publish``.
     """
 
     async def submit(request):
         account = _trainer(authenticator, request)
-        body = await _body(request, SubmitBody)
+        body = await read_json(request, SubmitBody)
         if body.model not in account.pools:
             raise ServiceError(ErrorKind.FORBIDDEN, "The pool is not the account's.")
         groups = tuple(
@@ -104,13 +105,13 @@
             groups,
             body.deadline_ms,
         )
-        await holder.submit(spec)
+        await steps.submit(spec)
         return _json(StepAnswer(spec.step), 202)
 
     async def pull(request):
         account = _trainer(authenticator, request)
         step = _step(request)
-        body = await _body(request, PullBody)
+        body = await read_json(request, PullBody)
         message = PullSamples(
             account.name,
             step,
@@ -118,20 +119,20 @@
             body.held,
             body.version,
             max(0, body.wait_ms),
-            body.max if body.max > 0 else holder.max_pull_samples,
+            body.max if body.max > 0 else steps.max_pull_samples,
         )
-        answer = await holder.pull(message)
+        answer = await steps.pull(message)
         return _json(PullAnswer(answer.samples, answer.complete))
 
     async def cancel(request):
         account = _trainer(authenticator, request)
         step = _step(request)
-        await holder.cancel(account.name, step)
+        await steps.cancel(account.name, step)
         return _json(StepAnswer(step))
 
     async def publish(request):
         account = _trainer(authenticator, request)
-        body = await _body(request, PublishBody)
+        body = await read_json(request, PublishBody)
         if body.version < 1:
             raise ServiceError(ErrorKind.BAD_REQUEST, "Versions start at 1.")
         await weights.publish(body.model, body.version, account.name)
@@ -156,13 +157,6 @@
     return step
 
 
-async def _body(request, kind):
-    try:
-        return msgspec.json.decode(await request.read() or b"", type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as e:
-        raise ServiceError(ErrorKind.BAD_REQUEST, f"Bad body: {e}.") from e
-
-
 def _json(value, status=200):
     content = Content(b"application/json", msgspec.json.encode(value))
     return Response(status, content=content)
--- a/goldcrestmoor/version/step_run.py
+++ b/goldcrestmoor/version/step_run.py
@@ -74,7 +74,7 @@
                     self._drop_stale(account)
                     self._start_streams(account)
                     self._hedge(account)
-                    self._recorder.start(self._floor(account))
+                    self._recorder.start()
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(TICK_MS / MS_PER_SECOND):
                         await self._state.wait_changed()
--- a/goldcrestmoor/version/step_state.py
+++ b/goldcrestmoor/version/step_state.py
@@ -124,9 +124,16 @@
         """
         self.held = held
         self.pulled_ms = now_ms
-        self.trainer_version = max(self.trainer_version, version)
+        self.note_version(version)
         self._wake()
 
+    def note_version(self, version):
+        """Take in a weight version that the trainer is known to have.
+
+        :param version: the version; an older one changes nothing.
+        """
+        self.trainer_version = max(self.trainer_version, version)
+
     def drop_stale(self, bound):
         """Drop samples that the trainer lacks and may no longer get.
 
--- a/goldcrestmoor/version/step_store.py
+++ b/goldcrestmoor/version/step_store.py
@@ -6,8 +6,8 @@
 import logging
 
 from goldcrestmoor import util, wire
-from goldcrestmoor.clock import Deadline
 from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.version.step_kept import KeptSteps
 from goldcrestmoor.version.step_messages import (
     FetchStep,
     ForgetStep,
@@ -17,11 +17,10 @@
     StoreStep,
 )
 from goldcrestmoor.version.step_records import StepRecords
-from goldcrestmoor.version.steps import digest_of, oldest_version
+from goldcrestmoor.version.steps import digest_of
 
 log = logging.getLogger("goldcrestmoor.steps")
 
-MAX_KEPT_STEPS = 64
 MAX_UNWRITTEN_STEPS = 64
 REPLICA_CANDIDATES = 3
 PEER_TIMEOUT_MS = 1000
@@ -39,18 +38,6 @@
     REPLICA = "two hosts"
 
 
-class _Kept:
-    """A step kept for another host."""
-
-    __slots__ = ("spec", "digest", "sample_by_slot", "deadline")
-
-    def __init__(self, spec, deadline):
-        self.spec = spec
-        self.digest = digest_of(spec)
-        self.sample_by_slot = {}
-        self.deadline = deadline
-
-
 class StepStore:
     """Record steps and samples, and find them again after a holder's death.
 
@@ -63,19 +50,15 @@
     """
 
     def __init__(self, *, clock, table, objects, links, membership, host_id):
-        self.records = StepRecords(table=table, objects=objects)
+        self.records = StepRecords(clock=clock, table=table, objects=objects)
         self._clock = clock
         self._links = links
         self._membership = membership
         self._host_id = host_id
-        self._kept_by_key = collections.OrderedDict()
+        self._kept = KeptSteps(clock=clock, links=links)
         self._unwritten_by_key = collections.OrderedDict()
         self._unwritten = asyncio.Event()
         self._silent_until_by_host = {}
-        links.register(StoreStep, self._on_store_step)
-        links.register(StoreSamples, self._on_store_samples)
-        links.register(FetchStep, self._on_fetch_step)
-        links.register(ForgetStep, self._on_forget_step)
 
     def hosts_for(self, account, step, zone):
         """Return the hosts that may hold a step, best first.
@@ -127,24 +110,33 @@
         :param floor: the oldest weight version that the trainer still takes.
         :param zone: the account's zone.
         :return: the sample that the other host keeps for the slot, which is another
-            holder's when that came first; the given one when no host answers.
+            holder's when that came first; None when no host answers.
         """
         message = StoreSamples(
             spec.account, spec.step, digest_of(spec), floor, (sample,)
         )
-        kept = self._kept_by_key.get((spec.account, spec.step))
-        if kept is not None and kept.digest == message.digest:
-            earlier = kept.sample_by_slot.get(sample.slot)
-            if earlier is not None and oldest_version(earlier) >= floor:
-                return earlier
-        for host_id in self._others(spec.account, spec.step, zone):
+        earlier = self._kept.claim(spec, sample, floor)
+        if earlier is not None:
+            return earlier
+        # Every host that may hold the step is asked, for each of them may have made
+        # a sample of its own, such as one that was frozen and woke.
+        others = self._others(spec.account, spec.step, zone)
+        silent = [h for h in others if self._is_silent(h)]
+        asked = [h for h in others if h not in silent] or silent
+        answers = await asyncio.gather(
+            *(self._store_at(h, spec, message) for h in asked)
+        )
+        winner = _winner(sample, [a for a in answers if a is not None])
+        self._kept.settle(spec, winner or sample)
+        return winner
+
+    async def _store_at(self, host_id, spec, message):
+        stored = await self._call(host_id, message)
+        if isinstance(stored, StoredSamples) and not stored.known:
+            await self._call(host_id, StoreStep(spec))
             stored = await self._call(host_id, message)
-            if isinstance(stored, StoredSamples) and not stored.known:
-                await self._call(host_id, StoreStep(spec))
-                stored = await self._call(host_id, message)
-            if isinstance(stored, StoredSamples) and stored.samples:
-                return stored.samples[0]
-        return sample
+        is_kept = isinstance(stored, StoredSamples) and stored.samples
+        return stored if is_kept else None
 
     async def load(self, account, step, zone):
         """Find a step and what was made of it.
@@ -155,14 +147,22 @@
         """
         kept = await self.fetch_kept(account, step, zone)
         try:
-            spec = await self.records.load_spec(account, step) or kept.spec
+            spec = await self.records.load_spec(account, step)
+            if spec is None and kept.spec is not None:
+                # Whoever was to write it may be dead.
+                spec = kept.spec
+                self._write_later(spec)
             groups = [] if spec is None else await self.records.load_groups(spec)
         except ServiceError as e:
             if e.kind not in _PLATFORM_ERRORS or kept.spec is None:
                 raise
             spec, groups = kept.spec, []
+            self._write_later(spec)
         if kept.spec is None or spec is None or digest_of(spec) != digest_of(kept.spec):
             return spec, groups, ()
+        for sample in kept.samples:
+            self._kept.claim(spec, sample, 0)
+            self._kept.settle(spec, sample)
         return spec, groups, kept.samples
 
     async def fetch_kept(self, account, step, zone):
@@ -176,7 +176,7 @@
             *(self._call(host_id, message) for host_id in others)
         )
         spec, sample_by_slot = None, {}
-        for kept in (await self._on_fetch_step(self._host_id, message), *answers):
+        for kept in (self._kept.fetch(message), *answers):
             if not isinstance(kept, KeptStep) or kept.spec is None:
                 continue
             spec = spec or kept.spec
@@ -189,7 +189,7 @@
     async def forget(self, account, step, zone):
         """Drop what hosts keep of a step that is done."""
         message = ForgetStep(account, step)
-        await self._on_forget_step(self._host_id, message)
+        self._kept.forget(message)
         self._unwritten_by_key.pop((account, step), None)
         others = self._others(account, step, zone)
         await asyncio.gather(*(self._call(host_id, message) for host_id in others))
@@ -224,10 +224,10 @@
         others = [h for h in hosts if h != self._host_id][:REPLICA_CANDIDATES]
         # A host that did not answer is asked last for a while, so that not every
         # sample waits for it until the fleet takes it for dead.
-        now_ms = self._clock.now_ms()
-        return sorted(
-            others, key=lambda h: self._silent_until_by_host.get(h, 0) > now_ms
-        )
+        return sorted(others, key=self._is_silent)
+
+    def _is_silent(self, host_id):
+        return self._silent_until_by_host.get(host_id, 0) > self._clock.now_ms()
 
     async def _replicate(self, message, zone):
         spec = message.spec
@@ -246,46 +246,18 @@
                 self._silent_until_by_host.pop(next(iter(self._silent_until_by_host)))
             return None
 
-    def _keep(self, spec):
-        self._drop_expired()
-        key = (spec.account, spec.step)
-        kept = self._kept_by_key.get(key)
-        if kept is None or kept.digest != digest_of(spec):
-            deadline = Deadline.after(self._clock, spec.deadline_ms)
-            kept = self._kept_by_key[key] = _Kept(spec, deadline)
-        if len(self._kept_by_key) > MAX_KEPT_STEPS:
-            self._kept_by_key.popitem(last=False)
-        return kept
-
-    def _drop_expired(self):
-        passed = [k for k, v in self._kept_by_key.items() if v.deadline.passed()]
-        for key in passed:
-            del self._kept_by_key[key]
-
-    async def _on_store_step(self, sender_id, message):
-        self._keep(message.spec)
-        return wire.Done()
-
-    async def _on_store_samples(self, sender_id, message):
-        kept = self._kept_by_key.get((message.account, message.step))
-        if kept is None or kept.digest != message.digest:
-            return StoredSamples(False)
-        for sample in message.samples:
-            # The first sample of a slot stays, whichever holder it came from,
-            # unless it has become too old for the trainer.
-            earlier = kept.sample_by_slot.get(sample.slot)
-            if earlier is None or oldest_version(earlier) < message.floor:
-                kept.sample_by_slot[sample.slot] = sample
-        stored = (kept.sample_by_slot[sample.slot] for sample in message.samples)
-        return StoredSamples(True, tuple(stored))
-
-    async def _on_fetch_step(self, sender_id, message):
-        self._drop_expired()
-        kept = self._kept_by_key.get((message.account, message.step))
-        if kept is None:
-            return KeptStep()
-        return KeptStep(kept.spec, tuple(kept.sample_by_slot.values()))
-
-    async def _on_forget_step(self, sender_id, message):
-        self._kept_by_key.pop((message.account, message.step), None)
-        return wire.Done()
+
+def _winner(own, answers):
+    """Return the sample that a slot goes to, by what other hosts keep, or None.
+
+    Two holders that ask each other at once come to the same one.
+
+    :param own: the sample made here.
+    :param answers: the :class:`StoredSamples`, in the order in which all hosts rank
+        those that gave them.
+    """
+    settled = [answer.samples[0] for answer in answers if answer.settled]
+    if settled:
+        return settled[0]
+    pending = [own, *(answer.samples[0] for answer in answers)]
+    return min(pending, key=lambda sample: sample.digest) if answers else None
--- /dev/null
+++ b/goldcrestmoor/version/step_sweeper.py
@@ -0,0 +1,43 @@
+"""Deletes the records of steps that nobody acknowledged."""
+
+import logging
+
+from goldcrestmoor.errors import ServiceError
+
+log = logging.getLogger("goldcrestmoor.steps")
+
+SWEEP_MS = 600_000
+MAX_ROWS = 1000
+DUTY = "step-sweeper"
+
+
+class StepSweeper:
+    """Delete expired records, on the one live host that a hash of the fleet picks.
+
+    Two hosts that both think so do no harm: each deletes rows by their version.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param records: the :class:`~goldcrestmoor.version.step_records.StepRecords`.
+    :param ownership: the :class:`~goldcrestmoor.process.ownership.Ownership`.
+    :param host_id: this host.
+    """
+
+    __slots__ = ("_clock", "_records", "_ownership", "_host_id")
+
+    def __init__(self, *, clock, records, ownership, host_id):
+        self._clock = clock
+        self._records = records
+        self._ownership = ownership
+        self._host_id = host_id
+
+    async def run(self):
+        """Sweep from time to time, until cancelled."""
+        while True:
+            await self._clock.sleep_ms(SWEEP_MS)
+            if self._ownership.preferred(DUTY, 1) != [self._host_id]:
+                continue
+            try:
+                deleted = await self._records.delete_expired(MAX_ROWS)
+                log.info("Deleted %d expired records of steps.", deleted)
+            except ServiceError as e:
+                log.info("Expired steps were left for the next round: %s", e)
--- a/goldcrestmoor/version/weight_messages.py
+++ b/goldcrestmoor/version/weight_messages.py
@@ -8,11 +8,13 @@
 
     :param model: the model.
     :param version: the version.
+    :param account: the account that published it.
     :param targets: the hosts that the receiver passes the message on to.
     """
 
     model: str
     version: int
+    account: str = ""
     targets: tuple[str, ...] = ()
 
 
--- a/goldcrestmoor/version/weights.py
+++ b/goldcrestmoor/version/weights.py
@@ -55,6 +55,7 @@
         "_spread",
         "_weight_store",
         "_versions_by_model",
+        "_versions_by_publisher",
         "_callbacks",
     )
 
@@ -64,6 +65,7 @@
         self._spread = spread
         self._weight_store = weight_store
         self._versions_by_model = {}
+        self._versions_by_publisher = {}
         self._callbacks = []
         links.register(VersionPublished, self._on_published)
 
@@ -74,6 +76,14 @@
         """
         return self._versions_by_model.get(model, 0)
 
+    def published_by(self, account, model):
+        """Return the newest version that an account is known to have published, or 0.
+
+        :param account: the account's name.
+        :param model: the model.
+        """
+        return self._versions_by_publisher.get((account, model), 0)
+
     def on_change(self, callback):
         """Have a function called with each model whose version has grown.
 
@@ -113,8 +123,8 @@
             kind = ErrorKind.OUTCOME_UNKNOWN if unsettled else ErrorKind.OVERLOADED
             raise ServiceError(kind, "The version's row would not settle.")
         log.info("Version %d of %s was published by %s.", version, model, account)
-        self._take(model, version)
-        self._spread.start(VersionPublished(model, version))
+        self._take(model, version, account)
+        self._spread.start(VersionPublished(model, version, account))
 
     async def run(self):
         """Read the current versions until cancelled."""
@@ -151,16 +161,21 @@
         return isinstance(await self._table.transact([check], [write]), Committed)
 
     async def _on_published(self, sender, message):
-        self._take(message.model, message.version)
+        self._take(message.model, message.version, message.account)
         self._spread.pass_on(message, message.targets)
 
     def _take_row(self, row):
         try:
-            self._take(row.key, _decode(row.value).version)
+            found = _decode(row.value)
+            self._take(row.key, found.version, found.published_by)
         except ServiceError as e:
             log.error("The row of %s was not read: %s", row.key, e)
 
-    def _take(self, model, version):
+    def _take(self, model, version, account):
+        if version > self.published_by(account, model):
+            published = self._versions_by_publisher
+            if (account, model) in published or len(published) < MAX_MODELS:
+                published[account, model] = version
         known = self._versions_by_model
         is_full = model not in known and len(known) >= MAX_MODELS
         if version <= self.current(model) or is_full:
--- a/test/_step_fakes.py
+++ b/test/_step_fakes.py
@@ -13,8 +13,10 @@
 from goldcrestmoor.process.metrics import Metrics
 from goldcrestmoor.request.piece import Piece
 from goldcrestmoor.version import configuration as config
+from goldcrestmoor.version.step_front import StepFront
 from goldcrestmoor.version.step_holder import StepHolder
 from goldcrestmoor.version.step_messages import PullSamples
+from goldcrestmoor.version.step_router import StepRouter
 from goldcrestmoor.version.step_store import StepStore
 from goldcrestmoor.version.steps import GroupSpec, StepSpec
 from test import _common
@@ -41,6 +43,10 @@
         self._check_up()
         self.object_by_key[key] = data
 
+    async def delete(self, key):
+        self._check_up()
+        self.object_by_key.pop(key, None)
+
     async def get(self, *key):
         self._check_up()
         if len(key) == 1:
@@ -134,6 +140,7 @@
         self.holder_of = {}
         self.set_account(bound, **delivery)
         self.slots = slots
+        self.published = 0
         self.host_by_id = {i: _FakeHost(i, self) for i in host_ids}
 
     def set_account(self, bound, **delivery):
@@ -160,6 +167,9 @@
         )
         return config.View(document, False)
 
+    def published_by(self, account, model):
+        return self.published
+
     def live(self, zone=None):
         return [Host(i, ZONE) for i in self.host_by_id if i not in self.down]
 
@@ -182,17 +192,29 @@
             membership=fleet,
             host_id=host_id,
         )
+        router = StepRouter(
+            links=self.links,
+            ownership=self,
+            store=self.store,
+            lease=fleet,
+            host_id=host_id,
+        )
+        shared = {
+            "clock": fleet.clock,
+            "router": router,
+            "versions": fleet,
+            "metrics": self.metrics,
+            "settings": _common.make_settings(host_id, ZONE),
+        }
         self.holder = StepHolder(
-            clock=fleet.clock,
             completions=fleet.engines,
             store=self.store,
             links=self.links,
-            ownership=self,
             lease=fleet,
             decisions=Decisions(fleet.clock),
-            metrics=self.metrics,
-            settings=_common.make_settings(host_id, ZONE),
+            **shared,
         )
+        self.front = StepFront(holder=self.holder, **shared)
         self._writer = asyncio.get_running_loop().create_task(self.store.run())
 
     def holder_of_step(self, account, step):
@@ -207,7 +229,7 @@
         message = PullSamples(
             ACCOUNT, step, tuple(groups), tuple(held), version, wait_ms, most
         )
-        return await self.holder.pull(message)
+        return await self.front.pull(message)
 
     async def collect(self, step, version=1, held=()):
         """Pull until whole and return the samples by slot, and all answers."""
--- /dev/null
+++ b/test/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs of what must always hold, by real processes under faults."""
--- /dev/null
+++ b/test/proofs/_steps.py
@@ -0,0 +1,276 @@
+"""A small fleet for the steps' proofs, and a bare HTTP trainer that checks answers."""
+
+import json
+import unittest
+
+import msgspec
+
+from goldcrestmoor import util
+from goldcrestmoor.version.step_routes import GroupBody, PullAnswer, PullBody
+from goldcrestmoor.version.steps import Slot, oldest_version
+from test import _common
+from test.fleet import AccountPlan, Fleet, Plan, PoolPlan, http_get, http_post
+from test.network import Network
+from test.standins.engine import token_text
+
+MODEL = "summaries"
+POOL = "lm-pool"
+TOKEN = "step-trainer"
+PULL_WAIT_MS = 1000
+PULL_TIMEOUT_MS = 4000
+SUBMIT_TIMEOUT_MS = 15_000
+GROUPS_TABLE = "groups"
+STEPS_TABLE = "steps"
+
+
+def make_plan(bound=1, hosts=(2, 1), slots=8, zone="zone-a", **engine):
+    """Return a plan of two zones with an engine each and one trainer.
+
+    :param bound: the trainer's staleness bound.
+    :param hosts: how many daemons the zones have.
+    :param slots: what each engine runs at a time.
+    :param engine: further options of the engines.
+    """
+    options = {"tagged": True, "token_ms": 5.0, **engine}
+    zones = ("zone-a", "zone-b")
+    lease = {"poll_ms": 200, "lease_ms": 1000, "lease_margin_ms": 200}
+    return Plan(
+        hosts_by_zone=dict(zip(zones, hosts, strict=True)),
+        pools=(
+            PoolPlan(POOL, "engine", dict.fromkeys(zones, 1), MODEL, slots, options),
+        ),
+        settings={"configuration": lease, "platform": {"timeout_ms": 500}},
+        accounts=(AccountPlan("trainer", "trainer", TOKEN, (POOL,), 1, bound, zone),),
+    )
+
+
+class Trainer:
+    """A trainer without the client library, which holds every answer to the promises.
+
+    :param fleet: the :class:`~test.fleet.Fleet`.
+    :param step: its step's name.
+    :param bound: its staleness bound.
+    :param token: its account's token.
+    """
+
+    def __init__(self, fleet, step="s1", bound=1, token=TOKEN):
+        self.fleet = fleet
+        self.step = step
+        self.bound = bound
+        self.version = 1
+        self.group_by_index = {}
+        self.held = {}
+        self.faults = []
+        self._seen_by_slot = {}
+        self._headers = {"Authorization": f"Bearer {token}"}
+
+    async def post(self, host, path, body, timeout_ms):
+        """Send one request and return its status and body."""
+        url = self.fleet.endpoint_by_id[host].url + path
+        data = msgspec.json.encode(body)
+        return await http_post(url, data, self._headers, timeout_ms)
+
+    async def submit(self, host, groups=2, samples=3, max_tokens=20, **fields):
+        """Submit the step until a host takes it."""
+        self.group_by_index = {
+            i: GroupBody(i, f"prompt {i} of {self.step}", samples, most, 100 * i)
+            for i, most in enumerate(_per_group(max_tokens, groups))
+        }
+        body = {
+            "step": self.step,
+            "model": POOL,
+            "base_version": self.version,
+            "groups": list(self.group_by_index.values()),
+            **fields,
+        }
+
+        async def accepted():
+            status, answer = await self.post(host, "/v1/steps", body, SUBMIT_TIMEOUT_MS)
+            if status not in (202, 503, 504, None):
+                raise AssertionError(f"The step was refused: {status} {answer!r}")
+            return status == 202
+
+        await _common.eventually(accepted)
+
+    async def publish(self, host, version):
+        """Move on to a new version and publish it until a host takes it."""
+        self.version = version
+        body = {"model": MODEL, "version": version}
+
+        async def published():
+            status, _ = await self.post(host, "/v1/versions", body, 5000)
+            return status in (200, 409)
+
+        await _common.eventually(published)
+
+    @property
+    def slots(self):
+        """Every slot of the step."""
+        return {
+            Slot(g.index, i)
+            for g in self.group_by_index.values()
+            for i in range(g.samples)
+        }
+
+    async def pull(
+        self,
+        host,
+        held=None,
+        version=None,
+        wait_ms=PULL_WAIT_MS,
+        timeout_ms=PULL_TIMEOUT_MS,
+        take=True,
+    ):
+        """Pull once and check what comes; None when the host gave no answer.
+
+        :param held: the slots to name, all that it has when left out.
+        :param take: whether to keep what comes.
+        """
+        held = frozenset(self.held if held is None else held)
+        version = self.version if version is None else version
+        body = PullBody(version, tuple(sorted(held)), (), wait_ms)
+        status, data = await self.post(
+            host, f"/v1/steps/{self.step}/pull", body, timeout_ms
+        )
+        if status != 200:
+            return None
+        answer = msgspec.json.decode(data, type=PullAnswer)
+        slots = [sample.slot for sample in answer.samples]
+        if len(set(slots)) < len(slots) or held & set(slots):
+            self.faults.append(f"Doubled in one answer: {slots}, held {held}.")
+        if answer.complete and set(slots) | held != self.slots:
+            self.faults.append(f"Called complete with {slots} and {held}.")
+        for sample in answer.samples:
+            self._check(sample, version)
+            if take:
+                self._take(sample)
+        return answer
+
+    async def collect(self, *hosts):
+        """Pull through hosts in turn until every slot is held."""
+        turn = 0
+
+        async def whole():
+            nonlocal turn
+            # A pull that names every slot would let the service forget the step.
+            if set(self.held) == self.slots:
+                return True
+            await self.pull(hosts[turn % len(hosts)])
+            turn += 1
+            return False
+
+        await _common.eventually(whole)
+        return dict(self.held)
+
+    def _take(self, sample):
+        # A trainer whose version moved on while the answer was under way looks at
+        # the versions that the sample names.
+        if oldest_version(sample) >= self.version - self.bound:
+            self.held.setdefault(sample.slot, sample)
+
+    def _check(self, sample, version):
+        oldest = oldest_version(sample)
+        if oldest < version - self.bound:
+            self.faults.append(f"Stale for version {version}: {sample}.")
+        seen = self._seen_by_slot.get(sample.slot)
+        # Only what went stale may be replaced.
+        is_other = seen is not None and seen.digest != sample.digest
+        if is_other and oldest_version(seen) >= self.version - self.bound:
+            self.faults.append(f"Two samples for a slot: {seen} and {sample}.")
+        self._seen_by_slot[sample.slot] = sample
+        self.faults += wrong_text(self.group_by_index[sample.slot.group], sample)
+
+
+def _per_group(max_tokens, groups):
+    return [max_tokens] * groups if isinstance(max_tokens, int) else max_tokens
+
+
+def wrong_text(group, sample):
+    """Yield what is wrong with a sample's text, which tells what made each token."""
+    index = 0
+    for segment in sample.segments:
+        words = segment.text.split()
+        if len(words) != segment.tokens:
+            yield f"{segment.tokens} tokens stated, {len(words)} made: {sample}."
+        for word in words:
+            token, version, _ = word.split(".")
+            seed = group.seed + sample.slot.index
+            if token != token_text(group.prompt, seed, index).strip():
+                yield f"Token {index} is not the next one: {sample}."
+            if int(version) != segment.version:
+                yield f"Token {index} was made by version {version}: {sample}."
+            index += 1
+    if index != group.max_tokens:
+        yield f"{index} of {group.max_tokens} tokens: {sample}."
+
+
+def versions_of(sample):
+    """Return the versions of a sample's segments in order."""
+    return [segment.version for segment in sample.segments]
+
+
+def makers_of(sample):
+    """Return the ports of the engines that made a sample's tokens."""
+    words = " ".join(segment.text for segment in sample.segments).split()
+    return {int(word.split(".")[2].partition("-")[0]) for word in words}
+
+
+async def recorded(fleet, table=GROUPS_TABLE):
+    """Return the rows of a table as the platform has them, also in an outage."""
+    _, body = await http_get(f"{fleet.platform_control.url}/tables/{table}?prefix=")
+    return json.loads(body or b'{"rows": []}')["rows"]
+
+
+class StepProof(unittest.IsolatedAsyncioTestCase):
+    """Starts a fleet behind a network and ends it."""
+
+    async def start(self, **plan):
+        self.network = Network()
+        self.fleet = Fleet(make_plan(**plan), self.network)
+        self.addAsyncCleanup(self.fleet.close)
+        await self.fleet.start()
+        self.engines = self.fleet.upstreams
+        trainer = Trainer(self.fleet, bound=plan.get("bound", 1))
+        self.addCleanup(lambda: self.assertEqual(trainer.faults, []))
+        return trainer
+
+    def holder_of(self, step):
+        """Return the host that is to hold a step and the others that live."""
+        hosts = [h for h in self.fleet.hosts if self.fleet.process_by_id[h.id].alive()]
+        near = [h.id for h in hosts if h.zone == "zone-a"]
+        holder = util.rendezvous(f"step/trainer/{step}", near)
+        return holder, [h.id for h in hosts if h.id != holder]
+
+    async def counts(self, engine):
+        return await self.fleet.get_json(engine, "/control/counts") or {}
+
+    async def until(self, engine, name, least):
+        """Wait until an engine has counted so much."""
+
+        async def reached():
+            return (await self.counts(engine)).get(name, 0) >= least
+
+        await _common.eventually(reached)
+
+    async def ordered(self, engine, version):
+        """Wait until an engine has been ordered to load a version."""
+
+        async def reached():
+            orders = (await self.counts(engine)).get("orders", ())
+            return any(order["version"] == version for order in orders)
+
+        await _common.eventually(reached)
+
+    async def runs(self, engine, version):
+        """Wait until an engine runs a version."""
+
+        async def reached():
+            return (await self.counts(engine)).get("version") == version
+
+        await _common.eventually(reached)
+
+    async def set(self, engine, **options):
+        await self.fleet.control(engine, "set", **options)
+
+    async def platform(self, name, **body):
+        await self.fleet.control(self.fleet.platform_control, name, **body)
--- /dev/null
+++ b/test/proofs/test_exactly_once.py
@@ -0,0 +1,145 @@
+"""Each sample reaches its trainer once, whatever is late, lost, killed or cut."""
+
+import asyncio
+
+from test._common import eventually
+from test.proofs._steps import StepProof, makers_of, recorded
+
+STEPS = "steps"
+
+
+class ExactlyOnceTest(StepProof):
+    async def assert_same_for_a_restarted_trainer(self, trainer, *hosts):
+        """Check that sets lost whole or in part are filled with the same samples."""
+        got = dict(trainer.held)
+        for kept in (0, 1, len(got) - 1):
+            trainer.held = dict(sorted(got.items())[:kept])
+            self.assertEqual(await trainer.collect(*hosts), got)
+
+    async def test_hedged_copies_that_both_finish(self):
+        trainer = await self.start(token_ms=5.0)
+        near, far = self.engines
+        await self.set(far, token_ms=30.0)
+        await trainer.submit("zone-a-1", samples=1, max_tokens=(20, 120))
+        holder, others = self.holder_of("s1")
+        await self.until(near, "finished", 1)
+        # The longer stream is left behind, and the other engine goes on from it.
+        await self.set(near, token_ms=60.0)
+        await self.until(far, "started", 1)
+        # Both copies end while their reader stands still.
+        self.fleet.freeze(holder)
+        await self.until(near, "finished", 2)
+        await self.until(far, "finished", 1)
+        self.fleet.thaw(holder)
+        await trainer.collect(*others)
+        await self.assert_same_for_a_restarted_trainer(trainer, *others, holder)
+        cancelled = [(await self.counts(e))["cancelled"] for e in self.engines]
+        self.assertEqual(cancelled, [0, 0])
+
+    async def test_the_first_answer_is_late_and_the_pull_repeated_elsewhere(self):
+        trainer = await self.start(hosts=(3, 1), token_ms=1.0)
+        await trainer.submit("zone-a-1", groups=2, samples=4)
+        holder, others = self.holder_of("s1")
+        self.network.links_by_id[holder].delay(600, "down")
+        first = asyncio.create_task(trainer.pull(others[0], take=False))
+        self.assertIsNone(await trainer.pull(others[1], timeout_ms=300))
+        second = await trainer.pull(holder)
+        late = await first
+        self.assertTrue(second.samples)
+        if late is not None:
+            made = {s.slot: s for s in second.samples}
+            self.assertTrue(all(made.get(s.slot, s) == s for s in late.samples))
+        self.network.links_by_id[holder].delay(0)
+        await trainer.collect(*others)
+        await self.assert_same_for_a_restarted_trainer(trainer, *others, holder)
+
+    async def test_a_holder_killed_between_recording_and_answering(self):
+        trainer = await self.start(hosts=(3, 1), token_ms=2.0)
+        await trainer.submit("zone-a-1", groups=2, samples=3)
+        holder, others = self.holder_of("s1")
+        # Its answers hang, and so do the copies that it has others keep.
+        self.network.links_by_id[holder].silence("down")
+        pull = asyncio.create_task(trainer.pull(others[0], take=False))
+
+        async def both_recorded():
+            return len(await recorded(self.fleet)) == 2
+
+        await eventually(both_recorded)
+        self.fleet.kill(holder)
+        await pull
+        await trainer.collect(*others)
+        self.assertEqual(len(await recorded(self.fleet)), 2)
+        await self.assert_same_for_a_restarted_trainer(trainer, *others)
+
+    async def test_the_records_answers_are_lost(self):
+        trainer = await self.start(token_ms=1.0)
+        await self.platform("lose_answers", count=2)
+        await trainer.submit("zone-a-1", groups=3)
+        await self.platform("lose_answers", count=3)
+        await trainer.collect("zone-a-2", "zone-b-1")
+
+        async def all_recorded():
+            return len(await recorded(self.fleet)) == 3
+
+        await eventually(all_recorded)
+        holder, others = self.holder_of("s1")
+        self.fleet.kill(holder)
+        await self.assert_same_for_a_restarted_trainer(trainer, *others)
+
+    async def test_the_platform_is_out_for_the_whole_step(self):
+        for mode in ("refuse", "hang"):
+            with self.subTest(mode=mode):
+                trainer = await self.start(hosts=(3, 1), token_ms=1.0)
+                await self.platform("outage", on=True, mode=mode)
+                await trainer.submit("zone-a-1")
+                await trainer.collect("zone-a-2", "zone-a-1")
+                hosts = [h.id for h in self.fleet.hosts]
+                await self.assert_same_for_a_restarted_trainer(trainer, *hosts)
+                holder, others = self.holder_of("s1")
+                self.fleet.kill(holder)
+                await self.assert_same_for_a_restarted_trainer(trainer, *others)
+                await self.platform("outage", on=False)
+
+                async def written():
+                    return await recorded(self.fleet, STEPS)
+
+                await eventually(written)
+                await self.assert_same_for_a_restarted_trainer(trainer, *others)
+                await self.fleet.close()
+
+    async def test_a_frozen_holder_wakes_beside_a_new_one(self):
+        trainer = await self.start(hosts=(3, 1), token_ms=10.0)
+        await trainer.submit("zone-a-1", max_tokens=60)
+        holder, others = self.holder_of("s1")
+        await self.until(self.engines[0], "tokens", 60)
+        self.fleet.freeze(holder)
+        await trainer.collect(*others)
+        self.fleet.thaw(holder)
+        await self.assert_same_for_a_restarted_trainer(trainer, holder, *others)
+
+    async def test_a_zone_is_cut_off_in_the_middle_of_a_step(self):
+        trainer = await self.start(hosts=(2, 2), token_ms=10.0)
+        await trainer.submit("zone-a-1", max_tokens=60)
+        await self.until(self.engines[0], "tokens", 60)
+        self.network.cut("zone-a")
+        got = await trainer.collect("zone-a-1", "zone-a-2")
+        self.assertEqual(
+            {p for s in got.values() for p in makers_of(s)}, {self.engines[0].port}
+        )
+        self.network.mend()
+        await self.assert_same_for_a_restarted_trainer(trainer, "zone-b-1", "zone-a-2")
+
+    async def test_a_step_acknowledged_whole_leaves_nothing_behind(self):
+        trainer = await self.start(token_ms=1.0)
+        await trainer.submit("zone-a-1")
+        await trainer.collect("zone-a-1")
+
+        async def left(wanted):
+            tables = [await recorded(self.fleet, t) for t in (STEPS, "groups")]
+            return [len(rows) for rows in tables] == wanted
+
+        await eventually(lambda: left([1, 2]))
+        answer = await trainer.pull("zone-a-2")
+        self.assertTrue(answer.complete)
+        await eventually(lambda: left([0, 0]))
+        self.assertIsNone(await trainer.pull("zone-a-2", held=()))
--- a/test/standins/engine.py
+++ b/test/standins/engine.py
@@ -1,7 +1,9 @@
 """A model engine: continuous batching, a prefix cache, weight versions, faults.
 
 The text depends on the prompt, the seed and the token's index alone, so that a
-resumed stream can be checked. Control, by ``POST /control/set``: any option of
+resumed stream can be checked. A ``tagged`` engine also writes into each token which
+weight version, engine and stream made it, so that the text is its own witness and no
+two streams give the same one. Control, by ``POST /control/set``: any option of
 :class:`Options`. ``GET /control/counts`` tells what ran.
 """
 
@@ -45,6 +47,8 @@
     cut_after: int = -1
     state_version: bool = True
     end_mark: bool = True
+    tagged: bool = False
+    port: int = 0
 
 
 def token_text(prompt, seed, index):
@@ -205,6 +209,7 @@
     async def _stream(self, body, request_id):
         self.running += 1
         self.started += 1
+        run = self.started
         self.max_running = max(self.max_running, self.running)
         ended = False
         try:
@@ -212,7 +217,7 @@
             missing = self.cache.missing((prompt + " " + resumed).split())
             self.prefilled += missing
             await asyncio.sleep(missing * self.options.prompt_token_ms / 1000)
-            async for event in self._events(body, prompt, resumed, request_id):
+            async for event in self._events(body, prompt, resumed, request_id, run):
                 yield event
             if self.options.end_mark:
                 yield b"data: [DONE]\n\n"
@@ -222,7 +227,7 @@
             self.cancelled += not ended
             self.running -= 1
 
-    async def _events(self, body, prompt, resumed, request_id):
+    async def _events(self, body, prompt, resumed, request_id, run):
         options = self.options
         first = len(resumed.split())
         last = first + body["max_tokens"]
@@ -237,7 +242,10 @@
             await self._be_silent(index - first == options.silent_after)
             await asyncio.sleep(self._token_s())
             self.tokens += 1
-            choice = {"text": token_text(prompt, body["seed"], index)}
+            text = token_text(prompt, body["seed"], index)
+            if options.tagged:
+                text = f"{text.rstrip()}.{options.version}.{options.port}-{run} "
+            choice = {"text": text}
             choice["finish_reason"] = reason if index == last - 1 else None
             event = {"choices": [choice], "tokens": 1}
             if options.state_version:
--- a/test/standins/platform.py
+++ b/test/standins/platform.py
@@ -96,6 +96,9 @@
             case "PUT", ["objects", key]:
                 self.objects[key] = request.body
                 return self._count("writes", json_response({}))
+            case "DELETE", ["objects", key]:
+                found = self.objects.pop(key, None) is not None
+                return self._count("writes", json_response({}, 200 if found else 404))
             case "GET", ["objects", key]:
                 return self._count("reads", self._get_object(key))
             case "GET", ["hosts"]:
--- a/test/test_steps.py
+++ b/test/test_steps.py
@@ -44,7 +44,7 @@
 class DeliveryTest(StepTestCase):
     async def test_every_slot_comes_once_through_any_host(self):
         fleet = self.make_fleet("a", "b", "c")
-        await fleet.host_by_id["a"].holder.submit(make_spec())
+        await fleet.host_by_id["a"].front.submit(make_spec())
         got, answered = await fleet.host_by_id["b"].collect("s1")
         self.assertEqual(set(got), set(make_spec().slots()))
         self.assertEqual(len(answered), 6)
@@ -53,7 +53,7 @@
 
     async def test_a_late_pull_is_answered_from_the_same_samples(self):
         fleet = self.make_fleet("a", "b")
-        await fleet.host_by_id["a"].holder.submit(make_spec())
+        await fleet.host_by_id["a"].front.submit(make_spec())
         first, _ = await fleet.host_by_id["a"].collect("s1")
         # The trainer restarts with nothing, then with a part of it.
         second, _ = await fleet.host_by_id["b"].collect("s1")
@@ -64,7 +64,7 @@
 
     async def test_a_whole_group_may_be_named_by_its_index(self):
         fleet = self.make_fleet("a")
-        await fleet.host_by_id["a"].holder.submit(make_spec())
+        await fleet.host_by_id["a"].front.submit(make_spec())
         await fleet.host_by_id["a"].collect("s1")
         answer = await fleet.host_by_id["a"].pull("s1", groups=[0])
         self.assertEqual({s.slot.group for s in answer.samples}, {1})
@@ -72,17 +72,15 @@
     async def test_submission_repeats_and_conflicts(self):
         fleet = self.make_fleet("a", "b")
         for host in fleet.host_by_id.values():
-            await host.holder.submit(make_spec())
+            await host.front.submit(make_spec())
         other = make_spec(samples=4)
         for host in fleet.host_by_id.values():
-            await self.assert_refused(
-                ErrorKind.STEP_CONFLICT, host.holder.submit(other)
-            )
+            await self.assert_refused(ErrorKind.STEP_CONFLICT, host.front.submit(other))
 
     async def test_operators_are_shown_the_steps(self):
         fleet = self.make_fleet("a")
         a = fleet.host_by_id["a"]
-        await a.holder.submit(make_spec())
+        await a.front.submit(make_spec())
         got, _ = await a.collect("s1")
         await a.pull("s1", list(got)[:2])
         columns, rows = await make_source(a.holder)()
@@ -96,8 +94,8 @@
 
     async def test_a_cancelled_step_is_forgotten(self):
         fleet = self.make_fleet("a", "b")
-        await fleet.host_by_id["a"].holder.submit(make_spec())
-        await fleet.host_by_id["b"].holder.cancel(ACCOUNT, "s1")
+        await fleet.host_by_id["a"].front.submit(make_spec())
+        await fleet.host_by_id["b"].front.cancel(ACCOUNT, "s1")
         pull = fleet.host_by_id["a"].pull("s1")
         await self.assert_refused(ErrorKind.STEP_UNKNOWN, pull)
 
@@ -154,7 +152,7 @@
 class RecordTest(StepTestCase):
     async def test_one_row_is_written_for_each_group(self):
         fleet = self.make_fleet("a", "b")
-        await fleet.host_by_id["a"].holder.submit(make_spec(groups=3, samples=5))
+        await fleet.host_by_id["a"].front.submit(make_spec(groups=3, samples=5))
         await fleet.host_by_id["a"].collect("s1")
         tables = fleet.platform.row_by_key
         await _common.eventually(lambda: sum(t == "groups" for t, _ in tables) == 3)
@@ -171,7 +169,7 @@
             stream(Piece("second", 1, 1, "e", "stop"), gate=gate),
         ]
         spec = make_spec(groups=1, samples=1)
-        await a.holder.submit(spec)
+        await a.front.submit(spec)
         pulled = asyncio.create_task(b.pull("s1"))
         await _common.eventually(lambda: fleet.engines.calls)
         got, _ = await a.collect("s1")
@@ -208,7 +206,7 @@
     async def test_lost_answers_are_settled(self):
         fleet = self.make_fleet("a", "b")
         fleet.platform.answers_to_lose = 1
-        await fleet.host_by_id["a"].holder.submit(make_spec(groups=1))
+        await fleet.host_by_id["a"].front.submit(make_spec(groups=1))
         fleet.platform.answers_to_lose = 1
         got, _ = await fleet.host_by_id["a"].collect("s1")
         await _common.eventually(
@@ -220,21 +218,21 @@
     async def test_the_platform_is_out_for_the_whole_step(self):
         fleet = self.make_fleet("a", "b", "c")
         fleet.platform.out = True
-        await fleet.host_by_id["a"].holder.submit(make_spec())
+        await fleet.host_by_id["a"].front.submit(make_spec())
         got, answered = await fleet.host_by_id["b"].collect("s1")
         self.assertEqual((len(got), len(answered)), (6, 6))
 
     async def test_nothing_is_accepted_that_only_one_host_has(self):
         fleet = self.make_fleet("a")
         fleet.platform.out = True
-        submit = fleet.host_by_id["a"].holder.submit(make_spec())
+        submit = fleet.host_by_id["a"].front.submit(make_spec())
         await self.assert_refused(ErrorKind.PLATFORM_UNAVAILABLE, submit)
 
     async def test_results_reach_the_platform_when_it_is_back(self):
         fleet = self.make_fleet("a", "b")
         fleet.platform.out = True
         a = fleet.host_by_id["a"]
-        await a.holder.submit(make_spec(groups=1))
+        await a.front.submit(make_spec(groups=1))
         answer = await a.pull("s1")
         self.assertTrue(answer.samples)
         fleet.platform.out = False
@@ -249,7 +247,7 @@
         first = a.store._others(ACCOUNT, "s1", ZONE)[0]
         # The fleet still takes the host for alive, but it does not answer.
         fleet.links_by_id.pop(first)
-        await a.holder.submit(make_spec(samples=8))
+        await a.front.submit(make_spec(samples=8))
         got, _ = await a.collect("s1")
         self.assertEqual(len(got), 16)
         self.assertNotEqual(a.store._others(ACCOUNT, "s1", ZONE)[0], first)
@@ -262,7 +260,7 @@
         fleet.engines.script_by_seed[2] = [wait]
         fleet.holder_of = {"a": "a", "b": "a"}
         a, b = fleet.host_by_id["a"], fleet.host_by_id["b"]
-        await a.holder.submit(make_spec(groups=1))
+        await a.front.submit(make_spec(groups=1))
         kept = b.links.handler_by_class
         await _common.eventually(lambda: kept and len(_kept(b)) == 2)
         fleet.down.add("a")
@@ -276,8 +274,7 @@
 
 
 def _kept(host):
-    kept = host.store._kept_by_key.get((ACCOUNT, "s1"))
-    return kept.sample_by_slot if kept else {}
+    return host.store._kept.samples(ACCOUNT, "s1")
 
 
 class HandoverTest(StepTestCase):
@@ -289,7 +286,7 @@
         fleet.engines.script_by_seed[0] = [waiting]
         a, b = fleet.host_by_id["a"], fleet.host_by_id["b"]
         with mock.patch.object(step_holder, "UNWANTED_MS", 1):
-            await a.holder.submit(make_spec(groups=1, samples=1))
+            await a.front.submit(make_spec(groups=1, samples=1))
             await _common.eventually(lambda: fleet.engines.calls)
             fleet.holder_of = {"a": "b", "b": "b"}
             await _common.eventually(lambda: not a.holder.steps())
@@ -305,7 +302,7 @@
         waiting = stream(Piece("x", 1, 1, "e", "stop"), gate=gate)
         fleet.engines.script_by_seed[2] = [waiting]
         a, b = fleet.host_by_id["a"], fleet.host_by_id["b"]
-        await a.holder.submit(make_spec(groups=1))
+        await a.front.submit(make_spec(groups=1))
         await _common.eventually(lambda: len(fleet.engines.calls) == 3)
         await _common.eventually(lambda: len(a.holder.steps()[0].sample_by_slot) == 2)
         await a.holder.hand_over()
@@ -318,7 +315,7 @@
 class StalenessTest(StepTestCase):
     async def test_a_sample_goes_stale_in_a_row(self):
         fleet = self.make_fleet("a", "b")
-        await fleet.host_by_id["a"].holder.submit(make_spec())
+        await fleet.host_by_id["a"].front.submit(make_spec())
         await fleet.host_by_id["a"].collect("s1")
         fleet.engines.version = 3
         got, _ = await fleet.host_by_id["b"].collect("s1", version=3)
@@ -327,7 +324,7 @@
     async def test_the_remade_round_is_found_by_another_holder(self):
         fleet = self.make_fleet("a", "b")
         spec = make_spec(groups=1)
-        await fleet.host_by_id["a"].holder.submit(spec)
+        await fleet.host_by_id["a"].front.submit(spec)
         await fleet.host_by_id["a"].collect("s1")
         fleet.engines.version = 3
         got, _ = await fleet.host_by_id["a"].collect("s1", version=3)
@@ -344,7 +341,7 @@
         old = Piece("old", 1, 1, "e"), Piece("", 1, 1, "e", "stop")
         fleet.engines.script_by_seed[0] = [stream(*old, gate=gate, reached=reached)]
         a = fleet.host_by_id["a"]
-        await a.holder.submit(make_spec(groups=1, samples=1))
+        await a.front.submit(make_spec(groups=1, samples=1))
         await reached.wait()
         fleet.engines.version = 3
         got, _ = await a.collect("s1", version=3)
@@ -359,7 +356,7 @@
         gate = asyncio.Event()
         script = stream(Piece("x", 1, 1, "e", "stop"), gate=gate)
         fleet.engines.script_by_seed[0] = [script]
-        await a.holder.submit(make_spec(groups=1, samples=1))
+        await a.front.submit(make_spec(groups=1, samples=1))
         waiting = asyncio.create_task(a.pull("s1", version=1))
         await _common.eventually(lambda: fleet.engines.calls)
         await a.pull("s1", version=5, wait_ms=0)
@@ -374,7 +371,7 @@
         fleet.engines.script_by_seed[0] = [stream(*pieces)]
         fleet.engines.version = 4
         a = fleet.host_by_id["a"]
-        await a.holder.submit(make_spec(groups=1, samples=1, base_version=1))
+        await a.front.submit(make_spec(groups=1, samples=1, base_version=1))
         got, _ = await a.collect("s1", version=4)
         self.assertEqual(oldest_version(got[Slot(0, 0)]), 4)
 
@@ -387,7 +384,7 @@
         ]
         fleet.engines.script_by_seed[0] = [stream(*pieces)]
         a = fleet.host_by_id["a"]
-        await a.holder.submit(make_spec(groups=1, samples=1))
+        await a.front.submit(make_spec(groups=1, samples=1))
         got, _ = await a.collect("s1", version=2)
         expected = (Segment(1, "ab", 3), Segment(2, "c", 1))
         self.assertEqual(got[Slot(0, 0)].segments, expected)
@@ -397,7 +394,7 @@
         script = stream(Piece("x", 1, 0, "e"), Piece("y", 1, 1, "e", "stop"))
         fleet.engines.script_by_seed[0] = [script]
         a = fleet.host_by_id["a"]
-        await a.holder.submit(make_spec(groups=1, samples=1))
+        await a.front.submit(make_spec(groups=1, samples=1))
         got, _ = await a.collect("s1")
         self.assertEqual(oldest_version(got[Slot(0, 0)]), 1)
         self.assertEqual(len(fleet.engines.calls), 2)
@@ -408,7 +405,7 @@
         old = Piece("old", 1, 1, "e"), Piece("", 1, 1, "e", "stop")
         fleet.engines.script_by_seed[0] = [stream(*old, gate=gate, reached=reached)]
         a = fleet.host_by_id["a"]
-        await a.holder.submit(make_spec(groups=1, samples=1))
+        await a.front.submit(make_spec(groups=1, samples=1))
         await reached.wait()
         fleet.engines.version = 2
         got, _ = await a.collect("s1", version=2)
@@ -425,7 +422,7 @@
             stream(Piece(" fast", 5, 1, "e2", "stop"), gate=gate),
         ]
         a = fleet.host_by_id["a"]
-        await a.holder.submit(make_spec(groups=1))
+        await a.front.submit(make_spec(groups=1))
         calls = fleet.engines.calls
         await _common.eventually(lambda: [c["seed"] for c in calls].count(2) == 2)
         hedge = [c for c in calls if c["seed"] == 2][1]
@@ -450,7 +447,7 @@
 
         fleet.engines.script_by_seed[0] = [fail, stream(Piece("cut", 1, 1, "e"))]
         a = fleet.host_by_id["a"]
-        await a.holder.submit(make_spec(groups=1, samples=1))
+        await a.front.submit(make_spec(groups=1, samples=1))
         got, _ = await a.collect("s1")
         self.assertEqual(got[Slot(0, 0)].finish_reason, "stop")
         self.assertEqual(len(fleet.engines.calls), 3)
--- a/test/test_trainer_client.py
+++ b/test/test_trainer_client.py
@@ -67,7 +67,7 @@
             register_routes(
                 app,
                 authenticator=FakeAuthenticator(self.fleet),
-                holder=self.hosts[port - 1].holder,
+                steps=self.hosts[port - 1].front,
                 weights=self.weights,
             )
 
@@ -118,7 +118,7 @@
     async def test_a_forgotten_step_is_submitted_again(self):
         client = self.make_client()
         step = await self.submit(client)
-        await self.fleet.host_by_id["a"].holder.cancel("tuner", "s1")
+        await self.fleet.host_by_id["a"].front.cancel("tuner", "s1")
         got = await client.collect(step, 30_000)
         self.assertEqual(len(got), 6)
 
