--- a/goldcrestmoor/version/kept_pieces.py
+++ b/goldcrestmoor/version/kept_pieces.py
@@ -1,17 +1,27 @@
-"""What failed streams of a step made, for the next try of their slots."""
+"""What ended streams of a step made, for the next try of their slots."""
+
+from goldcrestmoor.request.piece import Piece
 
 
 class KeptPieces:
     """Keep the longest of each slot's failed streams.
 
     :param is_on: whether anything is kept at all.
+    :param partials: the :class:`~goldcrestmoor.version.step_messages.Partial` texts
+        that an earlier holder's streams had come to.
     """
 
     __slots__ = ("_is_on", "_pieces_by_slot")
 
-    def __init__(self, is_on):
+    def __init__(self, is_on, partials=()):
         self._is_on = is_on
         self._pieces_by_slot = {}
+        if is_on:
+            for partial in partials:
+                pieces = [
+                    Piece(s.text, s.tokens, s.version, "") for s in partial.segments
+                ]
+                self._pieces_by_slot[partial.slot] = pieces
 
     def keep(self, stream):
         """Keep the pieces of a stream that failed.
--- a/goldcrestmoor/version/step_routes.py
+++ b/goldcrestmoor/version/step_routes.py
@@ -4,6 +4,7 @@
 from blacksheep import Content, Response
 
 from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.request.body import read_json
 from goldcrestmoor.version.step_messages import PullSamples
 from goldcrestmoor.version.steps import GroupSpec, Sample, Slot, StepSpec, check_name
 
@@ -78,12 +79,12 @@
     version: int
 
 
-def register_routes(app, *, authenticator, holder, weights):
+def register_routes(app, *, authenticator, steps, weights):
     """Add the trainers' routes to an application.
 
     :param app: the blacksheep application.
     :param authenticator: the ``Authenticator``.
-    :param holder: the :class:`~goldcrestmoor.version.step_holder.StepHolder`.
+    :param steps: the :class:`~goldcrestmoor.version.step_front.StepFront`.
     :param weights: takes new weight versions, by ``publish``.
     """
 
@@ -103,7 +104,7 @@
             groups,
             body.deadline_ms,
         )
-        await holder.submit(spec)
+        await steps.submit(spec)
         return _json(StepAnswer(spec.step), 202)
 
     async def pull(request):
@@ -116,9 +117,9 @@
             body.held,
             body.version,
             max(0, body.wait_ms),
-            body.max if body.max > 0 else holder.max_pull_samples,
+            body.max if body.max > 0 else steps.max_pull_samples,
         )
-        answer = await holder.pull(message)
+        answer = await steps.pull(message)
         # The pull may have waited long, and its account be gone meanwhile.
         _trainer(authenticator, request)
         return _json(PullAnswer(answer.samples, answer.complete))
@@ -126,7 +127,7 @@
     async def cancel(request):
         account = _trainer(authenticator, request)
         step = _step(request)
-        await holder.cancel(account.name, step)
+        await steps.cancel(account.name, step)
         return _json(StepAnswer(step))
 
     async def publish(request):
@@ -152,7 +153,7 @@
 async def _ask(authenticator, request, kind):
     """Return the account and the body, which may have taken long to come."""
     _trainer(authenticator, request)
-    body = await _body(request, kind)
+    body = await read_json(request, kind)
     return _trainer(authenticator, request), body
 
 
@@ -162,13 +163,6 @@
     return step
 
 
-async def _body(request, kind):
-    try:
-        return msgspec.json.decode(await request.read() or b"", type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as e:
-        raise ServiceError(ErrorKind.BAD_REQUEST, f"Bad body: {e}.") from e
-
-
 def _json(value, status=200):
     content = Content(b"application/json", msgspec.json.encode(value))
     return Response(status, content=content)
--- a/goldcrestmoor/version/step_run.py
+++ b/goldcrestmoor/version/step_run.py
@@ -11,6 +11,7 @@
 from goldcrestmoor.version.configuration import StreamRule
 from goldcrestmoor.version.kept_pieces import KeptPieces
 from goldcrestmoor.version.publishing_pace import PublishingPace
+from goldcrestmoor.version.step_messages import Partial
 from goldcrestmoor.version.step_recorder import StepRecorder
 from goldcrestmoor.version.step_stream import Stream
 
@@ -39,6 +40,8 @@
     :param resumes: whether a slot that is tried again goes on from its tokens.
     :param drops_early: whether a stream is stopped that is expected to be too old
         when it ends.
+    :param partials: the :class:`~goldcrestmoor.version.step_messages.Partial` texts
+        that an earlier holder's streams had come to.
     """
 
     def __init__(
@@ -56,6 +59,7 @@
         start_order=stragglers.LONGEST_FIRST,
         resumes=True,
         drops_early=False,
+        partials=(),
     ):
         self._state = state
         self._clock = clock
@@ -67,7 +71,7 @@
         self._start_order = start_order
         self._drops_early = drops_early
         self._pace = PublishingPace(state.trainer_version)
-        self._kept = KeptPieces(resumes)
+        self._kept = KeptPieces(resumes, partials)
         self._hedges_left = -(-len(state.slots) * hedge_percent // PERCENT)
         self._lengths = stragglers.Lengths()
         self._streams_by_slot = {}
@@ -87,13 +91,20 @@
                     self._drop_stale(account)
                     self._start_streams(account)
                     self._hedge(account)
-                    self._recorder.start(self._floor(account))
+                    self._recorder.start()
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(TICK_MS / MS_PER_SECOND):
                         await self._state.wait_changed()
         finally:
             await self._tasks.close()
 
+    def partials(self):
+        """Yield what the streams have come to, the longest of each slot."""
+        for slot, streams in self._streams_by_slot.items():
+            longest = max(streams, key=Stream.tokens)
+            if longest.pieces and longest.states_versions():
+                yield Partial(slot, longest.segments())
+
     def _account(self):
         accounts = self._lease.view().configuration.accounts_by_name
         return accounts.get(self._state.spec.account)
