Keep one retry budget

Cause: two parts had written one each; the product used the stricter, which starts empty, the tests of requests the other, which allowed ten at once.

--- a/goldcrestmoor/connection/retry_budget.py
+++ b/goldcrestmoor/connection/retry_budget.py
@@ -35,7 +35,7 @@
     def note_request(self, upstream):
         """Count a first send.
 
-        :param upstream: the upstream that it went to.
+        :param upstream: the upstream that it went to, or its pool.
         """
         account = self._account(upstream)
         account.saved = min(MAX_SAVED_RETRIES, account.saved + self._share)
@@ -43,7 +43,7 @@
     def try_retry(self, upstream):
         """Take one retry out of the budget, where there is one.
 
-        :param upstream: the upstream that the retry would go to.
+        :param upstream: the upstream that the retry would go to, or its pool.
         :return: whether it may be sent.
         """
         account = self._account(upstream)
--- a/goldcrestmoor/request/apps.py
+++ b/goldcrestmoor/request/apps.py
@@ -79,7 +79,7 @@
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param http: the ``HttpClient``.
     :param placement: a :class:`~goldcrestmoor.request.placement.Placement`.
-    :param budget: the :class:`~goldcrestmoor.request.retry_budget.RetryBudget`.
+    :param budget: the ``RetryBudget``, here by pool.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
     :param decisions: the :class:`~goldcrestmoor.process.decisions.Decisions`.
     :param health: an ``UpstreamHealth``, or None.
--- a/goldcrestmoor/request/completions.py
+++ b/goldcrestmoor/request/completions.py
@@ -63,7 +63,7 @@
     :param admission: the :class:`~goldcrestmoor.request.admission.AdmissionClient`.
     :param placement: the :class:`~goldcrestmoor.request.placement.Placement`.
     :param lease: gives the :class:`~goldcrestmoor.version.configuration.View`.
-    :param budget: the :class:`~goldcrestmoor.request.retry_budget.RetryBudget`.
+    :param budget: the ``RetryBudget``, here by pool.
     :param settings: the :class:`~goldcrestmoor.settings.LimitSettings`.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
     :param decisions: the :class:`~goldcrestmoor.process.decisions.Decisions`.
--- a/test/_request_fakes.py
+++ b/test/_request_fakes.py
@@ -7,6 +7,7 @@
 from goldcrestmoor import util, wire
 from goldcrestmoor.clock import Clock
 from goldcrestmoor.connection.http_client import HttpClient
+from goldcrestmoor.connection.retry_budget import MAX_SAVED_RETRIES, RetryBudget
 from goldcrestmoor.errors import ErrorKind, ServiceError, from_body, to_body
 from goldcrestmoor.process.decisions import Decisions
 from goldcrestmoor.process.metrics import Metrics
@@ -24,6 +25,15 @@
 KIND_BY_POOL = {"app": UpstreamKind.APPLICATION, "lm": UpstreamKind.ENGINE}
 
 
+def make_budget():
+    """Return a retry budget of pools that have served many requests."""
+    budget = RetryBudget(clock=Clock(), percent=10)
+    for _ in range(10 * MAX_SAVED_RETRIES):
+        for pool in KIND_BY_POOL:
+            budget.note_request(pool)
+    return budget
+
+
 class FakeClock(Clock):
     """A clock that a test moves by hand."""
 
--- a/test/bench_admission.py
+++ b/test/bench_admission.py
@@ -15,7 +15,6 @@
 from goldcrestmoor.request.admission_owner import AdmissionOwner
 from goldcrestmoor.request.completions import Completions
 from goldcrestmoor.request.placement import LeastLoaded, Placement, TwoChoices
-from goldcrestmoor.request.retry_budget import RetryBudget
 from test import _request_fakes as fakes
 from test.standins import engine as standin
 
@@ -79,7 +78,7 @@
                 admission=client if with_owner else _NoAdmission(),
                 placement=Placement(zone="zone-a", lease=lease, policy=policy),
                 lease=lease,
-                budget=RetryBudget(10),
+                budget=fakes.make_budget(),
                 settings=limits,
                 **parts,
             )
--- a/test/test_apps.py
+++ b/test/test_apps.py
@@ -12,7 +12,6 @@
     PrefixAffinity,
     TwoChoices,
 )
-from goldcrestmoor.request.retry_budget import RetryBudget
 from test import _common, _request_fakes as fakes
 from test.standins import app as standin
 
@@ -38,7 +37,7 @@
             clock=self.clock,
             http=self.http,
             placement=placement,
-            budget=RetryBudget(10),
+            budget=fakes.make_budget(),
             **fakes.parts(),
         )
 
--- a/test/test_completions.py
+++ b/test/test_completions.py
@@ -12,7 +12,6 @@
 from goldcrestmoor.request.completions import Completions
 from goldcrestmoor.request.piece import join
 from goldcrestmoor.request.placement import LeastLoaded, Placement
-from goldcrestmoor.request.retry_budget import RetryBudget
 from test import _request_fakes as fakes
 from test._common import eventually
 from test.standins import engine as standin
@@ -53,7 +52,7 @@
             admission=admission,
             placement=self.placement,
             lease=self.lease,
-            budget=RetryBudget(10),
+            budget=fakes.make_budget(),
             settings=limits,
             **parts,
         )
