--- a/goldcrestmoor/request/fair_queue.py
+++ b/goldcrestmoor/request/fair_queue.py
@@ -12,6 +12,7 @@
 RATE_WEIGHT = 0.2
 MAX_IDLE_ACCOUNTS = 1000
 MIN_RETRY_AFTER_MS = 100
+LEAST_WAIT_MS = 50
 ROUNDING = 1e-6
 APPLICATION = "application"
 
@@ -27,42 +28,6 @@
 WEIGHTED_FAIR = WeightedFair()
 
 
-class Entry:
-    """One queued request.
-
-    :param id: the grant that it waits for.
-    :param account: the account's name.
-    :param kind: the account's kind.
-    :param share: the account's weight.
-    :param cost_tokens: what it is expected to cost, in tokens.
-    :param deadline: when it must have started.
-    :param queued_ms: when it was queued, on the clock's scale.
-    """
-
-    __slots__ = (
-        "id",
-        "account",
-        "kind",
-        "share",
-        "cost_tokens",
-        "deadline",
-        "queued_ms",
-        "number",
-        "pending",
-    )
-
-    def __init__(self, id, account, kind, share, cost_tokens, deadline, queued_ms):
-        self.id = id
-        self.account = account
-        self.kind = kind
-        self.share = max(1, share)
-        self.cost_tokens = max(1, cost_tokens)
-        self.deadline = deadline
-        self.queued_ms = queued_ms
-        self.number = 0
-        self.pending = 0.0
-
-
 class FairQueue:
     """Order requests so that each account gets its share of the tokens.
 
@@ -90,6 +55,7 @@
         "_queues_by_account",
         "_virtual_by_account",
         "_pending_by_account",
+        "_service_ms_by_account",
         "_length",
         "_numbers",
         "_interval_ms",
@@ -113,6 +79,7 @@
         self._queues_by_account = {}
         self._virtual_by_account = collections.OrderedDict()
         self._pending_by_account = {}
+        self._service_ms_by_account = collections.OrderedDict()
         self._length = 0
         self._numbers = itertools.count()
         self._interval_ms = None
@@ -130,7 +97,7 @@
     def push(self, entry):
         """Queue a request.
 
-        :param entry: the :class:`Entry`.
+        :param entry: the :class:`~goldcrestmoor.request.queue_entry.Entry`.
         :raises ServiceError: ``OVERLOADED`` when the queue is full or too slow for
             the entry's deadline, with when to come back.
         """
@@ -162,6 +129,7 @@
         entry.pending = entry.cost_tokens / self._weight(entry)
         pending = self._pending_by_account.get(entry.account, 0.0)
         self._pending_by_account[entry.account] = pending + entry.pending
+        entry.started_ms = self._clock.now_ms()
         self._take(entry)
         return entry
 
@@ -180,11 +148,13 @@
     def settle(self, entry, used_tokens):
         """Count what a request used in the end, in place of its expected cost.
 
-        :param entry: the :class:`Entry`, which is no longer in flight.
+        :param entry: its entry, which is no longer in flight.
         :param used_tokens: how many tokens it used.
         """
         if entry.account not in self._virtual_by_account:
             self._join(entry.account)
+        if used_tokens and entry.started_ms is not None:
+            self._note_service(entry)
         used = used_tokens / self._weight(entry)
         self._virtual_by_account[entry.account] += used
         left = self._pending_by_account.pop(entry.account, 0.0) - entry.pending
@@ -192,6 +162,26 @@
         if left > ROUNDING:
             self._pending_by_account[entry.account] = left
 
+    def start_within_ms(self, account, remaining_ms):
+        """Return how long a request may wait and still end in time.
+
+        :param account: the account's name.
+        :param remaining_ms: the time until it must have ended, in milliseconds.
+        """
+        if not self._refuses_early:
+            return remaining_ms
+        service_ms = round(self._service_ms_by_account.get(account, 0))
+        return max(LEAST_WAIT_MS, remaining_ms - service_ms)
+
+    def _note_service(self, entry):
+        service_ms = self._clock.now_ms() - entry.started_ms
+        known = self._service_ms_by_account
+        mean_ms = known.get(entry.account, service_ms)
+        known[entry.account] = mean_ms + RATE_WEIGHT * (service_ms - mean_ms)
+        known.move_to_end(entry.account)
+        if len(known) > MAX_IDLE_ACCOUNTS:
+            known.popitem(last=False)
+
     def started(self):
         """Note that a queued entry was started, for the drain rate."""
         now_ms = self._clock.now_ms()
@@ -206,7 +196,7 @@
     def expected_wait_ms(self, entry):
         """Return how long an entry would wait, by the measured drain rate.
 
-        :param entry: the :class:`Entry`, not yet queued.
+        :param entry: its entry, not yet queued.
         :return: milliseconds; zero while no rate has been measured.
         """
         if not self._length:
@@ -225,7 +215,7 @@
     def remove(self, entry):
         """Drop a queued entry; nothing happens when it is not queued.
 
-        :param entry: the :class:`Entry`.
+        :param entry: the :class:`~goldcrestmoor.request.queue_entry.Entry`.
         """
         queue = self._queues_by_account.get(entry.account, ())
         if entry in queue:
--- a/goldcrestmoor/version/step_messages.py
+++ b/goldcrestmoor/version/step_messages.py
@@ -1,6 +1,9 @@
 """What daemons tell one another about steps."""
 
+import msgspec
+
 from goldcrestmoor import wire
+from goldcrestmoor.request.piece import Segment
 from goldcrestmoor.version.steps import Sample, Slot, StepSpec
 
 
@@ -30,10 +33,31 @@
     :param known: whether the host has the step's specification; it keeps nothing
         without.
     :param samples: the samples that came first for these slots.
+    :param settled: whether they are to stay; else the host asks others about its own
+        ones itself.
     """
 
     known: bool
     samples: tuple[Sample, ...] = ()
+    settled: bool = True
+
+
+class Partial(msgspec.Struct, frozen=True):
+    """What came in for a slot before its stream was given up.
+
+    :param slot: the slot.
+    :param segments: the text, by weight version.
+    """
+
+    slot: Slot
+    segments: tuple[Segment, ...]
+
+
+class HandOverStep(wire.Message, frozen=True):
+    """Keep what a leaving holder's streams had come to, for the next holder."""
+
+    spec: StepSpec
+    partials: tuple[Partial, ...]
 
 
 class FetchStep(wire.Message, frozen=True):
@@ -48,6 +72,7 @@
 
     spec: StepSpec | None = None
     samples: tuple[Sample, ...] = ()
+    partials: tuple[Partial, ...] = ()
 
 
 class ForgetStep(wire.Message, frozen=True):
@@ -86,10 +111,12 @@
     """Samples that the trainer lacks.
 
     :param complete: whether the trainer has the whole step with these.
+    :param pool: the pool whose engines made them.
     """
 
     samples: tuple[Sample, ...]
     complete: bool
+    pool: str = ""
 
 
 class CancelStep(wire.Message, frozen=True):
--- a/goldcrestmoor/version/step_run.py
+++ b/goldcrestmoor/version/step_run.py
@@ -9,7 +9,9 @@
 from goldcrestmoor.errors import ServiceError
 from goldcrestmoor.version import stragglers
 from goldcrestmoor.version.configuration import StreamRule
+from goldcrestmoor.version.kept_pieces import KeptPieces
 from goldcrestmoor.version.publishing_pace import PublishingPace
+from goldcrestmoor.version.step_messages import Partial
 from goldcrestmoor.version.step_recorder import StepRecorder
 from goldcrestmoor.version.step_stream import Stream
 
@@ -38,6 +40,8 @@
     :param resumes: whether a slot that is tried again goes on from its tokens.
     :param drops_early: whether a stream is stopped that is expected to be too old
         when it ends.
+    :param partials: the :class:`~goldcrestmoor.version.step_messages.Partial` texts
+        that an earlier holder's streams had come to.
     """
 
     def __init__(
@@ -55,6 +59,7 @@
         start_order=stragglers.LONGEST_FIRST,
         resumes=True,
         drops_early=False,
+        partials=(),
     ):
         self._state = state
         self._clock = clock
@@ -64,10 +69,9 @@
         self._metrics = metrics
         self._is_wanted = is_wanted
         self._start_order = start_order
-        self._resumes = resumes
         self._drops_early = drops_early
         self._pace = PublishingPace(state.trainer_version)
-        self._kept_by_slot = {}
+        self._kept = KeptPieces(resumes, partials)
         self._hedges_left = -(-len(state.slots) * hedge_percent // PERCENT)
         self._lengths = stragglers.Lengths()
         self._streams_by_slot = {}
@@ -87,13 +91,20 @@
                     self._drop_stale(account)
                     self._start_streams(account)
                     self._hedge(account)
-                    self._recorder.start(self._floor(account))
+                    self._recorder.start()
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(TICK_MS / MS_PER_SECOND):
                         await self._state.wait_changed()
         finally:
             await self._tasks.close()
 
+    def partials(self):
+        """Yield what the streams have come to, the longest of each slot."""
+        for slot, streams in self._streams_by_slot.items():
+            longest = max(streams, key=Stream.tokens)
+            if longest.pieces and longest.states_versions():
+                yield Partial(slot, longest.segments())
+
     def _account(self):
         accounts = self._lease.view().configuration.accounts_by_name
         return accounts.get(self._state.spec.account)
@@ -165,22 +176,9 @@
         )
         for slot in ordered[:idle]:
             group = self._state.group_by_index[slot.group]
-            pieces = self._kept(slot, group, account)
+            pieces = self._kept.take(slot, group.max_tokens, self._floor(account))
             self._start(Stream(slot, group, now_ms, pieces), account)
 
-    def _keep(self, stream):
-        """Keep the tokens of a stream that failed, for the slot's next try."""
-        kept = self._kept_by_slot.get(stream.slot, ())
-        if self._resumes and len(stream.pieces) > len(kept):
-            self._kept_by_slot[stream.slot] = stream.pieces
-
-    def _kept(self, slot, group, account):
-        pieces = self._kept_by_slot.pop(slot, ())
-        is_usable = sum(piece.tokens for piece in pieces) < group.max_tokens and all(
-            piece.version >= self._floor(account) for piece in pieces
-        )
-        return pieces if is_usable else ()
-
     def _may_retry(self, slot, now_ms):
         retry = self._retry_by_slot.get(slot)
         return retry is None or retry[0] <= now_ms
@@ -210,7 +208,7 @@
                 await self._receive(stream, account, avoid)
         except ServiceError as e:
             self._metrics.retries.labels(e.kind.value).inc()
-            self._keep(stream)
+            self._kept.keep(stream)
             self._retry_later(stream, e.retry_after_ms)
             return
         finally:
@@ -270,7 +268,7 @@
             self._count("dropped_second")
             return
         self._retry_by_slot.pop(stream.slot, None)
-        self._kept_by_slot.pop(stream.slot, None)
+        self._kept.forget(stream.slot)
         elapsed_ms = self._clock.now_ms() - stream.started_ms
         self._lengths.add(stream.group.index, stream.tokens(), elapsed_ms)
         for loser in list(self._streams_by_slot.get(stream.slot, ())):
--- a/test/compare.py
+++ b/test/compare.py
@@ -28,11 +28,13 @@
     :param name: what it is called in the table.
     :param policy: what differs in the settings' section ``policy``.
     :param terms: what follows in the trainers' ``CREATE ACCOUNT``.
+    :param floor_percent: the applications' part of the engines.
     """
 
     name: str
     policy: dict = {}
     terms: str = ""
+    floor_percent: int = 20
 
 
 class Comparison(msgspec.Struct, frozen=True):
@@ -92,7 +94,8 @@
         (
             Way("unbounded fifo", {"queue": "fifo", "early_refusal": False}),
             Way("early refusal", {"queue": "fifo"}),
-            Way("and fair", {"queue": "fair"}),
+            Way("and fair, floor 20%", {"queue": "fair"}),
+            Way("and fair, floor 50%", {"queue": "fair"}, floor_percent=50),
         ),
     ),
 }
@@ -132,6 +135,7 @@
     """
     head, entries = generate.make(deployment, scenario, seed)
     plan = make_plan(deployment, way.policy, terms=way.terms, **engine)
+    plan.settings["limits"] = {"application_floor_percent": way.floor_percent}
     async with ReplayFleet(plan, has_network=scenario == "cut") as fleet:
         limits = settings.default_limits()
         report = await replay(head, entries, fleet.replay_plan(), limits)
@@ -173,6 +177,8 @@
     """Print one table a scenario."""
     deployment = generate.DEPLOYMENT_BY_NAME[options.deployment]
     comparison = COMPARISON_BY_NAME[options.policy]
+    ways = [w for w in comparison.ways if not options.way or w.name in options.way]
+    comparison = msgspec.structs.replace(comparison, ways=tuple(ways))
     for scenario in options.scenario or comparison.scenarios:
         seeds = range(1, options.runs + 1)
         table, missed = await compare(deployment, comparison, scenario, seeds)
@@ -188,6 +194,7 @@
     names = sorted(generate.DEPLOYMENT_BY_NAME)
     parser.add_argument("--deployment", choices=names, default="tisza")
     parser.add_argument("--scenario", action="append", choices=generate.SCENARIOS)
+    parser.add_argument("--way", action="append", help="only these ways")
     parser.add_argument("--runs", type=int, default=DEFAULT_RUNS)
     asyncio.run(run(parser.parse_args()))
 
