--- a/test/proofs/_fleet.py
+++ b/test/proofs/_fleet.py
@@ -141,6 +141,15 @@
 
             await _common.eventually(served)
 
+    async def dead(self, seen_from, host_id):
+        """Wait until a host believes another one dead."""
+
+        async def is_dead():
+            rows = await self.show(seen_from, "SHOW HOSTS")
+            return any((r["id"], r["state"]) == (host_id, "dead") for r in rows)
+
+        await _common.eventually(is_dead)
+
     async def outage(self, mode="refuse"):
         """Let the platform fail, or come back when the mode is empty."""
         control = self.fleet.platform_control
--- a/test/proofs/test_configuration_cut_off_terms.py
+++ b/test/proofs/test_configuration_cut_off_terms.py
@@ -18,15 +18,6 @@
         """Start with an account that is served by hosts that are cut off."""
         await super().start(account("desk", rest=""), *args, **kwargs)
 
-    async def dead(self, seen_from, host_id):
-        """Wait until a host believes another one dead."""
-
-        async def is_dead():
-            rows = await self.show(seen_from, "SHOW HOSTS")
-            return any((r["id"], r["state"]) == (host_id, "dead") for r in rows)
-
-        await _common.eventually(is_dead)
-
     async def refused_naming(self, host_id, driver):
         """Give the change until it is refused for one silent host."""
 
