--- a/test/proofs/_fleet.py
+++ b/test/proofs/_fleet.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from test import _common
-from test.fleet import Fleet, Plan, PoolPlan, http_get, http_post
+from test.fleet import AccountPlan, Fleet, Plan, PoolPlan, http_get, http_post
 from test.network import PLATFORM, Network
 
 MODEL = "summaries"
@@ -34,6 +34,8 @@
         "host_list_poll_ms": 400,
     },
 }
+# Served by hosts that are cut off as well, unlike those of account().
+DESK = AccountPlan("desk", "application", "desk", ("dash-api",))
 APPS = PoolPlan("dash-api", "application", {"zone-a": 1, "zone-b": 1})
 
 
--- a/test/proofs/test_configuration_in_force.py
+++ b/test/proofs/test_configuration_in_force.py
@@ -6,6 +6,7 @@
 
 from test.proofs._fleet import (
     ACCEPTED,
+    DESK,
     APPS,
     IN_FORCE_S,
     MODEL,
@@ -24,7 +25,7 @@
     """Hosts that are frozen, cut off or slow across a change."""
 
     async def test_in_force_on_all_hosts_within_the_stated_time(self):
-        await self.start(account("desk"), hosts=2, settings={})
+        await self.start(hosts=2, settings={}, accounts=(DESK,))
         await self.assert_served("desk")
         started = time.monotonic()
         answer = await self.change("DROP ACCOUNT desk")
--- a/test/proofs/test_recovery.py
+++ b/test/proofs/test_recovery.py
@@ -5,7 +5,7 @@
 
 from test import _common
 from test.fleet import http_get
-from test.proofs._fleet import APPS, OK, FleetCase, account, engines
+from test.proofs._fleet import APPS, DESK, OK, FleetCase, account, engines
 
 # The platform's two thousand reads a second, shared by 350 hosts.
 READS_PER_HOST = 2000 / 350
@@ -44,7 +44,7 @@
         return peak
 
     async def test_all_hosts_restart_while_the_store_is_down(self):
-        await self.start(account("desk"), hosts=4, settings={})
+        await self.start(hosts=4, settings={}, accounts=(DESK,))
         await self.outage()
         for host_id in self.ids:
             self.fleet.kill(host_id)
