--- a/test/proofs/_fleet.py
+++ b/test/proofs/_fleet.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from test import _common
-from test.fleet import Fleet, Plan, PoolPlan, http_get, http_post
+from test.fleet import AccountPlan, Fleet, Plan, PoolPlan, http_get, http_post
 from test.network import PLATFORM, Network
 
 MODEL = "summaries"
@@ -34,6 +34,8 @@
         "host_list_poll_ms": 400,
     },
 }
+# Served by hosts that are cut off as well, unlike those of account().
+DESK = AccountPlan("desk", "application", "desk", ("dash-api",))
 APPS = PoolPlan("dash-api", "application", {"zone-a": 1, "zone-b": 1})
 
 
@@ -141,6 +143,15 @@
 
             await _common.eventually(served)
 
+    async def dead(self, seen_from, host_id):
+        """Wait until a host believes another one dead."""
+
+        async def is_dead():
+            rows = await self.show(seen_from, "SHOW HOSTS")
+            return any((r["id"], r["state"]) == (host_id, "dead") for r in rows)
+
+        await _common.eventually(is_dead)
+
     async def outage(self, mode="refuse"):
         """Let the platform fail, or come back when the mode is empty."""
         control = self.fleet.platform_control
