Renew grants every 10 s, and at once when the owners change

Cause: at 1.4 million tokens a second some 47,000 streams of 30 tokens a second are in flight, 133 a daemon, mostly under different owners. A renewal of one grant is 124 bytes and 0.2 ms of processor time at both ends (python -m test.slopes control), so renewing every 2.5 s takes 13 KB/s sent and received, twice the whole budget. Ruled out: counts in place of grants, which cannot tell a lost release. Change: grants last 40 s and are renewed every 10 s; a change of the live hosts renews at once, so that a new owner hears sooner than before. Worked out: 3.3 KB/s. What it costs: a lost release holds its slot up to 40 s in place of 10.

--- a/goldcrestmoor/request/admission.py
+++ b/goldcrestmoor/request/admission.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import collections
+import contextlib
 import logging
 
 from goldcrestmoor import util
+from goldcrestmoor.clock import MS_PER_SECOND
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.request.admission_messages import (
     Acquire,
@@ -18,6 +20,7 @@
 log = logging.getLogger("goldcrestmoor.admission")
 
 RENEW_MS = GRANT_MS // 4
+RENEW_MIN_MS = 1000
 CALL_TIMEOUT_MS = POLL_HOLD_MS + 800
 MAX_UNOWNED_PER_UPSTREAM = 2
 SELF_ADMITTED = ""
@@ -65,6 +68,7 @@
         "_decisions",
         "_grants_by_id",
         "_unowned_by_upstream",
+        "_hosts_changed",
     )
 
     def __init__(
@@ -79,11 +83,22 @@
         self._decisions = decisions
         self._grants_by_id = {}
         self._unowned_by_upstream = collections.Counter()
+        self._hosts_changed = asyncio.Event()
+        if membership is not None:
+            membership.on_change(self._hosts_changed.set)
 
     async def run(self):
-        """Renew the held grants, until cancelled."""
+        """Renew the held grants, until cancelled.
+
+        A new owner of an upstream does not wait for the next renewal to learn
+        what the one before it has granted.
+        """
         while True:
-            await self._clock.sleep_ms(RENEW_MS)
+            await self._clock.sleep_ms(RENEW_MIN_MS)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout((RENEW_MS - RENEW_MIN_MS) / MS_PER_SECOND):
+                    await self._hosts_changed.wait()
+            self._hosts_changed.clear()
             await self.renew()
 
     async def acquire(self, account, upstream, cost_tokens, deadline, request_id):
--- a/goldcrestmoor/request/slots.py
+++ b/goldcrestmoor/request/slots.py
@@ -9,7 +9,7 @@
 
 log = logging.getLogger("goldcrestmoor.admission")
 
-GRANT_MS = 10_000
+GRANT_MS = 40_000
 POLL_HOLD_MS = 400
 POLL_LOST_MS = 3000
 MIN_RETRY_AFTER_MS = 1000
