Shorten replies and the most frequent messages between hosts

Cause: worked out for two years ahead, asking owners for slots alone takes a daemon 7.4 KB/s, more than its whole budget for control. Half of a message is field names and headers. Change: a reply carries its call's id and sender only, and admission's and membership's messages leave field names out; new fields of theirs must stand last and have defaults.

--- a/goldcrestmoor/connection/peers.py
+++ b/goldcrestmoor/connection/peers.py
@@ -216,9 +216,16 @@
         return self._incarnation + self._counter.to_bytes(COUNTER_BYTES, "big")
 
     def _encode(self, kind, call_id, message, deadline_ms):
-        headers = frames.Headers(
-            self._host.id, self._incarnation.hex(), tracing.traceparent(), deadline_ms
-        )
+        if kind == frames.KIND_REPLY:
+            # The call's id says all that the caller must know of a reply.
+            headers = frames.Headers(self._host.id, "")
+        else:
+            headers = frames.Headers(
+                self._host.id,
+                self._incarnation.hex(),
+                tracing.traceparent(),
+                deadline_ms,
+            )
         parts = frames.encode(kind, call_id, headers, message)
         self._count(self.bytes_sent_by_class, "sent", type(message).__name__, parts)
         return parts
--- a/goldcrestmoor/process/membership_messages.py
+++ b/goldcrestmoor/process/membership_messages.py
@@ -39,7 +39,7 @@
     state: HostState
 
 
-class Probe(wire.Message, frozen=True):
+class Probe(wire.Message, frozen=True, array_like=True):
     """Asks whether a host is alive.
 
     :param sender: the asking host's own record.
@@ -52,7 +52,7 @@
     list_is_stale: bool = False
 
 
-class ProbeAnswer(wire.Message, frozen=True):
+class ProbeAnswer(wire.Message, frozen=True, array_like=True):
     """Says that a host is alive.
 
     :param sender: the answering host's own record.
@@ -100,7 +100,7 @@
     more: bool = False
 
 
-class ListRead(wire.Message, frozen=True):
+class ListRead(wire.Message, frozen=True, array_like=True):
     """Says that the host list was just read, and what it names as leaving.
 
     :param leaving_upstreams: the upstreams that are leaving, all of them.
--- a/goldcrestmoor/request/admission_messages.py
+++ b/goldcrestmoor/request/admission_messages.py
@@ -5,7 +5,7 @@
 from goldcrestmoor import wire
 
 
-class Acquire(wire.Message, frozen=True):
+class Acquire(wire.Message, frozen=True, array_like=True):
     """Ask for a slot; said again with the same id while the answer is to wait.
 
     :param grant_id: the asked grant, named by the entry host.
@@ -28,7 +28,7 @@
     request_id: str = ""
 
 
-class Granted(wire.Message, frozen=True):
+class Granted(wire.Message, frozen=True, array_like=True):
     """The slot may be used, while it is renewed.
 
     :param queued_ms: how long the request waited, in milliseconds.
@@ -37,7 +37,7 @@
     queued_ms: int = 0
 
 
-class StillQueued(wire.Message, frozen=True):
+class StillQueued(wire.Message, frozen=True, array_like=True):
     """The request waits; ask again.
 
     :param position: how many requests wait at this owner.
@@ -46,7 +46,7 @@
     position: int = 0
 
 
-class Release(wire.Message, frozen=True):
+class Release(wire.Message, frozen=True, array_like=True):
     """A slot is free again, or a queued request is given up.
 
     :param grant_id: the grant.
@@ -74,7 +74,7 @@
     cost_tokens: int
 
 
-class RenewGrants(wire.Message, frozen=True):
+class RenewGrants(wire.Message, frozen=True, array_like=True):
     """Every grant that a host holds from one owner.
 
     An owner that does not know one, since it has just become the owner, counts it
--- a/goldcrestmoor/wire.py
+++ b/goldcrestmoor/wire.py
@@ -14,7 +14,8 @@
 
     A subclass is known by its name on the wire. Fields are encoded by name, so
     that daemons of two releases understand each other during a rollout: a new
-    field needs a default.
+    field needs a default. The most frequent messages are ``array_like``, without
+    the names; a new field of theirs also stands last.
     """
 
     def __init_subclass__(cls, **kwargs):
