--- a/test/compare.py
+++ b/test/compare.py
@@ -177,7 +177,8 @@
     """Print one table a scenario."""
     deployment = generate.DEPLOYMENT_BY_NAME[options.deployment]
     comparison = COMPARISON_BY_NAME[options.policy]
-    ways = [w for w in comparison.ways if not options.way or w.name in options.way]
+    wanted = options.way or [""]
+    ways = [w for w in comparison.ways if any(part in w.name for part in wanted)]
     comparison = msgspec.structs.replace(comparison, ways=tuple(ways))
     for scenario in options.scenario or comparison.scenarios:
         seeds = range(1, options.runs + 1)
@@ -194,7 +195,7 @@
     names = sorted(generate.DEPLOYMENT_BY_NAME)
     parser.add_argument("--deployment", choices=names, default="tisza")
     parser.add_argument("--scenario", action="append", choices=generate.SCENARIOS)
-    parser.add_argument("--way", action="append", help="only these ways")
+    parser.add_argument("--way", action="append", help="part of a name")
     parser.add_argument("--runs", type=int, default=DEFAULT_RUNS)
     asyncio.run(run(parser.parse_args()))
 
