--- a/test/test_weights.py
+++ b/test/test_weights.py
@@ -24,6 +24,7 @@
 
 GENEROUS_MS = 120_000
 LOAD_MS = 300
+SPREAD_MS = 6000
 
 
 class FakeEngine:
@@ -148,6 +149,20 @@
     async def publish(self, version, host_id="host-a", account="trainer"):
         await self.hosts_by_id[host_id].versions.publish("lm", version, account)
 
+    async def test_the_driver_learns_of_a_version_without_its_message(self):
+        self.add_engines(3)
+        hosts = [self.add_host(f"host-{i}") for i in "abc"]
+        await self.publish(1)
+        await self.wait_until(lambda: self.all_run(1))
+        for host in hosts:
+            host.versions._spread = SimpleNamespace(start=lambda message: None)
+        other = next(h for h in self.hosts_by_id if not self.drives(h))
+        await self.publish(2, other)
+        await self.wait_until(lambda: self.all_run(2), SPREAD_MS)
+
+    def drives(self, host_id):
+        return self.hosts_by_id[host_id].orders.is_driving("lm")
+
     async def test_a_published_version_reaches_every_engine_and_host(self):
         self.add_engines(6)
         hosts = [self.add_host(f"host-{i}") for i in "abc"]
