--- a/test/_process.py
+++ b/test/_process.py
@@ -42,6 +42,9 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 env={**os.environ, "PYTHONUNBUFFERED": "1"},
+                # A frozen process would be hung up when the shell that runs the
+                # tests ends, as a member of a group that lost its parent.
+                start_new_session=True,
             )
         _running.add(self)
 
--- a/test/proofs/_steps.py
+++ b/test/proofs/_steps.py
@@ -1,13 +1,16 @@
 """A small fleet for the steps' proofs, and a bare HTTP trainer that checks answers."""
 
+import base64
 import json
 import unittest
+import urllib.parse
 
 import msgspec
 
 from goldcrestmoor import util
+from goldcrestmoor.version.step_records import GroupRow
 from goldcrestmoor.version.step_routes import GroupBody, PullAnswer, PullBody
-from goldcrestmoor.version.steps import Slot
+from goldcrestmoor.version.steps import Sample, Slot
 from test import _common
 from test.fleet import AccountPlan, Fleet, Plan, PoolPlan, http_get, http_post
 from test.network import Network
@@ -228,6 +231,19 @@
     return json.loads(body or b'{"rows": []}')["rows"]
 
 
+async def recorded_samples(fleet):
+    """Return the samples that the platform has recorded, by slot."""
+    samples = {}
+    for row in await recorded(fleet):
+        value = base64.b64decode(row["value"])
+        key = msgspec.msgpack.decode(value, type=GroupRow).object_key
+        path = urllib.parse.quote(key, safe="")
+        _, data = await http_get(f"{fleet.platform_control.url}/objects/{path}")
+        made = msgspec.msgpack.decode(data, type=tuple[Sample, ...])
+        samples |= {sample.slot: sample for sample in made}
+    return samples
+
+
 class StepProof(unittest.IsolatedAsyncioTestCase):
     """Starts a fleet behind a network and ends it."""
 
--- a/test/proofs/test_exactly_once.py
+++ b/test/proofs/test_exactly_once.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from test._common import eventually
-from test.proofs._steps import STEPS_TABLE, StepProof, recorded
+from test.proofs._steps import STEPS_TABLE, StepProof, recorded, recorded_samples
 
 
 class ExactlyOnceTest(StepProof):
@@ -21,11 +21,11 @@
         self.fleet.freeze(holder)
         await self.until(near, "finished", 2)
         await self.until(far, "finished", 1)
+        cancelled = [(await self.counts(e))["cancelled"] for e in self.engines]
+        self.assertEqual(cancelled, [0, 0])
         self.fleet.thaw(holder)
         await trainer.collect(*others)
         await self.assert_same_for_a_restarted_trainer(trainer, *others, holder)
-        cancelled = [(await self.counts(e))["cancelled"] for e in self.engines]
-        self.assertEqual(cancelled, [0, 0])
 
     async def test_the_first_answer_is_late_and_the_pull_repeated_elsewhere(self):
         trainer = await self.start(hosts=(3, 1), token_ms=1.0)
@@ -44,27 +44,42 @@
         await trainer.collect(*others)
         await self.assert_same_for_a_restarted_trainer(trainer, *others, holder)
 
-    async def test_a_holder_killed_between_recording_and_answering(self):
-        trainer = await self.start(hosts=(3, 1), token_ms=2.0)
-        await trainer.submit("zone-a-1", groups=2, samples=3)
+    async def start_apart(self):
+        """Start a step whose holder records, but reaches no other host."""
+        trainer = await self.start(hosts=(3, 1), token_ms=10.0)
+        await trainer.submit("zone-a-1", groups=2, samples=3, max_tokens=60)
         holder, others = self.holder_of("s1")
-        # Its answers hang, and no other host gets a copy of what it makes.
         self.network.links_by_id[holder].silence("down")
         for host in others:
             address = self.fleet.endpoint_by_id[holder].address
             self.network.links_by_id[host].block({address})
-        pull = asyncio.create_task(trainer.pull(others[0], take=False))
+        return trainer, holder, others
 
-        async def both_recorded():
+    async def recorded_whole(self):
+        async def both():
             return len(await recorded(self.fleet)) == 2
 
-        await eventually(both_recorded)
+        await eventually(both)
+        return await recorded_samples(self.fleet)
+
+    async def test_a_holder_killed_between_recording_and_answering(self):
+        trainer, holder, others = await self.start_apart()
+        made = await self.recorded_whole()
+        pull = asyncio.create_task(trainer.pull(others[0], take=False))
+        await asyncio.sleep(0.1)
         self.fleet.kill(holder)
         await pull
-        await trainer.collect(*others)
+        self.assertEqual(await trainer.collect(*others), made)
         self.assertEqual(len(await recorded(self.fleet)), 2)
         await self.assert_same_for_a_restarted_trainer(trainer, *others)
 
+    async def test_a_holder_apart_records_beside_a_new_one(self):
+        trainer, _, others = await self.start_apart()
+        # The pull makes another host the holder while the first one goes on.
+        await trainer.pull(others[0])
+        made = await self.recorded_whole()
+        self.assertEqual(await trainer.collect(*others), made)
+
     async def test_the_records_answers_are_lost(self):
         trainer = await self.start(token_ms=1.0)
         await self.platform("lose_answers", count=2)
