--- a/goldcrestmoor/version/step_holder.py
+++ b/goldcrestmoor/version/step_holder.py
@@ -198,7 +198,13 @@
             loading = asyncio.get_running_loop().create_task(self._load(key, spec))
             self._loading_by_key[key] = loading
             loading.add_done_callback(lambda _: self._loading_by_key.pop(key, None))
-        return await asyncio.shield(loading)
+        try:
+            return await asyncio.shield(loading)
+        except asyncio.CancelledError:
+            # The load ends with this host; its callers go on to the next one.
+            if loading.cancelled():
+                self._check_staying()
+            raise
 
     async def _load(self, key, spec):
         self._check_room()
--- a/test/proofs/histories.py
+++ b/test/proofs/histories.py
@@ -30,6 +30,7 @@
 FETCH_TIMEOUT_MS = 2000
 MAX_BOUND = 2
 LAST_TIMEOUT_S = 60
+ERROR_CHARACTERS = 4000
 ACCEPTED = 0
 REFUSED = "refused:"
 LOSING = ("kill", "freeze", "cut", "outage", "terminate")
@@ -89,6 +90,8 @@
             for name, process in self.fleet.process_by_id.items():
                 if not process.alive():
                     self._find(f"{name} ended by itself: {process.log_tail()}")
+                if "Traceback" in process.log():
+                    self._find(f"{name} met an error: {_first_traceback(process)}")
         self._say(f"done: {self.done}, notes {collections.Counter(self._outcomes())}")
         return self.faults
 
@@ -343,6 +346,11 @@
             self._find(f"The share is {found}, not one of {self.shares}.")
 
 
+def _first_traceback(process):
+    _, mark, text = process.log().partition("Traceback")
+    return (mark + text)[:ERROR_CHARACTERS]
+
+
 def main():
     """Run the histories of the command line's seeds."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/test/test_steps.py
+++ b/test/test_steps.py
@@ -311,6 +311,21 @@
         self.assertEqual(len(got), 3)
         self.assertEqual(len(fleet.engines.calls), 4)
 
+    async def test_a_step_that_is_being_loaded_by_a_leaving_host_is_draining(self):
+        fleet = self.make_fleet("a")
+        a = fleet.host_by_id["a"]
+        reached, never = asyncio.Event(), asyncio.Event()
+
+        async def hang(*args):
+            reached.set()
+            await never.wait()
+
+        with mock.patch.object(a.store, "load", hang):
+            submit = asyncio.create_task(a.front.submit(make_spec()))
+            await reached.wait()
+            await a.holder.hand_over()
+            await self.assert_refused(ErrorKind.DRAINING, submit)
+
     async def test_a_leaving_host_hands_over_unfinished_texts(self):
         fleet = self.make_fleet("a", "b")
         fleet.holder_of = {"a": "a", "b": "a"}
