--- a/test/proofs/_fleet.py
+++ b/test/proofs/_fleet.py
@@ -56,6 +56,16 @@
     text: str
 
 
+class _CommandedFleet(Fleet):
+    """A fleet that is given further commands in one change with its plan's."""
+
+    commands = ""
+
+    async def ask_file(self, text, host_id=None):
+        commands, self.commands = self.commands, ""
+        return await super().ask_file(text + commands, host_id)
+
+
 class FleetCase(unittest.IsolatedAsyncioTestCase):
     """A test with a fleet behind a network of links."""
 
@@ -63,13 +73,12 @@
         """Start a fleet of two zones and give it commands."""
         self.network = Network()
         zones = {"zone-a": hosts, "zone-b": hosts}
-        self.fleet = Fleet(
+        self.fleet = _CommandedFleet(
             Plan(zones, pools, settings=settings, **plan), network=self.network
         )
+        self.fleet.commands = commands
         self.addAsyncCleanup(self.fleet.close)
         await self.fleet.start()
-        if commands:
-            await self.fleet.ask_file(commands)
         self.platform_link = self.network.links_by_id[PLATFORM]
         self.ids = [host.id for host in self.fleet.hosts]
 
--- a/test/proofs/test_configuration_in_force.py
+++ b/test/proofs/test_configuration_in_force.py
@@ -6,8 +6,8 @@
 
 from test.proofs._fleet import (
     ACCEPTED,
-    DESK,
     APPS,
+    DESK,
     IN_FORCE_S,
     MODEL,
     OK,
