Follow a trace with its spans through a daemon that exports them

Ruled out: a lost context: the trace id reached the upstream all the time. Change: the daemon of the test exports to its log; the test now also finds a span for each hop there, with the caller's trace. Conclusion: stricter than before.

--- a/test/proofs/test_bad_input.py
+++ b/test/proofs/test_bad_input.py
@@ -26,6 +26,7 @@
     settings={
         "configuration": {"poll_ms": 100, "lease_ms": 1000, "lease_margin_ms": 100},
         "limits": {"max_body_bytes": 10_000, "max_header_bytes": 4096},
+        "tracing": {"exporter": "console"},
     },
 )
 
@@ -130,10 +131,13 @@
             context.destroy(linger=0)
         await self.assert_serving()
 
-    async def test_the_trace_reaches_the_upstream(self):
+    async def test_the_trace_has_a_span_for_each_hop_and_reaches_the_upstream(self):
         trace = "0af7651916cd43dd8448eb211c80319c"
         header = f"traceparent: 00-{trace}-b7ad6b7169203331-01\r\n"
         await self.ask("/apps/desk/panel", headers=header)
         seen = re.search(rb"x-seen-traceparent: 00-(\w+)-(\w+)", self.answer, re.I)
         self.assertEqual(seen[1].decode(), trace)
         self.assertNotEqual(seen[2], b"b7ad6b7169203331")
+        log = self.fleet.process_by_id[self.host.id].log()
+        for hop in ("GET /apps", "app request"):
+            self.assertRegex(log, rf'"name": "{hop}",\s+"context": {{\s+.*{trace}')
