Let only a step's newest holder record its groups

Ruled out: a lease on each step: a paused holder may act after it, and no step would go on while the platform is out. Change: becoming the holder raises the version of one row a step, and only then reads the records; each group's record checks that version. Who finds it raised stops. One more write a takeover, none a sample. The fake table now counts row versions, and three tests that count rows exactly count the holder's too.

--- a/goldcrestmoor/version/step_holder.py
+++ b/goldcrestmoor/version/step_holder.py
@@ -10,13 +10,13 @@
 from goldcrestmoor.process import policies
 from goldcrestmoor.version.step_messages import (
     CancelStep,
-    KeptStep,
     PulledSamples,
     PullSamples,
     SubmitStep,
 )
 from goldcrestmoor.version.step_run import StepRun
 from goldcrestmoor.version.step_state import StepState
+from goldcrestmoor.version.step_store import LoadedStep
 from goldcrestmoor.version.steps import Held, digest_of, oldest_version
 
 log = logging.getLogger("goldcrestmoor.steps")
@@ -153,6 +153,8 @@
         deadline = Deadline.after(self._clock, message.wait_ms)
         while True:
             self._check_here(key)
+            if state.is_superseded:
+                raise ServiceError(ErrorKind.DRAINING, "Another host holds the step.")
             self._note_published(state)
             bound = self._router.account(message.account).staleness_bound
             samples, complete = state.answer(held, bound, message.max_samples)
@@ -214,21 +216,22 @@
         account, step = key
         zone = self._router.zone(account)
         try:
-            found, groups, kept = await self._store.load(account, step, zone)
+            loaded = await self._store.load(account, step, zone)
         except ServiceError:
             if spec is None:
                 raise
-            found, groups, kept = spec, [], KeptStep()
-        if found is None:
+            loaded = LoadedStep(spec)
+        if loaded.spec is None:
             raise ServiceError(ErrorKind.STEP_UNKNOWN, "The step is not known.")
-        deadline = Deadline.after(self._clock, found.deadline_ms)
-        state = StepState(found, zone, deadline, self._clock.now_ms())
-        for record in groups:
+        deadline = Deadline.after(self._clock, loaded.spec.deadline_ms)
+        state = StepState(loaded.spec, zone, deadline, self._clock.now_ms())
+        state.holder_version = loaded.holder_version
+        for record in loaded.groups:
             state.adopt(record)
-        for sample in kept.samples:
+        for sample in loaded.kept.samples:
             if state.put(sample):
                 state.settle(sample, sample)
-        run = self._make_run(state, kept.partials)
+        run = self._make_run(state, loaded.kept.partials)
         task = self._tasks.start(self._run(key, state, run))
         self._work_by_key[key] = _Work(state, run, task)
         return state
@@ -261,6 +264,8 @@
         # A host that is no longer the holder goes on while pulls still reach it,
         # then leaves the rest to the new one. What it made is kept elsewhere.
         self._note_published(state)
+        if state.is_superseded:
+            return False
         if self._clock.now_ms() - state.pulled_ms < UNWANTED_MS:
             return True
         return self._router.is_here(state.spec.account, state.spec.step)
--- a/goldcrestmoor/version/step_recorder.py
+++ b/goldcrestmoor/version/step_recorder.py
@@ -3,6 +3,7 @@
 import logging
 
 from goldcrestmoor.errors import ServiceError
+from goldcrestmoor.version.step_records import Superseded
 
 log = logging.getLogger("goldcrestmoor.steps")
 
@@ -67,10 +68,18 @@
     async def _record(self, group, samples):
         state = self._state
         number = state.next_round(group)
+        records = self._store.records
         try:
-            record = await self._store.records.save_group(
-                state.spec, group, number, samples
+            if state.holder_version is None:
+                # The platform was out when this host became the holder.
+                state.holder_version = await records.take_over(state.spec)
+            record = await records.save_group(
+                state.spec, group, number, samples, state.holder_version
             )
+        except Superseded:
+            log.info("Step %s has another holder.", state.spec.step)
+            state.supersede()
+            return
         except ServiceError as e:
             log.info("Group %s of step %s waits: %s", group, state.spec.step, e)
             for sample in samples:
--- a/goldcrestmoor/version/step_records.py
+++ b/goldcrestmoor/version/step_records.py
@@ -14,6 +14,7 @@
 
 STEPS_TABLE = "steps"
 GROUPS_TABLE = "groups"
+HOLDERS_TABLE = "holders"
 WRITE_ATTEMPTS = 4
 RETENTION_MS = 3_600_000
 ROWS_PER_TRANSACTION = 50
@@ -36,10 +37,21 @@
     expires_wall_ms: int = 0
 
 
+class HolderRow(msgspec.Struct, frozen=True):
+    """The row that grows with each host that becomes a step's holder."""
+
+    token: str
+    expires_wall_ms: int = 0
+
+
+class Superseded(Exception):
+    """Another host has become the step's holder; nothing was recorded."""
+
+
 class _Expiring(msgspec.Struct):
-    """What both kinds of rows say of their end."""
+    """What all kinds of rows say of their end."""
 
-    object_key: str
+    object_key: str = ""
     expires_wall_ms: int = 0
 
 
@@ -91,6 +103,35 @@
                 ErrorKind.STEP_CONFLICT, "The step was submitted with other groups."
             )
 
+    async def take_over(self, spec):
+        """Become a step's holder, so that no earlier one records any more.
+
+        What earlier holders recorded is to be read after this.
+
+        :param spec: the step's specification.
+        :return: the version of the holder's row, for :meth:`save_group`.
+        :raises ServiceError: the platform's errors.
+        """
+        key = f"{spec.account}/{spec.step}"
+        row = HolderRow(util.new_id(), self._expiry(spec))
+        value = msgspec.msgpack.encode(row)
+        for _ in range(WRITE_ATTEMPTS):
+            found = await self._table.get(HOLDERS_TABLE, key)
+            if found is not None and found.value == value:
+                return found.version
+            check = Check(HOLDERS_TABLE, key, found.version if found else 0)
+            try:
+                answer = await self._table.transact(
+                    [check], [Write(HOLDERS_TABLE, key, value)]
+                )
+            except ServiceError as e:
+                if e.kind != ErrorKind.OUTCOME_UNKNOWN:
+                    raise
+                continue
+            if not isinstance(answer, CheckFailed):
+                return answer.version_by_key[f"{HOLDERS_TABLE}/{key}"]
+        raise ServiceError(ErrorKind.PLATFORM_UNAVAILABLE, f"Cannot take over {key}.")
+
     async def load_spec(self, account, step):
         """Return a step's recorded specification, or None.
 
@@ -113,8 +154,9 @@
         await self._delete(
             GROUPS_TABLE, await self._table.scan(GROUPS_TABLE, f"{key}/")
         )
-        row = await self._table.get(STEPS_TABLE, key)
-        await self._delete(STEPS_TABLE, [row] if row else [])
+        for table in (HOLDERS_TABLE, STEPS_TABLE):
+            row = await self._table.get(table, key)
+            await self._delete(table, [row] if row else [])
 
     async def delete_expired(self, max_rows):
         """Delete records whose step is long past its deadline.
@@ -123,7 +165,7 @@
         :return: how many were deleted.
         """
         deleted = 0
-        for table in (GROUPS_TABLE, STEPS_TABLE):
+        for table in (GROUPS_TABLE, HOLDERS_TABLE, STEPS_TABLE):
             rows = await self._table.scan(table, "")
             old = [row for row in rows if self._is_expired(row)]
             batch = old[: max_rows - deleted]
@@ -137,7 +179,8 @@
             # The object goes first: a row that is left over is found again.
             for row in batch:
                 found = msgspec.msgpack.decode(row.value, type=_Expiring)
-                await self._objects.delete(found.object_key)
+                if found.object_key:
+                    await self._objects.delete(found.object_key)
             # A row that was written anew meanwhile keeps the whole batch; what is
             # left expires.
             checks = [Check(table, row.key, row.version) for row in batch]
@@ -151,14 +194,17 @@
     def _expiry(self, spec):
         return self._clock.wall_ms() + spec.deadline_ms + RETENTION_MS
 
-    async def save_group(self, spec, group, number, samples):
+    async def save_group(self, spec, group, number, samples, holder_version=None):
         """Record one round of a group, or learn what was recorded before.
 
         :param spec: the step's specification.
         :param group: the group's index.
         :param number: the round.
         :param samples: the samples made here.
+        :param holder_version: the version of the holder's row that must still
+            stand; not looked at when left out.
         :return: the :class:`GroupRecord` that won.
+        :raises Superseded: when another host has become the holder.
         """
         data = msgspec.msgpack.encode(tuple(samples))
         token = util.new_id()
@@ -166,7 +212,11 @@
         await self._objects.put(object_key, data)
         key = f"{spec.account}/{spec.step}/{digest_of(spec)[:16]}/{group}/{number}"
         row = GroupRow(object_key, token, self._expiry(spec))
-        found = await self._create(GROUPS_TABLE, key, row)
+        checks = []
+        if holder_version is not None:
+            holder = f"{spec.account}/{spec.step}"
+            checks.append(Check(HOLDERS_TABLE, holder, holder_version))
+        found = await self._create(GROUPS_TABLE, key, row, checks)
         if found.token == token:
             return GroupRecord(group, number, tuple(samples), True)
         winner = await self._load(found.object_key, tuple[Sample, ...])
@@ -188,7 +238,7 @@
             records.append(GroupRecord(int(group), int(number), samples))
         return sorted(records, key=lambda record: (record.group, record.round))
 
-    async def _create(self, table, key, row):
+    async def _create(self, table, key, row, further=()):
         # A write whose answer was lost is tried again: the row can be created only
         # once, so the repeat either succeeds or finds the row, whose token tells
         # which of the writes created it.
@@ -196,7 +246,7 @@
         for attempt in range(WRITE_ATTEMPTS):
             try:
                 answer = await self._table.transact(
-                    [Check(table, key, 0)], [Write(table, key, value)]
+                    [Check(table, key, 0), *further], [Write(table, key, value)]
                 )
             except ServiceError as e:
                 if e.kind != ErrorKind.OUTCOME_UNKNOWN or attempt + 1 == WRITE_ATTEMPTS:
@@ -205,9 +255,11 @@
                 continue
             if not isinstance(answer, CheckFailed):
                 return row
-            found = answer.row or await self._table.get(table, key)
+            found = await self._table.get(table, key)
             if found is not None:
                 return msgspec.msgpack.decode(found.value, type=type(row))
+            if answer.table == HOLDERS_TABLE:
+                raise Superseded
         raise ServiceError(ErrorKind.OUTCOME_UNKNOWN, f"Cannot settle {key}.")
 
     async def _load(self, object_key, kind):
--- a/goldcrestmoor/version/step_state.py
+++ b/goldcrestmoor/version/step_state.py
@@ -27,6 +27,8 @@
         "trainer_version",
         "held",
         "pulled_ms",
+        "holder_version",
+        "is_superseded",
         "_ready",
         "_recorded",
         "_rounds_by_group",
@@ -46,11 +48,18 @@
         self.trainer_version = spec.base_version
         self.held = Held()
         self.pulled_ms = now_ms
+        self.holder_version = None
+        self.is_superseded = False
         self._ready = set()
         self._recorded = set()
         self._rounds_by_group = {}
         self._changed = asyncio.Event()
 
+    def supersede(self):
+        """Note that another host has become the step's holder."""
+        self.is_superseded = True
+        self.wake()
+
     def put(self, sample):
         """Take in a sample unless its slot has one.
 
--- a/goldcrestmoor/version/step_store.py
+++ b/goldcrestmoor/version/step_store.py
@@ -5,6 +5,8 @@
 import enum
 import logging
 
+import msgspec
+
 from goldcrestmoor import util, wire
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.version.step_kept import KeptSteps
@@ -17,8 +19,8 @@
     StoreSamples,
     StoreStep,
 )
-from goldcrestmoor.version.step_records import StepRecords
-from goldcrestmoor.version.steps import digest_of
+from goldcrestmoor.version.step_records import GroupRecord, StepRecords
+from goldcrestmoor.version.steps import StepSpec, digest_of
 
 log = logging.getLogger("goldcrestmoor.steps")
 
@@ -40,6 +42,22 @@
     REPLICA = "two hosts"
 
 
+class LoadedStep(msgspec.Struct, frozen=True):
+    """A step as a new holder finds it.
+
+    :param spec: the specification, or None.
+    :param groups: the recorded rounds of its groups.
+    :param kept: what other hosts keep besides.
+    :param holder_version: the version of the holder's row; None while the platform
+        is out.
+    """
+
+    spec: StepSpec | None
+    groups: list[GroupRecord] = []
+    kept: KeptStep = KeptStep()
+    holder_version: int | None = None
+
+
 class StepStore:
     """Record steps and samples, and find them again after a holder's death.
 
@@ -143,29 +161,32 @@
     async def load(self, account, step, zone):
         """Find a step and what was made of it.
 
-        :return: the specification or None, the recorded rounds of its groups, and
-            the :class:`KeptStep` of what other hosts keep besides.
+        :return: the :class:`LoadedStep`.
         :raises ServiceError: the platform's errors, when no host keeps the step.
         """
         kept = await self.fetch_kept(account, step, zone)
+        holder_version = None
         try:
             spec = await self.records.load_spec(account, step)
             if spec is None and kept.spec is not None:
                 # Whoever was to write it may be dead.
                 spec = kept.spec
                 self._write_later(spec)
-            groups = [] if spec is None else await self.records.load_groups(spec)
+            groups = []
+            if spec is not None:
+                holder_version = await self.records.take_over(spec)
+                groups = await self.records.load_groups(spec)
         except ServiceError as e:
             if e.kind not in _PLATFORM_ERRORS or kept.spec is None:
                 raise
             spec, groups = kept.spec, []
             self._write_later(spec)
         if kept.spec is None or spec is None or digest_of(spec) != digest_of(kept.spec):
-            return spec, groups, KeptStep()
+            return LoadedStep(spec, groups, KeptStep(), holder_version)
         for sample in kept.samples:
             self._kept.claim(spec, sample, 0)
             self._kept.settle(spec, sample)
-        return spec, groups, kept
+        return LoadedStep(spec, groups, kept, holder_version)
 
     async def fetch_kept(self, account, step, zone):
         """Return what this and the likely other hosts keep of a step.
--- a/test/_step_fakes.py
+++ b/test/_step_fakes.py
@@ -64,17 +64,19 @@
             row = self.row_by_key.get((check.table, check.key))
             if (row.version if row else 0) != check.version:
                 return CheckFailed(row, check.table, check.key)
+        version_by_key = {}
         for write in writes:
             self.writes += 1
             key = (write.table, write.key)
-            if write.value is None:
-                self.row_by_key.pop(key, None)
-            else:
-                self.row_by_key[key] = Row(write.key, 1, write.value)
+            row = self.row_by_key.pop(key, None)
+            if write.value is not None:
+                version = (row.version if row else 0) + 1
+                self.row_by_key[key] = Row(write.key, version, write.value)
+                version_by_key["/".join(key)] = version
         if self.answers_to_lose:
             self.answers_to_lose -= 1
             raise ServiceError(ErrorKind.OUTCOME_UNKNOWN)
-        return Committed({})
+        return Committed(version_by_key)
 
 
 class FakeEngines:
--- a/test/test_steps.py
+++ b/test/test_steps.py
@@ -156,7 +156,8 @@
         await fleet.host_by_id["a"].collect("s1")
         tables = fleet.platform.row_by_key
         await _common.eventually(lambda: sum(t == "groups" for t, _ in tables) == 3)
-        self.assertEqual(fleet.platform.writes, 4)
+        # The step's row, one for its holder and one for each group.
+        self.assertEqual(fleet.platform.writes, 5)
 
     async def test_of_two_holders_the_first_recorded_wins(self):
         fleet = self.make_fleet("a", "b")
@@ -237,7 +238,10 @@
         self.assertTrue(answer.samples)
         fleet.platform.out = False
         await _common.eventually(
-            lambda: {t for t, _ in fleet.platform.row_by_key} == {"steps", "groups"}
+            lambda: (
+                {t for t, _ in fleet.platform.row_by_key}
+                == {"steps", "holders", "groups"}
+            )
         )
 
     async def test_a_silent_replica_is_not_asked_for_every_sample(self):
@@ -350,12 +354,12 @@
         with mock.patch.object(step_records, "RETENTION_MS", -1_000_000):
             await a.front.submit(make_spec("old"))
             await a.collect("old")
-            await _common.eventually(lambda: len(fleet.platform.row_by_key) == 3)
+            await _common.eventually(lambda: len(fleet.platform.row_by_key) == 4)
         await a.front.submit(make_spec("new", groups=1))
         await a.collect("new")
-        await _common.eventually(lambda: len(fleet.platform.row_by_key) == 5)
+        await _common.eventually(lambda: len(fleet.platform.row_by_key) == 7)
         self.assertEqual(await a.store.records.delete_expired(2), 2)
-        self.assertEqual(await a.store.records.delete_expired(10), 1)
+        self.assertEqual(await a.store.records.delete_expired(10), 2)
         left = {key.split("/")[1] for _, key in fleet.platform.row_by_key}
         self.assertEqual(left, {"new"})
         self.assertEqual(len(fleet.platform.object_by_key), 2)
