Wait for both swapped hosts before notes are sent through them

The proof waited for host a only. Ruled out: a wrong answer: nothing ran, and unknown is what may be said. Change: the proof waits until each host reaches b as well as a. Conclusion: the proof no longer depends on which host is heard of first.

--- a/test/proofs/test_whole_answers.py
+++ b/test/proofs/test_whole_answers.py
@@ -208,6 +208,7 @@
         self.assertTrue(await self.have_run(*keys))
         await self.set_app("desk-1", "")
         await eventually(lambda: self.is_known(a))
+        await eventually(lambda: self.is_known(b))
         names = [f"own-{n}" for n in range(CALLERS)]
         minted = [await self.mint(self.hosts[n % 3]) for n in range(CALLERS)]
         sent = (
