Hold on to the stand-ins' connection tasks

Ruled out: the product: no sample, note or change was touched, and the error was the stand-in's own. Change: the stand-ins' server keeps its tasks until they end. Conclusion: silence lasts as long as a test wants it to.

--- a/test/standins/server.py
+++ b/test/standins/server.py
@@ -52,7 +52,7 @@
 class Server:
     """Serve a handler, ``async (Request) -> Response``, on one address."""
 
-    __slots__ = ("handler", "address", "port", "_server", "_writers")
+    __slots__ = ("handler", "address", "port", "_server", "_writers", "_tasks")
 
     def __init__(self, handler, address, port):
         self.handler = handler
@@ -60,6 +60,7 @@
         self.port = port
         self._server = None
         self._writers = set()
+        self._tasks = set()
 
     async def start(self):
         """Start to listen."""
@@ -83,6 +84,10 @@
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
+        # A handler that stands still for good is referred to by nothing else, and
+        # would be collected with its connection.
+        task = asyncio.current_task()
+        self._tasks.add(task)
         connection = h11.Connection(h11.SERVER)
         try:
             while await self._serve_one(connection, reader, writer):
@@ -91,6 +96,7 @@
             pass
         finally:
             self._writers.discard(writer)
+            self._tasks.discard(task)
             writer.transport.abort() if writer.is_closing() else writer.close()
 
     async def _serve_one(self, connection, reader, writer):
