--- a/test/bench_admission.py
+++ b/test/bench_admission.py
@@ -28,7 +28,9 @@
 
 
 class _NoAdmission:
-    async def acquire(self, account, upstream, cost_tokens, deadline, request_id):
+    async def acquire(
+        self, account, upstream, cost_tokens, deadline, request_id, others=None
+    ):
         return Grant("", upstream, account.name, cost_tokens, "")
 
     def release(self, grant, used_tokens):
