Let SHOW STEPS use the tested source, and drop what nothing calls

Cause: the wiring of the daemon wrote the rows of SHOW STEPS a second time, beside the tested step_rows.make_source; a read of the whole change also found three methods and two constants that nothing calls. Ruled out: keeping the copy: it was untested and said less. Change: operators.py calls make_source. What an operator sees changes: the columns are account, step, pool, slots, made, held, version and left_ms, without held_by, which was always the answering host. Ownership.is_mine, ListedHosts.is_stale, Configuration.account_by_token_hash and two constants go. Conclusion: one definition of the rows.

--- a/goldcrestmoor/adapters/engine.py
+++ b/goldcrestmoor/adapters/engine.py
@@ -12,7 +12,6 @@
 EVENT_PREFIX = b"data:"
 END_MARK = b"[DONE]"
 MAX_EVENT_BYTES = 1 << 20
-MAX_ERROR_BYTES = 1 << 16
 ROLE_LEAVING = "leaving"
 STATUS_OK = 200
 STATUS_CONFLICT = 409
--- a/goldcrestmoor/process/listed_hosts.py
+++ b/goldcrestmoor/process/listed_hosts.py
@@ -9,7 +9,6 @@
 
 log = logging.getLogger("goldcrestmoor.membership")
 
-STALE_POLLS = 3
 UNREAD_POLLS = 1.5
 READERS = 2
 SILENT_POLLS = 1.25
@@ -81,12 +80,6 @@
         self._named_ms_by_upstream = {}
         self._leaving = frozenset()
 
-    def is_stale(self):
-        """Tell whether the last reading is too old to go by alone."""
-        if self._known_ms is None:
-            return True
-        return self._clock.now_ms() - self._known_ms > STALE_POLLS * self._poll_ms
-
     def is_unread(self):
         """Tell whether it is time to go by what other zones' hosts read."""
         if self._known_ms is None:
--- a/goldcrestmoor/process/operators.py
+++ b/goldcrestmoor/process/operators.py
@@ -3,6 +3,7 @@
 from goldcrestmoor.language import routes
 from goldcrestmoor.language.executor import Executor
 from goldcrestmoor.language.explain import Explainer
+from goldcrestmoor.version import step_rows
 from goldcrestmoor.version.configuration_driver import ConfigurationDriver
 
 UPSTREAM_COLUMNS = (
@@ -20,7 +21,6 @@
     "queued_here",
 )
 HOST_COLUMNS = ("id", "zone", "region", "address", "http_port", "state", "draining")
-STEP_COLUMNS = ("account", "step", "samples", "made", "held_by")
 REQUEST_COLUMNS = ("at_ms", "request", "part", "text")
 WEIGHT_COLUMNS = ("model", "version", "engines", "engines_on_it")
 
@@ -65,7 +65,7 @@
         for name, source in (
             ("upstreams", self._upstreams),
             ("hosts", self._hosts),
-            ("steps", self._steps),
+            ("steps", step_rows.make_source(daemon.callers.holder)),
             ("requests", self._requests),
             ("versions", self._versions),
         ):
@@ -119,20 +119,6 @@
         ]
         return HOST_COLUMNS, rows
 
-    async def _steps(self):
-        daemon = self._daemon
-        rows = [
-            (
-                state.spec.account,
-                state.spec.step,
-                len(state.slots),
-                len(state.sample_by_slot),
-                daemon.settings.host.id,
-            )
-            for state in daemon.callers.holder.steps()
-        ]
-        return STEP_COLUMNS, rows
-
     async def _requests(self):
         rows = [
             (decision.at_ms, decision.request_id, decision.part, decision.text)
--- a/goldcrestmoor/process/ownership.py
+++ b/goldcrestmoor/process/ownership.py
@@ -45,13 +45,6 @@
         """
         return rendezvous_order(duty, self._working())[:count]
 
-    def is_mine(self, holder_id):
-        """Tell whether a holder is this host.
-
-        :param holder_id: what another method returned.
-        """
-        return holder_id == self._host_id
-
     def _holder(self, duty, zone):
         own = self._membership.find(self._host_id)
         for choice in (zone, own.zone):
--- a/goldcrestmoor/version/configuration.py
+++ b/goldcrestmoor/version/configuration.py
@@ -125,16 +125,6 @@
     upstreams_by_name: dict[str, Upstream] = {}
     draining_hosts: tuple[str, ...] = ()
 
-    def account_by_token_hash(self, token_hash):
-        """Return the account that a hashed token belongs to, or None.
-
-        :param token_hash: SHA-256 of the token, in hexadecimal.
-        """
-        for account in self.accounts_by_name.values():
-            if account.token_hash == token_hash:
-                return account
-        return None
-
     def upstreams_of(self, pool):
         """Return the upstreams of a pool, in the order of their names.
 
