--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 setup: $(VENV)/.installed
 
-$(VENV)/.installed: pyproject.toml
+$(VENV)/.installed: pyproject.toml requirements.txt
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --editable '.[dev]'
 	touch $@
--- /dev/null
+++ b/goldcrestmoor/commands/front.py
@@ -0,0 +1,26 @@
+"""``goldcrestmoor front``: run a daemon on the users' platform."""
+
+import asyncio
+import os
+import sys
+
+from goldcrestmoor import front_settings, logs, tracing
+from goldcrestmoor.errors import UserError
+from goldcrestmoor.process.front import Front
+
+PATH_VARIABLE = "GOLDCRESTMOOR_SETTINGS"
+
+
+def front(path=None):
+    """Run a daemon on the users' platform until SIGTERM or SIGINT.
+
+    :param path: the settings file, JSON; the one that the environment variable
+        ``GOLDCRESTMOOR_SETTINGS`` names when left out.
+    """
+    path = path or os.environ.get(PATH_VARIABLE)
+    if not path:
+        raise UserError(f"Name a settings file, or set {PATH_VARIABLE}.")
+    loaded = front_settings.load(path)
+    logs.set_up(loaded.log.level, loaded.log.style, sys.stdout)
+    tracing.set_up(loaded.host.id, loaded.tracing.exporter)
+    asyncio.run(Front(loaded, path).run())
--- a/goldcrestmoor/connection/http_client.py
+++ b/goldcrestmoor/connection/http_client.py
@@ -173,6 +173,14 @@
             else:
                 connection.abort()
 
+    def has_idle(self, address, port):
+        """Tell whether an idle connection to an upstream is open.
+
+        :param address: the upstream's IP address.
+        :param port: the upstream's port.
+        """
+        return self._pool.has_idle((address, port))
+
     async def close(self):
         """Close every idle connection; requests in flight run to their end."""
         await self._pool.close()
@@ -218,6 +226,7 @@
         while isinstance(event, h11.InformationalResponse):
             event = await self._connection.next_event(deadline.remaining_ms)
         self._check_framing(event, method, allow_close_delimited)
+        self._connection.note_keep_alive(event.headers)
         self.status = event.status_code
         self.headers = list(end_to_end(event.headers))
 
--- a/goldcrestmoor/connection/http_connection.py
+++ b/goldcrestmoor/connection/http_connection.py
@@ -1,6 +1,7 @@
 """One HTTP/1.1 connection: dialled, checked, written to, read from, closed."""
 
 import asyncio
+import re
 import select
 import socket
 
@@ -12,6 +13,10 @@
 # More than an asyncio stream ever holds, so that one read empties it.
 READ_BYTES = 1 << 20
 
+KEEP_ALIVE = re.compile(rb"timeout=(\d{1,6})")
+# A request must reach the server before it closes the connection as idle.
+KEEP_ALIVE_MARGIN_MS = 500
+
 _POLL_EVENTS = select.POLLIN | select.POLLRDHUP
 
 
@@ -32,6 +37,7 @@
         "target",
         "reused",
         "idle_since_ms",
+        "idle_bound_ms",
         "_reader",
         "_writer",
         "_codec",
@@ -42,6 +48,7 @@
         self.target = target
         self.reused = False
         self.idle_since_ms = 0
+        self.idle_bound_ms = None
         self._reader = reader
         self._writer = writer
         self._max_header_bytes = max_header_bytes
@@ -139,6 +146,17 @@
         if size > self._max_header_bytes:
             raise failed(self.target, "the answer's head is too large")
 
+    def note_keep_alive(self, headers):
+        """Learn how long the server keeps the connection when it is idle.
+
+        :param headers: the answer's ``(name, value)`` byte pairs.
+        """
+        for name, value in headers:
+            found = KEEP_ALIVE.search(value) if name == b"keep-alive" else None
+            if found is not None:
+                stated_ms = int(found[1]) * MS_PER_SECOND
+                self.idle_bound_ms = max(0, stated_ms - KEEP_ALIVE_MARGIN_MS)
+
     def finish(self):
         """Make ready for another request after a whole answer.
 
--- a/goldcrestmoor/connection/http_pool.py
+++ b/goldcrestmoor/connection/http_pool.py
@@ -79,11 +79,24 @@
             self.idle_count -= 1
             if not idle:
                 del self._idle_by_target[target]
-            if connection.is_clean():
+            if not self._has_expired(connection) and connection.is_clean():
                 return connection
             connection.abort()
         return None
 
+    def _has_expired(self, connection):
+        bound_ms = connection.idle_bound_ms
+        idle_ms = self._clock.now_ms() - connection.idle_since_ms
+        return bound_ms is not None and idle_ms > bound_ms
+
+    def has_idle(self, target):
+        """Tell whether an idle connection to a target is open.
+
+        :param target: the ``(address, port)`` pair.
+        """
+        idle = self._idle_by_target.get(target)
+        return bool(idle) and not self._has_expired(idle[-1]) and idle[-1].is_clean()
+
     def release(self, connection):
         """Take back a connection after a whole answer.
 
@@ -129,7 +142,9 @@
     def _reap_target(self, target, oldest_ms):
         kept = collections.deque()
         for connection in self._idle_by_target.pop(target, ()):
-            if connection.idle_since_ms > oldest_ms and connection.is_clean():
+            is_fresh = connection.idle_since_ms > oldest_ms
+            is_fresh = is_fresh and not self._has_expired(connection)
+            if is_fresh and connection.is_clean():
                 kept.append(connection)
             else:
                 connection.abort()
--- /dev/null
+++ b/goldcrestmoor/front_settings.py
@@ -0,0 +1,117 @@
+"""The settings of a daemon on the users' platform: one JSON document."""
+
+import json
+from importlib import resources
+from typing import Annotated
+
+from pydantic import Field, TypeAdapter
+
+from goldcrestmoor import settings
+from goldcrestmoor.settings import (
+    Count,
+    DurationMs,
+    LimitSettings,
+    LogSettings,
+    ShutdownSettings,
+    TracingSettings,
+    strict,
+)
+
+DEFAULTS = "front_defaults.json"
+
+Text = Annotated[str, Field(min_length=1)]
+Endpoint = Annotated[str, Field(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+
+
+@strict
+class FrontHostSettings:
+    """This host: its name, place and addresses, each ``address:port``."""
+
+    id: Text
+    zone: Text
+    region: str
+    callers: Endpoint
+    readiness: Endpoint
+    listen_backlog: Count
+
+    @property
+    def address(self):
+        """The IP address that callers connect to."""
+        return self.callers.rpartition(":")[0]
+
+    @property
+    def http_port(self):
+        """The TCP port that callers connect to."""
+        return int(self.callers.rpartition(":")[2])
+
+    @property
+    def readiness_port(self):
+        """The TCP port of the readiness check."""
+        return int(self.readiness.rpartition(":")[2])
+
+
+@strict
+class StoreSettings:
+    """The platform's store, ``address:port``, and how patiently it is asked."""
+
+    endpoint: Endpoint
+    timeout_ms: DurationMs
+
+    @property
+    def address(self):
+        """The store's IP address."""
+        return self.endpoint.rpartition(":")[0]
+
+    @property
+    def port(self):
+        """The store's TCP port."""
+        return int(self.endpoint.rpartition(":")[2])
+
+
+@strict
+class OrderSettings:
+    """How orders to engines keep apart."""
+
+    lease_ms: DurationMs
+
+
+@strict
+class FrontSettings:
+    """Everything that a daemon on the users' platform is told before it starts."""
+
+    host: FrontHostSettings
+    store: StoreSettings
+    orders: OrderSettings
+    limits: LimitSettings
+    shutdown: ShutdownSettings
+    log: LogSettings
+    tracing: TracingSettings
+
+
+_adapter = TypeAdapter(FrontSettings)
+
+
+def load(path):
+    """Read and check a settings file.
+
+    :param path: the file's path.
+    :return: the :class:`FrontSettings`, with defaults filled in.
+    :raises UserError: naming every fault with its path in the document.
+    """
+    return settings.validate(_adapter, _defaults(), settings.read(path), path)
+
+
+def decode(document, name="settings"):
+    """Check a settings document.
+
+    :param document: the decoded JSON.
+    :param name: what to call the document in an error.
+    :return: the :class:`FrontSettings`, with defaults filled in.
+    :raises UserError: naming every fault with its path in the document.
+    """
+    return settings.validate(_adapter, _defaults(), document, name)
+
+
+def _defaults():
+    text = resources.files("goldcrestmoor").joinpath(DEFAULTS).read_text()
+    return json.loads(text)
--- /dev/null
+++ b/goldcrestmoor/job/board.py
@@ -0,0 +1,261 @@
+"""All batch jobs that are kept, and those of them that this process runs."""
+
+import asyncio
+import logging
+import random
+
+import msgspec
+
+from goldcrestmoor.clock import MS_PER_SECOND
+from goldcrestmoor.errors import ServiceError
+from goldcrestmoor.job.job_run import JobRun
+from goldcrestmoor.job.job_store import KeptState, decode_state
+from goldcrestmoor.util import TaskGroup
+
+log = logging.getLogger("goldcrestmoor.jobs")
+
+# A dead runner's jobs are taken up by another after this and the lease's margin.
+RUNNER_LEASE_MS = 1500
+# Hosts that didn't accept a job leave its host this long to take its model's duty.
+CLAIM_DELAY_MS = 300
+CLAIM_JITTER_MS = 300
+RETRY_MS = 250
+TICK_MS = 200
+
+
+def runner_duty(model):
+    """Return the name of the duty to run a model's jobs.
+
+    :param model: the model; empty for jobs of no model.
+    """
+    return f"runner/{model}"
+
+
+class Board:
+    """Hear of every job, answer for its state, and run those of this host's models.
+
+    One host runs all jobs of a model, so that its connections to the engines serve
+    one step after another. Which one is a lease; that no job is run by two rests on
+    the job's own row alone.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param store: the :class:`~goldcrestmoor.job.job_store.JobStore`.
+    :param duties: the :class:`~goldcrestmoor.process.duties.Duties`.
+    :param scheduler: the :class:`~goldcrestmoor.job.scheduler.Scheduler`.
+    :param routes: gives the ``RouteTable`` in force.
+    :param process_id: this process, by a name that no other has.
+    """
+
+    __slots__ = (
+        "kept_by_job",
+        "_clock",
+        "_store",
+        "_duties",
+        "_scheduler",
+        "_routes",
+        "_process_id",
+        "_changed",
+        "_job_by_id",
+        "_seen_ms_by_job",
+        "_adopting",
+        "_runs_by_job",
+        "_tasks",
+        "_is_leaving",
+    )
+
+    def __init__(self, *, clock, store, duties, scheduler, routes, process_id):
+        self.kept_by_job = {}
+        self._clock = clock
+        self._store = store
+        self._duties = duties
+        self._scheduler = scheduler
+        self._routes = routes
+        self._process_id = process_id
+        self._changed = asyncio.Event()
+        self._job_by_id = {}
+        self._seen_ms_by_job = {}
+        self._adopting = set()
+        self._runs_by_job = {}
+        self._tasks = TaskGroup()
+        self._is_leaving = False
+
+    def apply(self, changes):
+        """Take in what the feed of the jobs' states says.
+
+        :param changes: a list of :class:`~goldcrestmoor.adapters.table.Change`.
+        """
+        for change in changes:
+            if change.value is None:
+                self._forget(change.part)
+                continue
+            try:
+                kept = KeptState(decode_state(change.value), change.version)
+            except ServiceError as e:
+                log.warning("Job %s is passed over: %s", change.part, e)
+                continue
+            self.note(change.part, kept)
+
+    def note(self, job_id, kept):
+        """Take in a job's state, from the feed or from an own write.
+
+        :param job_id: the job.
+        :param kept: the :class:`~goldcrestmoor.job.job_store.KeptState`.
+        """
+        known = self.kept_by_job.get(job_id)
+        if known is not None and known.version >= kept.version:
+            return
+        self.kept_by_job[job_id] = kept
+        self._seen_ms_by_job.setdefault(job_id, self._clock.now_ms())
+        run = self._runs_by_job.get(job_id)
+        if run is not None:
+            run.note_state(kept)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def remember(self, job, kept):
+        """Keep a job that this host has just accepted, to run it without a read.
+
+        :param job: the :class:`~goldcrestmoor.job.job.Job`.
+        :param kept: its :class:`~goldcrestmoor.job.job_store.KeptState`.
+        """
+        self._job_by_id[job.id] = job
+        self.note(job.id, kept)
+
+    async def wait_listed(self, job_id, after, timeout_ms):
+        """Wait until a job has more results listed than a given number.
+
+        :param job_id: the job.
+        :param after: the number.
+        :param timeout_ms: how long to wait, in milliseconds.
+        """
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
+                while not self._has_listed(job_id, after):
+                    await self._changed.wait()
+        except TimeoutError:
+            pass
+
+    def _has_listed(self, job_id, after):
+        kept = self.kept_by_job.get(job_id)
+        return kept is None or kept.state.is_ended or kept.state.listed > after
+
+    async def run(self):
+        """Take up jobs for good."""
+        while True:
+            for job_id, kept in list(self.kept_by_job.items()):
+                if self._is_open(kept.state) and self._is_free(job_id):
+                    self._adopting.add(job_id)
+                    self._tasks.start(self._take_up(job_id), f"job {job_id}")
+            changed = self._changed
+            try:
+                async with asyncio.timeout(TICK_MS / MS_PER_SECOND):
+                    await changed.wait()
+            except TimeoutError:
+                pass
+
+    async def hand_over(self, timeout_ms):
+        """Take up no more jobs, and let running items end.
+
+        :param timeout_ms: when to leave the rest to the next runner.
+        """
+        self._is_leaving = True
+        for run in self._runs_by_job.values():
+            run.waiting.clear()
+        until_ms = self._clock.now_ms() + timeout_ms
+        while self._clock.now_ms() < until_ms and any(
+            run.running_by_id for run in self._runs_by_job.values()
+        ):
+            await self._clock.sleep_ms(20)
+
+    async def close(self):
+        """Stop every job."""
+        await self._tasks.close()
+
+    def _is_open(self, state):
+        return not state.is_ended and state.listed < state.total
+
+    def _is_free(self, job_id):
+        return not (
+            self._is_leaving or job_id in self._runs_by_job or job_id in self._adopting
+        )
+
+    async def _take_up(self, job_id):
+        try:
+            kept = self.kept_by_job.get(job_id)
+            if kept is None or not await self._has_duty(job_id, kept.state.model):
+                return
+            kept = self.kept_by_job.get(job_id)
+            if kept is None or not self._is_open(kept.state):
+                return
+            run = await self._adopt(job_id, kept)
+            if run is not None:
+                await self._run(run)
+        except ServiceError as e:
+            log.info("Job %s is not taken up yet: %s", job_id, e)
+            await self._clock.sleep_ms(RETRY_MS)
+        finally:
+            self._adopting.discard(job_id)
+
+    async def _has_duty(self, job_id, model):
+        name = runner_duty(model)
+        if self._duties.holds(name):
+            return True
+        if not self._duties.is_free(name):
+            return False
+        if job_id not in self._job_by_id:
+            delay_ms = CLAIM_DELAY_MS + random.uniform(0, CLAIM_JITTER_MS)
+            await self._clock.sleep_ms(delay_ms)
+            if not self._duties.is_free(name) and not self._duties.holds(name):
+                return False
+        return await self._duties.claim(name, RUNNER_LEASE_MS)
+
+    async def _adopt(self, job_id, kept):
+        """Make this process the job's runner; return its run."""
+        job = self._job_by_id.pop(job_id, None) or await self._store.load(kept.state)
+        state = msgspec.structs.replace(kept.state, runner=self._process_id)
+        now = await self._store.change(job_id, kept, state)
+        if now is None:
+            self._forget(job_id)
+            return None
+        self.note(job_id, now)
+        if now.state.runner != self._process_id or not self._is_open(now.state):
+            return None
+        listed = await self._store.results(job_id, 0, most_bytes=1 << 30)
+        table = self._routes()
+        route = table.match(job.host, job.path) if table else None
+        if route is None or route.job is None:
+            log.warning("Job %s has no route any more.", job_id)
+            return None
+        log.info(
+            "Job %s of %s is run here: %d items, %d listed, step %d.",
+            job_id,
+            job.model or "no model",
+            now.state.total,
+            now.state.listed,
+            job.step,
+        )
+        return JobRun(
+            job=job,
+            kept=now,
+            listed_ids={result.id for result in listed},
+            terms=route.job,
+            priority=route.priority,
+            clock=self._clock,
+            store=self._store,
+            on_state=self.note,
+        )
+
+    async def _run(self, run):
+        job_id = run.job.id
+        self._runs_by_job[job_id] = run
+        self._scheduler.add(run)
+        try:
+            await run.list_results()
+        finally:
+            self._scheduler.remove(run)
+            del self._runs_by_job[job_id]
+
+    def _forget(self, job_id):
+        self.kept_by_job.pop(job_id, None)
+        self._job_by_id.pop(job_id, None)
+        self._seen_ms_by_job.pop(job_id, None)
--- /dev/null
+++ b/goldcrestmoor/job/desk.py
@@ -0,0 +1,134 @@
+"""Answers what submitters and readers ask of batch jobs, on any host."""
+
+import collections
+import logging
+
+import msgspec
+
+from goldcrestmoor.clock import Deadline
+from goldcrestmoor.errors import ErrorKind, ServiceError
+
+log = logging.getLogger("goldcrestmoor.desk")
+
+# Submitters come back quickly, to another host: longer trying here helps nobody.
+ACCEPT_TIMEOUT_MS = 2500
+STORE_RETRY_AFTER_MS = 500
+# Jobs whose bodies were asked for lately; clients ask for several items in a row.
+MAX_JOBS_CACHED = 2
+
+
+class Desk:
+    """Accept jobs, list results, return bodies and end jobs.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param store: the :class:`~goldcrestmoor.job.job_store.JobStore`.
+    :param board: the :class:`~goldcrestmoor.job.board.Board`.
+    :param is_current: tells whether the board has heard from the store lately.
+    """
+
+    __slots__ = ("_clock", "_store", "_board", "_is_current", "_job_by_key")
+
+    def __init__(self, *, clock, store, board, is_current):
+        self._clock = clock
+        self._store = store
+        self._board = board
+        self._is_current = is_current
+        self._job_by_key = collections.OrderedDict()
+
+    async def submit(self, job):
+        """Accept a job, so that it is kept whole whatever dies.
+
+        :param job: the :class:`~goldcrestmoor.job.job.Job`.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE`` when it surely was not
+            accepted, ``OUTCOME_UNKNOWN`` when it may have been.
+        """
+        if job.id in self._board.kept_by_job:
+            return
+        if not self._is_current():
+            text = "The store is not heard, so no job can be kept."
+            raise ServiceError(
+                ErrorKind.PLATFORM_UNAVAILABLE, text, STORE_RETRY_AFTER_MS
+            )
+        deadline = Deadline.after(self._clock, ACCEPT_TIMEOUT_MS)
+        kept = await self._store.accept(job, deadline)
+        log.info(
+            "Job %s is accepted: %d items of %s, step %d, from version %d on.",
+            job.id,
+            len(job.items),
+            job.model or "no model",
+            job.step,
+            job.min_version,
+        )
+        self._board.remember(job, kept)
+
+    async def results(self, call, most_bytes):
+        """Return a page of a job's results, waiting for one where that is asked.
+
+        :param call: a :class:`~goldcrestmoor.job.calls.ReadResults`.
+        :param most_bytes: how much text to return, but at least one result.
+        :return: the number of items and a list of
+            :class:`~goldcrestmoor.job.job.Result`.
+        :raises ServiceError: ``NOT_FOUND``, or ``PLATFORM_UNAVAILABLE`` when that
+            cannot be told.
+        """
+        kept = await self._kept(call.job_id)
+        if kept.state.listed <= call.after and call.wait_ms:
+            await self._board.wait_listed(call.job_id, call.after, call.wait_ms)
+            kept = await self._kept(call.job_id)
+        if kept.state.listed <= call.after:
+            return kept.state.total, []
+        results = await self._store.results(call.job_id, call.after, most_bytes)
+        return kept.state.total, results
+
+    async def item_body(self, call):
+        """Return the body of an item as it was submitted.
+
+        :param call: a :class:`~goldcrestmoor.job.calls.ReadItem`.
+        :raises ServiceError: ``NOT_FOUND``, or ``PLATFORM_UNAVAILABLE`` when that
+            cannot be told.
+        """
+        kept = await self._kept(call.job_id)
+        job = await self._job(kept.state)
+        for item in job.items:
+            if item.id == call.item_id:
+                return item.body
+        raise ServiceError(ErrorKind.NOT_FOUND, "The job has no such item.")
+
+    async def end(self, call):
+        """End a job, however often asked.
+
+        :param call: a :class:`~goldcrestmoor.job.calls.EndJob`.
+        :raises ServiceError: ``NOT_FOUND``, or ``PLATFORM_UNAVAILABLE``.
+        """
+        if not self._is_current():
+            text = "The store is not heard, so no job can be ended."
+            raise ServiceError(
+                ErrorKind.PLATFORM_UNAVAILABLE, text, STORE_RETRY_AFTER_MS
+            )
+        kept = await self._kept(call.job_id)
+        while not kept.state.is_ended:
+            state = msgspec.structs.replace(kept.state, is_ended=True)
+            kept = await self._store.change(call.job_id, kept, state)
+            if kept is None:
+                raise ServiceError(ErrorKind.NOT_FOUND, "There is no such job.")
+            self._board.note(call.job_id, kept)
+        log.info("Job %s is ended.", call.job_id)
+
+    async def _kept(self, job_id):
+        kept = self._board.kept_by_job.get(job_id)
+        if kept is not None and self._is_current():
+            return kept
+        kept = await self._store.state(job_id)
+        if kept is None:
+            raise ServiceError(ErrorKind.NOT_FOUND, "There is no such job.")
+        self._board.note(job_id, kept)
+        return kept
+
+    async def _job(self, state):
+        job = self._job_by_key.get(state.object_key)
+        if job is None:
+            job = await self._store.load(state)
+            self._job_by_key[state.object_key] = job
+            if len(self._job_by_key) > MAX_JOBS_CACHED:
+                self._job_by_key.popitem(last=False)
+        return job
--- /dev/null
+++ b/goldcrestmoor/job/engine_choice.py
@@ -0,0 +1,77 @@
+"""Which engine an item goes to.
+
+The load this answers: a step's items come all at once, a few hundred streams for a
+few dozen slots, while one engine is slow, another loads new weights and a third
+has just gone. The slots of sound engines must fill evenly and at once, and items
+of one group should meet on one engine, which has then read their prompt.
+"""
+
+import statistics
+
+import msgspec
+
+# An engine this many times slower than the usual one gets work only when no other
+# has a free slot within reach.
+SLOW_FACTOR = 2.0
+# A group's engine is kept while it is no more than this share fuller than the rest.
+AFFINITY_SHARE = 0.25
+
+
+class EngineLoad(msgspec.Struct, frozen=True):
+    """One engine as the choice sees it.
+
+    :param name: the engine's name.
+    :param slots: how many requests it runs at a time.
+    :param in_flight: how many this host has sent it.
+    :param version: the weight version that it holds of the item's model.
+    :param ms_per_event: the pace of its streams; None while unknown.
+    :param is_blocked: whether it has just refused work or failed.
+    """
+
+    name: str
+    slots: int
+    in_flight: int
+    version: int
+    ms_per_event: float | None = None
+    is_blocked: bool = False
+
+
+def choose_engine(engines, min_version, group_engine="", avoid=()):
+    """Return the name of the engine that an item goes to, or None to wait.
+
+    :param engines: an iterable of :class:`EngineLoad`.
+    :param min_version: the oldest weight version that may make the item.
+    :param group_engine: the engine that last took an item of the same group.
+    :param avoid: engines that the item has just failed on; used only when no other
+        fits.
+    """
+    fitting = [
+        engine
+        for engine in engines
+        if engine.version >= min_version
+        and engine.in_flight < engine.slots
+        and not engine.is_blocked
+    ]
+    others = [engine for engine in fitting if engine.name not in avoid]
+    candidates = _without_slow(others or fitting)
+    if not candidates:
+        return None
+    best = min(candidates, key=_fullness)
+    bound = best.in_flight / best.slots + AFFINITY_SHARE
+    for engine in candidates:
+        if engine.name == group_engine and engine.in_flight / engine.slots <= bound:
+            return engine.name
+    return best.name
+
+
+def _fullness(engine):
+    return engine.in_flight / engine.slots, engine.name
+
+
+def _without_slow(engines):
+    paces = [e.ms_per_event for e in engines if e.ms_per_event is not None]
+    if len(paces) < 2:
+        return engines
+    bound_ms = statistics.median_low(paces) * SLOW_FACTOR
+    fast = [e for e in engines if e.ms_per_event is None or e.ms_per_event <= bound_ms]
+    return fast or engines
--- /dev/null
+++ b/goldcrestmoor/job/item_run.py
@@ -0,0 +1,209 @@
+"""One item of a batch job on its way: what it has made so far, and one try of it."""
+
+import logging
+
+import msgspec
+
+from goldcrestmoor import tracing
+from goldcrestmoor.errors import Ran, ServiceError
+from goldcrestmoor.request.event_stream import EventReader
+
+log = logging.getLogger("goldcrestmoor.items")
+
+STATUS_OK = 200
+STATUS_FAILED = 500
+STATUS_IMPOSSIBLE = 422
+# An engine that takes longer to begin is loading weights, gone or very full.
+HEAD_TIMEOUT_MS = 3000
+# Twenty times the pause between events that callers bear with.
+SILENCE_TIMEOUT_MS = 2400
+TRY_TIMEOUT_MS = 60_000
+
+
+class Finished(msgspec.Struct, frozen=True):
+    """The item's text is whole."""
+
+
+class Failed(msgspec.Struct, frozen=True):
+    """The engine ran the item and says that it failed."""
+
+
+class Impossible(msgspec.Struct, frozen=True):
+    """The engine says that the item can never be done."""
+
+
+class NotRun(msgspec.Struct, frozen=True):
+    """The engine did not run the item.
+
+    :param reason: why, as part of a sentence.
+    """
+
+    reason: str
+
+
+class Broken(msgspec.Struct, frozen=True):
+    """The try ended before the text did; what it made is kept.
+
+    :param reason: why, as part of a sentence.
+    """
+
+    reason: str
+
+
+class ItemRun:
+    """An item and what has been made of it.
+
+    :param item: the :class:`~goldcrestmoor.job.job.Item`.
+    :param position: its place in the job.
+    :ivar events: the data of the events so far.
+    :ivar last_id: the id of the last of them.
+    :ivar versions: the weight versions that made them, in the order of first use.
+    :ivar failures: how often an engine said that it failed.
+    :ivar engine: the engine that works on it, or None.
+    :ivar avoid: the engine that it was last broken off at.
+    """
+
+    __slots__ = (
+        "item",
+        "position",
+        "events",
+        "last_id",
+        "versions",
+        "failures",
+        "tries",
+        "engine",
+        "avoid",
+        "task",
+    )
+
+    def __init__(self, item, position):
+        self.item = item
+        self.position = position
+        self.failures = 0
+        self.tries = 0
+        self.engine = None
+        self.avoid = ""
+        self.task = None
+        self.forget_text()
+
+    @property
+    def group(self):
+        """The group that the item belongs to."""
+        return self.item.group
+
+    def forget_text(self):
+        """Start over from the prompt."""
+        self.events = []
+        self.last_id = ""
+        self.versions = []
+
+    def add(self, event, version):
+        """Take in one event.
+
+        :param event: the :class:`~goldcrestmoor.request.event_stream.Event`.
+        :param version: the weight version that made it.
+        :return: whether it is the one that follows the last.
+        """
+        if not event.id.isdigit():
+            return False
+        if self.last_id and int(event.id) != int(self.last_id) + 1:
+            return False
+        self.events.append(event.data)
+        self.last_id = event.id
+        if version not in self.versions:
+            self.versions.append(version)
+        return True
+
+
+class ItemTries:
+    """Send items to engines and take in what they make.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param http: the :class:`~goldcrestmoor.connection.http_client.HttpClient`.
+    :param dialect: how the engines are spoken to.
+    """
+
+    __slots__ = ("_clock", "_http", "_dialect")
+
+    def __init__(self, *, clock, http, dialect):
+        self._clock = clock
+        self._http = http
+        self._dialect = dialect
+
+    async def attempt(self, run, engine, *, host, min_version, single_version):
+        """Run an item at an engine, from the events that are there.
+
+        :param run: the :class:`ItemRun`.
+        :param engine: the :class:`~goldcrestmoor.process.directory.ListedUpstream`.
+        :param host: the host of the item's route.
+        :param min_version: the oldest weight version that may make its events.
+        :param single_version: whether one version has to make them all.
+        :return: how it ended, one of the classes above.
+        """
+        dialect = self._dialect
+        headers = dialect.item_headers(run.item, host)
+        headers = dialect.request_headers(headers, engine, None)
+        if run.last_id:
+            headers.append(dialect.resume_header(run.last_id))
+        try:
+            with tracing.detached_span("item", upstream=engine.name):
+                async with self._http.stream(
+                    engine.address,
+                    engine.port,
+                    "POST",
+                    run.item.path,
+                    headers,
+                    run.item.body,
+                    TRY_TIMEOUT_MS,
+                    idempotent=True,
+                    head_timeout_ms=HEAD_TIMEOUT_MS,
+                    progress_timeout_ms=SILENCE_TIMEOUT_MS,
+                    allow_close_delimited=True,
+                ) as response:
+                    return await self._read(run, response, min_version, single_version)
+        except ServiceError as e:
+            if e.answer.ran is Ran.NOT_RUN:
+                return NotRun(e.message)
+            return Broken(e.message)
+
+    async def _read(self, run, response, min_version, single_version):
+        dialect = self._dialect
+        if dialect.ran(response.status, response.headers) is Ran.NOT_RUN:
+            await _drain(response)
+            return NotRun(f"answered {response.status}")
+        if not dialect.is_genuine(run.item.id, response.status, response.headers):
+            return Broken("the answer belongs to another request or is spoilt")
+        if response.status != STATUS_OK:
+            await _drain(response)
+            return _outcome(response.status)
+        version = dialect.weight_version(response.headers)
+        if version is None:
+            return Broken("the answer states no weight version")
+        reader = EventReader(dialect.EVENT_FIELDS)
+        async for chunk in response.body():
+            for event in reader.feed(chunk):
+                version = version if event.version is None else event.version
+                if version < min_version:
+                    return Broken(f"weight version {version} is too old")
+                if single_version and run.versions and version not in run.versions:
+                    run.forget_text()
+                    return Broken("the weight version changed")
+                if not run.add(event, version):
+                    return Broken(f"event {event.id!r} does not follow {run.last_id!r}")
+        if reader.has_rest or not run.events:
+            return Broken("the stream ended within an event")
+        return Finished()
+
+
+def _outcome(status):
+    if status == STATUS_FAILED:
+        return Failed()
+    if status == STATUS_IMPOSSIBLE:
+        return Impossible()
+    return Broken(f"answered {status}")
+
+
+async def _drain(response):
+    """Read the rest of a short answer, so that its connection can be used again."""
+    async for _ in response.body():
+        pass
--- /dev/null
+++ b/goldcrestmoor/job/job_run.py
@@ -0,0 +1,204 @@
+"""One batch job that this process runs: its items, and the results to be listed."""
+
+import asyncio
+import collections
+import logging
+
+import msgspec
+
+from goldcrestmoor.job import job_store
+from goldcrestmoor.job.item_order import order_items
+from goldcrestmoor.job.item_run import ItemRun
+from goldcrestmoor.job.job import Result
+
+log = logging.getLogger("goldcrestmoor.jobs")
+
+# Results are gathered for so long before they are written, which bounds how often a
+# busy job writes and every host hears of it.
+GATHER_MS = 40
+
+
+class JobRun:
+    """The items of a job until all are listed, or another process runs it.
+
+    :param job: the :class:`~goldcrestmoor.job.job.Job`.
+    :param kept: its :class:`~goldcrestmoor.job.job_store.KeptState`, with this
+        process as its runner.
+    :param listed_ids: the ids of the items that are listed already.
+    :param terms: the :class:`~goldcrestmoor.version.routes.JobTerms` of its route.
+    :param priority: its route's priority.
+    :param clock: the clock.
+    :param store: the :class:`~goldcrestmoor.job.job_store.JobStore`.
+    :param on_state: called with each :class:`KeptState` that is written or met.
+    """
+
+    __slots__ = (
+        "job",
+        "terms",
+        "priority",
+        "due_ms",
+        "waiting",
+        "running_by_id",
+        "engine_by_group",
+        "_kept",
+        "_clock",
+        "_store",
+        "_on_state",
+        "_finished",
+        "_has_finished",
+        "_unfinished_by_group",
+        "_is_over",
+    )
+
+    def __init__(
+        self, *, job, kept, listed_ids, terms, priority, clock, store, on_state
+    ):
+        self.job = job
+        self.terms = terms
+        self.priority = priority
+        self.due_ms = kept.state.submitted_ms + terms.due_ms
+        self.waiting = [
+            ItemRun(item, position)
+            for position, item in enumerate(job.items)
+            if item.id not in listed_ids
+        ]
+        self.running_by_id = {}
+        self.engine_by_group = {}
+        self._kept = kept
+        self._clock = clock
+        self._store = store
+        self._on_state = on_state
+        self._finished = []
+        self._has_finished = asyncio.Event()
+        self._unfinished_by_group = collections.Counter(
+            run.group for run in self.waiting
+        )
+        self._is_over = False
+
+    @property
+    def is_over(self):
+        """Whether none of its items is to be started any more."""
+        return self._is_over
+
+    def next_items(self):
+        """Return the waiting items in the order in which to start them."""
+        return order_items(self.waiting, self._unfinished_by_group)
+
+    def start(self, run, engine):
+        """Note that an item is being run.
+
+        :param run: the :class:`~goldcrestmoor.job.item_run.ItemRun`.
+        :param engine: the engine's name.
+        """
+        self.waiting.remove(run)
+        run.engine = engine
+        run.tries += 1
+        self.running_by_id[run.item.id] = run
+        self.engine_by_group[run.group] = engine
+
+    def put_back(self, run):
+        """Note that an item has to be run again.
+
+        :param run: the :class:`~goldcrestmoor.job.item_run.ItemRun`.
+        """
+        self.running_by_id.pop(run.item.id, None)
+        run.avoid, run.engine = run.engine, None
+        if not self._is_over:
+            self.waiting.append(run)
+
+    def finish(self, run, is_completed):
+        """Note an item's end, to be listed.
+
+        :param run: the :class:`~goldcrestmoor.job.item_run.ItemRun`.
+        :param is_completed: whether its text is whole; else it is given up.
+        """
+        self.running_by_id.pop(run.item.id, None)
+        self._unfinished_by_group[run.group] -= 1
+        text = "\n".join(run.events) if is_completed else ""
+        versions = tuple(run.versions) if is_completed else ()
+        self._finished.append(Result(run.item.id, is_completed, text, versions))
+        self._has_finished.set()
+
+    async def list_results(self):
+        """Write results as they come, until all are listed or the job is over."""
+        try:
+            while self._kept.state.listed < self._kept.state.total:
+                await self._wait_for_results()
+                if not await self._write():
+                    return
+            log.info("All results of job %s are listed.", self.job.id)
+        finally:
+            self.stop()
+
+    def stop(self):
+        """Start nothing more, and stop what is running."""
+        self._is_over = True
+        self.waiting.clear()
+        for run in list(self.running_by_id.values()):
+            if run.task is not None:
+                run.task.cancel()
+
+    async def _wait_for_results(self):
+        wait_ms = self._keep_left_ms()
+        if wait_ms > 0:
+            try:
+                async with asyncio.timeout(wait_ms / 1000):
+                    await self._has_finished.wait()
+            except TimeoutError:
+                pass
+        if self._keep_left_ms() <= 0:
+            self._give_up()
+        await self._clock.sleep_ms(GATHER_MS)
+
+    def _keep_left_ms(self):
+        kept_until_ms = self._kept.state.submitted_ms + self.terms.keep_ms
+        return kept_until_ms - self._store.now_ms()
+
+    def _give_up(self):
+        left = self.waiting + list(self.running_by_id.values())
+        if left:
+            log.warning("Job %s: %d items are given up.", self.job.id, len(left))
+        self.waiting.clear()
+        for run in left:
+            if run.task is not None:
+                run.task.cancel()
+            self.finish(run, is_completed=False)
+
+    async def _write(self):
+        """Write what has finished; tell whether this process still runs the job."""
+        results = self._finished[: job_store.take_writable(self._finished)]
+        if not results:
+            self._has_finished.clear()
+            return True
+        state = msgspec.structs.replace(
+            self._kept.state, listed=self._kept.state.listed + len(results)
+        )
+        kept = await self._store.change(self.job.id, self._kept, state, results)
+        if not self._is_still_runner(kept):
+            return False
+        if kept.state.listed == state.listed:
+            del self._finished[: len(results)]
+            if not self._finished:
+                self._has_finished.clear()
+        self._kept = kept
+        self._on_state(self.job.id, kept)
+        return not kept.state.is_ended
+
+    def _is_still_runner(self, kept):
+        if kept is not None and kept.state.runner == self._kept.state.runner:
+            return True
+        runner = kept.state.runner if kept else "nobody; it is gone"
+        log.warning("Job %s is run by %s now.", self.job.id, runner)
+        if kept is not None:
+            self._on_state(self.job.id, kept)
+        return False
+
+    def note_state(self, kept):
+        """Take in what another process has written of the job.
+
+        :param kept: the :class:`~goldcrestmoor.job.job_store.KeptState`.
+        """
+        if kept.version <= self._kept.version:
+            return
+        if kept.state.is_ended or kept.state.runner != self._kept.state.runner:
+            self.stop()
--- /dev/null
+++ b/goldcrestmoor/job/job_store.py
@@ -0,0 +1,279 @@
+"""What is kept of batch jobs: the job itself, its state and its results.
+
+A job's rows lie in one part of their tables, so that its state and its results
+are written in one transaction. Every write names the version of the state that it
+follows; of two processes that believe they run a job, only one can write.
+"""
+
+import hashlib
+import logging
+
+import msgspec
+
+from goldcrestmoor.adapters.table import Check, CheckFailed, Committed, Write
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.job.job import Job, JobState, Result
+from goldcrestmoor.util import Backoff
+
+log = logging.getLogger("goldcrestmoor.jobs")
+
+STATE_TABLE = "jobs"
+STATE_KEY = "state"
+RESULT_TABLE = "results"
+OBJECT_PREFIX = "job-"
+# Below the 64 KiB that a row of the platform's store may hold.
+MAX_CHUNK_BYTES = 60_000
+# Of one transaction: the store takes 100 entries and 1 MB after base64.
+MAX_WRITES = 90
+MAX_WRITE_BYTES = 600_000
+MORE = b"+"
+LAST = b"."
+RETRY_MIN_MS = 40
+RETRY_MAX_MS = 400
+POSITION_DIGITS = 6
+DIGEST_BYTES = 8
+
+_job_decoder = msgspec.msgpack.Decoder(Job)
+_state_decoder = msgspec.json.Decoder(JobState)
+_result_decoder = msgspec.msgpack.Decoder(Result)
+
+
+class KeptState(msgspec.Struct, frozen=True):
+    """A job's state with the version of its row.
+
+    :param state: the :class:`~goldcrestmoor.job.job.JobState`.
+    :param version: the row's version.
+    """
+
+    state: JobState
+    version: int
+
+
+def decode_state(value):
+    """Return the state that a row holds.
+
+    :param value: the row's bytes.
+    :raises ServiceError: ``INTERNAL`` when it holds none.
+    """
+    try:
+        return _state_decoder.decode(value)
+    except msgspec.MsgspecError as e:
+        text = "The row of a job's state is malformed."
+        raise ServiceError(ErrorKind.INTERNAL, text) from e
+
+
+class JobStore:
+    """Write and read what is kept of batch jobs.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param store: the store's client, for rows and objects.
+    """
+
+    __slots__ = ("_clock", "_store")
+
+    def __init__(self, *, clock, store):
+        self._clock = clock
+        self._store = store
+
+    def now_ms(self):
+        """Return the time on the store's clock.
+
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE`` when it was never heard.
+        """
+        now_ms = self._store.now_ms()
+        if now_ms is None:
+            text = "The store's clock was not heard yet."
+            raise ServiceError(ErrorKind.PLATFORM_UNAVAILABLE, text)
+        return now_ms
+
+    async def accept(self, job, deadline):
+        """Keep a job, so that whatever dies it is run; once, however often asked.
+
+        :param job: the :class:`~goldcrestmoor.job.job.Job`.
+        :param deadline: when to give up.
+        :return: the :class:`KeptState`.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE`` when the job is surely not
+            kept, ``OUTCOME_UNKNOWN`` when it may be.
+        """
+        data = msgspec.msgpack.encode(job)
+        digest = hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
+        key = f"{OBJECT_PREFIX}{job.id}-{digest}"
+        state = JobState(
+            host=job.host,
+            path=job.path,
+            model=job.model,
+            total=len(job.items),
+            submitted_ms=self.now_ms(),
+            object_key=key,
+        )
+        await self._put_object(key, data, deadline)
+        return await self._create(job.id, state, deadline)
+
+    async def _put_object(self, key, data, deadline):
+        backoff = Backoff(RETRY_MIN_MS, RETRY_MAX_MS)
+        while True:
+            try:
+                await self._store.put(key, data)
+                return
+            except ServiceError as e:
+                delay_ms = backoff.next_ms()
+                if delay_ms >= deadline.remaining_ms():
+                    # An object that no row names is nothing that was accepted.
+                    raise ServiceError(ErrorKind.PLATFORM_UNAVAILABLE, e.message) from e
+                await self._clock.sleep_ms(delay_ms)
+
+    async def _create(self, job_id, state, deadline):
+        checks = [Check(STATE_TABLE, STATE_KEY, 0, job_id)]
+        value = msgspec.json.encode(state)
+        writes = [Write(STATE_TABLE, STATE_KEY, value, job_id)]
+        backoff = Backoff(RETRY_MIN_MS, RETRY_MAX_MS)
+        is_unknown = False
+        while True:
+            try:
+                answer = await self._store.transact(checks, writes)
+                break
+            except ServiceError as e:
+                # An unanswered write may land later, so it is sent again until one
+                # of the two is known to have landed.
+                is_unknown = is_unknown or e.kind is ErrorKind.OUTCOME_UNKNOWN
+                delay_ms = backoff.next_ms()
+                if delay_ms >= deadline.remaining_ms():
+                    if is_unknown and e.kind is not ErrorKind.OUTCOME_UNKNOWN:
+                        raise ServiceError(ErrorKind.OUTCOME_UNKNOWN, e.message) from e
+                    raise
+                await self._clock.sleep_ms(delay_ms)
+        match answer:
+            case Committed(version_by_key):
+                version = version_by_key[f"{STATE_TABLE}/{STATE_KEY}"]
+                return KeptState(state, version)
+            case CheckFailed(row):
+                return KeptState(decode_state(row.value), row.version)
+
+    async def state(self, job_id):
+        """Return a job's :class:`KeptState`, or None when there is no such job.
+
+        :param job_id: the job.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
+        """
+        row = await self._store.get(STATE_TABLE, STATE_KEY, job_id)
+        return KeptState(decode_state(row.value), row.version) if row else None
+
+    async def load(self, state):
+        """Return the job as it was submitted.
+
+        :param state: the :class:`~goldcrestmoor.job.job.JobState`.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE``, or ``INTERNAL`` when it is
+            gone or malformed.
+        """
+        data = await self._store.get_object(state.object_key)
+        if data is None:
+            raise ServiceError(ErrorKind.INTERNAL, "A job's object is gone.")
+        try:
+            return _job_decoder.decode(data)
+        except msgspec.MsgspecError as e:
+            text = "A job's object is malformed."
+            raise ServiceError(ErrorKind.INTERNAL, text) from e
+
+    async def change(self, job_id, kept, state, results=()):
+        """Write a new state, and results at the positions that follow the listed.
+
+        Sent again until its outcome is known, for as long as the caller waits.
+
+        :param job_id: the job.
+        :param kept: the :class:`KeptState` that it follows.
+        :param state: the new state, its count of listed results included.
+        :param results: the new :class:`~goldcrestmoor.job.job.Result` values.
+        :return: the :class:`KeptState` as it is now, ``state`` itself or what
+            another process has written; None when the job is gone.
+        """
+        checks = [Check(STATE_TABLE, STATE_KEY, kept.version, job_id)]
+        writes = [Write(STATE_TABLE, STATE_KEY, msgspec.json.encode(state), job_id)]
+        for position, result in enumerate(results, kept.state.listed):
+            writes += _result_writes(job_id, position, result)
+        backoff = Backoff(RETRY_MIN_MS, RETRY_MAX_MS)
+        while True:
+            try:
+                answer = await self._store.transact(checks, writes)
+                break
+            except ServiceError as e:
+                log.info("The state of job %s is not written yet: %s", job_id, e)
+                await self._clock.sleep_ms(backoff.next_ms())
+        match answer:
+            case Committed(version_by_key):
+                version = version_by_key[f"{STATE_TABLE}/{STATE_KEY}"]
+                return KeptState(state, version)
+            case CheckFailed(None):
+                return None
+            case CheckFailed(row):
+                return KeptState(decode_state(row.value), row.version)
+
+    async def results(self, job_id, after, most_bytes):
+        """Return the listed results from a position on.
+
+        :param job_id: the job.
+        :param after: the first position that is wanted.
+        :param most_bytes: how much text to return, but at least one result.
+        :return: a list of :class:`~goldcrestmoor.job.job.Result`.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
+        """
+        start = _position_key(after)
+        rows = await self._store.scan(RESULT_TABLE, part=job_id, start=start)
+        results, size, chunks = [], 0, []
+        for row in rows:
+            mark, chunk = row.value[:1], row.value[1:]
+            chunks.append(chunk)
+            if mark == MORE:
+                continue
+            data = b"".join(chunks)
+            chunks = []
+            size += len(data)
+            if results and size > most_bytes:
+                break
+            results.append(_result_decoder.decode(data))
+        return results
+
+    async def remove(self, job_id, kept):
+        """Delete a job that nobody may ask for any more.
+
+        :param job_id: the job.
+        :param kept: its :class:`KeptState`.
+        :raises ServiceError: when the store cannot be reached; safe to call again.
+        """
+        rows = await self._store.scan(RESULT_TABLE, part=job_id)
+        while rows:
+            batch, rows = rows[:MAX_WRITES], rows[MAX_WRITES:]
+            writes = [Write(RESULT_TABLE, row.key, None, job_id) for row in batch]
+            await self._store.transact([], writes)
+        await self._store.delete(kept.state.object_key)
+        checks = [Check(STATE_TABLE, STATE_KEY, kept.version, job_id)]
+        writes = [Write(STATE_TABLE, STATE_KEY, None, job_id)]
+        await self._store.transact(checks, writes)
+
+
+def take_writable(results):
+    """Return how many of the first results fit into one transaction.
+
+    :param results: a list of :class:`~goldcrestmoor.job.job.Result`.
+    """
+    writes, size = 0, 0
+    for count, result in enumerate(results):
+        length = len(result.text) + len(result.id) + MAX_CHUNK_BYTES // 100
+        writes += 1 + length // MAX_CHUNK_BYTES
+        size += length
+        if count and (writes > MAX_WRITES or size > MAX_WRITE_BYTES):
+            return count
+    return len(results)
+
+
+def _position_key(position):
+    return f"{position:0{POSITION_DIGITS}d}"
+
+
+def _result_writes(job_id, position, result):
+    data = msgspec.msgpack.encode(result)
+    starts = range(0, len(data), MAX_CHUNK_BYTES)
+    for number, start in enumerate(starts):
+        chunk = data[start : start + MAX_CHUNK_BYTES]
+        mark = LAST if start + MAX_CHUNK_BYTES >= len(data) else MORE
+        key = f"{_position_key(position)}/{number:02d}"
+        yield Write(RESULT_TABLE, key, mark + chunk, job_id)
--- /dev/null
+++ b/goldcrestmoor/job/scheduler.py
@@ -0,0 +1,174 @@
+"""Starts the items of all jobs that this process runs, as engines have free slots."""
+
+import asyncio
+import logging
+
+from goldcrestmoor.job import engine_pool
+from goldcrestmoor.job.engine_choice import choose_engine
+from goldcrestmoor.job.item_order import order_jobs
+from goldcrestmoor.job.item_run import Broken, Failed, Finished, Impossible, NotRun
+from goldcrestmoor.util import TaskGroup
+
+log = logging.getLogger("goldcrestmoor.scheduler")
+
+# Blocks of engines end by themselves, without an event that wakes the loop.
+TICK_MS = 100
+
+
+class Scheduler:
+    """Gives waiting items to engines.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param pool: the :class:`~goldcrestmoor.job.engine_pool.EnginePool`.
+    :param tries: the :class:`~goldcrestmoor.job.item_run.ItemTries`.
+    :param routes: gives the :class:`~goldcrestmoor.version.routes.RouteTable` in
+        force.
+    :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_pool",
+        "_tries",
+        "_routes",
+        "_metrics",
+        "_runs_by_job",
+        "_woken",
+        "_tasks",
+    )
+
+    def __init__(self, *, clock, pool, tries, routes, metrics):
+        self._clock = clock
+        self._pool = pool
+        self._tries = tries
+        self._routes = routes
+        self._metrics = metrics
+        self._runs_by_job = {}
+        self._woken = asyncio.Event()
+        self._tasks = TaskGroup()
+
+    def add(self, job_run):
+        """Start a job's items from now on.
+
+        :param job_run: the :class:`~goldcrestmoor.job.job_run.JobRun`.
+        """
+        self._runs_by_job[job_run.job.id] = job_run
+        self.wake()
+
+    def remove(self, job_run):
+        """Start no more of a job's items.
+
+        :param job_run: the :class:`~goldcrestmoor.job.job_run.JobRun`.
+        """
+        if self._runs_by_job.get(job_run.job.id) is job_run:
+            del self._runs_by_job[job_run.job.id]
+
+    def wake(self):
+        """Look again for engines with free slots."""
+        self._woken.set()
+
+    async def run(self):
+        """Start items for good."""
+        while True:
+            try:
+                async with asyncio.timeout(TICK_MS / 1000):
+                    await self._woken.wait()
+            except TimeoutError:
+                pass
+            self._woken.clear()
+            self._dispatch()
+
+    async def close(self):
+        """Stop every item."""
+        await self._tasks.close()
+
+    def _dispatch(self):
+        table = self._routes()
+        if table is None:
+            return
+        for job_run in order_jobs(self._runs_by_job.values()):
+            if job_run.is_over or not job_run.waiting:
+                continue
+            loads_by_service = {}
+            for run in job_run.next_items():
+                if not self._place(job_run, run, table, loads_by_service):
+                    break
+
+    def _place(self, job_run, run, table, loads_by_service):
+        """Start an item; tell whether it is worth trying the ones behind it."""
+        job = job_run.job
+        route = table.match(job.host, run.item.path)
+        if route is None or route.job is None:
+            log.warning("Item %s has no route any more and is given up.", run.item.id)
+            job_run.waiting.remove(run)
+            job_run.finish(run, is_completed=False)
+            return True
+        service = route.service_for(run.item.id)
+        loads = loads_by_service.get(service)
+        if loads is None:
+            loads = self._pool.loads(service, job.model)
+        name = choose_engine(
+            loads,
+            job.min_version,
+            job_run.engine_by_group.get(run.group, ""),
+            (run.avoid,),
+        )
+        if name is None:
+            loads_by_service[service] = loads
+            return False
+        engine = self._pool.upstream(name)
+        self._pool.begin(engine)
+        job_run.start(run, name)
+        run.task = self._tasks.start(self._run(job_run, run, engine, route))
+        return True
+
+    async def _run(self, job_run, run, engine, route):
+        started_ms = self._clock.now_ms()
+        had = len(run.events)
+        elapsed_ms = None
+        try:
+            outcome = await self._tries.attempt(
+                run,
+                engine,
+                host=job_run.job.host,
+                min_version=job_run.job.min_version,
+                single_version=route.job.single_version,
+            )
+            elapsed_ms = self._clock.now_ms() - started_ms
+        finally:
+            self._pool.end(engine, elapsed_ms, len(run.events) - had)
+            run.task = None
+            self.wake()
+        if run.item.id in job_run.running_by_id:
+            self._settle(job_run, run, engine, route, outcome)
+
+    def _settle(self, job_run, run, engine, route, outcome):
+        self._metrics.items.labels(type(outcome).__name__.lower()).inc()
+        match outcome:
+            case Finished():
+                job_run.finish(run, is_completed=True)
+                return
+            case Impossible():
+                log.info("Item %s can never be done, says its engine.", run.item.id)
+                job_run.finish(run, is_completed=False)
+                return
+            case Failed():
+                run.failures += 1
+                run.forget_text()
+                if run.failures >= route.attempts:
+                    log.info("Item %s failed %d times.", run.item.id, run.failures)
+                    job_run.finish(run, is_completed=False)
+                    return
+            case NotRun(reason):
+                self._pool.block(engine, engine_pool.REFUSED_PAUSE_MS)
+                log.debug("Item %s not run at %s: %s", run.item.id, engine.name, reason)
+            case Broken(reason):
+                self._pool.block(engine, engine_pool.BROKEN_PAUSE_MS)
+                log.info(
+                    "Item %s broken off at %s after %d events: %s",
+                    run.item.id,
+                    engine.name,
+                    len(run.events),
+                    reason,
+                )
+        job_run.put_back(run)
--- /dev/null
+++ b/goldcrestmoor/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls, and nothing that decides."""
--- /dev/null
+++ b/goldcrestmoor/platform/callers.py
@@ -0,0 +1,180 @@
+"""What the platform's clients send, and the forms of the answers that they get."""
+
+from urllib.parse import parse_qs, unquote
+
+import msgspec
+
+from goldcrestmoor.connection.http_client import end_to_end
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.job.calls import EndJob, ReadItem, ReadResults, SubmitJob
+from goldcrestmoor.job.job import Item, Job
+from goldcrestmoor.platform.servers import DEADLINE_HEADER, ID_HEADER
+
+READY_PATH = "/readiness"
+WAIT_HEADER = b"wait-ms"
+MAX_WAIT_MS = 1000
+# A page of results is at most 1 MB; the JSON around the texts needs some of it.
+MAX_PAGE_BYTES = 900_000
+_COMPLETED = "completed"
+_GIVEN_UP = "terminated"
+
+
+class _Item(msgspec.Struct):
+    id: str
+    path: str
+    headers: dict[str, str]
+    # The prompt and the most output, together.
+    tokens: int = 0
+    # Base64 on the wire.
+    body: bytes = b""
+    group: str = ""
+
+
+class _Job(msgspec.Struct, rename="camel"):
+    items: list[_Item]
+    model: str = ""
+    # Of the weights, not of the configuration.
+    min_version: int = 0
+    step: int = 0
+    target_groups: int = 0
+
+
+class _Result(msgspec.Struct):
+    id: str
+    state: str
+    text: str
+    versions: list[int]
+
+
+class _Page(msgspec.Struct):
+    total: int
+    next: int
+    results: list[_Result]
+
+
+_job_decoder = msgspec.json.Decoder(_Job)
+
+
+def request_id(headers):
+    """Return the id that a client gave its request, or an empty string.
+
+    :param headers: ``(name, value)`` byte pairs, names in lower case.
+    """
+    return dict(headers).get(ID_HEADER, b"").decode("latin-1")
+
+
+def deadline_ms(headers):
+    """Return how long a client waits, in milliseconds, or None.
+
+    :param headers: ``(name, value)`` byte pairs, names in lower case.
+    """
+    return _number(dict(headers).get(DEADLINE_HEADER))
+
+
+def passed_on(headers):
+    """Return the headers that a server gets as the client sent them.
+
+    :param headers: ``(name, value)`` byte pairs, names in lower case.
+    """
+    return tuple(pair for pair in end_to_end(headers) if pair[0] != DEADLINE_HEADER)
+
+
+def job_call(method, path, query, headers):
+    """Return what a request asks of a batch job, or None when it asks nothing.
+
+    :param method: the HTTP method.
+    :param path: the path.
+    :param query: the query.
+    :param headers: ``(name, value)`` byte pairs, names in lower case.
+    """
+    parts = path.split("/")
+    if len(parts) != 3 or not parts[2]:
+        return None
+    _, kind, job_id = parts
+    job_id = unquote(job_id)
+    value_by_name = {name: values[-1] for name, values in parse_qs(query).items()}
+    match method, kind:
+        case "GET", "lots":
+            after = _number(value_by_name.get("after", "0").encode()) or 0
+            wait_ms = _number(dict(headers).get(WAIT_HEADER)) or 0
+            return ReadResults(job_id, after, min(wait_ms, MAX_WAIT_MS))
+        case "GET", "items":
+            return ReadItem(job_id, value_by_name.get("id", ""))
+        case "DELETE", "lots":
+            return EndJob(job_id)
+    return None
+
+
+def submission(method):
+    """Return the call that a request under a job route's prefix makes, or None.
+
+    :param method: the HTTP method.
+    """
+    return SubmitJob() if method == "POST" else None
+
+
+def decode_job(job_id, host, path, body):
+    """Return the batch job that a submission holds.
+
+    :param job_id: the id of the submission, which is the job's.
+    :param host: the host that the client names.
+    :param path: the path that it was submitted to.
+    :param body: the body.
+    :raises ServiceError: ``BAD_REQUEST`` when it holds none.
+    """
+    try:
+        job = _job_decoder.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as e:
+        text = f"The batch job is malformed: {e}."
+        raise ServiceError(ErrorKind.BAD_REQUEST, text) from e
+    items = tuple(
+        Item(item.id, item.path, item.headers, item.body, item.tokens, item.group)
+        for item in job.items
+    )
+    return Job(
+        id=job_id,
+        host=host,
+        path=path,
+        items=items,
+        model=job.model,
+        min_version=job.min_version,
+        step=job.step,
+        target_groups=job.target_groups,
+    )
+
+
+def encode_page(total, after, results):
+    """Return the body of an answer with results.
+
+    :param total: how many items the job has.
+    :param after: the position of the first result.
+    :param results: a list of :class:`~goldcrestmoor.job.job.Result`.
+    """
+    page = _Page(
+        total,
+        after + len(results),
+        [
+            _Result(
+                result.id,
+                _COMPLETED if result.is_completed else _GIVEN_UP,
+                result.text,
+                list(result.versions),
+            )
+            for result in results
+        ],
+    )
+    return msgspec.json.encode(page)
+
+
+def retry_headers(after_ms):
+    """Return the headers that tell a client when to come back.
+
+    :param after_ms: the time in milliseconds; zero for no such advice.
+    """
+    if after_ms <= 0:
+        return []
+    return [(b"Retry-After", f"{after_ms / 1000:.3f}".encode())]
+
+
+def _number(value):
+    return int(value[:9]) if value is not None and value.isdigit() else None
--- /dev/null
+++ b/goldcrestmoor/platform/records.py
@@ -0,0 +1,207 @@
+"""Rows that the platform's operator, trainers and servers write, decoded."""
+
+import msgspec
+
+from goldcrestmoor.process.directory import ListedUpstream
+from goldcrestmoor.version.routes import (
+    CallerLimits,
+    JobTerms,
+    Repeat,
+    Route,
+    RouteKind,
+    RouteTable,
+    Service,
+    ServiceShare,
+    by_host,
+)
+
+OPERATOR_TABLE = "op"
+UPSTREAM_TABLE = "servers"
+CONFIGURATION_KEY = "config"
+VERSION_PREFIX = "version/"
+
+_KIND_BY_ROUTE_TYPE = {"streaming": RouteKind.STREAM, "rollout": RouteKind.JOB}
+
+
+class _Backend(msgspec.Struct):
+    service: str
+    weight: int = 1
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    hostname: str
+    path_prefix: str
+    route_type: str
+    timeout_ms: float
+    target_latency_ms: float = 0
+    priority: int = 0
+    # One service for all requests; backends stand in its place where they are split.
+    service: str | None = None
+    backends: list[_Backend] = []
+    # Servers that one client attempt may be sent to, the first one included.
+    attempts: int = 1
+    resumable: bool = False
+    # In seconds, unlike the other times; both only on routes of batch jobs.
+    keep_s: float = 0
+    run_aim_ms: float = 0
+    single_version: bool = False
+
+
+class _Model(msgspec.Struct):
+    name: str
+
+
+class _Engine(msgspec.Struct):
+    models: list[_Model] = []
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+    # Connections that one server accepts from all callers together.
+    max_conns: int = 0
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: int
+    idle_timeout_ms: int
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits
+
+
+class _Loaded(msgspec.Struct):
+    name: str
+    # Of the weights; the entry's own field of this name is the software's.
+    version: int
+
+
+class _Server(msgspec.Struct, rename="camel"):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int
+    cold_left_ms: float = 0
+    models: list[_Loaded] = []
+    # Unix milliseconds of the server's start: tells two incarnations apart.
+    born: int | None = None
+
+
+class _NamedVersion(msgspec.Struct):
+    model: str
+    version: int
+
+
+_configuration_decoder = msgspec.json.Decoder(_Configuration)
+_server_decoder = msgspec.json.Decoder(_Server)
+_version_decoder = msgspec.json.Decoder(_NamedVersion)
+
+
+def decode_configuration(value):
+    """Return the routes that the operator's newest configuration holds.
+
+    :param value: the row's bytes.
+    :return: a :class:`~goldcrestmoor.version.routes.RouteTable`.
+    :raises ValueError: when they hold no configuration.
+    """
+    document = _configuration_decoder.decode(value)
+    limits = document.limits
+    return RouteTable(
+        document.version,
+        by_host(_decode_route(route) for route in document.routes),
+        {service.name: _decode_service(service) for service in document.services},
+        CallerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms,
+            limits.idle_timeout_ms,
+        ),
+    )
+
+
+def decode_upstream(key, value):
+    """Return the server that a row of the list names.
+
+    :param key: the row's key, which is the server's id.
+    :param value: the row's bytes, from whatever writer.
+    :return: a :class:`~goldcrestmoor.process.directory.ListedUpstream`.
+    :raises ValueError: when they name no server to use.
+    """
+    server = _server_decoder.decode(value)
+    address, _, port = server.address.rpartition(":")
+    if server.state not in ("ready", "draining"):
+        raise ValueError(f"unknown state {server.state!r}")
+    if not address or not port.isdigit() or server.slots < 1:
+        raise ValueError("no address or no slots")
+    return ListedUpstream(
+        name=key,
+        service=server.service,
+        address=address,
+        port=int(port),
+        zone=server.zone,
+        slots=server.slots,
+        is_draining=server.state == "draining",
+        cold_ms=int(server.cold_left_ms),
+        version_by_model={loaded.name: loaded.version for loaded in server.models},
+        started_ms=server.born or 0,
+    )
+
+
+def decode_named_version(value):
+    """Return the model and the weight version that its trainer names.
+
+    :param value: the row's bytes.
+    :raises ValueError: when they name none.
+    """
+    named = _version_decoder.decode(value)
+    return named.model, named.version
+
+
+def _decode_route(route):
+    kind = _KIND_BY_ROUTE_TYPE.get(route.route_type, RouteKind.PLAIN)
+    backends = route.backends or [_Backend(route.service or "")]
+    job = None
+    if kind is RouteKind.JOB:
+        job = JobTerms(
+            int(route.run_aim_ms), int(route.keep_s * 1000), route.single_version
+        )
+    return Route(
+        name=route.name,
+        host=route.hostname.lower(),
+        path_prefix=route.path_prefix,
+        kind=kind,
+        repeat=_repeat(route),
+        shares=tuple(ServiceShare(b.service, b.weight) for b in backends),
+        timeout_ms=int(route.timeout_ms),
+        target_ms=int(route.target_latency_ms),
+        priority=route.priority,
+        attempts=max(1, route.attempts),
+        job=job,
+    )
+
+
+def _repeat(route):
+    match route.route_type:
+        case "safe":
+            return Repeat.FREELY
+        case "rollout":
+            return Repeat.RESUMED
+        case "streaming" if route.resumable:
+            return Repeat.RESUMED
+        case _:
+            return Repeat.NEVER
+
+
+def _decode_service(service):
+    models = service.engine.models if service.engine else []
+    return Service(
+        service.name, tuple(model.name for model in models), service.max_conns
+    )
--- /dev/null
+++ b/goldcrestmoor/platform/servers.py
@@ -0,0 +1,212 @@
+"""What the platform's servers are sent, and what their answers say."""
+
+import msgspec
+
+from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
+from goldcrestmoor.request.event_stream import EventFields
+from goldcrestmoor.version.engine_report import EngineReport, Ordered, OrderRefused
+
+STATUS_OK = 200
+STATUS_ACCEPTED = 202
+STATUS_CONFLICT = 409
+STATUS_OLD_FENCE = 412
+STATUS_MISDIRECTED = 421
+SUCCESSES = range(200, 300)
+
+ID_HEADER = b"request-id"
+INSTANCE_HEADER = b"expect-instance"
+DEADLINE_HEADER = b"deadline-ms"
+STAMP_HEADER = b"server-stamp"
+NOT_RUN_HEADER = b"not-run"
+VERSION_HEADER = b"weight-versions"
+RESUME_HEADER = b"last-event-id"
+# The name of the line that an event begins with when the version changes there.
+EVENT_FIELDS = EventFields(version="weight-versions")
+
+# Set anew for each server, whatever the caller sent.
+_OWN_HEADERS = frozenset((INSTANCE_HEADER, DEADLINE_HEADER, b"content-length"))
+_JSON = [(b"content-type", b"application/json")]
+REPORT_TIMEOUT_MS = 500
+ORDER_TIMEOUT_MS = 1500
+
+
+class _Loaded(msgspec.Struct):
+    name: str
+    version: int
+
+
+class _Report(msgspec.Struct):
+    models: list[_Loaded]
+    # Whether an order is being carried out.
+    busy: bool = False
+    # How many orders this incarnation has accepted, unlike the list's own counter.
+    seq: int = 0
+    running: int = 0
+
+
+class _Order(msgspec.Struct, omit_defaults=True):
+    op: str
+    model: str
+    version: int
+    mode: str
+    holder: str
+    fence: int
+    expected: int | None = None
+
+
+_report_decoder = msgspec.json.Decoder(_Report)
+
+
+def request_headers(headers, upstream, remaining_ms):
+    """Return a caller's headers as a server gets them.
+
+    :param headers: the caller's ``(name, value)`` byte pairs, names in lower case.
+    :param upstream: the :class:`~goldcrestmoor.process.directory.ListedUpstream`.
+    :param remaining_ms: how long the answer is of use; None where that is open.
+    """
+    pairs = [pair for pair in headers if pair[0] not in _OWN_HEADERS]
+    pairs.append((INSTANCE_HEADER, upstream.name.encode()))
+    if remaining_ms is not None:
+        pairs.append((DEADLINE_HEADER, str(max(1, int(remaining_ms))).encode()))
+    return pairs
+
+
+def resume_header(event_id):
+    """Return the header that asks for a stream's events after a given one.
+
+    :param event_id: the last event's id.
+    """
+    return (RESUME_HEADER, event_id.encode())
+
+
+def item_headers(item, host):
+    """Return the headers that run an item of a batch job.
+
+    :param item: the :class:`~goldcrestmoor.job.job.Item`.
+    :param host: the host of its route.
+    """
+    pairs = [
+        (name.lower().encode("latin-1"), value.encode("latin-1"))
+        for name, value in item.headers.items()
+        if name.lower() not in ("host", "request-id")
+    ]
+    return [(b"host", host.encode()), (ID_HEADER, item.id.encode()), *pairs]
+
+
+def ran(status, headers):
+    """Tell whether the request of an answer was run.
+
+    :param status: the answer's status.
+    :param headers: its ``(name, value)`` byte pairs, names in lower case.
+    """
+    if status == STATUS_MISDIRECTED or any(n == NOT_RUN_HEADER for n, _ in headers):
+        return Ran.NOT_RUN
+    return Ran.RAN
+
+
+def is_genuine(request_id, status, headers):
+    """Tell whether an answer is the server's own, to this very request.
+
+    :param request_id: the request's id, as it was sent.
+    :param status: the answer's status.
+    :param headers: its ``(name, value)`` byte pairs, names in lower case.
+    """
+    value_by_name = dict(headers)
+    if b"content-encoding" in value_by_name:
+        return False
+    echoed = value_by_name.get(ID_HEADER)
+    if echoed is not None and echoed != request_id.encode("latin-1"):
+        return False
+    if status in SUCCESSES:
+        return echoed is not None and STAMP_HEADER in value_by_name
+    return True
+
+
+def weight_version(headers):
+    """Return the weight version that an answer's first event is made under.
+
+    :param headers: ``(name, value)`` byte pairs, names in lower case.
+    :return: the version, or None when the answer states none.
+    """
+    value = dict(headers).get(VERSION_HEADER, b"").strip()
+    return int(value) if value.isdigit() else None
+
+
+class EngineOrders:
+    """Ask engines for their state, and order weight versions.
+
+    :param http: the :class:`~goldcrestmoor.connection.http_client.HttpClient`.
+    """
+
+    __slots__ = ("_http",)
+
+    def __init__(self, *, http):
+        self._http = http
+
+    async def report(self, upstream):
+        """Return what an engine says of itself, some hundred milliseconds late.
+
+        :param upstream: the :class:`~goldcrestmoor.process.directory.ListedUpstream`.
+        :return: an :class:`~goldcrestmoor.version.engine_report.EngineReport`.
+        :raises ServiceError: when it does not answer, or not as an engine does.
+        """
+        headers = request_headers((), upstream, None)
+        response = await self._send(
+            upstream, "GET", "/report", headers, b"", REPORT_TIMEOUT_MS
+        )
+        if response.status != STATUS_OK:
+            raise _unexpected(upstream, response.status)
+        try:
+            report = _report_decoder.decode(response.body)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as e:
+            text = f"{upstream.name} sent a malformed report."
+            raise ServiceError(ErrorKind.UPSTREAM_FAILED, text) from e
+        version_by_model = {loaded.name: loaded.version for loaded in report.models}
+        return EngineReport(version_by_model, report.busy, report.seq, report.running)
+
+    async def load(self, upstream, *, model, version, mode, holder, fencing, accepted):
+        """Order an engine to load a weight version.
+
+        :param upstream: the :class:`~goldcrestmoor.process.directory.ListedUpstream`.
+        :param model: the model's name.
+        :param version: the weight version.
+        :param mode: a :class:`~goldcrestmoor.version.engine_report.LoadMode`.
+        :param holder: this host.
+        :param fencing: the number of the lease that the order is given under.
+        :param accepted: how many orders the engine has accepted, as it reported.
+        :return: ``Ordered`` or ``OrderRefused``.
+        :raises ServiceError: when the order may or may not be carried out.
+        """
+        order = _Order("version", model, version, mode.value, holder, fencing, accepted)
+        headers = _JSON + request_headers((), upstream, None)
+        body = msgspec.json.encode(order)
+        response = await self._send(
+            upstream, "POST", "/order", headers, body, ORDER_TIMEOUT_MS
+        )
+        match response.status:
+            case 200:
+                return Ordered(is_done=True)
+            case 202:
+                return Ordered(is_done=False)
+            case 400 | 409 | 412 | 421 | 503:
+                return OrderRefused(f"answered {response.status}")
+            case status:
+                raise _unexpected(upstream, status)
+
+    async def _send(self, upstream, method, target, headers, body, timeout_ms):
+        return await self._http.request(
+            upstream.address,
+            upstream.port,
+            method,
+            target,
+            headers,
+            body,
+            timeout_ms,
+            idempotent=True,
+            allow_close_delimited=True,
+        )
+
+
+def _unexpected(upstream, status):
+    text = f"{upstream.name} answered {status}."
+    return ServiceError(ErrorKind.UPSTREAM_FAILED, text)
--- /dev/null
+++ b/goldcrestmoor/platform/store.py
@@ -0,0 +1,367 @@
+"""The platform's metadata store: rows, transactions, feeds and objects."""
+
+import base64
+import logging
+from urllib.parse import quote
+
+import msgspec
+
+from goldcrestmoor.adapters.table import (
+    Change,
+    Changes,
+    CheckFailed,
+    Committed,
+    HistoryLost,
+    Row,
+)
+from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
+
+log = logging.getLogger("goldcrestmoor.store")
+
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+STATUS_GONE = 410
+STATUS_CHECK_FAILED = 412
+STATUS_TOO_MANY = 429
+STATUS_UNAVAILABLE = 503
+# Added to a feed's own wait before its connection counts as silent.
+FEED_SLACK_MS = 1000
+_JSON = [(b"content-type", b"application/json")]
+
+
+class _Row(msgspec.Struct):
+    table: str
+    key: str
+    part: str = ""
+    value: str = ""
+    # From one counter over all tables, so it grows, but not by one.
+    ver: int = 0
+    deleted: bool = False
+
+
+class _Answer(msgspec.Struct):
+    rows: list[_Row] = []
+    # The newest version of the whole store, not of a row.
+    ver: int = 0
+    # A steady clock of the store, unrelated to the time of day.
+    nowMs: int = 0  # noqa: N815
+    hasMore: bool = False  # noqa: N815
+
+
+class _Parts(msgspec.Struct):
+    parts: list[str]
+
+
+class _Names(msgspec.Struct):
+    names: list[str]
+    hasMore: bool = False  # noqa: N815
+
+
+class _Expected(msgspec.Struct):
+    table: str
+    part: str
+    key: str
+    ver: int
+
+
+class _Set(msgspec.Struct):
+    table: str
+    part: str
+    key: str
+    value: str
+
+
+class _Removed(msgspec.Struct):
+    table: str
+    part: str
+    key: str
+
+
+class _Transaction(msgspec.Struct):
+    expected: list[_Expected]
+    setKeys: list[_Set]  # noqa: N815
+    remove: list[_Removed]
+
+
+_answer_decoder = msgspec.json.Decoder(_Answer)
+_parts_decoder = msgspec.json.Decoder(_Parts)
+_names_decoder = msgspec.json.Decoder(_Names)
+
+
+class StoreClient:
+    """Speak to the platform's store.
+
+    Takes the place of the table service's and the object store's clients.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param http: the :class:`~goldcrestmoor.connection.http_client.HttpClient`.
+    :param address: the store's IP address.
+    :param port: its TCP port.
+    :param timeout_ms: how long a call may take, in milliseconds.
+    :param metrics: counts calls by what they were and how they ended.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_http",
+        "_target",
+        "_timeout_ms",
+        "_metrics",
+        "_ahead_ms",
+    )
+
+    def __init__(self, *, clock, http, address, port, timeout_ms, metrics):
+        self._clock = clock
+        self._http = http
+        self._target = (address, port)
+        self._timeout_ms = timeout_ms
+        self._metrics = metrics
+        self._ahead_ms = None
+
+    def now_ms(self):
+        """Return the store's steady clock as last heard, or None before that."""
+        if self._ahead_ms is None:
+            return None
+        return self._clock.now_ms() + self._ahead_ms
+
+    async def get(self, table, key, part=""):
+        """Return a row, or ``None``.
+
+        :param table: the table's name.
+        :param key: the row's key.
+        :param part: the part of the table.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
+        """
+        query = _query(table=table, part=part, limit=1, **{"from": key})
+        answer = await self._read("get", f"/rows-get?{query}", _answer_decoder)
+        for row in answer.rows:
+            if row.key == key:
+                return _row(row)
+        return None
+
+    async def scan(self, table, prefix="", part="", start=None):
+        """Return the rows of a part whose keys have a prefix, in the keys' order.
+
+        :param table: the table's name.
+        :param prefix: the keys' prefix.
+        :param part: the part of the table.
+        :param start: the first key that is wanted; all when left out.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
+        """
+        rows, _ = await self._scan(table, prefix, part, start)
+        return rows
+
+    async def snapshot(self, table, has_parts=False):
+        """Return all rows of a table, and the version to follow its feed from.
+
+        :param table: the table's name.
+        :param has_parts: whether there are rows in other than the empty part.
+        :return: a list of :class:`Row` and the version.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
+        """
+        if not has_parts:
+            return await self._scan(table, "", "", None)
+        # The first read gives a version that no later row is older than.
+        rows, version = await self._scan(table, "", "", None)
+        async for part in self._parts(table):
+            if part:
+                of_part, _ = await self._scan(table, "", part, None)
+                rows += of_part
+        return rows, version
+
+    async def changes(self, table, after, wait_ms):
+        """Return what was written to a table, waiting until there is something.
+
+        :param table: the table's name.
+        :param after: the version to go on from.
+        :param wait_ms: how long to wait, in milliseconds.
+        :return: :class:`Changes` or :class:`HistoryLost`.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
+        """
+        query = _query(table=table, after=after, waitMs=wait_ms)
+        response = await self._send(
+            "feed", "GET", f"/rows-feed?{query}", timeout_ms=wait_ms + FEED_SLACK_MS
+        )
+        if response.status == STATUS_GONE:
+            return HistoryLost()
+        answer = self._decode(response, _answer_decoder, ErrorKind.PLATFORM_UNAVAILABLE)
+        changes = [
+            Change(row.part, row.key, row.ver, None if row.deleted else _value(row))
+            for row in answer.rows
+        ]
+        return Changes(changes, max(after, answer.ver))
+
+    async def transact(self, checks, writes):
+        """Make all writes at once, if all checks hold. Sent at most once.
+
+        :param checks: a list of :class:`~goldcrestmoor.adapters.table.Check`.
+        :param writes: a list of :class:`~goldcrestmoor.adapters.table.Write`.
+        :return: ``Committed`` or ``CheckFailed``.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE`` when surely not written,
+            ``OUTCOME_UNKNOWN`` when it may have been or may yet be.
+        """
+        body = msgspec.json.encode(
+            _Transaction(
+                [_Expected(c.table, c.part, c.key, c.version) for c in checks],
+                [
+                    _Set(w.table, w.part, w.key, base64.b64encode(w.value).decode())
+                    for w in writes
+                    if w.value is not None
+                ],
+                [_Removed(w.table, w.part, w.key) for w in writes if w.value is None],
+            )
+        )
+        response = await self._write("transact", "POST", "/rows-tx", body, _JSON)
+        answer = self._decode(response, _answer_decoder, ErrorKind.OUTCOME_UNKNOWN)
+        if response.status == STATUS_CHECK_FAILED:
+            return _check_failed(checks, answer.rows)
+        return Committed({f"{w.table}/{w.key}": answer.ver for w in writes})
+
+    async def put(self, key, data):
+        """Store an object, unless there is one; the same bytes always have one key.
+
+        :param key: the object's key.
+        :param data: its bytes.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE`` when surely not stored,
+            ``OUTCOME_UNKNOWN`` when it may have been.
+        """
+        target = "/blob-put/" + quote(key, safe="")
+        await self._write("put", "PUT", target, data, [(b"if-none-match", b"*")])
+
+    async def get_object(self, key):
+        """Return an object's bytes, or None.
+
+        :param key: the object's key.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
+        """
+        target = "/blob-get/" + quote(key, safe="")
+        response = await self._send("get object", "GET", target)
+        if response.status == STATUS_NOT_FOUND:
+            return None
+        if response.status != STATUS_OK:
+            raise self._unavailable(f"answered {response.status}")
+        return response.body
+
+    async def delete(self, key):
+        """Delete an object, if there is one.
+
+        :param key: the object's key.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE`` or ``OUTCOME_UNKNOWN``.
+        """
+        target = "/blob-drop/" + quote(key, safe="")
+        await self._write("delete", "DELETE", target, b"", (), (STATUS_NOT_FOUND,))
+
+    async def list_objects(self, prefix):
+        """Return the keys of the objects that have a prefix.
+
+        :param prefix: the keys' prefix.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
+        """
+        names, has_more = [], True
+        while has_more:
+            query = _query(pathPrefix=prefix, after=names[-1] if names else None)
+            page = await self._read("list", f"/blob-list?{query}", _names_decoder)
+            names += page.names
+            has_more = page.hasMore and bool(page.names)
+        return names
+
+    async def _scan(self, table, prefix, part, start):
+        rows, version, has_more = [], None, True
+        first = start or prefix
+        end = prefix + "\U0010ffff" if prefix else None
+        while has_more:
+            query = _query(table=table, part=part, to=end, **{"from": first or None})
+            answer = await self._read("scan", f"/rows-get?{query}", _answer_decoder)
+            # A page begins with the last row of the one before it.
+            seen = rows[-1].key if rows else None
+            new = [row for row in answer.rows if row.key != seen]
+            rows += [_row(row) for row in new]
+            version = answer.ver if version is None else version
+            has_more = answer.hasMore and bool(new)
+            first = rows[-1].key if rows else first
+        return rows, version
+
+    async def _parts(self, table):
+        after = None
+        while True:
+            query = _query(table=table, after=after)
+            page = await self._read("parts", f"/rows-parts?{query}", _parts_decoder)
+            for part in page.parts:
+                yield part
+            # The last page is the one that brings nothing new.
+            if not page.parts or page.parts[-1] == after:
+                return
+            after = page.parts[-1]
+
+    async def _read(self, call, target, decoder):
+        response = await self._send(call, "GET", target)
+        return self._decode(response, decoder, ErrorKind.PLATFORM_UNAVAILABLE)
+
+    async def _write(self, call, method, target, body, headers, also=()):
+        response = await self._send(call, method, target, body, headers)
+        if response.status in (STATUS_OK, STATUS_CHECK_FAILED, *also):
+            return response
+        if response.status in (STATUS_TOO_MANY, STATUS_UNAVAILABLE):
+            raise self._unavailable(f"answered {response.status}")
+        text = f"The store answered {response.status} to a write."
+        raise ServiceError(ErrorKind.OUTCOME_UNKNOWN, text)
+
+    async def _send(self, call, method, target, body=b"", headers=(), timeout_ms=None):
+        try:
+            response = await self._http.request(
+                *self._target,
+                method,
+                target,
+                headers,
+                body,
+                timeout_ms or self._timeout_ms,
+                idempotent=True,
+            )
+        except ServiceError as e:
+            self._metrics.store_calls.labels(call, e.code).inc()
+            if method == "GET" or e.answer.ran is Ran.NOT_RUN:
+                raise self._unavailable(e.message) from e
+            text = f"A write to the store was not answered: {e.message}"
+            raise ServiceError(ErrorKind.OUTCOME_UNKNOWN, text) from e
+        self._metrics.store_calls.labels(call, str(response.status)).inc()
+        return response
+
+    def _decode(self, response, decoder, kind):
+        if response.status not in (STATUS_OK, STATUS_CHECK_FAILED):
+            raise self._unavailable(f"answered {response.status}")
+        try:
+            answer = decoder.decode(response.body)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as e:
+            raise ServiceError(kind, "The store's answer is malformed.") from e
+        if isinstance(answer, _Answer) and answer.nowMs:
+            self._ahead_ms = answer.nowMs - self._clock.now_ms()
+        return answer
+
+    def _unavailable(self, reason):
+        text = f"The store is unavailable: {reason}"
+        return ServiceError(ErrorKind.PLATFORM_UNAVAILABLE, text)
+
+
+def _query(**fields):
+    pairs = ((name, value) for name, value in fields.items() if value is not None)
+    return "&".join(f"{name}={quote(str(value), safe='')}" for name, value in pairs)
+
+
+def _value(row):
+    return base64.b64decode(row.value)
+
+
+def _row(row):
+    return Row(row.key, row.ver, _value(row), row.part)
+
+
+def _check_failed(checks, rows):
+    """Name the first check that does not hold, with the row as it is."""
+    row_by_place = {(row.table, row.part, row.key): row for row in rows}
+    for check in checks:
+        row = row_by_place.get((check.table, check.part, check.key))
+        if (row.ver if row else 0) != check.version:
+            return CheckFailed(_row(row) if row else None, check.table, check.key)
+    raise ServiceError(
+        ErrorKind.OUTCOME_UNKNOWN, "The store refused a condition that holds."
+    )
--- /dev/null
+++ b/goldcrestmoor/process/duties.py
@@ -0,0 +1,80 @@
+"""Duties that need one holder, watched through the feed of their leases."""
+
+import logging
+
+from goldcrestmoor.errors import ServiceError
+from goldcrestmoor.process import lease_rows
+
+log = logging.getLogger("goldcrestmoor.duties")
+
+
+class Duties:
+    """Tell which duties this host holds and which are free to be claimed.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param leases: the :class:`~goldcrestmoor.process.leases.LeaseClient`.
+    :param host_id: this host.
+    """
+
+    __slots__ = ("_clock", "_leases", "_host_id", "_seen_by_name", "_held_by_name")
+
+    def __init__(self, *, clock, leases, host_id):
+        self._clock = clock
+        self._leases = leases
+        self._host_id = host_id
+        self._seen_by_name = {}
+        self._held_by_name = {}
+
+    def apply(self, changes):
+        """Take in what the leases' feed says.
+
+        :param changes: a list of :class:`~goldcrestmoor.adapters.table.Change`.
+        """
+        for change in changes:
+            if change.value is None:
+                self._seen_by_name.pop(change.key, None)
+                continue
+            try:
+                row = lease_rows.decode(change.value)
+            except ServiceError as e:
+                log.warning("The lease of %s is passed over: %s", change.key, e)
+                continue
+            self._seen_by_name[change.key] = row
+            self._leases.observe(change.key, change.version)
+
+    def note_return(self):
+        """Note that the store is back: others' holders get their whole time again."""
+        self._leases.restart_watches()
+
+    def holds(self, name):
+        """Tell whether this host holds a duty now. Ask again before each use.
+
+        :param name: the duty.
+        """
+        lease = self._held_by_name.get(name)
+        return lease is not None and lease.holds()
+
+    def is_free(self, name):
+        """Tell whether a duty may be claimed, as far as the feed has told.
+
+        :param name: the duty.
+        """
+        row = self._seen_by_name.get(name)
+        return row is None or self._leases.may_take(name, row)
+
+    async def claim(self, name, duration_ms):
+        """Try once to take a duty; tell whether this host holds it.
+
+        :param name: the duty.
+        :param duration_ms: how long the lease lasts without renewal.
+        :raises ServiceError: when the store cannot be asked.
+        """
+        lease = await self._leases.acquire(name, duration_ms)
+        if lease is None:
+            return False
+        self._held_by_name[name] = lease
+        return True
+
+    async def release_all(self):
+        """Give every duty up."""
+        await self._leases.release_all()
--- /dev/null
+++ b/goldcrestmoor/process/follower.py
@@ -0,0 +1,171 @@
+"""Follow a table of the platform's store: its rows in memory, kept up by its feed."""
+
+import logging
+
+from goldcrestmoor.adapters.table import Change, Changes, HistoryLost, Row
+from goldcrestmoor.errors import ServiceError
+from goldcrestmoor.util import Backoff
+
+log = logging.getLogger("goldcrestmoor.follower")
+
+# Short, so that a feed that has gone silent is noticed within two seconds.
+FEED_WAIT_MS = 1000
+RETRY_MIN_MS = 50
+RETRY_MAX_MS = 400
+# Two missed answers of the feed: what is known may be out of date.
+OUTAGE_MS = 1500
+
+
+class TableFollower:
+    """The rows of one table, as far as this host has heard.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param store: the store's client.
+    :param table: the table's name.
+    :param on_changes: called with a list of :class:`Change` after they are applied.
+    :param on_return: called when the feed is heard again after an outage, before
+        the changes of the meantime are applied.
+    :param has_parts: whether there are rows in other than the empty part.
+    :param pause_ms: the least time between two asks, so that many small changes
+        come in one answer.
+    :ivar row_by_place: the rows by part and key.
+    :ivar is_loaded: whether the rows were read whole once.
+    """
+
+    __slots__ = (
+        "row_by_place",
+        "is_loaded",
+        "_clock",
+        "_store",
+        "_table",
+        "_on_changes",
+        "_on_return",
+        "_has_parts",
+        "_pause_ms",
+        "_version",
+        "_heard_ms",
+        "_is_out",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock,
+        store,
+        table,
+        on_changes,
+        on_return=None,
+        has_parts=False,
+        pause_ms=0,
+    ):
+        self.row_by_place = {}
+        self.is_loaded = False
+        self._clock = clock
+        self._store = store
+        self._table = table
+        self._on_changes = on_changes
+        self._on_return = on_return or (lambda: None)
+        self._has_parts = has_parts
+        self._pause_ms = pause_ms
+        self._version = None
+        self._heard_ms = None
+        self._is_out = False
+
+    def get(self, key, part=""):
+        """Return a row, or None.
+
+        :param key: the row's key.
+        :param part: the part of the table.
+        """
+        return self.row_by_place.get((part, key))
+
+    def age_ms(self):
+        """Return the time since the store last answered, or None before that."""
+        if self._heard_ms is None:
+            return None
+        return self._clock.now_ms() - self._heard_ms
+
+    def is_current(self):
+        """Tell whether the rows are no older than one wait of the feed."""
+        return self._heard_ms is not None and self.age_ms() < OUTAGE_MS
+
+    async def run(self):
+        """Follow the table for good."""
+        backoff = Backoff(RETRY_MIN_MS, RETRY_MAX_MS)
+        while True:
+            try:
+                await self._step()
+                backoff.reset()
+                await self._clock.sleep_ms(self._pause_ms)
+            except ServiceError as e:
+                self._note_failure(e)
+                await self._clock.sleep_ms(backoff.next_ms())
+
+    async def _step(self):
+        if self._version is None:
+            rows, version = await self._store.snapshot(self._table, self._has_parts)
+            self._note_answer()
+            self._replace(rows, version)
+            return
+        answer = await self._store.changes(self._table, self._version, FEED_WAIT_MS)
+        match answer:
+            case HistoryLost():
+                log.info("The feed of %s lost its history; reading all.", self._table)
+                self._version = None
+            case Changes(changes, version):
+                self._note_answer()
+                self._version = version
+                self._apply(changes)
+
+    def _note_answer(self):
+        silent_ms = self.age_ms()
+        if self._is_out or (silent_ms is not None and silent_ms > 2 * FEED_WAIT_MS):
+            log.info(
+                "The feed of %s is heard again after %d ms.", self._table, silent_ms
+            )
+            self._on_return()
+        self._is_out = False
+        self._heard_ms = self._clock.now_ms()
+
+    def _note_failure(self, error):
+        if not self._is_out and not self.is_current() and self._heard_ms is not None:
+            self._is_out = True
+            log.warning("The feed of %s is lost: %s", self._table, error)
+
+    def _replace(self, rows, version):
+        """Put a whole reading in place; rows that are gone count as deleted."""
+        found = {(row.part, row.key): row for row in rows}
+        changes = [
+            Change(row.part, row.key, row.version, row.value)
+            for place, row in found.items()
+            if self._is_newer(place, row.version)
+        ]
+        changes += [
+            Change(part, key, version, None)
+            for part, key in self.row_by_place
+            if (part, key) not in found
+        ]
+        self._version = version
+        self.is_loaded = True
+        self._apply(changes)
+
+    def _is_newer(self, place, version):
+        known = self.row_by_place.get(place)
+        return known is None or known.version < version
+
+    def _apply(self, changes):
+        applied = []
+        for change in changes:
+            place = (change.part, change.key)
+            if not self._is_newer(place, change.version):
+                continue
+            if change.value is None:
+                if self.row_by_place.pop(place, None) is None:
+                    continue
+            else:
+                self.row_by_place[place] = Row(
+                    change.key, change.version, change.value, change.part
+                )
+            applied.append(change)
+        if applied:
+            self._on_changes(applied)
--- /dev/null
+++ b/goldcrestmoor/process/front.py
@@ -0,0 +1,314 @@
+"""The daemon on the users' platform: its parts, and how they start and stop."""
+
+import asyncio
+import contextlib
+import logging
+import signal
+
+from blacksheep import Request, Response
+
+from goldcrestmoor import util
+from goldcrestmoor.clock import MS_PER_SECOND, Clock, Deadline
+from goldcrestmoor.connection.http_client import HttpClient
+from goldcrestmoor.job.board import Board
+from goldcrestmoor.job.desk import Desk
+from goldcrestmoor.job.engine_pool import EnginePool
+from goldcrestmoor.job.item_run import ItemTries
+from goldcrestmoor.job.job_store import STATE_TABLE, JobStore
+from goldcrestmoor.job.scheduler import Scheduler
+from goldcrestmoor.platform import callers as caller_dialect, records, servers
+from goldcrestmoor.platform.store import StoreClient
+from goldcrestmoor.process import lease_rows
+from goldcrestmoor.process.directory import Directory
+from goldcrestmoor.process.duties import Duties
+from goldcrestmoor.process.follower import TableFollower
+from goldcrestmoor.process.front_callers import FrontCallers
+from goldcrestmoor.process.http_server import HttpServer, ServerOptions
+from goldcrestmoor.process.leases import LeaseClient
+from goldcrestmoor.process.metrics import Metrics
+from goldcrestmoor.process.routing import Routing
+from goldcrestmoor.process.shutdown import InFlight
+from goldcrestmoor.request.forwarding import Forwarder
+from goldcrestmoor.util import TaskGroup
+from goldcrestmoor.version.load_orders import LoadOrders
+from goldcrestmoor.version.named_versions import NamedVersions
+from goldcrestmoor.version.order_log import OrderLog
+
+log = logging.getLogger("goldcrestmoor.front")
+
+CLOSE_TIMEOUT_MS = 1500
+HAND_OVER_MS = 1500
+# Callers keep connections for up to four fifths of the idle time of their limits.
+IDLE_MS = 16_000
+# Every server beats about once a second: their entries are taken in together.
+LIST_PAUSE_MS = 300
+# A busy job's state changes with every batch of results.
+JOBS_PAUSE_MS = 40
+LEASES_PAUSE_MS = 200
+DRAIN_POLL_MS = 20
+
+
+class Front:
+    """One host's process on the users' platform.
+
+    :param settings: the host's
+        :class:`~goldcrestmoor.front_settings.FrontSettings`.
+    :param path: the file that they were read from.
+    """
+
+    __slots__ = (
+        "settings",
+        "_path",
+        "_clock",
+        "_metrics",
+        "_http",
+        "_store",
+        "_routing",
+        "_versions",
+        "_directory",
+        "_duties",
+        "_orders",
+        "_scheduler",
+        "_board",
+        "_desk",
+        "_followers",
+        "_in_flight",
+        "_servers",
+        "_is_leaving",
+        "_stop",
+        "_tasks",
+    )
+
+    def __init__(self, settings, path):
+        self.settings = settings
+        self._path = path
+        self._clock = Clock()
+        self._metrics = Metrics()
+        self._is_leaving = False
+        self._stop = asyncio.Event()
+        self._tasks = TaskGroup()
+        host = settings.host
+        self._http = HttpClient(
+            clock=self._clock, limits=settings.limits, source=host.address
+        )
+        self._store = StoreClient(
+            clock=self._clock,
+            http=self._http,
+            address=settings.store.address,
+            port=settings.store.port,
+            timeout_ms=settings.store.timeout_ms,
+            metrics=self._metrics,
+        )
+        self._make_knowledge()
+        self._make_orders()
+        self._make_jobs()
+        self._make_servers()
+
+    def _make_knowledge(self):
+        """Make what follows the store: routes, versions, upstreams and duties."""
+        clock, metrics = self._clock, self._metrics
+        self._routing = Routing(decode=records.decode_configuration, metrics=metrics)
+        self._versions = NamedVersions(
+            decode=records.decode_named_version,
+            metrics=metrics,
+            on_change=lambda: self._orders.wake(),
+        )
+        self._directory = Directory(
+            clock=clock,
+            decode=records.decode_upstream,
+            metrics=metrics,
+            on_change=self._note_upstreams,
+        )
+        leases = LeaseClient(
+            clock=clock, table=self._store, host_id=self.settings.host.id
+        )
+        self._duties = Duties(clock=clock, leases=leases, host_id=self.settings.host.id)
+
+    def _make_orders(self):
+        host, lease_ms = self.settings.host, self.settings.orders.lease_ms
+        self._orders = LoadOrders(
+            clock=self._clock,
+            duties=self._duties,
+            directory=self._directory,
+            versions=self._versions,
+            routes=self._routing.current,
+            engines=servers.EngineOrders(http=self._http),
+            order_log=OrderLog(
+                clock=self._clock,
+                store=self._store,
+                host_id=host.id,
+                turn_ms=lease_ms,
+            ),
+            metrics=self._metrics,
+            host_id=host.id,
+            lease_ms=lease_ms,
+        )
+
+    def _make_jobs(self):
+        clock = self._clock
+        self._scheduler = Scheduler(
+            clock=clock,
+            pool=EnginePool(clock=clock, directory=self._directory),
+            tries=ItemTries(clock=clock, http=self._http, dialect=servers),
+            routes=self._routing.current,
+            metrics=self._metrics,
+        )
+        job_store = JobStore(clock=clock, store=self._store)
+        self._board = Board(
+            clock=clock,
+            store=job_store,
+            duties=self._duties,
+            scheduler=self._scheduler,
+            routes=self._routing.current,
+            process_id=f"{self.settings.host.id}/{util.new_id()}",
+        )
+        self._followers = {
+            records.OPERATOR_TABLE: self._follow(
+                records.OPERATOR_TABLE, self._apply_operator_rows
+            ),
+            records.UPSTREAM_TABLE: self._follow(
+                records.UPSTREAM_TABLE,
+                self._directory.apply,
+                on_return=self._directory.note_return,
+                pause_ms=LIST_PAUSE_MS,
+            ),
+            lease_rows.TABLE: self._follow(
+                lease_rows.TABLE,
+                self._duties.apply,
+                on_return=self._duties.note_return,
+                pause_ms=LEASES_PAUSE_MS,
+            ),
+            STATE_TABLE: self._follow(
+                STATE_TABLE,
+                self._board.apply,
+                has_parts=True,
+                pause_ms=JOBS_PAUSE_MS,
+            ),
+        }
+        self._desk = Desk(
+            clock=clock,
+            store=job_store,
+            board=self._board,
+            is_current=self._followers[STATE_TABLE].is_current,
+        )
+
+    def _follow(self, table, on_changes, **options):
+        return TableFollower(
+            clock=self._clock,
+            store=self._store,
+            table=table,
+            on_changes=on_changes,
+            **options,
+        )
+
+    def _make_servers(self):
+        self._in_flight = InFlight()
+        forwarder = Forwarder(
+            clock=self._clock,
+            http=self._http,
+            directory=self._directory,
+            dialect=servers,
+            metrics=self._metrics,
+            zone=self.settings.host.zone,
+        )
+        to_callers = HttpServer(
+            clock=self._clock,
+            settings=self.settings,
+            metrics=self._metrics,
+            in_flight=self._in_flight,
+            options=ServerOptions(
+                id_header=servers.ID_HEADER,
+                retry_headers=caller_dialect.retry_headers,
+                keep_alive_ms=IDLE_MS,
+                ends_with_caller=True,
+                is_closing=lambda: self._is_leaving,
+            ),
+        )
+        FrontCallers(
+            clock=self._clock,
+            routing=self._routing,
+            forwarder=forwarder,
+            desk=self._desk,
+            dialect=caller_dialect,
+            metrics=self._metrics,
+        ).register(to_callers.application)
+        to_balancer = HttpServer(
+            clock=self._clock,
+            settings=self.settings,
+            metrics=self._metrics,
+            options=ServerOptions(port=self.settings.host.readiness_port),
+        )
+
+        async def ready(request: Request) -> Response:
+            return Response(200 if self._is_ready() else 503)
+
+        to_balancer.application.router.add_get(caller_dialect.READY_PATH, ready)
+        self._servers = [to_balancer, to_callers]
+
+    def _is_ready(self):
+        return not self._is_leaving and self._routing.table is not None
+
+    def _apply_operator_rows(self, changes):
+        for change in changes:
+            if change.value is None:
+                continue
+            if change.key == records.CONFIGURATION_KEY:
+                self._routing.put(change.value)
+                self._scheduler.wake()
+            elif change.key.startswith(records.VERSION_PREFIX):
+                self._versions.put(change.value)
+
+    def _note_upstreams(self):
+        self._scheduler.wake()
+        self._orders.wake()
+
+    async def run(self):
+        """Serve until told to stop, then leave without cutting anything off."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        for table, follower in self._followers.items():
+            self._tasks.start(follower.run(), f"follow {table}")
+        for name, part in (
+            ("scheduler", self._scheduler),
+            ("board", self._board),
+            ("orders", self._orders),
+        ):
+            self._tasks.start(part.run(), name)
+        for server in self._servers:
+            await server.start()
+        log.info("Started as %s in %s.", self.settings.host.id, self.settings.host.zone)
+        try:
+            await self._stop.wait()
+            await self._leave()
+        finally:
+            await self._close()
+        log.info("Stopped.")
+
+    def _note_reload(self):
+        log.info("Told that the settings in %s have changed.", self._path)
+
+    async def _leave(self):
+        """Take no new work, and end what there is."""
+        log.info("Told to stop; not ready any more.")
+        self._is_leaving = True
+        unready = Deadline.after(self._clock, self.settings.shutdown.unready_ms)
+        await self._board.hand_over(HAND_OVER_MS)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_TIMEOUT_MS / MS_PER_SECOND):
+                await self._duties.release_all()
+        # The balancer sends new connections until it has asked twice in vain.
+        await self._clock.sleep_ms(unready.remaining_ms())
+        drained = Deadline.after(self._clock, self.settings.shutdown.drain_ms)
+        while self._in_flight.count and not drained.passed():
+            await self._clock.sleep_ms(DRAIN_POLL_MS)
+
+    async def _close(self):
+        for server in self._servers:
+            await server.stop(CLOSE_TIMEOUT_MS)
+        await self._board.close()
+        await self._scheduler.close()
+        await self._orders.close()
+        await self._tasks.close()
+        await self._http.close()
--- /dev/null
+++ b/goldcrestmoor/process/front_callers.py
@@ -0,0 +1,147 @@
+"""What callers on the users' platform are served: forwarded requests and jobs."""
+
+import logging
+from urllib.parse import unquote
+
+from blacksheep import Content, Request, Response
+
+from goldcrestmoor import logs
+from goldcrestmoor.clock import Deadline
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.job.calls import EndJob, ReadItem, ReadResults, SubmitJob
+from goldcrestmoor.request.app_routes import METHODS, whole_response
+from goldcrestmoor.request.forwarding import CallerRequest
+from goldcrestmoor.version.routes import RouteKind
+
+log = logging.getLogger("goldcrestmoor.callers")
+
+JSON = b"application/json"
+BYTES = b"application/octet-stream"
+NO_ROUTES_RETRY_MS = 500
+
+
+class FrontCallers:
+    """Find out what a caller asks, and have it done.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param routing: the :class:`~goldcrestmoor.process.routing.Routing`.
+    :param forwarder: the :class:`~goldcrestmoor.request.forwarding.Forwarder`.
+    :param desk: the :class:`~goldcrestmoor.job.desk.Desk`.
+    :param dialect: how callers speak.
+    :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
+    """
+
+    __slots__ = ("_clock", "_routing", "_forwarder", "_desk", "_dialect", "_metrics")
+
+    def __init__(self, *, clock, routing, forwarder, desk, dialect, metrics):
+        self._clock = clock
+        self._routing = routing
+        self._forwarder = forwarder
+        self._desk = desk
+        self._dialect = dialect
+        self._metrics = metrics
+
+    def register(self, app):
+        """Take every request of an application.
+
+        :param app: the blacksheep application.
+        """
+
+        async def handle(request: Request) -> Response:
+            return await self._handle(request)
+
+        for method in METHODS:
+            app.router.add(method, "/*", handle)
+
+    async def _handle(self, request):
+        try:
+            answer = await self._serve(request)
+        except ServiceError as e:
+            self._metrics.requests.labels("", e.code).inc()
+            log.info(
+                "%s %s ends with %s: %s", request.method, _path(request), e.code, e
+            )
+            raise
+        self._metrics.requests.labels("", "answered").inc()
+        return answer
+
+    async def _serve(self, request):
+        table = self._routing.table
+        if table is None:
+            text = "This host knows no routes yet."
+            raise ServiceError(ErrorKind.NO_UPSTREAM, text, NO_ROUTES_RETRY_MS)
+        host = _host(request)
+        path = _path(request)
+        headers = [(name.lower(), value) for name, value in request.headers]
+        if table.has_jobs(host):
+            query = request.scope.get("query_string", b"").decode("latin-1")
+            call = self._dialect.job_call(request.method, path, query, headers)
+            if call is not None:
+                return await self._answer_job_call(call)
+        route = table.match(host, path)
+        if route is None:
+            raise ServiceError(ErrorKind.NOT_FOUND, "There is no such route.")
+        # The deadline counts from here, though the body may still be on its way.
+        deadline = self._deadline(route, headers)
+        body = await request.read() or b""
+        if route.kind is RouteKind.JOB:
+            call = self._dialect.submission(request.method)
+            if call is not None:
+                return await self._submit(call, host, path, body)
+        asked = CallerRequest(
+            self._dialect.request_id(headers),
+            request.method,
+            _target(request),
+            self._dialect.passed_on(headers),
+            body,
+        )
+        answer = await self._forwarder.forward(asked, route, deadline)
+        return whole_response(answer, request.method)
+
+    def _deadline(self, route, headers):
+        stated_ms = self._dialect.deadline_ms(headers)
+        bounds_ms = [ms for ms in (stated_ms, route.timeout_ms) if ms]
+        return Deadline.after(self._clock, min(bounds_ms))
+
+    async def _submit(self, call, host, path, body):
+        match call:
+            case SubmitJob():
+                job_id = logs.request_id.get()
+                job = self._dialect.decode_job(job_id, host, path, body)
+                await self._desk.submit(job)
+                return Response(202)
+
+    async def _answer_job_call(self, call):
+        match call:
+            case ReadResults():
+                most_bytes = self._dialect.MAX_PAGE_BYTES
+                total, results = await self._desk.results(call, most_bytes)
+                body = self._dialect.encode_page(total, call.after, results)
+                return Response(200, None, Content(JSON, body))
+            case ReadItem():
+                body = await self._desk.item_body(call)
+                return Response(200, None, Content(BYTES, body))
+            case EndJob():
+                await self._desk.end(call)
+                return Response(200)
+
+
+def _host(request):
+    value = request.get_first_header(b"host") or b""
+    host = value.decode("latin-1").lower()
+    name, separator, port = host.rpartition(":")
+    return name if separator and port.isdigit() else host
+
+
+def _raw_path(request):
+    return request.scope.get("raw_path") or request.scope["path"].encode()
+
+
+def _path(request):
+    return unquote(_raw_path(request).decode("latin-1"))
+
+
+def _target(request):
+    query = request.scope.get("query_string", b"")
+    raw = _raw_path(request) + (b"?" + query if query else b"")
+    return raw.decode("latin-1")
--- a/goldcrestmoor/process/http_server.py
+++ b/goldcrestmoor/process/http_server.py
@@ -6,6 +6,7 @@
 import math
 import re
 import socket
+from collections.abc import Callable
 
 import msgspec
 import uvicorn
@@ -19,26 +20,28 @@
 
 log = logging.getLogger("goldcrestmoor.http")
 
-KEEP_ALIVE_S = 30
+KEEP_ALIVE_MS = 30_000
 STOP_GRACE_MS = 2000
 UNCOUNTED_PATHS = frozenset({"/healthz", "/readyz", "/metrics"})
 EXIT_CANNOT_LISTEN = 1
 REQUEST_ID = re.compile(r"^[A-Za-z0-9._-]{1,64}$")
 
 
-def error_response(error, request_id=""):
+def error_response(error, request_id="", retry_headers=None):
     """Return the answer that an error gives.
 
     :param error: a :class:`~goldcrestmoor.errors.ServiceError`.
     :param request_id: the request that it ends.
+    :param retry_headers: makes headers of the time after which to come back, in
+        milliseconds; this service's own when left out.
     """
     body = msgspec.json.encode(errors.to_body(error, request_id))
     content = Content(b"application/json", body)
-    return Response(error.answer.status, _retry_headers(error), content)
+    headers = (retry_headers or _retry_headers)(error.retry_after_ms)
+    return Response(error.answer.status, headers, content)
 
 
-def _retry_headers(error):
-    after_ms = error.retry_after_ms
+def _retry_headers(after_ms):
     if after_ms <= 0:
         return []
     seconds = math.ceil(after_ms / MS_PER_SECOND)
@@ -64,6 +67,26 @@
         self.ready.set()
 
 
+class ServerOptions(msgspec.Struct, frozen=True):
+    """Where a server departs from this service's own interface.
+
+    :param port: the TCP port, where it isn't the host's own.
+    :param id_header: the header with the caller's id of a request.
+    :param retry_headers: as for :func:`error_response`.
+    :param keep_alive_ms: how long an idle connection is kept.
+    :param ends_with_caller: whether all work on a request ends when its caller
+        has gone, not only a stream that has begun.
+    :param is_closing: tells whether connections are to be closed after an answer.
+    """
+
+    port: int | None = None
+    id_header: bytes = b"x-request-id"
+    retry_headers: Callable[[int], list] | None = None
+    keep_alive_ms: int = KEEP_ALIVE_MS
+    ends_with_caller: bool = False
+    is_closing: Callable[[], bool] = lambda: False
+
+
 class HttpServer:
     """Serve callers on the host's address.
 
@@ -74,6 +97,7 @@
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
     :param in_flight: counts requests by ``track()``, and refuses them while the
         host shuts down; None to take all.
+    :param options: a :class:`ServerOptions`.
     """
 
     __slots__ = (
@@ -82,11 +106,13 @@
         "_settings",
         "_metrics",
         "_in_flight",
+        "_options",
         "_server",
         "_task",
     )
 
-    def __init__(self, *, clock, settings, metrics, in_flight=None):
+    def __init__(self, *, clock, settings, metrics, in_flight=None, options=None):
+        self._options = options or ServerOptions()
         self.application = Application(router=Router(), show_error_details=False)
         self._clock = clock
         self._settings = settings
@@ -105,7 +131,8 @@
         :raises UserError: when the address cannot be listened on.
         """
         host, limits = self._settings.host, self._settings.limits
-        listener = _listen(host.address, host.http_port)
+        port = self._options.port or host.http_port
+        listener = _listen(host.address, port)
         config = uvicorn.Config(
             self._serve,
             http=protocol_class(self._metrics, limits.progress_timeout_ms),
@@ -117,7 +144,7 @@
             proxy_headers=False,
             server_header=False,
             backlog=host.listen_backlog,
-            timeout_keep_alive=KEEP_ALIVE_S,
+            timeout_keep_alive=self._options.keep_alive_ms / MS_PER_SECOND,
             h11_max_incomplete_event_size=limits.max_header_bytes,
         )
         await self.application.start()
@@ -128,7 +155,7 @@
         ready.cancel()
         if self._task.done():
             self._task.result()
-        log.info("Serving on %s:%d.", host.address, host.http_port)
+        log.info("Serving on %s:%d.", host.address, port)
 
     async def stop(self, timeout_ms):
         """Take no new connections, and let requests in flight finish.
@@ -150,7 +177,8 @@
         if scope["type"] != "http":
             return
         header_by_name = dict(scope["headers"])
-        request_id = header_by_name.get(b"x-request-id", b"").decode("latin-1")
+        id_header = self._options.id_header
+        request_id = header_by_name.get(id_header, b"").decode("latin-1")
         if not REQUEST_ID.match(request_id):
             request_id = util.new_id()
         token = logs.request_id.set(request_id)
@@ -159,8 +187,11 @@
         started_ms = self._clock.now_ms()
         try:
             with tracing.span(f"{scope['method']} /{route}", parent or None):
-                watch = _StreamWatch(receive, _with_request_id(send, request_id))
-                bounded = _bounded(receive, self._settings.limits)
+                send = _with_header(send, id_header, request_id)
+                if self._options.is_closing():
+                    send = _with_header(send, b"connection", "close")
+                watch = _CallerWatch(receive, send, self._options.ends_with_caller)
+                bounded = _bounded(watch.receive, self._settings.limits)
                 await watch.run(self._handle(scope, bounded, watch.send))
         finally:
             logs.request_id.reset(token)
@@ -177,7 +208,7 @@
                 await self.application(scope, receive, send)
         except ServiceError as e:
             # The application answers its own errors; this one came before it.
-            response = error_response(e, logs.request_id.get())
+            response = self._error_response(e)
             response.add_header(b"Connection", b"close")
             await send_asgi_response(response, send)
 
@@ -186,7 +217,7 @@
             self._metrics.bad_input.labels("request").inc()
         elif error.kind == ErrorKind.UNAUTHORIZED:
             self._metrics.bad_input.labels("token").inc()
-        response = error_response(error, logs.request_id.get())
+        response = self._error_response(error)
         if error.kind in (ErrorKind.TOO_LARGE, ErrorKind.BAD_REQUEST):
             # What may be left of the body is not read, so the connection is of no use.
             response.add_header(b"Connection", b"close")
@@ -195,50 +226,73 @@
     async def _answer_unexpected(self, app, request, error):
         log.error("A request failed unexpectedly.", exc_info=error)
         internal = ServiceError(ErrorKind.INTERNAL, "An unexpected error.")
-        return error_response(internal, logs.request_id.get())
+        return self._error_response(internal)
 
     async def _answer_not_found(self, app, request, error):
         missing = ServiceError(ErrorKind.NOT_FOUND, "There is no such route.")
-        return error_response(missing, logs.request_id.get())
+        return self._error_response(missing)
+
+    def _error_response(self, error):
+        request_id = logs.request_id.get()
+        return error_response(error, request_id, self._options.retry_headers)
 
 
-class _StreamWatch:
-    """End a streamed answer when its caller has gone.
+class _CallerWatch:
+    """End the work on a request when its caller has gone.
 
-    An answer that is not streamed is left to finish: what it does for its caller
-    may have to be recorded.
+    A streamed answer always ends then. One that is not streamed is left to finish,
+    as what it does for its caller may have to be recorded, unless told otherwise.
     """
 
-    __slots__ = ("_receive", "_send", "_watcher", "_gone")
+    __slots__ = ("_receive", "_send", "_ends_all", "_task", "_watcher", "_gone")
 
-    def __init__(self, receive, send):
+    def __init__(self, receive, send, ends_all):
         self._receive = receive
         self._send = send
+        self._ends_all = ends_all
+        self._task = None
         self._watcher = None
         self._gone = False
 
     async def run(self, serving):
+        self._task = asyncio.current_task()
         try:
             await serving
         except asyncio.CancelledError:
             if not self._gone:
                 raise
-            log.info("The caller of a stream has gone.")
+            log.info("The caller has gone.")
         finally:
             if self._watcher is not None:
                 self._watcher.cancel()
 
+    async def receive(self):
+        message = await self._receive()
+        is_whole = message["type"] == "http.request" and not message.get("more_body")
+        if self._ends_all and is_whole:
+            self._start()
+        return message
+
     async def send(self, message):
+        is_last = message["type"] == "http.response.body" and not message.get(
+            "more_body"
+        )
+        if is_last and self._watcher is not None:
+            # The end of the answer looks to the watcher like the caller's leaving.
+            self._watcher.cancel()
         await self._send(message)
-        if message.get("more_body") and self._watcher is None:
-            task = asyncio.current_task()
-            self._watcher = asyncio.create_task(self._watch(task))
+        if message.get("more_body"):
+            self._start()
+
+    def _start(self):
+        if self._watcher is None:
+            self._watcher = asyncio.create_task(self._watch())
 
-    async def _watch(self, task):
+    async def _watch(self):
         while (await self._receive())["type"] != "http.disconnect":
             pass
         self._gone = True
-        task.cancel()
+        self._task.cancel()
 
 
 def _listen(address, port):
@@ -278,12 +332,15 @@
     return receive_bounded
 
 
-def _with_request_id(send, request_id):
-    header = (b"x-request-id", request_id.encode())
+def _with_header(send, name, value):
+    """Return a ``send`` that adds a header to answers that don't have it."""
+    header = (name, value.encode())
 
-    async def send_with_id(message):
+    async def send_with_header(message):
         if message["type"] == "http.response.start":
-            message["headers"] = [*message["headers"], header]
+            headers = message["headers"]
+            if not any(found.lower() == name for found, _ in headers):
+                message["headers"] = [*headers, header]
         await send(message)
 
-    return send_with_id
+    return send_with_header
--- a/goldcrestmoor/process/leases.py
+++ b/goldcrestmoor/process/leases.py
@@ -172,8 +172,47 @@
         """Stop renewing."""
         await self._tasks.close()
 
+    def observe(self, name, version):
+        """Count a holder's time from now, unless its row was seen so before.
+
+        For a caller that follows the rows, so that :meth:`acquire` need not be
+        called to start the watch.
+
+        :param name: the duty.
+        :param version: the version of its row.
+        """
+        watched = self._watched_by_name.get(name)
+        if watched is None or watched.version != version:
+            self._watched_by_name[name] = _Watched(version, self._clock.now_ms())
+
+    def restart_watches(self):
+        """Give every other holder its whole time again.
+
+        For when the rows could not be followed for a while: their holders could
+        not renew them either.
+        """
+        now_ms = self._clock.now_ms()
+        for watched in self._watched_by_name.values():
+            watched.since_ms = now_ms
+
+    def may_take(self, name, known):
+        """Tell whether a lease that was watched by :meth:`observe` may be taken.
+
+        :param name: the duty.
+        :param known: its :class:`~goldcrestmoor.process.lease_rows.LeaseRow`.
+        """
+        # An earlier process of this host has ended, as this one runs in its place.
+        if not known.holder or known.holder == self._host_id:
+            return True
+        watched = self._watched_by_name.get(name)
+        return watched is not None and self._has_lapsed(watched, known)
+
+    def _has_lapsed(self, watched, known):
+        silent_ms = self._clock.now_ms() - watched.since_ms
+        return silent_ms >= known.duration_ms + TAKE_MARGIN_MS
+
     def _may_take(self, name, version, known):
-        if not known.holder:
+        if not known.holder or known.holder == self._host_id:
             return True
         now_ms = self._clock.now_ms()
         watched = self._watched_by_name.get(name)
@@ -185,7 +224,7 @@
             if len(self._watched_by_name) > MAX_WATCHED:
                 self._watched_by_name.popitem(last=False)
             return False
-        return now_ms - watched.since_ms >= known.duration_ms + TAKE_MARGIN_MS
+        return self._has_lapsed(watched, known)
 
     async def _transact(self, lease, row):
         write = Write(TABLE, lease.name, lease_rows.encode(row))
@@ -202,7 +241,8 @@
                 raise
             return await self._read_back(lease, sent_ms)
         if isinstance(answer, Committed):
-            lease.extend(lease.version + 1, sent_ms)
+            version = answer.version_by_key[f"{TABLE}/{lease.name}"]
+            lease.extend(version, sent_ms)
             return True
         return self._adopt(lease, answer.row, sent_ms)
 
--- a/goldcrestmoor/process/metrics.py
+++ b/goldcrestmoor/process/metrics.py
@@ -46,6 +46,8 @@
         "control_bytes",
         "bad_input",
         "orders",
+        "store_calls",
+        "items",
     )
 
     def __init__(self):
@@ -104,6 +106,12 @@
             "bad_input", "Input that was refused, by where.", "where"
         )
         self.orders = self._counter("orders", "Orders to upstreams.", "outcome")
+        self.store_calls = self._counter(
+            "store_calls", "Calls to the platform's store.", "call", "outcome"
+        )
+        self.items = self._counter(
+            "items", "Tries of batch jobs' items by outcome.", "outcome"
+        )
 
     def _counter(self, name, text, *labels):
         return Counter(f"goldcrestmoor_{name}", text, labels, registry=self.registry)
--- a/goldcrestmoor/request/app_routes.py
+++ b/goldcrestmoor/request/app_routes.py
@@ -75,7 +75,7 @@
             metrics.requests.labels(account.name, e.code).inc()
             raise
         metrics.requests.labels(account.name, "answered").inc()
-        return _response(answer, asked.method)
+        return whole_response(answer, asked.method)
 
     async def mint(request: Request) -> Response:
         account = authenticator.account(request.headers)
@@ -105,7 +105,12 @@
     )
 
 
-def _response(answer, method):
+def whole_response(answer, method):
+    """Return the answer to a caller that an upstream's whole answer gives.
+
+    :param answer: an :class:`~goldcrestmoor.request.apps.AppAnswer`.
+    :param method: the request's method.
+    """
     content_type = None
     length = None
     headers = []
--- a/goldcrestmoor/settings.py
+++ b/goldcrestmoor/settings.py
@@ -21,10 +21,10 @@
 OptionalPort = Annotated[int, Field(ge=0, le=65535)]
 CurveKey = Annotated[str, Field(min_length=40, max_length=40)]
 
-_strict = dataclass(config=ConfigDict(extra="forbid", strict=True), slots=True)
+strict = dataclass(config=ConfigDict(extra="forbid", strict=True), slots=True)
 
 
-@_strict
+@strict
 class HostSettings:
     """This host: its name, place and addresses."""
 
@@ -38,7 +38,7 @@
     listen_backlog: Count
 
 
-@_strict
+@strict
 class PeerSettings:
     """A host that is asked for the others when this one starts."""
 
@@ -48,7 +48,7 @@
     peer_port: Port
 
 
-@_strict
+@strict
 class PlatformSettings:
     """The platform's service and how patiently it is asked."""
 
@@ -59,7 +59,7 @@
     backoff_max_ms: DurationMs
 
 
-@_strict
+@strict
 class SecuritySettings:
     """The fleet's CURVE key pair and the operators' token, hashed."""
 
@@ -68,7 +68,7 @@
     operator_token_hash: Hash
 
 
-@_strict
+@strict
 class LimitSettings:
     """Bounds on requests, queues, connections and retries."""
 
@@ -84,7 +84,7 @@
     application_floor_percent: Percent
 
 
-@_strict
+@strict
 class ConfigurationSettings:
     """How often the head row is read and how long one read may be acted on."""
 
@@ -94,7 +94,7 @@
     answer_timeout_ms: DurationMs
 
 
-@_strict
+@strict
 class MembershipSettings:
     """How hosts watch one another."""
 
@@ -104,7 +104,7 @@
     host_list_poll_ms: DurationMs
 
 
-@_strict
+@strict
 class IdempotencySettings:
     """How long and how many idempotency keys are remembered."""
 
@@ -112,7 +112,7 @@
     max_remembered: Count
 
 
-@_strict
+@strict
 class StepSettings:
     """How the samples of a step are made and handed out."""
 
@@ -121,7 +121,7 @@
     max_pull_samples: Count
 
 
-@_strict
+@strict
 class PolicySettings:
     """How work is ordered and placed, each against its plain way."""
 
@@ -135,7 +135,7 @@
     rolling_percent: Annotated[int, Field(ge=1, le=100)]
 
 
-@_strict
+@strict
 class ShutdownSettings:
     """How long a graceful shutdown waits."""
 
@@ -143,7 +143,7 @@
     drain_ms: DurationMs
 
 
-@_strict
+@strict
 class LogSettings:
     """What is logged and in which form."""
 
@@ -151,14 +151,14 @@
     style: Literal["text", "json"]
 
 
-@_strict
+@strict
 class TracingSettings:
     """Where spans go."""
 
     exporter: Literal["none", "console"]
 
 
-@_strict
+@strict
 class Settings:
     """Everything that a daemon is told before it starts."""
 
@@ -187,14 +187,23 @@
     :return: the :class:`Settings`, with defaults filled in.
     :raises UserError: naming every fault with its path in the document.
     """
+    return decode(read(path), path)
+
+
+def read(path):
+    """Read a settings file without checking what it says.
+
+    :param path: the file's path.
+    :return: the decoded JSON.
+    :raises UserError: when it cannot be read or is no JSON.
+    """
     try:
         with open(path, encoding="utf-8") as f:
-            document = json.load(f)
+            return json.load(f)
     except OSError as e:
         raise UserError(f"Cannot read {path}: {e.strerror}.", EXIT_BAD_SETTINGS) from e
     except ValueError as e:
         raise UserError(f"{path} is not JSON: {e}.", EXIT_BAD_SETTINGS) from e
-    return decode(document, path)
 
 
 def decode(document, name="settings"):
@@ -205,10 +214,22 @@
     :return: the :class:`Settings`, with defaults filled in.
     :raises UserError: naming every fault with its path in the document.
     """
+    return validate(_adapter, _defaults(), document, name)
+
+
+def validate(adapter, defaults, document, name):
+    """Check a document against a type, with defaults filled in.
+
+    :param adapter: the type's pydantic adapter.
+    :param defaults: the document that fills in what is left out.
+    :param document: the decoded JSON.
+    :param name: what to call the document in an error.
+    :raises UserError: naming every fault with its path in the document.
+    """
     if not isinstance(document, dict):
         raise UserError(f"{name}: the document is not an object.", EXIT_BAD_SETTINGS)
     try:
-        return _adapter.validate_json(json.dumps(_merge(_defaults(), document)))
+        return adapter.validate_json(json.dumps(_merge(defaults, document)))
     except pydantic.ValidationError as e:
         raise UserError(_describe(e, name), EXIT_BAD_SETTINGS) from e
 
