--- /dev/null
+++ b/test/_front.py
@@ -0,0 +1,226 @@
+"""A small fleet on the users' platform: real daemons, stand-ins around them."""
+
+import asyncio
+import base64
+import json
+import pathlib
+import tempfile
+
+from goldcrestmoor import settings
+from goldcrestmoor.clock import Clock
+from goldcrestmoor.connection.http_client import HttpClient
+from goldcrestmoor.errors import ServiceError
+from test import _common
+from test._process import Process
+from test.standins.users_server import UsersServer
+from test.standins.users_store import UsersStore
+
+HOST = "app.example"
+MODEL = "m0"
+JOB_PATH = "/lot/x"
+FETCH_PATH = "/fetch/x"
+
+
+def configuration(version=3, **changes):
+    """Return a configuration with a route for fetches and one for jobs."""
+    fetch = {
+        "name": "fetch",
+        "hostname": HOST,
+        "pathPrefix": "/fetch/",
+        "routeType": "safe",
+        "timeoutMs": 2000,
+        "targetLatencyMs": 192,
+        "priority": 2,
+        "service": "app",
+        "attempts": 2,
+    }
+    job = {
+        "name": "job",
+        "hostname": HOST,
+        "pathPrefix": "/lot/",
+        "routeType": "rollout",
+        "timeoutMs": 10000,
+        "targetLatencyMs": 400,
+        "priority": 1,
+        "service": "pool",
+        "attempts": 3,
+        "keepS": 40.0,
+        "runAimMs": 7500,
+        "singleVersion": False,
+        "stickySessions": True,
+        "resumable": True,
+    }
+    return {
+        "version": version,
+        "routes": [fetch | changes.get("fetch", {}), job | changes.get("job", {})],
+        "services": [
+            {"name": "pool", "maxConns": 160, "engine": {"models": [{"name": MODEL}]}},
+            {"name": "app", "maxConns": 110},
+        ],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 33554432,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+    }
+
+
+def item(item_id, group="g0"):
+    """Return an item as it stands in a submission."""
+    return {
+        "id": item_id,
+        "path": f"/lot/{item_id}",
+        "headers": {"Model-Name": MODEL, "Token-Count": "16,400"},
+        "body": base64.b64encode(item_id.encode()).decode(),
+        "tokens": 416,
+        "group": group,
+    }
+
+
+def submission(count, prefix="i", min_version=1, **fields):
+    """Return a submission of some items."""
+    items = [item(f"{prefix}{n}", f"g{n // 4}") for n in range(count)]
+    return {
+        "step": 0,
+        "model": MODEL,
+        "minVersion": min_version,
+        "targetGroups": count // 4,
+        "items": items,
+        **fields,
+    }
+
+
+class FrontFleet:
+    """Stand-ins and daemons, to be closed after the test.
+
+    :ivar store: the :class:`~test.standins.users_store.UsersStore`.
+    :ivar apps: the servers of the application.
+    :ivar engines: the servers with weights.
+    :ivar fronts: the daemons' processes, by name.
+    """
+
+    def __init__(self):
+        self.store = UsersStore()
+        self.apps = [UsersServer(f"app-{n}", "app") for n in range(2)]
+        self.engines = [UsersServer(f"engine-{n}", "pool", {MODEL: 1}) for n in "01"]
+        self.fronts = {}
+        self.ports = {}
+        self._directory = tempfile.TemporaryDirectory()
+        self._beats = None
+        self.silent = set()
+        self.http = HttpClient(clock=Clock(), limits=settings.default_limits())
+
+    async def start(self, names=("front-a", "front-b"), with_configuration=True):
+        """Start all, and wait until the daemons are ready."""
+        await self.store.start()
+        for server in self.servers():
+            await server.start()
+        if with_configuration:
+            self.store.put("op", "config", configuration())
+        self._beats = asyncio.create_task(self._beat())
+        for name in names:
+            self.start_front(name)
+        if with_configuration:
+            for name in names:
+                await _common.eventually(lambda name=name: self.is_ready(name))
+        return self
+
+    def servers(self):
+        """Return every server."""
+        return self.apps + self.engines
+
+    def start_front(self, name):
+        """Start a daemon, with the ports that it had before."""
+        if name not in self.ports:
+            self.ports[name] = (_common.free_port(), _common.free_port())
+        callers, readiness = self.ports[name]
+        document = {
+            "host": {
+                "id": name,
+                "zone": "zone-a",
+                "callers": f"127.0.0.1:{callers}",
+                "readiness": f"127.0.0.1:{readiness}",
+            },
+            "store": {"endpoint": f"127.0.0.1:{self.store.port}"},
+            "log": {"style": "text"},
+        }
+        path = pathlib.Path(self._directory.name) / f"{name}.json"
+        path.write_text(json.dumps(document))
+        arguments = ["goldcrestmoor", "front", str(path)]
+        self.fronts[name] = Process(name, arguments, self._directory.name)
+
+    async def _beat(self):
+        while True:
+            for server in self.servers():
+                if server.name not in self.silent:
+                    self.store.put("servers", server.name, server.entry())
+            await asyncio.sleep(0.3)
+
+    async def is_ready(self, name):
+        """Tell whether a daemon says that it is ready."""
+        try:
+            port = self.ports[name][1]
+            answer = await self.http.request("127.0.0.1", port, "GET", "/readiness")
+        except ServiceError:
+            return False
+        return answer.status == 200
+
+    async def ask(self, name, method, target, body=b"", request_id="r1", **headers):
+        """Send a daemon one request, on a new connection."""
+        pairs = [(b"host", HOST.encode()), (b"request-id", request_id.encode())]
+        pairs += [
+            (key.replace("_", "-").encode(), str(value).encode())
+            for key, value in headers.items()
+        ]
+        if not isinstance(body, bytes):
+            body = json.dumps(body).encode()
+        return await self.http.request(
+            "127.0.0.1",
+            self.ports[name][0],
+            method,
+            target,
+            pairs,
+            body,
+            10_000,
+            fresh=True,
+            allow_close_delimited=True,
+        )
+
+    async def submit(self, name, job_id, count, **fields):
+        """Submit a job and return the answer's status."""
+        body = submission(count, **fields)
+        return (await self.ask(name, "POST", JOB_PATH, body, job_id)).status
+
+    async def results(self, name, job_id, after=0):
+        """Return the page of a job's results, or its status."""
+        answer = await self.ask(name, "GET", f"/lots/{job_id}?after={after}")
+        return json.loads(answer.body) if answer.status == 200 else answer.status
+
+    async def all_results(self, name, job_id):
+        """Wait until all results of a job are listed, and return them."""
+
+        async def whole():
+            page = await self.results(name, job_id)
+            if isinstance(page, int) or page["next"] < page["total"]:
+                return None
+            return page["results"]
+
+        return await _common.eventually(whole)
+
+    def runner_of(self, job_id):
+        """Return the daemon that runs a job, or an empty string."""
+        state = self.store.value("jobs", "state", job_id)
+        return state["runner"].partition("/")[0] if state else ""
+
+    async def close(self):
+        """End everything that was started."""
+        for process in self.fronts.values():
+            process.kill()
+        if self._beats is not None:
+            self._beats.cancel()
+        await self.http.close()
+        for server in self.servers():
+            await server.close()
+        await self.store.close()
+        self._directory.cleanup()
--- /dev/null
+++ b/test/standins/users_server.py
@@ -0,0 +1,137 @@
+"""A server of the users' platform: an application, or an engine with weights."""
+
+import asyncio
+import json
+
+from test.standins.server import Drop, Response, Server, json_response
+
+EVENT_MS = 5
+
+
+class UsersServer:
+    """Answer requests, run items and take orders as the users' pages say.
+
+    :param name: its id.
+    :param service: its service.
+    :param models: the weight version of each model; empty for an application.
+    :param events: how many events each item has.
+    :ivar runs: the ids of the requests that it began to run.
+    :ivar seen: every request that reached it, as ``(path, headers, body)``.
+    :ivar refusing: whether it answers that it did not run requests.
+    :ivar cut_after: cut streams after so many events, or None.
+    :ivar failing: the status that items are answered with instead, or None.
+    :ivar lose: answer nothing after running a request.
+    """
+
+    def __init__(self, name, service, models=None, events=4):
+        self.name = name
+        self.service = service
+        self.models = dict(models or {})
+        self.events = events
+        self.runs = []
+        self.seen = []
+        self.orders = []
+        self.refusing = False
+        self.cut_after = None
+        self.failing = None
+        self.lose = False
+        self.echo = None
+        self.sequence = 0
+        self.accepted = 0
+        self._server = Server(self.handle, "127.0.0.1", 0)
+
+    async def start(self):
+        """Start to listen."""
+        await self._server.start()
+
+    async def close(self):
+        """Stop listening and drop every connection."""
+        await self._server.close()
+
+    def entry(self, state="ready", **fields):
+        """Return what it writes into the list of servers."""
+        self.sequence += 1
+        models = [
+            {"name": name, "version": version, "adapters": []}
+            for name, version in self.models.items()
+        ]
+        return {
+            "service": self.service,
+            "address": f"127.0.0.1:{self._server.port}",
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": 4,
+            "state": state,
+            "coldLeftMs": 0,
+            "stage": "both",
+            "models": models,
+            "seq": self.sequence,
+            "born": 1,
+            **fields,
+        }
+
+    async def handle(self, request):
+        """Answer one request."""
+        self.seen.append((request.path, request.headers, request.body))
+        expected = request.headers.get("expect-instance")
+        if expected not in (None, self.name):
+            return Response(421, headers=[("instance-id", self.name)])
+        if request.path == "/report":
+            return json_response(
+                {"models": self.entry()["models"], "busy": False, "seq": self.accepted}
+            )
+        if request.path == "/order":
+            return self._order(request.json())
+        if self.refusing:
+            return Response(503, headers=[("not-run", "1")])
+        return await self._run(request)
+
+    def _order(self, order):
+        if order.get("expected") not in (None, self.accepted):
+            return Response(409)
+        self.orders.append(order)
+        self.accepted += 1
+        self.models[order["model"]] = order["version"]
+        return Response(202)
+
+    async def _run(self, request):
+        request_id = request.headers["request-id"]
+        self.runs.append(request_id)
+        if self.lose:
+            raise Drop
+        headers = [
+            ("request-id", self.echo or request_id),
+            ("server-stamp", f"stamp-{request_id}"),
+        ]
+        if self.failing is not None:
+            return Response(self.failing, b"", headers)
+        if "model-name" not in request.headers:
+            return Response(200, b"answer to " + request.body, headers)
+        version = self.models[request.headers["model-name"]]
+        headers.append(("weight-versions", str(version)))
+        headers.append(("content-type", "text/event-stream"))
+        first = int(request.headers.get("last-event-id", "-1")) + 1
+        return Response(200, self._stream(request, version, first), headers)
+
+    async def _stream(self, request, version, first):
+        request_id = request.headers["request-id"]
+        for number in range(first, self.events):
+            if self.cut_after is not None and number - first >= self.cut_after:
+                raise Drop
+            lines = ""
+            now = self.models[request.headers["model-name"]]
+            if now != version:
+                version = now
+                lines = f"weight-versions: {now}\n"
+            yield f"{lines}id: {number}\ndata: {event_text(request_id, number)}\n\n".encode()
+            await asyncio.sleep(EVENT_MS / 1000)
+
+
+def event_text(request_id, number):
+    """Return the data of an item's event."""
+    return json.dumps({"of": request_id, "number": number})
+
+
+def whole_text(request_id, events=4):
+    """Return the whole text of an item."""
+    return "\n".join(event_text(request_id, number) for number in range(events))
--- /dev/null
+++ b/test/standins/users_store.py
@@ -0,0 +1,209 @@
+"""The users' metadata store, as its pages describe it, in memory."""
+
+import asyncio
+import base64
+import json
+import time
+from urllib.parse import parse_qs, unquote
+
+from test.standins.server import Drop, Response, Server, json_response
+
+PAGE_ROWS = 500
+TX_MS = 5
+LATE_MS = 300
+
+
+class UsersStore:
+    """Rows with one counter of versions, feeds with a history, and objects.
+
+    :ivar mode: ``""`` to serve, ``busy`` to answer 503, ``reset`` to close.
+    :ivar lost_answers: how many of the next writes are made and not answered.
+    :ivar late_writes: how many of the next writes are made late and not answered.
+    """
+
+    def __init__(self):
+        self.row_by_place = {}
+        self.objects = {}
+        self.history = []
+        self.version = 0
+        self.mode = ""
+        self.lost_answers = 0
+        self.late_writes = 0
+        self.calls = []
+        self.forgotten = 0
+        self._changed = asyncio.Event()
+        self._server = Server(self.handle, "127.0.0.1", 0)
+        self._late = set()
+
+    @property
+    def port(self):
+        """The port that it listens on."""
+        return self._server.port
+
+    async def start(self):
+        """Start to listen."""
+        await self._server.start()
+
+    async def close(self):
+        """Stop listening and drop every connection."""
+        for task in self._late:
+            task.cancel()
+        await self._server.close()
+
+    def put(self, table, key, value, part=""):
+        """Write a row as the operator or a server would.
+
+        :param value: JSON data, or bytes that are written as they are.
+        """
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.version += 1
+        self._write(table, part, key, base64.b64encode(data).decode())
+
+    def remove(self, table, key, part=""):
+        """Remove a row."""
+        self.version += 1
+        self._write(table, part, key, None)
+
+    def value(self, table, key, part=""):
+        """Return a row's decoded JSON, or None."""
+        row = self.row_by_place.get((table, part, key))
+        return json.loads(base64.b64decode(row["value"])) if row else None
+
+    def forget_history(self):
+        """Answer 410 to feeds that ask for anything before now."""
+        self.forgotten = self.version
+        self.history.clear()
+        self._wake()
+
+    async def handle(self, request):
+        """Answer one call."""
+        self.calls.append((request.method, request.path, request.query))
+        if self.mode == "busy":
+            return Response(503)
+        if self.mode == "reset":
+            raise Drop
+        query = {name: v[-1] for name, v in parse_qs(request.query).items()}
+        kind, _, name = request.path[1:].partition("/")
+        match kind:
+            case "rows-get":
+                return self._get(query)
+            case "rows-parts":
+                return self._parts(query)
+            case "rows-feed":
+                return await self._feed(query)
+            case "rows-tx":
+                return await self._write_call(lambda: self._transact(request.json()))
+            case "blob-put":
+                return await self._write_call(
+                    lambda: self._put_object(unquote(name), request)
+                )
+            case "blob-get":
+                data = self.objects.get(unquote(name))
+                return Response(404) if data is None else Response(200, data)
+            case "blob-drop":
+                self.objects.pop(unquote(name), None)
+                return Response(200)
+        return Response(404)
+
+    async def _write_call(self, write):
+        await asyncio.sleep(TX_MS / 1000)
+        if self.late_writes:
+            self.late_writes -= 1
+            self._late.add(asyncio.create_task(self._write_late(write)))
+            raise Drop
+        response = write()
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise Drop
+        return response
+
+    async def _write_late(self, write):
+        await asyncio.sleep(LATE_MS / 1000)
+        write()
+
+    def _put_object(self, name, request):
+        if name in self.objects and request.headers.get("if-none-match") == "*":
+            return Response(412)
+        self.objects[name] = request.body
+        return Response(200)
+
+    def _transact(self, body):
+        entries = body["expected"] + body["setKeys"] + body["remove"]
+        if len({entry["part"] for entry in entries}) > 1 or len(entries) > 100:
+            return Response(400)
+        failed = False
+        for entry in body["expected"]:
+            row = self.row_by_place.get(_place(entry))
+            failed = failed or (row["ver"] if row else 0) != entry["ver"]
+        if failed:
+            rows = [self.row_by_place.get(_place(e)) for e in body["expected"]]
+            return self._answer([row for row in rows if row], status=412)
+        self.version += 1
+        for entry in body["setKeys"]:
+            self._write(entry["table"], entry["part"], entry["key"], entry["value"])
+        for entry in body["remove"]:
+            self._write(entry["table"], entry["part"], entry["key"], None)
+        return self._answer([])
+
+    def _write(self, table, part, key, value):
+        row = {"table": table, "part": part, "key": key, "ver": self.version}
+        if value is None:
+            self.row_by_place.pop((table, part, key), None)
+            row["deleted"] = True
+        else:
+            row["value"] = value
+            self.row_by_place[table, part, key] = row
+        self.history.append(row)
+        self._wake()
+
+    def _wake(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _get(self, query):
+        rows = [
+            row
+            for (table, part, key), row in sorted(self.row_by_place.items())
+            if table == query["table"]
+            and part == query.get("part", "")
+            and key >= query.get("from", "")
+            and ("to" not in query or key < query["to"])
+        ]
+        limit = min(int(query.get("limit", PAGE_ROWS)), PAGE_ROWS)
+        return self._answer(rows[:limit], hasMore=len(rows) > limit)
+
+    def _parts(self, query):
+        parts = {p for table, p, _ in self.row_by_place if table == query["table"]}
+        after = query.get("after")
+        found = sorted(p for p in parts if after is None or p > after)
+        return json_response({"parts": found})
+
+    async def _feed(self, query):
+        after = int(query["after"])
+        end = time.monotonic() + int(query["waitMs"]) / 1000
+        while True:
+            if after < self.forgotten:
+                return Response(410)
+            rows = [
+                row
+                for row in self.history
+                if row["table"] == query["table"] and row["ver"] > after
+            ]
+            left = end - time.monotonic()
+            if rows or left <= 0:
+                return self._answer(rows)
+            changed = self._changed
+            try:
+                async with asyncio.timeout(left):
+                    await changed.wait()
+            except TimeoutError:
+                pass
+
+    def _answer(self, rows, status=200, **fields):
+        now_ms = time.monotonic_ns() // 1_000_000
+        body = {"rows": rows, "ver": self.version, "nowMs": now_ms, **fields}
+        return json_response(body, status)
+
+
+def _place(entry):
+    return entry["table"], entry["part"], entry["key"]
--- /dev/null
+++ b/test/test_decisions.py
@@ -0,0 +1,239 @@
+"""Decisions by themselves, each replaying the load that it answers."""
+
+import unittest
+
+from goldcrestmoor.errors import ErrorKind, Ran
+from goldcrestmoor.job.engine_choice import EngineLoad, choose_engine
+from goldcrestmoor.job.item_order import order_items, order_jobs
+from goldcrestmoor.job.item_run import ItemRun
+from goldcrestmoor.job.job import Item
+from goldcrestmoor.request.send_again import (
+    GiveUp,
+    SendAgain,
+    after_try,
+    try_bound_ms,
+)
+from goldcrestmoor.request.upstream_choice import Choice, choose_upstream
+from goldcrestmoor.version.load_plan import EngineWeights, Load, assign, plan_loads
+from goldcrestmoor.version.order_log import OrderEntry, may_follow
+from goldcrestmoor.version.routes import Repeat
+
+
+def engine(name, in_flight=0, **fields):
+    """Return an engine with twelve slots that holds version 5."""
+    fields = {"slots": 12, "version": 5, **fields}
+    return EngineLoad(name=name, in_flight=in_flight, **fields)
+
+
+class EngineChoiceTest(unittest.TestCase):
+    def test_a_step_that_comes_at_once_fills_the_engines_evenly(self):
+        in_flight = dict.fromkeys("abcdef", 0)
+        for _ in range(60):
+            loads = [engine(name, count) for name, count in in_flight.items()]
+            in_flight[choose_engine(loads, 5)] += 1
+        self.assertEqual(set(in_flight.values()), {10})
+
+    def test_work_waits_when_every_slot_is_taken(self):
+        loads = [engine("a", 12), engine("b", 12)]
+        self.assertIsNone(choose_engine(loads, 5))
+
+    def test_an_engine_whose_weights_are_too_old_gets_nothing(self):
+        loads = [engine("a", 11), engine("b", 0, version=4)]
+        self.assertEqual(choose_engine(loads, 5), "a")
+
+    def test_a_slow_engine_gets_nothing_while_a_sound_one_has_a_slot(self):
+        loads = [
+            engine("a", 0, ms_per_event=160.0),
+            engine("b", 11, ms_per_event=40.0),
+            engine("c", 12, ms_per_event=42.0),
+        ]
+        self.assertEqual(choose_engine(loads, 5), "b")
+
+    def test_a_slow_engine_is_better_than_none(self):
+        loads = [engine("a", 0, ms_per_event=160.0), engine("b", 12, ms_per_event=40.0)]
+        self.assertEqual(choose_engine(loads, 5), "a")
+
+    def test_an_engine_that_has_just_refused_is_left_alone(self):
+        loads = [engine("a", is_blocked=True), engine("b", 8)]
+        self.assertEqual(choose_engine(loads, 5), "b")
+
+    def test_a_group_stays_together_while_that_costs_little(self):
+        loads = [engine("a", 2), engine("b", 0)]
+        self.assertEqual(choose_engine(loads, 5, group_engine="a"), "a")
+        loads = [engine("a", 9), engine("b", 0)]
+        self.assertEqual(choose_engine(loads, 5, group_engine="a"), "b")
+
+    def test_an_item_leaves_the_engine_that_it_was_broken_off_at(self):
+        loads = [engine("a", 0), engine("b", 6)]
+        self.assertEqual(choose_engine(loads, 5, avoid=("a",)), "b")
+        self.assertEqual(choose_engine(loads[:1], 5, avoid=("a",)), "a")
+
+
+class _Job:
+    def __init__(self, name, due_ms, priority=1):
+        self.name = name
+        self.due_ms = due_ms
+        self.priority = priority
+
+
+class ItemOrderTest(unittest.TestCase):
+    def test_the_step_that_is_due_first_goes_first(self):
+        jobs = [_Job("late", 9000), _Job("soon", 7000), _Job("urgent", 9500, 0)]
+        names = [job.name for job in order_jobs(jobs)]
+        self.assertEqual(names, ["urgent", "soon", "late"])
+
+    def test_groups_that_are_nearly_whole_go_first(self):
+        runs = [
+            ItemRun(Item(f"{group}{n}", "/", {}, b"", group=group), position)
+            for position, (group, n) in enumerate((g, n) for g in "xyz" for n in "01")
+        ]
+        ordered = order_items(runs, {"x": 4, "y": 2, "z": 3})
+        names = [run.item.id for run in ordered]
+        self.assertEqual(names, ["y0", "y1", "z0", "z1", "x0", "x1"])
+
+    def test_items_that_have_begun_go_before_all(self):
+        runs = [ItemRun(Item(i, "/", {}, b"", group=i), n) for n, i in enumerate("ab")]
+        runs[1].events.append("text")
+        ordered = order_items(runs, {"a": 1, "b": 4})
+        self.assertEqual([run.item.id for run in ordered], ["b", "a"])
+
+
+def weights(name, is_loading=False, **version_by_model):
+    """Return an engine as the plan of loads sees it."""
+    return EngineWeights(name, version_by_model, is_loading)
+
+
+class LoadPlanTest(unittest.TestCase):
+    def play(self, names, named, models):
+        """Let every planned load end at once; return the loads in rounds."""
+        held = {name: dict.fromkeys(models, 1) for name in names}
+        rounds = []
+        while True:
+            engines = [EngineWeights(name, dict(held[name])) for name in names]
+            loads = list(plan_loads(engines, named))
+            if not loads:
+                return rounds
+            rounds.append(loads)
+            for load in loads:
+                held[load.engine][load.model] = load.version
+
+    def test_six_engines_follow_one_model_two_at_a_time(self):
+        rounds = self.play("abcdef", {"m": 2}, ["m"])
+        self.assertEqual([len(loads) for loads in rounds], [2, 2, 2])
+        self.assertEqual({load.engine for r in rounds for load in r}, set("abcdef"))
+
+    def test_three_models_share_six_engines_in_parts_that_stay(self):
+        models = ["m0", "m1", "m2"]
+        held = {name: dict.fromkeys(models, 1) for name in "abcdef"}
+        followers = dict.fromkeys(models, frozenset())
+        for version in range(2, 6):
+            for model in models:
+                named = {m: version if m <= model else version - 1 for m in models}
+                engines = [EngineWeights(n, dict(v)) for n, v in held.items()]
+                for _ in range(4):
+                    for load in plan_loads(engines, named):
+                        held[load.engine][load.model] = load.version
+                    engines = [EngineWeights(n, dict(v)) for n, v in held.items()]
+            now = {
+                m: frozenset(n for n in held if held[n][m] == version) for m in models
+            }
+            self.assertEqual([len(names) for names in now.values()], [2, 2, 2])
+            if version > 2:
+                self.assertEqual(now, followers)
+            followers = now
+
+    def test_an_engine_that_loads_is_not_ordered_again(self):
+        engines = [weights(n, is_loading=n in "ab", m=1) for n in "abcdef"]
+        self.assertEqual(list(plan_loads(engines, {"m": 2})), [])
+
+    def test_what_lags_most_loads_first(self):
+        engines = [weights("a", m=4), weights("b", m=3), weights("c", m=2)]
+        self.assertEqual(list(plan_loads(engines, {"m": 4})), [Load("c", "m", 4)])
+
+    def test_a_model_gets_another_engine_when_one_of_its_own_goes(self):
+        models = {"m0": 5, "m1": 5}
+        engines = [
+            weights("a", m0=5, m1=1),
+            weights("b", m0=5, m1=1),
+            weights("c", m0=1, m1=5),
+        ]
+        assigned = assign(engines, models)
+        self.assertEqual(sum(len(part) for part in assigned.values()), 3)
+        self.assertTrue(all(assigned.values()))
+
+
+class OrderLogTest(unittest.TestCase):
+    def test_another_host_waits_until_the_last_order_has_had_its_time(self):
+        entry = OrderEntry("host-a", 7, 10_000)
+        self.assertTrue(may_follow(entry, "host-a", 10_001, 3000))
+        self.assertFalse(may_follow(entry, "host-b", 13_000, 3000))
+        self.assertTrue(may_follow(entry, "host-b", 13_500, 3000))
+        self.assertTrue(may_follow(None, "host-b", 0, 3000))
+
+
+def choice(name, in_flight=0, **fields):
+    """Return an upstream with six slots."""
+    fields = {
+        "slots": 6,
+        "has_connection": False,
+        "is_local": False,
+        "has_failed": False,
+        **fields,
+    }
+    return Choice(name=name, in_flight=in_flight, **fields)
+
+
+class UpstreamChoiceTest(unittest.TestCase):
+    def test_a_quiet_host_keeps_to_the_connection_that_it_has(self):
+        choices = [choice("a", is_local=True), choice("b", has_connection=True)]
+        self.assertEqual(choose_upstream(choices), "b")
+
+    def test_a_burst_spreads_over_all(self):
+        in_flight = dict.fromkeys("abc", 0)
+        for _ in range(15):
+            choices = [
+                choice(name, count, has_connection=name == "a")
+                for name, count in in_flight.items()
+            ]
+            in_flight[choose_upstream(choices)] += 1
+        self.assertLessEqual(max(in_flight.values()) - min(in_flight.values()), 2)
+
+    def test_what_has_just_failed_is_left_alone(self):
+        choices = [choice("a", has_connection=True, has_failed=True), choice("b", 3)]
+        self.assertEqual(choose_upstream(choices), "b")
+
+    def test_no_upstream_is_tried_twice(self):
+        self.assertIsNone(choose_upstream([choice("a")], avoid=("a",)))
+
+
+class SendAgainTest(unittest.TestCase):
+    def test_a_lost_answer_of_a_repeatable_request_is_tried_elsewhere(self):
+        decision = after_try(Ran.UNKNOWN, Repeat.FREELY, 1, 2, 500, True)
+        self.assertEqual(decision, SendAgain())
+
+    def test_a_request_that_may_run_once_ends_with_what_is_known(self):
+        decision = after_try(Ran.UNKNOWN, Repeat.NEVER, 1, 3, 500, True)
+        self.assertEqual(decision, GiveUp(ErrorKind.UPSTREAM_FAILED, 0))
+
+    def test_a_request_that_surely_did_not_run_goes_on(self):
+        decision = after_try(Ran.NOT_RUN, Repeat.NEVER, 0, 1, 500, True)
+        self.assertEqual(decision, SendAgain())
+
+    def test_full_upstreams_are_a_refusal_at_once(self):
+        decision = after_try(Ran.NOT_RUN, Repeat.FREELY, 0, 2, 500, False)
+        self.assertEqual(decision.kind, ErrorKind.OVERLOADED)
+
+    def test_no_more_upstreams_run_it_than_the_route_allows(self):
+        decision = after_try(Ran.UNKNOWN, Repeat.FREELY, 2, 2, 500, True)
+        self.assertEqual(decision.kind, ErrorKind.UPSTREAM_FAILED)
+
+    def test_the_first_try_leaves_time_for_the_second(self):
+        first = try_bound_ms(Repeat.FREELY, 0, 2, 800, 192, True)
+        self.assertLess(first, 400)
+        self.assertGreaterEqual(first, 192)
+        self.assertEqual(try_bound_ms(Repeat.FREELY, 1, 2, 440, 192, True), 440)
+        self.assertEqual(try_bound_ms(Repeat.NEVER, 0, 2, 800, 192, True), 800)
+
+
+if __name__ == "__main__":
+    unittest.main()
