Forward streams as they come, and resume them where the route allows

Change: request/streaming.py; the upstreams' loads and the tries of a request move out of the forwarder, so that both kinds share them. Ruled out: one copy of the forwarding for both kinds; a whole answer is judged before any byte goes out, a stream cannot be.

--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -29,6 +29,8 @@
 from goldcrestmoor.process.routing import Routing
 from goldcrestmoor.process.shutdown import InFlight
 from goldcrestmoor.request.forwarding import Forwarder
+from goldcrestmoor.request.streaming import StreamForwarder
+from goldcrestmoor.request.upstream_loads import UpstreamLoads
 from goldcrestmoor.util import TaskGroup
 from goldcrestmoor.version.load_orders import LoadOrders
 from goldcrestmoor.version.named_versions import NamedVersions
@@ -203,14 +205,17 @@
 
     def _make_servers(self):
         self._in_flight = InFlight()
-        forwarder = Forwarder(
-            clock=self._clock,
-            http=self._http,
-            directory=self._directory,
-            dialect=servers,
-            metrics=self._metrics,
-            zone=self.settings.host.zone,
-        )
+        forwarding = {
+            "http": self._http,
+            "loads": UpstreamLoads(
+                clock=self._clock,
+                http=self._http,
+                directory=self._directory,
+                zone=self.settings.host.zone,
+            ),
+            "dialect": servers,
+            "metrics": self._metrics,
+        }
         to_callers = HttpServer(
             clock=self._clock,
             settings=self.settings,
@@ -227,7 +232,8 @@
         FrontCallers(
             clock=self._clock,
             routing=self._routing,
-            forwarder=forwarder,
+            forwarder=Forwarder(**forwarding),
+            streams=StreamForwarder(**forwarding),
             desk=self._desk,
             dialect=caller_dialect,
             metrics=self._metrics,
--- a/goldcrestmoor/process/front_callers.py
+++ b/goldcrestmoor/process/front_callers.py
@@ -1,16 +1,19 @@
 """What callers on the users' platform are served: forwarded requests and jobs."""
 
+import contextlib
 import logging
 from urllib.parse import unquote
 
-from blacksheep import Content, Request, Response
+from blacksheep import Content, Request, Response, StreamedContent
 
 from goldcrestmoor import logs
 from goldcrestmoor.clock import Deadline
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.job.calls import EndJob, ReadItem, ReadResults, SubmitJob
 from goldcrestmoor.request.app_routes import METHODS, whole_response
+from goldcrestmoor.request.apps import AppAnswer
 from goldcrestmoor.request.forwarding import CallerRequest
+from goldcrestmoor.request.streaming import StreamAnswer
 from goldcrestmoor.version.routes import RouteKind
 
 log = logging.getLogger("goldcrestmoor.callers")
@@ -26,17 +29,27 @@
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param routing: the :class:`~goldcrestmoor.process.routing.Routing`.
     :param forwarder: the :class:`~goldcrestmoor.request.forwarding.Forwarder`.
+    :param streams: the :class:`~goldcrestmoor.request.streaming.StreamForwarder`.
     :param desk: the :class:`~goldcrestmoor.job.desk.Desk`.
     :param dialect: how callers speak.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
     """
 
-    __slots__ = ("_clock", "_routing", "_forwarder", "_desk", "_dialect", "_metrics")
-
-    def __init__(self, *, clock, routing, forwarder, desk, dialect, metrics):
+    __slots__ = (
+        "_clock",
+        "_routing",
+        "_forwarder",
+        "_streams",
+        "_desk",
+        "_dialect",
+        "_metrics",
+    )
+
+    def __init__(self, *, clock, routing, forwarder, streams, desk, dialect, metrics):
         self._clock = clock
         self._routing = routing
         self._forwarder = forwarder
+        self._streams = streams
         self._desk = desk
         self._dialect = dialect
         self._metrics = metrics
@@ -95,8 +108,15 @@
             self._dialect.passed_on(headers),
             body,
         )
-        answer = await self._forwarder.forward(asked, route, deadline)
-        return whole_response(answer, request.method)
+        if route.kind is RouteKind.STREAM:
+            answer = await self._streams.forward(asked, route, deadline)
+        else:
+            answer = await self._forwarder.forward(asked, route, deadline)
+        match answer:
+            case StreamAnswer():
+                return _streamed(answer)
+            case AppAnswer():
+                return whole_response(answer, request.method)
 
     def _deadline(self, route, headers):
         stated_ms = self._dialect.deadline_ms(headers)
@@ -126,6 +146,23 @@
                 return Response(200)
 
 
+def _streamed(answer):
+    headers = list(answer.headers)
+    content_type = dict(headers).get(b"content-type")
+    others = [
+        (name, value)
+        for name, value in headers
+        if name not in (b"content-type", b"content-length")
+    ]
+
+    async def events():
+        async with contextlib.aclosing(answer.events):
+            async for event in answer.events:
+                yield event
+
+    return Response(200, others, StreamedContent(content_type, events))
+
+
 def _host(request):
     value = request.get_first_header(b"host") or b""
     host = value.decode("latin-1").lower()
--- /dev/null
+++ b/goldcrestmoor/request/upstream_loads.py
@@ -0,0 +1,83 @@
+"""What this host has in flight at each upstream, and which have just failed."""
+
+import contextlib
+
+from goldcrestmoor.request.upstream_choice import Choice, choose_upstream
+
+# An upstream that failed is left alone for so long, while there is another.
+FAILED_PAUSE_MS = 1000
+
+
+class UpstreamLoads:
+    """Choose upstreams for requests, and count what is at each.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param http: the ``HttpClient``, which knows the open connections.
+    :param directory: the :class:`~goldcrestmoor.process.directory.Directory`.
+    :param zone: this host's availability zone.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_http",
+        "_directory",
+        "_zone",
+        "_in_flight_by_name",
+        "_failed_ms_by_name",
+    )
+
+    def __init__(self, *, clock, http, directory, zone):
+        self._clock = clock
+        self._http = http
+        self._directory = directory
+        self._zone = zone
+        self._in_flight_by_name = {}
+        self._failed_ms_by_name = {}
+
+    def choose(self, service, sent_to):
+        """Return the upstream that a request goes to, or None.
+
+        :param service: the service's name.
+        :param sent_to: the names of the upstreams that it was sent to already.
+        """
+        now_ms = self._clock.now_ms()
+        upstream_by_name = {u.name: u for u in self._directory.usable(service)}
+        choices = (self._view(u, now_ms) for u in upstream_by_name.values())
+        return upstream_by_name.get(choose_upstream(choices, sent_to))
+
+    def _view(self, upstream, now_ms):
+        failed_ms = self._failed_ms_by_name.get(upstream.name)
+        return Choice(
+            name=upstream.name,
+            in_flight=self._in_flight_by_name.get(upstream.name, 0),
+            slots=upstream.slots,
+            has_connection=self._http.has_idle(upstream.address, upstream.port),
+            is_local=upstream.zone == self._zone,
+            has_failed=failed_ms is not None and now_ms - failed_ms < FAILED_PAUSE_MS,
+        )
+
+    @contextlib.contextmanager
+    def counted(self, upstream):
+        """Count a request as in flight for as long as the block runs.
+
+        :param upstream: the :class:`~goldcrestmoor.process.directory.ListedUpstream`.
+        """
+        name = upstream.name
+        self._in_flight_by_name[name] = self._in_flight_by_name.get(name, 0) + 1
+        try:
+            yield
+        finally:
+            self._in_flight_by_name[name] -= 1
+            if not self._in_flight_by_name[name]:
+                del self._in_flight_by_name[name]
+
+    def note_failure(self, upstream):
+        """Note that an upstream gave no answer, or a spoilt one.
+
+        :param upstream: the upstream.
+        """
+        now_ms = self._clock.now_ms()
+        self._failed_ms_by_name[upstream.name] = now_ms
+        for name, failed_ms in list(self._failed_ms_by_name.items()):
+            if now_ms - failed_ms > FAILED_PAUSE_MS:
+                del self._failed_ms_by_name[name]
--- a/test/_front.py
+++ b/test/_front.py
@@ -50,9 +50,22 @@
         "stickySessions": True,
         "resumable": True,
     }
+    stream = fetch | {
+        "name": "stream",
+        "pathPrefix": "/stream/",
+        "routeType": "streaming",
+        "service": "pool",
+        "resumable": True,
+    }
+    once = fetch | {"name": "once", "pathPrefix": "/once/", "routeType": "unsafe"}
     return {
         "version": version,
-        "routes": [fetch | changes.get("fetch", {}), job | changes.get("job", {})],
+        "routes": [
+            fetch | changes.get("fetch", {}),
+            job | changes.get("job", {}),
+            stream | changes.get("stream", {}),
+            once,
+        ],
         "services": [
             {"name": "pool", "maxConns": 160, "engine": {"models": [{"name": MODEL}]}},
             {"name": "app", "maxConns": 110},
--- a/test/standins/users_server.py
+++ b/test/standins/users_server.py
@@ -123,7 +123,8 @@
             if now != version:
                 version = now
                 lines = f"weight-versions: {now}\n"
-            yield f"{lines}id: {number}\ndata: {event_text(request_id, number)}\n\n".encode()
+            lines += f"id: {number}\ndata: {event_text(request_id, number)}\n\n"
+            yield lines.encode()
             await asyncio.sleep(EVENT_MS / 1000)
 
 
--- a/test/test_front.py
+++ b/test/test_front.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from goldcrestmoor.errors import ServiceError
 from test import _common
 from test._front import FETCH_PATH, MODEL, FrontFleet, configuration
 from test.standins.users_server import whole_text
@@ -265,6 +266,53 @@
         self.assertIn(b"retry-after", dict(answer.headers))
         self.assertEqual(sum(len(app.runs) for app in self.fleet.apps), before)
 
+    async def test_a_stream_goes_on_at_another_engine(self):
+        await self.fleet.start(names=("front-a",))
+        await self.listed()
+        for engine in self.fleet.engines:
+            engine.events = 6
+        self.fleet.engines[0].cut_after = 2
+        for number in range(4):
+            request_id = f"s{number}"
+            answer = await self.stream(request_id)
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(self.data(answer.body), whole_text(request_id, 6))
+
+    async def test_a_stream_that_may_not_be_resumed_never_looks_complete(self):
+        await self.fleet.start(names=("front-a",))
+        await self.listed()
+        changed = configuration(9, stream={"resumable": False})
+        self.fleet.store.put("op", "config", changed)
+        await asyncio.sleep(0.5)
+        for engine in self.fleet.engines:
+            engine.cut_after = 2
+        with self.assertRaises(ServiceError):
+            await self.stream("s1")
+        runs = [run for engine in self.fleet.engines for run in engine.runs]
+        self.assertEqual(runs, ["s1"])
+
+    async def stream(self, request_id):
+        return await self.fleet.ask(
+            "front-a", "POST", "/stream/x", b"", request_id, model_name=MODEL
+        )
+
+    def data(self, body):
+        lines = body.decode().splitlines()
+        return "\n".join(
+            line.removeprefix("data: ") for line in lines if line.startswith("data: ")
+        )
+
+    async def test_a_request_that_may_run_once_is_never_sent_twice(self):
+        await self.fleet.start(names=("front-a",))
+        await self.listed()
+        for app in self.fleet.apps:
+            app.lose = True
+            app.runs.clear()
+        answer = await self.fleet.ask("front-a", "POST", "/once/x", b"note", "n1")
+        self.assertEqual(answer.status, 502)
+        runs = [run for app in self.fleet.apps for run in app.runs]
+        self.assertEqual(runs, ["n1"])
+
     async def test_a_feed_without_history_is_read_anew(self):
         await self.fleet.start(names=("front-a",))
         self.fleet.store.forget_history()
