--- a/test/_front.py
+++ b/test/_front.py
@@ -11,7 +11,7 @@
 from goldcrestmoor.connection.http_client import HttpClient
 from goldcrestmoor.errors import ServiceError
 from test import _common
-from test._process import Process
+from test._process import Process, stop_all
 from test.standins.users_server import UsersServer
 from test.standins.users_store import UsersStore
 
@@ -228,8 +228,7 @@
 
     async def close(self):
         """End everything that was started."""
-        for process in self.fronts.values():
-            process.kill()
+        await stop_all(self.fronts.values())
         if self._beats is not None:
             self._beats.cancel()
         await self.http.close()
