--- a/goldcrestmoor/front_settings.py
+++ b/goldcrestmoor/front_settings.py
@@ -70,9 +70,9 @@
 
 @strict
 class OrderSettings:
-    """How orders to engines keep apart."""
+    """How long one host's order to an engine keeps the others from ordering it."""
 
-    lease_ms: DurationMs
+    turn_ms: DurationMs
 
 
 @strict
--- a/goldcrestmoor/job/board.py
+++ b/goldcrestmoor/job/board.py
@@ -95,6 +95,13 @@
                 continue
             self.note(change.part, kept)
 
+    def runs_model(self, model):
+        """Tell whether this host runs a model's jobs now.
+
+        :param model: the model.
+        """
+        return not self._is_leaving and self._duties.holds(runner_duty(model))
+
     def note(self, job_id, kept):
         """Take in a job's state, from the feed or from an own write.
 
--- a/goldcrestmoor/job/engine_pool.py
+++ b/goldcrestmoor/job/engine_pool.py
@@ -10,19 +10,20 @@
 REFUSED_PAUSE_MS = 100
 # After a broken stream: an engine that crashed is not listed for some seconds yet.
 BROKEN_PAUSE_MS = 500
-# The weight of the newest stream in an engine's pace.
-PACE_SHARE = 0.3
+# The weight of the newest event in an engine's pace, over all of its streams.
+PACE_SHARE = 0.05
 
 
 class _Found:
     """What this host has met at one incarnation of an engine."""
 
-    __slots__ = ("in_flight", "ms_per_event", "blocked_until_ms")
+    __slots__ = ("in_flight", "ms_per_event", "blocked_until_ms", "is_refusing")
 
     def __init__(self):
         self.in_flight = 0
         self.ms_per_event = None
         self.blocked_until_ms = 0
+        self.is_refusing = False
 
 
 class EnginePool:
@@ -62,6 +63,22 @@
             is_blocked=now_ms < found.blocked_until_ms,
         )
 
+    def paces(self, service):
+        """Return the pace of each usable engine of a service whose pace is known.
+
+        :param service: the service's name.
+        :return: milliseconds for each event, by engine.
+        """
+        found_by_name = {
+            upstream.name: self._found_by_key.get(_key(upstream))
+            for upstream in self._directory.usable(service)
+        }
+        return {
+            name: found.ms_per_event
+            for name, found in found_by_name.items()
+            if found is not None and found.ms_per_event is not None
+        }
+
     def upstream(self, name):
         """Return a listed engine.
 
@@ -74,23 +91,47 @@
 
         :param upstream: the :class:`~goldcrestmoor.process.directory.ListedUpstream`.
         """
-        self._state(upstream).in_flight += 1
+        found = self._state(upstream)
+        found.in_flight += 1
+        if found.is_refusing:
+            # The others wait for what becomes of this one.
+            self.block(upstream, REFUSED_PAUSE_MS)
 
-    def end(self, upstream, elapsed_ms=None, events=0):
+    def end(self, upstream):
         """Count a stream's end.
 
         :param upstream: the engine.
-        :param elapsed_ms: how long it made events, where that tells its pace.
-        :param events: how many events it made.
+        """
+        self._state(upstream).in_flight -= 1
+
+    def note_taken(self, upstream):
+        """Note that an engine has begun to answer: it takes work.
+
+        :param upstream: the engine.
+        """
+        self._state(upstream).is_refusing = False
+
+    def note_events(self, upstream, elapsed_ms, count):
+        """Take in the pace of a stream.
+
+        :param upstream: the engine.
+        :param elapsed_ms: the time since the stream's last events.
+        :param count: how many events have come since.
         """
         found = self._state(upstream)
-        found.in_flight -= 1
-        if elapsed_ms is not None and events:
-            pace = elapsed_ms / events
-            known = found.ms_per_event
-            found.ms_per_event = (
-                pace if known is None else known + PACE_SHARE * (pace - known)
-            )
+        pace, known = elapsed_ms / count, found.ms_per_event
+        if known is None:
+            found.ms_per_event = pace
+        else:
+            found.ms_per_event = known + PACE_SHARE * (pace - known)
+
+    def note_refused(self, upstream):
+        """Note that an engine took no work: send it one item after a while, not all.
+
+        :param upstream: the engine.
+        """
+        self._state(upstream).is_refusing = True
+        self.block(upstream, REFUSED_PAUSE_MS)
 
     def block(self, upstream, duration_ms):
         """Send an engine nothing for a while.
--- a/goldcrestmoor/job/item_order.py
+++ b/goldcrestmoor/job/item_order.py
@@ -1,8 +1,9 @@
 """In which order the waiting items of batch jobs are started.
 
-The load this answers: the items of several steps wait for the same slots. A step is
-worth something by whole groups that come before it is due, so the step that is due
-first goes first, and within it the groups that need the fewest further items.
+The load this answers: a step's items come all at once, more than there are slots, and
+a few are many times longer than the rest. A step is worth something by whole groups
+that come before it is due, and a long item takes most of that time by itself. So the
+step that is due first goes first, and within it the longest items, by their hints.
 """
 
 
@@ -14,21 +15,14 @@
     return sorted(jobs, key=lambda job: (job.priority, job.due_ms))
 
 
-def order_items(items, unfinished_by_group):
+def order_items(items):
     """Return the waiting items of one job in the order in which to start them.
 
-    Items that have made some of their text go first, then the groups with the
-    fewest items to come, in the order in which they were submitted.
+    Items that have made some of their text go first: their slots were paid for.
 
-    :param items: an iterable with ``group``, ``position`` and ``events``.
-    :param unfinished_by_group: how many items of each group are not finished.
+    :param items: an iterable with ``events``, ``position`` and ``expected_tokens``.
     """
-
-    def rank(item):
-        return (
-            not item.events,
-            unfinished_by_group.get(item.group, 0),
-            item.position,
-        )
-
-    return sorted(items, key=rank)
+    return sorted(
+        items,
+        key=lambda item: (not item.events, -item.expected_tokens, item.position),
+    )
--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -50,6 +50,23 @@
     reason: str
 
 
+class Moved(msgspec.Struct, frozen=True):
+    """The try was ended here, to go on at another engine."""
+
+
+class ItemTerms(msgspec.Struct, frozen=True):
+    """What holds for the runs of an item.
+
+    :param host: the host of its route.
+    :param min_version: the oldest weight version that may make its events.
+    :param single_version: whether one version has to make them all.
+    """
+
+    host: str
+    min_version: int
+    single_version: bool
+
+
 class ItemRun:
     """An item and what has been made of it.
 
@@ -61,6 +78,7 @@
     :ivar failures: how often an engine said that it failed.
     :ivar engine: the engine that works on it, or None.
     :ivar avoid: the engine that it was last broken off at.
+    :ivar is_moving: whether its try is being ended, to go on at another engine.
     """
 
     __slots__ = (
@@ -74,6 +92,7 @@
         "engine",
         "avoid",
         "task",
+        "is_moving",
     )
 
     def __init__(self, item, position):
@@ -84,6 +103,7 @@
         self.engine = None
         self.avoid = ""
         self.task = None
+        self.is_moving = False
         self.forget_text()
 
     @property
@@ -91,6 +111,11 @@
         """The group that the item belongs to."""
         return self.item.group
 
+    @property
+    def expected_tokens(self):
+        """How long the item's output is expected to be, in tokens."""
+        return self.item.expected_tokens
+
     def forget_text(self):
         """Start over from the prompt."""
         self.events = []
@@ -130,18 +155,18 @@
         self._http = http
         self._dialect = dialect
 
-    async def attempt(self, run, engine, *, host, min_version, single_version):
+    async def attempt(self, run, engine, terms, on_events):
         """Run an item at an engine, from the events that are there.
 
         :param run: the :class:`ItemRun`.
         :param engine: the :class:`~goldcrestmoor.process.directory.ListedUpstream`.
-        :param host: the host of the item's route.
-        :param min_version: the oldest weight version that may make its events.
-        :param single_version: whether one version has to make them all.
+        :param terms: the :class:`ItemTerms`.
+        :param on_events: called with the number of events that came together; with
+            0 once the engine has begun its answer.
         :return: how it ended, one of the classes above.
         """
         dialect = self._dialect
-        headers = dialect.item_headers(run.item, host)
+        headers = dialect.item_headers(run.item, terms.host)
         headers = dialect.request_headers(headers, engine, None)
         if run.last_id:
             headers.append(dialect.resume_header(run.last_id))
@@ -160,13 +185,13 @@
                     progress_timeout_ms=SILENCE_TIMEOUT_MS,
                     allow_close_delimited=True,
                 ) as response:
-                    return await self._read(run, response, min_version, single_version)
+                    return await self._read(run, response, terms, on_events)
         except ServiceError as e:
             if e.answer.ran is Ran.NOT_RUN:
                 return NotRun(e.message)
             return Broken(e.message)
 
-    async def _read(self, run, response, min_version, single_version):
+    async def _read(self, run, response, terms, on_events):
         dialect = self._dialect
         if dialect.ran(response.status, response.headers) is Ran.NOT_RUN:
             await _drain(response)
@@ -179,22 +204,33 @@
         version = dialect.weight_version(response.headers)
         if version is None:
             return Broken("the answer states no weight version")
+        on_events(0)
         reader = EventReader(dialect.EVENT_FIELDS)
         async for chunk in response.body():
+            had = len(run.events)
             for event in reader.feed(chunk):
                 version = version if event.version is None else event.version
-                if version < min_version:
-                    return Broken(f"weight version {version} is too old")
-                if single_version and run.versions and version not in run.versions:
-                    run.forget_text()
-                    return Broken("the weight version changed")
-                if not run.add(event, version):
-                    return Broken(f"event {event.id!r} does not follow {run.last_id!r}")
+                fault = _take(run, event, version, terms)
+                if fault:
+                    return Broken(fault)
+            on_events(len(run.events) - had)
         if reader.has_rest or not run.events:
             return Broken("the stream ended within an event")
         return Finished()
 
 
+def _take(run, event, version, terms):
+    """Take in an event; return why it cannot be, or an empty string."""
+    if version < terms.min_version:
+        return f"weight version {version} is too old"
+    if terms.single_version and run.versions and version not in run.versions:
+        run.forget_text()
+        return "the weight version changed"
+    if not run.add(event, version):
+        return f"event {event.id!r} does not follow {run.last_id!r}"
+    return ""
+
+
 def _outcome(status):
     if status == STATUS_FAILED:
         return Failed()
--- a/goldcrestmoor/job/job.py
+++ b/goldcrestmoor/job/job.py
@@ -12,6 +12,8 @@
     :param body: the body of its request.
     :param tokens: the most tokens that it may take, prompt and output together.
     :param group: the group whose items share a prompt; empty for none.
+    :param expected_tokens: its submitter's guess at the output's length, right at
+        the median and often far off; 0 for none.
     """
 
     id: str
@@ -20,6 +22,7 @@
     body: bytes
     tokens: int = 0
     group: str = ""
+    expected_tokens: int = 0
 
 
 class Job(msgspec.Struct, frozen=True):
--- a/goldcrestmoor/job/job_run.py
+++ b/goldcrestmoor/job/job_run.py
@@ -1,7 +1,6 @@
 """One batch job that this process runs: its items, and the results to be listed."""
 
 import asyncio
-import collections
 import logging
 
 import msgspec
@@ -46,7 +45,6 @@
         "_on_state",
         "_finished",
         "_has_finished",
-        "_unfinished_by_group",
         "_is_over",
     )
 
@@ -70,9 +68,6 @@
         self._on_state = on_state
         self._finished = []
         self._has_finished = asyncio.Event()
-        self._unfinished_by_group = collections.Counter(
-            run.group for run in self.waiting
-        )
         self._is_over = False
 
     @property
@@ -82,7 +77,7 @@
 
     def next_items(self):
         """Return the waiting items in the order in which to start them."""
-        return order_items(self.waiting, self._unfinished_by_group)
+        return order_items(self.waiting)
 
     def start(self, run, engine):
         """Note that an item is being run.
@@ -113,7 +108,6 @@
         :param is_completed: whether its text is whole; else it is given up.
         """
         self.running_by_id.pop(run.item.id, None)
-        self._unfinished_by_group[run.group] -= 1
         text = "\n".join(run.events) if is_completed else ""
         versions = tuple(run.versions) if is_completed else ()
         self._finished.append(Result(run.item.id, is_completed, text, versions))
--- a/goldcrestmoor/job/scheduler.py
+++ b/goldcrestmoor/job/scheduler.py
@@ -6,8 +6,18 @@
 from goldcrestmoor.job import engine_pool
 from goldcrestmoor.job.engine_choice import choose_engine
 from goldcrestmoor.job.item_order import order_jobs
-from goldcrestmoor.job.item_run import Broken, Failed, Finished, Impossible, NotRun
+from goldcrestmoor.job.item_run import (
+    Broken,
+    Failed,
+    Finished,
+    Impossible,
+    ItemTerms,
+    Moved,
+    NotRun,
+)
+from goldcrestmoor.job.stragglers import Running, moves
 from goldcrestmoor.util import TaskGroup
+from goldcrestmoor.version.load_plan import Demand
 
 log = logging.getLogger("goldcrestmoor.scheduler")
 
@@ -67,6 +77,22 @@
         """Look again for engines with free slots."""
         self._woken.set()
 
+    def demand(self, model):
+        """Return what waits for a model's engines.
+
+        :param model: the model.
+        :return: a :class:`~goldcrestmoor.version.load_plan.Demand`.
+        """
+        runs = [
+            run
+            for run in self._runs_by_job.values()
+            if run.job.model == model and run.waiting and not run.is_over
+        ]
+        return Demand(
+            sum(len(run.waiting) for run in runs),
+            max((run.job.min_version for run in runs), default=0),
+        )
+
     async def run(self):
         """Start items for good."""
         while True:
@@ -77,6 +103,7 @@
                 pass
             self._woken.clear()
             self._dispatch()
+            self._move_stragglers()
 
     async def close(self):
         """Stop every item."""
@@ -123,25 +150,68 @@
         return True
 
     async def _run(self, job_run, run, engine, route):
-        started_ms = self._clock.now_ms()
-        had = len(run.events)
-        elapsed_ms = None
+        terms = ItemTerms(
+            job_run.job.host, job_run.job.min_version, route.job.single_version
+        )
+        heard_ms = self._clock.now_ms()
+
+        def on_events(count):
+            nonlocal heard_ms
+            now_ms = self._clock.now_ms()
+            if count:
+                self._pool.note_events(engine, now_ms - heard_ms, count)
+            else:
+                self._pool.note_taken(engine)
+            heard_ms = now_ms
+
         try:
-            outcome = await self._tries.attempt(
-                run,
-                engine,
-                host=job_run.job.host,
-                min_version=job_run.job.min_version,
-                single_version=route.job.single_version,
-            )
-            elapsed_ms = self._clock.now_ms() - started_ms
+            outcome = await self._tries.attempt(run, engine, terms, on_events)
+        except asyncio.CancelledError:
+            if not run.is_moving:
+                raise
+            outcome = Moved()
         finally:
-            self._pool.end(engine, elapsed_ms, len(run.events) - had)
+            self._pool.end(engine)
             run.task = None
             self.wake()
         if run.item.id in job_run.running_by_id:
             self._settle(job_run, run, engine, route, outcome)
 
+    def _move_stragglers(self):
+        """Take items off engines that are much slower than the others."""
+        table = self._routes()
+        if table is None:
+            return
+        for job_run in self._runs_by_job.values():
+            route = table.match(job_run.job.host, job_run.job.path)
+            if route is None or job_run.waiting or not job_run.running_by_id:
+                continue
+            for share in route.shares:
+                self._move_stragglers_of(job_run, share.service)
+
+    def _move_stragglers_of(self, job_run, service):
+        running = [
+            Running(run.item.id, run.engine, len(run.events))
+            for run in job_run.running_by_id.values()
+        ]
+        free_by_engine = {
+            load.name: load.slots - load.in_flight
+            for load in self._pool.loads(service, job_run.job.model)
+            if load.version >= job_run.job.min_version and not load.is_blocked
+        }
+        for item_id in moves(running, self._pool.paces(service), free_by_engine):
+            run = job_run.running_by_id[item_id]
+            if run.is_moving:
+                continue
+            log.info(
+                "Item %s leaves slow engine %s after %d events.",
+                item_id,
+                run.engine,
+                len(run.events),
+            )
+            run.is_moving = True
+            run.task.cancel()
+
     def _settle(self, job_run, run, engine, route, outcome):
         self._metrics.items.labels(type(outcome).__name__.lower()).inc()
         match outcome:
@@ -159,8 +229,10 @@
                     log.info("Item %s failed %d times.", run.item.id, run.failures)
                     job_run.finish(run, is_completed=False)
                     return
+            case Moved():
+                run.is_moving = False
             case NotRun(reason):
-                self._pool.block(engine, engine_pool.REFUSED_PAUSE_MS)
+                self._pool.note_refused(engine)
                 log.debug("Item %s not run at %s: %s", run.item.id, engine.name, reason)
             case Broken(reason):
                 self._pool.block(engine, engine_pool.BROKEN_PAUSE_MS)
--- a/goldcrestmoor/platform/callers.py
+++ b/goldcrestmoor/platform/callers.py
@@ -12,6 +12,8 @@
 
 READY_PATH = "/readiness"
 WAIT_HEADER = b"wait-ms"
+# The client's guess at the number of output tokens.
+LENGTH_HEADER = "length-hint"
 MAX_WAIT_MS = 1000
 # A page of results is at most 1 MB; the JSON around the texts needs some of it.
 MAX_PAGE_BYTES = 900_000
@@ -127,10 +129,7 @@
     except (msgspec.MsgspecError, UnicodeDecodeError) as e:
         text = f"The batch job is malformed: {e}."
         raise ServiceError(ErrorKind.BAD_REQUEST, text) from e
-    items = tuple(
-        Item(item.id, item.path, item.headers, item.body, item.tokens, item.group)
-        for item in job.items
-    )
+    items = tuple(_decode_item(item) for item in job.items)
     return Job(
         id=job_id,
         host=host,
@@ -143,6 +142,20 @@
     )
 
 
+def _decode_item(item):
+    value_by_name = {name.lower(): value for name, value in item.headers.items()}
+    hint = value_by_name.get(LENGTH_HEADER, "")
+    return Item(
+        item.id,
+        item.path,
+        item.headers,
+        item.body,
+        item.tokens,
+        item.group,
+        _number(hint.encode()) or 0,
+    )
+
+
 def encode_page(total, after, results):
     """Return the body of an answer with results.
 
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -102,8 +102,8 @@
             metrics=self._metrics,
         )
         self._make_knowledge()
-        self._make_orders()
         self._make_jobs()
+        self._make_orders()
         self._make_servers()
 
     def _make_knowledge(self):
@@ -126,26 +126,6 @@
         )
         self._duties = Duties(clock=clock, leases=leases, host_id=self.settings.host.id)
 
-    def _make_orders(self):
-        host, lease_ms = self.settings.host, self.settings.orders.lease_ms
-        self._orders = LoadOrders(
-            clock=self._clock,
-            duties=self._duties,
-            directory=self._directory,
-            versions=self._versions,
-            routes=self._routing.current,
-            engines=servers.EngineOrders(http=self._http),
-            order_log=OrderLog(
-                clock=self._clock,
-                store=self._store,
-                host_id=host.id,
-                turn_ms=lease_ms,
-            ),
-            metrics=self._metrics,
-            host_id=host.id,
-            lease_ms=lease_ms,
-        )
-
     def _make_jobs(self):
         clock = self._clock
         self._scheduler = Scheduler(
@@ -194,6 +174,26 @@
             is_current=self._followers[STATE_TABLE].is_current,
         )
 
+    def _make_orders(self):
+        host = self.settings.host
+        self._orders = LoadOrders(
+            clock=self._clock,
+            runs_model=self._board.runs_model,
+            demand=self._scheduler.demand,
+            directory=self._directory,
+            versions=self._versions,
+            routes=self._routing.current,
+            engines=servers.EngineOrders(http=self._http),
+            order_log=OrderLog(
+                clock=self._clock,
+                store=self._store,
+                host_id=host.id,
+                turn_ms=self.settings.orders.turn_ms,
+            ),
+            metrics=self._metrics,
+            host_id=host.id,
+        )
+
     def _follow(self, table, on_changes, **options):
         return TableFollower(
             clock=self._clock,
--- a/goldcrestmoor/version/load_orders.py
+++ b/goldcrestmoor/version/load_orders.py
@@ -1,4 +1,7 @@
-"""Give engines the orders that the plan of loads asks for, from one host at a time."""
+"""Give engines the orders that the plan of loads asks for.
+
+The host that runs a model's jobs orders the model's engines, as it knows what waits.
+"""
 
 import asyncio
 import logging
@@ -11,8 +14,10 @@
 
 log = logging.getLogger("goldcrestmoor.orders")
 
-DUTY = "orders"
-TICK_MS = 300
+TICK_MS = 100
+# A trainer that is late asks for its next step right after it names a version, and
+# that step should find the engines free.
+STEP_GRACE_MS = 150
 # An order that was taken shows in the list by then, or is looked at again: a load
 # takes about a second, more when several happen at once, and the list lags.
 SETTLE_MS = 5000
@@ -21,10 +26,12 @@
 
 
 class LoadOrders:
-    """Order engines to load named versions, while this host holds the duty.
+    """Order engines to load the named versions of the models that this host runs.
 
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
-    :param duties: the :class:`~goldcrestmoor.process.duties.Duties`.
+    :param runs_model: tells whether this host runs a model's jobs now.
+    :param demand: gives the :class:`~goldcrestmoor.version.load_plan.Demand` for a
+        model.
     :param directory: the :class:`~goldcrestmoor.process.directory.Directory`.
     :param versions: the :class:`~goldcrestmoor.version.named_versions.NamedVersions`.
     :param routes: gives the ``RouteTable`` in force.
@@ -32,12 +39,12 @@
     :param order_log: the :class:`~goldcrestmoor.version.order_log.OrderLog`.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
     :param host_id: this host.
-    :param lease_ms: how long the duty lasts without renewal.
     """
 
     __slots__ = (
         "_clock",
-        "_duties",
+        "_runs_model",
+        "_demand",
         "_directory",
         "_versions",
         "_routes",
@@ -45,7 +52,7 @@
         "_log",
         "_metrics",
         "_host_id",
-        "_lease_ms",
+        "_named_by_model",
         "_woken",
         "_pending_by_engine",
         "_tasks",
@@ -55,7 +62,8 @@
         self,
         *,
         clock,
-        duties,
+        runs_model,
+        demand,
         directory,
         versions,
         routes,
@@ -63,10 +71,10 @@
         order_log,
         metrics,
         host_id,
-        lease_ms,
     ):
         self._clock = clock
-        self._duties = duties
+        self._runs_model = runs_model
+        self._demand = demand
         self._directory = directory
         self._versions = versions
         self._routes = routes
@@ -74,7 +82,7 @@
         self._log = order_log
         self._metrics = metrics
         self._host_id = host_id
-        self._lease_ms = lease_ms
+        self._named_by_model = {}
         self._woken = asyncio.Event()
         self._pending_by_engine = {}
         self._tasks = TaskGroup()
@@ -92,44 +100,40 @@
             except TimeoutError:
                 pass
             self._woken.clear()
-            try:
-                if await self._has_duty():
-                    self._order()
-            except ServiceError as e:
-                log.info("The duty to order was not claimed: %s", e)
+            self._order()
 
     async def close(self):
         """Stop giving orders."""
         await self._tasks.close()
 
-    async def _has_duty(self):
-        if self._duties.holds(DUTY):
-            return True
-        if not self._versions.version_by_model or not self._duties.is_free(DUTY):
-            return False
-        return await self._duties.claim(DUTY, self._lease_ms)
-
     def _order(self):
         table = self._routes()
         if table is None:
             return
         for service in table.services_by_name.values():
-            versions = {
-                model: self._versions.version_by_model[model]
-                for model in service.models
-                if model in self._versions.version_by_model
-            }
-            if not versions:
-                continue
-            engines = [self._weights(u) for u in self._directory.usable(service.name)]
-            for load in plan_loads(engines, versions):
-                upstream = self._directory.upstream_by_name[load.engine]
-                self._pending_by_engine[load.engine] = (
-                    load,
-                    self._clock.now_ms() + SETTLE_MS,
-                )
-                mode = _mode(table, service.name)
-                self._tasks.start(self._give(upstream, load, mode))
+            for model in service.models:
+                if self._is_due(model):
+                    self._order_model(table, service, model)
+
+    def _is_due(self, model):
+        """Tell whether a model's version has been named long enough to be loaded."""
+        version = self._versions.version_by_model.get(model)
+        if version is None or not self._runs_model(model):
+            return False
+        now_ms = self._clock.now_ms()
+        known = self._named_by_model.get(model)
+        if known is None or known[0] != version:
+            self._named_by_model[model] = known = (version, now_ms)
+        return now_ms - known[1] >= STEP_GRACE_MS
+
+    def _order_model(self, table, service, model):
+        version = self._versions.version_by_model[model]
+        engines = [self._weights(u) for u in self._directory.usable(service.name)]
+        loads = plan_loads(model, version, engines, service.models, self._demand(model))
+        for load in loads:
+            upstream = self._directory.upstream_by_name[load.engine]
+            self._retry_after(load, SETTLE_MS)
+            self._tasks.start(self._give(upstream, load, _mode(table, service.name)))
 
     def _weights(self, upstream):
         pending = self._pending_by_engine.get(upstream.name)
@@ -151,7 +155,8 @@
             if report.version_by_model.get(load.model, 0) >= load.version:
                 # The list will say so too; until then it is not asked again.
                 return
-            if not self._duties.holds(DUTY) or not self._directory.is_usable(upstream):
+            is_usable = self._directory.is_usable(upstream)
+            if not is_usable or not self._runs_model(load.model):
                 self._retry_after(load, 0)
                 return
             fencing = await self._log.enter(upstream.name)
--- a/goldcrestmoor/version/load_plan.py
+++ b/goldcrestmoor/version/load_plan.py
@@ -1,10 +1,12 @@
 """Which engines are ordered to load which weight version next.
 
 The load this answers: trainers name a version every few seconds, and the step that
-follows may still use the version before it. An engine that loads runs nothing new
-for about a second, and loads get longer when many happen at once. So engines load a
-few at a time, and where several models share the engines, each model has its own
-part of them: one load an engine and version, not one for each model.
+follows may still use the version before it. An engine that loads finishes what it
+runs but begins nothing for about a second, and loads get longer when many happen at
+once. So engines load when nothing waits for them, half of a model's engines at a
+time, and an engine that can still serve the waiting items is left to them. Where
+several models share the engines, each model has its own part of them: one load an
+engine and version, not one for each model.
 """
 
 import msgspec
@@ -13,6 +15,8 @@
 
 # More loads at the same time than this share of the engines slow one another down.
 LOADING_SHARE = 0.4
+# Of a model's own engines, so that a step that comes meanwhile finds some.
+PART_LOADING_SHARE = 0.5
 
 
 class EngineWeights(msgspec.Struct, frozen=True):
@@ -28,6 +32,17 @@
     is_loading: bool = False
 
 
+class Demand(msgspec.Struct, frozen=True):
+    """What waits for a model's engines.
+
+    :param waiting: how many items wait for a slot.
+    :param min_version: the newest version that one of them needs at least.
+    """
+
+    waiting: int = 0
+    min_version: int = 0
+
+
 class Load(msgspec.Struct, frozen=True):
     """One order to give.
 
@@ -41,44 +56,39 @@
     version: int
 
 
-def plan_loads(engines, version_by_model):
-    """Yield the orders to give now.
+def plan_loads(model, version, engines, models, demand):
+    """Yield the orders to give now for one model, what lags most first.
 
+    :param model: the model.
+    :param version: its newest named version.
     :param engines: a list of :class:`EngineWeights`.
-    :param version_by_model: the newest version that is named, by model.
+    :param models: all models that share the engines.
+    :param demand: the :class:`Demand` for the model.
     """
-    room = _room(engines)
-    loading = {engine.name for engine in engines if engine.is_loading}
-    assigned = assign(engines, version_by_model)
+    part = assign(engines, models)[model]
+    room = min(
+        _room(engines, LOADING_SHARE),
+        _room(part, PART_LOADING_SHARE),
+    )
     behind = [
-        Load(engine.name, model, version)
-        for model, version in sorted(version_by_model.items())
-        for engine in assigned[model]
-        if engine.version_by_model.get(model, 0) < version
+        engine
+        for engine in part
+        if _held(engine, model) < version and not engine.is_loading
     ]
-    lag_by_load = {
-        (load.engine, load.model): load.version - _held(engines, load)
-        for load in behind
-    }
-    # What lags most can serve no step any more.
-    behind.sort(key=lambda load: -lag_by_load[load.engine, load.model])
-    for load in behind:
-        if room <= 0:
-            return
-        if load.engine in loading:
-            continue
-        loading.add(load.engine)
-        room -= 1
-        yield load
-
-
-def assign(engines, version_by_model):
+    if demand.waiting:
+        behind = [e for e in behind if _held(e, model) < demand.min_version]
+    behind.sort(key=lambda engine: _held(engine, model))
+    for engine in behind[: max(0, room)]:
+        yield Load(engine.name, model, version)
+
+
+def assign(engines, models):
     """Return each model's engines: those that have followed it, up to its part.
 
     :param engines: a list of :class:`EngineWeights`.
-    :param version_by_model: the newest version that is named, by model.
+    :param models: the models that share them.
     """
-    models = sorted(version_by_model)
+    models = sorted(models)
     if len(models) <= 1:
         return {model: list(engines) for model in models}
     engine_by_name = {engine.name: engine for engine in engines}
@@ -88,7 +98,7 @@
     for model in models:
         order = rendezvous_order(model, sorted(free))
         # The sort is stable: engines that hold the same version keep their order.
-        order.sort(key=lambda name: -_held_of(engine_by_name[name], model))
+        order.sort(key=lambda name: -_held(engine_by_name[name], model))
         for name in order[:quota]:
             assigned[model].append(engine_by_name[name])
             free.discard(name)
@@ -97,14 +107,10 @@
     return assigned
 
 
-def _room(engines):
+def _room(engines, share):
     loading = sum(engine.is_loading for engine in engines)
-    return max(1, int(len(engines) * LOADING_SHARE)) - loading
-
-
-def _held(engines, load):
-    return next(_held_of(e, load.model) for e in engines if e.name == load.engine)
+    return max(1, int(len(engines) * share)) - loading
 
 
-def _held_of(engine, model):
+def _held(engine, model):
     return engine.version_by_model.get(model, 0)
--- a/test/test_front.py
+++ b/test/test_front.py
@@ -178,6 +178,8 @@
     async def test_named_versions_are_loaded_by_one_holder_in_order(self):
         await self.fleet.start()
         await self.listed()
+        await self.fleet.submit("front-a", "j1", 4)
+        await self.fleet.all_results("front-a", "j1")
         for version in (2, 3):
             value = {"model": MODEL, "version": version}
             self.fleet.store.put("op", f"version/{MODEL}", value)
