Keep all rows in one part of the store

Each job's rows lay in a part of its own, and parts can be away one by one. Ruled out: slowness (other transactions took 10 ms) and size. Change: all rows lie in the empty part, with the operator's and the servers' rows, so that one part matters in place of two. The types of rows lose the part again. Weighed: a job's part named by a row and changed when it is away; it needs two more transactions for each job and still depends on the empty part. Test: test_a_job_is_run_while_other_parts_of_the_store_are_away, red before, green after.

--- a/goldcrestmoor/adapters/table.py
+++ b/goldcrestmoor/adapters/table.py
@@ -13,31 +13,27 @@
 )
 
 
-class Row(msgspec.Struct, frozen=True, omit_defaults=True):
+class Row(msgspec.Struct, frozen=True):
     """One row as it was read.
 
     :param key: its key within the table.
     :param version: grows with each write of the row.
     :param value: its bytes.
-    :param part: the part of the table that it lies in, where tables have parts.
     """
 
     key: str
     version: int
     value: bytes
-    part: str = ""
 
 
 class Change(msgspec.Struct, frozen=True):
     """What a table's feed says of one row.
 
-    :param part: the part of the table that the row lies in.
-    :param key: its key within the part.
+    :param key: the row's key within the table.
     :param version: the version of the write.
     :param value: its new bytes; ``None`` when it was deleted.
     """
 
-    part: str
     key: str
     version: int
     value: bytes | None
@@ -58,30 +54,26 @@
     """The feed no longer knows what came after the version asked for."""
 
 
-class Check(msgspec.Struct, frozen=True, omit_defaults=True):
+class Check(msgspec.Struct, frozen=True):
     """A condition of a transaction.
 
     :param version: the version that the row must have; 0: it must not exist.
-    :param part: the part of the table, where tables have parts.
     """
 
     table: str
     key: str
     version: int
-    part: str = ""
 
 
-class Write(msgspec.Struct, frozen=True, omit_defaults=True):
+class Write(msgspec.Struct, frozen=True):
     """One write of a transaction.
 
     :param value: the row's new bytes; ``None`` deletes it.
-    :param part: the part of the table, where tables have parts.
     """
 
     table: str
     key: str
     value: bytes | None
-    part: str = ""
 
 
 class Committed(msgspec.Struct, frozen=True):
--- a/goldcrestmoor/job/board.py
+++ b/goldcrestmoor/job/board.py
@@ -86,14 +86,14 @@
         """
         for change in changes:
             if change.value is None:
-                self._forget(change.part)
+                self._forget(change.key)
                 continue
             try:
                 kept = KeptState(decode_state(change.value), change.version)
             except ServiceError as e:
-                log.warning("Job %s is passed over: %s", change.part, e)
+                log.warning("Job %s is passed over: %s", change.key, e)
                 continue
-            self.note(change.part, kept)
+            self.note(change.key, kept)
 
     def runs_model(self, model):
         """Tell whether this host runs a model's jobs now.
--- a/goldcrestmoor/job/job_store.py
+++ b/goldcrestmoor/job/job_store.py
@@ -1,8 +1,8 @@
 """What is kept of batch jobs: the job itself, its state and its results.
 
-A job's rows lie in one part of their tables, so that its state and its results
-are written in one transaction. Every write names the version of the state that it
-follows; of two processes that believe they run a job, only one can write.
+A job's state and its results are written in one transaction. Every write names the
+version of the state that it follows; of two processes that believe they run a job,
+only one can write.
 """
 
 import hashlib
@@ -18,7 +18,6 @@
 log = logging.getLogger("goldcrestmoor.jobs")
 
 STATE_TABLE = "jobs"
-STATE_KEY = "state"
 RESULT_TABLE = "results"
 # The jobs themselves, in chunks; a row is written five times as fast as an object.
 BODY_TABLE = "job_bodies"
@@ -109,7 +108,7 @@
         )
         writes = []
         if len(data) <= MAX_WRITE_BYTES:
-            writes = list(_chunk_writes(BODY_TABLE, job.id, "body", data))
+            writes = list(_chunk_writes(BODY_TABLE, job.id, data))
         else:
             digest = hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
             key = f"{OBJECT_PREFIX}{job.id}-{digest}"
@@ -131,9 +130,9 @@
                 await self._clock.sleep_ms(delay_ms)
 
     async def _create(self, job_id, state, body_writes, deadline):
-        checks = [Check(STATE_TABLE, STATE_KEY, 0, job_id)]
+        checks = [Check(STATE_TABLE, job_id, 0)]
         value = msgspec.json.encode(state)
-        writes = [Write(STATE_TABLE, STATE_KEY, value, job_id), *body_writes]
+        writes = [Write(STATE_TABLE, job_id, value), *body_writes]
         backoff = Backoff(RETRY_MIN_MS, RETRY_MAX_MS)
         is_unknown = False
         while True:
@@ -152,7 +151,7 @@
                 await self._clock.sleep_ms(delay_ms)
         match answer:
             case Committed(version_by_key):
-                version = version_by_key[f"{STATE_TABLE}/{STATE_KEY}"]
+                version = version_by_key[f"{STATE_TABLE}/{job_id}"]
                 return KeptState(state, version)
             case CheckFailed(row):
                 return KeptState(decode_state(row.value), row.version)
@@ -163,7 +162,7 @@
         :param job_id: the job.
         :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
         """
-        row = await self._store.get(STATE_TABLE, STATE_KEY, job_id)
+        row = await self._store.get(STATE_TABLE, job_id)
         return KeptState(decode_state(row.value), row.version) if row else None
 
     async def load(self, job_id, state):
@@ -177,7 +176,7 @@
         if state.object_key:
             data = await self._store.get_object(state.object_key)
         else:
-            rows = await self._store.scan(BODY_TABLE, part=job_id)
+            rows = await self._store.scan(BODY_TABLE, _prefix(job_id))
             data = next(_joined(rows), None)
         if data is None:
             raise ServiceError(ErrorKind.INTERNAL, f"Job {job_id} itself is gone.")
@@ -199,8 +198,8 @@
         :return: the :class:`KeptState` as it is now, ``state`` itself or what
             another process has written; None when the job is gone.
         """
-        checks = [Check(STATE_TABLE, STATE_KEY, kept.version, job_id)]
-        writes = [Write(STATE_TABLE, STATE_KEY, msgspec.json.encode(state), job_id)]
+        checks = [Check(STATE_TABLE, job_id, kept.version)]
+        writes = [Write(STATE_TABLE, job_id, msgspec.json.encode(state))]
         for position, result in enumerate(results, kept.state.listed):
             writes += _result_writes(job_id, position, result)
         backoff = Backoff(RETRY_MIN_MS, RETRY_MAX_MS)
@@ -213,7 +212,7 @@
                 await self._clock.sleep_ms(backoff.next_ms())
         match answer:
             case Committed(version_by_key):
-                version = version_by_key[f"{STATE_TABLE}/{STATE_KEY}"]
+                version = version_by_key[f"{STATE_TABLE}/{job_id}"]
                 return KeptState(state, version)
             case CheckFailed(None):
                 return None
@@ -229,9 +228,11 @@
         :return: a list of :class:`~goldcrestmoor.job.job.Result`.
         :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
         """
-        start = _position_key(after)
         rows = await self._store.scan(
-            RESULT_TABLE, part=job_id, start=start, most_rows=READ_ROWS
+            RESULT_TABLE,
+            _prefix(job_id),
+            start=_position_key(job_id, after),
+            most_rows=READ_ROWS,
         )
         results, size = [], 0
         for data in _joined(rows):
@@ -265,15 +266,15 @@
         :raises ServiceError: when the store cannot be reached; safe to call again.
         """
         for table in (RESULT_TABLE, BODY_TABLE):
-            rows = await self._store.scan(table, part=job_id)
+            rows = await self._store.scan(table, _prefix(job_id))
             while rows:
                 batch, rows = rows[:MAX_WRITES], rows[MAX_WRITES:]
-                writes = [Write(table, row.key, None, job_id) for row in batch]
+                writes = [Write(table, row.key, None) for row in batch]
                 await self._store.transact([], writes)
         if kept.state.object_key:
             await self._store.delete(kept.state.object_key)
-        checks = [Check(STATE_TABLE, STATE_KEY, kept.version, job_id)]
-        writes = [Write(STATE_TABLE, STATE_KEY, None, job_id)]
+        checks = [Check(STATE_TABLE, job_id, kept.version)]
+        writes = [Write(STATE_TABLE, job_id, None)]
         await self._store.transact(checks, writes)
 
 
@@ -292,21 +293,25 @@
     return len(results)
 
 
-def _position_key(position):
-    return f"{position:0{POSITION_DIGITS}d}"
+def _prefix(job_id):
+    return f"{job_id}/"
+
+
+def _position_key(job_id, position):
+    return f"{job_id}/{position:0{POSITION_DIGITS}d}"
 
 
 def _result_writes(job_id, position, result):
     data = msgspec.msgpack.encode(result)
-    return _chunk_writes(RESULT_TABLE, job_id, _position_key(position), data)
+    return _chunk_writes(RESULT_TABLE, _position_key(job_id, position), data)
 
 
-def _chunk_writes(table, job_id, name, data):
+def _chunk_writes(table, name, data):
     """Yield the writes that keep bytes in as many rows as they need."""
     for number, start in enumerate(range(0, len(data), MAX_CHUNK_BYTES)):
         chunk = data[start : start + MAX_CHUNK_BYTES]
         mark = LAST if start + MAX_CHUNK_BYTES >= len(data) else MORE
-        yield Write(table, f"{name}/{number:02d}", mark + chunk, job_id)
+        yield Write(table, f"{name}/{number:02d}", mark + chunk)
 
 
 def _joined(rows):
--- a/goldcrestmoor/platform/store.py
+++ b/goldcrestmoor/platform/store.py
@@ -26,6 +26,9 @@
 STATUS_UNAVAILABLE = 503
 # Added to a feed's own wait before its connection counts as silent.
 FEED_SLACK_MS = 1000
+# All rows lie in the empty part. Parts of the store fail one by one, and with one
+# part there is one that matters; its 200 transactions a second are enough.
+PART = ""
 _JSON = [(b"content-type", b"application/json")]
 
 
@@ -48,10 +51,6 @@
     hasMore: bool = False  # noqa: N815
 
 
-class _Parts(msgspec.Struct):
-    parts: list[str]
-
-
 class _Names(msgspec.Struct):
     names: list[str]
     hasMore: bool = False  # noqa: N815
@@ -84,7 +83,6 @@
 
 
 _answer_decoder = msgspec.json.Decoder(_Answer)
-_parts_decoder = msgspec.json.Decoder(_Parts)
 _names_decoder = msgspec.json.Decoder(_Names)
 
 
@@ -124,51 +122,40 @@
             return None
         return self._clock.now_ms() + self._ahead_ms
 
-    async def get(self, table, key, part=""):
+    async def get(self, table, key):
         """Return a row, or ``None``.
 
         :param table: the table's name.
         :param key: the row's key.
-        :param part: the part of the table.
         :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
         """
-        query = _query(table=table, part=part, limit=1, **{"from": key})
+        query = _query(table=table, part=PART, limit=1, **{"from": key})
         answer = await self._read("get", f"/rows-get?{query}", _answer_decoder)
         for row in answer.rows:
             if row.key == key:
                 return _row(row)
         return None
 
-    async def scan(self, table, prefix="", part="", start=None, most_rows=None):
-        """Return the rows of a part whose keys have a prefix, in the keys' order.
+    async def scan(self, table, prefix="", start=None, most_rows=None):
+        """Return the rows whose keys have a prefix, in the keys' order.
 
         :param table: the table's name.
         :param prefix: the keys' prefix.
-        :param part: the part of the table.
         :param start: the first key that is wanted; all when left out.
         :param most_rows: how many rows to return at most; all when left out.
         :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
         """
-        rows, _ = await self._scan(table, prefix, part, start, most_rows)
+        rows, _ = await self._scan(table, prefix, start, most_rows)
         return rows
 
-    async def snapshot(self, table, has_parts=False):
+    async def snapshot(self, table):
         """Return all rows of a table, and the version to follow its feed from.
 
         :param table: the table's name.
-        :param has_parts: whether there are rows in other than the empty part.
         :return: a list of :class:`Row` and the version.
         :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
         """
-        if not has_parts:
-            return await self._scan(table, "", "", None)
-        # The first read gives a version that no later row is older than.
-        rows, version = await self._scan(table, "", "", None)
-        async for part in self._parts(table):
-            if part:
-                of_part, _ = await self._scan(table, "", part, None)
-                rows += of_part
-        return rows, version
+        return await self._scan(table, "", None)
 
     async def changes(self, table, after, wait_ms):
         """Return what was written to a table, waiting until there is something.
@@ -187,8 +174,9 @@
             return HistoryLost()
         answer = self._decode(response, _answer_decoder, ErrorKind.PLATFORM_UNAVAILABLE)
         changes = [
-            Change(row.part, row.key, row.ver, None if row.deleted else _value(row))
+            Change(row.key, row.ver, None if row.deleted else _value(row))
             for row in answer.rows
+            if row.part == PART
         ]
         return Changes(changes, max(after, answer.ver))
 
@@ -203,13 +191,13 @@
         """
         body = msgspec.json.encode(
             _Transaction(
-                [_Expected(c.table, c.part, c.key, c.version) for c in checks],
+                [_Expected(c.table, PART, c.key, c.version) for c in checks],
                 [
-                    _Set(w.table, w.part, w.key, base64.b64encode(w.value).decode())
+                    _Set(w.table, PART, w.key, base64.b64encode(w.value).decode())
                     for w in writes
                     if w.value is not None
                 ],
-                [_Removed(w.table, w.part, w.key) for w in writes if w.value is None],
+                [_Removed(w.table, PART, w.key) for w in writes if w.value is None],
             )
         )
         response = await self._write("transact", "POST", "/rows-tx", body, _JSON)
@@ -266,14 +254,14 @@
             has_more = page.hasMore and bool(page.names)
         return names
 
-    async def _scan(self, table, prefix, part, start, most_rows=None):
+    async def _scan(self, table, prefix, start, most_rows=None):
         rows, version, has_more = [], None, True
         first = start or prefix
-        end = prefix + "\U0010ffff" if prefix else None
+        end = prefix[:-1] + chr(ord(prefix[-1]) + 1) if prefix else None
         while has_more:
             query = _query(
                 table=table,
-                part=part,
+                part=PART,
                 to=end,
                 limit=most_rows,
                 **{"from": first or None},
@@ -288,18 +276,6 @@
             first = rows[-1].key if rows else first
         return rows, version
 
-    async def _parts(self, table):
-        after = None
-        while True:
-            query = _query(table=table, after=after)
-            page = await self._read("parts", f"/rows-parts?{query}", _parts_decoder)
-            for part in page.parts:
-                yield part
-            # The last page is the one that brings nothing new.
-            if not page.parts or page.parts[-1] == after:
-                return
-            after = page.parts[-1]
-
     async def _read(self, call, target, decoder):
         response = await self._send(call, "GET", target)
         return self._decode(response, decoder, ErrorKind.PLATFORM_UNAVAILABLE)
@@ -359,14 +335,14 @@
 
 
 def _row(row):
-    return Row(row.key, row.ver, _value(row), row.part)
+    return Row(row.key, row.ver, _value(row))
 
 
 def _check_failed(checks, rows):
     """Name the first check that does not hold, with the row as it is."""
-    row_by_place = {(row.table, row.part, row.key): row for row in rows}
+    row_by_place = {(row.table, row.key): row for row in rows}
     for check in checks:
-        row = row_by_place.get((check.table, check.part, check.key))
+        row = row_by_place.get((check.table, check.key))
         if (row.ver if row else 0) != check.version:
             return CheckFailed(_row(row) if row else None, check.table, check.key)
     raise ServiceError(
--- a/goldcrestmoor/process/follower.py
+++ b/goldcrestmoor/process/follower.py
@@ -25,22 +25,20 @@
     :param on_changes: called with a list of :class:`Change` after they are applied.
     :param on_return: called when the feed is heard again after an outage, before
         the changes of the meantime are applied.
-    :param has_parts: whether there are rows in other than the empty part.
     :param pause_ms: the least time between two asks, so that many small changes
         come in one answer.
-    :ivar row_by_place: the rows by part and key.
+    :ivar row_by_key: the rows.
     :ivar is_loaded: whether the rows were read whole once.
     """
 
     __slots__ = (
-        "row_by_place",
+        "row_by_key",
         "is_loaded",
         "_clock",
         "_store",
         "_table",
         "_on_changes",
         "_on_return",
-        "_has_parts",
         "_pause_ms",
         "_version",
         "_heard_ms",
@@ -55,30 +53,20 @@
         table,
         on_changes,
         on_return=None,
-        has_parts=False,
         pause_ms=0,
     ):
-        self.row_by_place = {}
+        self.row_by_key = {}
         self.is_loaded = False
         self._clock = clock
         self._store = store
         self._table = table
         self._on_changes = on_changes
         self._on_return = on_return or (lambda: None)
-        self._has_parts = has_parts
         self._pause_ms = pause_ms
         self._version = None
         self._heard_ms = None
         self._is_out = False
 
-    def get(self, key, part=""):
-        """Return a row, or None.
-
-        :param key: the row's key.
-        :param part: the part of the table.
-        """
-        return self.row_by_place.get((part, key))
-
     def age_ms(self):
         """Return the time since the store last answered, or None before that."""
         if self._heard_ms is None:
@@ -103,7 +91,7 @@
 
     async def _step(self):
         if self._version is None:
-            rows, version = await self._store.snapshot(self._table, self._has_parts)
+            rows, version = await self._store.snapshot(self._table)
             self._note_answer()
             self._replace(rows, version)
             return
@@ -134,38 +122,30 @@
 
     def _replace(self, rows, version):
         """Put a whole reading in place; rows that are gone count as deleted."""
-        found = {(row.part, row.key): row for row in rows}
-        changes = [
-            Change(row.part, row.key, row.version, row.value)
-            for place, row in found.items()
-            if self._is_newer(place, row.version)
-        ]
+        found = {row.key: row for row in rows}
+        changes = [Change(row.key, row.version, row.value) for row in rows]
         changes += [
-            Change(part, key, version, None)
-            for part, key in self.row_by_place
-            if (part, key) not in found
+            Change(key, version, None) for key in self.row_by_key if key not in found
         ]
         self._version = version
         self.is_loaded = True
         self._apply(changes)
 
-    def _is_newer(self, place, version):
-        known = self.row_by_place.get(place)
+    def _is_newer(self, key, version):
+        known = self.row_by_key.get(key)
         return known is None or known.version < version
 
     def _apply(self, changes):
         applied = []
         for change in changes:
-            place = (change.part, change.key)
-            if not self._is_newer(place, change.version):
+            key = change.key
+            if not self._is_newer(key, change.version):
                 continue
             if change.value is None:
-                if self.row_by_place.pop(place, None) is None:
+                if self.row_by_key.pop(key, None) is None:
                     continue
             else:
-                self.row_by_place[place] = Row(
-                    change.key, change.version, change.value, change.part
-                )
+                self.row_by_key[key] = Row(key, change.version, change.value)
             applied.append(change)
         if applied:
             self._on_changes(applied)
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -163,7 +163,6 @@
             STATE_TABLE: self._follow(
                 STATE_TABLE,
                 self._board.apply,
-                has_parts=True,
                 pause_ms=JOBS_PAUSE_MS,
             ),
         }
--- a/test/_front.py
+++ b/test/_front.py
@@ -229,7 +229,7 @@
 
     def runner_of(self, job_id):
         """Return the daemon that runs a job, or an empty string."""
-        state = self.store.value("jobs", "state", job_id)
+        state = self.store.value("jobs", job_id)
         return state["runner"].partition("/")[0] if state else ""
 
     async def close(self):
--- a/test/standins/users_store.py
+++ b/test/standins/users_store.py
@@ -17,6 +17,7 @@
     """Rows with one counter of versions, feeds with a history, and objects.
 
     :ivar object_ms: how long a call for an object takes.
+    :ivar silent_parts: a function that tells whether a part gives no answers.
     :ivar mode: ``""`` to serve, ``busy`` to answer 503, ``reset`` to close.
     :ivar lost_answers: how many of the next writes are made and not answered.
     :ivar late_writes: how many of the next writes are made late and not answered.
@@ -33,6 +34,7 @@
         self.calls = []
         self.forgotten = 0
         self.object_ms = 25
+        self.silent_parts = lambda part: False
         self._changed = asyncio.Event()
         self._server = Server(self.handle, "127.0.0.1", 0)
         self._late = set()
@@ -86,6 +88,13 @@
             raise Drop
         query = {name: v[-1] for name, v in parse_qs(request.query).items()}
         kind, _, name = request.path[1:].partition("/")
+        parts = {query.get("part", "")}
+        if kind == "rows-tx":
+            body = request.json()
+            entries = body["expected"] + body["setKeys"] + body["remove"]
+            parts = {entry["part"] for entry in entries}
+        if any(self.silent_parts(part) for part in parts):
+            await asyncio.sleep(60)
         if kind.startswith("blob-"):
             await asyncio.sleep(self.object_ms / 1000)
         match kind:
--- a/test/test_front.py
+++ b/test/test_front.py
@@ -151,6 +151,13 @@
             self.assertEqual(await self.fleet.submit("front-a", "j1", 96), 202)
         self.assertEqual(len(await self.fleet.all_results("front-b", "j1")), 96)
 
+    async def test_a_job_is_run_while_other_parts_of_the_store_are_away(self):
+        await self.fleet.start()
+        self.fleet.store.silent_parts = bool
+        async with asyncio.timeout(5):
+            self.assertEqual(await self.fleet.submit("front-a", "j1", 8), 202)
+            self.assertEqual(len(await self.fleet.all_results("front-b", "j1")), 8)
+
     async def test_a_job_that_is_too_large_for_rows_is_kept_as_an_object(self):
         await self.fleet.start()
         items = [item(f"i{n}") for n in range(8)]
