Send callers elsewhere while only this zone or host has lost the store

Ruled out: passing job calls on to a host that hears the store (the cut zone reaches none). Change: a host that does not hear the store asks a few others. It is not ready while one of them hears it, or while no other zone answers; it stays ready when the store is away for all. An engine or server that fails gets one try after a pause that doubles; streams fall silent after 1.2 s. Test: two daemon tests and four on the decision; they were not run against the old code, which has no such decision.

--- a/goldcrestmoor/connection/http_client.py
+++ b/goldcrestmoor/connection/http_client.py
@@ -114,6 +114,7 @@
         timeout_ms=None,
         idempotent=False,
         *,
+        connect_timeout_ms=None,
         head_timeout_ms=None,
         progress_timeout_ms=None,
         allow_close_delimited=False,
@@ -134,6 +135,8 @@
             the limits when left out.
         :param idempotent: whether the request may be repeated by the caller, and
             so be sent on a connection that has long been idle.
+        :param connect_timeout_ms: how long a new connection may take; that of the
+            limits when left out.
         :param head_timeout_ms: how long the answer's head may take.
         :param progress_timeout_ms: how long the body may be silent.
         :param allow_close_delimited: take a body that only the connection's close
@@ -150,7 +153,9 @@
         deadline = Deadline.after(self._clock, timeout_ms or limits.request_timeout_ms)
         request = _make_request(address, port, method, target, headers, body)
         peer = (address, port)
-        connection = await self._pool.acquire(peer, deadline, idempotent, fresh)
+        connection = await self._pool.acquire(
+            peer, deadline, idempotent, fresh, connect_timeout_ms
+        )
         response = ResponseStream(
             connection, deadline, progress_timeout_ms or limits.progress_timeout_ms
         )
--- a/goldcrestmoor/connection/http_pool.py
+++ b/goldcrestmoor/connection/http_pool.py
@@ -47,13 +47,17 @@
         self._reaper = None
         self._closed = False
 
-    async def acquire(self, target, deadline, idempotent, fresh=False):
+    async def acquire(
+        self, target, deadline, idempotent, fresh=False, connect_timeout_ms=None
+    ):
         """Return a clean connection, an idle one where that is safe.
 
         :param target: the ``(address, port)`` pair.
         :param deadline: the request's deadline.
         :param idempotent: whether the request may be repeated.
         :param fresh: pass over the idle ones.
+        :param connect_timeout_ms: how long a new connection may take; that of the
+            limits when left out.
         :raises ServiceError: ``UPSTREAM_UNREACHABLE``; nothing was written.
         """
         bound_ms = self._limits.idle_connection_ms
@@ -62,7 +66,8 @@
         connection = None if fresh else self._take_idle(target, bound_ms)
         if connection is not None:
             return connection
-        timeout_ms = min(self._limits.connect_timeout_ms, deadline.remaining_ms())
+        bound_ms = connect_timeout_ms or self._limits.connect_timeout_ms
+        timeout_ms = min(bound_ms, deadline.remaining_ms())
         connection = await HttpConnection.dial(
             target, timeout_ms, self._limits, self._source
         )
--- a/goldcrestmoor/job/engine_pool.py
+++ b/goldcrestmoor/job/engine_pool.py
@@ -8,8 +8,13 @@
 
 # A full engine has a free slot again after a few events.
 REFUSED_PAUSE_MS = 100
-# After a broken stream: an engine that crashed is not listed for some seconds yet.
-BROKEN_PAUSE_MS = 500
+# An engine that crashed or is cut off is listed for some seconds yet.
+FAILED_PAUSE_MS = 500
+FAILED_PAUSE_MAX_MS = 4000
+# An engine that has made events since then lives, whatever became of one stream.
+ALIVE_MS = 300
+# Further failures in a row do not lengthen the pause.
+MAX_FAILURES = 8
 # The weight of the newest event in an engine's pace, over all of its streams.
 PACE_SHARE = 0.05
 
@@ -17,13 +22,22 @@
 class _Found:
     """What this host has met at one incarnation of an engine."""
 
-    __slots__ = ("in_flight", "ms_per_event", "blocked_until_ms", "is_refusing")
+    __slots__ = (
+        "in_flight",
+        "ms_per_event",
+        "blocked_until_ms",
+        "is_refusing",
+        "failures",
+        "heard_ms",
+    )
 
     def __init__(self):
         self.in_flight = 0
         self.ms_per_event = None
         self.blocked_until_ms = 0
         self.is_refusing = False
+        self.failures = 0
+        self.heard_ms = None
 
 
 class EnginePool:
@@ -109,7 +123,9 @@
 
         :param upstream: the engine.
         """
-        self._state(upstream).is_refusing = False
+        found = self._state(upstream)
+        found.is_refusing = False
+        found.failures = 0
 
     def note_events(self, upstream, elapsed_ms, count):
         """Take in the pace of a stream.
@@ -119,6 +135,7 @@
         :param count: how many events have come since.
         """
         found = self._state(upstream)
+        found.heard_ms = self._clock.now_ms()
         pace, known = elapsed_ms / count, found.ms_per_event
         if known is None:
             found.ms_per_event = pace
@@ -133,6 +150,23 @@
         self._state(upstream).is_refusing = True
         self.block(upstream, REFUSED_PAUSE_MS)
 
+    def note_broken(self, upstream):
+        """Note that a stream broke off; leave its engine alone unless it lives.
+
+        :param upstream: the engine.
+        """
+        found = self._state(upstream)
+        now_ms = self._clock.now_ms()
+        if found.heard_ms is not None and now_ms - found.heard_ms < ALIVE_MS:
+            return
+        if now_ms < found.blocked_until_ms:
+            # The other streams of the same failure say nothing new.
+            return
+        found.is_refusing = True
+        pause_ms = min(FAILED_PAUSE_MAX_MS, FAILED_PAUSE_MS << found.failures)
+        found.failures = min(found.failures + 1, MAX_FAILURES)
+        self.block(upstream, pause_ms)
+
     def block(self, upstream, duration_ms):
         """Send an engine nothing for a while.
 
--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -13,10 +13,11 @@
 STATUS_OK = 200
 STATUS_FAILED = 500
 STATUS_IMPOSSIBLE = 422
-# An engine that takes longer to begin is loading weights, gone or very full.
-HEAD_TIMEOUT_MS = 3000
-# Twenty times the pause between events that callers bear with.
-SILENCE_TIMEOUT_MS = 2400
+# No more is sent to an engine than it has slots, so that it begins at once.
+HEAD_TIMEOUT_MS = 1500
+# Ten times the pause between events that callers bear with; an engine that is four
+# times slower than usual still makes an event in 200 ms.
+SILENCE_TIMEOUT_MS = 1200
 TRY_TIMEOUT_MS = 60_000
 
 
--- a/goldcrestmoor/job/scheduler.py
+++ b/goldcrestmoor/job/scheduler.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 
-from goldcrestmoor.job import engine_pool
 from goldcrestmoor.job.engine_choice import choose_engine
 from goldcrestmoor.job.item_order import order_jobs
 from goldcrestmoor.job.item_run import (
@@ -235,7 +234,7 @@
                 self._pool.note_refused(engine)
                 log.debug("Item %s not run at %s: %s", run.item.id, engine.name, reason)
             case Broken(reason):
-                self._pool.block(engine, engine_pool.BROKEN_PAUSE_MS)
+                self._pool.note_broken(engine)
                 log.info(
                     "Item %s broken off at %s after %d events: %s",
                     run.item.id,
--- a/goldcrestmoor/platform/store.py
+++ b/goldcrestmoor/platform/store.py
@@ -25,7 +25,7 @@
 STATUS_TOO_MANY = 429
 STATUS_UNAVAILABLE = 503
 # Added to a feed's own wait before its connection counts as silent.
-FEED_SLACK_MS = 1000
+FEED_SLACK_MS = 700
 # All rows lie in the empty part. Parts of the store fail one by one, and with one
 # part there is one that matters; its 200 transactions a second are enough.
 PART = ""
--- a/goldcrestmoor/process/follower.py
+++ b/goldcrestmoor/process/follower.py
@@ -8,12 +8,12 @@
 
 log = logging.getLogger("goldcrestmoor.follower")
 
-# Short, so that a feed that has gone silent is noticed within two seconds.
-FEED_WAIT_MS = 1000
+# Short, so that a feed that has gone silent is noticed within a second.
+FEED_WAIT_MS = 500
 RETRY_MIN_MS = 50
 RETRY_MAX_MS = 400
 # Two missed answers of the feed: what is known may be out of date.
-OUTAGE_MS = 1500
+OUTAGE_MS = 1000
 
 
 class TableFollower:
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -1,7 +1,6 @@
 """The daemon on the users' platform: its parts, and how they start and stop."""
 
 import asyncio
-import contextlib
 import logging
 import signal
 
@@ -10,6 +9,7 @@
 from goldcrestmoor import util
 from goldcrestmoor.clock import MS_PER_SECOND, Clock, Deadline
 from goldcrestmoor.connection.http_client import HttpClient
+from goldcrestmoor.errors import ServiceError
 from goldcrestmoor.job.board import Board
 from goldcrestmoor.job.desk import Desk
 from goldcrestmoor.job.engine_pool import EnginePool
@@ -18,7 +18,7 @@
 from goldcrestmoor.job.scheduler import Scheduler
 from goldcrestmoor.platform import callers as caller_dialect, records, servers
 from goldcrestmoor.platform.store import StoreClient
-from goldcrestmoor.process import lease_rows
+from goldcrestmoor.process import lease_rows, store_reach
 from goldcrestmoor.process.directory import Directory
 from goldcrestmoor.process.duties import Duties
 from goldcrestmoor.process.follower import TableFollower
@@ -28,6 +28,7 @@
 from goldcrestmoor.process.metrics import Metrics
 from goldcrestmoor.process.routing import Routing
 from goldcrestmoor.process.shutdown import InFlight
+from goldcrestmoor.process.store_reach import HostRow, StoreReach
 from goldcrestmoor.request.forwarding import Forwarder
 from goldcrestmoor.request.streaming import StreamForwarder
 from goldcrestmoor.request.upstream_loads import UpstreamLoads
@@ -74,6 +75,7 @@
         "_board",
         "_desk",
         "_followers",
+        "_reach",
         "_in_flight",
         "_servers",
         "_is_leaving",
@@ -104,6 +106,7 @@
         self._make_knowledge()
         self._make_jobs()
         self._make_orders()
+        self._make_reach()
         self._make_servers()
 
     def _make_knowledge(self):
@@ -202,6 +205,25 @@
             **options,
         )
 
+    def _make_reach(self):
+        host = self.settings.host
+        self._reach = StoreReach(
+            clock=self._clock,
+            http=self._http,
+            store=self._store,
+            host_id=host.id,
+            row=HostRow(host.zone, host.address, host.readiness_port),
+            heard_age_ms=self._heard_age_ms,
+        )
+        self._followers[store_reach.TABLE] = self._follow(
+            store_reach.TABLE, self._reach.apply
+        )
+
+    def _heard_age_ms(self):
+        """Return the time since the store last answered a feed, or None."""
+        ages = [follower.age_ms() for follower in self._followers.values()]
+        return min((age for age in ages if age is not None), default=None)
+
     def _make_servers(self):
         self._in_flight = InFlight()
         forwarding = {
@@ -247,11 +269,16 @@
         async def ready(request: Request) -> Response:
             return Response(200 if self._is_ready() else 503)
 
+        async def hears_store(request: Request) -> Response:
+            return Response(200 if self._reach.hears_store() else 503)
+
         to_balancer.application.router.add_get(caller_dialect.READY_PATH, ready)
+        to_balancer.application.router.add_get(store_reach.PATH, hears_store)
         self._servers = [to_balancer, to_callers]
 
     def _is_ready(self):
-        return not self._is_leaving and self._routing.table is not None
+        has_routes = self._routing.table is not None
+        return not self._is_leaving and has_routes and self._reach.wants_callers()
 
     def _apply_operator_rows(self, changes):
         for change in changes:
@@ -279,6 +306,7 @@
             ("scheduler", self._scheduler),
             ("board", self._board),
             ("orders", self._orders),
+            ("reach", self._reach),
         ):
             self._tasks.start(part.run(), name)
         for server in self._servers:
@@ -300,9 +328,12 @@
         self._is_leaving = True
         unready = Deadline.after(self._clock, self.settings.shutdown.unready_ms)
         await self._board.hand_over(HAND_OVER_MS)
-        with contextlib.suppress(TimeoutError):
+        try:
             async with asyncio.timeout(CLOSE_TIMEOUT_MS / MS_PER_SECOND):
                 await self._duties.release_all()
+                await self._reach.leave()
+        except (TimeoutError, ServiceError) as e:
+            log.warning("The store could not be told that this host leaves: %s", e)
         # The balancer sends new connections until it has asked twice in vain.
         await self._clock.sleep_ms(unready.remaining_ms())
         drained = Deadline.after(self._clock, self.settings.shutdown.drain_ms)
--- /dev/null
+++ b/goldcrestmoor/process/store_reach.py
@@ -0,0 +1,160 @@
+"""Knows whether this host hears the store, and how the others fare when it doesn't."""
+
+import asyncio
+import logging
+import random
+
+import msgspec
+
+from goldcrestmoor.adapters.table import Write
+from goldcrestmoor.errors import ServiceError
+from goldcrestmoor.process.readiness import PeerView, wants_callers
+
+log = logging.getLogger("goldcrestmoor.reach")
+
+TABLE = "hosts"
+PATH = "/store"
+# Two waits of the quickest feed.
+UNHEARD_MS = 1000
+CHECK_MS = 250
+# Half a round trip between regions is some tens of milliseconds.
+ASK_TIMEOUT_MS = 300
+# Asked of the own zone and of all others together; enough that one lives.
+ASKED_OF_OWN = 2
+ASKED_OF_OTHERS = 4
+REGISTER_RETRY_MS = 500
+STATUS_OK = 200
+
+
+class HostRow(msgspec.Struct, frozen=True):
+    """Where a host answers other hosts.
+
+    :param zone: its availability zone.
+    :param address: its IP address.
+    :param port: the TCP port of its readiness check.
+    """
+
+    zone: str
+    address: str
+    port: int
+
+
+_decoder = msgspec.json.Decoder(HostRow)
+
+
+class StoreReach:
+    """Follow the rows of hosts, and ask some of them when the store is not heard.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param http: the ``HttpClient``.
+    :param store: the store's client.
+    :param host_id: this host.
+    :param row: this host's :class:`HostRow`.
+    :param heard_age_ms: gives the time since the store last answered, or None.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_http",
+        "_store",
+        "_host_id",
+        "_row",
+        "_heard_age_ms",
+        "_row_by_host",
+        "_wants_callers",
+    )
+
+    def __init__(self, *, clock, http, store, host_id, row, heard_age_ms):
+        self._clock = clock
+        self._http = http
+        self._store = store
+        self._host_id = host_id
+        self._row = row
+        self._heard_age_ms = heard_age_ms
+        self._row_by_host = {}
+        self._wants_callers = True
+
+    def apply(self, changes):
+        """Take in what the feed of hosts says.
+
+        :param changes: a list of :class:`~goldcrestmoor.adapters.table.Change`.
+        """
+        for change in changes:
+            if change.value is None:
+                self._row_by_host.pop(change.key, None)
+                continue
+            try:
+                self._row_by_host[change.key] = _decoder.decode(change.value)
+            except msgspec.MsgspecError as e:
+                log.warning("The row of host %s is passed over: %s.", change.key, e)
+
+    def hears_store(self):
+        """Tell whether the store has answered this host lately."""
+        age_ms = self._heard_age_ms()
+        return age_ms is not None and age_ms < UNHEARD_MS
+
+    def wants_callers(self):
+        """Tell whether new callers are better off here than elsewhere."""
+        return self._wants_callers
+
+    async def run(self):
+        """Register this host, and watch the store for good."""
+        await self._register()
+        while True:
+            hears = self.hears_store()
+            views = [] if hears else await self._ask()
+            wants = wants_callers(
+                self._row.zone, hears or self.hears_store(), views, self._has_others()
+            )
+            if wants != self._wants_callers:
+                log.info(
+                    "Callers are %s: the store was heard %s ms ago, %d hosts answer, "
+                    "%d of them hear it.",
+                    "wanted again" if wants else "better off elsewhere",
+                    self._heard_age_ms(),
+                    len(views),
+                    sum(view.hears_store for view in views),
+                )
+            self._wants_callers = wants
+            await self._clock.sleep_ms(CHECK_MS)
+
+    async def leave(self):
+        """Take this host's row away.
+
+        :raises ServiceError: when the store cannot be reached.
+        """
+        await self._store.transact([], [Write(TABLE, self._host_id, None)])
+
+    async def _register(self):
+        write = Write(TABLE, self._host_id, msgspec.json.encode(self._row))
+        while True:
+            try:
+                await self._store.transact([], [write])
+                return
+            except ServiceError as e:
+                log.info("This host is not registered yet: %s", e)
+                await self._clock.sleep_ms(REGISTER_RETRY_MS)
+
+    def _has_others(self):
+        return any(row.zone != self._row.zone for row in self._row_by_host.values())
+
+    async def _ask(self):
+        """Return the views of a few other hosts that answer."""
+        others, own = [], []
+        for host_id, row in self._row_by_host.items():
+            if host_id != self._host_id:
+                (own if row.zone == self._row.zone else others).append(row)
+        asked = random.sample(own, min(len(own), ASKED_OF_OWN))
+        asked += random.sample(others, min(len(others), ASKED_OF_OTHERS))
+        views = await asyncio.gather(*(self._ask_one(row) for row in asked))
+        return [view for view in views if view is not None]
+
+    async def _ask_one(self, row):
+        try:
+            answer = await self._http.request(
+                row.address, row.port, "GET", PATH, timeout_ms=ASK_TIMEOUT_MS
+            )
+        except ServiceError as e:
+            log.debug("Host at %s does not answer: %s", row.address, e)
+            return None
+        return PeerView(row.zone, answer.status == STATUS_OK)
--- a/goldcrestmoor/request/forwarding.py
+++ b/goldcrestmoor/request/forwarding.py
@@ -14,6 +14,8 @@
 log = logging.getLogger("goldcrestmoor.forward")
 
 SERVER_ERROR = 500
+# Several round trips between zones; a server that is cut off takes no longer to pass.
+CONNECT_TIMEOUT_MS = 150
 
 
 class CallerRequest(msgspec.Struct, frozen=True):
@@ -198,6 +200,7 @@
                     request.body,
                     max(1, tries.bound_ms()),
                     idempotent=route.repeat is not Repeat.NEVER,
+                    connect_timeout_ms=CONNECT_TIMEOUT_MS,
                     allow_close_delimited=True,
                 )
         except ServiceError as e:
@@ -212,6 +215,7 @@
         if not self._dialect.is_genuine(tries.request.id, status, headers):
             self._loads.note_failure(upstream)
             return TryEnd(Ran.UNKNOWN, "The answer is spoilt or another's")
+        self._loads.note_answer(upstream)
         if status == SERVER_ERROR and tries.route.repeat is Repeat.FREELY:
             return TryEnd(Ran.RAN, "The server failed")
         return AppAnswer(status, tuple(headers), response.body)
--- a/goldcrestmoor/request/upstream_loads.py
+++ b/goldcrestmoor/request/upstream_loads.py
@@ -4,8 +4,21 @@
 
 from goldcrestmoor.request.upstream_choice import Choice, choose_upstream
 
-# An upstream that failed is left alone for so long, while there is another.
+# An upstream that failed is left alone for so long while there is another, twice as
+# long after each further failure: a server that is cut off is listed for seconds yet.
 FAILED_PAUSE_MS = 1000
+FAILED_PAUSE_MAX_MS = 8000
+MAX_FAILURES = 8
+
+
+class _Failure:
+    """How often in a row an upstream has failed, and until when it is left alone."""
+
+    __slots__ = ("count", "until_ms")
+
+    def __init__(self):
+        self.count = 0
+        self.until_ms = 0
 
 
 class UpstreamLoads:
@@ -23,7 +36,7 @@
         "_directory",
         "_zone",
         "_in_flight_by_name",
-        "_failed_ms_by_name",
+        "_failure_by_name",
     )
 
     def __init__(self, *, clock, http, directory, zone):
@@ -32,7 +45,7 @@
         self._directory = directory
         self._zone = zone
         self._in_flight_by_name = {}
-        self._failed_ms_by_name = {}
+        self._failure_by_name = {}
 
     def choose(self, service, sent_to):
         """Return the upstream that a request goes to, or None.
@@ -46,14 +59,14 @@
         return upstream_by_name.get(choose_upstream(choices, sent_to))
 
     def _view(self, upstream, now_ms):
-        failed_ms = self._failed_ms_by_name.get(upstream.name)
+        failure = self._failure_by_name.get(upstream.name)
         return Choice(
             name=upstream.name,
             in_flight=self._in_flight_by_name.get(upstream.name, 0),
             slots=upstream.slots,
             has_connection=self._http.has_idle(upstream.address, upstream.port),
             is_local=upstream.zone == self._zone,
-            has_failed=failed_ms is not None and now_ms - failed_ms < FAILED_PAUSE_MS,
+            has_failed=failure is not None and now_ms < failure.until_ms,
         )
 
     @contextlib.contextmanager
@@ -71,13 +84,23 @@
             if not self._in_flight_by_name[name]:
                 del self._in_flight_by_name[name]
 
+    def note_answer(self, upstream):
+        """Note that an upstream has answered.
+
+        :param upstream: the upstream.
+        """
+        self._failure_by_name.pop(upstream.name, None)
+
     def note_failure(self, upstream):
         """Note that an upstream gave no answer, or a spoilt one.
 
         :param upstream: the upstream.
         """
         now_ms = self._clock.now_ms()
-        self._failed_ms_by_name[upstream.name] = now_ms
-        for name, failed_ms in list(self._failed_ms_by_name.items()):
-            if now_ms - failed_ms > FAILED_PAUSE_MS:
-                del self._failed_ms_by_name[name]
+        failure = self._failure_by_name.setdefault(upstream.name, _Failure())
+        pause_ms = min(FAILED_PAUSE_MAX_MS, FAILED_PAUSE_MS << failure.count)
+        failure.count = min(failure.count + 1, MAX_FAILURES)
+        failure.until_ms = now_ms + pause_ms
+        for name, known in list(self._failure_by_name.items()):
+            if now_ms - known.until_ms > FAILED_PAUSE_MAX_MS:
+                del self._failure_by_name[name]
--- a/test/_front.py
+++ b/test/_front.py
@@ -121,13 +121,21 @@
         self.engines = [UsersServer(f"engine-{n}", "pool", {MODEL: 1}) for n in "01"]
         self.fronts = {}
         self.ports = {}
+        self.gates = {}
+        self.zones = {}
         self._directory = tempfile.TemporaryDirectory()
         self._beats = None
         self.silent = set()
         self.http = HttpClient(clock=Clock(), limits=settings.default_limits())
 
-    async def start(self, names=("front-a", "front-b"), with_configuration=True):
-        """Start all, and wait until the daemons are ready."""
+    async def start(
+        self, names=("front-a", "front-b"), with_configuration=True, zones=None
+    ):
+        """Start all, and wait until the daemons are ready.
+
+        :param zones: the availability zone of each daemon; one for all when left out.
+        """
+        self.zones = zones or {}
         await self.store.start()
         for server in self.servers():
             await server.start()
@@ -135,6 +143,7 @@
             self.store.put("op", "config", configuration())
         self._beats = asyncio.create_task(self._beat())
         for name in names:
+            self.gates[name] = await self.store.gate(name)
             self.start_front(name)
         if with_configuration:
             for name in names:
@@ -153,11 +162,11 @@
         document = {
             "host": {
                 "id": name,
-                "zone": "zone-a",
+                "zone": self.zones.get(name, "zone-a"),
                 "callers": f"127.0.0.1:{callers}",
                 "readiness": f"127.0.0.1:{readiness}",
             },
-            "store": {"endpoint": f"127.0.0.1:{self.store.port}"},
+            "store": {"endpoint": f"127.0.0.1:{self.gates[name]}"},
             "log": {"style": "text"},
         }
         path = pathlib.Path(self._directory.name) / f"{name}.json"
--- a/test/standins/users_store.py
+++ b/test/standins/users_store.py
@@ -17,6 +17,7 @@
     """Rows with one counter of versions, feeds with a history, and objects.
 
     :ivar object_ms: how long a call for an object takes.
+    :ivar cut: the names of the gates that lead nowhere.
     :ivar silent_parts: a function that tells whether a part gives no answers.
     :ivar mode: ``""`` to serve, ``busy`` to answer 503, ``reset`` to close.
     :ivar lost_answers: how many of the next writes are made and not answered.
@@ -37,7 +38,9 @@
         self.silent_parts = lambda part: False
         self._changed = asyncio.Event()
         self._server = Server(self.handle, "127.0.0.1", 0)
+        self._gates = []
         self._late = set()
+        self.cut = set()
 
     @property
     def port(self):
@@ -48,8 +51,26 @@
         """Start to listen."""
         await self._server.start()
 
+    async def gate(self, name):
+        """Listen on a further port, which leads nowhere while its name is cut."""
+
+        async def pass_on(request):
+            if name in self.cut:
+                await asyncio.sleep(60)
+            response = await self.handle(request)
+            if name in self.cut:
+                await asyncio.sleep(60)
+            return response
+
+        server = Server(pass_on, "127.0.0.1", 0)
+        await server.start()
+        self._gates.append(server)
+        return server.port
+
     async def close(self):
         """Stop listening and drop every connection."""
+        for server in self._gates:
+            await server.close()
         for task in self._late:
             task.cancel()
         await self._server.close()
--- a/test/test_decisions.py
+++ b/test/test_decisions.py
@@ -8,6 +8,7 @@
 from goldcrestmoor.job.item_run import ItemRun
 from goldcrestmoor.job.job import Item
 from goldcrestmoor.job.stragglers import Running, moves
+from goldcrestmoor.process.readiness import PeerView, wants_callers
 from goldcrestmoor.request.send_again import (
     GiveUp,
     SendAgain,
@@ -205,6 +206,26 @@
         self.assertTrue(all(assigned.values()))
 
 
+class ReadinessTest(unittest.TestCase):
+    def wants(self, hears_store, *views, has_other_zones=True):
+        views = [PeerView(zone, hears) for zone, hears in views]
+        return wants_callers("a", hears_store, views, has_other_zones)
+
+    def test_a_host_that_hears_the_store_takes_callers(self):
+        self.assertTrue(self.wants(True))
+
+    def test_a_zone_that_is_cut_off_sends_its_callers_to_the_others(self):
+        self.assertFalse(self.wants(False, ("a", False), ("a", False)))
+        self.assertFalse(self.wants(False))
+
+    def test_a_host_that_alone_lost_the_store_sends_its_callers_to_the_rest(self):
+        self.assertFalse(self.wants(False, ("a", True), ("b", True)))
+
+    def test_nobody_turns_callers_away_when_the_store_is_away_for_all(self):
+        self.assertTrue(self.wants(False, ("a", False), ("b", False)))
+        self.assertTrue(self.wants(False, ("a", False), has_other_zones=False))
+
+
 class OrderLogTest(unittest.TestCase):
     def test_another_host_waits_until_the_last_order_has_had_its_time(self):
         entry = OrderEntry("host-a", 7, 10_000)
--- a/test/test_front.py
+++ b/test/test_front.py
@@ -171,6 +171,29 @@
         self.assertEqual(answer.body, b"\x03" * 100_000)
         self.assertEqual(len(await self.fleet.all_results("front-b", "j1")), 8)
 
+    async def test_a_host_that_alone_loses_the_store_wants_no_callers(self):
+        await self.fleet.start(names=("front-a", "front-b", "front-c"))
+        await self.listed()
+        self.fleet.store.cut.add("front-a")
+        await _common.eventually(lambda: self.is_unready("front-a"), timeout_s=4)
+        self.assertTrue(await self.fleet.is_ready("front-b"))
+        # What needs no store is still served there.
+        self.assertTrue(await self.answers("front-a"))
+        self.fleet.store.cut.clear()
+        await _common.eventually(lambda: self.fleet.is_ready("front-a"), timeout_s=5)
+
+    async def is_unready(self, name):
+        return not await self.fleet.is_ready(name)
+
+    async def test_hosts_stay_ready_while_the_store_is_away_for_all(self):
+        await self.fleet.start(zones={"front-b": "zone-b"})
+        await self.listed()
+        self.fleet.store.mode = "reset"
+        for _ in range(20):
+            await asyncio.sleep(0.2)
+            self.assertTrue(await self.fleet.is_ready("front-a"))
+            self.assertTrue(await self.fleet.is_ready("front-b"))
+
     async def test_a_job_is_refused_at_once_while_the_store_is_away(self):
         await self.fleet.start(names=("front-a",))
         self.fleet.store.mode = "busy"
