End an ended job's run at once, and keep every part of a daemon running

A job that another host ended stayed with the scheduler until its keep time, its cancelled items still among the running; the new move of stragglers met one without a task, and the scheduler's loop ended for good, while its host went on to hold the duty to run that model. Ruled out: the plan of loads, and the store's lost history at that time. Change: stopping a run wakes its listing and clears its items; each part of the daemon is started again after a failure, with its traceback logged. Test: two of test_job_run, red before (TimeoutError; the loop had ended).

--- a/goldcrestmoor/job/job_run.py
+++ b/goldcrestmoor/job/job_run.py
@@ -118,7 +118,7 @@
         try:
             while self._kept.state.listed < self._kept.state.total:
                 await self._wait_for_results()
-                if not await self._write():
+                if self._is_over or not await self._write():
                     return
             log.info("All results of job %s are listed.", self.job.id)
         finally:
@@ -127,10 +127,12 @@
     def stop(self):
         """Start nothing more, and stop what is running."""
         self._is_over = True
+        self._has_finished.set()
         self.waiting.clear()
         for run in list(self.running_by_id.values()):
             if run.task is not None:
                 run.task.cancel()
+        self.running_by_id.clear()
 
     async def _wait_for_results(self):
         wait_ms = self._keep_left_ms()
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -300,15 +300,15 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._note_reload)
-        for table, follower in self._followers.items():
-            self._tasks.start(follower.run(), f"follow {table}")
-        for name, part in (
-            ("scheduler", self._scheduler),
-            ("board", self._board),
-            ("orders", self._orders),
-            ("reach", self._reach),
-        ):
-            self._tasks.start(part.run(), name)
+        part_by_name = {
+            **self._followers,
+            "scheduler": self._scheduler,
+            "board": self._board,
+            "orders": self._orders,
+            "reach": self._reach,
+        }
+        for name, part in part_by_name.items():
+            self._tasks.start(util.keep_running(name, part.run, self._clock), name)
         for server in self._servers:
             await server.start()
         log.info("Started as %s in %s.", self.settings.host.id, self.settings.host.zone)
--- a/goldcrestmoor/util.py
+++ b/goldcrestmoor/util.py
@@ -11,6 +11,8 @@
 log = logging.getLogger("goldcrestmoor.util")
 
 ID_BYTES = 12
+# A part that fails at each start must not take the whole processor.
+RESTART_MS = 100
 
 
 def new_id():
@@ -83,6 +85,23 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+async def keep_running(name, run, clock):
+    """Run a part of the process for good, and again after it has failed.
+
+    A fault in one part must not leave the process serving with that part dead.
+
+    :param name: the part's name, for the log.
+    :param run: a coroutine function that returns only when it fails.
+    :param clock: the clock.
+    """
+    while True:
+        try:
+            await run()
+        except Exception:
+            log.exception("Part %s failed and is started again.", name)
+        await clock.sleep_ms(RESTART_MS)
+
+
 class Backoff:
     """Delays that double up to a bound, each with full jitter.
 
--- /dev/null
+++ b/test/test_job_run.py
@@ -0,0 +1,169 @@
+"""One job's run and the scheduler, against fakes of the store and the engines."""
+
+import asyncio
+import unittest
+
+import msgspec
+
+from goldcrestmoor.clock import Clock
+from goldcrestmoor.job.engine_pool import EnginePool
+from goldcrestmoor.job.item_run import Finished
+from goldcrestmoor.job.job import Item, Job, JobState
+from goldcrestmoor.job.job_run import JobRun
+from goldcrestmoor.job.job_store import KeptState
+from goldcrestmoor.job.scheduler import Scheduler
+from goldcrestmoor.process.directory import ListedUpstream
+from goldcrestmoor.process.metrics import Metrics
+from goldcrestmoor.version.routes import (
+    CallerLimits,
+    JobTerms,
+    Repeat,
+    Route,
+    RouteKind,
+    RouteTable,
+    ServiceShare,
+    by_host,
+)
+
+MODEL = "m"
+ROUTE = Route(
+    name="r",
+    host="h",
+    path_prefix="/",
+    kind=RouteKind.JOB,
+    repeat=Repeat.RESUMED,
+    shares=(ServiceShare("pool"),),
+    timeout_ms=10_000,
+    target_ms=400,
+    attempts=3,
+    job=JobTerms(7500, 40_000),
+)
+TABLE = RouteTable(1, by_host([ROUTE]), {}, CallerLimits(1, 1, 1, 1))
+
+
+class FakeStore:
+    """Keeps one job's state and takes whatever follows it."""
+
+    def __init__(self, kept):
+        self.kept = kept
+        self.results = []
+
+    def now_ms(self):
+        return 1000
+
+    async def change(self, job_id, kept, state, results=()):
+        if kept.version != self.kept.version:
+            return self.kept
+        self.kept = KeptState(state, kept.version + 1)
+        self.results += results
+        return self.kept
+
+
+class FakeDirectory:
+    """Lists engines with four slots each."""
+
+    def __init__(self, names):
+        self.upstream_by_name = {
+            name: ListedUpstream(
+                name, "pool", "10.0.0.1", 80, "a", 4, version_by_model={MODEL: 1}
+            )
+            for name in names
+        }
+
+    def usable(self, service):
+        return list(self.upstream_by_name.values())
+
+
+class FakeTries:
+    """Runs items for as long as they are held."""
+
+    def __init__(self):
+        self.running = {}
+        self.seen = []
+
+    async def attempt(self, run, engine, terms, on_events):
+        self.seen.append((run.item.id, engine.name))
+        self.running[run.item.id] = done = asyncio.get_running_loop().create_future()
+        on_events(0)
+        await done
+        return Finished()
+
+
+def make_run(count):
+    """Return a run of some items, with its store."""
+    items = tuple(Item(f"i{n}", "/x", {}, b"", group="g") for n in range(count))
+    kept = KeptState(JobState("h", "/x", MODEL, count, 0, runner="me"), 1)
+    store = FakeStore(kept)
+    run = JobRun(
+        job=Job("j", "h", "/x", items, MODEL, 1),
+        kept=kept,
+        listed_ids=set(),
+        terms=ROUTE.job,
+        priority=1,
+        clock=Clock(),
+        store=store,
+        on_state=lambda job_id, kept: None,
+    )
+    return run, store
+
+
+def ended(run):
+    """Return the state that another host writes when it ends the run's job."""
+    state = JobState("h", "/x", MODEL, len(run.job.items), 0, runner="me")
+    return KeptState(msgspec.structs.replace(state, is_ended=True), 9)
+
+
+class JobRunTest(unittest.IsolatedAsyncioTestCase):
+    def make_scheduler(self, names="ab"):
+        self.tries = FakeTries()
+        self.pool = EnginePool(clock=Clock(), directory=FakeDirectory(names))
+        return Scheduler(
+            clock=Clock(),
+            pool=self.pool,
+            tries=self.tries,
+            routes=lambda: TABLE,
+            metrics=Metrics(),
+        )
+
+    async def test_a_job_that_another_host_ends_is_over_at_once(self):
+        run, _ = make_run(4)
+        listing = asyncio.create_task(run.list_results())
+        await asyncio.sleep(0)
+        run.note_state(ended(run))
+        async with asyncio.timeout(1):
+            await listing
+
+    async def test_stopped_items_do_not_trouble_the_scheduler(self):
+        scheduler = self.make_scheduler()
+        run, _ = make_run(6)
+        scheduler.add(run)
+        running = asyncio.create_task(scheduler.run())
+        self.addCleanup(running.cancel)
+        await asyncio.sleep(0.05)
+        self.assertEqual(len(run.running_by_id), 6)
+        # One engine has turned slow, so that its items are to be moved.
+        for name, pace in (("a", 40), ("b", 400)):
+            self.pool.note_events(self.pool.upstream(name), pace, 1)
+        run.stop()
+        scheduler.wake()
+        await asyncio.sleep(0.25)
+        self.assertFalse(running.done())
+
+    async def test_finished_items_are_listed_together(self):
+        scheduler = self.make_scheduler()
+        run, store = make_run(6)
+        scheduler.add(run)
+        running = asyncio.create_task(scheduler.run())
+        self.addCleanup(running.cancel)
+        listing = asyncio.create_task(run.list_results())
+        await asyncio.sleep(0.05)
+        for done in self.tries.running.values():
+            done.set_result(None)
+        async with asyncio.timeout(2):
+            await listing
+        self.assertEqual(len(store.results), 6)
+        self.assertEqual(store.kept.version, 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
