--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -78,6 +78,7 @@
     :ivar versions: the weight versions that made them, in the order of first use.
     :ivar failures: how often an engine said that it failed.
     :ivar engine: the engine that works on it, or None.
+    :ivar started_ms: when its first try began.
     :ivar avoid: the engine that it was last broken off at.
     :ivar is_moving: whether its try is being ended, to go on at another engine.
     """
@@ -90,6 +91,7 @@
         "versions",
         "failures",
         "tries",
+        "started_ms",
         "engine",
         "avoid",
         "task",
@@ -101,6 +103,7 @@
         self.position = position
         self.failures = 0
         self.tries = 0
+        self.started_ms = None
         self.engine = None
         self.avoid = ""
         self.task = None
--- a/goldcrestmoor/job/job_run.py
+++ b/goldcrestmoor/job/job_run.py
@@ -46,6 +46,7 @@
         "_finished",
         "_has_finished",
         "_is_over",
+        "_taken_up_ms",
     )
 
     def __init__(
@@ -69,6 +70,7 @@
         self._finished = []
         self._has_finished = asyncio.Event()
         self._is_over = False
+        self._taken_up_ms = clock.now_ms()
 
     @property
     def is_over(self):
@@ -88,6 +90,8 @@
         self.waiting.remove(run)
         run.engine = engine
         run.tries += 1
+        if run.started_ms is None:
+            run.started_ms = self._clock.now_ms()
         self.running_by_id[run.item.id] = run
         self.engine_by_group[run.group] = engine
 
@@ -108,6 +112,20 @@
         :param is_completed: whether its text is whole; else it is given up.
         """
         self.running_by_id.pop(run.item.id, None)
+        if run.started_ms is not None:
+            log.info(
+                "Item %s of job %s %s: waited %d ms, then %d ms in %d tries, last at "
+                "%s; %d events, %d tokens expected.",
+                run.item.id,
+                self.job.id,
+                "done" if is_completed else "given up",
+                run.started_ms - self._taken_up_ms,
+                self._clock.now_ms() - run.started_ms,
+                run.tries,
+                run.engine,
+                len(run.events),
+                run.expected_tokens,
+            )
         text = "\n".join(run.events) if is_completed else ""
         versions = tuple(run.versions) if is_completed else ()
         self._finished.append(Result(run.item.id, is_completed, text, versions))
