Keep the text of long items; load all engines once a step is under way

Ruled out: the pace of engines (39 ms an event, as alone) and the order of items (the longest start first; waits of 0.3 to 4 s remain). Change: events beyond 30 that are not kept yet are written with the next results, under the condition that the state has not changed; a successor resumes from them. A host that is cut off while others hear the store gives its jobs up after 3 s. A model's engines load together once the step that goes with the version is under way. Test: three of test_job_run and test_decisions, new with the code.

--- a/goldcrestmoor/job/board.py
+++ b/goldcrestmoor/job/board.py
@@ -16,6 +16,9 @@
 
 # A dead runner's jobs are taken up by another after this and the lease's margin.
 RUNNER_LEASE_MS = 1500
+# So long after others have heard the store and this host has not, its jobs have been
+# taken up elsewhere: the lease, its margin and a claim.
+ABANDON_MS = 3000
 # Hosts that didn't accept a job leave its host this long to take its model's duty.
 CLAIM_DELAY_MS = 300
 CLAIM_JITTER_MS = 300
@@ -44,6 +47,7 @@
     :param scheduler: the :class:`~goldcrestmoor.job.scheduler.Scheduler`.
     :param routes: gives the ``RouteTable`` in force.
     :param process_id: this process, by a name that no other has.
+    :param is_cut_off: tells whether others hear the store and this host does not.
     """
 
     __slots__ = (
@@ -61,9 +65,13 @@
         "_runs_by_job",
         "_tasks",
         "_is_leaving",
+        "_is_cut_off",
+        "_cut_off_ms",
     )
 
-    def __init__(self, *, clock, store, duties, scheduler, routes, process_id):
+    def __init__(
+        self, *, clock, store, duties, scheduler, routes, process_id, is_cut_off
+    ):
         self.kept_by_job = {}
         self._clock = clock
         self._store = store
@@ -78,6 +86,8 @@
         self._runs_by_job = {}
         self._tasks = TaskGroup()
         self._is_leaving = False
+        self._is_cut_off = is_cut_off
+        self._cut_off_ms = None
 
     def apply(self, changes):
         """Take in what the feed of the jobs' states says.
@@ -153,6 +163,7 @@
                 if self._is_open(kept.state) and self._is_free(job_id):
                     self._adopting.add(job_id)
                     self._tasks.start(self._take_up(job_id), f"job {job_id}")
+            self._abandon()
             changed = self._changed
             try:
                 async with asyncio.timeout(TICK_MS / MS_PER_SECOND):
@@ -178,12 +189,28 @@
         """Stop every job."""
         await self._tasks.close()
 
+    def _abandon(self):
+        """Stop jobs that another host has taken up while this one was cut off."""
+        now_ms = self._clock.now_ms()
+        if not self._is_cut_off():
+            self._cut_off_ms = None
+        elif self._cut_off_ms is None:
+            self._cut_off_ms = now_ms
+        elif now_ms - self._cut_off_ms > ABANDON_MS:
+            for job_id, run in self._runs_by_job.items():
+                if not run.is_over:
+                    log.info("Job %s is left to a host that hears the store.", job_id)
+                    run.stop()
+
     def _is_open(self, state):
         return not state.is_ended and state.listed < state.total
 
     def _is_free(self, job_id):
         return not (
-            self._is_leaving or job_id in self._runs_by_job or job_id in self._adopting
+            self._is_leaving
+            or self._cut_off_ms is not None
+            or job_id in self._runs_by_job
+            or job_id in self._adopting
         )
 
     async def _take_up(self, job_id):
@@ -230,6 +257,7 @@
         if now.state.runner != self._process_id or not self._is_open(now.state):
             return None
         listed_ids = await self._store.listed_ids(job_id, now.state.listed)
+        partials = await self._store.partials(job_id) if kept.state.runner else {}
         table = self._routes()
         route = table.match(job.host, job.path) if table else None
         if route is None or route.job is None:
@@ -247,6 +275,7 @@
             job=job,
             kept=now,
             listed_ids=listed_ids,
+            partials=partials,
             terms=route.job,
             priority=route.priority,
             clock=self._clock,
--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -6,6 +6,7 @@
 
 from goldcrestmoor import tracing
 from goldcrestmoor.errors import Ran, ServiceError
+from goldcrestmoor.job.job import Partial
 from goldcrestmoor.request.event_stream import EventReader
 
 log = logging.getLogger("goldcrestmoor.items")
@@ -78,6 +79,8 @@
     :ivar versions: the weight versions that made them, in the order of first use.
     :ivar failures: how often an engine said that it failed.
     :ivar engine: the engine that works on it, or None.
+    :ivar generation: grows when it starts over from its prompt.
+    :ivar kept_events: how many of the events are kept in the store.
     :ivar started_ms: when its first try began.
     :ivar avoid: the engine that it was last broken off at.
     :ivar is_moving: whether its try is being ended, to go on at another engine.
@@ -91,6 +94,8 @@
         "versions",
         "failures",
         "tries",
+        "generation",
+        "kept_events",
         "started_ms",
         "engine",
         "avoid",
@@ -108,7 +113,11 @@
         self.avoid = ""
         self.task = None
         self.is_moving = False
-        self.forget_text()
+        self.generation = 0
+        self.events = []
+        self.last_id = ""
+        self.versions = []
+        self.kept_events = 0
 
     @property
     def group(self):
@@ -122,9 +131,37 @@
 
     def forget_text(self):
         """Start over from the prompt."""
+        self.generation += 1
         self.events = []
         self.last_id = ""
         self.versions = []
+        self.kept_events = 0
+
+    def unkept(self):
+        """Return the events that are not kept yet, as a partial text."""
+        return Partial(
+            self.position,
+            self.generation,
+            self.kept_events,
+            tuple(self.events[self.kept_events :]),
+            self.last_id,
+            tuple(self.versions),
+        )
+
+    def resume(self, partials):
+        """Take over what an earlier runner has kept of the item.
+
+        :param partials: its :class:`~goldcrestmoor.job.job.Partial` values, in the
+            order of their keys.
+        """
+        newest = max((partial.generation for partial in partials), default=0)
+        self.generation = newest
+        for partial in partials:
+            if partial.generation == newest and partial.first == len(self.events):
+                self.events += partial.events
+                self.last_id = partial.last_id
+                self.versions = list(partial.versions)
+        self.kept_events = len(self.events)
 
     def add(self, event, version):
         """Take in one event.
--- a/goldcrestmoor/job/job.py
+++ b/goldcrestmoor/job/job.py
@@ -73,6 +73,25 @@
     is_ended: bool = False
 
 
+class Partial(msgspec.Struct, frozen=True):
+    """Events that a running item has made since the last that were kept.
+
+    :param position: the item's place in the job.
+    :param generation: grows when the item starts over from its prompt.
+    :param first: how many of its events were kept before.
+    :param events: the data of the new events.
+    :param last_id: the id of the last of them.
+    :param versions: the weight versions that made all events so far.
+    """
+
+    position: int
+    generation: int
+    first: int
+    events: tuple[str, ...]
+    last_id: str
+    versions: tuple[int, ...]
+
+
 class Result(msgspec.Struct, frozen=True):
     """What became of an item.
 
--- a/goldcrestmoor/job/job_run.py
+++ b/goldcrestmoor/job/job_run.py
@@ -1,6 +1,7 @@
 """One batch job that this process runs: its items, and the results to be listed."""
 
 import asyncio
+import itertools
 import logging
 
 import msgspec
@@ -15,6 +16,11 @@
 # Results are gathered for so long before they are written, which bounds how often a
 # busy job writes and every host hears of it.
 GATHER_MS = 40
+# The text of an item is first kept when a run of it has cost over a second of a slot,
+# and then as much again is at stake; most items are shorter and never kept.
+KEEP_EVENTS = 30
+# How often that is looked at, which bounds the writes of a job that lists nothing.
+KEEP_CHECK_MS = 700
 
 
 class JobRun:
@@ -24,6 +30,7 @@
     :param kept: its :class:`~goldcrestmoor.job.job_store.KeptState`, with this
         process as its runner.
     :param listed_ids: the ids of the items that are listed already.
+    :param partials: what is kept of the others' texts, by position.
     :param terms: the :class:`~goldcrestmoor.version.routes.JobTerms` of its route.
     :param priority: its route's priority.
     :param clock: the clock.
@@ -50,7 +57,17 @@
     )
 
     def __init__(
-        self, *, job, kept, listed_ids, terms, priority, clock, store, on_state
+        self,
+        *,
+        job,
+        kept,
+        listed_ids,
+        partials,
+        terms,
+        priority,
+        clock,
+        store,
+        on_state,
     ):
         self.job = job
         self.terms = terms
@@ -61,6 +78,8 @@
             for position, item in enumerate(job.items)
             if item.id not in listed_ids
         ]
+        for run in self.waiting:
+            run.resume(partials.get(run.position, ()))
         self.running_by_id = {}
         self.engine_by_group = {}
         self._kept = kept
@@ -153,7 +172,7 @@
         self.running_by_id.clear()
 
     async def _wait_for_results(self):
-        wait_ms = self._keep_left_ms()
+        wait_ms = min(self._keep_left_ms(), KEEP_CHECK_MS)
         if wait_ms > 0:
             try:
                 async with asyncio.timeout(wait_ms / 1000):
@@ -180,17 +199,26 @@
 
     async def _write(self):
         """Write what has finished; tell whether this process still runs the job."""
-        results = self._finished[: job_store.take_writable(self._finished)]
-        if not results:
+        room = job_store.Room()
+        results = list(
+            itertools.takewhile(lambda r: room.take(len(r.text)), self._finished)
+        )
+        partials = self._partials(room)
+        if not results and not partials:
             self._has_finished.clear()
             return True
         state = msgspec.structs.replace(
             self._kept.state, listed=self._kept.state.listed + len(results)
         )
-        kept = await self._store.change(self.job.id, self._kept, state, results)
+        kept = await self._store.change(
+            self.job.id, self._kept, state, results, partials.values()
+        )
         if not self._is_still_runner(kept):
             return False
         if kept.state.listed == state.listed:
+            for run, partial in partials.items():
+                if run.generation == partial.generation:
+                    run.kept_events = partial.first + len(partial.events)
             del self._finished[: len(results)]
             if not self._finished:
                 self._has_finished.clear()
@@ -198,6 +226,20 @@
         self._on_state(self.job.id, kept)
         return not kept.state.is_ended
 
+    def _partials(self, room):
+        """Return the partial texts that are long enough to be kept, by run."""
+        partials = {}
+        if not room.has_room:
+            return partials
+        for run in itertools.chain(self.running_by_id.values(), self.waiting):
+            if len(run.events) - run.kept_events < KEEP_EVENTS:
+                continue
+            partial = run.unkept()
+            if not room.take(sum(map(len, partial.events))):
+                break
+            partials[run] = partial
+        return partials
+
     def _is_still_runner(self, kept):
         if kept is not None and kept.state.runner == self._kept.state.runner:
             return True
--- a/goldcrestmoor/job/job_store.py
+++ b/goldcrestmoor/job/job_store.py
@@ -12,13 +12,15 @@
 
 from goldcrestmoor.adapters.table import Check, CheckFailed, Committed, Write
 from goldcrestmoor.errors import ErrorKind, ServiceError
-from goldcrestmoor.job.job import Job, JobState, Result
+from goldcrestmoor.job.job import Job, JobState, Partial, Result
 from goldcrestmoor.util import Backoff
 
 log = logging.getLogger("goldcrestmoor.jobs")
 
 STATE_TABLE = "jobs"
 RESULT_TABLE = "results"
+# The text of long items while they are made.
+PARTIAL_TABLE = "partials"
 # The jobs themselves, in chunks; a row is written five times as fast as an object.
 BODY_TABLE = "job_bodies"
 OBJECT_PREFIX = "job-"
@@ -27,6 +29,8 @@
 # Of one transaction: the store takes 100 entries and 1 MB after base64.
 MAX_WRITES = 90
 MAX_WRITE_BYTES = 600_000
+# Of an entry beside its text: ids, versions and their encoding.
+ENTRY_BYTES = 600
 MORE = b"+"
 LAST = b"."
 RETRY_MIN_MS = 40
@@ -38,6 +42,7 @@
 
 _job_decoder = msgspec.msgpack.Decoder(Job)
 _state_decoder = msgspec.json.Decoder(JobState)
+_partial_decoder = msgspec.msgpack.Decoder(Partial)
 _result_decoder = msgspec.msgpack.Decoder(Result)
 
 
@@ -186,7 +191,7 @@
             text = f"What is kept of job {job_id} is malformed."
             raise ServiceError(ErrorKind.INTERNAL, text) from e
 
-    async def change(self, job_id, kept, state, results=()):
+    async def change(self, job_id, kept, state, results=(), partials=()):
         """Write a new state, and results at the positions that follow the listed.
 
         Sent again until its outcome is known, for as long as the caller waits.
@@ -195,6 +200,7 @@
         :param kept: the :class:`KeptState` that it follows.
         :param state: the new state, its count of listed results included.
         :param results: the new :class:`~goldcrestmoor.job.job.Result` values.
+        :param partials: :class:`~goldcrestmoor.job.job.Partial` values to keep.
         :return: the :class:`KeptState` as it is now, ``state`` itself or what
             another process has written; None when the job is gone.
         """
@@ -202,6 +208,8 @@
         writes = [Write(STATE_TABLE, job_id, msgspec.json.encode(state))]
         for position, result in enumerate(results, kept.state.listed):
             writes += _result_writes(job_id, position, result)
+        for partial in partials:
+            writes += _partial_writes(job_id, partial)
         backoff = Backoff(RETRY_MIN_MS, RETRY_MAX_MS)
         while True:
             try:
@@ -258,6 +266,19 @@
             ids += [result.id for result in results]
         return set(ids)
 
+    async def partials(self, job_id):
+        """Return what is kept of a job's unfinished items, by their positions.
+
+        :param job_id: the job.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
+        """
+        rows = await self._store.scan(PARTIAL_TABLE, _prefix(job_id))
+        found = {}
+        for data in _joined(rows):
+            partial = _partial_decoder.decode(data)
+            found.setdefault(partial.position, []).append(partial)
+        return found
+
     async def remove(self, job_id, kept):
         """Delete a job that nobody may ask for any more.
 
@@ -265,7 +286,7 @@
         :param kept: its :class:`KeptState`.
         :raises ServiceError: when the store cannot be reached; safe to call again.
         """
-        for table in (RESULT_TABLE, BODY_TABLE):
+        for table in (RESULT_TABLE, PARTIAL_TABLE, BODY_TABLE):
             rows = await self._store.scan(table, _prefix(job_id))
             while rows:
                 batch, rows = rows[:MAX_WRITES], rows[MAX_WRITES:]
@@ -278,19 +299,34 @@
         await self._store.transact(checks, writes)
 
 
-def take_writable(results):
-    """Return how many of the first results fit into one transaction.
+class Room:
+    """How much one transaction still holds.
 
-    :param results: a list of :class:`~goldcrestmoor.job.job.Result`.
+    :ivar has_room: whether everything has fitted so far.
     """
-    writes, size = 0, 0
-    for count, result in enumerate(results):
-        length = len(result.text) + len(result.id) + MAX_CHUNK_BYTES // 100
-        writes += 1 + length // MAX_CHUNK_BYTES
-        size += length
-        if count and (writes > MAX_WRITES or size > MAX_WRITE_BYTES):
-            return count
-    return len(results)
+
+    __slots__ = ("has_room", "_writes", "_bytes")
+
+    def __init__(self):
+        self.has_room = True
+        self._writes = 0
+        self._bytes = 0
+
+    def take(self, length):
+        """Tell whether a text still fits, the first one always.
+
+        :param length: its length, in characters.
+        """
+        length += ENTRY_BYTES
+        writes = 1 + length // MAX_CHUNK_BYTES
+        fits = (
+            self._writes + writes <= MAX_WRITES
+            and self._bytes + length <= MAX_WRITE_BYTES
+        )
+        self.has_room = self.has_room and (fits or not self._writes)
+        self._writes += writes
+        self._bytes += length
+        return self.has_room
 
 
 def _prefix(job_id):
@@ -306,6 +342,15 @@
     return _chunk_writes(RESULT_TABLE, _position_key(job_id, position), data)
 
 
+def _partial_writes(job_id, partial):
+    key = (
+        f"{_position_key(job_id, partial.position)}"
+        f"/{partial.generation:0{POSITION_DIGITS}d}"
+        f"/{partial.first:0{POSITION_DIGITS}d}"
+    )
+    return _chunk_writes(PARTIAL_TABLE, key, msgspec.msgpack.encode(partial))
+
+
 def _chunk_writes(table, name, data):
     """Yield the writes that keep bytes in as many rows as they need."""
     for number, start in enumerate(range(0, len(data), MAX_CHUNK_BYTES)):
--- a/goldcrestmoor/job/scheduler.py
+++ b/goldcrestmoor/job/scheduler.py
@@ -85,10 +85,12 @@
         runs = [
             run
             for run in self._runs_by_job.values()
-            if run.job.model == model and run.waiting and not run.is_over
+            if run.job.model == model and not run.is_over
         ]
+        waiting = [run for run in runs if run.waiting]
         return Demand(
-            sum(len(run.waiting) for run in runs),
+            sum(len(run.waiting) for run in waiting),
+            max((run.job.min_version for run in waiting), default=0),
             max((run.job.min_version for run in runs), default=0),
         )
 
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -146,6 +146,7 @@
             scheduler=self._scheduler,
             routes=self._routing.current,
             process_id=f"{self.settings.host.id}/{util.new_id()}",
+            is_cut_off=lambda: not self._reach.wants_callers(),
         )
         self._followers = {
             records.OPERATOR_TABLE: self._follow(
--- a/goldcrestmoor/version/load_plan.py
+++ b/goldcrestmoor/version/load_plan.py
@@ -3,8 +3,9 @@
 The load this answers: trainers name a version every few seconds, and the step that
 follows may still use the version before it. An engine that loads finishes what it
 runs but begins nothing for about a second, and loads get longer when many happen at
-once. So engines load when nothing waits for them, half of a model's engines at a
-time, and an engine that can still serve the waiting items is left to them. Where
+once. So engines load when nothing waits for them, and an engine that can still serve
+the waiting items is left to them. Before a version's step has come it may come at any
+moment, so that half of the model's engines load at a time; after that, all. Where
 several models share the engines, each model has its own part of them: one load an
 engine and version, not one for each model.
 """
@@ -37,10 +38,12 @@
 
     :param waiting: how many items wait for a slot.
     :param min_version: the newest version that one of them needs at least.
+    :param newest_step: the newest version that an open job needs at least.
     """
 
     waiting: int = 0
     min_version: int = 0
+    newest_step: int = 0
 
 
 class Load(msgspec.Struct, frozen=True):
@@ -66,9 +69,11 @@
     :param demand: the :class:`Demand` for the model.
     """
     part = assign(engines, models)[model]
+    # A step needs the version before the one that it is asked after.
+    has_step = demand.newest_step >= version - 1
     room = min(
         _room(engines, LOADING_SHARE),
-        _room(part, PART_LOADING_SHARE),
+        _room(part, 1.0 if has_step else PART_LOADING_SHARE),
     )
     behind = [
         engine
--- a/test/test_decisions.py
+++ b/test/test_decisions.py
@@ -180,6 +180,13 @@
         drained = list(plan_loads("m", 2, engines, ["m"], Demand()))
         self.assertEqual(len(drained), 1)
 
+    def test_all_load_once_the_step_that_goes_with_the_version_is_under_way(self):
+        engines = [weights(n, m=4) for n in "abcdef"]
+        loads = list(plan_loads("m", 5, engines, "mno", Demand(newest_step=4)))
+        self.assertEqual(len(loads), 2)
+        loads = list(plan_loads("m", 5, engines, "mno", Demand(newest_step=3)))
+        self.assertEqual(len(loads), 1)
+
     def test_engines_that_cannot_serve_what_waits_load_at_once(self):
         engines = [weights("a", m=1), weights("b", m=2)]
         demand = Demand(waiting=30, min_version=2)
--- a/test/test_job_run.py
+++ b/test/test_job_run.py
@@ -14,6 +14,7 @@
 from goldcrestmoor.job.scheduler import Scheduler
 from goldcrestmoor.process.directory import ListedUpstream
 from goldcrestmoor.process.metrics import Metrics
+from goldcrestmoor.request.event_stream import Event
 from goldcrestmoor.version.routes import (
     CallerLimits,
     JobTerms,
@@ -24,6 +25,7 @@
     ServiceShare,
     by_host,
 )
+from test import _common
 
 MODEL = "m"
 ROUTE = Route(
@@ -47,15 +49,17 @@
     def __init__(self, kept):
         self.kept = kept
         self.results = []
+        self.partials = []
 
     def now_ms(self):
         return 1000
 
-    async def change(self, job_id, kept, state, results=()):
+    async def change(self, job_id, kept, state, results=(), partials=()):
         if kept.version != self.kept.version:
             return self.kept
         self.kept = KeptState(state, kept.version + 1)
         self.results += results
+        self.partials += partials
         return self.kept
 
 
@@ -89,7 +93,7 @@
         return Finished()
 
 
-def make_run(count):
+def make_run(count, partials=None):
     """Return a run of some items, with its store."""
     items = tuple(Item(f"i{n}", "/x", {}, b"", group="g") for n in range(count))
     kept = KeptState(JobState("h", "/x", MODEL, count, 0, runner="me"), 1)
@@ -98,6 +102,7 @@
         job=Job("j", "h", "/x", items, MODEL, 1),
         kept=kept,
         listed_ids=set(),
+        partials=partials or {},
         terms=ROUTE.job,
         priority=1,
         clock=Clock(),
@@ -149,6 +154,35 @@
         await asyncio.sleep(0.25)
         self.assertFalse(running.done())
 
+    async def test_the_text_of_a_long_item_outlives_its_runner(self):
+        run, store = make_run(2)
+        first = run.waiting[0]
+        run.start(first, "a")
+        listing = asyncio.create_task(run.list_results())
+        self.addCleanup(listing.cancel)
+        for number in range(70):
+            first.add(Event(str(number), f"e{number}", None, b""), 1)
+            if number == 34:
+                await _common.eventually(lambda: store.partials, timeout_s=3)
+        await _common.eventually(lambda: len(store.partials) == 2, timeout_s=3)
+        again, _ = make_run(2, {0: store.partials})
+        resumed = again.waiting[0]
+        self.assertEqual(resumed.events, [f"e{number}" for number in range(70)])
+        self.assertEqual((resumed.last_id, resumed.versions), ("69", [1]))
+        self.assertEqual(again.waiting[1].events, [])
+
+    async def test_a_text_that_starts_over_replaces_what_was_kept(self):
+        run, _ = make_run(1)
+        item_run = run.waiting[0]
+        item_run.add(Event("0", "old", None, b""), 1)
+        kept = [item_run.unkept()]
+        item_run.forget_text()
+        item_run.add(Event("0", "new", None, b""), 2)
+        kept.append(item_run.unkept())
+        again, _ = make_run(1, {0: kept})
+        self.assertEqual(again.waiting[0].events, ["new"])
+        self.assertEqual(again.waiting[0].versions, [2])
+
     async def test_finished_items_are_listed_together(self):
         scheduler = self.make_scheduler()
         run, store = make_run(6)
