--- a/goldcrestmoor/front_settings.py
+++ b/goldcrestmoor/front_settings.py
@@ -12,6 +12,7 @@
     DurationMs,
     LimitSettings,
     LogSettings,
+    Port,
     ShutdownSettings,
     TracingSettings,
     strict,
@@ -32,6 +33,7 @@
     region: str
     callers: Endpoint
     readiness: Endpoint
+    metrics_port: Port
     listen_backlog: Count
 
     @property
@@ -68,6 +70,13 @@
         return int(self.endpoint.rpartition(":")[2])
 
 
+@strict
+class JobSettings:
+    """How long batch jobs are kept after they were submitted."""
+
+    kept_s: Count
+
+
 @strict
 class OrderSettings:
     """How long one host's order to an engine keeps the others from ordering it."""
@@ -81,6 +90,7 @@
 
     host: FrontHostSettings
     store: StoreSettings
+    jobs: JobSettings
     orders: OrderSettings
     limits: LimitSettings
     shutdown: ShutdownSettings
--- a/goldcrestmoor/job/board.py
+++ b/goldcrestmoor/job/board.py
@@ -24,6 +24,8 @@
 CLAIM_JITTER_MS = 300
 RETRY_MS = 250
 TICK_MS = 200
+# How often old jobs are looked for, and how much longer than promised they stay.
+SWEEP_MS = 5000
 
 
 def runner_duty(model):
@@ -47,6 +49,7 @@
     :param scheduler: the :class:`~goldcrestmoor.job.scheduler.Scheduler`.
     :param routes: gives the ``RouteTable`` in force.
     :param process_id: this process, by a name that no other has.
+    :param kept_ms: how long a job is kept after it was submitted, in milliseconds.
     :param is_cut_off: tells whether others hear the store and this host does not.
     """
 
@@ -65,12 +68,23 @@
         "_runs_by_job",
         "_tasks",
         "_is_leaving",
+        "_kept_ms",
+        "_swept_ms",
         "_is_cut_off",
         "_cut_off_ms",
     )
 
     def __init__(
-        self, *, clock, store, duties, scheduler, routes, process_id, is_cut_off
+        self,
+        *,
+        clock,
+        store,
+        duties,
+        scheduler,
+        routes,
+        process_id,
+        kept_ms,
+        is_cut_off,
     ):
         self.kept_by_job = {}
         self._clock = clock
@@ -86,6 +100,8 @@
         self._runs_by_job = {}
         self._tasks = TaskGroup()
         self._is_leaving = False
+        self._kept_ms = kept_ms
+        self._swept_ms = clock.now_ms()
         self._is_cut_off = is_cut_off
         self._cut_off_ms = None
 
@@ -164,6 +180,7 @@
                     self._adopting.add(job_id)
                     self._tasks.start(self._take_up(job_id), f"job {job_id}")
             self._abandon()
+            self._start_sweep()
             changed = self._changed
             try:
                 async with asyncio.timeout(TICK_MS / MS_PER_SECOND):
@@ -202,6 +219,34 @@
                     log.info("Job %s is left to a host that hears the store.", job_id)
                     run.stop()
 
+    def _start_sweep(self):
+        """Remove jobs that nobody may ask for any more, one host for each model."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._swept_ms < SWEEP_MS:
+            return
+        self._swept_ms = now_ms
+        try:
+            store_ms = self._store.now_ms()
+        except ServiceError:
+            # Nothing is kept or removed before the store was first heard.
+            return
+        for job_id, kept in list(self.kept_by_job.items()):
+            age_ms = store_ms - kept.state.submitted_ms
+            is_old = age_ms > self._kept_ms + SWEEP_MS
+            if is_old and self.runs_model(kept.state.model):
+                self._tasks.start(self._remove(job_id, kept), f"remove {job_id}")
+
+    async def _remove(self, job_id, kept):
+        if self._is_open(kept.state):
+            return
+        try:
+            await self._store.remove(job_id, kept)
+        except ServiceError as e:
+            log.info("Job %s is not removed yet: %s", job_id, e)
+            return
+        log.info("Job %s is removed.", job_id)
+        self._forget(job_id)
+
     def _is_open(self, state):
         return not state.is_ended and state.listed < state.total
 
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -1,15 +1,17 @@
 """The daemon on the users' platform: its parts, and how they start and stop."""
 
 import asyncio
+import dataclasses
 import logging
 import signal
 
-from blacksheep import Request, Response
+from blacksheep import Content, Request, Response
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
-from goldcrestmoor import util
+from goldcrestmoor import front_settings, logs, util
 from goldcrestmoor.clock import MS_PER_SECOND, Clock, Deadline
 from goldcrestmoor.connection.http_client import HttpClient
-from goldcrestmoor.errors import ServiceError
+from goldcrestmoor.errors import ServiceError, UserError
 from goldcrestmoor.job.board import Board
 from goldcrestmoor.job.desk import Desk
 from goldcrestmoor.job.engine_pool import EnginePool
@@ -40,6 +42,8 @@
 log = logging.getLogger("goldcrestmoor.front")
 
 CLOSE_TIMEOUT_MS = 1500
+# The sections of the settings that a reload puts in force.
+RELOADED = frozenset({"log", "shutdown"})
 HAND_OVER_MS = 1500
 # Callers keep connections for up to four fifths of the idle time of their limits.
 IDLE_MS = 16_000
@@ -146,6 +150,7 @@
             scheduler=self._scheduler,
             routes=self._routing.current,
             process_id=f"{self.settings.host.id}/{util.new_id()}",
+            kept_ms=self.settings.jobs.kept_s * MS_PER_SECOND,
             is_cut_off=lambda: not self._reach.wants_callers(),
         )
         self._followers = {
@@ -275,7 +280,19 @@
 
         to_balancer.application.router.add_get(caller_dialect.READY_PATH, ready)
         to_balancer.application.router.add_get(store_reach.PATH, hears_store)
-        self._servers = [to_balancer, to_callers]
+        to_monitoring = HttpServer(
+            clock=self._clock,
+            settings=self.settings,
+            metrics=self._metrics,
+            options=ServerOptions(port=self.settings.host.metrics_port),
+        )
+
+        async def metrics(request: Request) -> Response:
+            body = generate_latest(self._metrics.registry)
+            return Response(200, None, Content(CONTENT_TYPE_LATEST.encode(), body))
+
+        to_monitoring.application.router.add_get("/metrics", metrics)
+        self._servers = [to_balancer, to_callers, to_monitoring]
 
     def _is_ready(self):
         has_routes = self._routing.table is not None
@@ -300,7 +317,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         part_by_name = {
             **self._followers,
             "scheduler": self._scheduler,
@@ -320,8 +337,26 @@
             await self._close()
         log.info("Stopped.")
 
-    def _note_reload(self):
-        log.info("Told that the settings in %s have changed.", self._path)
+    def _reload(self):
+        """Read the settings again; what needs a new start is named and kept."""
+        try:
+            new = front_settings.load(self._path)
+        except UserError as e:
+            log.error("The settings are kept, as the new ones are wrong: %s", e)
+            return
+        old, self.settings = self.settings, new
+        logs.set_level(new.log.level)
+        changed = [
+            field.name
+            for field in dataclasses.fields(new)
+            if getattr(old, field.name) != getattr(new, field.name)
+        ]
+        kept = [name for name in changed if name not in RELOADED]
+        log.info(
+            "Settings read again; changed: %s; in force after the next start: %s.",
+            ", ".join(changed) or "nothing",
+            ", ".join(kept) or "nothing",
+        )
 
     async def _leave(self):
         """Take no new work, and end what there is."""
--- a/goldcrestmoor/request/forwarding.py
+++ b/goldcrestmoor/request/forwarding.py
@@ -134,6 +134,21 @@
             case GiveUp(kind, retry_after_ms):
                 raise ServiceError(kind, end.reason, retry_after_ms)
 
+    def note_answer(self, status):
+        """Log the answer that is passed on.
+
+        :param status: its HTTP status.
+        """
+        log.info(
+            "Request %s on route %s answered %d by %s, upstream %d of it, %d ms left.",
+            self.request.id,
+            self.route.name,
+            status,
+            self._sent_to[-1],
+            len(self._sent_to),
+            self.deadline.remaining_ms(),
+        )
+
     def _has_other(self):
         return self._loads.choose(self._service, self._sent_to) is not None
 
@@ -177,6 +192,7 @@
             outcome = await self._try(upstream, tries)
             match outcome:
                 case AppAnswer():
+                    tries.note_answer(outcome.status)
                     return outcome
                 case TryEnd():
                     tries.settle(outcome)
--- a/test/_front.py
+++ b/test/_front.py
@@ -123,6 +123,8 @@
         self.ports = {}
         self.gates = {}
         self.zones = {}
+        self.kept_s = 120
+        self.documents = {}
         self._directory = tempfile.TemporaryDirectory()
         self._beats = None
         self.silent = set()
@@ -157,23 +159,31 @@
     def start_front(self, name):
         """Start a daemon, with the ports that it had before."""
         if name not in self.ports:
-            self.ports[name] = (_common.free_port(), _common.free_port())
-        callers, readiness = self.ports[name]
+            self.ports[name] = tuple(_common.free_port() for _ in range(3))
+        callers, readiness, metrics = self.ports[name]
         document = {
             "host": {
                 "id": name,
                 "zone": self.zones.get(name, "zone-a"),
                 "callers": f"127.0.0.1:{callers}",
                 "readiness": f"127.0.0.1:{readiness}",
+                "metrics_port": metrics,
             },
+            "jobs": {"kept_s": self.kept_s},
             "store": {"endpoint": f"127.0.0.1:{self.gates[name]}"},
             "log": {"style": "text"},
         }
-        path = pathlib.Path(self._directory.name) / f"{name}.json"
-        path.write_text(json.dumps(document))
+        path = self.write_settings(name, document)
         arguments = ["goldcrestmoor", "front", str(path)]
         self.fronts[name] = Process(name, arguments, self._directory.name)
 
+    def write_settings(self, name, document):
+        """Write a daemon's settings file and return its path."""
+        self.documents[name] = document
+        path = pathlib.Path(self._directory.name) / f"{name}.json"
+        path.write_text(json.dumps(document))
+        return path
+
     async def _beat(self):
         while True:
             for server in self.servers():
--- a/test/_process.py
+++ b/test/_process.py
@@ -81,6 +81,10 @@
         """Ask it to shut down gracefully."""
         self._signal(signal.SIGTERM)
 
+    def reload(self):
+        """Tell it that its settings have changed."""
+        self._signal(signal.SIGHUP)
+
     async def wait(self, timeout_s=_common.EVENT_TIMEOUT_S):
         """Wait until it has ended.
 
--- a/test/test_front.py
+++ b/test/test_front.py
@@ -376,6 +376,40 @@
         runs = [run for app in self.fleet.apps for run in app.runs]
         self.assertEqual(runs, ["n1"])
 
+    async def test_an_old_job_is_removed_whole(self):
+        self.fleet.kept_s = 1
+        await self.fleet.start()
+        await self.fleet.submit("front-a", "j1", 4)
+        await self.fleet.all_results("front-a", "j1")
+
+        def is_gone():
+            tables = {table for table, _, _ in self.fleet.store.row_by_place}
+            return not tables & {"jobs", "results", "job_bodies", "partials"}
+
+        await _common.eventually(is_gone, timeout_s=15)
+        self.assertEqual(await self.fleet.results("front-b", "j1"), 404)
+
+    async def test_changed_settings_are_read_again_and_wrong_ones_kept_out(self):
+        await self.fleet.start(names=("front-a",))
+        process = self.fleet.fronts["front-a"]
+        document = dict(self.fleet.documents["front-a"])
+        self.fleet.write_settings("front-a", document | {"log": {"level": "loud"}})
+        process.reload()
+        await _common.eventually(lambda: "the new ones are wrong" in process.log())
+        document["log"] = {"style": "text", "level": "debug"}
+        self.fleet.write_settings("front-a", document)
+        process.reload()
+        await _common.eventually(lambda: "changed: log" in process.log())
+        self.assertTrue(await self.fleet.is_ready("front-a"))
+
+    async def test_metrics_are_served_on_their_own_port(self):
+        await self.fleet.start(names=("front-a",))
+        await self.listed()
+        port = self.fleet.ports["front-a"][2]
+        answer = await self.fleet.http.request("127.0.0.1", port, "GET", "/metrics")
+        self.assertIn(b"goldcrestmoor_store_calls_total", answer.body)
+        self.assertIn(b"goldcrestmoor_request_seconds_bucket", answer.body)
+
     async def test_a_feed_without_history_is_read_anew(self):
         await self.fleet.start(names=("front-a",))
         self.fleet.store.forget_history()
