--- a/goldcrestmoor/adapters/engine.py
+++ b/goldcrestmoor/adapters/engine.py
@@ -81,7 +81,7 @@
     ):
         """Yield the pieces of one stream as they come.
 
-        :param upstream: the :class:`~goldcrestmoor.version.configuration.Upstream`.
+        :param upstream: the ``Upstream``.
         :param model: the model's name.
         :param prompt: the prompt's text.
         :param max_tokens: the most tokens still to make, in tokens.
--- a/goldcrestmoor/client/trainer.py
+++ b/goldcrestmoor/client/trainer.py
@@ -8,13 +8,13 @@
 from goldcrestmoor.clock import Clock, Deadline
 from goldcrestmoor.errors import ErrorKind, Retry, ServiceError
 from goldcrestmoor.util import Backoff
-from goldcrestmoor.version.step_routes import (
+from goldcrestmoor.version.steps.step_routes import (
     PublishBody,
     PullAnswer,
     PullBody,
     SubmitBody,
 )
-from goldcrestmoor.version.steps import oldest_version
+from goldcrestmoor.version.steps.steps import oldest_version
 
 log = logging.getLogger("goldcrestmoor.client")
 
--- a/goldcrestmoor/job/job_run.py
+++ b/goldcrestmoor/job/job_run.py
@@ -31,7 +31,7 @@
         process as its runner.
     :param listed_ids: the ids of the items that are listed already.
     :param partials: what is kept of the others' texts, by position.
-    :param terms: the :class:`~goldcrestmoor.version.routes.JobTerms` of its route.
+    :param terms: the ``JobTerms`` of its route.
     :param priority: its route's priority.
     :param clock: the clock.
     :param store: the :class:`~goldcrestmoor.job.job_store.JobStore`.
--- a/goldcrestmoor/job/scheduler.py
+++ b/goldcrestmoor/job/scheduler.py
@@ -16,7 +16,7 @@
 )
 from goldcrestmoor.job.stragglers import Running, moves
 from goldcrestmoor.util import TaskGroup
-from goldcrestmoor.version.load_plan import Demand
+from goldcrestmoor.version.weights.load_plan import Demand
 
 log = logging.getLogger("goldcrestmoor.scheduler")
 
@@ -30,7 +30,7 @@
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param pool: the :class:`~goldcrestmoor.job.engine_pool.EnginePool`.
     :param tries: the :class:`~goldcrestmoor.job.item_run.ItemTries`.
-    :param routes: gives the :class:`~goldcrestmoor.version.routes.RouteTable` in
+    :param routes: gives the ``RouteTable`` in
         force.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
     """
@@ -80,7 +80,7 @@
         """Return what waits for a model's engines.
 
         :param model: the model.
-        :return: a :class:`~goldcrestmoor.version.load_plan.Demand`.
+        :return: a :class:`~goldcrestmoor.version.weights.load_plan.Demand`.
         """
         runs = [
             run
--- a/goldcrestmoor/language/changes.py
+++ b/goldcrestmoor/language/changes.py
@@ -7,7 +7,7 @@
 
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.language import statements as st
-from goldcrestmoor.version.configuration import (
+from goldcrestmoor.version.configuration.document import (
     Account,
     Pool,
     Upstream,
--- a/goldcrestmoor/language/executor.py
+++ b/goldcrestmoor/language/executor.py
@@ -8,7 +8,7 @@
 from goldcrestmoor.language import statements as st, tables
 from goldcrestmoor.language.changes import apply_changes
 from goldcrestmoor.language.parser import parse
-from goldcrestmoor.version.configuration_driver import Accepted, Refused, Unknown
+from goldcrestmoor.version.configuration.driver import Accepted, Refused, Unknown
 
 EXPLAIN_COLUMNS = ("at_ms", "host", "part", "text")
 VERSION_COLUMNS = (
--- a/goldcrestmoor/load/player.py
+++ b/goldcrestmoor/load/player.py
@@ -13,7 +13,7 @@
 from goldcrestmoor.load.trace import Completion, Fault, Fetch, Note, Publish, Step
 from goldcrestmoor.request.completion_answers import CompletionAnswer
 from goldcrestmoor.util import TaskGroup
-from goldcrestmoor.version.step_routes import GroupBody, SubmitBody
+from goldcrestmoor.version.steps.step_routes import GroupBody, SubmitBody
 
 log = logging.getLogger("goldcrestmoor.replay")
 
--- a/goldcrestmoor/platform/records.py
+++ b/goldcrestmoor/platform/records.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from goldcrestmoor.process.directory import ListedUpstream
-from goldcrestmoor.version.routes import (
+from goldcrestmoor.version.configuration.routes import (
     CallerLimits,
     JobTerms,
     Repeat,
@@ -109,7 +109,7 @@
     """Return the routes that the operator's newest configuration holds.
 
     :param value: the row's bytes.
-    :return: a :class:`~goldcrestmoor.version.routes.RouteTable`.
+    :return: a :class:`~goldcrestmoor.version.configuration.routes.RouteTable`.
     :raises ValueError: when they hold no configuration.
     """
     document = _configuration_decoder.decode(value)
--- a/goldcrestmoor/platform/servers.py
+++ b/goldcrestmoor/platform/servers.py
@@ -4,7 +4,11 @@
 
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
 from goldcrestmoor.request.event_stream import EventFields
-from goldcrestmoor.version.engine_report import EngineReport, Ordered, OrderRefused
+from goldcrestmoor.version.weights.engine_report import (
+    EngineReport,
+    Ordered,
+    OrderRefused,
+)
 
 STATUS_OK = 200
 STATUS_ACCEPTED = 202
@@ -147,7 +151,7 @@
         """Return what an engine says of itself, some hundred milliseconds late.
 
         :param upstream: the :class:`~goldcrestmoor.process.directory.ListedUpstream`.
-        :return: an :class:`~goldcrestmoor.version.engine_report.EngineReport`.
+        :return: an :class:`~goldcrestmoor.version.weights.engine_report.EngineReport`.
         :raises ServiceError: when it does not answer, or not as an engine does.
         """
         headers = request_headers((), upstream, None)
@@ -170,7 +174,7 @@
         :param upstream: the :class:`~goldcrestmoor.process.directory.ListedUpstream`.
         :param model: the model's name.
         :param version: the weight version.
-        :param mode: a :class:`~goldcrestmoor.version.engine_report.LoadMode`.
+        :param mode: a :class:`~goldcrestmoor.version.weights.engine_report.LoadMode`.
         :param holder: this host.
         :param fencing: the number of the lease that the order is given under.
         :param accepted: how many orders the engine has accepted, as it reported.
--- a/goldcrestmoor/process/callers.py
+++ b/goldcrestmoor/process/callers.py
@@ -16,12 +16,12 @@
 from goldcrestmoor.request.keys import Keys
 from goldcrestmoor.request.minted_key import KeyMint
 from goldcrestmoor.request.placement import Placement, TwoChoices
-from goldcrestmoor.version import step_routes
-from goldcrestmoor.version.step_front import StepFront
-from goldcrestmoor.version.step_holder import StepHolder
-from goldcrestmoor.version.step_router import StepRouter
-from goldcrestmoor.version.step_store import StepStore
-from goldcrestmoor.version.step_sweeper import StepSweeper
+from goldcrestmoor.version.steps import step_routes
+from goldcrestmoor.version.steps.step_front import StepFront
+from goldcrestmoor.version.steps.step_holder import StepHolder
+from goldcrestmoor.version.steps.step_router import StepRouter
+from goldcrestmoor.version.steps.step_store import StepStore
+from goldcrestmoor.version.steps.step_sweeper import StepSweeper
 
 
 class Callers:
--- a/goldcrestmoor/process/daemon.py
+++ b/goldcrestmoor/process/daemon.py
@@ -26,10 +26,10 @@
 from goldcrestmoor.process.shutdown import InFlight, Shutdown
 from goldcrestmoor.process.spread import Spread
 from goldcrestmoor.util import TaskGroup
-from goldcrestmoor.version.configuration_lease import ConfigurationLease
-from goldcrestmoor.version.engine_versions import EngineVersionTable
-from goldcrestmoor.version.weight_orders import WeightOrders
-from goldcrestmoor.version.weights import WeightVersions
+from goldcrestmoor.version.configuration.lease import ConfigurationLease
+from goldcrestmoor.version.weights.engine_versions import EngineVersionTable
+from goldcrestmoor.version.weights.published import WeightVersions
+from goldcrestmoor.version.weights.weight_orders import WeightOrders
 
 log = logging.getLogger("goldcrestmoor.daemon")
 
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -35,9 +35,9 @@
 from goldcrestmoor.request.streaming import StreamForwarder
 from goldcrestmoor.request.upstream_loads import UpstreamLoads
 from goldcrestmoor.util import TaskGroup
-from goldcrestmoor.version.load_orders import LoadOrders
-from goldcrestmoor.version.named_versions import NamedVersions
-from goldcrestmoor.version.order_log import OrderLog
+from goldcrestmoor.version.weights.load_orders import LoadOrders
+from goldcrestmoor.version.weights.named_versions import NamedVersions
+from goldcrestmoor.version.weights.order_log import OrderLog
 
 log = logging.getLogger("goldcrestmoor.front")
 
--- a/goldcrestmoor/process/front_callers.py
+++ b/goldcrestmoor/process/front_callers.py
@@ -14,7 +14,7 @@
 from goldcrestmoor.request.apps import AppAnswer
 from goldcrestmoor.request.forwarding import CallerRequest
 from goldcrestmoor.request.streaming import StreamAnswer
-from goldcrestmoor.version.routes import RouteKind
+from goldcrestmoor.version.configuration.routes import RouteKind
 
 log = logging.getLogger("goldcrestmoor.callers")
 
--- a/goldcrestmoor/process/health.py
+++ b/goldcrestmoor/process/health.py
@@ -28,7 +28,7 @@
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
     :param shutdown: the :class:`~goldcrestmoor.process.shutdown.Shutdown`.
     :param configuration: gives the
-        :class:`~goldcrestmoor.version.configuration.Configuration` in force.
+        :class:`~goldcrestmoor.version.configuration.document.Configuration` in force.
     """
 
     async def healthz(request):
--- a/goldcrestmoor/process/operators.py
+++ b/goldcrestmoor/process/operators.py
@@ -3,8 +3,8 @@
 from goldcrestmoor.language import routes
 from goldcrestmoor.language.executor import Executor
 from goldcrestmoor.language.explain import Explainer
-from goldcrestmoor.version import step_rows
-from goldcrestmoor.version.configuration_driver import ConfigurationDriver
+from goldcrestmoor.version.configuration.driver import ConfigurationDriver
+from goldcrestmoor.version.steps import step_rows
 
 UPSTREAM_COLUMNS = (
     "name",
--- a/goldcrestmoor/process/ownership.py
+++ b/goldcrestmoor/process/ownership.py
@@ -24,7 +24,7 @@
     def owner_of_upstream(self, upstream):
         """Return the host that admits requests to an upstream.
 
-        :param upstream: the :class:`~goldcrestmoor.version.configuration.Upstream`.
+        :param upstream: the ``Upstream``.
         """
         return self._holder(f"upstream/{upstream.name}", upstream.zone)
 
@@ -32,7 +32,7 @@
         """Return the host that holds a step.
 
         :param account: the step's
-            :class:`~goldcrestmoor.version.configuration.Account`.
+            :class:`~goldcrestmoor.version.configuration.document.Account`.
         :param step: the step's name.
         """
         return self._holder(f"step/{account.name}/{step}", account.zone)
--- a/goldcrestmoor/process/policies.py
+++ b/goldcrestmoor/process/policies.py
@@ -2,8 +2,8 @@
 
 from goldcrestmoor.request.fair_queue import FirstComeFirstServed, WeightedFair
 from goldcrestmoor.request.placement import LeastLoaded, PrefixAffinity, RoundRobin
-from goldcrestmoor.version.rollout_strategies import AllAtOnce, Rolling
-from goldcrestmoor.version.stragglers import AsNumbered, LongestFirst
+from goldcrestmoor.version.steps.stragglers import AsNumbered, LongestFirst
+from goldcrestmoor.version.weights.rollout_strategies import AllAtOnce, Rolling
 
 PERCENT = 100
 
--- a/goldcrestmoor/process/routing.py
+++ b/goldcrestmoor/process/routing.py
@@ -11,7 +11,7 @@
     :param decode: makes a ``RouteTable`` of a row's value; raises
         :class:`ValueError` for one that holds none.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
-    :ivar table: the :class:`~goldcrestmoor.version.routes.RouteTable` in force, or
+    :ivar table: the ``RouteTable`` in force, or
         None before one was heard.
     """
 
--- a/goldcrestmoor/request/admission.py
+++ b/goldcrestmoor/request/admission.py
@@ -30,7 +30,7 @@
     """The right to use one slot of an upstream.
 
     :param id: its name, given by this host.
-    :param upstream: the :class:`~goldcrestmoor.version.configuration.Upstream`.
+    :param upstream: the ``Upstream``.
     :param account: the account's name.
     :param cost_tokens: what the request is expected to cost, in tokens.
     :param owner: the host that granted it; empty when no owner could be asked.
@@ -109,8 +109,8 @@
         A request that has to queue is moved to another upstream whose owner has an
         idle slot; until then it keeps its place.
 
-        :param account: the :class:`~goldcrestmoor.version.configuration.Account`.
-        :param upstream: the :class:`~goldcrestmoor.version.configuration.Upstream`.
+        :param account: the ``Account``.
+        :param upstream: the ``Upstream``.
         :param cost_tokens: what the request is expected to cost, in tokens.
         :param deadline: when it must have started.
         :param request_id: the request.
--- a/goldcrestmoor/request/app_routes.py
+++ b/goldcrestmoor/request/app_routes.py
@@ -8,7 +8,7 @@
 from goldcrestmoor.request.apps import AppRequest, passed_on
 from goldcrestmoor.request.authentication import check_pool, check_served
 from goldcrestmoor.request.body import read_deadline
-from goldcrestmoor.version.configuration import UpstreamKind
+from goldcrestmoor.version.configuration.document import UpstreamKind
 
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 KEY_HEADER = b"Idempotency-Key"
@@ -40,7 +40,7 @@
     :param authenticator: the ``Authenticator``.
     :param applications: the :class:`~goldcrestmoor.request.apps.Applications`.
     :param keys: the :class:`~goldcrestmoor.request.keys.Keys`.
-    :param lease: gives the :class:`~goldcrestmoor.version.configuration.View`.
+    :param lease: gives the :class:`~goldcrestmoor.version.configuration.document.View`.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
     :param settings: the :class:`~goldcrestmoor.settings.Settings`.
     """
--- a/goldcrestmoor/request/authentication.py
+++ b/goldcrestmoor/request/authentication.py
@@ -12,7 +12,7 @@
 class Authenticator:
     """Find accounts by the tokens that callers send.
 
-    :param lease: gives the :class:`~goldcrestmoor.version.configuration.View`.
+    :param lease: gives the :class:`~goldcrestmoor.version.configuration.document.View`.
     """
 
     __slots__ = ("_lease",)
@@ -68,7 +68,7 @@
     Call it right before an effect: the configuration may have changed while the
     request's body came in, while it was queued or while the process was frozen.
 
-    :param view: the :class:`~goldcrestmoor.version.configuration.View` of now.
+    :param view: the :class:`~goldcrestmoor.version.configuration.document.View` of now.
     :param account: the account as it was let in.
     :param pool: the pool's name.
     :raises ServiceError: ``UNAUTHORIZED``, ``CONFIG_LAPSED`` or ``FORBIDDEN``.
--- a/goldcrestmoor/request/bound_keys.py
+++ b/goldcrestmoor/request/bound_keys.py
@@ -30,7 +30,7 @@
     :param applications: the :class:`~goldcrestmoor.request.apps.Applications`.
     :param links: the ``PeerLinks``.
     :param membership: the ``Membership``.
-    :param lease: gives the :class:`~goldcrestmoor.version.configuration.View`.
+    :param lease: gives the :class:`~goldcrestmoor.version.configuration.document.View`.
     :param settings: the :class:`~goldcrestmoor.settings.IdempotencySettings`.
     """
 
--- a/goldcrestmoor/request/claim_sweeper.py
+++ b/goldcrestmoor/request/claim_sweeper.py
@@ -25,7 +25,7 @@
     :param host_id: this host.
     :param table: the ``TableClient``.
     :param membership: the ``Membership``.
-    :param lease: gives the :class:`~goldcrestmoor.version.configuration.View`.
+    :param lease: gives the :class:`~goldcrestmoor.version.configuration.document.View`.
     """
 
     __slots__ = ("_clock", "_host_id", "_table", "_membership", "_lease")
--- a/goldcrestmoor/request/completion_routes.py
+++ b/goldcrestmoor/request/completion_routes.py
@@ -16,7 +16,7 @@
     event,
     whole_answer,
 )
-from goldcrestmoor.version.configuration import UpstreamKind
+from goldcrestmoor.version.configuration.document import UpstreamKind
 
 log = logging.getLogger("goldcrestmoor.completions")
 
@@ -33,7 +33,7 @@
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param authenticator: the ``Authenticator``.
     :param completions: the :class:`~.completions.Completions`.
-    :param lease: gives the :class:`~goldcrestmoor.version.configuration.View`.
+    :param lease: gives the :class:`~goldcrestmoor.version.configuration.document.View`.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
     :param settings: the :class:`~goldcrestmoor.settings.LimitSettings`.
     """
--- a/goldcrestmoor/request/completions.py
+++ b/goldcrestmoor/request/completions.py
@@ -62,7 +62,7 @@
     :param engines: the :class:`~goldcrestmoor.adapters.engine.EngineClient`.
     :param admission: the :class:`~goldcrestmoor.request.admission.AdmissionClient`.
     :param placement: the :class:`~goldcrestmoor.request.placement.Placement`.
-    :param lease: gives the :class:`~goldcrestmoor.version.configuration.View`.
+    :param lease: gives the :class:`~goldcrestmoor.version.configuration.document.View`.
     :param budget: the ``RetryBudget``, here by pool.
     :param settings: the :class:`~goldcrestmoor.settings.LimitSettings`.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
@@ -132,7 +132,7 @@
     ):
         """Yield the pieces of one completion; closing it cancels the stream.
 
-        :param account: the :class:`~goldcrestmoor.version.configuration.Account`.
+        :param account: the ``Account``.
         :param pool: the pool's name.
         :param prompt: the prompt's text.
         :param max_tokens: the most tokens still to make, in tokens.
--- a/goldcrestmoor/request/forwarding.py
+++ b/goldcrestmoor/request/forwarding.py
@@ -9,7 +9,7 @@
 from goldcrestmoor.request import send_again
 from goldcrestmoor.request.apps import AppAnswer
 from goldcrestmoor.request.send_again import GiveUp, SendAgain
-from goldcrestmoor.version.routes import Repeat
+from goldcrestmoor.version.configuration.routes import Repeat
 
 log = logging.getLogger("goldcrestmoor.forward")
 
@@ -50,7 +50,7 @@
     """The upstreams that one request has been sent to, and what is known of it.
 
     :param request: the :class:`CallerRequest`.
-    :param route: its :class:`~goldcrestmoor.version.routes.Route`.
+    :param route: its :class:`~goldcrestmoor.version.configuration.routes.Route`.
     :param deadline: when the answer must be there.
     :param loads: the :class:`~goldcrestmoor.request.upstream_loads.UpstreamLoads`.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
@@ -174,7 +174,7 @@
         """Return an upstream's whole answer.
 
         :param request: the :class:`CallerRequest`.
-        :param route: its :class:`~goldcrestmoor.version.routes.Route`.
+        :param route: its :class:`~goldcrestmoor.version.configuration.routes.Route`.
         :param deadline: when the answer must be there.
         :return: an :class:`~goldcrestmoor.request.apps.AppAnswer`.
         :raises ServiceError: ``NO_UPSTREAM`` or ``OVERLOADED`` when it surely was
--- a/goldcrestmoor/request/send_again.py
+++ b/goldcrestmoor/request/send_again.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from goldcrestmoor.errors import ErrorKind, Ran
-from goldcrestmoor.version.routes import Repeat
+from goldcrestmoor.version.configuration.routes import Repeat
 
 # A further try must leave the upstream some time to work.
 MIN_TRY_MS = 30
@@ -40,7 +40,7 @@
 
     :param ran: the :class:`~goldcrestmoor.errors.Ran` of all tries so far: whether
         any of them was, may have been, or surely was not run.
-    :param repeat: the route's :class:`~goldcrestmoor.version.routes.Repeat`.
+    :param repeat: the route's ``Repeat``.
     :param tries: how many tries may have been run, this one included.
     :param attempts: how many upstreams may run the request.
     :param remaining_ms: the time left, in milliseconds.
@@ -60,7 +60,7 @@
 def try_bound_ms(repeat, tries, attempts, remaining_ms, target_ms, has_other):
     """Return how long a try may wait for its answer, in milliseconds.
 
-    :param repeat: the route's :class:`~goldcrestmoor.version.routes.Repeat`.
+    :param repeat: the route's ``Repeat``.
     :param tries: how many tries came before.
     :param attempts: how many upstreams may run the request.
     :param remaining_ms: the time left.
--- a/goldcrestmoor/request/streaming.py
+++ b/goldcrestmoor/request/streaming.py
@@ -14,7 +14,7 @@
 from goldcrestmoor.request.apps import AppAnswer
 from goldcrestmoor.request.event_stream import EventReader
 from goldcrestmoor.request.forwarding import Tries, TryEnd
-from goldcrestmoor.version.routes import Repeat
+from goldcrestmoor.version.configuration.routes import Repeat
 
 log = logging.getLogger("goldcrestmoor.streams")
 
@@ -57,7 +57,7 @@
         """Return an answer once its first event is there, or a whole one.
 
         :param request: the :class:`~goldcrestmoor.request.forwarding.CallerRequest`.
-        :param route: its :class:`~goldcrestmoor.version.routes.Route`.
+        :param route: its :class:`~goldcrestmoor.version.configuration.routes.Route`.
         :param deadline: when the stream must have ended.
         :return: a :class:`StreamAnswer`, or an
             :class:`~goldcrestmoor.request.apps.AppAnswer` when it is no stream.
--- /dev/null
+++ b/goldcrestmoor/version/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: the document, its versions, and the routes on the users' platform."""
--- a/goldcrestmoor/version/cut_off.py
+++ b/goldcrestmoor/version/configuration/cut_off.py
@@ -8,7 +8,11 @@
 
 import msgspec
 
-from goldcrestmoor.version.configuration import Account, DeliveryRules, StreamRule
+from goldcrestmoor.version.configuration.document import (
+    Account,
+    DeliveryRules,
+    StreamRule,
+)
 
 
 class Place(msgspec.Struct, frozen=True):
@@ -64,7 +68,7 @@
 def cut_off_part(configuration):
     """Return the part of a configuration that lapsed hosts act on.
 
-    :param configuration: a :class:`~goldcrestmoor.version.configuration.Configuration`.
+    :param configuration: a ``Configuration``.
     """
     accounts = (a for a in configuration.accounts_by_name.values() if a.cut_off.serve)
     upstreams = configuration.upstreams_by_name.values()
--- a/goldcrestmoor/version/configuration_driver.py
+++ b/goldcrestmoor/version/configuration/driver.py
@@ -7,14 +7,14 @@
 
 from goldcrestmoor.clock import Deadline
 from goldcrestmoor.errors import ErrorKind, ServiceError
-from goldcrestmoor.version.configuration_messages import CutOffPrepared, PrepareCutOff
-from goldcrestmoor.version.configuration_store import (
+from goldcrestmoor.version.configuration.cut_off import cut_off_part, propose
+from goldcrestmoor.version.configuration.messages import CutOffPrepared, PrepareCutOff
+from goldcrestmoor.version.configuration.store import (
     ConfigurationStore,
     Overtaken,
     Written,
     new_token,
 )
-from goldcrestmoor.version.cut_off import cut_off_part, propose
 
 log = logging.getLogger("goldcrestmoor.configuration")
 
--- a/goldcrestmoor/version/configuration_lease.py
+++ b/goldcrestmoor/version/configuration/lease.py
@@ -8,17 +8,17 @@
 
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.util import Backoff
-from goldcrestmoor.version import configuration as documents
-from goldcrestmoor.version.configuration import Configuration, View
-from goldcrestmoor.version.configuration_messages import (
+from goldcrestmoor.version.configuration import document as documents
+from goldcrestmoor.version.configuration.cut_off import lapsed_configuration
+from goldcrestmoor.version.configuration.document import Configuration, View
+from goldcrestmoor.version.configuration.messages import (
     ConfigurationOffer,
     CutOffPrepared,
     FetchConfiguration,
     GivenHost,
     PrepareCutOff,
 )
-from goldcrestmoor.version.configuration_store import ConfigurationStore
-from goldcrestmoor.version.cut_off import lapsed_configuration
+from goldcrestmoor.version.configuration.store import ConfigurationStore
 
 log = logging.getLogger("goldcrestmoor.configuration")
 
@@ -113,7 +113,7 @@
         The lease is checked at each call, as the process may have been frozen
         since the last one.
 
-        :return: a :class:`~goldcrestmoor.version.configuration.View`.
+        :return: a :class:`~goldcrestmoor.version.configuration.document.View`.
         """
         if self._clock.now_ms() < self._lease_end_ms:
             return View(self._configuration, lapsed=False)
@@ -178,7 +178,7 @@
     def prepare(self, proposal):
         """Take proposed cut-off terms into account from now on.
 
-        :param proposal: a :class:`~goldcrestmoor.version.cut_off.Proposal`.
+        :param proposal: a ``Proposal``.
         :return: the :class:`CutOffPrepared` acknowledgement.
         :raises ServiceError: ``CONFIG_CONFLICT`` when a newer version is known
             here, ``OVERLOADED`` when too many proposals are in doubt.
--- a/goldcrestmoor/version/configuration_messages.py
+++ b/goldcrestmoor/version/configuration/messages.py
@@ -1,6 +1,6 @@
 """What hosts tell one another about the configuration."""
 
-from goldcrestmoor.version.cut_off import Proposal
+from goldcrestmoor.version.configuration.cut_off import Proposal
 from goldcrestmoor.wire import Message
 
 
--- a/goldcrestmoor/version/configuration_store.py
+++ b/goldcrestmoor/version/configuration/store.py
@@ -9,9 +9,9 @@
 from goldcrestmoor.adapters.table import Check, CheckFailed, Committed, Write
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.util import Backoff
-from goldcrestmoor.version import configuration as documents
-from goldcrestmoor.version.configuration import Configuration
-from goldcrestmoor.version.cut_off import Proposal
+from goldcrestmoor.version.configuration import document as documents
+from goldcrestmoor.version.configuration.cut_off import Proposal
+from goldcrestmoor.version.configuration.document import Configuration
 
 log = logging.getLogger("goldcrestmoor.configuration")
 
@@ -130,7 +130,7 @@
     async def propose(self, proposal):
         """Keep proposed cut-off terms where a starting host finds them.
 
-        :param proposal: the :class:`~goldcrestmoor.version.cut_off.Proposal`.
+        :param proposal: the ``Proposal``.
         :return: the proposal with its number, and the check that no other proposal
             has taken its place, for :meth:`write`.
         :raises ServiceError: ``PLATFORM_UNAVAILABLE``, or ``CONFIG_CONFLICT`` when
--- /dev/null
+++ b/goldcrestmoor/version/steps/__init__.py
@@ -0,0 +1,1 @@
+"""Steps: the samples that trainers ask for, made, kept and handed out."""
--- a/goldcrestmoor/version/kept_pieces.py
+++ b/goldcrestmoor/version/steps/kept_pieces.py
@@ -7,7 +7,7 @@
     """Keep the longest of each slot's failed streams.
 
     :param is_on: whether anything is kept at all.
-    :param partials: the :class:`~goldcrestmoor.version.step_messages.Partial` texts
+    :param partials: the ``Partial`` texts
         that an earlier holder's streams had come to.
     """
 
@@ -26,7 +26,7 @@
     def keep(self, stream):
         """Keep the pieces of a stream that failed.
 
-        :param stream: the :class:`~goldcrestmoor.version.step_stream.Stream`.
+        :param stream: the :class:`~goldcrestmoor.version.steps.step_stream.Stream`.
         """
         kept = self._pieces_by_slot.get(stream.slot, ())
         if self._is_on and len(stream.pieces) > len(kept):
--- a/goldcrestmoor/version/step_front.py
+++ b/goldcrestmoor/version/steps/step_front.py
@@ -1,13 +1,13 @@
 """The steps' front on every host: it takes requests to the step's holder."""
 
 from goldcrestmoor.clock import Deadline
-from goldcrestmoor.version.step_messages import (
+from goldcrestmoor.version.steps.step_messages import (
     CancelStep,
     PulledSamples,
     PullSamples,
     SubmitStep,
 )
-from goldcrestmoor.version.steps import check, check_name, oldest_version
+from goldcrestmoor.version.steps.steps import check, check_name, oldest_version
 
 PULL_SLICE_MS = 500
 CALL_MARGIN_MS = 500
@@ -18,10 +18,10 @@
     """What trainers' requests come to, on whichever host they reach.
 
     :param clock: the clock.
-    :param router: the :class:`~goldcrestmoor.version.step_router.StepRouter`.
+    :param router: the :class:`~goldcrestmoor.version.steps.step_router.StepRouter`.
     :param holder: this host's
-        :class:`~goldcrestmoor.version.step_holder.StepHolder`.
-    :param versions: the :class:`~goldcrestmoor.version.weights.WeightVersions`.
+        :class:`~goldcrestmoor.version.steps.step_holder.StepHolder`.
+    :param versions: the ``WeightVersions``.
     :param metrics: the ``Metrics``.
     :param settings: the host's settings.
     """
@@ -44,7 +44,7 @@
     async def submit(self, spec):
         """Accept a step at its holder.
 
-        :param spec: the :class:`~goldcrestmoor.version.steps.StepSpec`.
+        :param spec: the :class:`~goldcrestmoor.version.steps.steps.StepSpec`.
         :raises ServiceError: ``STEP_CONFLICT``, ``PLATFORM_UNAVAILABLE`` and others.
         """
         check(spec)
--- a/goldcrestmoor/version/step_holder.py
+++ b/goldcrestmoor/version/steps/step_holder.py
@@ -8,16 +8,16 @@
 from goldcrestmoor.clock import Deadline
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.process import policies
-from goldcrestmoor.version.step_messages import (
+from goldcrestmoor.version.steps.step_messages import (
     CancelStep,
     PulledSamples,
     PullSamples,
     SubmitStep,
 )
-from goldcrestmoor.version.step_run import StepRun
-from goldcrestmoor.version.step_state import StepState
-from goldcrestmoor.version.step_store import LoadedStep
-from goldcrestmoor.version.steps import Held, digest_of, oldest_version
+from goldcrestmoor.version.steps.step_run import StepRun
+from goldcrestmoor.version.steps.step_state import StepState
+from goldcrestmoor.version.steps.step_store import LoadedStep
+from goldcrestmoor.version.steps.steps import Held, digest_of, oldest_version
 
 log = logging.getLogger("goldcrestmoor.steps")
 
@@ -44,11 +44,11 @@
 
     :param clock: the clock.
     :param completions: the ``Completions``.
-    :param store: the :class:`~goldcrestmoor.version.step_store.StepStore`.
+    :param store: the :class:`~goldcrestmoor.version.steps.step_store.StepStore`.
     :param links: the ``PeerLinks``.
-    :param router: the :class:`~goldcrestmoor.version.step_router.StepRouter`.
+    :param router: the :class:`~goldcrestmoor.version.steps.step_router.StepRouter`.
     :param lease: the ``ConfigurationLease``.
-    :param versions: the :class:`~goldcrestmoor.version.weights.WeightVersions`.
+    :param versions: the ``WeightVersions``.
     :param decisions: the ``Decisions``.
     :param metrics: the ``Metrics``.
     :param settings: the host's settings.
--- a/goldcrestmoor/version/step_kept.py
+++ b/goldcrestmoor/version/steps/step_kept.py
@@ -4,7 +4,7 @@
 
 from goldcrestmoor import wire
 from goldcrestmoor.clock import Deadline
-from goldcrestmoor.version.step_messages import (
+from goldcrestmoor.version.steps.step_messages import (
     FetchStep,
     ForgetStep,
     HandOverStep,
@@ -13,7 +13,7 @@
     StoreSamples,
     StoreStep,
 )
-from goldcrestmoor.version.steps import digest_of, oldest_version
+from goldcrestmoor.version.steps.steps import digest_of, oldest_version
 
 MAX_KEPT_STEPS = 128
 
--- a/goldcrestmoor/version/step_messages.py
+++ b/goldcrestmoor/version/steps/step_messages.py
@@ -4,7 +4,7 @@
 
 from goldcrestmoor import wire
 from goldcrestmoor.request.piece import Segment
-from goldcrestmoor.version.steps import Sample, Slot, StepSpec
+from goldcrestmoor.version.steps.steps import Sample, Slot, StepSpec
 
 
 class StoreStep(wire.Message, frozen=True):
--- a/goldcrestmoor/version/step_recorder.py
+++ b/goldcrestmoor/version/steps/step_recorder.py
@@ -3,7 +3,7 @@
 import logging
 
 from goldcrestmoor.errors import ServiceError
-from goldcrestmoor.version.step_records import Superseded
+from goldcrestmoor.version.steps.step_records import Superseded
 
 log = logging.getLogger("goldcrestmoor.steps")
 
@@ -13,8 +13,8 @@
 class StepRecorder:
     """Record whole groups on the platform and single samples on another host.
 
-    :param state: the :class:`~goldcrestmoor.version.step_state.StepState`.
-    :param store: the :class:`~goldcrestmoor.version.step_store.StepStore`.
+    :param state: the :class:`~goldcrestmoor.version.steps.step_state.StepState`.
+    :param store: the :class:`~goldcrestmoor.version.steps.step_store.StepStore`.
     :param clock: the clock.
     :param tasks: the :class:`~goldcrestmoor.util.TaskGroup` of the step.
     """
--- a/goldcrestmoor/version/step_records.py
+++ b/goldcrestmoor/version/steps/step_records.py
@@ -8,7 +8,7 @@
 from goldcrestmoor import util
 from goldcrestmoor.adapters.table import Check, CheckFailed, Write
 from goldcrestmoor.errors import ErrorKind, ServiceError
-from goldcrestmoor.version.steps import Sample, StepSpec, digest_of
+from goldcrestmoor.version.steps.steps import Sample, StepSpec, digest_of
 
 log = logging.getLogger("goldcrestmoor.steps")
 
--- a/goldcrestmoor/version/step_router.py
+++ b/goldcrestmoor/version/steps/step_router.py
@@ -15,7 +15,7 @@
 
     :param links: the ``PeerLinks``.
     :param ownership: the ``Ownership``.
-    :param store: the :class:`~goldcrestmoor.version.step_store.StepStore`.
+    :param store: the :class:`~goldcrestmoor.version.steps.step_store.StepStore`.
     :param lease: the ``ConfigurationLease``.
     :param host_id: this host.
     """
--- a/goldcrestmoor/version/step_routes.py
+++ b/goldcrestmoor/version/steps/step_routes.py
@@ -5,8 +5,14 @@
 
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.request.body import read_json
-from goldcrestmoor.version.step_messages import PullSamples
-from goldcrestmoor.version.steps import GroupSpec, Sample, Slot, StepSpec, check_name
+from goldcrestmoor.version.steps.step_messages import PullSamples
+from goldcrestmoor.version.steps.steps import (
+    GroupSpec,
+    Sample,
+    Slot,
+    StepSpec,
+    check_name,
+)
 
 DEFAULT_DEADLINE_MS = 3_600_000
 
@@ -84,7 +90,7 @@
 
     :param app: the blacksheep application.
     :param authenticator: the ``Authenticator``.
-    :param steps: the :class:`~goldcrestmoor.version.step_front.StepFront`.
+    :param steps: the :class:`~goldcrestmoor.version.steps.step_front.StepFront`.
     :param weights: takes new weight versions, by ``publish``.
     """
 
--- a/goldcrestmoor/version/step_rows.py
+++ b/goldcrestmoor/version/steps/step_rows.py
@@ -6,7 +6,7 @@
 def make_source(holder):
     """Return a source for the operators' language.
 
-    :param holder: the :class:`~goldcrestmoor.version.step_holder.StepHolder`.
+    :param holder: the :class:`~goldcrestmoor.version.steps.step_holder.StepHolder`.
     :return: async, takes nothing and returns the columns and the rows.
     """
 
--- a/goldcrestmoor/version/step_run.py
+++ b/goldcrestmoor/version/steps/step_run.py
@@ -7,13 +7,13 @@
 from goldcrestmoor import tracing, util
 from goldcrestmoor.clock import MS_PER_SECOND
 from goldcrestmoor.errors import ServiceError
-from goldcrestmoor.version import stragglers
-from goldcrestmoor.version.configuration import StreamRule
-from goldcrestmoor.version.kept_pieces import KeptPieces
-from goldcrestmoor.version.publishing_pace import PublishingPace
-from goldcrestmoor.version.step_messages import Partial
-from goldcrestmoor.version.step_recorder import StepRecorder
-from goldcrestmoor.version.step_stream import Stream
+from goldcrestmoor.version.configuration.document import StreamRule
+from goldcrestmoor.version.steps import stragglers
+from goldcrestmoor.version.steps.kept_pieces import KeptPieces
+from goldcrestmoor.version.steps.step_messages import Partial
+from goldcrestmoor.version.steps.step_recorder import StepRecorder
+from goldcrestmoor.version.steps.step_stream import Stream
+from goldcrestmoor.version.weights.publishing_pace import PublishingPace
 
 log = logging.getLogger("goldcrestmoor.steps")
 
@@ -27,20 +27,20 @@
 class StepRun:
     """Fill a step's slots until its deadline.
 
-    :param state: the :class:`~goldcrestmoor.version.step_state.StepState`.
+    :param state: the :class:`~goldcrestmoor.version.steps.step_state.StepState`.
     :param clock: the clock.
     :param completions: the ``Completions``.
-    :param store: the :class:`~goldcrestmoor.version.step_store.StepStore`.
+    :param store: the :class:`~goldcrestmoor.version.steps.step_store.StepStore`.
     :param lease: the ``ConfigurationLease``.
     :param decisions: the ``Decisions``.
     :param metrics: the ``Metrics``.
     :param hedge_percent: second copies allowed, of the step's slots.
     :param is_wanted: tells whether this host is still to work on the step.
-    :param start_order: a class of :mod:`goldcrestmoor.version.stragglers`.
+    :param start_order: a class of :mod:`goldcrestmoor.version.steps.stragglers`.
     :param resumes: whether a slot that is tried again goes on from its tokens.
     :param drops_early: whether a stream is stopped that is expected to be too old
         when it ends.
-    :param partials: the :class:`~goldcrestmoor.version.step_messages.Partial` texts
+    :param partials: the ``Partial`` texts
         that an earlier holder's streams had come to.
     """
 
--- a/goldcrestmoor/version/step_state.py
+++ b/goldcrestmoor/version/steps/step_state.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from goldcrestmoor.version.steps import Held, oldest_version
+from goldcrestmoor.version.steps.steps import Held, oldest_version
 
 MAX_ANSWER_CHARACTERS = 4_000_000
 
@@ -89,7 +89,7 @@
     def adopt(self, record):
         """Take in a recorded round of a group, which goes before other samples.
 
-        :param record: a :class:`~goldcrestmoor.version.step_records.GroupRecord`.
+        :param record: a :class:`~goldcrestmoor.version.steps.step_records.GroupRecord`.
         """
         for sample in record.samples:
             if sample.slot not in self.slots:
--- a/goldcrestmoor/version/step_store.py
+++ b/goldcrestmoor/version/steps/step_store.py
@@ -9,8 +9,8 @@
 
 from goldcrestmoor import util, wire
 from goldcrestmoor.errors import ErrorKind, ServiceError
-from goldcrestmoor.version.step_kept import KeptSteps
-from goldcrestmoor.version.step_messages import (
+from goldcrestmoor.version.steps.step_kept import KeptSteps
+from goldcrestmoor.version.steps.step_messages import (
     FetchStep,
     ForgetStep,
     HandOverStep,
@@ -19,8 +19,8 @@
     StoreSamples,
     StoreStep,
 )
-from goldcrestmoor.version.step_records import GroupRecord, StepRecords
-from goldcrestmoor.version.steps import StepSpec, digest_of
+from goldcrestmoor.version.steps.step_records import GroupRecord, StepRecords
+from goldcrestmoor.version.steps.steps import StepSpec, digest_of
 
 log = logging.getLogger("goldcrestmoor.steps")
 
--- a/goldcrestmoor/version/step_stream.py
+++ b/goldcrestmoor/version/steps/step_stream.py
@@ -2,8 +2,8 @@
 
 from goldcrestmoor import util
 from goldcrestmoor.request.piece import join
-from goldcrestmoor.version.steps import make_sample
-from goldcrestmoor.version.stragglers import Progress
+from goldcrestmoor.version.steps.steps import make_sample
+from goldcrestmoor.version.steps.stragglers import Progress
 
 
 class Stream:
--- a/goldcrestmoor/version/step_sweeper.py
+++ b/goldcrestmoor/version/steps/step_sweeper.py
@@ -17,7 +17,7 @@
     Two hosts that both think so do no harm: each deletes rows by their version.
 
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
-    :param records: the :class:`~goldcrestmoor.version.step_records.StepRecords`.
+    :param records: the :class:`~goldcrestmoor.version.steps.step_records.StepRecords`.
     :param ownership: the :class:`~goldcrestmoor.process.ownership.Ownership`.
     :param host_id: this host.
     """
--- /dev/null
+++ b/goldcrestmoor/version/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Weight versions: what is published or named, and the orders that load it."""
--- a/goldcrestmoor/version/engine_versions.py
+++ b/goldcrestmoor/version/weights/engine_versions.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from goldcrestmoor.version.weight_messages import EngineVersions
+from goldcrestmoor.version.weights.weight_messages import EngineVersions
 
 UNKNOWN = -1
 
@@ -13,7 +13,7 @@
     :param links: the :class:`~goldcrestmoor.connection.peers.PeerLinks`.
     :param spread: the :class:`~goldcrestmoor.process.spread.Spread`.
     :param configuration: gives the
-        :class:`~goldcrestmoor.version.configuration.Configuration` in force.
+        :class:`~goldcrestmoor.version.configuration.document.Configuration` in force.
     """
 
     __slots__ = ("_spread", "_configuration", "_known_by_model", "_sequence")
@@ -28,7 +28,7 @@
     def version_of(self, upstream):
         """Return the version that an engine was last known to run, or None.
 
-        :param upstream: the :class:`~goldcrestmoor.version.configuration.Upstream`.
+        :param upstream: the ``Upstream``.
         """
         pool = self._configuration().pools_by_name.get(upstream.pool)
         known = self._known_by_model.get(pool.model) if pool else None
--- a/goldcrestmoor/version/load_orders.py
+++ b/goldcrestmoor/version/weights/load_orders.py
@@ -9,8 +9,8 @@
 from goldcrestmoor.clock import MS_PER_SECOND
 from goldcrestmoor.errors import ServiceError
 from goldcrestmoor.util import TaskGroup
-from goldcrestmoor.version.engine_report import LoadMode, Ordered, OrderRefused
-from goldcrestmoor.version.load_plan import EngineWeights, plan_loads
+from goldcrestmoor.version.weights.engine_report import LoadMode, Ordered, OrderRefused
+from goldcrestmoor.version.weights.load_plan import EngineWeights, plan_loads
 
 log = logging.getLogger("goldcrestmoor.orders")
 
@@ -30,13 +30,13 @@
 
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param runs_model: tells whether this host runs a model's jobs now.
-    :param demand: gives the :class:`~goldcrestmoor.version.load_plan.Demand` for a
+    :param demand: gives the ``Demand`` for a
         model.
     :param directory: the :class:`~goldcrestmoor.process.directory.Directory`.
-    :param versions: the :class:`~goldcrestmoor.version.named_versions.NamedVersions`.
+    :param versions: the ``NamedVersions``.
     :param routes: gives the ``RouteTable`` in force.
     :param engines: reports and orders, such as the adapter's ``EngineOrders``.
-    :param order_log: the :class:`~goldcrestmoor.version.order_log.OrderLog`.
+    :param order_log: the :class:`~goldcrestmoor.version.weights.order_log.OrderLog`.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
     :param host_id: this host.
     """
--- a/goldcrestmoor/version/weights.py
+++ b/goldcrestmoor/version/weights/published.py
@@ -11,7 +11,7 @@
 from goldcrestmoor.adapters.table import Check, Committed, Write
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.util import Backoff
-from goldcrestmoor.version.weight_messages import VersionPublished
+from goldcrestmoor.version.weights.weight_messages import VersionPublished
 
 log = logging.getLogger("goldcrestmoor.weights")
 
--- a/goldcrestmoor/version/weight_driver.py
+++ b/goldcrestmoor/version/weights/weight_driver.py
@@ -7,7 +7,7 @@
 from goldcrestmoor.clock import MS_PER_SECOND
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.util import Backoff, TaskGroup
-from goldcrestmoor.version.rollout_strategies import max_loads
+from goldcrestmoor.version.weights.rollout_strategies import max_loads
 
 log = logging.getLogger("goldcrestmoor.weights")
 
@@ -57,11 +57,11 @@
     :param model: the model.
     :param lease: the :class:`~goldcrestmoor.process.leases.Lease` on it.
     :param configuration: gives the configuration in force.
-    :param versions: the :class:`~goldcrestmoor.version.weights.WeightVersions`.
+    :param versions: the ``WeightVersions``.
     :param engine_versions: where the engines' versions are published.
     :param engines: the :class:`~goldcrestmoor.adapters.engine.EngineClient`.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
-    :param strategy: a class of :mod:`goldcrestmoor.version.rollout_strategies`.
+    :param strategy: a class of :mod:`goldcrestmoor.version.weights.rollout_strategies`.
     """
 
     __slots__ = (
--- a/goldcrestmoor/version/weight_orders.py
+++ b/goldcrestmoor/version/weights/weight_orders.py
@@ -6,8 +6,8 @@
 from goldcrestmoor.clock import Deadline
 from goldcrestmoor.errors import ServiceError
 from goldcrestmoor.util import TaskGroup
-from goldcrestmoor.version.rollout_strategies import AllAtOnce
-from goldcrestmoor.version.weight_driver import ORDER_TIMEOUT_MS, WeightDriver
+from goldcrestmoor.version.weights.rollout_strategies import AllAtOnce
+from goldcrestmoor.version.weights.weight_driver import ORDER_TIMEOUT_MS, WeightDriver
 
 log = logging.getLogger("goldcrestmoor.weights")
 
@@ -25,14 +25,14 @@
     :param leases: the :class:`~goldcrestmoor.process.leases.LeaseClient`.
     :param ownership: the :class:`~goldcrestmoor.process.ownership.Ownership`.
     :param configuration: gives the
-        :class:`~goldcrestmoor.version.configuration.Configuration` in force.
-    :param versions: the :class:`~goldcrestmoor.version.weights.WeightVersions`.
+        :class:`~goldcrestmoor.version.configuration.document.Configuration` in force.
+    :param versions: the ``WeightVersions``.
     :param engine_versions: the
-        :class:`~goldcrestmoor.version.engine_versions.EngineVersionTable`.
+        :class:`~goldcrestmoor.version.weights.engine_versions.EngineVersionTable`.
     :param engines: the :class:`~goldcrestmoor.adapters.engine.EngineClient`.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
     :param host_id: this host.
-    :param strategy: a class of :mod:`goldcrestmoor.version.rollout_strategies`.
+    :param strategy: a class of :mod:`goldcrestmoor.version.weights.rollout_strategies`.
     """
 
     __slots__ = (
--- a/test/_configuration.py
+++ b/test/_configuration.py
@@ -8,8 +8,8 @@
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.language.changes import apply_changes
 from goldcrestmoor.language.parser import parse
-from goldcrestmoor.version.configuration_driver import Accepted, ConfigurationDriver
-from goldcrestmoor.version.configuration_lease import ConfigurationLease
+from goldcrestmoor.version.configuration.driver import Accepted, ConfigurationDriver
+from goldcrestmoor.version.configuration.lease import ConfigurationLease
 from test import _common
 
 INITIAL = """
--- a/test/_request_fakes.py
+++ b/test/_request_fakes.py
@@ -11,7 +11,7 @@
 from goldcrestmoor.errors import ErrorKind, ServiceError, from_body, to_body
 from goldcrestmoor.process.decisions import Decisions
 from goldcrestmoor.process.metrics import Metrics
-from goldcrestmoor.version.configuration import (
+from goldcrestmoor.version.configuration.document import (
     Account,
     Configuration,
     Pool,
--- a/test/_step_fakes.py
+++ b/test/_step_fakes.py
@@ -12,13 +12,13 @@
 from goldcrestmoor.process.decisions import Decisions
 from goldcrestmoor.process.metrics import Metrics
 from goldcrestmoor.request.piece import Piece
-from goldcrestmoor.version import configuration as config
-from goldcrestmoor.version.step_front import StepFront
-from goldcrestmoor.version.step_holder import StepHolder
-from goldcrestmoor.version.step_messages import PullSamples
-from goldcrestmoor.version.step_router import StepRouter
-from goldcrestmoor.version.step_store import StepStore
-from goldcrestmoor.version.steps import GroupSpec, StepSpec
+from goldcrestmoor.version.configuration import document as config
+from goldcrestmoor.version.steps.step_front import StepFront
+from goldcrestmoor.version.steps.step_holder import StepHolder
+from goldcrestmoor.version.steps.step_messages import PullSamples
+from goldcrestmoor.version.steps.step_router import StepRouter
+from goldcrestmoor.version.steps.step_store import StepStore
+from goldcrestmoor.version.steps.steps import GroupSpec, StepSpec
 from test import _common
 
 ACCOUNT = "tuner"
--- a/test/bench/documents.py
+++ b/test/bench/documents.py
@@ -4,15 +4,15 @@
 import tracemalloc
 
 from goldcrestmoor import util
-from goldcrestmoor.version import configuration as documents
-from goldcrestmoor.version.configuration import (
+from goldcrestmoor.version.configuration import document as documents
+from goldcrestmoor.version.configuration.cut_off import lapsed_configuration
+from goldcrestmoor.version.configuration.document import (
     Account,
     Configuration,
     Pool,
     Upstream,
     UpstreamKind,
 )
-from goldcrestmoor.version.cut_off import lapsed_configuration
 from test.bench.table import show, slope
 
 SIZES = ((20, 10), (200, 50), (700, 10), (700, 200))
--- a/test/bench/memory.py
+++ b/test/bench/memory.py
@@ -20,9 +20,9 @@
 from goldcrestmoor.request.apps import AppAnswer
 from goldcrestmoor.request.key_memory import KeyMemory
 from goldcrestmoor.request.piece import Segment
-from goldcrestmoor.version.step_messages import StoreSamples
-from goldcrestmoor.version.step_state import StepState
-from goldcrestmoor.version.steps import GroupSpec, Slot, StepSpec, make_sample
+from goldcrestmoor.version.steps.step_messages import StoreSamples
+from goldcrestmoor.version.steps.step_state import StepState
+from goldcrestmoor.version.steps.steps import GroupSpec, Slot, StepSpec, make_sample
 from test import _common, _request_fakes as fakes
 from test.bench.control import listed
 from test.bench.table import show
--- a/test/bench/spreading.py
+++ b/test/bench/spreading.py
@@ -5,21 +5,22 @@
 import time
 from types import SimpleNamespace
 
+from goldcrestmoor.version.weights.weight_messages import VersionPublished
+
 from goldcrestmoor.adapters.engine import EngineClient
 from goldcrestmoor.clock import Clock
 from goldcrestmoor.connection.http_client import HttpClient
 from goldcrestmoor.process.metrics import Metrics
 from goldcrestmoor.process.spread import Spread
 from goldcrestmoor.util import TaskGroup
-from goldcrestmoor.version.configuration import (
+from goldcrestmoor.version.configuration.document import (
     Configuration,
     Pool,
     Upstream,
     UpstreamKind,
 )
-from goldcrestmoor.version.rollout_strategies import AllAtOnce
-from goldcrestmoor.version.weight_driver import WeightDriver
-from goldcrestmoor.version.weight_messages import VersionPublished
+from goldcrestmoor.version.weights.rollout_strategies import AllAtOnce
+from goldcrestmoor.version.weights.weight_driver import WeightDriver
 from test import _common
 from test.bench.processes import Directory
 from test.bench.table import show
--- a/test/demo.py
+++ b/test/demo.py
@@ -13,7 +13,7 @@
 
 from goldcrestmoor.client.notes import NotesClient, Outcome
 from goldcrestmoor.client.trainer import TrainerClient
-from goldcrestmoor.version.step_routes import GroupBody
+from goldcrestmoor.version.steps.step_routes import GroupBody
 from test._common import eventually
 from test.fleet import AccountPlan, Fleet, Plan, PoolPlan, http_get
 
--- a/test/proofs/_steps.py
+++ b/test/proofs/_steps.py
@@ -8,9 +8,9 @@
 import msgspec
 
 from goldcrestmoor import util
-from goldcrestmoor.version.step_records import GroupRow
-from goldcrestmoor.version.step_routes import GroupBody, PullAnswer, PullBody
-from goldcrestmoor.version.steps import Sample, Slot
+from goldcrestmoor.version.steps.step_records import GroupRow
+from goldcrestmoor.version.steps.step_routes import GroupBody, PullAnswer, PullBody
+from goldcrestmoor.version.steps.steps import Sample, Slot
 from test import _common
 from test.fleet import AccountPlan, Fleet, Plan, PoolPlan, http_get, http_post
 from test.network import Network
--- a/test/proofs/test_configuration_work.py
+++ b/test/proofs/test_configuration_work.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from goldcrestmoor.client.trainer import TrainerClient
-from goldcrestmoor.version.step_routes import GroupBody
+from goldcrestmoor.version.steps.step_routes import GroupBody
 from test import _common
 from test.proofs._fleet import ACCEPTED, MODEL, OK, FleetCase, account, engines
 
--- a/test/test_configuration.py
+++ b/test/test_configuration.py
@@ -9,19 +9,19 @@
 
 from goldcrestmoor.clock import Deadline
 from goldcrestmoor.errors import ErrorKind
-from goldcrestmoor.version import configuration as documents
-from goldcrestmoor.version.configuration import Configuration
-from goldcrestmoor.version.configuration_driver import Accepted, Refused, Unknown
-from goldcrestmoor.version.configuration_lease import MAX_PROPOSALS
-from goldcrestmoor.version.configuration_messages import PrepareCutOff
-from goldcrestmoor.version.configuration_store import Head
-from goldcrestmoor.version.cut_off import (
+from goldcrestmoor.version.configuration import document as documents
+from goldcrestmoor.version.configuration.cut_off import (
     CutOffPart,
     Place,
     Proposal,
     cut_off_part,
     narrow,
 )
+from goldcrestmoor.version.configuration.document import Configuration
+from goldcrestmoor.version.configuration.driver import Accepted, Refused, Unknown
+from goldcrestmoor.version.configuration.lease import MAX_PROPOSALS
+from goldcrestmoor.version.configuration.messages import PrepareCutOff
+from goldcrestmoor.version.configuration.store import Head
 from test import _common
 from test._configuration import World, changing
 
--- a/test/test_decisions.py
+++ b/test/test_decisions.py
@@ -16,15 +16,15 @@
     try_bound_ms,
 )
 from goldcrestmoor.request.upstream_choice import Choice, choose_upstream
-from goldcrestmoor.version.load_plan import (
+from goldcrestmoor.version.configuration.routes import Repeat
+from goldcrestmoor.version.weights.load_plan import (
     Demand,
     EngineWeights,
     Load,
     assign,
     plan_loads,
 )
-from goldcrestmoor.version.order_log import OrderEntry, may_follow
-from goldcrestmoor.version.routes import Repeat
+from goldcrestmoor.version.weights.order_log import OrderEntry, may_follow
 
 
 def engine(name, in_flight=0, **fields):
--- a/test/test_job_run.py
+++ b/test/test_job_run.py
@@ -15,7 +15,7 @@
 from goldcrestmoor.process.directory import ListedUpstream
 from goldcrestmoor.process.metrics import Metrics
 from goldcrestmoor.request.event_stream import Event
-from goldcrestmoor.version.routes import (
+from goldcrestmoor.version.configuration.routes import (
     CallerLimits,
     JobTerms,
     Repeat,
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -16,7 +16,7 @@
 from goldcrestmoor.process.metrics import Metrics
 from goldcrestmoor.process.ownership import Ownership
 from goldcrestmoor.util import TaskGroup
-from goldcrestmoor.version.configuration import Upstream
+from goldcrestmoor.version.configuration.document import Upstream
 from test import _common
 from test._fleet import FakeLinks, HostClock, ManualClock, Network
 
--- a/test/test_steps.py
+++ b/test/test_steps.py
@@ -6,11 +6,17 @@
 
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.request.piece import Piece, Segment
-from goldcrestmoor.version import step_holder, step_records, step_state
-from goldcrestmoor.version.configuration import StreamRule
-from goldcrestmoor.version.step_rows import make_source
-from goldcrestmoor.version.step_state import StepState
-from goldcrestmoor.version.steps import Held, Slot, check, make_sample, oldest_version
+from goldcrestmoor.version.configuration.document import StreamRule
+from goldcrestmoor.version.steps import step_holder, step_records, step_state
+from goldcrestmoor.version.steps.step_rows import make_source
+from goldcrestmoor.version.steps.step_state import StepState
+from goldcrestmoor.version.steps.steps import (
+    Held,
+    Slot,
+    check,
+    make_sample,
+    oldest_version,
+)
 from test import _common
 from test._step_fakes import ACCOUNT, ZONE, FakeFleet, make_spec
 
--- a/test/test_stragglers.py
+++ b/test/test_stragglers.py
@@ -2,9 +2,8 @@
 
 import unittest
 
-from goldcrestmoor.version.publishing_pace import PublishingPace
-from goldcrestmoor.version.steps import Slot
-from goldcrestmoor.version.stragglers import (
+from goldcrestmoor.version.steps.steps import Slot
+from goldcrestmoor.version.steps.stragglers import (
     AsNumbered,
     Continue,
     Copy,
@@ -14,6 +13,7 @@
     decide,
     start_order,
 )
+from goldcrestmoor.version.weights.publishing_pace import PublishingPace
 
 
 def lengths(**tokens_by_group):
--- a/test/test_trainer_client.py
+++ b/test/test_trainer_client.py
@@ -11,8 +11,8 @@
 from goldcrestmoor.client.trainer import TrainerClient
 from goldcrestmoor.client.transport import Transport
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError, to_body
-from goldcrestmoor.version.step_routes import GroupBody, register_routes
-from goldcrestmoor.version.steps import Slot
+from goldcrestmoor.version.steps.step_routes import GroupBody, register_routes
+from goldcrestmoor.version.steps.steps import Slot
 from test._step_fakes import FakeFleet, make_spec
 
 HttpAnswer = collections.namedtuple("HttpAnswer", ("status", "headers", "body"))
