--- a/goldcrestmoor/job/board.py
+++ b/goldcrestmoor/job/board.py
@@ -63,7 +63,6 @@
         "_process_id",
         "_changed",
         "_job_by_id",
-        "_seen_ms_by_job",
         "_adopting",
         "_runs_by_job",
         "_tasks",
@@ -95,7 +94,6 @@
         self._process_id = process_id
         self._changed = asyncio.Event()
         self._job_by_id = {}
-        self._seen_ms_by_job = {}
         self._adopting = set()
         self._runs_by_job = {}
         self._tasks = TaskGroup()
@@ -138,7 +136,6 @@
         if known is not None and known.version >= kept.version:
             return
         self.kept_by_job[job_id] = kept
-        self._seen_ms_by_job.setdefault(job_id, self._clock.now_ms())
         run = self._runs_by_job.get(job_id)
         if run is not None:
             run.note_state(kept)
@@ -341,4 +338,3 @@
     def _forget(self, job_id):
         self.kept_by_job.pop(job_id, None)
         self._job_by_id.pop(job_id, None)
-        self._seen_ms_by_job.pop(job_id, None)
--- a/goldcrestmoor/job/engine_pool.py
+++ b/goldcrestmoor/job/engine_pool.py
@@ -176,13 +176,6 @@
         until_ms = self._clock.now_ms() + duration_ms
         self._state(upstream).blocked_until_ms = until_ms
 
-    def forget_gone(self):
-        """Forget incarnations that are not listed and carry nothing of ours."""
-        listed = {_key(u) for u in self._directory.upstream_by_name.values()}
-        for key, found in list(self._found_by_key.items()):
-            if key not in listed and not found.in_flight:
-                del self._found_by_key[key]
-
     def _state(self, upstream):
         return self._found_by_key.setdefault(_key(upstream), _Found())
 
--- a/goldcrestmoor/platform/store.py
+++ b/goldcrestmoor/platform/store.py
@@ -51,11 +51,6 @@
     hasMore: bool = False  # noqa: N815
 
 
-class _Names(msgspec.Struct):
-    names: list[str]
-    hasMore: bool = False  # noqa: N815
-
-
 class _Expected(msgspec.Struct):
     table: str
     part: str
@@ -83,7 +78,6 @@
 
 
 _answer_decoder = msgspec.json.Decoder(_Answer)
-_names_decoder = msgspec.json.Decoder(_Names)
 
 
 class StoreClient:
@@ -240,20 +234,6 @@
         target = "/blob-drop/" + quote(key, safe="")
         await self._write("delete", "DELETE", target, b"", (), (STATUS_NOT_FOUND,))
 
-    async def list_objects(self, prefix):
-        """Return the keys of the objects that have a prefix.
-
-        :param prefix: the keys' prefix.
-        :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
-        """
-        names, has_more = [], True
-        while has_more:
-            query = _query(pathPrefix=prefix, after=names[-1] if names else None)
-            page = await self._read("list", f"/blob-list?{query}", _names_decoder)
-            names += page.names
-            has_more = page.hasMore and bool(page.names)
-        return names
-
     async def _scan(self, table, prefix, start, most_rows=None):
         rows, version, has_more = [], None, True
         first = start or prefix
--- a/goldcrestmoor/process/follower.py
+++ b/goldcrestmoor/process/follower.py
@@ -28,12 +28,10 @@
     :param pause_ms: the least time between two asks, so that many small changes
         come in one answer.
     :ivar row_by_key: the rows.
-    :ivar is_loaded: whether the rows were read whole once.
     """
 
     __slots__ = (
         "row_by_key",
-        "is_loaded",
         "_clock",
         "_store",
         "_table",
@@ -56,7 +54,6 @@
         pause_ms=0,
     ):
         self.row_by_key = {}
-        self.is_loaded = False
         self._clock = clock
         self._store = store
         self._table = table
@@ -128,7 +125,6 @@
             Change(key, version, None) for key in self.row_by_key if key not in found
         ]
         self._version = version
-        self.is_loaded = True
         self._apply(changes)
 
     def _is_newer(self, key, version):
