--- a/goldcrestmoor/process/duties.py
+++ b/goldcrestmoor/process/duties.py
@@ -11,17 +11,13 @@
 class Duties:
     """Tell which duties this host holds and which are free to be claimed.
 
-    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param leases: the :class:`~goldcrestmoor.process.leases.LeaseClient`.
-    :param host_id: this host.
     """
 
-    __slots__ = ("_clock", "_leases", "_host_id", "_seen_by_name", "_held_by_name")
+    __slots__ = ("_leases", "_seen_by_name", "_held_by_name")
 
-    def __init__(self, *, clock, leases, host_id):
-        self._clock = clock
+    def __init__(self, *, leases):
         self._leases = leases
-        self._host_id = host_id
         self._seen_by_name = {}
         self._held_by_name = {}
 
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -131,7 +131,7 @@
         leases = LeaseClient(
             clock=clock, table=self._store, host_id=self.settings.host.id
         )
-        self._duties = Duties(clock=clock, leases=leases, host_id=self.settings.host.id)
+        self._duties = Duties(leases=leases)
 
     def _make_jobs(self):
         clock = self._clock
