Sort three import blocks that a stale cache let pass

Cause: a module was moved after its importers had been checked; ruff sorts by whether a module exists, and its cache does not see a file that moved. The linter now runs without its cache.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 
 lint: setup
 	$(BIN)/ruff format --check .
-	$(BIN)/ruff check .
+	$(BIN)/ruff check --no-cache .
 	$(BIN)/python -m test.check_docs
 
 demo: setup
--- a/test/bench/control.py
+++ b/test/bench/control.py
@@ -4,11 +4,6 @@
 import json
 import time
 
-from goldcrestmoor.version.weights.weight_messages import (
-    EngineVersions,
-    VersionPublished,
-)
-
 from goldcrestmoor import wire
 from goldcrestmoor.adapters.hosts import HostListClient
 from goldcrestmoor.adapters.table import TableClient, Write
@@ -29,6 +24,10 @@
     Release,
     RenewGrants,
 )
+from goldcrestmoor.version.weights.weight_messages import (
+    EngineVersions,
+    VersionPublished,
+)
 from test import _common
 from test.bench.processes import Directory
 from test.bench.table import show
--- a/test/bench/spreading.py
+++ b/test/bench/spreading.py
@@ -5,8 +5,6 @@
 import time
 from types import SimpleNamespace
 
-from goldcrestmoor.version.weights.weight_messages import VersionPublished
-
 from goldcrestmoor.adapters.engine import EngineClient
 from goldcrestmoor.clock import Clock
 from goldcrestmoor.connection.http_client import HttpClient
@@ -21,6 +19,7 @@
 )
 from goldcrestmoor.version.weights.rollout_strategies import AllAtOnce
 from goldcrestmoor.version.weights.weight_driver import WeightDriver
+from goldcrestmoor.version.weights.weight_messages import VersionPublished
 from test import _common
 from test.bench.processes import Directory
 from test.bench.table import show
--- a/test/test_weights.py
+++ b/test/test_weights.py
@@ -4,8 +4,6 @@
 import unittest
 from types import SimpleNamespace
 
-from goldcrestmoor.version.weights.weight_messages import VersionPublished
-
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.process.leases import LeaseClient
 from goldcrestmoor.process.metrics import Metrics
@@ -16,6 +14,7 @@
 from goldcrestmoor.version.weights.published import WeightVersions
 from goldcrestmoor.version.weights.rollout_strategies import Rolling
 from goldcrestmoor.version.weights.weight_driver import ORDER_TIMEOUT_MS
+from goldcrestmoor.version.weights.weight_messages import VersionPublished
 from goldcrestmoor.version.weights.weight_orders import LEASE_MS, WeightOrders
 from test import _table
 from test._fleet import FakeLinks, HostClock, ManualClock, Network
