Turn callers away only after two checks that agree

Cause: a host that does not hear the store asks a few others; one round that came back late as a whole (300 ms on a busy machine) looked like a zone that is cut off, and the host was not ready for a moment though the store was away for all. Ruled out: a longer wait for the answers, which a real cut would have to wait out at each check.

--- a/goldcrestmoor/process/readiness.py
+++ b/goldcrestmoor/process/readiness.py
@@ -9,6 +9,10 @@
 
 import msgspec
 
+# One round of asking may come back late as a whole on a busy host; the balancer too
+# takes a host out only after two misses.
+DOUBTS_TO_LEAVE = 2
+
 
 class PeerView(msgspec.Struct, frozen=True):
     """What another host has answered.
@@ -21,17 +25,39 @@
     hears_store: bool
 
 
-def wants_callers(own_zone, hears_store, views, has_other_zones):
-    """Tell whether new callers are better off here than elsewhere.
+class Readiness:
+    """Judge after each check whether new callers are better off here than elsewhere.
 
     :param own_zone: this host's availability zone.
-    :param hears_store: whether this host hears the store.
-    :param views: the :class:`PeerView` of each host that answered.
-    :param has_other_zones: whether hosts in other zones are known.
+    :ivar wants_callers: the last judgement.
     """
-    if hears_store:
-        return True
-    if any(view.hears_store for view in views):
-        return False
-    hears_others = any(view.zone != own_zone for view in views)
-    return hears_others or not has_other_zones
+
+    __slots__ = ("wants_callers", "_own_zone", "_doubts")
+
+    def __init__(self, own_zone):
+        self.wants_callers = True
+        self._own_zone = own_zone
+        self._doubts = 0
+
+    def judge(self, hears_store, views, has_other_zones):
+        """Take in one check; only doubts in a row turn callers away.
+
+        :param hears_store: whether this host hears the store.
+        :param views: the :class:`PeerView` of each host that answered.
+        :param has_other_zones: whether hosts in other zones are known.
+        :return: whether new callers are wanted.
+        """
+        if self._is_in_doubt(hears_store, views, has_other_zones):
+            self._doubts += 1
+        else:
+            self._doubts = 0
+        self.wants_callers = self._doubts < DOUBTS_TO_LEAVE
+        return self.wants_callers
+
+    def _is_in_doubt(self, hears_store, views, has_other_zones):
+        if hears_store:
+            return False
+        if any(view.hears_store for view in views):
+            return True
+        hears_others = any(view.zone != self._own_zone for view in views)
+        return has_other_zones and not hears_others
--- a/goldcrestmoor/process/store_reach.py
+++ b/goldcrestmoor/process/store_reach.py
@@ -8,7 +8,7 @@
 
 from goldcrestmoor.adapters.table import Write
 from goldcrestmoor.errors import ServiceError
-from goldcrestmoor.process.readiness import PeerView, wants_callers
+from goldcrestmoor.process.readiness import PeerView, Readiness
 
 log = logging.getLogger("goldcrestmoor.reach")
 
@@ -61,7 +61,7 @@
         "_row",
         "_heard_age_ms",
         "_row_by_host",
-        "_wants_callers",
+        "_readiness",
     )
 
     def __init__(self, *, clock, http, store, host_id, row, heard_age_ms):
@@ -72,7 +72,7 @@
         self._row = row
         self._heard_age_ms = heard_age_ms
         self._row_by_host = {}
-        self._wants_callers = True
+        self._readiness = Readiness(row.zone)
 
     def apply(self, changes):
         """Take in what the feed of hosts says.
@@ -95,7 +95,7 @@
 
     def wants_callers(self):
         """Tell whether new callers are better off here than elsewhere."""
-        return self._wants_callers
+        return self._readiness.wants_callers
 
     async def run(self):
         """Register this host, and watch the store for good."""
@@ -103,10 +103,11 @@
         while True:
             hears = self.hears_store()
             views = [] if hears else await self._ask()
-            wants = wants_callers(
-                self._row.zone, hears or self.hears_store(), views, self._has_others()
+            wanted = self._readiness.wants_callers
+            wants = self._readiness.judge(
+                hears or self.hears_store(), views, self._has_others()
             )
-            if wants != self._wants_callers:
+            if wants != wanted:
                 log.info(
                     "Callers are %s: the store was heard %s ms ago, %d hosts answer, "
                     "%d of them hear it.",
@@ -115,7 +116,6 @@
                     len(views),
                     sum(view.hears_store for view in views),
                 )
-            self._wants_callers = wants
             await self._clock.sleep_ms(CHECK_MS)
 
     async def leave(self):
--- a/test/test_decisions.py
+++ b/test/test_decisions.py
@@ -8,7 +8,7 @@
 from goldcrestmoor.job.item_run import ItemRun
 from goldcrestmoor.job.job import Item
 from goldcrestmoor.job.stragglers import Running, moves
-from goldcrestmoor.process.readiness import PeerView, wants_callers
+from goldcrestmoor.process.readiness import PeerView, Readiness
 from goldcrestmoor.request.send_again import (
     GiveUp,
     SendAgain,
@@ -214,9 +214,17 @@
 
 
 class ReadinessTest(unittest.TestCase):
-    def wants(self, hears_store, *views, has_other_zones=True):
+    def setUp(self):
+        self.readiness = Readiness("a")
+
+    def check(self, hears_store, *views, has_other_zones=True):
         views = [PeerView(zone, hears) for zone, hears in views]
-        return wants_callers("a", hears_store, views, has_other_zones)
+        return self.readiness.judge(hears_store, views, has_other_zones)
+
+    def wants(self, hears_store, *views, has_other_zones=True):
+        """Return the judgement after two checks that saw the same."""
+        self.check(hears_store, *views, has_other_zones=has_other_zones)
+        return self.check(hears_store, *views, has_other_zones=has_other_zones)
 
     def test_a_host_that_hears_the_store_takes_callers(self):
         self.assertTrue(self.wants(True))
@@ -232,6 +240,18 @@
         self.assertTrue(self.wants(False, ("a", False), ("b", False)))
         self.assertTrue(self.wants(False, ("a", False), has_other_zones=False))
 
+    def test_one_late_round_of_answers_turns_nobody_away(self):
+        """The store is away for all, and this host is busy now and then."""
+        for _ in range(3):
+            self.assertTrue(self.check(False, ("a", False), ("b", False)))
+            self.assertTrue(self.check(False))
+        self.assertFalse(self.check(False))
+
+    def test_callers_are_wanted_again_as_soon_as_the_store_is_heard(self):
+        self.assertFalse(self.wants(False, ("b", True)))
+        self.assertTrue(self.check(True))
+        self.assertTrue(self.check(False, ("b", True)))
+
 
 class OrderLogTest(unittest.TestCase):
     def test_another_host_waits_until_the_last_order_has_had_its_time(self):
