Ask a zone's hosts for a step also while they count as dead

Cause: a zone that was cut off from everyone goes on with its own steps. Right after the cut is mended the other zone still counts its hosts as dead, so a new holder there found neither records on the platform nor kept samples, and made the samples again: a trainer restarted with an empty set got others than before. Ruled out: stopping a holder that is cut off (its trainer, in the same zone, is to be served on); waiting for the news of the hosts (seconds for every takeover). Now a host that takes a step over asks those hosts of the trainer's zone as well that may hold it but count as dead; a zone that is really gone costs 500 ms once a step. Not covered: a trainer that pulls through the other zone during the cut.

--- a/goldcrestmoor/version/steps/step_store.py
+++ b/goldcrestmoor/version/steps/step_store.py
@@ -92,7 +92,7 @@
         """
         near = [host.id for host in self._membership.live(zone)] if zone else []
         far = [host.id for host in self._membership.live() if host.id not in near]
-        duty = f"step/{account}/{step}"
+        duty = _duty(account, step)
         return util.rendezvous_order(duty, near) + util.rendezvous_order(duty, far)
 
     async def save_step(self, spec, zone):
@@ -164,7 +164,9 @@
         :return: the :class:`LoadedStep`.
         :raises ServiceError: the platform's errors, when no host keeps the step.
         """
-        kept = await self.fetch_kept(account, step, zone)
+        kept = await self.fetch_kept(
+            account, step, zone, self._lost(account, step, zone)
+        )
         holder_version = None
         try:
             spec = await self.records.load_spec(account, step)
@@ -188,12 +190,14 @@
             self._kept.settle(spec, sample)
         return LoadedStep(spec, groups, kept, holder_version)
 
-    async def fetch_kept(self, account, step, zone):
+    async def fetch_kept(self, account, step, zone, also=()):
         """Return what this and the likely other hosts keep of a step.
 
+        :param also: further hosts to ask.
         :return: a :class:`KeptStep` with one sample for each slot.
         """
         others = self._others(account, step, zone)
+        others += [host_id for host_id in also if host_id not in others]
         message = FetchStep(account, step)
         answers = await asyncio.gather(
             *(self._call(host_id, message, FETCH_TIMEOUT_MS) for host_id in others)
@@ -264,6 +268,17 @@
         # sample waits for it until the fleet takes it for dead.
         return sorted(others, key=self._is_silent)
 
+    def _lost(self, account, step, zone):
+        """Return the hosts that may hold a step though they count as dead here.
+
+        A zone that was cut off goes on with its own steps, and is reached again
+        before the news of its hosts has come.
+        """
+        near = [h.id for h in self._membership.all() if zone and h.zone == zone]
+        near = util.rendezvous_order(_duty(account, step), near)[:REPLICA_CANDIDATES]
+        live = {host.id for host in self._membership.live()}
+        return [host_id for host_id in near if host_id not in live]
+
     def _is_silent(self, host_id):
         return self._silent_until_by_host.get(host_id, 0) > self._clock.now_ms()
 
@@ -285,6 +300,10 @@
             return None
 
 
+def _duty(account, step):
+    return f"step/{account}/{step}"
+
+
 def _winner(own, answers):
     """Return the sample that a slot goes to, by what other hosts keep, or None.
 
