Hold the second note after a silence to at most once, not to success

A trace of eight rounds with a pause before the last warm note shows it: in two rounds the first note went on a new connection (201 in 5 ms) and the second met the other upstream's silenced connection, idle for under 500 ms (504 upstream_timeout after 1.0 s, run 0 times). A note sent on a connection that never answers may have run, so 504 is the only true answer; the test took the case for excluded. Ruled out: a fault of the pool: after a note has met the silence, the next one got 201 in all six other rounds. The test is as strict: each note gets 201 or a timeout at once and runs at most once, every other answer now fails, and the one after a timeout must get 201.

--- a/test/proofs/test_silent_connections.py
+++ b/test/proofs/test_silent_connections.py
@@ -47,20 +47,23 @@
             self.assertEqual(answer.status, 200, answer)
 
     async def test_a_note_gets_its_answer(self):
-        host, codes = self.hosts[0], set()
+        host = self.hosts[0]
         for n in range(10 * ROUNDS):
             for i in "abcd":
                 await self.note(host, f"warm-{n}-{i}")
             for name in ("desk-1", "desk-2"):
                 self.network.links_by_id[name].silence_old()
-            answer = await self.at_once(self.note(host, f"after-{n}"))
-            codes.add(answer.code)
-            await self.check_not_run(answer, f"after-{n}")
-            # The next one goes on a new connection.
-            self.assertEqual((await self.note(host, f"next-{n}")).status, 201)
-            if "upstream_timeout" in codes:
-                return
-        self.fail(f"No note met a silent connection: {codes}")
+            # The first may go on a new connection, as one that has been idle for
+            # long carries no note; the second may then meet the other upstream's.
+            for name in (f"after-{n}", f"second-{n}"):
+                answer = await self.at_once(self.note(host, name))
+                await self.check_not_run(answer, name)
+                if answer.code == "upstream_timeout":
+                    # The next one goes on a new connection.
+                    self.assertEqual((await self.note(host, f"next-{n}")).status, 201)
+                    return
+                self.assertEqual(answer.status, 201, answer)
+        self.fail("No note met a silent connection.")
 
     async def test_a_stream_goes_on_at_another_engine(self):
         asked = self.complete(self.hosts[0], TOKENS)
