Let a runner keep its duty over an outage of the store

A host whose feed of leases is silent counted the outage as the holder's silence, and claims were tried before the feed came back and gave the time anew. The holders themselves had lost their leases to the outage and took them back only for new jobs. Each change of a runner opens a new set of connections and reads all texts anew. Ruled out: the follower's order of calls (the time is given anew before it counts as heard). Now no duty is free while the feed of leases is silent, and a host takes the duties of the jobs that it runs back as soon as the feed is heard.

--- a/goldcrestmoor/job/board.py
+++ b/goldcrestmoor/job/board.py
@@ -64,6 +64,7 @@
         "_changed",
         "_job_by_id",
         "_adopting",
+        "_reclaiming",
         "_runs_by_job",
         "_tasks",
         "_is_leaving",
@@ -95,6 +96,7 @@
         self._changed = asyncio.Event()
         self._job_by_id = {}
         self._adopting = set()
+        self._reclaiming = set()
         self._runs_by_job = {}
         self._tasks = TaskGroup()
         self._is_leaving = False
@@ -176,6 +178,7 @@
                 if self._is_open(kept.state) and self._is_free(job_id):
                     self._adopting.add(job_id)
                     self._tasks.start(self._take_up(job_id), f"job {job_id}")
+            self._keep_duties()
             self._abandon()
             self._start_sweep()
             changed = self._changed
@@ -203,6 +206,30 @@
         """Stop every job."""
         await self._tasks.close()
 
+    def _keep_duties(self):
+        """Take back the duties of jobs that are run here, after an outage.
+
+        The jobs go on meanwhile, as no other host could take them up; with the duty
+        gone others would, and read and connect to all anew.
+        """
+        if self._is_leaving or self._cut_off_ms is not None:
+            return
+        runs = [run for run in self._runs_by_job.values() if not run.is_over]
+        for model in {run.job.model for run in runs} - self._reclaiming:
+            name = runner_duty(model)
+            if not self._duties.holds(name) and self._duties.is_free(name):
+                self._reclaiming.add(model)
+                self._tasks.start(self._reclaim(model), f"reclaim {name}")
+
+    async def _reclaim(self, model):
+        try:
+            await self._duties.claim(runner_duty(model), RUNNER_LEASE_MS)
+        except ServiceError as e:
+            log.info("The duty to run jobs of %s is not back yet: %s", model, e)
+            await self._clock.sleep_ms(RETRY_MS)
+        finally:
+            self._reclaiming.discard(model)
+
     def _abandon(self):
         """Stop jobs that another host has taken up while this one was cut off."""
         now_ms = self._clock.now_ms()
--- a/goldcrestmoor/process/duties.py
+++ b/goldcrestmoor/process/duties.py
@@ -12,12 +12,14 @@
     """Tell which duties this host holds and which are free to be claimed.
 
     :param leases: the :class:`~goldcrestmoor.process.leases.LeaseClient`.
+    :param is_heard: tells whether the feed of the leases is heard now.
     """
 
-    __slots__ = ("_leases", "_seen_by_name", "_held_by_name")
+    __slots__ = ("_leases", "_is_heard", "_seen_by_name", "_held_by_name")
 
-    def __init__(self, *, leases):
+    def __init__(self, *, leases, is_heard):
         self._leases = leases
+        self._is_heard = is_heard
         self._seen_by_name = {}
         self._held_by_name = {}
 
@@ -53,8 +55,13 @@
     def is_free(self, name):
         """Tell whether a duty may be claimed, as far as the feed has told.
 
+        While the feed is silent a holder may renew unseen, or be as cut off from the
+        store as this host is, so that its silence says nothing.
+
         :param name: the duty.
         """
+        if not self._is_heard():
+            return False
         row = self._seen_by_name.get(name)
         return row is None or self._leases.may_take(name, row)
 
@@ -65,6 +72,8 @@
         :param duration_ms: how long the lease lasts without renewal.
         :raises ServiceError: when the store cannot be asked.
         """
+        if not self.holds(name) and not self.is_free(name):
+            return False
         lease = await self._leases.acquire(name, duration_ms)
         if lease is None:
             return False
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -131,7 +131,10 @@
         leases = LeaseClient(
             clock=clock, table=self._store, host_id=self.settings.host.id
         )
-        self._duties = Duties(leases=leases)
+        self._duties = Duties(
+            leases=leases,
+            is_heard=lambda: self._followers[lease_rows.TABLE].is_current(),
+        )
 
     def _make_jobs(self):
         clock = self._clock
--- /dev/null
+++ b/test/test_duties.py
@@ -0,0 +1,71 @@
+"""A duty passes on when its holder is gone, not when the store was."""
+
+import unittest
+
+from goldcrestmoor.adapters.table import Change
+from goldcrestmoor.process.duties import Duties
+from goldcrestmoor.process.lease_rows import TABLE
+from goldcrestmoor.process.leases import LeaseClient
+from test import _table
+from test._fleet import HostClock, ManualClock
+
+DUTY = "runner/m0"
+DURATION_MS = 1500
+# The lease, the margin and a step of the clock.
+LAPSE_MS = 2600
+
+
+class DutiesTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.clock = ManualClock()
+        self.table = _table.FakeTable()
+        self.watcher = HostClock(self.clock)
+        self.holder = self.make_duties("host-a")
+        self.other = self.make_duties("host-b")
+        self.assertTrue(await self.holder.claim(DUTY, DURATION_MS))
+
+    def make_duties(self, host_id):
+        clock = HostClock(self.clock)
+        leases = LeaseClient(
+            clock=clock, table=self.table.client(clock), host_id=host_id
+        )
+        self.addAsyncCleanup(leases.close)
+        return Duties(leases=leases, is_heard=lambda: not self.table.is_down)
+
+    async def feed(self, duties):
+        """Tell a host of the duty's row as it is."""
+        row = await self.table.client(self.watcher).get(TABLE, DUTY)
+        duties.apply([Change(DUTY, row.version, row.value)])
+
+    async def test_a_holder_that_ended_is_followed_by_another(self):
+        await self.feed(self.other)
+        self.assertFalse(self.other.is_free(DUTY))
+        await self.holder.release_all()
+        await self.feed(self.other)
+        self.assertTrue(self.other.is_free(DUTY))
+        self.assertTrue(await self.other.claim(DUTY, DURATION_MS))
+
+    async def test_the_time_of_an_outage_does_not_count_against_a_holder(self):
+        await self.feed(self.other)
+        self.table.is_down = True
+        await self.clock.advance(7000)
+        self.assertFalse(self.other.is_free(DUTY))
+        self.assertFalse(await self.other.claim(DUTY, DURATION_MS))
+        # The feed says that the store is back just before it tells what changed.
+        self.other.note_return()
+        self.table.is_down = False
+        self.assertFalse(self.other.is_free(DUTY))
+        await self.clock.advance(LAPSE_MS)
+        self.assertTrue(self.other.is_free(DUTY))
+
+    async def test_a_holder_comes_back_from_an_outage_before_the_others(self):
+        for duties in (self.holder, self.other):
+            await self.feed(duties)
+        self.table.is_down = True
+        await self.clock.advance(7000)
+        for duties in (self.holder, self.other):
+            duties.note_return()
+        self.table.is_down = False
+        self.assertFalse(self.other.is_free(DUTY))
+        self.assertTrue(await self.holder.claim(DUTY, DURATION_MS))
+        self.assertTrue(self.holder.holds(DUTY))
--- a/test/test_front.py
+++ b/test/test_front.py
@@ -219,6 +219,22 @@
         runs = [run for engine in self.fleet.engines for run in engine.runs]
         self.assertEqual(len(runs), 8, "items were run again after the outage")
 
+    async def test_a_runner_keeps_its_jobs_through_an_outage_of_the_store(self):
+        await self.fleet.start(names=("front-a", "front-b", "front-c"))
+        for engine in self.fleet.engines:
+            engine.events = 1500
+        await self.fleet.submit("front-a", "j1", 8)
+        await _common.eventually(lambda: any(e.runs for e in self.fleet.engines))
+        runner = self.fleet.runner_of("j1")
+        self.fleet.store.mode = "reset"
+        await asyncio.sleep(4)
+        self.fleet.store.mode = ""
+        for _ in range(40):
+            await asyncio.sleep(0.1)
+            self.assertEqual(self.fleet.runner_of("j1"), runner)
+            lease = self.fleet.store.value("leases", f"runner/{MODEL}")
+            self.assertEqual(lease["holder"], runner)
+
     async def test_streams_that_are_cut_go_on_elsewhere(self):
         await self.fleet.start()
         self.fleet.engines[0].cut_after = 2
