Prove what hosts keep through power loss, freezes, turns and reused addresses

Seen red: with may_follow always true the turns' test fails (949 ms between orders of two holders); without Expect-Instance the stranger runs all 20 requests. The frozen runner's test stays green when the run's own check is taken out, as the condition of its next write refuses it. The others were green at first.

--- a/test/standins/users_server.py
+++ b/test/standins/users_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 
 from test.standins.server import Drop, Response, Server, json_response
 
@@ -20,6 +21,8 @@
     :ivar refusing: whether it answers that it did not run requests.
     :ivar cut_after: cut streams after so many events, or None.
     :ivar failing: the status that items are answered with instead, or None.
+    :ivar orders: the orders that it accepted.
+    :ivar ordered_s: when it accepted them, by the steady clock.
     :ivar lose: answer nothing after running a request.
     """
 
@@ -31,6 +34,7 @@
         self.runs = []
         self.seen = []
         self.orders = []
+        self.ordered_s = []
         self.refusing = False
         self.cut_after = None
         self.failing = None
@@ -38,15 +42,25 @@
         self.echo = None
         self.sequence = 0
         self.accepted = 0
-        self._server = Server(self.handle, "127.0.0.1", 0)
+        self._server = None
 
-    async def start(self):
-        """Start to listen."""
+    @property
+    def port(self):
+        """The port that it listens on."""
+        return self._server.port
+
+    async def start(self, port=0):
+        """Start to listen.
+
+        :param port: the port; a free one when left out.
+        """
+        self._server = Server(self.handle, "127.0.0.1", port)
         await self._server.start()
 
     async def close(self):
         """Stop listening and drop every connection."""
-        await self._server.close()
+        if self._server is not None:
+            await self._server.close()
 
     def entry(self, state="ready", **fields):
         """Return what it writes into the list of servers."""
@@ -90,6 +104,7 @@
         if order.get("expected") not in (None, self.accepted):
             return Response(409)
         self.orders.append(order)
+        self.ordered_s.append(time.monotonic())
         self.accepted += 1
         self.models[order["model"]] = order["version"]
         return Response(202)
