Do not hold a route's own late requests against its servers; say whose time was up

Ruled out: counting no timeouts at all (a server that has gone dark shows by nothing else); a share of the route's time (a dark server uses all of it as well). Now a timeout counts against an upstream only on a route that has answered before, and the line of a try states the route and the time that the request had in all.

--- a/goldcrestmoor/request/forwarding.py
+++ b/goldcrestmoor/request/forwarding.py
@@ -66,6 +66,7 @@
         "_sent_to",
         "_runs",
         "_ran",
+        "_allowed_ms",
     )
 
     def __init__(self, *, request, route, deadline, loads, metrics):
@@ -78,6 +79,7 @@
         self._sent_to = []
         self._runs = 0
         self._ran = Ran.NOT_RUN
+        self._allowed_ms = deadline.remaining_ms()
 
     def next_upstream(self):
         """Return the upstream to try next.
@@ -121,10 +123,12 @@
             self._has_other(),
         )
         log.info(
-            "Request %s at %s, %d ms left: %s; %s.",
+            "Request %s on route %s at %s, %d of %d ms left: %s; %s.",
             self.request.id,
+            self.route.name,
             self._sent_to[-1],
             self.deadline.remaining_ms(),
+            self._allowed_ms,
             end.reason,
             type(decision).__name__,
         )
@@ -134,6 +138,17 @@
             case GiveUp(kind, retry_after_ms):
                 raise ServiceError(kind, end.reason, retry_after_ms)
 
+    def note_error(self, upstream, error):
+        """Take in that a try of an upstream brought no answer.
+
+        :param upstream: the upstream.
+        :param error: the :class:`~goldcrestmoor.errors.ServiceError`.
+        """
+        if error.kind is ErrorKind.UPSTREAM_TIMEOUT:
+            self._loads.note_timeout(upstream, self.route.name)
+        else:
+            self._loads.note_failure(upstream)
+
     def note_answer(self, status):
         """Log the answer that is passed on.
 
@@ -220,7 +235,7 @@
                     allow_close_delimited=True,
                 )
         except ServiceError as e:
-            self._loads.note_failure(upstream)
+            tries.note_error(upstream, e)
             return TryEnd(e.answer.ran, e.message)
         return self._judge(upstream, tries, response)
 
@@ -231,7 +246,7 @@
         if not self._dialect.is_genuine(tries.request.id, status, headers):
             self._loads.note_failure(upstream)
             return TryEnd(Ran.UNKNOWN, "The answer is spoilt or another's")
-        self._loads.note_answer(upstream)
+        self._loads.note_answer(upstream, tries.route.name)
         if status == SERVER_ERROR and tries.route.repeat is Repeat.FREELY:
             return TryEnd(Ran.RAN, "The server failed")
         return AppAnswer(status, tuple(headers), response.body)
--- a/goldcrestmoor/request/upstream_loads.py
+++ b/goldcrestmoor/request/upstream_loads.py
@@ -37,6 +37,7 @@
         "_zone",
         "_in_flight_by_name",
         "_failure_by_name",
+        "_answering_routes",
     )
 
     def __init__(self, *, clock, http, directory, zone):
@@ -46,6 +47,7 @@
         self._zone = zone
         self._in_flight_by_name = {}
         self._failure_by_name = {}
+        self._answering_routes = set()
 
     def choose(self, service, sent_to):
         """Return the upstream that a request goes to, or None.
@@ -84,12 +86,26 @@
             if not self._in_flight_by_name[name]:
                 del self._in_flight_by_name[name]
 
-    def note_answer(self, upstream):
+    def note_answer(self, upstream, route):
         """Note that an upstream has answered.
 
         :param upstream: the upstream.
+        :param route: the name of the request's route.
         """
         self._failure_by_name.pop(upstream.name, None)
+        self._answering_routes.add(route)
+
+    def note_timeout(self, upstream, route):
+        """Note that an upstream gave no answer within the time that a try had.
+
+        Some routes allow less time than their requests take. That they time out says
+        nothing of the upstream, which others are to be sent to on its connections.
+
+        :param upstream: the upstream.
+        :param route: the name of the request's route.
+        """
+        if route in self._answering_routes:
+            self.note_failure(upstream)
 
     def note_failure(self, upstream):
         """Note that an upstream gave no answer, or a spoilt one.
--- a/test/_front.py
+++ b/test/_front.py
@@ -124,6 +124,7 @@
         self.gates = {}
         self.zones = {}
         self.kept_s = 120
+        self.log_style = "text"
         self.documents = {}
         self._directory = tempfile.TemporaryDirectory()
         self._beats = None
@@ -171,12 +172,16 @@
             },
             "jobs": {"kept_s": self.kept_s},
             "store": {"endpoint": f"127.0.0.1:{self.gates[name]}"},
-            "log": {"style": "text"},
+            "log": {"style": self.log_style},
         }
         path = self.write_settings(name, document)
         arguments = ["goldcrestmoor", "front", str(path)]
         self.fronts[name] = Process(name, arguments, self._directory.name)
 
+    def log_of(self, name):
+        """Return all that a daemon has printed, over all of its starts."""
+        return self.fronts[name].log()
+
     def write_settings(self, name, document):
         """Write a daemon's settings file and return its path."""
         self.documents[name] = document
--- a/test/standins/users_server.py
+++ b/test/standins/users_server.py
@@ -24,6 +24,7 @@
     :ivar orders: the orders that it accepted.
     :ivar ordered_s: when it accepted them, by the steady clock.
     :ivar lose: answer nothing after running a request.
+    :ivar delay_s: how long it works on a request.
     """
 
     def __init__(self, name, service, models=None, events=4):
@@ -39,6 +40,7 @@
         self.cut_after = None
         self.failing = None
         self.lose = False
+        self.delay_s = 0
         self.echo = None
         self.sequence = 0
         self.accepted = 0
@@ -121,6 +123,7 @@
         if self.failing is not None:
             return Response(self.failing, b"", headers)
         if "model-name" not in request.headers:
+            await asyncio.sleep(self.delay_s)
             return Response(200, b"answer to " + request.body, headers)
         version = self.models[request.headers["model-name"]]
         headers.append(("weight-versions", str(version)))
--- /dev/null
+++ b/test/test_upstream_loads.py
@@ -0,0 +1,46 @@
+"""Which upstreams a host leaves alone, and for how long."""
+
+import unittest
+from types import SimpleNamespace
+
+from goldcrestmoor.request.upstream_loads import UpstreamLoads
+from test._fleet import ManualClock
+
+SERVICE = "desk"
+
+
+class UpstreamLoadsTest(unittest.TestCase):
+    def setUp(self):
+        self.upstreams = [
+            SimpleNamespace(name=n, address="10.0.0.1", port=1, slots=6, zone="a")
+            for n in ("desk-1", "desk-2")
+        ]
+        self.loads = UpstreamLoads(
+            clock=ManualClock(),
+            http=SimpleNamespace(has_idle=lambda address, port: True),
+            directory=SimpleNamespace(usable=lambda service: self.upstreams),
+            zone="a",
+        )
+        self.first = self.upstreams[0]
+
+    def chosen(self):
+        return self.loads.choose(SERVICE, ()).name
+
+    def test_an_upstream_that_failed_is_left_alone(self):
+        self.assertEqual(self.chosen(), "desk-1")
+        self.loads.note_failure(self.first)
+        self.assertEqual(self.chosen(), "desk-2")
+        self.loads.note_answer(self.first, "panels")
+        self.assertEqual(self.chosen(), "desk-1")
+
+    def test_a_route_that_is_always_late_says_nothing_of_its_upstreams(self):
+        """An operator allows 1 s to requests that take 3; a hundred come a minute."""
+        self.loads.note_answer(self.first, "panels")
+        for _ in range(20):
+            self.loads.note_timeout(self.first, "reports")
+            self.assertEqual(self.chosen(), "desk-1")
+
+    def test_a_route_that_is_late_for_once_does(self):
+        self.loads.note_answer(self.first, "panels")
+        self.loads.note_timeout(self.first, "panels")
+        self.assertEqual(self.chosen(), "desk-2")
