Count answers by kind and outcome, waiting items, duties and the age of feeds

Ruled out: gauges written by each part in turn; those of duties and feeds are read when they are scraped, so that they cost nothing between. Before: none of the seven series that the test names; after: all, with values (test_front, the metrics' test, red on the parent).

--- a/goldcrestmoor/job/job_run.py
+++ b/goldcrestmoor/job/job_run.py
@@ -96,6 +96,10 @@
         """Whether none of its items is to be started any more."""
         return self._is_over
 
+    def age_ms(self):
+        """Return for how long this process has run the job."""
+        return self._clock.now_ms() - self._taken_up_ms
+
     def next_items(self):
         """Return the waiting items in the order in which to start them."""
         return order_items(self.waiting)
--- a/goldcrestmoor/job/scheduler.py
+++ b/goldcrestmoor/job/scheduler.py
@@ -42,6 +42,7 @@
         "_routes",
         "_metrics",
         "_runs_by_job",
+        "_shown_models",
         "_woken",
         "_tasks",
     )
@@ -53,6 +54,8 @@
         self._routes = routes
         self._metrics = metrics
         self._runs_by_job = {}
+        # Those whose gauges are not zero.
+        self._shown_models = frozenset()
         self._woken = asyncio.Event()
         self._tasks = TaskGroup()
 
@@ -105,6 +108,21 @@
             self._woken.clear()
             self._dispatch()
             self._move_stragglers()
+            self._note_waiting()
+
+    def _note_waiting(self):
+        """Show how many items wait and how long their jobs have been run."""
+        runs_by_model = {}
+        for run in self._runs_by_job.values():
+            if run.waiting:
+                runs_by_model.setdefault(run.job.model, []).append(run)
+        for model in runs_by_model.keys() | self._shown_models:
+            runs = runs_by_model.get(model, ())
+            count = sum(len(run.waiting) for run in runs)
+            age_ms = max((run.age_ms() for run in runs), default=0)
+            self._metrics.items_waiting.labels(model).set(count)
+            self._metrics.items_waiting_ms.labels(model).set(age_ms)
+        self._shown_models = runs_by_model.keys()
 
     async def close(self):
         """Stop every item."""
--- a/goldcrestmoor/process/duties.py
+++ b/goldcrestmoor/process/duties.py
@@ -13,13 +13,15 @@
 
     :param leases: the :class:`~goldcrestmoor.process.leases.LeaseClient`.
     :param is_heard: tells whether the feed of the leases is heard now.
+    :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
     """
 
-    __slots__ = ("_leases", "_is_heard", "_seen_by_name", "_held_by_name")
+    __slots__ = ("_leases", "_is_heard", "_metrics", "_seen_by_name", "_held_by_name")
 
-    def __init__(self, *, leases, is_heard):
+    def __init__(self, *, leases, is_heard, metrics):
         self._leases = leases
         self._is_heard = is_heard
+        self._metrics = metrics
         self._seen_by_name = {}
         self._held_by_name = {}
 
@@ -78,6 +80,7 @@
         if lease is None:
             return False
         self._held_by_name[name] = lease
+        self._metrics.duty_held.labels(name).set_function(lambda: int(self.holds(name)))
         return True
 
     async def release_all(self):
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -134,6 +134,7 @@
         self._duties = Duties(
             leases=leases,
             is_heard=lambda: self._followers[lease_rows.TABLE].is_current(),
+            metrics=metrics,
         )
 
     def _make_jobs(self):
@@ -206,7 +207,7 @@
         )
 
     def _follow(self, table, on_changes, **options):
-        return TableFollower(
+        follower = TableFollower(
             clock=self._clock,
             store=self._store,
             table=table,
@@ -214,6 +215,13 @@
             **options,
         )
 
+        def age_ms():
+            known_ms = follower.age_ms()
+            return -1 if known_ms is None else known_ms
+
+        self._metrics.feed_age_ms.labels(table).set_function(age_ms)
+        return follower
+
     def _make_reach(self):
         host = self.settings.host
         self._reach = StoreReach(
--- a/goldcrestmoor/process/front_callers.py
+++ b/goldcrestmoor/process/front_callers.py
@@ -1,5 +1,6 @@
 """What callers on the users' platform are served: forwarded requests and jobs."""
 
+import asyncio
 import contextlib
 import logging
 from urllib.parse import unquote
@@ -7,7 +8,7 @@
 from blacksheep import Content, Request, Response, StreamedContent
 
 from goldcrestmoor import logs
-from goldcrestmoor.clock import Deadline
+from goldcrestmoor.clock import MS_PER_SECOND, Deadline
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.job.calls import EndJob, ReadItem, ReadResults, SubmitJob
 from goldcrestmoor.request.app_routes import METHODS, whole_response
@@ -22,6 +23,19 @@
 BYTES = b"application/octet-stream"
 NO_ROUTES_RETRY_MS = 500
 
+# Kinds of requests that no route names.
+KIND_UNKNOWN = "unknown"
+KIND_JOB_CALL = "job call"
+
+
+class _Asked:
+    """What a request has turned out to be, for the metrics."""
+
+    __slots__ = ("kind",)
+
+    def __init__(self):
+        self.kind = KIND_UNKNOWN
+
 
 class FrontCallers:
     """Find out what a caller asks, and have it done.
@@ -67,18 +81,25 @@
             app.router.add(method, "/*", handle)
 
     async def _handle(self, request):
+        asked, started_ms = _Asked(), self._clock.now_ms()
+        outcome = "answered"
         try:
-            answer = await self._serve(request)
+            return await self._serve(request, asked)
         except ServiceError as e:
-            self._metrics.requests.labels("", e.code).inc()
+            outcome = e.code
             log.info(
                 "%s %s ends with %s: %s", request.method, _path(request), e.code, e
             )
             raise
-        self._metrics.requests.labels("", "answered").inc()
-        return answer
+        except asyncio.CancelledError:
+            outcome = "caller gone"
+            raise
+        finally:
+            elapsed_s = (self._clock.now_ms() - started_ms) / MS_PER_SECOND
+            self._metrics.answers.labels(asked.kind, outcome).inc()
+            self._metrics.answer_seconds.labels(asked.kind).observe(elapsed_s)
 
-    async def _serve(self, request):
+    async def _serve(self, request, asked):
         table = self._routing.table
         if table is None:
             text = "This host knows no routes yet."
@@ -90,10 +111,12 @@
             query = request.scope.get("query_string", b"").decode("latin-1")
             call = self._dialect.job_call(request.method, path, query, headers)
             if call is not None:
+                asked.kind = KIND_JOB_CALL
                 return await self._answer_job_call(call)
         route = table.match(host, path)
         if route is None:
             raise ServiceError(ErrorKind.NOT_FOUND, "There is no such route.")
+        asked.kind = route.kind.value
         # The deadline counts from here, though the body may still be on its way.
         deadline = self._deadline(route, headers)
         body = await request.read() or b""
@@ -101,7 +124,7 @@
             call = self._dialect.submission(request.method)
             if call is not None:
                 return await self._submit(call, host, path, body)
-        asked = CallerRequest(
+        forwarded = CallerRequest(
             self._dialect.request_id(headers),
             request.method,
             _target(request),
@@ -109,9 +132,9 @@
             body,
         )
         if route.kind is RouteKind.STREAM:
-            answer = await self._streams.forward(asked, route, deadline)
+            answer = await self._streams.forward(forwarded, route, deadline)
         else:
-            answer = await self._forwarder.forward(asked, route, deadline)
+            answer = await self._forwarder.forward(forwarded, route, deadline)
         match answer:
             case StreamAnswer():
                 return _streamed(answer)
--- a/goldcrestmoor/process/metrics.py
+++ b/goldcrestmoor/process/metrics.py
@@ -48,6 +48,12 @@
         "orders",
         "store_calls",
         "items",
+        "answers",
+        "answer_seconds",
+        "items_waiting",
+        "items_waiting_ms",
+        "duty_held",
+        "feed_age_ms",
     )
 
     def __init__(self):
@@ -112,6 +118,32 @@
         self.items = self._counter(
             "items", "Tries of batch jobs' items by outcome.", "outcome"
         )
+        self.answers = self._counter(
+            "answers", "Answers by kind of route and outcome.", "kind", "outcome"
+        )
+        self.answer_seconds = Histogram(
+            "goldcrestmoor_answer_seconds",
+            "Time from a request's head until its answer, or its stream's first event.",
+            ("kind",),
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.items_waiting = self._gauge(
+            "items_waiting", "Items of jobs run here that wait for a slot.", "model"
+        )
+        self.items_waiting_ms = self._gauge(
+            "items_waiting_ms",
+            "How long the job has been run that waits most.",
+            "model",
+        )
+        self.duty_held = self._gauge(
+            "duty_held", "Whether this host holds a duty.", "duty"
+        )
+        self.feed_age_ms = self._gauge(
+            "feed_age_ms",
+            "Time since the store last answered the feed of a table; -1 before.",
+            "table",
+        )
 
     def _counter(self, name, text, *labels):
         return Counter(f"goldcrestmoor_{name}", text, labels, registry=self.registry)
--- a/test/test_duties.py
+++ b/test/test_duties.py
@@ -6,6 +6,7 @@
 from goldcrestmoor.process.duties import Duties
 from goldcrestmoor.process.lease_rows import TABLE
 from goldcrestmoor.process.leases import LeaseClient
+from goldcrestmoor.process.metrics import Metrics
 from test import _table
 from test._fleet import HostClock, ManualClock
 
@@ -30,7 +31,11 @@
             clock=clock, table=self.table.client(clock), host_id=host_id
         )
         self.addAsyncCleanup(leases.close)
-        return Duties(leases=leases, is_heard=lambda: not self.table.is_down)
+        return Duties(
+            leases=leases,
+            is_heard=lambda: not self.table.is_down,
+            metrics=Metrics(),
+        )
 
     async def feed(self, duties):
         """Tell a host of the duty's row as it is."""
--- a/test/test_front.py
+++ b/test/test_front.py
@@ -421,10 +421,31 @@
     async def test_metrics_are_served_on_their_own_port(self):
         await self.fleet.start(names=("front-a",))
         await self.listed()
+        # More than the engines have slots, so that some wait.
+        await self.fleet.submit("front-a", "j1", 20)
+        await self.fleet.all_results("front-a", "j1")
+        await self.fleet.ask("front-a", "POST", "/nowhere/x", b"x")
         port = self.fleet.ports["front-a"][2]
         answer = await self.fleet.http.request("127.0.0.1", port, "GET", "/metrics")
-        self.assertIn(b"goldcrestmoor_store_calls_total", answer.body)
-        self.assertIn(b"goldcrestmoor_request_seconds_bucket", answer.body)
+        value_by_name = {}
+        for line in answer.body.decode().splitlines():
+            if line.startswith("goldcrestmoor_"):
+                name, _, value = line.removeprefix("goldcrestmoor_").rpartition(" ")
+                value_by_name[name] = float(value)
+        for name in (
+            'answers_total{kind="unknown",outcome="not_found"}',
+            'answers_total{kind="job",outcome="answered"}',
+            'answers_total{kind="job call",outcome="answered"}',
+            'answer_seconds_count{kind="job"}',
+            f'duty_held{{duty="runner/{MODEL}"}}',
+            'items_total{outcome="finished"}',
+            'store_calls_total{call="transact",outcome="200"}',
+        ):
+            self.assertGreaterEqual(value_by_name.get(name, 0), 1, name)
+        for table in ("op", "servers", "leases", "jobs", "hosts"):
+            age_ms = value_by_name[f'feed_age_ms{{table="{table}"}}']
+            self.assertTrue(0 <= age_ms < 2000, (table, age_ms))
+        self.assertEqual(value_by_name[f'items_waiting{{model="{MODEL}"}}'], 0)
 
     async def test_a_feed_without_history_is_read_anew(self):
         await self.fleet.start(names=("front-a",))
