Forget what a host has met at engines that are gone

Cause: the pool kept one entry for each incarnation of an engine that it had ever sent work, which a daemon that runs for months adds up. Ruled out: dropping an entry with its listing (its streams still count). Before: 101 entries after 100 replacements (the test, red); after: 2.

--- a/goldcrestmoor/job/engine_pool.py
+++ b/goldcrestmoor/job/engine_pool.py
@@ -177,7 +177,18 @@
         self._state(upstream).blocked_until_ms = until_ms
 
     def _state(self, upstream):
-        return self._found_by_key.setdefault(_key(upstream), _Found())
+        found = self._found_by_key.get(_key(upstream))
+        if found is None:
+            self._forget_gone()
+            found = self._found_by_key[_key(upstream)] = _Found()
+        return found
+
+    def _forget_gone(self):
+        """Forget incarnations that are listed no more, so that they never add up."""
+        listed = {_key(u) for u in self._directory.upstream_by_name.values()}
+        for key, found in list(self._found_by_key.items()):
+            if key not in listed and not found.in_flight:
+                del self._found_by_key[key]
 
 
 def _key(upstream):
