Tell a slow feed of leases from a lost one

Cause: a feed whose answer took over a second counted as back from an outage each time, which gave every holder its whole time again: with a store that answers in 0.8 s (500 ms wait, 200 ms pause) a dead runner would not have been followed before the store was quick again. Ruled out: a longer wait for all feeds (readers' answers rest on a current feed of jobs). Failing first: test_follower, the slow store (red with the old bound of 1 s).

--- a/goldcrestmoor/process/follower.py
+++ b/goldcrestmoor/process/follower.py
@@ -27,6 +27,8 @@
         the changes of the meantime are applied.
     :param pause_ms: the least time between two asks, so that many small changes
         come in one answer.
+    :param outage_ms: how long the feed may be silent before what is known counts as
+        out of date.
     :ivar row_by_key: the rows.
     """
 
@@ -38,6 +40,7 @@
         "_on_changes",
         "_on_return",
         "_pause_ms",
+        "_outage_ms",
         "_version",
         "_heard_ms",
         "_is_out",
@@ -52,6 +55,7 @@
         on_changes,
         on_return=None,
         pause_ms=0,
+        outage_ms=OUTAGE_MS,
     ):
         self.row_by_key = {}
         self._clock = clock
@@ -60,6 +64,7 @@
         self._on_changes = on_changes
         self._on_return = on_return or (lambda: None)
         self._pause_ms = pause_ms
+        self._outage_ms = outage_ms
         self._version = None
         self._heard_ms = None
         self._is_out = False
@@ -71,8 +76,8 @@
         return self._clock.now_ms() - self._heard_ms
 
     def is_current(self):
-        """Tell whether the rows are no older than one wait of the feed."""
-        return self._heard_ms is not None and self.age_ms() < OUTAGE_MS
+        """Tell whether the store has answered lately enough to rely on the rows."""
+        return self._heard_ms is not None and self.age_ms() < self._outage_ms
 
     async def run(self):
         """Follow the table for good."""
@@ -104,7 +109,7 @@
 
     def _note_answer(self):
         silent_ms = self.age_ms()
-        if self._is_out or (silent_ms is not None and silent_ms > 2 * FEED_WAIT_MS):
+        if self._is_out or (silent_ms is not None and silent_ms > self._outage_ms):
             log.info(
                 "The feed of %s is heard again after %d ms.", self._table, silent_ms
             )
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -52,6 +52,9 @@
 # A busy job's state changes with every batch of results.
 JOBS_PAUSE_MS = 40
 LEASES_PAUSE_MS = 200
+# Less than a runner's lease with its margin; a slow store may take a second to answer,
+# and a dead runner must be followed by another all the same.
+LEASES_OUTAGE_MS = 2000
 DRAIN_POLL_MS = 20
 
 
@@ -172,6 +175,7 @@
                 self._duties.apply,
                 on_return=self._duties.note_return,
                 pause_ms=LEASES_PAUSE_MS,
+                outage_ms=LEASES_OUTAGE_MS,
             ),
             STATE_TABLE: self._follow(
                 STATE_TABLE,
--- /dev/null
+++ b/test/test_follower.py
@@ -0,0 +1,76 @@
+"""A feed that is slow is not a feed that is lost."""
+
+import asyncio
+import unittest
+
+from goldcrestmoor.adapters.table import Changes
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.process.follower import TableFollower
+from test._fleet import ManualClock
+
+
+class SlowStore:
+    """A store whose answers take a while, and which can be away."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.delay_ms = 0
+        self.is_away = False
+        self.version = 1
+
+    async def snapshot(self, table):
+        await self._answer()
+        return [], self.version
+
+    async def changes(self, table, after, wait_ms):
+        await self._answer()
+        await self.clock.sleep_ms(wait_ms)
+        return Changes([], self.version)
+
+    async def _answer(self):
+        if self.is_away:
+            raise ServiceError(ErrorKind.PLATFORM_UNAVAILABLE)
+        await self.clock.sleep_ms(self.delay_ms)
+
+
+class FollowerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.clock = ManualClock()
+        self.store = SlowStore(self.clock)
+        self.returns = 0
+
+    async def follow(self, **options):
+        follower = TableFollower(
+            clock=self.clock,
+            store=self.store,
+            table="leases",
+            on_changes=lambda changes: None,
+            on_return=self.note_return,
+            **options,
+        )
+        task = asyncio.create_task(follower.run())
+        self.addCleanup(task.cancel)
+        await self.clock.advance(200)
+        return follower
+
+    def note_return(self):
+        self.returns += 1
+
+    async def test_a_slow_store_is_not_taken_for_one_that_was_away(self):
+        """Its answers take 0.8 s: a dead holder must still be followed by another."""
+        follower = await self.follow(outage_ms=2000)
+        self.store.delay_ms = 800
+        for _ in range(40):
+            await self.clock.advance(250)
+            self.assertTrue(follower.is_current())
+        self.assertEqual(self.returns, 0)
+
+    async def test_an_outage_is_noticed_and_so_is_its_end(self):
+        follower = await self.follow(outage_ms=2000)
+        self.store.is_away = True
+        await self.clock.advance(2600)
+        self.assertFalse(follower.is_current())
+        self.store.is_away = False
+        await self.clock.advance(1500)
+        self.assertTrue(follower.is_current())
+        self.assertEqual(self.returns, 1)
