Let models share engines when too few are left for parts of two

With four of six engines left, a model had one engine: 64 items of two steps for twelve slots, and items waited for up to 6.2 s while engines of other models had free slots. Ruled out: every engine for every model (three times the loads, and a load takes longer when more than two happen at once).

--- a/goldcrestmoor/version/weights/load_plan.py
+++ b/goldcrestmoor/version/weights/load_plan.py
@@ -7,7 +7,8 @@
 the waiting items is left to them. Before a version's step has come it may come at any
 moment, so that half of the model's engines load at a time; after that, all. Where
 several models share the engines, each model has its own part of them: one load an
-engine and version, not one for each model.
+engine and version, not one for each model. When engines are gone and a part gets too
+small for a step, parts overlap: an engine that loads one model goes on with the others.
 """
 
 import msgspec
@@ -18,6 +19,9 @@
 LOADING_SHARE = 0.4
 # Of a model's own engines, so that a step that comes meanwhile finds some.
 PART_LOADING_SHARE = 0.5
+# A model shares engines rather than have fewer than this, so that one can load or
+# crash while another serves.
+MIN_PART = 2
 
 
 class EngineWeights(msgspec.Struct, frozen=True):
@@ -101,17 +105,39 @@
     assigned = {model: [] for model in models}
     quota = max(1, len(engines) // len(models))
     for model in models:
-        order = rendezvous_order(model, sorted(free))
-        # The sort is stable: engines that hold the same version keep their order.
-        order.sort(key=lambda name: -_held(engine_by_name[name], model))
+        order = _preferred(model, free, engine_by_name)
         for name in order[:quota]:
             assigned[model].append(engine_by_name[name])
             free.discard(name)
     for number, name in enumerate(sorted(free)):
         assigned[models[number % len(models)]].append(engine_by_name[name])
+    _share(assigned, engine_by_name)
     return assigned
 
 
+def _share(assigned, engine_by_name):
+    """Let models with few engines use others' as well, the least used first."""
+    uses_by_name = dict.fromkeys(engine_by_name, 0)
+    for part in assigned.values():
+        for engine in part:
+            uses_by_name[engine.name] += 1
+    for model, part in assigned.items():
+        own = {engine.name for engine in part}
+        others = _preferred(model, engine_by_name.keys() - own, engine_by_name)
+        others.sort(key=uses_by_name.get)
+        for name in others[: max(0, MIN_PART - len(part))]:
+            part.append(engine_by_name[name])
+            uses_by_name[name] += 1
+
+
+def _preferred(model, names, engine_by_name):
+    """Return engines with those first that have followed a model."""
+    order = rendezvous_order(model, sorted(names))
+    # The sort is stable: engines that hold the same version keep their order.
+    order.sort(key=lambda name: -_held(engine_by_name[name], model))
+    return order
+
+
 def _room(engines, share):
     loading = sum(engine.is_loading for engine in engines)
     return max(1, int(len(engines) * share)) - loading
