--- a/goldcrestmoor/request/forwarding.py
+++ b/goldcrestmoor/request/forwarding.py
@@ -168,8 +168,8 @@
         return self._loads.choose(self._service, self._sent_to) is not None
 
 
-class Forwarder:
-    """Send requests to upstreams, straight from this host.
+class Sender:
+    """What the ways to send a request to upstreams have in common.
 
     :param http: the ``HttpClient``.
     :param loads: the :class:`~goldcrestmoor.request.upstream_loads.UpstreamLoads`.
@@ -185,6 +185,22 @@
         self._dialect = dialect
         self._metrics = metrics
 
+    def _tries(self, request, route, deadline):
+        """Return the record of a request that has not been sent yet."""
+        return Tries(
+            request=request,
+            route=route,
+            deadline=deadline,
+            loads=self._loads,
+            metrics=self._metrics,
+        )
+
+
+class Forwarder(Sender):
+    """Send requests to upstreams, straight from this host."""
+
+    __slots__ = ()
+
     async def forward(self, request, route, deadline):
         """Return an upstream's whole answer.
 
@@ -195,13 +211,7 @@
         :raises ServiceError: ``NO_UPSTREAM`` or ``OVERLOADED`` when it surely was
             not run, ``UPSTREAM_FAILED`` or ``UPSTREAM_TIMEOUT`` when it may have.
         """
-        tries = Tries(
-            request=request,
-            route=route,
-            deadline=deadline,
-            loads=self._loads,
-            metrics=self._metrics,
-        )
+        tries = self._tries(request, route, deadline)
         while True:
             upstream = tries.next_upstream()
             outcome = await self._try(upstream, tries)
--- a/goldcrestmoor/request/streaming.py
+++ b/goldcrestmoor/request/streaming.py
@@ -13,7 +13,7 @@
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
 from goldcrestmoor.request.apps import AppAnswer
 from goldcrestmoor.request.event_stream import EventReader
-from goldcrestmoor.request.forwarding import Tries, TryEnd
+from goldcrestmoor.request.forwarding import Sender, TryEnd
 from goldcrestmoor.version.configuration.routes import Repeat
 
 log = logging.getLogger("goldcrestmoor.streams")
@@ -36,22 +36,10 @@
     events: object
 
 
-class StreamForwarder:
-    """Send requests whose answers are streams.
+class StreamForwarder(Sender):
+    """Send requests whose answers are streams."""
 
-    :param http: the ``HttpClient``.
-    :param loads: the :class:`~goldcrestmoor.request.upstream_loads.UpstreamLoads`.
-    :param dialect: how the upstreams are spoken to.
-    :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
-    """
-
-    __slots__ = ("_http", "_loads", "_dialect", "_metrics")
-
-    def __init__(self, *, http, loads, dialect, metrics):
-        self._http = http
-        self._loads = loads
-        self._dialect = dialect
-        self._metrics = metrics
+    __slots__ = ()
 
     async def forward(self, request, route, deadline):
         """Return an answer once its first event is there, or a whole one.
@@ -63,13 +51,7 @@
             :class:`~goldcrestmoor.request.apps.AppAnswer` when it is no stream.
         :raises ServiceError: as ``Forwarder.forward``.
         """
-        tries = Tries(
-            request=request,
-            route=route,
-            deadline=deadline,
-            loads=self._loads,
-            metrics=self._metrics,
-        )
+        tries = self._tries(request, route, deadline)
         parts = self._run(tries)
         try:
             head = await anext(parts)
