Pass a host's calls on to the store when it alone cannot reach it

Its duty passes on after 2.5 s, the successor connects anew and makes again what was not kept: the step is whole 12.3 s after it was asked where 7.8 s were possible, and its trainer never makes that up. Now a host that cannot reach the store sends its calls by one that does, of its own zone if there is one, and tries the straight way each second. Not when the store turns it away: that may be meant. Each write carries its condition as before.

--- a/goldcrestmoor/platform/store.py
+++ b/goldcrestmoor/platform/store.py
@@ -26,6 +26,8 @@
 STATUS_UNAVAILABLE = 503
 # Added to a feed's own wait before its connection counts as silent.
 FEED_SLACK_MS = 700
+# A hundred times what the store needs for an answer when it is well.
+PROBE_MS = 400
 # All rows lie in the empty part. Parts of the store fail one by one, and with one
 # part there is one that matters; its 200 transactions a second are enough.
 PART = ""
@@ -97,18 +99,64 @@
         "_clock",
         "_http",
         "_target",
+        "_detour",
         "_timeout_ms",
         "_metrics",
         "_ahead_ms",
+        "_refused_ms",
     )
 
     def __init__(self, *, clock, http, address, port, timeout_ms, metrics):
         self._clock = clock
         self._http = http
         self._target = (address, port)
+        self._detour = None
         self._timeout_ms = timeout_ms
         self._metrics = metrics
         self._ahead_ms = None
+        self._refused_ms = None
+
+    @property
+    def is_going_round(self):
+        """Whether calls go to a host that passes them on."""
+        return self._detour is not None
+
+    def go_round(self, address, port, prefix):
+        """Send calls to a host that passes them on, from now on.
+
+        :param address: its IP address.
+        :param port: its TCP port.
+        :param prefix: what it expects before the path of a call.
+        """
+        self._detour = (address, port, prefix)
+
+    def refused_age_ms(self):
+        """Return the time since the store last turned a call away, or None."""
+        if self._refused_ms is None:
+            return None
+        return self._clock.now_ms() - self._refused_ms
+
+    async def try_straight(self):
+        """Ask the store without a detour, and take none any more if it answers."""
+        try:
+            await self._http.request(
+                *self._target, "GET", "/rows-parts?table=op", timeout_ms=PROBE_MS
+            )
+        except ServiceError as e:
+            log.debug("The store is still not reached from here: %s", e)
+            return
+        self._detour = None
+
+    async def pass_on(self, method, target, headers, body, timeout_ms):
+        """Send another host's call to the store, once, and return the answer.
+
+        :param timeout_ms: how long it may take.
+        :return: an :class:`~goldcrestmoor.connection.http_client.HttpResponse`.
+        :raises ServiceError: those of the ``HttpClient``.
+        """
+        return await self._http.request(
+            *self._target, method, target, headers, body, timeout_ms, idempotent=True
+        )
 
     def now_ms(self):
         """Return the store's steady clock as last heard, or None before that."""
@@ -270,9 +318,14 @@
         raise ServiceError(ErrorKind.OUTCOME_UNKNOWN, text)
 
     async def _send(self, call, method, target, body=b"", headers=(), timeout_ms=None):
+        address, port = self._target
+        if self._detour is not None:
+            address, port, prefix = self._detour
+            target = prefix + target
         try:
             response = await self._http.request(
-                *self._target,
+                address,
+                port,
                 method,
                 target,
                 headers,
@@ -287,6 +340,8 @@
             text = f"A write to the store was not answered: {e.message}"
             raise ServiceError(ErrorKind.OUTCOME_UNKNOWN, text) from e
         self._metrics.store_calls.labels(call, str(response.status)).inc()
+        if response.status in (STATUS_TOO_MANY, STATUS_UNAVAILABLE):
+            self._refused_ms = self._clock.now_ms()
         return response
 
     def _decode(self, response, decoder, kind):
--- /dev/null
+++ b/goldcrestmoor/process/detour.py
@@ -0,0 +1,26 @@
+"""Which host passes this host's calls on to the store.
+
+The load this answers: one or a few hosts cannot reach the store for seconds, while
+they reach the other hosts, the upstreams and their callers. The host that runs a
+model's jobs would lose its duty, and its successor reads, connects and makes anew what
+was not kept. A host that the store itself turns away does not go round it.
+"""
+
+# A store that refused a call this lately is reached; it does not want this host.
+REFUSED_LATELY_MS = 1500
+
+
+def choose_detour(own_zone, views, refused_age_ms):
+    """Return the view of the host to send calls to, or None.
+
+    :param own_zone: this host's availability zone; bytes within it cost least.
+    :param views: the :class:`~goldcrestmoor.process.readiness.PeerView` of each host
+        that answered.
+    :param refused_age_ms: the time since the store last refused a call of this host,
+        or None.
+    """
+    if refused_age_ms is not None and refused_age_ms < REFUSED_LATELY_MS:
+        return None
+    hearing = [view for view in views if view.hears_store]
+    hearing.sort(key=lambda view: view.zone != own_zone)
+    return hearing[0] if hearing else None
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -56,6 +56,8 @@
 # and a dead runner must be followed by another all the same.
 LEASES_OUTAGE_MS = 2000
 DRAIN_POLL_MS = 20
+STORE_METHODS = ("GET", "POST", "PUT", "DELETE")
+BYTES = b"application/octet-stream"
 
 
 class Front:
@@ -291,8 +293,15 @@
             return Response(200 if self._is_ready() else 503)
 
         async def hears_store(request: Request) -> Response:
-            return Response(200 if self._reach.hears_store() else 503)
+            return Response(200 if self._reach.hears_straight() else 503)
 
+        async def pass_on(request: Request) -> Response:
+            return await self._pass_on(request)
+
+        for method in STORE_METHODS:
+            to_balancer.application.router.add(
+                method, f"{store_reach.CALLS_PREFIX}/*", pass_on
+            )
         to_balancer.application.router.add_get(caller_dialect.READY_PATH, ready)
         to_balancer.application.router.add_get(store_reach.PATH, hears_store)
         to_monitoring = HttpServer(
@@ -309,6 +318,18 @@
         to_monitoring.application.router.add_get("/metrics", metrics)
         self._servers = [to_balancer, to_callers, to_monitoring]
 
+    async def _pass_on(self, request):
+        """Send another host's call to the store and give its answer."""
+        query = request.scope.get("query_string", b"")
+        target = request.scope["raw_path"] + (b"?" + query if query else b"")
+        answer = await self._reach.pass_on(
+            request.method,
+            target.decode("latin-1").removeprefix(store_reach.CALLS_PREFIX),
+            [pair for pair in request.headers if pair[0].lower() != b"host"],
+            await request.read() or b"",
+        )
+        return Response(answer.status, None, Content(BYTES, answer.body))
+
     def _is_ready(self):
         has_routes = self._routing.table is not None
         return not self._is_leaving and has_routes and self._reach.wants_callers()
--- a/goldcrestmoor/process/readiness.py
+++ b/goldcrestmoor/process/readiness.py
@@ -18,11 +18,15 @@
     """What another host has answered.
 
     :param zone: its availability zone.
-    :param hears_store: whether it hears the store.
+    :param hears_store: whether it hears the store by itself.
+    :param address: its IP address.
+    :param port: the TCP port that it answered at.
     """
 
     zone: str
     hears_store: bool
+    address: str = ""
+    port: int = 0
 
 
 class Readiness:
--- a/goldcrestmoor/process/store_reach.py
+++ b/goldcrestmoor/process/store_reach.py
@@ -7,18 +7,27 @@
 import msgspec
 
 from goldcrestmoor.adapters.table import Write
-from goldcrestmoor.errors import ServiceError
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.process.detour import choose_detour
 from goldcrestmoor.process.readiness import PeerView, Readiness
 
 log = logging.getLogger("goldcrestmoor.reach")
 
 TABLE = "hosts"
 PATH = "/store"
+# Before the path of a call that another host is to pass on.
+CALLS_PREFIX = "/store/calls"
 # Two waits of the quickest feed.
 UNHEARD_MS = 1000
 CHECK_MS = 250
 # Half a round trip between regions is some tens of milliseconds.
 ASK_TIMEOUT_MS = 300
+# How often a host that goes round tries the straight way again.
+STRAIGHT_MS = 1000
+# Calls of other hosts at a time; five feeds and some writes for each of a few hosts.
+MAX_PASSED_ON = 64
+# The longest wait of a feed and its slack.
+PASS_ON_TIMEOUT_MS = 1500
 # Asked of the own zone and of all others together; enough that one lives.
 ASKED_OF_OWN = 2
 ASKED_OF_OTHERS = 4
@@ -60,6 +69,8 @@
         "_host_id",
         "_row",
         "_heard_age_ms",
+        "_straight_ms",
+        "_passed_on",
         "_row_by_host",
         "_readiness",
     )
@@ -71,6 +82,8 @@
         self._host_id = host_id
         self._row = row
         self._heard_age_ms = heard_age_ms
+        self._straight_ms = clock.now_ms()
+        self._passed_on = 0
         self._row_by_host = {}
         self._readiness = Readiness(row.zone)
 
@@ -93,6 +106,10 @@
         age_ms = self._heard_age_ms()
         return age_ms is not None and age_ms < UNHEARD_MS
 
+    def hears_straight(self):
+        """Tell whether the store has answered this host lately, by itself."""
+        return self.hears_store() and not self._store.is_going_round
+
     def wants_callers(self):
         """Tell whether new callers are better off here than elsewhere."""
         return self._readiness.wants_callers
@@ -101,8 +118,11 @@
         """Register this host, and watch the store for good."""
         await self._register()
         while True:
+            await self._try_straight()
             hears = self.hears_store()
             views = [] if hears else await self._ask()
+            if not hears:
+                self._go_round(views)
             wanted = self._readiness.wants_callers
             wants = self._readiness.judge(
                 hears or self.hears_store(), views, self._has_others()
@@ -118,6 +138,47 @@
                 )
             await self._clock.sleep_ms(CHECK_MS)
 
+    def _go_round(self, views):
+        """Have another host pass calls on, if there is one that can."""
+        age_ms = self._store.refused_age_ms()
+        view = choose_detour(self._row.zone, views, age_ms)
+        if view is None:
+            return
+        log.info("Calls to the store go round by the host at %s.", view.address)
+        self._store.go_round(view.address, view.port, CALLS_PREFIX)
+        self._straight_ms = self._clock.now_ms()
+
+    async def _try_straight(self):
+        now_ms = self._clock.now_ms()
+        if not self._store.is_going_round or now_ms - self._straight_ms < STRAIGHT_MS:
+            return
+        self._straight_ms = now_ms
+        await self._store.try_straight()
+        if not self._store.is_going_round:
+            log.info("Calls to the store go straight again.")
+
+    async def pass_on(self, method, target, headers, body):
+        """Send another host's call to the store.
+
+        :param method: the HTTP method.
+        :param target: the path and query, as the store knows them.
+        :param headers: the call's headers.
+        :param body: the call's body.
+        :return: the store's answer.
+        :raises ServiceError: ``OVERLOADED`` when it was surely not sent; those of the
+            ``HttpClient``.
+        """
+        if self._passed_on >= MAX_PASSED_ON or self._store.is_going_round:
+            text = "This host passes no more calls on."
+            raise ServiceError(ErrorKind.OVERLOADED, text)
+        self._passed_on += 1
+        try:
+            return await self._store.pass_on(
+                method, target, headers, body, PASS_ON_TIMEOUT_MS
+            )
+        finally:
+            self._passed_on -= 1
+
     async def leave(self):
         """Take this host's row away.
 
@@ -157,4 +218,5 @@
         except ServiceError as e:
             log.debug("Host at %s does not answer: %s", row.address, e)
             return None
-        return PeerView(row.zone, answer.status == STATUS_OK)
+        hears = answer.status == STATUS_OK
+        return PeerView(row.zone, hears, row.address, row.port)
--- a/test/standins/users_store.py
+++ b/test/standins/users_store.py
@@ -18,6 +18,7 @@
 
     :ivar object_ms: how long a call for an object takes.
     :ivar cut: the names of the gates that lead nowhere.
+    :ivar turned_away: the names of the gates that answer 503.
     :ivar silent_parts: a function that tells whether a part gives no answers.
     :ivar mode: ``""`` to serve, ``busy`` to answer 503, ``reset`` to close.
     :ivar lost_answers: how many of the next writes are made and not answered.
@@ -41,6 +42,7 @@
         self._gates = []
         self._late = set()
         self.cut = set()
+        self.turned_away = set()
 
     @property
     def port(self):
@@ -55,6 +57,8 @@
         """Listen on a further port, which leads nowhere while its name is cut."""
 
         async def pass_on(request):
+            if name in self.turned_away:
+                return Response(503)
             if name in self.cut:
                 await asyncio.sleep(60)
             response = await self.handle(request)
--- a/test/test_decisions.py
+++ b/test/test_decisions.py
@@ -8,6 +8,7 @@
 from goldcrestmoor.job.item_run import ItemRun
 from goldcrestmoor.job.job import Item
 from goldcrestmoor.job.stragglers import Running, moves
+from goldcrestmoor.process.detour import choose_detour
 from goldcrestmoor.process.readiness import PeerView, Readiness
 from goldcrestmoor.request.send_again import (
     GiveUp,
@@ -278,6 +279,30 @@
         self.assertTrue(self.check(False, ("b", True)))
 
 
+class DetourTest(unittest.TestCase):
+    VIEWS = (
+        PeerView("a", False, "10.1.0.1"),
+        PeerView("b", True, "10.2.0.1"),
+        PeerView("a", True, "10.1.0.2"),
+    )
+
+    def choose(self, views=VIEWS, refused_age_ms=None):
+        view = choose_detour("a", views, refused_age_ms)
+        return view and view.address
+
+    def test_calls_go_by_a_host_of_the_same_zone_that_hears_the_store(self):
+        self.assertEqual(self.choose(), "10.1.0.2")
+        self.assertEqual(self.choose(self.VIEWS[:2]), "10.2.0.1")
+
+    def test_there_is_no_way_round_an_outage_for_all(self):
+        self.assertIsNone(self.choose(self.VIEWS[:1]))
+        self.assertIsNone(self.choose(()))
+
+    def test_a_host_that_the_store_turns_away_does_not_go_round_it(self):
+        self.assertIsNone(self.choose(refused_age_ms=100))
+        self.assertEqual(self.choose(refused_age_ms=60_000), "10.1.0.2")
+
+
 class OrderLogTest(unittest.TestCase):
     def test_another_host_waits_until_the_last_order_has_had_its_time(self):
         entry = OrderEntry("host-a", 7, 10_000)
