Hear of the store's return at once, and take duties back then

After an outage each feed was asked with its wait of 500 ms, though nothing had changed, and the board looked at its duties up to 200 ms later. Ruled out: shorter pauses between tries (calls of all hosts in an outage). Now a feed that has failed asks without a wait, and the return of the leases' feed wakes the board.

--- a/goldcrestmoor/job/board.py
+++ b/goldcrestmoor/job/board.py
@@ -141,6 +141,10 @@
         run = self._runs_by_job.get(job_id)
         if run is not None:
             run.note_state(kept)
+        self.wake()
+
+    def wake(self):
+        """Look again at which jobs and duties are to be taken up."""
         self._changed.set()
         self._changed = asyncio.Event()
 
--- a/goldcrestmoor/process/follower.py
+++ b/goldcrestmoor/process/follower.py
@@ -44,6 +44,7 @@
         "_version",
         "_heard_ms",
         "_is_out",
+        "_has_failed",
     )
 
     def __init__(
@@ -68,6 +69,7 @@
         self._version = None
         self._heard_ms = None
         self._is_out = False
+        self._has_failed = False
 
     def age_ms(self):
         """Return the time since the store last answered, or None before that."""
@@ -97,7 +99,9 @@
             self._note_answer()
             self._replace(rows, version)
             return
-        answer = await self._store.changes(self._table, self._version, FEED_WAIT_MS)
+        # After a failure the question is whether the store is there at all.
+        wait_ms = 0 if self._has_failed else FEED_WAIT_MS
+        answer = await self._store.changes(self._table, self._version, wait_ms)
         match answer:
             case HistoryLost():
                 log.info("The feed of %s lost its history; reading all.", self._table)
@@ -115,9 +119,11 @@
             )
             self._on_return()
         self._is_out = False
+        self._has_failed = False
         self._heard_ms = self._clock.now_ms()
 
     def _note_failure(self, error):
+        self._has_failed = True
         if not self._is_out and not self.is_current() and self._heard_ms is not None:
             self._is_out = True
             log.warning("The feed of %s is lost: %s", self._table, error)
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -175,7 +175,7 @@
             lease_rows.TABLE: self._follow(
                 lease_rows.TABLE,
                 self._duties.apply,
-                on_return=self._duties.note_return,
+                on_return=self._note_leases_return,
                 pause_ms=LEASES_PAUSE_MS,
                 outage_ms=LEASES_OUTAGE_MS,
             ),
@@ -192,6 +192,11 @@
             is_current=self._followers[STATE_TABLE].is_current,
         )
 
+    def _note_leases_return(self):
+        """Have the duties of jobs that are run here taken back at once."""
+        self._duties.note_return()
+        self._board.wake()
+
     def _make_orders(self):
         host = self.settings.host
         self._orders = LoadOrders(
--- a/test/test_follower.py
+++ b/test/test_follower.py
@@ -5,7 +5,7 @@
 
 from goldcrestmoor.adapters.table import Changes
 from goldcrestmoor.errors import ErrorKind, ServiceError
-from goldcrestmoor.process.follower import TableFollower
+from goldcrestmoor.process.follower import RETRY_MAX_MS, TableFollower
 from test._fleet import ManualClock
 
 
@@ -71,6 +71,7 @@
         await self.clock.advance(2600)
         self.assertFalse(follower.is_current())
         self.store.is_away = False
-        await self.clock.advance(1500)
+        # The longest pause between two tries, and no wait for a change.
+        await self.clock.advance(RETRY_MAX_MS + 50)
         self.assertTrue(follower.is_current())
         self.assertEqual(self.returns, 1)
