--- a/goldcrestmoor/process/leases.py
+++ b/goldcrestmoor/process/leases.py
@@ -120,10 +120,14 @@
         :return: the :class:`Lease`, or None while another holds it.
         :raises ServiceError: when the table service cannot be asked.
         """
-        held = self._leases_by_name.get(name)
-        if held is not None and held.holds():
+        held = self._held(name)
+        if held is not None:
             return held
         row = await self._table.get(TABLE, name)
+        held = self._held(name)
+        if held is not None:
+            # Another call of this client has taken it meanwhile.
+            return held
         known = lease_rows.decode(row.value) if row else None
         if known is not None and not self._may_take(name, row.version, known):
             return None
@@ -141,6 +145,10 @@
         log.info("Took lease %s with fencing number %d.", name, fencing)
         return lease
 
+    def _held(self, name):
+        lease = self._leases_by_name.get(name)
+        return lease if lease is not None and lease.holds() else None
+
     async def release(self, lease):
         """Give a lease up, so that another host can take it at once.
 
--- a/test/test_leases.py
+++ b/test/test_leases.py
@@ -1,11 +1,12 @@
 """A lease has one holder, also across freezes, outages and lost answers."""
 
+import asyncio
 import unittest
 
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.process.leases import LeaseClient
 from test import _table
-from test._fleet import HostClock, ManualClock
+from test._fleet import HostClock, ManualClock, settle
 
 DURATION_MS = 6000
 GENEROUS_MS = 60_000
@@ -41,6 +42,18 @@
             await self.clock.advance(500)
             self.assertTrue(lease.holds())
 
+    async def test_two_tries_at_once_take_it_once(self):
+        """Two jobs of one model are taken up at the same moment."""
+        self.a_clock.thawed.clear()
+        tries = [
+            asyncio.create_task(self.a.acquire("duty", DURATION_MS)) for _ in range(2)
+        ]
+        await settle()
+        self.a_clock.thawed.set()
+        first, second = await asyncio.gather(*tries)
+        self.assertIs(first, second)
+        self.assertEqual(first.fencing, 1)
+
     async def test_a_frozen_holder_wakes_without_its_lease(self):
         old = await self.take(self.a)
         self.a_clock.thawed.clear()
