Let only as many engines follow a model as its steps have use for

All engines load each version: 347 orders at 30 machines and 300 servers, 995 at 100 and 1,002, for steps of 104 items that fill nine engines. Ruled out: loading every second version on half of the engines (a step's first second would find half of the slots). Now the runner counts the most items that a job of the model has had; engines with slots for two such steps follow, the rest keep the version that they have until one is gone. Failing first: test_decisions, 300 engines and steps of 104 items (300 followed, now 18, the same ones over four versions, and one more when one goes).

--- a/goldcrestmoor/job/scheduler.py
+++ b/goldcrestmoor/job/scheduler.py
@@ -42,6 +42,7 @@
         "_routes",
         "_metrics",
         "_runs_by_job",
+        "_largest_by_model",
         "_shown_models",
         "_woken",
         "_tasks",
@@ -54,6 +55,7 @@
         self._routes = routes
         self._metrics = metrics
         self._runs_by_job = {}
+        self._largest_by_model = {}
         # Those whose gauges are not zero.
         self._shown_models = frozenset()
         self._woken = asyncio.Event()
@@ -64,7 +66,10 @@
 
         :param job_run: the :class:`~goldcrestmoor.job.job_run.JobRun`.
         """
-        self._runs_by_job[job_run.job.id] = job_run
+        job = job_run.job
+        self._runs_by_job[job.id] = job_run
+        largest = self._largest_by_model.get(job.model, 0)
+        self._largest_by_model[job.model] = max(largest, len(job.items))
         self.wake()
 
     def remove(self, job_run):
@@ -95,6 +100,7 @@
             sum(len(run.waiting) for run in waiting),
             max((run.job.min_version for run in waiting), default=0),
             max((run.job.min_version for run in runs), default=0),
+            self._largest_by_model.get(model, 0),
         )
 
     async def run(self):
--- a/goldcrestmoor/version/weights/load_orders.py
+++ b/goldcrestmoor/version/weights/load_orders.py
@@ -144,7 +144,9 @@
             is_loading = held < load.version and self._clock.now_ms() < until_ms
             if not is_loading:
                 del self._pending_by_engine[upstream.name]
-        return EngineWeights(upstream.name, upstream.version_by_model, is_loading)
+        return EngineWeights(
+            upstream.name, upstream.version_by_model, upstream.slots, is_loading
+        )
 
     async def _give(self, upstream, load, mode):
         try:
--- a/goldcrestmoor/version/weights/load_plan.py
+++ b/goldcrestmoor/version/weights/load_plan.py
@@ -9,6 +9,7 @@
 several models share the engines, each model has its own part of them: one load an
 engine and version, not one for each model. When engines are gone and a part gets too
 small for a step, parts overlap: an engine that loads one model goes on with the others.
+Of hundreds of engines only as many follow as the steps have use for.
 """
 
 import msgspec
@@ -22,6 +23,8 @@
 # A model shares engines rather than have fewer than this, so that one can load or
 # crash while another serves.
 MIN_PART = 2
+# A trainer that is late asks for two steps at once.
+STEPS_AT_ONCE = 2
 
 
 class EngineWeights(msgspec.Struct, frozen=True):
@@ -29,11 +32,13 @@
 
     :param name: the engine's name.
     :param version_by_model: the weight version of each model that it holds.
+    :param slots: how many requests it runs at a time.
     :param is_loading: whether an order to it is not settled yet.
     """
 
     name: str
     version_by_model: dict[str, int]
+    slots: int = 1
     is_loading: bool = False
 
 
@@ -43,11 +48,13 @@
     :param waiting: how many items wait for a slot.
     :param min_version: the newest version that one of them needs at least.
     :param newest_step: the newest version that an open job needs at least.
+    :param largest_step: the most items that a job has had; 0 while none has come.
     """
 
     waiting: int = 0
     min_version: int = 0
     newest_step: int = 0
+    largest_step: int = 0
 
 
 class Load(msgspec.Struct, frozen=True):
@@ -72,7 +79,7 @@
     :param models: all models that share the engines.
     :param demand: the :class:`Demand` for the model.
     """
-    part = assign(engines, models)[model]
+    part = _followers(model, assign(engines, models)[model], demand)
     # A step needs the version before the one that it is asked after.
     has_step = demand.newest_step >= version - 1
     room = min(
@@ -91,6 +98,25 @@
         yield Load(engine.name, model, version)
 
 
+def _followers(model, part, demand):
+    """Return those of a model's engines that its steps have use for.
+
+    An order has its price for each engine, and a thousand engines would be loaded for
+    steps that fill a dozen.
+    """
+    if not demand.largest_step:
+        return part
+    engine_by_name = {engine.name: engine for engine in part}
+    order = _preferred(model, engine_by_name, engine_by_name)
+    followers, items = [], STEPS_AT_ONCE * demand.largest_step
+    for name in order:
+        if items <= 0 and len(followers) >= MIN_PART:
+            break
+        followers.append(engine_by_name[name])
+        items -= engine_by_name[name].slots
+    return followers
+
+
 def assign(engines, models):
     """Return each model's engines: those that have followed it, up to its part.
 
--- a/test/test_decisions.py
+++ b/test/test_decisions.py
@@ -133,16 +133,16 @@
 
 def weights(name, is_loading=False, **version_by_model):
     """Return an engine as the plan of loads sees it."""
-    return EngineWeights(name, version_by_model, is_loading)
+    return EngineWeights(name, version_by_model, is_loading=is_loading)
 
 
 class LoadPlanTest(unittest.TestCase):
-    def play(self, held, named, demand=None):
+    def play(self, held, named, demand=None, slots=1):
         """Let planned loads end at once; return their engines in rounds by model."""
         rounds = {model: [] for model in named}
         for model, version in named.items():
             while True:
-                engines = [EngineWeights(n, dict(v)) for n, v in held.items()]
+                engines = [EngineWeights(n, dict(v), slots) for n, v in held.items()]
                 loads = list(
                     plan_loads(model, version, engines, named, demand or Demand())
                 )
@@ -216,6 +216,20 @@
             uses = [sum(name in part for part in parts) for name in names]
             self.assertLessEqual(max(uses) - min(uses), 1, uses)
 
+    def test_only_as_many_engines_follow_as_the_steps_have_use_for(self):
+        """Steps of 104 items, two at a time at the most, before 300 engines."""
+        held = {f"engine-{n:03d}": {"m": 1} for n in range(300)}
+        demand = Demand(largest_step=104)
+        followers = []
+        for version in range(2, 6):
+            rounds = self.play(held, {"m": version}, demand, slots=12)["m"]
+            followers.append({name for names in rounds for name in names})
+        self.assertEqual(len(followers[0]), 18)
+        self.assertEqual(followers, followers[:1] * 4)
+        del held[min(followers[0])]
+        rounds = self.play(held, {"m": 5}, demand, slots=12)["m"]
+        self.assertEqual([len(names) for names in rounds], [1])
+
     def test_a_model_keeps_an_engine_that_it_shares(self):
         models = ["m0", "m1", "m2"]
         held = {name: dict.fromkeys(models, 1) for name in "abcd"}
