Bring the other engines to a version that lasts

Ruled out: all at once again (the dearest price where versions come each four seconds). Now engines beyond those that steps have use for are ordered once a version has been the newest for 5 s, so that a load ends within the 6 s. Failing first: test_decisions, all engines come to a version that lasts.

--- a/goldcrestmoor/version/weights/load_orders.py
+++ b/goldcrestmoor/version/weights/load_orders.py
@@ -129,7 +129,14 @@
     def _order_model(self, table, service, model):
         version = self._versions.version_by_model[model]
         engines = [self._weights(u) for u in self._directory.usable(service.name)]
-        loads = plan_loads(model, version, engines, service.models, self._demand(model))
+        loads = plan_loads(
+            model,
+            version,
+            engines,
+            service.models,
+            self._demand(model),
+            self._clock.now_ms() - self._named_by_model[model][1],
+        )
         for load in loads:
             upstream = self._directory.upstream_by_name[load.engine]
             self._retry_after(load, SETTLE_MS)
--- a/goldcrestmoor/version/weights/load_plan.py
+++ b/goldcrestmoor/version/weights/load_plan.py
@@ -9,7 +9,8 @@
 several models share the engines, each model has its own part of them: one load an
 engine and version, not one for each model. When engines are gone and a part gets too
 small for a step, parts overlap: an engine that loads one model goes on with the others.
-Of hundreds of engines only as many follow as the steps have use for.
+Of hundreds of engines only as many follow at once as the steps have use for; the rest
+come to versions that last.
 """
 
 import msgspec
@@ -25,6 +26,10 @@
 MIN_PART = 2
 # A trainer that is late asks for two steps at once.
 STEPS_AT_ONCE = 2
+# The engines that no step has use for come to a version that is the newest for so long.
+# Of the 6 s in which weights that come every few minutes are wanted everywhere, a load
+# takes one.
+REST_AFTER_MS = 5000
 
 
 class EngineWeights(msgspec.Struct, frozen=True):
@@ -70,7 +75,7 @@
     version: int
 
 
-def plan_loads(model, version, engines, models, demand):
+def plan_loads(model, version, engines, models, demand, named_age_ms=0):
     """Yield the orders to give now for one model, what lags most first.
 
     :param model: the model.
@@ -78,8 +83,11 @@
     :param engines: a list of :class:`EngineWeights`.
     :param models: all models that share the engines.
     :param demand: the :class:`Demand` for the model.
+    :param named_age_ms: how long the version has been the newest.
     """
-    part = _followers(model, assign(engines, models)[model], demand)
+    part = assign(engines, models)[model]
+    if named_age_ms < REST_AFTER_MS:
+        part = _followers(model, part, demand)
     # A step needs the version before the one that it is asked after.
     has_step = demand.newest_step >= version - 1
     room = min(
--- a/test/test_decisions.py
+++ b/test/test_decisions.py
@@ -230,6 +230,21 @@
         rounds = self.play(held, {"m": 5}, demand, slots=12)["m"]
         self.assertEqual([len(names) for names in rounds], [1])
 
+    def test_all_engines_come_to_a_version_that_lasts(self):
+        """Weights every six minutes, wanted on all servers in six seconds."""
+        engines = [EngineWeights(f"engine-{n}", {"m": 1}, 12) for n in range(300)]
+        demand = Demand(largest_step=104)
+        at_once = list(plan_loads("m", 2, engines, ["m"], demand, 4000))
+        self.assertEqual(len(at_once), 9)
+        loading = {load.engine for load in at_once}
+        engines = [
+            EngineWeights(e.name, {"m": 2 if e.name in loading else 1}, 12)
+            for e in engines
+        ]
+        later = list(plan_loads("m", 2, engines, ["m"], demand, 5000))
+        # Two fifths of them at a time, so that loads do not hold one another up.
+        self.assertEqual(len(later), 120)
+
     def test_a_model_keeps_an_engine_that_it_shares(self):
         models = ["m0", "m1", "m2"]
         held = {name: dict.fromkeys(models, 1) for name in "abcd"}
