Give a way round the time to answer, and count refusals only on the straight way

The way round was chosen anew at each check (250 ms) until the first feed had come by it, and a refusal by the host that passes calls on counted as one by the store, which forbids a way round.

--- a/goldcrestmoor/platform/store.py
+++ b/goldcrestmoor/platform/store.py
@@ -340,7 +340,8 @@
             text = f"A write to the store was not answered: {e.message}"
             raise ServiceError(ErrorKind.OUTCOME_UNKNOWN, text) from e
         self._metrics.store_calls.labels(call, str(response.status)).inc()
-        if response.status in (STATUS_TOO_MANY, STATUS_UNAVAILABLE):
+        is_refused = response.status in (STATUS_TOO_MANY, STATUS_UNAVAILABLE)
+        if is_refused and self._detour is None:
             self._refused_ms = self._clock.now_ms()
         return response
 
--- a/goldcrestmoor/process/store_reach.py
+++ b/goldcrestmoor/process/store_reach.py
@@ -24,6 +24,9 @@
 ASK_TIMEOUT_MS = 300
 # How often a host that goes round tries the straight way again.
 STRAIGHT_MS = 1000
+# Feeds that were asked the straight way fall silent first; after that a way round that
+# brings no answer is changed for another.
+TURN_MS = 2000
 # Calls of other hosts at a time; five feeds and some writes for each of a few hosts.
 MAX_PASSED_ON = 64
 # The longest wait of a feed and its slack.
@@ -70,6 +73,7 @@
         "_row",
         "_heard_age_ms",
         "_straight_ms",
+        "_turned_ms",
         "_passed_on",
         "_row_by_host",
         "_readiness",
@@ -82,7 +86,7 @@
         self._host_id = host_id
         self._row = row
         self._heard_age_ms = heard_age_ms
-        self._straight_ms = clock.now_ms()
+        self._straight_ms = self._turned_ms = clock.now_ms()
         self._passed_on = 0
         self._row_by_host = {}
         self._readiness = Readiness(row.zone)
@@ -140,13 +144,16 @@
 
     def _go_round(self, views):
         """Have another host pass calls on, if there is one that can."""
+        now_ms = self._clock.now_ms()
+        if self._store.is_going_round and now_ms - self._turned_ms < TURN_MS:
+            return
         age_ms = self._store.refused_age_ms()
         view = choose_detour(self._row.zone, views, age_ms)
         if view is None:
             return
         log.info("Calls to the store go round by the host at %s.", view.address)
         self._store.go_round(view.address, view.port, CALLS_PREFIX)
-        self._straight_ms = self._clock.now_ms()
+        self._turned_ms = self._straight_ms = now_ms
 
     async def _try_straight(self):
         now_ms = self._clock.now_ms()
