--- a/test/test_front_faults.py
+++ b/test/test_front_faults.py
@@ -37,6 +37,15 @@
             events = self.fleet.engines[0].events
             self.assertEqual(result["text"], whole_text(result["id"], events))
 
+    async def first_results(self, name, job_id):
+        """Return the first results of a job that a host lists, once there are some."""
+
+        async def some():
+            page = await self.fleet.results(name, job_id)
+            return page if isinstance(page, dict) and page["results"] else None
+
+        return (await _common.eventually(some, 20))["results"]
+
     async def listed(self):
         """Wait until the application's servers are known everywhere."""
 
@@ -66,11 +75,7 @@
             engine.cut_after = None if n else 20
         await self.fleet.submit("front-a", "j1", 8)
 
-        async def some():
-            page = await self.fleet.results("front-b", "j1")
-            return page if isinstance(page, dict) and page["results"] else None
-
-        first = (await _common.eventually(some, 20))["results"]
+        first = await self.first_results("front-b", "j1")
         self.end_all()
         await self.start_all()
         results = await self.fleet.all_results("front-a", "j1")
@@ -124,11 +129,7 @@
         self.fleet.fronts[frozen].freeze()
         await _common.eventually(lambda: self.fleet.runner_of("j1") == other, 20)
 
-        async def some():
-            page = await self.fleet.results(other, "j1")
-            return page if isinstance(page, dict) and page["results"] else None
-
-        first = (await _common.eventually(some, 20))["results"]
+        first = await self.first_results(other, "j1")
         self.fleet.fronts[frozen].thaw()
         results = await self.fleet.all_results(other, "j1")
         self.assertEqual(results[: len(first)], first)
--- /dev/null
+++ b/test/test_store_reach.py
@@ -0,0 +1,122 @@
+"""A host that alone cannot reach the store finds a way round, and passes calls on."""
+
+import asyncio
+import unittest
+from types import SimpleNamespace
+
+import msgspec
+
+from goldcrestmoor.adapters.table import Change
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.process.store_reach import (
+    CHECK_MS,
+    MAX_PASSED_ON,
+    STRAIGHT_MS,
+    TURN_MS,
+    HostRow,
+    StoreReach,
+)
+from test._fleet import ManualClock, settle
+
+
+class FakeStore:
+    """The store's client as its reach sees it."""
+
+    def __init__(self):
+        self.ways = []
+        self.is_going_round = False
+        self.is_reached = False
+        self.refused_ms = None
+        self.answered = asyncio.Event()
+
+    async def transact(self, checks, writes):
+        return None
+
+    def refused_age_ms(self):
+        return self.refused_ms
+
+    def go_round(self, address, port, prefix):
+        self.ways.append(address)
+        self.is_going_round = True
+
+    async def try_straight(self):
+        self.is_going_round = not self.is_reached
+
+    async def pass_on(self, *call):
+        await self.answered.wait()
+        return call
+
+
+class StoreReachTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.clock = ManualClock()
+        self.store = FakeStore()
+        self.age_ms = 0
+        self.reach = StoreReach(
+            clock=self.clock,
+            http=SimpleNamespace(request=self.answer),
+            store=self.store,
+            host_id="host-a",
+            row=HostRow("a", "10.1.0.1", 1),
+            heard_age_ms=lambda: self.age_ms,
+        )
+        rows = {
+            "host-b": HostRow("a", "10.1.0.2", 1),
+            "host-c": HostRow("b", "10.2.0.1", 1),
+        }
+        self.reach.apply(
+            [Change(name, 1, msgspec.json.encode(row)) for name, row in rows.items()]
+        )
+
+    async def answer(self, address, port, method, path, **options):
+        return SimpleNamespace(status=200)
+
+    async def watch(self):
+        task = asyncio.create_task(self.reach.run())
+        self.addCleanup(task.cancel)
+        await self.clock.advance(2 * CHECK_MS)
+
+    async def test_it_goes_by_a_host_of_its_zone_and_keeps_to_it_for_a_while(self):
+        self.age_ms = 1500
+        await self.watch()
+        await self.clock.advance(TURN_MS - 4 * CHECK_MS)
+        self.assertEqual(self.store.ways, ["10.1.0.2"])
+        # No feed has come by it: another try, which may be by another host.
+        await self.clock.advance(TURN_MS)
+        self.assertEqual(len(self.store.ways), 2)
+
+    async def test_it_goes_straight_as_soon_as_it_can(self):
+        self.age_ms = 1500
+        await self.watch()
+        self.age_ms = 100
+        self.assertFalse(self.reach.hears_straight())
+        self.store.is_reached = True
+        await self.clock.advance(STRAIGHT_MS + CHECK_MS)
+        self.assertTrue(self.reach.hears_straight())
+        self.assertTrue(self.reach.wants_callers())
+
+    async def test_a_host_that_is_turned_away_stays(self):
+        self.age_ms, self.store.refused_ms = 1500, 200
+        await self.watch()
+        await self.clock.advance(TURN_MS)
+        self.assertEqual(self.store.ways, [])
+        self.assertFalse(self.reach.wants_callers())
+
+    async def test_calls_are_passed_on_up_to_a_bound_and_never_further(self):
+        calls = [
+            asyncio.create_task(self.reach.pass_on("GET", "/x", [], b""))
+            for _ in range(MAX_PASSED_ON)
+        ]
+        await settle()
+        await self.check_refused()
+        self.store.answered.set()
+        await asyncio.gather(*calls)
+        await self.reach.pass_on("GET", "/x", [], b"")
+        # Two hosts that go round would send each other in circles.
+        self.store.is_going_round = True
+        await self.check_refused()
+
+    async def check_refused(self):
+        with self.assertRaises(ServiceError) as caught:
+            await self.reach.pass_on("GET", "/x", [], b"")
+        self.assertIs(caught.exception.kind, ErrorKind.OVERLOADED)
