Take what came during a stall of this process before giving up

Cause: after a stall (a freeze, a machine with no processor to give) the loop hears at once of timers and of what came meanwhile, and asyncio lets the timer win. A connection that the kernel had made was called 'no connection in time', and bytes that lay in the reader were dropped as 'fell silent': ready answers were not delivered, and all streams of a host that woke from a freeze broke.

Conclusion: a wait that ends looks once at what has come.

--- a/goldcrestmoor/connection/http_connection.py
+++ b/goldcrestmoor/connection/http_connection.py
@@ -13,6 +13,9 @@
 # More than an asyncio stream ever holds, so that one read empties it.
 READ_BYTES = 1 << 20
 
+# After a stall of this process the timer ends the wait for a connection that the kernel
+# has made meanwhile; a few turns of the loop later it is there.
+AFTER_STALL_MS = 10
 KEEP_ALIVE = re.compile(rb"timeout=(\d{1,6})")
 # A request must reach the server before it closes the connection as idle.
 KEEP_ALIVE_MARGIN_MS = 500
@@ -67,12 +70,8 @@
         :param limits: the :class:`~goldcrestmoor.settings.LimitSettings`.
         :raises ServiceError: ``UPSTREAM_UNREACHABLE``; nothing was written.
         """
-        address, port = target
         try:
-            async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
-                reader, writer = await asyncio.open_connection(
-                    address, port, local_addr=(source, 0) if source else None
-                )
+            reader, writer = await _open(target, timeout_ms, source)
         except TimeoutError as e:
             raise unreachable(target, "no connection in time") from e
         except OSError as e:
@@ -133,14 +132,23 @@
 
     async def _read(self, timeout_ms):
         try:
-            async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
-                return await self._reader.read(READ_BYTES)
+            return await self._read_within(timeout_ms)
         except TimeoutError as e:
             message = f"{_name(self.target)} fell silent."
             raise ServiceError(ErrorKind.UPSTREAM_TIMEOUT, message) from e
         except OSError as e:
             raise failed(self.target, "connection lost") from e
 
+    async def _read_within(self, timeout_ms):
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
+                return await self._reader.read(READ_BYTES)
+        except TimeoutError:
+            # After a stall of this process the timer ends the wait although bytes have
+            # come meanwhile. They are in the reader, which gives them without a wait.
+            async with asyncio.timeout(0):
+                return await self._reader.read(READ_BYTES)
+
     def _check_head_size(self, head):
         size = sum(len(name) + len(value) for name, value in head.headers)
         if size > self._max_header_bytes:
@@ -200,3 +208,28 @@
 
 def _name(target):
     return f"{target[0]}:{target[1]}"
+
+
+async def _open(target, timeout_ms, source):
+    address, port = target
+    opening = asyncio.ensure_future(
+        asyncio.open_connection(
+            address, port, local_addr=(source, 0) if source else None
+        )
+    )
+    try:
+        for wait_ms in (timeout_ms, AFTER_STALL_MS):
+            await asyncio.wait((opening,), timeout=wait_ms / MS_PER_SECOND)
+            if opening.done():
+                return opening.result()
+        raise TimeoutError
+    except BaseException:
+        opening.add_done_callback(_close_opened)
+        opening.cancel()
+        raise
+
+
+def _close_opened(opening):
+    """Close a connection that was made although nobody waits for it any more."""
+    if not opening.cancelled() and opening.exception() is None:
+        opening.result()[1].close()
--- /dev/null
+++ b/test/test_http_stalls.py
@@ -0,0 +1,102 @@
+"""A process that stood still takes what came meanwhile before it gives up."""
+
+import asyncio
+import socket
+import threading
+import time
+import unittest
+
+from goldcrestmoor.clock import Clock
+from goldcrestmoor.connection.http_client import HttpClient
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from test import _common
+
+TIMEOUT_MS = 200
+STALL_S = 0.6
+# The answers come while the process stands still.
+PAUSE_S = 0.1
+# Takes effect once the request has left or the handshake has begun.
+STALL_AFTER_S = 0.02
+
+
+class ThreadServer:
+    """Answers from a thread, which goes on while the test's loop stands still.
+
+    :param chunks: what it sends, with a pause before each.
+    """
+
+    def __init__(self, chunks):
+        self._chunks = chunks
+        self._socket = socket.create_server(("127.0.0.1", 0))
+        self.port = self._socket.getsockname()[1]
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+        self._thread.start()
+
+    def _serve(self):
+        try:
+            connection, _ = self._socket.accept()
+            with connection:
+                connection.recv(65536)
+                for chunk in self._chunks:
+                    time.sleep(PAUSE_S)
+                    connection.sendall(chunk)
+                connection.recv(1)
+        except OSError:
+            return
+
+    def close(self):
+        self._socket.shutdown(socket.SHUT_RDWR)
+        self._socket.close()
+
+
+class StallTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        # The loop reports slow callbacks, which this test makes on purpose.
+        asyncio.get_running_loop().slow_callback_duration = 2 * STALL_S
+        self.limits = _common.make_settings().limits
+        self.limits.connect_timeout_ms = TIMEOUT_MS
+        self.limits.progress_timeout_ms = TIMEOUT_MS
+        self.client = HttpClient(clock=Clock(), limits=self.limits)
+        self.addAsyncCleanup(self.client.close)
+
+    def start(self, *chunks):
+        server = ThreadServer(chunks)
+        self.addCleanup(server.close)
+        return server.port
+
+    async def get(self, port, timeout_ms=TIMEOUT_MS):
+        return await self.client.request(
+            "127.0.0.1", port, "GET", "/x", timeout_ms=timeout_ms
+        )
+
+    def stall(self, after_s=STALL_AFTER_S):
+        asyncio.get_running_loop().call_later(after_s, time.sleep, STALL_S)
+
+    async def test_an_answer_that_came_during_a_stall_is_delivered(self):
+        port = self.start(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n", b"ab")
+        self.stall()
+        self.assertEqual((await self.get(port)).body, b"ab")
+
+    async def test_a_stream_goes_on_after_a_stall(self):
+        head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        port = self.start(head, b"2\r\nab\r\n", b"2\r\ncd\r\n0\r\n\r\n")
+        # The head is there by then, and the body comes during the stall.
+        self.stall(after_s=1.5 * PAUSE_S)
+        response = await self.get(port, timeout_ms=30_000)
+        self.assertEqual(response.body, b"abcd")
+
+    async def test_silence_is_still_silence_after_a_stall(self):
+        port = self.start()
+        self.stall()
+        started_s = time.monotonic()
+        with self.assertRaises(ServiceError) as caught:
+            await self.get(port)
+        self.assertEqual(caught.exception.kind, ErrorKind.UPSTREAM_TIMEOUT)
+        self.assertLess(time.monotonic() - started_s, STALL_S + 2 * TIMEOUT_MS / 1000)
+
+    async def test_a_connection_that_was_made_during_a_stall_is_used(self):
+        port = self.start(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nab")
+        request = asyncio.create_task(self.get(port, timeout_ms=30_000))
+        # Runs right after the handshake has begun.
+        asyncio.get_running_loop().call_soon(time.sleep, STALL_S)
+        self.assertEqual((await request).body, b"ab")
