Read a body that came during a stall instead of refusing it

Cause: the same as for answers: after a stall the timer of a caller's body ends the wait although the body has come, and the caller, which may not send again after a 400, is refused.

--- a/goldcrestmoor/connection/http_connection.py
+++ b/goldcrestmoor/connection/http_connection.py
@@ -9,6 +9,7 @@
 
 from goldcrestmoor.clock import MS_PER_SECOND
 from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.util import wait_within
 
 # More than an asyncio stream ever holds, so that one read empties it.
 READ_BYTES = 1 << 20
@@ -132,23 +133,13 @@
 
     async def _read(self, timeout_ms):
         try:
-            return await self._read_within(timeout_ms)
+            return await wait_within(timeout_ms, lambda: self._reader.read(READ_BYTES))
         except TimeoutError as e:
             message = f"{_name(self.target)} fell silent."
             raise ServiceError(ErrorKind.UPSTREAM_TIMEOUT, message) from e
         except OSError as e:
             raise failed(self.target, "connection lost") from e
 
-    async def _read_within(self, timeout_ms):
-        try:
-            async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
-                return await self._reader.read(READ_BYTES)
-        except TimeoutError:
-            # After a stall of this process the timer ends the wait although bytes have
-            # come meanwhile. They are in the reader, which gives them without a wait.
-            async with asyncio.timeout(0):
-                return await self._reader.read(READ_BYTES)
-
     def _check_head_size(self, head):
         size = sum(len(name) + len(value) for name, value in head.headers)
         if size > self._max_header_bytes:
--- a/goldcrestmoor/process/http_server.py
+++ b/goldcrestmoor/process/http_server.py
@@ -313,13 +313,11 @@
 
 def _bounded(receive, limits):
     total = 0
-    wait_s = limits.progress_timeout_ms / MS_PER_SECOND
 
     async def receive_bounded():
         nonlocal total
         try:
-            async with asyncio.timeout(wait_s):
-                message = await receive()
+            message = await util.wait_within(limits.progress_timeout_ms, receive)
         except TimeoutError:
             text = "The body stopped coming."
             raise ServiceError(ErrorKind.BAD_REQUEST, text) from None
--- a/goldcrestmoor/util.py
+++ b/goldcrestmoor/util.py
@@ -8,6 +8,8 @@
 
 import xxhash
 
+from goldcrestmoor.clock import MS_PER_SECOND
+
 log = logging.getLogger("goldcrestmoor.util")
 
 ID_BYTES = 12
@@ -53,6 +55,25 @@
     return xxhash.xxh64_intdigest(f"{node}/{key}".encode()), node
 
 
+async def wait_within(timeout_ms, wait):
+    """Return what comes within a time, or has come by its end.
+
+    After a stall of this process the loop hears of the timer and of what came
+    meanwhile at once, and the timer ends the wait. What has come is then there without
+    a wait.
+
+    :param timeout_ms: how long to wait, in milliseconds.
+    :param wait: called for what is awaited; called again after the time has passed.
+    :raises TimeoutError: when nothing has come.
+    """
+    try:
+        async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
+            return await wait()
+    except TimeoutError:
+        async with asyncio.timeout(0):
+            return await wait()
+
+
 class TaskGroup:
     """Tasks that end with their owner, and whose failures are logged."""
 
--- a/test/test_http_server.py
+++ b/test/test_http_server.py
@@ -4,6 +4,8 @@
 import contextlib
 import json
 import socket
+import threading
+import time
 import unittest
 
 from blacksheep import Request, Response, StreamedContent
@@ -161,6 +163,23 @@
             answer = await self.ask_raw(data)
             self.assertIn(b" 400 ", answer, data)
 
+    async def test_a_body_that_came_during_a_stall_is_read(self):
+        head = b"POST /read HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n"
+        patience_s = PROGRESS_TIMEOUT_MS / 1000
+        loop = asyncio.get_running_loop()
+        loop.slow_callback_duration = 4 * patience_s
+        with socket.create_connection(("127.0.0.1", self.port)) as caller:
+            caller.sendall(head)
+            # A thread goes on while the loop stands still.
+            rest = threading.Timer(patience_s, caller.sendall, (b"123456789",))
+            rest.start()
+            self.addCleanup(rest.join)
+            loop.call_later(patience_s / 2, time.sleep, 2 * patience_s)
+            await asyncio.sleep(3 * patience_s)
+            answer = await asyncio.to_thread(caller.recv, 65536)
+        self.assertNotIn(b"stopped coming", answer)
+        self.assertIn(b"HTTP/1.1 400 ", answer)
+
     async def test_a_slow_answer_is_not_taken_for_a_slow_request(self):
         asking = asyncio.create_task(self.ask("GET", "/wait"))
         await asyncio.sleep(2 * PROGRESS_TIMEOUT_MS / 1000)
