Measure a host's bytes over whole rounds of probes

Cause: not the news of the hosts' start, as was read from the code. A trace of single seconds shows no fall after the start. Over 12 s the busiest of 16 hosts takes 1,188 bytes a second, the busiest of 4 hosts 1,088 (the least busy 1,010 and 1,025); over single seconds the busiest of 16 takes up to 2,945. A host is probed once in each round of the others, and a round of the largest fleet takes 4.7 s: in a window of 4 s chance decides who is probed twice, and of more hosts the busiest stands out further.

The window spans two rounds and a half now. The bounds stay as they were: 1.5 times the bytes of 4 hosts, 7,000 a second; the busiest host still counts.

--- a/test/proofs/test_membership_faults.py
+++ b/test/proofs/test_membership_faults.py
@@ -10,7 +10,11 @@
 from test.proofs._fleet import FleetCase
 
 TARGET_BYTES_PER_S = 7000
-WINDOW_S = 4
+# Two rounds of probes and more in the largest fleet here: 7 hosts of the own zone
+# take three of four probes at two a second. Within less than a round some host is
+# probed by chance more often than others, and the more hosts, the further the
+# busiest stands out.
+WINDOW_S = 12
 # From 4 to 16 hosts an exchange between all would grow fivefold.
 MAX_GROWTH = 1.5
 LIST_READ_TWICE_S = 5
