Have the host that accepts a model's first job run it, else one of its zone

Cause: the feed may tell of a job before the write that accepts it is answered. A zone that is cut off then stops trainers of other zones, whose jobs are run in it.

The job is at hand while it is being accepted. The delay of a claim is a decision by itself: none for the host that has the job, a short one for hosts of its zone, a longer one for the others.

--- a/goldcrestmoor/job/board.py
+++ b/goldcrestmoor/job/board.py
@@ -1,6 +1,7 @@
 """All batch jobs that are kept, and those of them that this process runs."""
 
 import asyncio
+import contextlib
 import logging
 import random
 
@@ -10,6 +11,7 @@
 from goldcrestmoor.errors import ServiceError
 from goldcrestmoor.job.job_run import JobRun
 from goldcrestmoor.job.job_store import KeptState, decode_state
+from goldcrestmoor.job.runner_choice import claim_delay_ms
 from goldcrestmoor.util import TaskGroup
 
 log = logging.getLogger("goldcrestmoor.jobs")
@@ -19,9 +21,6 @@
 # So long after others have heard the store and this host has not, its jobs have been
 # taken up elsewhere: the lease, its margin and a claim.
 ABANDON_MS = 3000
-# Hosts that didn't accept a job leave its host this long to take its model's duty.
-CLAIM_DELAY_MS = 300
-CLAIM_JITTER_MS = 300
 RETRY_MS = 250
 TICK_MS = 200
 # How often old jobs are looked for, and how much longer than promised they stay.
@@ -49,6 +48,7 @@
     :param scheduler: the :class:`~goldcrestmoor.job.scheduler.Scheduler`.
     :param routes: gives the ``RouteTable`` in force.
     :param process_id: this process, by a name that no other has.
+    :param zone: this host's availability zone.
     :param kept_ms: how long a job is kept after it was submitted, in milliseconds.
     :param is_cut_off: tells whether others hear the store and this host does not.
     """
@@ -61,6 +61,7 @@
         "_scheduler",
         "_routes",
         "_process_id",
+        "_zone",
         "_changed",
         "_job_by_id",
         "_adopting",
@@ -83,6 +84,7 @@
         scheduler,
         routes,
         process_id,
+        zone,
         kept_ms,
         is_cut_off,
     ):
@@ -93,6 +95,7 @@
         self._scheduler = scheduler
         self._routes = routes
         self._process_id = process_id
+        self._zone = zone
         self._changed = asyncio.Event()
         self._job_by_id = {}
         self._adopting = set()
@@ -148,14 +151,20 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def remember(self, job, kept):
-        """Keep a job that this host has just accepted, to run it without a read.
+    @contextlib.contextmanager
+    def accepting(self, job):
+        """Have a job at hand while it is being accepted, to run it without a read.
+
+        The feed may tell of the job before the write that accepts it is answered.
 
         :param job: the :class:`~goldcrestmoor.job.job.Job`.
-        :param kept: its :class:`~goldcrestmoor.job.job_store.KeptState`.
         """
         self._job_by_id[job.id] = job
-        self.note(job.id, kept)
+        try:
+            yield
+        except BaseException:
+            self._job_by_id.pop(job.id, None)
+            raise
 
     async def wait_listed(self, job_id, after, timeout_ms):
         """Wait until a job has more results listed than a given number.
@@ -289,7 +298,7 @@
     async def _take_up(self, job_id):
         try:
             kept = self.kept_by_job.get(job_id)
-            if kept is None or not await self._has_duty(job_id, kept.state.model):
+            if kept is None or not await self._has_duty(job_id, kept.state):
                 return
             kept = self.kept_by_job.get(job_id)
             if kept is None or not self._is_open(kept.state):
@@ -303,14 +312,15 @@
         finally:
             self._adopting.discard(job_id)
 
-    async def _has_duty(self, job_id, model):
-        name = runner_duty(model)
+    async def _has_duty(self, job_id, state):
+        name = runner_duty(state.model)
         if self._duties.holds(name):
             return True
         if not self._duties.is_free(name):
             return False
-        if job_id not in self._job_by_id:
-            delay_ms = CLAIM_DELAY_MS + random.uniform(0, CLAIM_JITTER_MS)
+        has_job, is_near = job_id in self._job_by_id, state.zone == self._zone
+        delay_ms = claim_delay_ms(has_job, is_near, random.random())
+        if delay_ms:
             await self._clock.sleep_ms(delay_ms)
             if not self._duties.is_free(name) and not self._duties.holds(name):
                 return False
--- a/goldcrestmoor/job/desk.py
+++ b/goldcrestmoor/job/desk.py
@@ -23,15 +23,17 @@
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param store: the :class:`~goldcrestmoor.job.job_store.JobStore`.
     :param board: the :class:`~goldcrestmoor.job.board.Board`.
+    :param zone: this host's availability zone.
     :param is_current: tells whether the board has heard from the store lately.
     """
 
-    __slots__ = ("_clock", "_store", "_board", "_is_current", "_job_by_id")
+    __slots__ = ("_clock", "_store", "_board", "_zone", "_is_current", "_job_by_id")
 
-    def __init__(self, *, clock, store, board, is_current):
+    def __init__(self, *, clock, store, board, zone, is_current):
         self._clock = clock
         self._store = store
         self._board = board
+        self._zone = zone
         self._is_current = is_current
         self._job_by_id = collections.OrderedDict()
 
@@ -46,7 +48,9 @@
             return
         self._check_heard("kept")
         deadline = Deadline.after(self._clock, ACCEPT_TIMEOUT_MS)
-        kept = await self._store.accept(job, deadline)
+        with self._board.accepting(job):
+            kept = await self._store.accept(job, self._zone, deadline)
+            self._board.note(job.id, kept)
         log.info(
             "Job %s is accepted: %d items of %s, step %d, from version %d on.",
             job.id,
@@ -55,7 +59,6 @@
             job.step,
             job.min_version,
         )
-        self._board.remember(job, kept)
 
     async def results(self, call, most_bytes):
         """Return a page of a job's results, waiting for one where that is asked.
--- a/goldcrestmoor/job/job.py
+++ b/goldcrestmoor/job/job.py
@@ -60,6 +60,7 @@
     :param runner: the process that runs it; empty for none yet.
     :param listed: how many results have been listed.
     :param is_ended: whether its submitter has ended it.
+    :param zone: the availability zone of the host that accepted it.
     """
 
     host: str
@@ -71,6 +72,7 @@
     runner: str = ""
     listed: int = 0
     is_ended: bool = False
+    zone: str = ""
 
 
 class Partial(msgspec.Struct, frozen=True):
--- a/goldcrestmoor/job/job_store.py
+++ b/goldcrestmoor/job/job_store.py
@@ -94,10 +94,11 @@
             raise ServiceError(ErrorKind.PLATFORM_UNAVAILABLE, text)
         return now_ms
 
-    async def accept(self, job, deadline):
+    async def accept(self, job, zone, deadline):
         """Keep a job, so that whatever dies it is run; once, however often asked.
 
         :param job: the :class:`~goldcrestmoor.job.job.Job`.
+        :param zone: this host's availability zone.
         :param deadline: when to give up.
         :return: the :class:`KeptState`.
         :raises ServiceError: ``PLATFORM_UNAVAILABLE`` when the job is surely not
@@ -110,6 +111,7 @@
             model=job.model,
             total=len(job.items),
             submitted_ms=self.now_ms(),
+            zone=zone,
         )
         writes = []
         if len(data) <= MAX_WRITE_BYTES:
--- /dev/null
+++ b/goldcrestmoor/job/runner_choice.py
@@ -0,0 +1,29 @@
+"""Which host takes the duty to run a model's jobs when nobody holds it.
+
+The load this answers: a model's first job is accepted, or the host that ran its jobs
+is gone, and every host sees at once that the duty is free. The host that accepted the
+job has its items at hand and starts without a read. Where that host doesn't come, one
+in the same availability zone is preferred: the submitter reads its results there, so
+that a zone that is cut off stops its own trainer only, and not those whose jobs happen
+to be run in it.
+"""
+
+# The host that accepted the job takes the duty within two calls to the store, of some
+# ten milliseconds each; hosts beside it leave it several times as long.
+NEAR_DELAY_MS = 100
+# Hosts of other zones leave those of the job's zone time for the same.
+FAR_DELAY_MS = 350
+# Spreads the claims of hosts that are equally near, of which one can succeed.
+JITTER_MS = 200
+
+
+def claim_delay_ms(has_job, is_near, share):
+    """Return how long to wait before the duty is claimed, in milliseconds.
+
+    :param has_job: whether this host has accepted the job.
+    :param is_near: whether another host of this one's zone has.
+    :param share: a random number from 0 to 1.
+    """
+    if has_job:
+        return 0
+    return (NEAR_DELAY_MS if is_near else FAR_DELAY_MS) + share * JITTER_MS
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -159,6 +159,7 @@
             scheduler=self._scheduler,
             routes=self._routing.current,
             process_id=f"{self.settings.host.id}/{util.new_id()}",
+            zone=self.settings.host.zone,
             kept_ms=self.settings.jobs.kept_s * MS_PER_SECOND,
             is_cut_off=lambda: not self._reach.wants_callers(),
         )
@@ -189,6 +190,7 @@
             clock=clock,
             store=job_store,
             board=self._board,
+            zone=self.settings.host.zone,
             is_current=self._followers[STATE_TABLE].is_current,
         )
 
--- /dev/null
+++ b/test/test_board.py
@@ -0,0 +1,120 @@
+"""Which host takes a job up, and when, against fakes of the store and the duties."""
+
+import asyncio
+import unittest
+
+from goldcrestmoor.clock import Clock
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.job.board import Board
+from goldcrestmoor.job.desk import Desk
+from goldcrestmoor.job.job import Job, JobState
+from goldcrestmoor.job.job_store import KeptState
+from goldcrestmoor.job.runner_choice import FAR_DELAY_MS, NEAR_DELAY_MS
+from test import _common
+
+JOB = Job("j", "h", "/", ())
+# Well under the delay of any host that has not accepted the job.
+AT_ONCE_MS = NEAR_DELAY_MS // 2
+
+
+class FakeDuties:
+    """Free until somebody claims them; notes when that was."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.claims_ms = []
+
+    def holds(self, name):
+        return False
+
+    def is_free(self, name):
+        return not self.claims_ms
+
+    async def claim(self, name, duration_ms):
+        self.claims_ms.append(self._clock.now_ms())
+        return False
+
+
+class FakeStore:
+    """Accepts a job; the board's feed tells of it before the write is answered."""
+
+    def __init__(self, board):
+        self._board = board
+        self.failure = None
+
+    def now_ms(self):
+        return 1000
+
+    async def accept(self, job, zone, deadline):
+        if self.failure:
+            raise self.failure
+        kept = KeptState(JobState(job.host, job.path, job.model, 1, 0, zone=zone), 1)
+        self._board.note(job.id, kept)
+        await asyncio.sleep(0.01)
+        return kept
+
+
+class BoardTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.duties = FakeDuties(self.clock)
+        self.board = Board(
+            clock=self.clock,
+            store=None,
+            duties=self.duties,
+            scheduler=None,
+            routes=lambda: None,
+            process_id="a/1",
+            zone="zone-a",
+            kept_ms=60_000,
+            is_cut_off=lambda: False,
+        )
+        self.store = FakeStore(self.board)
+        self.desk = Desk(
+            clock=self.clock,
+            store=self.store,
+            board=self.board,
+            zone="zone-a",
+            is_current=lambda: True,
+        )
+
+    async def asyncSetUp(self):
+        self.task = asyncio.create_task(self.board.run())
+        self.addAsyncCleanup(self.board.close)
+        self.addCleanup(self.task.cancel)
+        await asyncio.sleep(0)
+
+    async def claim_ms(self, seen_ms):
+        """Return how long after a moment the duty was claimed."""
+        await _common.eventually(lambda: self.duties.claims_ms)
+        return self.duties.claims_ms[0] - seen_ms
+
+    def hear(self, zone):
+        """Take in that a host of a zone has accepted the job."""
+        state = JobState(JOB.host, JOB.path, JOB.model, 1, 0, zone=zone)
+        self.board.note(JOB.id, KeptState(state, 1))
+
+    async def test_the_host_that_accepts_a_job_takes_it_up_at_once(self):
+        seen_ms = self.clock.now_ms()
+        await self.desk.submit(JOB)
+        self.assertLess(await self.claim_ms(seen_ms), AT_ONCE_MS)
+
+    async def test_a_host_beside_the_accepting_one_leaves_it_the_job(self):
+        seen_ms = self.clock.now_ms()
+        self.hear("zone-a")
+        waited_ms = await self.claim_ms(seen_ms)
+        self.assertGreaterEqual(waited_ms, NEAR_DELAY_MS)
+        self.assertLess(waited_ms, FAR_DELAY_MS)
+
+    async def test_a_host_of_another_zone_leaves_the_job_to_its_zone(self):
+        seen_ms = self.clock.now_ms()
+        self.hear("zone-b")
+        self.assertGreaterEqual(await self.claim_ms(seen_ms), FAR_DELAY_MS)
+
+    async def test_a_job_that_was_not_accepted_is_not_at_hand(self):
+        self.store.failure = ServiceError(ErrorKind.PLATFORM_UNAVAILABLE, "down")
+        with self.assertRaises(ServiceError):
+            await self.desk.submit(JOB)
+        seen_ms = self.clock.now_ms()
+        self.hear("zone-a")
+        self.assertGreaterEqual(await self.claim_ms(seen_ms), NEAR_DELAY_MS)
--- a/test/test_decisions.py
+++ b/test/test_decisions.py
@@ -7,6 +7,7 @@
 from goldcrestmoor.job.item_order import order_items, order_jobs
 from goldcrestmoor.job.item_run import ItemRun
 from goldcrestmoor.job.job import Item
+from goldcrestmoor.job.runner_choice import claim_delay_ms
 from goldcrestmoor.job.stragglers import Running, moves
 from goldcrestmoor.process.detour import choose_detour
 from goldcrestmoor.process.readiness import PeerView, Readiness
@@ -34,6 +35,21 @@
     return EngineLoad(name=name, in_flight=in_flight, **fields)
 
 
+class RunnerChoiceTest(unittest.TestCase):
+    def test_a_dead_runner_is_followed_in_the_zone_of_its_trainer(self):
+        shares = [number / 10 for number in range(11)]
+        near = [claim_delay_ms(False, True, share) for share in shares]
+        far = [claim_delay_ms(False, False, share) for share in shares]
+        self.assertEqual(claim_delay_ms(True, True, 1.0), 0)
+        self.assertGreater(min(near), 0)
+        # A claim is two calls to the store; whoever is farther sees that it was made.
+        self.assertGreaterEqual(min(far) - max(near), 50)
+
+    def test_hosts_that_are_equally_near_do_not_claim_all_at_once(self):
+        delays = {claim_delay_ms(False, False, number / 10) for number in range(11)}
+        self.assertEqual(len(delays), 11)
+
+
 class EngineChoiceTest(unittest.TestCase):
     def test_a_step_that_comes_at_once_fills_the_engines_evenly(self):
         in_flight = dict.fromkeys("abcdef", 0)
