Settle a try that is stopped before it has begun

Cause: a task that is cancelled before its first turn runs none of its code, its 'finally' included. A job that ended in that turn left its slots taken, on this host, for as long as the engine lived. A try that failed by a fault of ours would have stayed so too.

How a try ends is settled by the task's end now, however it came.

Before: the new test red (not true within 60 s). After: green, with the six around it.

--- a/goldcrestmoor/job/scheduler.py
+++ b/goldcrestmoor/job/scheduler.py
@@ -1,6 +1,7 @@
 """Starts the items of all jobs that this process runs, as engines have free slots."""
 
 import asyncio
+import functools
 import logging
 
 from goldcrestmoor.job.engine_choice import choose_engine
@@ -170,10 +171,14 @@
         engine = self._pool.upstream(name)
         self._pool.begin(engine)
         job_run.start(run, name)
-        run.task = self._tasks.start(self._run(job_run, run, engine, route))
+        run.task = self._tasks.start(self._attempt(job_run, run, engine, route))
+        # A task that is cancelled before its first turn runs none of its own code.
+        run.task.add_done_callback(
+            functools.partial(self._ended, job_run, run, engine, route)
+        )
         return True
 
-    async def _run(self, job_run, run, engine, route):
+    async def _attempt(self, job_run, run, engine, route):
         terms = ItemTerms(
             job_run.job.host, job_run.job.min_version, route.job.single_version
         )
@@ -188,18 +193,21 @@
                 self._pool.note_taken(engine)
             heard_ms = now_ms
 
-        try:
-            outcome = await self._tries.attempt(run, engine, terms, on_events)
-        except asyncio.CancelledError:
-            if not run.is_moving:
-                raise
-            outcome = Moved()
-        finally:
-            self._pool.end(engine)
-            run.task = None
-            self.wake()
-        if run.item.id in job_run.running_by_id:
+        return await self._tries.attempt(run, engine, terms, on_events)
+
+    def _ended(self, job_run, run, engine, route, task):
+        """Settle a try, however it ended."""
+        self._pool.end(engine)
+        run.task = None
+        self.wake()
+        if run.item.id not in job_run.running_by_id:
+            return
+        if not task.cancelled():
+            failure = task.exception()
+            outcome = Broken(f"{failure!r}") if failure else task.result()
             self._settle(job_run, run, engine, route, outcome)
+        elif run.is_moving:
+            self._settle(job_run, run, engine, route, Moved())
 
     def _move_stragglers(self):
         """Take items off engines that are much slower than the others."""
--- a/test/test_job_run.py
+++ b/test/test_job_run.py
@@ -154,6 +154,30 @@
         await asyncio.sleep(0.25)
         self.assertFalse(running.done())
 
+    async def test_a_try_that_ends_before_it_has_begun_leaves_nothing_behind(self):
+        scheduler = self.make_scheduler()
+        run, _ = make_run(6)
+        scheduler.add(run)
+        scheduler._dispatch()
+        # Both happen in the turn of the loop in which the tries were started.
+        moved = next(iter(run.running_by_id.values()))
+        moved.is_moving = True
+        moved.task.cancel()
+        running = asyncio.create_task(scheduler.run())
+        self.addCleanup(running.cancel)
+        await _common.eventually(lambda: len(self.tries.running) == 6)
+        self.assertFalse(moved.is_moving)
+        run.stop()
+        await _common.eventually(lambda: not self.in_flight())
+        again, _ = make_run(6)
+        scheduler.add(again)
+        scheduler._dispatch()
+        again.stop()
+        await _common.eventually(lambda: not self.in_flight())
+
+    def in_flight(self):
+        return sum(load.in_flight for load in self.pool.loads("pool", MODEL))
+
     async def test_the_text_of_a_long_item_outlives_its_runner(self):
         run, store = make_run(2)
         first = run.waiting[0]
