Hand jobs over at once, with all that was made of them

Cause: a host that is told to stop waited 1.5 s for its running items, which last up to 7.7 s, and then cut them off with up to 30 events and 0.7 s of text unkept.

The runner stops its items, keeps every event and releases the duty; the next one goes on from there some 0.2 to 0.5 s later.

The two new tests were red before (0.5 s passed with nothing kept).

--- a/goldcrestmoor/job/board.py
+++ b/goldcrestmoor/job/board.py
@@ -202,18 +202,20 @@
                 pass
 
     async def hand_over(self, timeout_ms):
-        """Take up no more jobs, and let running items end.
+        """Take up no more jobs, and leave those that are run here to the next runner.
 
-        :param timeout_ms: when to leave the rest to the next runner.
+        An item goes on there from its last event within a fraction of a second; the
+        end of the longest would take many seconds.
+
+        :param timeout_ms: how long keeping their text may take.
         """
         self._is_leaving = True
-        for run in self._runs_by_job.values():
-            run.waiting.clear()
-        until_ms = self._clock.now_ms() + timeout_ms
-        while self._clock.now_ms() < until_ms and any(
-            run.running_by_id for run in self._runs_by_job.values()
-        ):
-            await self._clock.sleep_ms(20)
+        handed_over = [run.hand_over() for run in self._runs_by_job.values()]
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
+                await asyncio.gather(*handed_over)
+        except TimeoutError:
+            log.warning("The text of running items could not be kept in time.")
 
     async def close(self):
         """Stop every job."""
--- a/goldcrestmoor/job/job_run.py
+++ b/goldcrestmoor/job/job_run.py
@@ -53,6 +53,8 @@
         "_finished",
         "_has_finished",
         "_is_over",
+        "_is_handed_over",
+        "_has_ended",
         "_taken_up_ms",
     )
 
@@ -89,12 +91,14 @@
         self._finished = []
         self._has_finished = asyncio.Event()
         self._is_over = False
+        self._is_handed_over = False
+        self._has_ended = asyncio.Event()
         self._taken_up_ms = clock.now_ms()
 
     @property
     def is_over(self):
         """Whether none of its items is to be started any more."""
-        return self._is_over
+        return self._is_over or self._is_handed_over
 
     def age_ms(self):
         """Return for how long this process has run the job."""
@@ -125,7 +129,7 @@
         """
         self.running_by_id.pop(run.item.id, None)
         run.avoid, run.engine = run.engine, None
-        if not self._is_over:
+        if not self.is_over:
             self.waiting.append(run)
 
     def finish(self, run, is_completed):
@@ -161,21 +165,46 @@
                 await self._wait_for_results()
                 if self._is_over or not await self._write():
                     return
+                if self._is_handed_over and not self._has_unkept():
+                    log.info("Job %s is left to the next runner.", self.job.id)
+                    return
             log.info("All results of job %s are listed.", self.job.id)
         finally:
             self.stop()
+            self._has_ended.set()
 
     def stop(self):
         """Start nothing more, and stop what is running."""
         self._is_over = True
         self._has_finished.set()
         self.waiting.clear()
-        for run in list(self.running_by_id.values()):
+        self._stop_running()
+
+    async def hand_over(self):
+        """Stop, once all that was made is kept for the next runner to go on from."""
+        self._is_handed_over = True
+        self.waiting += self._stop_running()
+        self._has_finished.set()
+        await self._has_ended.wait()
+
+    def _stop_running(self):
+        """Stop what is running; return it."""
+        runs = list(self.running_by_id.values())
+        self.running_by_id.clear()
+        for run in runs:
             if run.task is not None:
                 run.task.cancel()
-        self.running_by_id.clear()
+        return runs
+
+    def _has_unkept(self):
+        runs = itertools.chain(self.running_by_id.values(), self.waiting)
+        return bool(self._finished) or any(
+            len(run.events) > run.kept_events for run in runs
+        )
 
     async def _wait_for_results(self):
+        if self._is_handed_over:
+            return
         wait_ms = min(self._keep_left_ms(), KEEP_CHECK_MS)
         if wait_ms > 0:
             try:
@@ -233,10 +262,11 @@
     def _partials(self, room):
         """Return the partial texts that are long enough to be kept, by run."""
         partials = {}
+        least = 1 if self._is_handed_over else KEEP_EVENTS
         if not room.has_room:
             return partials
         for run in itertools.chain(self.running_by_id.values(), self.waiting):
-            if len(run.events) - run.kept_events < KEEP_EVENTS:
+            if len(run.events) - run.kept_events < least:
                 continue
             partial = run.unkept()
             if not room.take(sum(map(len, partial.events))):
--- a/test/test_board.py
+++ b/test/test_board.py
@@ -10,7 +10,9 @@
 from goldcrestmoor.job.job import Job, JobState
 from goldcrestmoor.job.job_store import KeptState
 from goldcrestmoor.job.runner_choice import FAR_DELAY_MS, NEAR_DELAY_MS
+from goldcrestmoor.request.event_stream import Event
 from test import _common
+from test.test_job_run import make_run
 
 JOB = Job("j", "h", "/", ())
 # Well under the delay of any host that has not accepted the job.
@@ -111,6 +113,18 @@
         self.hear("zone-b")
         self.assertGreaterEqual(await self.claim_ms(seen_ms), FAR_DELAY_MS)
 
+    async def test_a_host_that_leaves_does_not_wait_for_long_items(self):
+        run, store = make_run(1)
+        item = run.waiting[0]
+        run.start(item, "a")
+        item.add(Event("0", "e0", None, b""), 1)
+        self.board._runs_by_job[run.job.id] = run
+        listing = asyncio.create_task(run.list_results())
+        self.addCleanup(listing.cancel)
+        async with asyncio.timeout(0.5):
+            await self.board.hand_over(5000)
+        self.assertEqual([p.events for p in store.partials], [("e0",)])
+
     async def test_a_job_that_was_not_accepted_is_not_at_hand(self):
         self.store.failure = ServiceError(ErrorKind.PLATFORM_UNAVAILABLE, "down")
         with self.assertRaises(ServiceError):
--- a/test/test_job_run.py
+++ b/test/test_job_run.py
@@ -207,6 +207,30 @@
         self.assertEqual(again.waiting[0].events, ["new"])
         self.assertEqual(again.waiting[0].versions, [2])
 
+    async def test_a_job_is_handed_over_with_all_that_was_made(self):
+        scheduler = self.make_scheduler()
+        run, store = make_run(3)
+        long, short = run.waiting[:2]
+        scheduler.add(run)
+        running = asyncio.create_task(scheduler.run())
+        self.addCleanup(running.cancel)
+        listing = asyncio.create_task(run.list_results())
+        await _common.eventually(lambda: len(self.tries.running) == 3)
+        # Far fewer events than are kept while the job is run here.
+        for number in range(3):
+            long.add(Event(str(number), f"e{number}", None, b""), 1)
+        self.tries.running[short.item.id].set_result(None)
+        await asyncio.sleep(0.01)
+        async with asyncio.timeout(0.3):
+            await run.hand_over()
+            await listing
+        self.assertEqual([result.id for result in store.results], [short.item.id])
+        again, _ = make_run(3, {long.position: store.partials})
+        self.assertEqual(again.waiting[long.position].events, ["e0", "e1", "e2"])
+        scheduler.wake()
+        await asyncio.sleep(0.05)
+        self.assertEqual(len(self.tries.seen), 3)
+
     async def test_finished_items_are_listed_together(self):
         scheduler = self.make_scheduler()
         run, store = make_run(6)
