Log streams like answers, and blame no engine for a caller's patience

A stream that was passed on left no line with its engine, so that an operator could not tell from an id where it had run. A stream that its caller's deadline ended counted as its engine's failure, and a whole one cleared nothing.

Before: two of the three new tests red. After: green.

--- a/goldcrestmoor/request/streaming.py
+++ b/goldcrestmoor/request/streaming.py
@@ -82,6 +82,7 @@
                         yield end
                         return
                     if end is None:
+                        tries.note_answer(response.status)
                         if not has_head:
                             has_head = True
                             yield tuple(response.headers)
@@ -91,17 +92,27 @@
                                 has_events = True
                                 yield event.raw
                         if not reader.has_rest:
+                            self._loads.note_answer(upstream, tries.route.name)
                             return
                         end = TryEnd(Ran.UNKNOWN, "The stream ended within an event")
+                if end.ran is not Ran.NOT_RUN:
+                    self._loads.note_failure(upstream)
             except ServiceError as e:
+                self._note_error(upstream, tries, e)
                 end = TryEnd(e.answer.ran, e.message)
-            if end.ran is not Ran.NOT_RUN:
-                self._loads.note_failure(upstream)
             may_resume = last_id and tries.route.repeat is Repeat.RESUMED
             if has_events and not may_resume:
                 raise ServiceError(ErrorKind.UPSTREAM_FAILED, end.reason)
             tries.settle(end)
 
+    def _note_error(self, upstream, tries, error):
+        # Silence within the stream is its engine's; a stream that is longer than its
+        # caller waits says nothing of the engine.
+        if error.kind is ErrorKind.UPSTREAM_TIMEOUT and tries.deadline.passed():
+            self._loads.note_timeout(upstream, tries.route.name)
+        else:
+            self._loads.note_failure(upstream)
+
     @contextlib.asynccontextmanager
     async def _opened(self, upstream, tries, last_id):
         request = tries.request
--- /dev/null
+++ b/test/test_streaming.py
@@ -0,0 +1,118 @@
+"""What a stream's course says of its engine, and what is logged of it."""
+
+import contextlib
+import unittest
+from types import SimpleNamespace
+
+from goldcrestmoor.clock import Deadline
+from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
+from goldcrestmoor.platform import servers
+from goldcrestmoor.process.metrics import Metrics
+from goldcrestmoor.request.forwarding import CallerRequest
+from goldcrestmoor.request.streaming import StreamForwarder
+from goldcrestmoor.request.upstream_loads import UpstreamLoads
+from goldcrestmoor.version.configuration.routes import (
+    Repeat,
+    Route,
+    RouteKind,
+    ServiceShare,
+)
+from test._fleet import ManualClock
+
+SERVICE = "pool"
+DEADLINE_MS = 1000
+HEADERS = [(b"content-type", b"text/event-stream")]
+REQUEST = CallerRequest("s1", "POST", "/stream", (), b"")
+ROUTE = Route(
+    name="streams",
+    host="h",
+    path_prefix="/",
+    kind=RouteKind.STREAM,
+    repeat=Repeat.RESUMED,
+    shares=(ServiceShare(SERVICE),),
+    timeout_ms=DEADLINE_MS,
+    target_ms=400,
+)
+DIALECT = SimpleNamespace(
+    EVENT_FIELDS=servers.EVENT_FIELDS,
+    request_headers=lambda headers, upstream, left_ms: list(headers),
+    resume_header=lambda last_id: (b"last-event-id", last_id.encode()),
+    ran=lambda status, headers: Ran.RAN,
+    is_genuine=lambda request_id, status, headers: True,
+)
+
+
+class FakeHttp:
+    """Streams chunks; then ends, or falls silent after some time.
+
+    :param clock: moved on by the silence.
+    :param silent_ms: how long the stream is silent, or None for a whole one.
+    """
+
+    def __init__(self, clock, silent_ms=None):
+        self._clock = clock
+        self._silent_ms = silent_ms
+
+    def has_idle(self, address, port):
+        return True
+
+    @contextlib.asynccontextmanager
+    async def stream(self, *args, **options):
+        yield SimpleNamespace(status=200, headers=HEADERS, body=self._body)
+
+    async def _body(self):
+        yield b"id: 1\ndata: a\n\n"
+        if self._silent_ms is not None:
+            self._clock._now_ms += self._silent_ms
+            raise ServiceError(ErrorKind.UPSTREAM_TIMEOUT, "It fell silent.")
+
+
+class StreamingTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = ManualClock()
+        self.upstreams = [
+            SimpleNamespace(name=n, address="10.0.0.1", port=1, slots=6, zone="a")
+            for n in ("engine-1", "engine-2")
+        ]
+
+    def make(self, silent_ms=None):
+        http = FakeHttp(self.clock, silent_ms)
+        self.loads = UpstreamLoads(
+            clock=self.clock,
+            http=http,
+            directory=SimpleNamespace(usable=lambda service: self.upstreams),
+            zone="a",
+        )
+        return StreamForwarder(
+            http=http, loads=self.loads, dialect=DIALECT, metrics=Metrics()
+        )
+
+    async def read(self, forwarder):
+        deadline = Deadline.after(self.clock, DEADLINE_MS)
+        answer = await forwarder.forward(REQUEST, ROUTE, deadline)
+        async with contextlib.aclosing(answer.events) as events:
+            return b"".join([event async for event in events])
+
+    def chosen(self):
+        return self.loads.choose(SERVICE, ()).name
+
+    async def test_a_whole_stream_clears_its_engine(self):
+        forwarder = self.make()
+        self.loads.note_failure(self.upstreams[0])
+        self.loads.note_failure(self.upstreams[1])
+        with self.assertLogs("goldcrestmoor.forward", "INFO") as logged:
+            self.assertIn(b"data: a", await self.read(forwarder))
+        self.assertIn("Request s1 on route streams answered 200", logged.output[0])
+        self.assertFalse(self.loads._failure_by_name.keys() >= {"engine-1", "engine-2"})
+
+    async def test_a_stream_that_outlasts_its_callers_patience_blames_no_engine(self):
+        forwarder = self.make(silent_ms=DEADLINE_MS)
+        with self.assertRaises(ServiceError):
+            await self.read(forwarder)
+        self.assertEqual(self.chosen(), "engine-1")
+
+    async def test_silence_within_a_stream_is_its_engines(self):
+        forwarder = self.make(silent_ms=DEADLINE_MS // 2)
+        with self.assertRaises(ServiceError):
+            await self.read(forwarder)
+        self.assertEqual(self.chosen(), "engine-2")
