--- a/goldcrestmoor/connection/health.py
+++ b/goldcrestmoor/connection/health.py
@@ -7,9 +7,13 @@
 
 log = logging.getLogger("goldcrestmoor.health")
 
+# Bounds the memory; several times the 700 servers of a large fleet.
 MAX_UPSTREAMS = 4096
+# One or two lost answers are a link's; three in a row are the upstream's.
 FAILURES_UNTIL_OUT = 3
+# A restart takes about a second.
 OUT_MIN_MS = 1_000
+# An upstream that stays away is tried once a minute.
 OUT_MAX_MS = 60_000
 
 # A probe whose outcome is never recorded does not hold up the next one for good.
@@ -17,9 +21,13 @@
 
 # Latencies are compared this often, as it costs time with each upstream of a pool.
 JUDGE_INTERVAL_MS = 500
+# Latency that differs by less comes from the requests, not from the upstream.
 SLOW_FACTOR = 4
+# Among answers of a few milliseconds a factor alone says nothing.
 SLOW_MARGIN_MS = 50
+# Enough for a median that one odd answer doesn't move.
 LATENCIES_KEPT = 20
+# Fewer give no median to compare.
 LATENCIES_NEEDED = 8
 
 # At most one upstream in so many is kept out of a pool, but one of two may be.
--- a/goldcrestmoor/connection/http_pool.py
+++ b/goldcrestmoor/connection/http_pool.py
@@ -9,7 +9,9 @@
 
 log = logging.getLogger("goldcrestmoor.pool")
 
+# A burst to one upstream is at most its slots; more would stay idle.
 MAX_IDLE_PER_TARGET = 32
+# Bounds the descriptors of idle connections; the smallest hosts have 4,100.
 MAX_IDLE = 1024
 
 # A server that has just answered is alive and is not about to close the connection
--- a/goldcrestmoor/connection/peer_link.py
+++ b/goldcrestmoor/connection/peer_link.py
@@ -9,8 +9,11 @@
 
 log = logging.getLogger("goldcrestmoor.peers")
 
+# Bounds what is kept for a peer that takes nothing.
 MAX_OUTBOX = 1000
+# A sound peer answers in milliseconds.
 SILENT_MS = 1000
+# One lost answer may be the call's; two are the connection's.
 SILENT_CALLS = 2
 
 
--- a/goldcrestmoor/connection/peer_sockets.py
+++ b/goldcrestmoor/connection/peer_sockets.py
@@ -6,15 +6,23 @@
 import zmq.asyncio
 import zmq.auth.asyncio
 
+# One thread carries far more than the control traffic of a host.
 IO_THREADS = 1
+# The same as the outbox above it, so that neither hides the other's limit.
 HIGH_WATER_MESSAGES = 1000
+# Above the largest message, a step that is handed over.
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+# With the interval and the probes below, a dead peer is known within 25 s.
 KEEPALIVE_IDLE_S = 10
 KEEPALIVE_INTERVAL_S = 5
 KEEPALIVE_PROBES = 3
+# A peer that restarts is back within a second.
 RECONNECT_MIN_MS = 100
+# A peer that stays away costs one attempt every two seconds.
 RECONNECT_MAX_MS = 2000
+# A round trip between regions is a tenth of a second at the most.
 CONNECT_TIMEOUT_MS = 2000
+# Two round trips and some time for the keys.
 HANDSHAKE_TIMEOUT_MS = 2000
 
 
--- a/goldcrestmoor/connection/peers.py
+++ b/goldcrestmoor/connection/peers.py
@@ -19,12 +19,19 @@
 
 log = logging.getLogger("goldcrestmoor.peers")
 
+# A host talks to the peers of its duties and its probes, some dozens.
 MAX_LINKS = 128
+# Bounds the memory that silent peers cost.
 MAX_PENDING_CALLS = 10_000
+# Bounds what peers can make this host work on at a time.
 MAX_HANDLERS = 1024
+# Probes use most links more often; the others are cheap to dial again.
 IDLE_LINK_MS = 120_000
+# How often idle links are looked for.
 SWEEP_MS = 5000
+# Messages without an answer are news, which is stale by then.
 SEND_DEADLINE_MS = 1000
+# Two processes never draw the same number.
 INCARNATION_BYTES = 8
 COUNTER_BYTES = frames.CALL_ID_BYTES - INCARNATION_BYTES
 WHERE = "peer"
@@ -32,6 +39,7 @@
 # A call may wait long for its answer; meanwhile the link is asked to show that it
 # still carries anything.
 PING_AFTER_MS = 1000
+# As long as a silent peer is borne with.
 PING_TIMEOUT_MS = 1000
 
 call_deadline = contextvars.ContextVar("call_deadline", default=None)
--- a/goldcrestmoor/connection/retry_budget.py
+++ b/goldcrestmoor/connection/retry_budget.py
@@ -3,7 +3,9 @@
 import collections
 
 PERCENT = 100
+# Bounds the memory; several times the 700 servers of a large fleet.
 MAX_UPSTREAMS = 4096
+# A quiet upstream may have a short burst of retries.
 MAX_SAVED_RETRIES = 10
 
 # An upstream with little traffic may still be given a retry this often.
--- a/goldcrestmoor/job/board.py
+++ b/goldcrestmoor/job/board.py
@@ -21,7 +21,9 @@
 # So long after others have heard the store and this host has not, its jobs have been
 # taken up elsewhere: the lease, its margin and a claim.
 ABANDON_MS = 3000
+# An outage of the store lasts seconds; its end is noticed within a quarter of one.
 RETRY_MS = 250
+# Leases lapse without an event that wakes the board.
 TICK_MS = 200
 # How often old jobs are looked for, and how much longer than promised they stay.
 SWEEP_MS = 5000
--- a/goldcrestmoor/job/desk.py
+++ b/goldcrestmoor/job/desk.py
@@ -12,6 +12,7 @@
 
 # Submitters come back quickly, to another host: longer trying here helps nobody.
 ACCEPT_TIMEOUT_MS = 2500
+# Outages of the store last seconds; submitters hear of its end soon and don't press it.
 STORE_RETRY_AFTER_MS = 500
 # Jobs whose bodies were asked for lately; clients ask for several items in a row.
 MAX_JOBS_CACHED = 2
--- a/goldcrestmoor/job/engine_pool.py
+++ b/goldcrestmoor/job/engine_pool.py
@@ -10,6 +10,7 @@
 REFUSED_PAUSE_MS = 100
 # An engine that crashed or is cut off is listed for some seconds yet.
 FAILED_PAUSE_MS = 500
+# A dead engine is off the list after three missed heartbeats, some four seconds.
 FAILED_PAUSE_MAX_MS = 4000
 # An engine that has made events since then lives, whatever became of one stream.
 ALIVE_MS = 300
--- a/goldcrestmoor/job/job_store.py
+++ b/goldcrestmoor/job/job_store.py
@@ -28,16 +28,21 @@
 MAX_CHUNK_BYTES = 60_000
 # Of one transaction: the store takes 100 entries and 1 MB after base64.
 MAX_WRITES = 90
+# 600 kB are 800 kB after base64, which leaves room for keys and checks.
 MAX_WRITE_BYTES = 600_000
 # Of an entry beside its text: ids, versions and their encoding.
 ENTRY_BYTES = 600
 MORE = b"+"
 LAST = b"."
+# Ten times the usual answer of the store.
 RETRY_MIN_MS = 40
+# The end of an outage is noticed within this.
 RETRY_MAX_MS = 400
+# Keys sort as their numbers do, up to a million items.
 POSITION_DIGITS = 6
 # Results of one read: a few hundred kilobytes at most, quick also from a slow store.
 READ_ROWS = 48
+# Tells apart the few objects that one job could be kept in.
 DIGEST_BYTES = 8
 
 _job_decoder = msgspec.msgpack.Decoder(Job)
--- a/goldcrestmoor/platform/callers.py
+++ b/goldcrestmoor/platform/callers.py
@@ -14,6 +14,7 @@
 WAIT_HEADER = b"wait-ms"
 # The client's guess at the number of output tokens.
 LENGTH_HEADER = "length-hint"
+# The longest that readers ask for.
 MAX_WAIT_MS = 1000
 # A page of results is at most 1 MB; the JSON around the texts needs some of it.
 MAX_PAGE_BYTES = 900_000
--- a/goldcrestmoor/platform/servers.py
+++ b/goldcrestmoor/platform/servers.py
@@ -30,7 +30,9 @@
 # Set anew for each server, whatever the caller sent.
 _OWN_HEADERS = frozenset((INSTANCE_HEADER, DEADLINE_HEADER, b"content-length"))
 _JSON = [(b"content-type", b"application/json")]
+# A report needs no slot and comes within a round trip.
 REPORT_TIMEOUT_MS = 500
+# Workers that leave orders unanswered say no more after this.
 ORDER_TIMEOUT_MS = 1500
 
 
--- a/goldcrestmoor/process/daemon.py
+++ b/goldcrestmoor/process/daemon.py
@@ -33,7 +33,9 @@
 
 log = logging.getLogger("goldcrestmoor.daemon")
 
+# Metrics are scraped every few seconds.
 GAUGE_INTERVAL_MS = 1000
+# A clean end of what runs takes milliseconds; a hung part must not hold up the rest.
 CLOSE_TIMEOUT_MS = 5000
 
 
--- a/goldcrestmoor/process/decisions.py
+++ b/goldcrestmoor/process/decisions.py
@@ -4,8 +4,11 @@
 
 import msgspec
 
+# Some minutes of a host's share of the load, in a few megabytes.
 MAX_REQUESTS = 2000
+# A request that is sent again and again needs no longer story.
 MAX_DECISIONS_PER_REQUEST = 50
+# What an operator reads at once.
 MAX_RECENT = 200
 
 
--- a/goldcrestmoor/process/follower.py
+++ b/goldcrestmoor/process/follower.py
@@ -10,7 +10,9 @@
 
 # Short, so that a feed that has gone silent is noticed within a second.
 FEED_WAIT_MS = 500
+# Ten times the usual answer of the store.
 RETRY_MIN_MS = 50
+# The end of an outage is noticed within this.
 RETRY_MAX_MS = 400
 # Two missed answers of the feed: what is known may be out of date.
 OUTAGE_MS = 1000
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -41,9 +41,12 @@
 
 log = logging.getLogger("goldcrestmoor.front")
 
+# Two calls to the store when it is slow.
 CLOSE_TIMEOUT_MS = 1500
 # The sections of the settings that a reload puts in force.
 RELOADED = frozenset({"log", "shutdown"})
+# A write of all running texts takes some 50 ms, and several tries when the store is
+# slow.
 HAND_OVER_MS = 1500
 # Callers keep connections for up to four fifths of the idle time of their limits.
 IDLE_MS = 16_000
@@ -51,10 +54,12 @@
 LIST_PAUSE_MS = 300
 # A busy job's state changes with every batch of results.
 JOBS_PAUSE_MS = 40
+# A lease is renewed every half second; its silence is noticed no later for this.
 LEASES_PAUSE_MS = 200
 # Less than a runner's lease with its margin; a slow store may take a second to answer,
 # and a dead runner must be followed by another all the same.
 LEASES_OUTAGE_MS = 2000
+# Shorter than anybody notices.
 DRAIN_POLL_MS = 20
 STORE_METHODS = ("GET", "POST", "PUT", "DELETE")
 BYTES = b"application/octet-stream"
--- a/goldcrestmoor/process/front_callers.py
+++ b/goldcrestmoor/process/front_callers.py
@@ -21,6 +21,7 @@
 
 JSON = b"application/json"
 BYTES = b"application/octet-stream"
+# A host that starts has its routes after a few reads of the store.
 NO_ROUTES_RETRY_MS = 500
 
 # Kinds of requests that no route names.
--- a/goldcrestmoor/process/http_server.py
+++ b/goldcrestmoor/process/http_server.py
@@ -20,7 +20,9 @@
 
 log = logging.getLogger("goldcrestmoor.http")
 
+# Callers that ask every few seconds keep their connection.
 KEEP_ALIVE_MS = 30_000
+# What is cut off still gets to say so.
 STOP_GRACE_MS = 2000
 UNCOUNTED_PATHS = frozenset({"/healthz", "/readyz", "/metrics"})
 EXIT_CANNOT_LISTEN = 1
--- a/goldcrestmoor/process/leases.py
+++ b/goldcrestmoor/process/leases.py
@@ -18,9 +18,14 @@
 
 log = logging.getLogger("goldcrestmoor.leases")
 
+# A renewal may be on its way for a slow answer of the store, and clocks may differ a
+# little.
 TAKE_MARGIN_MS = 1000
+# Two renewals may be lost without the lease.
 RENEWALS_PER_DURATION = 3
+# Bounds the memory; several times the duties of a fleet.
 MAX_WATCHED = 1000
+# Two processes never draw the same token.
 TOKEN_BYTES = 12
 
 
--- a/goldcrestmoor/process/member_table.py
+++ b/goldcrestmoor/process/member_table.py
@@ -9,12 +9,20 @@
 
 log = logging.getLogger("goldcrestmoor.membership")
 
+# Several times the 350 hosts of a large fleet.
 MAX_MEMBERS = 2000
+# Keeps a probe within one packet.
 MAX_UPDATES = 6
+# Sent this many times the logarithm of the fleet, news misses no host but by great
+# chance.
 SENDS_FACTOR = 3
+# A host that is replaced is back within minutes, if at all.
 FORGET_MS = 600_000
+# Returns that are further apart have nothing to do with one another.
 FLAP_MEMORY_MS = 300_000
+# The second return within minutes costs the host a few seconds of work.
 HOLD_MIN_MS = 5000
+# A host that has settled is not kept idle for longer.
 HOLD_MAX_MS = 60_000
 
 _RANK_BY_STATE = {
--- a/goldcrestmoor/process/membership.py
+++ b/goldcrestmoor/process/membership.py
@@ -24,14 +24,23 @@
 
 log = logging.getLogger("goldcrestmoor.membership")
 
+# Two ways round one bad link.
 INDIRECT_PROBES = 2
+# Slow peers don't pile up; at two probes a second this is four seconds of them.
 MAX_PROBES = 8
+# A page is about six kilobytes.
 SYNC_PAGE_RECORDS = 64
+# A page takes milliseconds between zones.
 SYNC_TIMEOUT_MS = 1000
+# Zones that part and meet again and again don't sync all the time.
 SYNC_REPEAT_MS = 30_000
+# A host that can join is in within this.
 JOIN_BACKOFF_MAX_MS = 5000
+# Longer than any load delays the loop, shorter than what makes a host suspect.
 FROZEN_MS = 1000
+# From this many hosts the news reaches a zone in two rounds.
 LEAVE_FANOUT = 8
+# Keeps the message within a few kilobytes; longer lists are read by each host.
 MAX_LISTED_LEAVING = 256
 
 
--- a/goldcrestmoor/process/probe_ring.py
+++ b/goldcrestmoor/process/probe_ring.py
@@ -4,7 +4,9 @@
 
 from goldcrestmoor.process.membership_messages import HostState
 
+# The own zone is watched closely; of the others each is heard through many hosts.
 OTHER_ZONE_EVERY = 4
+# Hosts that come back are found without much traffic for those that don't.
 DEAD_EVERY = 5
 
 
--- a/goldcrestmoor/process/shutdown.py
+++ b/goldcrestmoor/process/shutdown.py
@@ -9,8 +9,11 @@
 
 log = logging.getLogger("goldcrestmoor.shutdown")
 
+# Some probes' time; who is not told finds out.
 LEAVE_TIMEOUT_MS = 2000
+# A step with all its samples, twice as long as that takes on a loaded host.
 HAND_OVER_TIMEOUT_MS = 12_000
+# Shorter than anybody notices.
 DRAIN_POLL_MS = 20
 
 
--- a/goldcrestmoor/process/spread.py
+++ b/goldcrestmoor/process/spread.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+# Three hops reach 500 hosts.
 FAN_OUT = 8
 
 
--- a/goldcrestmoor/process/store_reach.py
+++ b/goldcrestmoor/process/store_reach.py
@@ -19,6 +19,7 @@
 CALLS_PREFIX = "/store/calls"
 # Two waits of the quickest feed.
 UNHEARD_MS = 1000
+# A host that loses the store is known to within half a second, two checks.
 CHECK_MS = 250
 # Half a round trip between regions is some tens of milliseconds.
 ASK_TIMEOUT_MS = 300
@@ -33,7 +34,9 @@
 PASS_ON_TIMEOUT_MS = 1500
 # Asked of the own zone and of all others together; enough that one lives.
 ASKED_OF_OWN = 2
+# Bounds the traffic of an outage; a majority of four is enough to tell.
 ASKED_OF_OTHERS = 4
+# An outage of the store lasts seconds.
 REGISTER_RETRY_MS = 500
 STATUS_OK = 200
 
--- a/goldcrestmoor/request/send_again.py
+++ b/goldcrestmoor/request/send_again.py
@@ -16,7 +16,9 @@
 # A first try that may be repeated gives way to the second after this share of the
 # time that is left, or after the time within which an answer is worth most.
 FIRST_TRY_SHARE = 0.45
+# A server of six slots and requests of 25 ms works off a queue of 24 in this time.
 RETRY_AFTER_FULL_MS = 100
+# A server that has gone leaves the list, or another comes, within a few of these.
 RETRY_AFTER_NONE_MS = 500
 
 
--- a/goldcrestmoor/request/upstream_choice.py
+++ b/goldcrestmoor/request/upstream_choice.py
@@ -11,7 +11,9 @@
 
 # In-flight requests that a way over an open connection in this zone is worth.
 NEW_CONNECTION_COST = 2.0
+# Half a slot: worth going to another zone for when the own one is fuller by more.
 OTHER_ZONE_COST = 0.5
+# Above any load, so that one that failed is the last resort.
 FAILED_COST = 100.0
 
 
--- a/goldcrestmoor/request/upstream_loads.py
+++ b/goldcrestmoor/request/upstream_loads.py
@@ -7,7 +7,9 @@
 # An upstream that failed is left alone for so long while there is another, twice as
 # long after each further failure: a server that is cut off is listed for seconds yet.
 FAILED_PAUSE_MS = 1000
+# A dead server is off the list by then.
 FAILED_PAUSE_MAX_MS = 8000
+# Further failures in a row do not lengthen the pause.
 MAX_FAILURES = 8
 
 
--- a/goldcrestmoor/util.py
+++ b/goldcrestmoor/util.py
@@ -12,6 +12,7 @@
 
 log = logging.getLogger("goldcrestmoor.util")
 
+# Two processes never draw the same identifier.
 ID_BYTES = 12
 # A part that fails at each start must not take the whole processor.
 RESTART_MS = 100
--- a/goldcrestmoor/version/weights/load_orders.py
+++ b/goldcrestmoor/version/weights/load_orders.py
@@ -14,6 +14,7 @@
 
 log = logging.getLogger("goldcrestmoor.orders")
 
+# Pauses end without an event that wakes the loop.
 TICK_MS = 100
 # A trainer that is late asks for its next step right after it names a version, and
 # that step should find the engines free.
