--- a/goldcrestmoor/job/runner_choice.py
+++ b/goldcrestmoor/job/runner_choice.py
@@ -23,7 +23,7 @@
 
     :param has_job: whether this host has accepted the job.
     :param held_duty: whether an earlier process of this host held the duty last.
-    :param is_near: whether another host of this one's zone has.
+    :param is_near: whether a host of this one's zone has accepted it.
     :param share: a random number from 0 to 1.
     """
     if has_job or held_duty:
--- a/goldcrestmoor/job/scheduler.py
+++ b/goldcrestmoor/job/scheduler.py
@@ -201,6 +201,7 @@
         run.task = None
         self.wake()
         if run.item.id not in job_run.running_by_id:
+            # The job is over, or left to another runner.
             return
         if not task.cancelled():
             failure = task.exception()
