Call a connection that was reset at once unreachable

An OSError is no ServiceError: callers would have got an internal error.

The option is set where errors of dialling are told: nothing was written, so the target was not reached. Before: the new test red with the very error. After: green, with the 28 around it.

--- a/goldcrestmoor/connection/http_connection.py
+++ b/goldcrestmoor/connection/http_connection.py
@@ -73,16 +73,16 @@
         """
         try:
             reader, writer = await _open(target, timeout_ms, source)
+            # The kernel gives up bytes that the other end never acknowledges. A
+            # connection that was reset meanwhile has no socket any more.
+            writer.get_extra_info("socket").setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limits.progress_timeout_ms
+            )
         except TimeoutError as e:
             raise unreachable(target, "no connection in time") from e
         except OSError as e:
             raise unreachable(target, "connection refused") from e
-        connection = cls(reader, writer, target, limits.max_header_bytes)
-        # The kernel gives up bytes that the other end never acknowledges.
-        writer.get_extra_info("socket").setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limits.progress_timeout_ms
-        )
-        return connection
+        return cls(reader, writer, target, limits.max_header_bytes)
 
     def is_clean(self):
         """Tell whether it is open with nothing unread on it."""
--- a/test/test_http_stalls.py
+++ b/test/test_http_stalls.py
@@ -5,8 +5,10 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 from goldcrestmoor.clock import Clock
+from goldcrestmoor.connection import http_connection
 from goldcrestmoor.connection.http_client import HttpClient
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from test import _common
@@ -100,3 +102,21 @@
         # Runs right after the handshake has begun.
         asyncio.get_running_loop().call_soon(time.sleep, STALL_S)
         self.assertEqual((await request).body, b"ab")
+
+    async def test_a_connection_that_is_reset_at_once_was_never_reached(self):
+        port = self.start()
+        real_open = http_connection._open
+
+        async def open_and_lose(*args):
+            reader, writer = await real_open(*args)
+            writer.transport.abort()
+            # The transport closes its socket in the next turn of the loop.
+            await asyncio.sleep(0.01)
+            return reader, writer
+
+        with (
+            mock.patch.object(http_connection, "_open", open_and_lose),
+            self.assertRaises(ServiceError) as caught,
+        ):
+            await self.get(port)
+        self.assertEqual(caught.exception.kind, ErrorKind.UPSTREAM_UNREACHABLE)
