Say once which texts are long enough to be kept

What is kept of running and waiting items was decided in two loops with two thresholds: in the write, and in the look whether a hand-over has anything left. One generator serves both.

Ruled out: joining it with the pauses that grow with failures in EnginePool and UpstreamLoads, which are alike too; that is left for a change of its own.

--- a/goldcrestmoor/job/job_run.py
+++ b/goldcrestmoor/job/job_run.py
@@ -197,10 +197,7 @@
         return runs
 
     def _has_unkept(self):
-        runs = itertools.chain(self.running_by_id.values(), self.waiting)
-        return bool(self._finished) or any(
-            len(run.events) > run.kept_events for run in runs
-        )
+        return bool(self._finished) or any(self._with_unkept())
 
     async def _wait_for_results(self):
         if self._is_handed_over:
@@ -262,18 +259,22 @@
     def _partials(self, room):
         """Return the partial texts that are long enough to be kept, by run."""
         partials = {}
-        least = 1 if self._is_handed_over else KEEP_EVENTS
         if not room.has_room:
             return partials
-        for run in itertools.chain(self.running_by_id.values(), self.waiting):
-            if len(run.events) - run.kept_events < least:
-                continue
+        for run in self._with_unkept():
             partial = run.unkept()
             if not room.take(sum(map(len, partial.events))):
                 break
             partials[run] = partial
         return partials
 
+    def _with_unkept(self):
+        """Yield the items whose text has grown enough to be kept again."""
+        least = 1 if self._is_handed_over else KEEP_EVENTS
+        for run in itertools.chain(self.running_by_id.values(), self.waiting):
+            if len(run.events) - run.kept_events >= least:
+                yield run
+
     def _is_still_runner(self, kept):
         if kept is not None and kept.state.runner == self._kept.state.runner:
             return True
