Count an upstream's time to come back only while the store answers

Ruled out: the store's own list. It was empty at both returns; entries come back within two seconds of a return that lasts.

Change: an entry that lapsed is dropped only when the list's feed was heard after its time, and each return gives all of them their whole time again.

Hosts that start during an outage still know no servers.

--- a/goldcrestmoor/process/directory.py
+++ b/goldcrestmoor/process/directory.py
@@ -45,6 +45,8 @@
     :param decode: makes a :class:`ListedUpstream` of a row's key and value;
         raises :class:`ValueError` for one that names no upstream.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
+    :param age_ms: gives the time since the store last answered the list's feed, or
+        None.
     :param on_change: called after entries have changed.
     """
 
@@ -53,16 +55,18 @@
         "_clock",
         "_decode",
         "_metrics",
+        "_age_ms",
         "_on_change",
         "_returned_ms",
         "_lapse_ms_by_name",
     )
 
-    def __init__(self, *, clock, decode, metrics, on_change=None):
+    def __init__(self, *, clock, decode, metrics, age_ms, on_change=None):
         self.upstream_by_name = {}
         self._clock = clock
         self._decode = decode
         self._metrics = metrics
+        self._age_ms = age_ms
         self._on_change = on_change or (lambda: None)
         self._returned_ms = None
         self._lapse_ms_by_name = {}
@@ -98,6 +102,9 @@
     def note_return(self):
         """Note that the store has come back after an outage."""
         self._returned_ms = self._clock.now_ms()
+        # Upstreams could not come back while it was away.
+        for name in self._lapse_ms_by_name:
+            self._lapse_ms_by_name[name] = self._returned_ms + REAPPEAR_MS
 
     def apply(self, changes):
         """Take in what the list's feed says.
@@ -147,9 +154,14 @@
     def _drop_lapsed(self):
         if not self._lapse_ms_by_name:
             return
-        now_ms = self._clock.now_ms()
+        age_ms = self._age_ms()
+        if age_ms is None:
+            return
+        # A store that has not answered since may be away again, with what has come
+        # back to it unheard.
+        heard_ms = self._clock.now_ms() - age_ms
         for name, until_ms in list(self._lapse_ms_by_name.items()):
-            if now_ms >= until_ms:
+            if heard_ms >= until_ms:
                 log.info("%s did not come back with the store.", name)
                 self._forget(name)
 
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -136,6 +136,7 @@
             clock=clock,
             decode=records.decode_upstream,
             metrics=metrics,
+            age_ms=lambda: self._followers[records.UPSTREAM_TABLE].age_ms(),
             on_change=self._note_upstreams,
         )
         leases = LeaseClient(
