Send a host's transactions as one while an earlier one is under way

Every host that ran jobs had several writers, each of which came back after 40 to 400 ms when turned away, so that the queue was always full: 189 writes refused, leases not renewed, duties taken by one host after the other. A lost answer was waited for for 1.5 s.

Change: one transaction of a host is under way at a time, and what comes meanwhile goes as one (group commit, adapters/group_commit.py). One without an answer is sent again beside the first call; how soon follows from how long answers take at present, own ones and those of the feeds (connection/patience.py). After a 429 the host pauses as a whole. A holder is left more time for its lease while the store is slow.

Red first: the replay of three hosts with four writers, one by one; eight jobs at a slow stand-in (44 transactions refused, 3 allowed, now 0).

--- /dev/null
+++ b/goldcrestmoor/adapters/group_commit.py
@@ -0,0 +1,326 @@
+"""Sends a host's transactions as one while an earlier one is under way (group commit).
+
+The load this answers: the store makes transactions one after another, 5 ms each, and
+turns calls away once a second's worth is waiting. When it is sixty times slower than
+usual it makes three a second for all hosts, while each host that runs jobs has several
+to make at any time: results of two jobs, leases, entries of orders. As one transaction
+they take one turn.
+"""
+
+import asyncio
+import logging
+
+import msgspec
+
+from goldcrestmoor.adapters.table import CheckFailed, Committed, Row
+from goldcrestmoor.connection.patience import Patience
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.util import Backoff, TaskGroup
+
+log = logging.getLogger("goldcrestmoor.commits")
+
+# The store takes 100 entries and 1 MB after base64 in a transaction.
+MAX_ENTRIES = 100
+MAX_BYTES = 600_000
+# Of an entry beside its value: table, key, version and their encoding.
+ENTRY_BYTES = 200
+# Sixty times what the store needs when it is well: an answer that is later is lost, or
+# the store is slow, which its reads have shown by then.
+MIN_PATIENCE_MS = 300
+# How often a store that gives no answers is asked again, so that the end of an outage
+# is noticed within this.
+MAX_PATIENCE_MS = 500
+# A store that turns calls away has a second's worth waiting; coming back sooner than in
+# a fraction of that keeps it full.
+MIN_TURNED_AWAY_MS = 100
+MAX_TURNED_AWAY_MS = 600
+# A transaction waits so many times as long as one call of it, the last one included.
+TIMEOUT_PATIENCES = 2
+# How long a call is kept after it was made again, as a late answer tells how slow the
+# store is.
+CALL_TIMEOUT_MS = 4000
+# Before the next ones are sent, those whose answers have just come get this share of
+# the longest of the last answers to make their next, or they would go by turns with
+# the others and wait twice as long. Nothing while the store is well.
+GATHER_SHARE = 0.1
+# As long as a job gathers results.
+MAX_GATHER_MS = 50
+
+
+class Applied(msgspec.Struct, frozen=True):
+    """The store has made a transaction.
+
+    :param version: the version of all rows that it wrote.
+    """
+
+    version: int
+
+
+class Refused(msgspec.Struct, frozen=True):
+    """The store has not made a transaction, as a check did not hold.
+
+    :param row_by_place: the rows that were checked, as they are, by table and key; a
+        row that does not exist is left out.
+    """
+
+    row_by_place: dict[tuple[str, str], Row]
+
+
+class _Waiting:
+    """A transaction that has no answer yet.
+
+    :ivar calls: how many calls that hold it are under way.
+    :ivar is_unsure: whether a call that held it ended without an answer.
+    """
+
+    __slots__ = (
+        "checks",
+        "writes",
+        "places",
+        "size",
+        "answer",
+        "calls",
+        "is_unsure",
+    )
+
+    def __init__(self, checks, writes):
+        self.checks = list(checks)
+        self.writes = list(writes)
+        self.places = {(entry.table, entry.key) for entry in self.checks + self.writes}
+        self.size = sum(len(write.value or b"") for write in self.writes)
+        self.size += ENTRY_BYTES * self.entries
+        self.answer = asyncio.get_running_loop().create_future()
+        self.calls = 0
+        self.is_unsure = False
+
+    @property
+    def entries(self):
+        return len(self.checks) + len(self.writes)
+
+    @property
+    def may_have_landed(self):
+        """Whether it may have been made, or may yet be."""
+        return bool(self.calls) or self.is_unsure
+
+
+class GroupCommit:
+    """Make transactions, several as one where an earlier one is under way.
+
+    A transaction is made as a whole or not at all, as if it were sent alone; that
+    others are made with it shows nowhere. One that gets no answer is sent again beside
+    the first call, with what has come meanwhile. Its checks let only one of the two
+    land. One that the store turns away as it is busy is sent again after a pause, with
+    all others of this host.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param send: a coroutine function that takes checks, writes and a timeout in
+        milliseconds, sends them once and returns :class:`Applied` or
+        :class:`Refused`; raises :class:`~goldcrestmoor.errors.ServiceError`,
+        ``OVERLOADED`` when the store turned the call away.
+    :param timeout_ms: how long a transaction may take, in milliseconds; longer while
+        the store's answers take longer.
+    :param read_ms: gives how long reads take at present, in milliseconds.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_send",
+        "_timeout_ms",
+        "_patience",
+        "_backoff",
+        "_pause_ms",
+        "_waiting",
+        "_is_sending",
+        "_tasks",
+    )
+
+    def __init__(self, *, clock, send, timeout_ms, read_ms):
+        self._clock = clock
+        self._send = send
+        self._timeout_ms = timeout_ms
+        self._patience = Patience(MIN_PATIENCE_MS, MAX_PATIENCE_MS, read_ms)
+        self._backoff = Backoff(MIN_TURNED_AWAY_MS, MAX_TURNED_AWAY_MS)
+        self._pause_ms = 0
+        self._waiting = []
+        self._is_sending = False
+        self._tasks = TaskGroup()
+
+    async def transact(self, checks, writes):
+        """Make all writes at once, if all checks hold.
+
+        :param checks: a list of :class:`~goldcrestmoor.adapters.table.Check`.
+        :param writes: a list of :class:`~goldcrestmoor.adapters.table.Write`.
+        :return: ``Committed``, or ``CheckFailed`` when it never will be made, or was
+            made by a call whose answer was lost: the row that it names then is as the
+            transaction has left it.
+        :raises ServiceError: as ``send`` does; ``OUTCOME_UNKNOWN`` when there was no
+            answer in time.
+        """
+        waiting = _Waiting(checks, writes)
+        self._waiting.append(waiting)
+        self._start_sending()
+        timer = self._tasks.start(self._expire(waiting))
+        try:
+            return await waiting.answer
+        finally:
+            timer.cancel()
+
+    async def _expire(self, waiting):
+        started_ms = self._clock.now_ms()
+        left_ms = self._timeout_ms
+        while left_ms > 0:
+            await self._clock.sleep_ms(left_ms)
+            # The store may have turned out to be slow meanwhile.
+            slow_ms = TIMEOUT_PATIENCES * self._patience.wait_ms()
+            elapsed_ms = self._clock.now_ms() - started_ms
+            left_ms = min(slow_ms, CALL_TIMEOUT_MS) - elapsed_ms
+        _fail(waiting, _kind(waiting), "The store gave no answer in time.")
+
+    def _start_sending(self):
+        if not self._is_sending:
+            self._is_sending = True
+            self._tasks.start(self._send_all())
+
+    async def _send_all(self):
+        """Send what waits, one group after another, until nothing does."""
+        try:
+            while self._waiting:
+                await self._gather()
+                group = self._take()
+                if group:
+                    await self._send_patiently(group)
+        finally:
+            self._is_sending = False
+
+    async def _gather(self):
+        gather_ms = min(int(self._patience.longest_ms * GATHER_SHARE), MAX_GATHER_MS)
+        wait_ms = max(gather_ms, self._pause_ms)
+        self._pause_ms = 0
+        if wait_ms:
+            await self._clock.sleep_ms(wait_ms)
+
+    async def _send_patiently(self, group):
+        """Send a group, and put it back after a while without an answer."""
+        call = self._tasks.start(self._call(group))
+        timer = self._tasks.start(self._clock.sleep_ms(self._patience.wait_ms()))
+        await asyncio.wait({call, timer}, return_when=asyncio.FIRST_COMPLETED)
+        timer.cancel()
+        if not call.done():
+            self._patience.note_missed()
+            self._waiting = group + self._waiting
+
+    async def _call(self, group):
+        for waiting in group:
+            waiting.calls += 1
+        sent_ms = self._clock.now_ms()
+        error = None
+        try:
+            answer = await self._send(
+                [check for waiting in group for check in waiting.checks],
+                [write for waiting in group for write in waiting.writes],
+                CALL_TIMEOUT_MS,
+            )
+            self._patience.note_answer(self._clock.now_ms() - sent_ms)
+            self._backoff.reset()
+        except ServiceError as e:
+            error = e
+        except Exception:
+            log.exception("A transaction failed in this process.")
+            text = "The transaction failed in this process."
+            error = ServiceError(ErrorKind.OUTCOME_UNKNOWN, text)
+        for waiting in group:
+            waiting.calls -= 1
+        if error is None:
+            self._settle(group, answer)
+        else:
+            self._note_error(group, error)
+
+    def _note_error(self, group, error):
+        """Fail the transactions of a call that no other call holds, or send again."""
+        if error.kind is ErrorKind.OUTCOME_UNKNOWN:
+            for waiting in group:
+                waiting.is_unsure = True
+        alone = [w for w in group if not w.calls and w not in self._waiting]
+        if error.kind is ErrorKind.OVERLOADED:
+            self._pause_ms = self._backoff.next_ms()
+            self._waiting = alone + self._waiting
+            self._start_sending()
+            return
+        for waiting in alone:
+            _fail(waiting, _kind(waiting), error.message)
+
+    def _take(self):
+        """Take the waiting transactions that fit together, in their order."""
+        group, rest, places, entries, size = [], [], set(), 0, 0
+        for waiting in self._waiting:
+            if waiting.answer.done():
+                # Its caller has gone.
+                continue
+            fits = (
+                entries + waiting.entries <= MAX_ENTRIES
+                and size + waiting.size <= MAX_BYTES
+                and places.isdisjoint(waiting.places)
+            )
+            if group and not fits:
+                rest.append(waiting)
+            else:
+                group.append(waiting)
+                entries += waiting.entries
+                size += waiting.size
+            # What waits for a row keeps its turn.
+            places |= waiting.places
+        self._waiting = rest
+        return group
+
+    def _settle(self, group, answer):
+        match answer:
+            case Applied(version):
+                for waiting in group:
+                    keys = (f"{w.table}/{w.key}" for w in waiting.writes)
+                    _succeed(waiting, Committed(dict.fromkeys(keys, version)))
+            case Refused(row_by_place):
+                self._settle_refused(group, row_by_place)
+
+    def _settle_refused(self, group, row_by_place):
+        """Refuse the transactions whose checks fail, and send the others again."""
+        again = []
+        for waiting in group:
+            failed = _failed_check(waiting.checks, row_by_place)
+            if failed is None:
+                again.append(waiting)
+            else:
+                _succeed(waiting, failed)
+        if len(again) < len(group):
+            again = [w for w in again if not w.calls and w not in self._waiting]
+            self._waiting = again + self._waiting
+            self._start_sending()
+            return
+        for waiting in again:
+            text = "The store refused a condition that holds."
+            _fail(waiting, ErrorKind.OUTCOME_UNKNOWN, text)
+
+
+def _failed_check(checks, row_by_place):
+    """Name the first check that does not hold, with the row as it is, or None."""
+    for check in checks:
+        row = row_by_place.get((check.table, check.key))
+        if (row.version if row else 0) != check.version:
+            return CheckFailed(row, check.table, check.key)
+    return None
+
+
+def _kind(waiting):
+    """Return the kind of error of a transaction that has no answer."""
+    if waiting.may_have_landed:
+        return ErrorKind.OUTCOME_UNKNOWN
+    return ErrorKind.PLATFORM_UNAVAILABLE
+
+
+def _succeed(waiting, answer):
+    if not waiting.answer.done():
+        waiting.answer.set_result(answer)
+
+
+def _fail(waiting, kind, message):
+    if not waiting.answer.done():
+        waiting.answer.set_exception(ServiceError(kind, message))
--- /dev/null
+++ b/goldcrestmoor/connection/patience.py
@@ -0,0 +1,79 @@
+"""How long answers take, and how long one is waited for before it is asked again.
+
+The load this answers: a store that answers within ten milliseconds loses answers, and
+each one that is waited for holds up its caller; then it is sixty times slower, and a
+wait that is too short makes it do everything twice.
+"""
+
+import collections
+
+# Answers of some tenths of a second, from which the present is told.
+ANSWERS_KEPT = 4
+# Twice the longest of the last answers is no ordinary one any more.
+SLACK_FACTOR = 2
+# A call that takes its turn behind others' may take eight times as long as one that
+# waits for nobody: a second at a store whose reads take a quarter of one.
+OTHERS_FACTOR = 8
+# What is known of the longest answer fades by a fifth with each further one.
+FADE = 0.8
+
+
+class Patience:
+    """The wait for the next answer, from how long the last ones took.
+
+    :param min_ms: the shortest wait, in milliseconds.
+    :param max_ms: the longest wait for a store that gives no answers at all.
+    :param others_ms: gives how long other calls take at present, in milliseconds.
+    :ivar longest_ms: the longest of the last answers took about so long.
+    """
+
+    __slots__ = ("longest_ms", "_min_ms", "_max_ms", "_others_ms", "_missed")
+
+    def __init__(self, min_ms, max_ms, others_ms):
+        self.longest_ms = 0
+        self._min_ms = min_ms
+        self._max_ms = max_ms
+        self._others_ms = others_ms
+        self._missed = 0
+
+    def wait_ms(self):
+        """Return how long to wait, in milliseconds."""
+        unanswered_ms = min(self._min_ms << self._missed, self._max_ms)
+        own_ms = int(self.longest_ms * SLACK_FACTOR)
+        return max(unanswered_ms, own_ms, self._others_ms() * OTHERS_FACTOR)
+
+    def note_answer(self, elapsed_ms):
+        """Take in how long an answer took, however late it came.
+
+        :param elapsed_ms: the time, in milliseconds.
+        """
+        self.longest_ms = max(elapsed_ms, self.longest_ms * FADE)
+        self._missed = 0
+
+    def note_missed(self):
+        """Take in that no answer came in time: wait twice as long for the next."""
+        if self._min_ms << self._missed < self._max_ms:
+            self._missed += 1
+
+
+class AnswerTimes:
+    """How long answers take at present, from calls of which some wait for news."""
+
+    __slots__ = ("_times",)
+
+    def __init__(self):
+        self._times = collections.deque(maxlen=ANSWERS_KEPT)
+
+    def note(self, elapsed_ms, wait_ms):
+        """Take in an answer.
+
+        :param elapsed_ms: the time since the call, in milliseconds.
+        :param wait_ms: how long it was to wait for news at most.
+        """
+        # One that came sooner had news, and waited for it for some time or not at all.
+        waited_ms = wait_ms if elapsed_ms >= wait_ms else 0
+        self._times.append(elapsed_ms - waited_ms)
+
+    def usual_ms(self):
+        """Return the least of the last answers, in milliseconds; 0 before the first."""
+        return min(self._times, default=0)
--- a/goldcrestmoor/platform/store.py
+++ b/goldcrestmoor/platform/store.py
@@ -6,15 +6,11 @@
 
 import msgspec
 
-from goldcrestmoor.adapters.table import (
-    Change,
-    Changes,
-    CheckFailed,
-    Committed,
-    HistoryLost,
-    Row,
-)
+from goldcrestmoor.adapters.group_commit import Applied, GroupCommit, Refused
+from goldcrestmoor.adapters.table import Change, Changes, HistoryLost, Row
+from goldcrestmoor.connection.patience import AnswerTimes
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
+from goldcrestmoor.platform.records import OPERATOR_TABLE, UPSTREAM_TABLE
 
 log = logging.getLogger("goldcrestmoor.store")
 
@@ -30,7 +26,9 @@
 PROBE_MS = 400
 # All rows lie in the empty part. Parts of the store fail one by one, and with one
 # part there is one that matters; its 200 transactions a second are enough.
-PART = ""
+THEIR_PART = ""
+OWN_PART = ""
+_THEIR_TABLES = frozenset((OPERATOR_TABLE, UPSTREAM_TABLE))
 _JSON = [(b"content-type", b"application/json")]
 
 
@@ -102,6 +100,8 @@
         "_detour",
         "_timeout_ms",
         "_metrics",
+        "_commits",
+        "_answer_times",
         "_ahead_ms",
         "_refused_ms",
     )
@@ -113,6 +113,13 @@
         self._detour = None
         self._timeout_ms = timeout_ms
         self._metrics = metrics
+        self._answer_times = AnswerTimes()
+        self._commits = GroupCommit(
+            clock=clock,
+            send=self._commit,
+            timeout_ms=timeout_ms,
+            read_ms=self.answer_ms,
+        )
         self._ahead_ms = None
         self._refused_ms = None
 
@@ -136,6 +143,10 @@
             return None
         return self._clock.now_ms() - self._refused_ms
 
+    def answer_ms(self):
+        """Return how long the store takes for an answer at present, in milliseconds."""
+        return self._answer_times.usual_ms()
+
     async def try_straight(self):
         """Ask the store without a detour, and take none any more if it answers."""
         try:
@@ -171,7 +182,7 @@
         :param key: the row's key.
         :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
         """
-        query = _query(table=table, part=PART, limit=1, **{"from": key})
+        query = _query(table=table, part=_part(table), limit=1, **{"from": key})
         answer = await self._read("get", f"/rows-get?{query}", _answer_decoder)
         for row in answer.rows:
             if row.key == key:
@@ -209,16 +220,18 @@
         :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
         """
         query = _query(table=table, after=after, waitMs=wait_ms)
+        asked_ms = self._clock.now_ms()
         response = await self._send(
             "feed", "GET", f"/rows-feed?{query}", timeout_ms=wait_ms + FEED_SLACK_MS
         )
+        self._answer_times.note(self._clock.now_ms() - asked_ms, wait_ms)
         if response.status == STATUS_GONE:
             return HistoryLost()
         answer = self._decode(response, _answer_decoder, ErrorKind.PLATFORM_UNAVAILABLE)
         changes = [
             Change(row.key, row.ver, None if row.deleted else _value(row))
             for row in answer.rows
-            if row.part == PART
+            if row.part == _part(table)
         ]
         return Changes(changes, max(after, answer.ver))
 
@@ -231,22 +244,32 @@
         :raises ServiceError: ``PLATFORM_UNAVAILABLE`` when surely not written,
             ``OUTCOME_UNKNOWN`` when it may have been or may yet be.
         """
+        return await self._commits.transact(checks, writes)
+
+    async def _commit(self, checks, writes, timeout_ms):
+        """Send one transaction; return :class:`Applied` or :class:`Refused`."""
         body = msgspec.json.encode(
             _Transaction(
-                [_Expected(c.table, PART, c.key, c.version) for c in checks],
+                [_Expected(c.table, OWN_PART, c.key, c.version) for c in checks],
                 [
-                    _Set(w.table, PART, w.key, base64.b64encode(w.value).decode())
+                    _Set(w.table, OWN_PART, w.key, base64.b64encode(w.value).decode())
                     for w in writes
                     if w.value is not None
                 ],
-                [_Removed(w.table, PART, w.key) for w in writes if w.value is None],
+                [_Removed(w.table, OWN_PART, w.key) for w in writes if w.value is None],
             )
         )
-        response = await self._write("transact", "POST", "/rows-tx", body, _JSON)
+        response = await self._send(
+            "transact", "POST", "/rows-tx", body, _JSON, timeout_ms
+        )
+        if response.status == STATUS_TOO_MANY:
+            text = "The store has too much to do."
+            raise ServiceError(ErrorKind.OVERLOADED, text)
+        _check_written(response)
         answer = self._decode(response, _answer_decoder, ErrorKind.OUTCOME_UNKNOWN)
         if response.status == STATUS_CHECK_FAILED:
-            return _check_failed(checks, answer.rows)
-        return Committed({f"{w.table}/{w.key}": answer.ver for w in writes})
+            return Refused({(row.table, row.key): _row(row) for row in answer.rows})
+        return Applied(answer.ver)
 
     async def put(self, key, data):
         """Store an object, unless there is one; the same bytes always have one key.
@@ -270,7 +293,7 @@
         if response.status == STATUS_NOT_FOUND:
             return None
         if response.status != STATUS_OK:
-            raise self._unavailable(f"answered {response.status}")
+            raise _unavailable(f"answered {response.status}")
         return response.body
 
     async def delete(self, key):
@@ -289,7 +312,7 @@
         while has_more:
             query = _query(
                 table=table,
-                part=PART,
+                part=_part(table),
                 to=end,
                 limit=most_rows,
                 **{"from": first or None},
@@ -310,12 +333,8 @@
 
     async def _write(self, call, method, target, body, headers, also=()):
         response = await self._send(call, method, target, body, headers)
-        if response.status in (STATUS_OK, STATUS_CHECK_FAILED, *also):
-            return response
-        if response.status in (STATUS_TOO_MANY, STATUS_UNAVAILABLE):
-            raise self._unavailable(f"answered {response.status}")
-        text = f"The store answered {response.status} to a write."
-        raise ServiceError(ErrorKind.OUTCOME_UNKNOWN, text)
+        if response.status not in also:
+            _check_written(response)
 
     async def _send(self, call, method, target, body=b"", headers=(), timeout_ms=None):
         address, port = self._target
@@ -336,7 +355,7 @@
         except ServiceError as e:
             self._metrics.store_calls.labels(call, e.code).inc()
             if method == "GET" or e.answer.ran is Ran.NOT_RUN:
-                raise self._unavailable(e.message) from e
+                raise _unavailable(e.message) from e
             text = f"A write to the store was not answered: {e.message}"
             raise ServiceError(ErrorKind.OUTCOME_UNKNOWN, text) from e
         self._metrics.store_calls.labels(call, str(response.status)).inc()
@@ -347,7 +366,7 @@
 
     def _decode(self, response, decoder, kind):
         if response.status not in (STATUS_OK, STATUS_CHECK_FAILED):
-            raise self._unavailable(f"answered {response.status}")
+            raise _unavailable(f"answered {response.status}")
         try:
             answer = decoder.decode(response.body)
         except (msgspec.MsgspecError, UnicodeDecodeError) as e:
@@ -356,9 +375,24 @@
             self._ahead_ms = answer.nowMs - self._clock.now_ms()
         return answer
 
-    def _unavailable(self, reason):
-        text = f"The store is unavailable: {reason}"
-        return ServiceError(ErrorKind.PLATFORM_UNAVAILABLE, text)
+
+def _check_written(response):
+    """Raise the error of a write that the store has not made, or may not have."""
+    status = response.status
+    if status in (STATUS_TOO_MANY, STATUS_UNAVAILABLE):
+        raise _unavailable(f"answered {status}")
+    if status not in (STATUS_OK, STATUS_CHECK_FAILED):
+        text = f"The store answered {status} to a write."
+        raise ServiceError(ErrorKind.OUTCOME_UNKNOWN, text)
+
+
+def _unavailable(reason):
+    text = f"The store is unavailable: {reason}"
+    return ServiceError(ErrorKind.PLATFORM_UNAVAILABLE, text)
+
+
+def _part(table):
+    return THEIR_PART if table in _THEIR_TABLES else OWN_PART
 
 
 def _query(**fields):
@@ -372,15 +406,3 @@
 
 def _row(row):
     return Row(row.key, row.ver, _value(row))
-
-
-def _check_failed(checks, rows):
-    """Name the first check that does not hold, with the row as it is."""
-    row_by_place = {(row.table, row.key): row for row in rows}
-    for check in checks:
-        row = row_by_place.get((check.table, check.key))
-        if (row.ver if row else 0) != check.version:
-            return CheckFailed(_row(row) if row else None, check.table, check.key)
-    raise ServiceError(
-        ErrorKind.OUTCOME_UNKNOWN, "The store refused a condition that holds."
-    )
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -140,7 +140,10 @@
             on_change=self._note_upstreams,
         )
         leases = LeaseClient(
-            clock=clock, table=self._store, host_id=self.settings.host.id
+            clock=clock,
+            table=self._store,
+            host_id=self.settings.host.id,
+            answer_ms=self._store.answer_ms,
         )
         self._duties = Duties(
             leases=leases,
--- a/goldcrestmoor/process/leases.py
+++ b/goldcrestmoor/process/leases.py
@@ -21,6 +21,9 @@
 # A renewal may be on its way for a slow answer of the store, and clocks may differ a
 # little.
 TAKE_MARGIN_MS = 1000
+# While the store is slow, a holder's renewals wait behind others' writes: three hosts
+# that write one after another, each twice.
+TAKE_MARGIN_ANSWERS = 10
 # Two renewals may be lost without the lease.
 RENEWALS_PER_DURATION = 3
 # Bounds the memory; several times the duties of a fleet.
@@ -94,21 +97,25 @@
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param table: the :class:`~goldcrestmoor.adapters.table.TableClient`.
     :param host_id: this host.
+    :param answer_ms: gives how long the table service takes for an answer at present,
+        in milliseconds.
     """
 
     __slots__ = (
         "_clock",
         "_table",
         "_host_id",
+        "_answer_ms",
         "_watched_by_name",
         "_leases_by_name",
         "_tasks",
     )
 
-    def __init__(self, *, clock, table, host_id):
+    def __init__(self, *, clock, table, host_id, answer_ms=lambda: 0):
         self._clock = clock
         self._table = table
         self._host_id = host_id
+        self._answer_ms = answer_ms
         self._watched_by_name = collections.OrderedDict()
         self._leases_by_name = {}
         self._tasks = TaskGroup()
@@ -229,7 +236,8 @@
 
     def _has_lapsed(self, watched, known):
         silent_ms = self._clock.now_ms() - watched.since_ms
-        return silent_ms >= known.duration_ms + TAKE_MARGIN_MS
+        margin_ms = max(TAKE_MARGIN_MS, TAKE_MARGIN_ANSWERS * self._answer_ms())
+        return silent_ms >= known.duration_ms + margin_ms
 
     def _may_take(self, name, version, known):
         if not known.holder or self.is_own(known):
--- /dev/null
+++ b/test/test_group_commit.py
@@ -0,0 +1,253 @@
+"""Transactions of one host that are sent as one, replayed at a slow store."""
+
+import asyncio
+import unittest
+
+from goldcrestmoor.adapters.group_commit import (
+    MAX_ENTRIES,
+    MAX_PATIENCE_MS,
+    MIN_PATIENCE_MS,
+    Applied,
+    GroupCommit,
+    Refused,
+)
+from goldcrestmoor.adapters.table import Check, CheckFailed, Committed, Row, Write
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from test._fleet import ManualClock, settle
+
+# Shorter than an answer is waited for, so that nothing is sent twice.
+BUSY_MS = 100
+# Sixty times its usual five milliseconds.
+SLOW_MS = 300
+TIMEOUT_MS = 1500
+# The store turns calls away once so much is waiting.
+MOST_WAITING_MS = 1000
+
+
+class SerialStore:
+    """Makes transactions one after another, and turns away what would wait long."""
+
+    def __init__(self, clock, duration_ms=SLOW_MS):
+        self.clock = clock
+        self.duration_ms = duration_ms
+        self.version = 0
+        self.row_by_place = {}
+        self.sent = []
+        self.refused = 0
+        self.free_ms = clock.now_ms()
+        self.is_silent = False
+        self.loses_answers = False
+
+    async def send(self, checks, writes, timeout_ms):
+        self.sent.append((checks, writes))
+        if self.is_silent:
+            await self.clock.sleep_ms(timeout_ms)
+            raise ServiceError(ErrorKind.OUTCOME_UNKNOWN, "fell silent")
+        made = asyncio.ensure_future(self.make(checks, writes))
+        timer = asyncio.ensure_future(self.clock.sleep_ms(timeout_ms))
+        await asyncio.wait({made, timer}, return_when=asyncio.FIRST_COMPLETED)
+        if not made.done():
+            # It is made all the same.
+            raise ServiceError(ErrorKind.OUTCOME_UNKNOWN, "fell silent")
+        timer.cancel()
+        if self.loses_answers:
+            await self.clock.sleep_ms(timeout_ms)
+            raise ServiceError(ErrorKind.OUTCOME_UNKNOWN, "fell silent")
+        return made.result()
+
+    async def make(self, checks, writes):
+        now_ms = self.clock.now_ms()
+        waiting_ms = max(0, self.free_ms - now_ms)
+        if waiting_ms > MOST_WAITING_MS:
+            self.refused += 1
+            raise ServiceError(ErrorKind.PLATFORM_UNAVAILABLE, "answered 429")
+        self.free_ms = now_ms + waiting_ms + self.duration_ms
+        await self.clock.sleep_ms(self.free_ms - now_ms)
+        for check in checks:
+            row = self.row_by_place.get((check.table, check.key))
+            if (row.version if row else 0) != check.version:
+                places = {(c.table, c.key) for c in checks}
+                found = self.row_by_place.items()
+                return Refused({p: row for p, row in found if p in places})
+        self.version += 1
+        for write in writes:
+            row = Row(write.key, self.version, write.value)
+            self.row_by_place[write.table, write.key] = row
+        return Applied(self.version)
+
+
+class GroupCommitTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = ManualClock()
+        self.store = SerialStore(self.clock)
+        self.read_ms = 5
+        self.commits = self.new_commits()
+
+    def new_commits(self):
+        return GroupCommit(
+            clock=self.clock,
+            send=self.store.send,
+            timeout_ms=TIMEOUT_MS,
+            read_ms=lambda: self.read_ms,
+        )
+
+    def begin(self, key, version=0, value=b"v"):
+        """Start to write one row of the table ``t`` under its version."""
+        checks, writes = [Check("t", key, version)], [Write("t", key, value)]
+        return asyncio.ensure_future(self.commits.transact(checks, writes))
+
+    async def test_a_slow_store_is_not_pressed_by_the_loops_of_one_host(self):
+        """Three hosts with four writers each, for ten seconds."""
+        self.read_ms = 240
+
+        async def write_for_good(commits, key):
+            version = 0
+            while True:
+                try:
+                    answer = await commits.transact(
+                        [Check("t", key, version)], [Write("t", key, b"v")]
+                    )
+                    if isinstance(answer, CheckFailed):
+                        # A write without an answer has landed.
+                        version = answer.row.version
+                        continue
+                    version = answer.version_by_key[f"t/{key}"]
+                    done[key] += 1
+                except ServiceError:
+                    await self.clock.sleep_ms(100)
+
+        done, tasks = {}, []
+        for host in range(3):
+            commits = self.new_commits()
+            for writer in range(4):
+                key = f"{host}/{writer}"
+                done[key] = 0
+                tasks.append(asyncio.ensure_future(write_for_good(commits, key)))
+        # Some of the first calls are made twice, until answers tell of a slow store.
+        await self.clock.advance(3_000)
+        refused, before = self.store.refused, dict(done)
+        await self.clock.advance(9_000)
+        for task in tasks:
+            task.cancel()
+        self.assertEqual(self.store.refused, refused)
+        # Thirty transactions of the store, of which each writer is in every third.
+        progress = [done[key] - before[key] for key in done]
+        self.assertGreaterEqual(min(progress), 8)
+
+    async def test_a_transaction_alone_is_sent_at_once_and_by_itself(self):
+        task = self.begin("a")
+        await settle()
+        self.assertEqual(len(self.store.sent), 1)
+        await self.clock.advance(SLOW_MS)
+        self.assertEqual(await task, Committed({"t/a": 1}))
+
+    async def test_what_comes_meanwhile_is_sent_as_one(self):
+        self.store.duration_ms = BUSY_MS
+        tasks = [self.begin("a")]
+        await settle()
+        tasks += [self.begin(key) for key in "bcd"]
+        await self.clock.advance(3 * SLOW_MS)
+        self.assertEqual([len(writes) for _, writes in self.store.sent], [1, 3])
+        answers = [await task for task in tasks]
+        self.assertEqual(
+            [answer.version_by_key for answer in answers],
+            [{"t/a": 1}, {"t/b": 2}, {"t/c": 2}, {"t/d": 2}],
+        )
+
+    async def test_one_that_is_refused_takes_no_other_with_it(self):
+        first = self.begin("a")
+        await self.clock.advance(SLOW_MS)
+        await first
+        tasks = [self.begin("x"), self.begin("a", version=7), self.begin("b")]
+        await self.clock.advance(4 * SLOW_MS)
+        self.assertIsInstance(await tasks[0], Committed)
+        refused = await tasks[1]
+        self.assertEqual(refused, CheckFailed(Row("a", 1, b"v"), "t", "a"))
+        self.assertIsInstance(await tasks[2], Committed)
+
+    async def test_two_writes_of_one_row_are_never_sent_as_one(self):
+        """The second waits, and what comes after it keeps behind."""
+        self.store.duration_ms = BUSY_MS
+        tasks = [self.begin("a"), self.begin("a"), self.begin("b")]
+        await self.clock.advance(4 * SLOW_MS)
+        places = [[write.key for write in writes] for _, writes in self.store.sent]
+        self.assertEqual(places, [["a", "b"], ["a"]])
+        self.assertIsInstance(await tasks[0], Committed)
+        self.assertIsInstance(await tasks[1], CheckFailed)
+
+    async def test_a_group_keeps_to_what_the_store_takes(self):
+        tasks = [self.begin(f"{number:03d}") for number in range(MAX_ENTRIES)]
+        await self.clock.advance(5 * SLOW_MS)
+        for checks, writes in self.store.sent:
+            self.assertLessEqual(len(checks) + len(writes), MAX_ENTRIES)
+        self.assertTrue(all(task.done() for task in tasks))
+
+    async def test_one_without_an_answer_is_sent_again_with_what_has_come(self):
+        self.store.duration_ms = 5
+        self.store.is_silent = True
+        lost = self.begin("a")
+        await settle()
+        self.store.is_silent = False
+        other = self.begin("b")
+        await self.clock.advance(MIN_PATIENCE_MS + 100)
+        self.assertTrue(lost.done() and other.done())
+        self.assertEqual(await lost, Committed({"t/a": 1}))
+        self.assertEqual(await other, Committed({"t/b": 1}))
+
+    async def test_one_whose_answer_is_lost_is_found_made(self):
+        """It has landed, so that its check fails when it is sent again."""
+        self.store.duration_ms = 5
+        self.store.loses_answers = True
+        lost = self.begin("a")
+        await self.clock.advance(50)
+        self.store.loses_answers = False
+        other = self.begin("b")
+        await self.clock.advance(MIN_PATIENCE_MS + 200)
+        self.assertTrue(lost.done() and other.done())
+        self.assertEqual(await lost, CheckFailed(Row("a", 1, b"v"), "t", "a"))
+        self.assertIsInstance(await other, Committed)
+
+    async def test_an_outage_ends_every_wait_in_time(self):
+        self.store.is_silent = True
+        task = self.begin("a")
+        await self.clock.advance(TIMEOUT_MS + 50)
+        self.assertTrue(task.done())
+        with self.assertRaises(ServiceError) as caught:
+            await task
+        self.assertIs(caught.exception.kind, ErrorKind.OUTCOME_UNKNOWN)
+        # It has not been sent more often than an outage asks for.
+        self.assertLessEqual(len(self.store.sent), 5)
+
+    async def test_the_end_of_an_outage_is_noticed_soon(self):
+        self.store.duration_ms = 5
+        self.store.is_silent = True
+        task = self.begin("a")
+        await self.clock.advance(TIMEOUT_MS - MAX_PATIENCE_MS - 100)
+        self.store.is_silent = False
+        await self.clock.advance(MAX_PATIENCE_MS)
+        self.assertTrue(task.done())
+        self.assertIsInstance(await task, Committed)
+
+    async def test_one_whose_caller_has_gone_is_not_sent(self):
+        self.store.duration_ms = BUSY_MS
+        first = self.begin("a")
+        await settle()
+        gone, third = self.begin("b"), self.begin("c")
+        await settle()
+        gone.cancel()
+        await self.clock.advance(3 * SLOW_MS)
+        places = [[write.key for write in writes] for _, writes in self.store.sent]
+        self.assertEqual(places, [["a"], ["c"]])
+        self.assertTrue(first.done() and third.done())
+
+    async def test_a_fault_in_this_process_leaves_nobody_waiting(self):
+        self.store.make = None
+        with self.assertLogs("goldcrestmoor.commits"), self.assertRaises(ServiceError):
+            await self.begin("a")
+
+    async def test_all_of_a_group_hear_of_its_failure(self):
+        self.store.free_ms += 2 * MOST_WAITING_MS
+        for task in [self.begin("a"), self.begin("b"), self.begin("c")]:
+            with self.assertRaises(ServiceError) as caught:
+                await task
+            self.assertIs(caught.exception.kind, ErrorKind.PLATFORM_UNAVAILABLE)
--- a/test/test_leases.py
+++ b/test/test_leases.py
@@ -4,7 +4,7 @@
 import unittest
 
 from goldcrestmoor.errors import ErrorKind, ServiceError
-from goldcrestmoor.process.leases import LeaseClient
+from goldcrestmoor.process.leases import TAKE_MARGIN_MS, LeaseClient
 from test import _table
 from test._fleet import HostClock, ManualClock, settle
 
@@ -42,6 +42,24 @@
             await self.clock.advance(500)
             self.assertTrue(lease.holds())
 
+    async def test_a_holder_that_a_slow_store_holds_up_is_not_followed(self):
+        """Reads take a quarter of a second; a renewal waits behind others for more."""
+        await self.take(self.a)
+        waiting = LeaseClient(
+            clock=self.clock,
+            table=self.table.client(self.clock),
+            host_id="host-c",
+            answer_ms=lambda: 240,
+        )
+        self.addAsyncCleanup(waiting.close)
+        self.a_clock.thawed.clear()
+        # The last renewal before the freeze may have landed since the lease was taken.
+        await waiting.acquire("duty", DURATION_MS)
+        await self.clock.advance(DURATION_MS + 2 * TAKE_MARGIN_MS)
+        self.assertIsNone(await waiting.acquire("duty", DURATION_MS))
+        await self.clock.advance(TAKE_MARGIN_MS)
+        self.assertIsNotNone(await waiting.acquire("duty", DURATION_MS))
+
     async def test_two_tries_at_once_take_it_once(self):
         """Two jobs of one model are taken up at the same moment."""
         self.a_clock.thawed.clear()
