Start a job's items while the store is told who runs them

Cause: a job's items waited for the write that names its runner: some 10 ms of each step, 0.8 s of a step with a store that is sixty times slower, and up to a second where the write's answer is lost. A trainer never makes that up.

Ruled out as needed for safety: positions are given out under the version of the state's row, so that of two hosts that run a job's items only one can list them. What an earlier runner has kept is still read after the write that shuts it out.

Change: a job that nobody has run yet begins at once; its run writes its runner first, beside the items. Tests: items run while the store keeps its answer back; a run stops when another process was first; the own write heard by the feed stops nothing. They could not be stated before, as a run began with its runner written.

--- a/goldcrestmoor/job/board.py
+++ b/goldcrestmoor/job/board.py
@@ -335,20 +335,18 @@
         return await self._duties.claim(name, RUNNER_LEASE_MS)
 
     async def _adopt(self, job_id, kept):
-        """Make this process the job's runner; return its run."""
+        """Return the run of a job whose runner this process becomes, or None."""
         job = self._job_by_id.pop(job_id, None)
         if job is None:
             job = await self._store.load(job_id, kept.state)
-        state = msgspec.structs.replace(kept.state, runner=self._process_id)
-        now = await self._store.change(job_id, kept, state)
-        if now is None:
-            self._forget(job_id)
-            return None
-        self.note(job_id, now)
-        if now.state.runner != self._process_id or not self._is_open(now.state):
-            return None
-        listed_ids = await self._store.listed_ids(job_id, now.state.listed)
-        partials = await self._store.partials(job_id) if kept.state.runner else {}
+        listed_ids, partials = set(), {}
+        if kept.state.runner:
+            # What an earlier runner has kept is read once it can write no more.
+            kept = await self._replace_runner(job_id, kept)
+            if kept is None:
+                return None
+            listed_ids = await self._store.listed_ids(job_id, kept.state.listed)
+            partials = await self._store.partials(job_id)
         table = self._routes()
         route = table.match(job.host, job.path) if table else None
         if route is None or route.job is None:
@@ -358,13 +356,14 @@
             "Job %s of %s is run here: %d items, %d listed, step %d.",
             job_id,
             job.model or "no model",
-            now.state.total,
-            now.state.listed,
+            kept.state.total,
+            kept.state.listed,
             job.step,
         )
         return JobRun(
             job=job,
-            kept=now,
+            kept=kept,
+            process_id=self._process_id,
             listed_ids=listed_ids,
             partials=partials,
             terms=route.job,
@@ -374,6 +373,18 @@
             on_state=self.note,
         )
 
+    async def _replace_runner(self, job_id, kept):
+        """Make this process a job's runner; return the state, or None if it is not."""
+        state = msgspec.structs.replace(kept.state, runner=self._process_id)
+        now = await self._store.change(job_id, kept, state)
+        if now is None:
+            self._forget(job_id)
+            return None
+        self.note(job_id, now)
+        if now.state.runner != self._process_id or not self._is_open(now.state):
+            return None
+        return now
+
     async def _run(self, run):
         job_id = run.job.id
         self._runs_by_job[job_id] = run
--- a/goldcrestmoor/job/job_run.py
+++ b/goldcrestmoor/job/job_run.py
@@ -28,7 +28,8 @@
 
     :param job: the :class:`~goldcrestmoor.job.job.Job`.
     :param kept: its :class:`~goldcrestmoor.job.job_store.KeptState`, with this
-        process as its runner.
+        process as its runner, or with none yet.
+    :param process_id: this process, by a name that no other has.
     :param listed_ids: the ids of the items that are listed already.
     :param partials: what is kept of the others' texts, by position.
     :param terms: the ``JobTerms`` of its route.
@@ -47,6 +48,7 @@
         "running_by_id",
         "engine_by_group",
         "_kept",
+        "_process_id",
         "_clock",
         "_store",
         "_on_state",
@@ -63,6 +65,7 @@
         *,
         job,
         kept,
+        process_id,
         listed_ids,
         partials,
         terms,
@@ -85,6 +88,7 @@
         self.running_by_id = {}
         self.engine_by_group = {}
         self._kept = kept
+        self._process_id = process_id
         self._clock = clock
         self._store = store
         self._on_state = on_state
@@ -159,8 +163,14 @@
         self._has_finished.set()
 
     async def list_results(self):
-        """Write results as they come, until all are listed or the job is over."""
+        """Write results as they come, until all are listed or the job is over.
+
+        The first write says who runs the job. Its items are not held back for that:
+        two hosts may run an item, and only one of them can list it.
+        """
         try:
+            if not await self._take():
+                return
             while self._kept.state.listed < self._kept.state.total:
                 await self._wait_for_results()
                 if self._is_over or not await self._write():
@@ -173,6 +183,18 @@
             self.stop()
             self._has_ended.set()
 
+    async def _take(self):
+        """Write that this process runs the job; tell whether it does."""
+        if self._kept.state.runner == self._process_id:
+            return True
+        state = msgspec.structs.replace(self._kept.state, runner=self._process_id)
+        kept = await self._store.change(self.job.id, self._kept, state)
+        if not self._is_still_runner(kept):
+            return False
+        self._kept = kept
+        self._on_state(self.job.id, kept)
+        return not kept.state.is_ended
+
     def stop(self):
         """Start nothing more, and stop what is running."""
         self._is_over = True
@@ -276,7 +298,7 @@
                 yield run
 
     def _is_still_runner(self, kept):
-        if kept is not None and kept.state.runner == self._kept.state.runner:
+        if kept is not None and kept.state.runner == self._process_id:
             return True
         runner = kept.state.runner if kept else "nobody; it is gone"
         log.warning("Job %s is run by %s now.", self.job.id, runner)
@@ -291,5 +313,5 @@
         """
         if kept.version <= self._kept.version:
             return
-        if kept.state.is_ended or kept.state.runner != self._kept.state.runner:
+        if kept.state.is_ended or kept.state.runner not in ("", self._process_id):
             self.stop()
--- a/test/test_job_run.py
+++ b/test/test_job_run.py
@@ -50,11 +50,14 @@
         self.kept = kept
         self.results = []
         self.partials = []
+        self.answers = asyncio.Event()
+        self.answers.set()
 
     def now_ms(self):
         return 1000
 
     async def change(self, job_id, kept, state, results=(), partials=()):
+        await self.answers.wait()
         if kept.version != self.kept.version:
             return self.kept
         self.kept = KeptState(state, kept.version + 1)
@@ -93,14 +96,15 @@
         return Finished()
 
 
-def make_run(count, partials=None):
-    """Return a run of some items, with its store."""
+def make_run(count, partials=None, runner="me"):
+    """Return a run of some items in the process ``me``, with its store."""
     items = tuple(Item(f"i{n}", "/x", {}, b"", group="g") for n in range(count))
-    kept = KeptState(JobState("h", "/x", MODEL, count, 0, runner="me"), 1)
+    kept = KeptState(JobState("h", "/x", MODEL, count, 0, runner=runner), 1)
     store = FakeStore(kept)
     run = JobRun(
         job=Job("j", "h", "/x", items, MODEL, 1),
         kept=kept,
+        process_id="me",
         listed_ids=set(),
         partials=partials or {},
         terms=ROUTE.job,
@@ -138,6 +142,46 @@
         async with asyncio.timeout(1):
             await listing
 
+    async def test_items_start_while_the_store_is_told_who_runs_them(self):
+        """A store that is slow takes a second for it."""
+        scheduler = self.make_scheduler()
+        run, store = make_run(4, runner="")
+        store.answers.clear()
+        scheduler.add(run)
+        running = asyncio.create_task(scheduler.run())
+        self.addCleanup(running.cancel)
+        listing = asyncio.create_task(run.list_results())
+        await _common.eventually(lambda: len(self.tries.running) == 4, timeout_s=1)
+        for done in self.tries.running.values():
+            done.set_result(None)
+        await asyncio.sleep(0.1)
+        self.assertEqual((store.kept.state.runner, store.results), ("", []))
+        store.answers.set()
+        async with asyncio.timeout(2):
+            await listing
+        self.assertEqual((store.kept.state.runner, len(store.results)), ("me", 4))
+
+    async def test_items_stop_when_another_process_was_first_to_run_the_job(self):
+        scheduler = self.make_scheduler()
+        run, store = make_run(4, runner="")
+        state = msgspec.structs.replace(store.kept.state, runner="other")
+        store.kept = KeptState(state, 2)
+        scheduler.add(run)
+        running = asyncio.create_task(scheduler.run())
+        self.addCleanup(running.cancel)
+        async with asyncio.timeout(1):
+            await run.list_results()
+        self.assertTrue(run.is_over)
+        await _common.eventually(lambda: not self.in_flight())
+        self.assertEqual(store.results, [])
+
+    async def test_hearing_of_its_own_first_write_stops_no_run(self):
+        """The feed tells of it before the write is answered."""
+        run, store = make_run(4, runner="")
+        state = msgspec.structs.replace(store.kept.state, runner="me")
+        run.note_state(KeptState(state, 2))
+        self.assertFalse(run.is_over)
+
     async def test_stopped_items_do_not_trouble_the_scheduler(self):
         scheduler = self.make_scheduler()
         run, _ = make_run(6)
