Give orders to engines also while the store is slow

Cause: an order is written down first, and given up when that takes more than 400 ms. With a store that is sixty times slower an entry takes 0.85 s and more, so that no engine loads anything until the store is well again ("Writing the order down took too long to send it now").

Change: an entry states the time by which it should be there, eight answers of a read ahead, and another host's turn counts from then. With a store that is well that is 40 ms later than before.

Red first: an order at a store that writes in 1.2 s. Another host may still not follow before the turn is over, counted from when the order left.

--- a/goldcrestmoor/version/weights/order_log.py
+++ b/goldcrestmoor/version/weights/order_log.py
@@ -13,8 +13,10 @@
 TABLE = "orders"
 # The hosts read the store's clock from its answers, each a round trip late at most.
 CLOCK_SLACK_MS = 500
-# An order that would leave later than this after its entry is given up.
+# An order that would leave later than this after the time of its entry is given up.
 MAX_SEND_DELAY_MS = 400
+# An entry waits behind the writes of other hosts for so many answers of a read.
+WRITE_ANSWERS = 8
 
 
 class OrderEntry(msgspec.Struct, frozen=True):
@@ -22,7 +24,8 @@
 
     :param holder: the host that gave it.
     :param fencing: its fencing number; grows by one with each order.
-    :param at_ms: when it was written down, on the store's clock.
+    :param at_ms: when it was to be written down by, on the store's clock. The order
+        leaves no later than ``MAX_SEND_DELAY_MS`` after that.
     """
 
     holder: str
@@ -60,7 +63,9 @@
         if not may_follow(entry, self._host_id, now_ms, self._turn_ms):
             return None
         fencing = entry.fencing + 1 if entry else 1
-        new = OrderEntry(self._host_id, fencing, now_ms)
+        # A slow store would else have each entry made too late.
+        write_ms = WRITE_ANSWERS * self._store.answer_ms()
+        new = OrderEntry(self._host_id, fencing, now_ms + write_ms)
         self._known_by_engine.pop(engine, None)
         sent_ms = self._clock.now_ms()
         answer = await self._store.transact(
@@ -73,7 +78,7 @@
             new,
             answer.version_by_key[f"{TABLE}/{engine}"],
         )
-        if self._clock.now_ms() - sent_ms > MAX_SEND_DELAY_MS:
+        if self._clock.now_ms() - sent_ms > write_ms + MAX_SEND_DELAY_MS:
             text = "Writing the order down took too long to send it now."
             raise ServiceError(ErrorKind.PLATFORM_UNAVAILABLE, text)
         return fencing
--- /dev/null
+++ b/test/test_order_log.py
@@ -0,0 +1,73 @@
+"""Orders written down at stores that are well or slow."""
+
+import unittest
+
+import msgspec
+
+from goldcrestmoor.adapters.table import Committed, Row
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.version.weights.order_log import (
+    OrderEntry,
+    OrderLog,
+    may_follow,
+)
+from test._fleet import ManualClock
+
+TURN_MS = 3000
+
+
+class TimedStore:
+    """One row, written after a while; its clock runs with the host's."""
+
+    def __init__(self, clock, write_ms, read_ms):
+        self.clock = clock
+        self.write_ms = write_ms
+        self.read_ms = read_ms
+        self.row = None
+
+    def now_ms(self):
+        return self.clock.now_ms()
+
+    def answer_ms(self):
+        return self.read_ms
+
+    async def get(self, table, key):
+        return self.row
+
+    async def transact(self, checks, writes):
+        # Its own time passes, without anybody to advance the clock.
+        self.clock._now_ms += self.write_ms
+        version = (self.row.version if self.row else 0) + 1
+        self.row = Row(writes[0].key, version, writes[0].value)
+        return Committed({f"orders/{writes[0].key}": version})
+
+
+class OrderLogTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = ManualClock()
+
+    def make(self, write_ms, read_ms):
+        self.store = TimedStore(self.clock, write_ms, read_ms)
+        return OrderLog(
+            clock=self.clock, store=self.store, host_id="host-a", turn_ms=TURN_MS
+        )
+
+    async def test_an_order_is_given_while_the_store_is_slow(self):
+        """Sixty times slower, an entry waits behind three hosts' writes."""
+        log = self.make(write_ms=1200, read_ms=240)
+        self.assertEqual(await log.enter("engine"), 1)
+        entry = msgspec.json.decode(self.store.row.value, type=OrderEntry)
+        # Another host counts the turn from when the order may have left.
+        left_ms = self.clock.now_ms()
+        turn_over_ms = left_ms + TURN_MS - 1
+        self.assertFalse(may_follow(entry, "host-b", turn_over_ms, TURN_MS))
+
+    async def test_an_order_that_comes_too_late_is_not_given(self):
+        log = self.make(write_ms=1200, read_ms=5)
+        with self.assertRaises(ServiceError) as caught:
+            await log.enter("engine")
+        self.assertIs(caught.exception.kind, ErrorKind.PLATFORM_UNAVAILABLE)
+
+
+if __name__ == "__main__":
+    unittest.main()
