--- a/goldcrestmoor/process/leases.py
+++ b/goldcrestmoor/process/leases.py
@@ -286,7 +286,7 @@
         if known.token != lease.row.token or not known.holder:
             return False
         if not lease.expires_ms:
-            # Only the taking write, which was sent once, carries a new token.
+            # Only the taking write carries a new token, and it was first sent then.
             lease.extend(row.version, sent_ms)
         # A renewal that is found here may have been sent long before, so it
         # gives no time; the next one does.
