--- a/goldcrestmoor/platform/store.py
+++ b/goldcrestmoor/platform/store.py
@@ -10,7 +10,6 @@
 from goldcrestmoor.adapters.table import Change, Changes, HistoryLost, Row
 from goldcrestmoor.connection.patience import AnswerTimes
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
-from goldcrestmoor.platform.records import OPERATOR_TABLE, UPSTREAM_TABLE
 
 log = logging.getLogger("goldcrestmoor.store")
 
@@ -24,13 +23,9 @@
 FEED_SLACK_MS = 700
 # A hundred times what the store needs for an answer when it is well.
 PROBE_MS = 400
-# The rows of the operator, the trainers and the servers lie in the empty part. Each
-# part makes its transactions one after another, and a slow store falls behind with the
-# servers' beats alone, so that ours are in another. In one, as parts fail one by one
-# and with one there is one that matters; its 200 transactions a second are enough.
-THEIR_PART = ""
-OWN_PART = "goldcrestmoor"
-_THEIR_TABLES = frozenset((OPERATOR_TABLE, UPSTREAM_TABLE))
+# All rows lie in the empty part. Parts of the store fail one by one, and with one
+# part there is one that matters; its 200 transactions a second are enough.
+PART = ""
 _JSON = [(b"content-type", b"application/json")]
 
 
@@ -184,7 +179,7 @@
         :param key: the row's key.
         :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
         """
-        query = _query(table=table, part=_part(table), limit=1, **{"from": key})
+        query = _query(table=table, part=PART, limit=1, **{"from": key})
         answer = await self._read("get", f"/rows-get?{query}", _answer_decoder)
         for row in answer.rows:
             if row.key == key:
@@ -233,7 +228,7 @@
         changes = [
             Change(row.key, row.ver, None if row.deleted else _value(row))
             for row in answer.rows
-            if row.part == _part(table)
+            if row.part == PART
         ]
         return Changes(changes, max(after, answer.ver))
 
@@ -252,13 +247,13 @@
         """Send one transaction; return :class:`Applied` or :class:`Refused`."""
         body = msgspec.json.encode(
             _Transaction(
-                [_Expected(c.table, OWN_PART, c.key, c.version) for c in checks],
+                [_Expected(c.table, PART, c.key, c.version) for c in checks],
                 [
-                    _Set(w.table, OWN_PART, w.key, base64.b64encode(w.value).decode())
+                    _Set(w.table, PART, w.key, base64.b64encode(w.value).decode())
                     for w in writes
                     if w.value is not None
                 ],
-                [_Removed(w.table, OWN_PART, w.key) for w in writes if w.value is None],
+                [_Removed(w.table, PART, w.key) for w in writes if w.value is None],
             )
         )
         response = await self._send(
@@ -314,7 +309,7 @@
         while has_more:
             query = _query(
                 table=table,
-                part=_part(table),
+                part=PART,
                 to=end,
                 limit=most_rows,
                 **{"from": first or None},
@@ -393,10 +388,6 @@
     return ServiceError(ErrorKind.PLATFORM_UNAVAILABLE, text)
 
 
-def _part(table):
-    return THEIR_PART if table in _THEIR_TABLES else OWN_PART
-
-
 def _query(**fields):
     pairs = ((name, value) for name, value in fields.items() if value is not None)
     return "&".join(f"{name}={quote(str(value), safe='')}" for name, value in pairs)
