--- a/goldcrestmoor/platform/store.py
+++ b/goldcrestmoor/platform/store.py
@@ -233,11 +233,12 @@
         return Changes(changes, max(after, answer.ver))
 
     async def transact(self, checks, writes):
-        """Make all writes at once, if all checks hold. Sent at most once.
+        """Make all writes at once, if all checks hold; maybe with others of this host.
 
         :param checks: a list of :class:`~goldcrestmoor.adapters.table.Check`.
         :param writes: a list of :class:`~goldcrestmoor.adapters.table.Write`.
-        :return: ``Committed`` or ``CheckFailed``.
+        :return: ``Committed``, or ``CheckFailed``, also when a call whose answer was
+            lost has made it.
         :raises ServiceError: ``PLATFORM_UNAVAILABLE`` when surely not written,
             ``OUTCOME_UNKNOWN`` when it may have been or may yet be.
         """
