Stall the process once its request has come, not after 20 ms

The test stalls its own process 20 ms after the request began, taking it to have left by then. On a busy machine the connection took longer, so that the stall came before the request was sent and its time was up, which the client says truly. With 0 ms in place of 20 the same error comes each time.

Change: the server's thread starts the stall when the request has come. No bound or check has changed.

--- a/test/test_http_stalls.py
+++ b/test/test_http_stalls.py
@@ -17,18 +17,18 @@
 STALL_S = 0.6
 # The answers come while the process stands still.
 PAUSE_S = 0.1
-# Takes effect once the request has left or the handshake has begun.
-STALL_AFTER_S = 0.02
 
 
 class ThreadServer:
     """Answers from a thread, which goes on while the test's loop stands still.
 
     :param chunks: what it sends, with a pause before each.
+    :param on_request: called in the thread once a request has come.
     """
 
-    def __init__(self, chunks):
+    def __init__(self, chunks, on_request):
         self._chunks = chunks
+        self._on_request = on_request
         self._socket = socket.create_server(("127.0.0.1", 0))
         self.port = self._socket.getsockname()[1]
         self._thread = threading.Thread(target=self._serve, daemon=True)
@@ -38,7 +38,8 @@
         try:
             connection, _ = self._socket.accept()
             with connection:
-                connection.recv(65536)
+                if connection.recv(65536):
+                    self._on_request()
                 for chunk in self._chunks:
                     time.sleep(PAUSE_S)
                     connection.sendall(chunk)
@@ -61,8 +62,20 @@
         self.client = HttpClient(clock=Clock(), limits=self.limits)
         self.addAsyncCleanup(self.client.close)
 
-    def start(self, *chunks):
-        server = ThreadServer(chunks)
+    def start(self, *chunks, stall_after_s=None):
+        """Start a server, and stall this process a while after its request has come.
+
+        :param stall_after_s: how long after; no stall when left out.
+        """
+        loop = asyncio.get_running_loop()
+
+        def stall_later():
+            if stall_after_s is not None:
+                loop.call_soon_threadsafe(
+                    loop.call_later, stall_after_s, time.sleep, STALL_S
+                )
+
+        server = ThreadServer(chunks, stall_later)
         self.addCleanup(server.close)
         return server.port
 
@@ -71,25 +84,25 @@
             "127.0.0.1", port, "GET", "/x", timeout_ms=timeout_ms
         )
 
-    def stall(self, after_s=STALL_AFTER_S):
-        asyncio.get_running_loop().call_later(after_s, time.sleep, STALL_S)
-
     async def test_an_answer_that_came_during_a_stall_is_delivered(self):
-        port = self.start(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n", b"ab")
-        self.stall()
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n"
+        port = self.start(head, b"ab", stall_after_s=0)
         self.assertEqual((await self.get(port)).body, b"ab")
 
     async def test_a_stream_goes_on_after_a_stall(self):
         head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
-        port = self.start(head, b"2\r\nab\r\n", b"2\r\ncd\r\n0\r\n\r\n")
         # The head is there by then, and the body comes during the stall.
-        self.stall(after_s=1.5 * PAUSE_S)
+        port = self.start(
+            head,
+            b"2\r\nab\r\n",
+            b"2\r\ncd\r\n0\r\n\r\n",
+            stall_after_s=1.5 * PAUSE_S,
+        )
         response = await self.get(port, timeout_ms=30_000)
         self.assertEqual(response.body, b"abcd")
 
     async def test_silence_is_still_silence_after_a_stall(self):
-        port = self.start()
-        self.stall()
+        port = self.start(stall_after_s=0)
         started_s = time.monotonic()
         with self.assertRaises(ServiceError) as caught:
             await self.get(port)
