Put transactions back in one place, and state the store's bound once

Change: _held_by_none and _put_back serve both; job_store.py takes the bound from group_commit.py; the stand-in's value() is as it was. Behaviour, bounds and the tests' assertions are the same.

Checks: linter, and 87 tests around it green (group commit, order log, jobs, board, decisions, a slow store, lost answers, a frozen runner).

--- a/goldcrestmoor/adapters/group_commit.py
+++ b/goldcrestmoor/adapters/group_commit.py
@@ -19,7 +19,8 @@
 
 log = logging.getLogger("goldcrestmoor.commits")
 
-# The store takes 100 entries and 1 MB after base64 in a transaction.
+# The store takes 100 entries and 1 MB after base64 in a transaction; 600 kB are 800 kB
+# then, which leaves room for keys and checks.
 MAX_ENTRIES = 100
 MAX_BYTES = 600_000
 # Of an entry beside its value: table, key, version and their encoding.
@@ -240,15 +241,22 @@
         if error.kind is ErrorKind.OUTCOME_UNKNOWN:
             for waiting in group:
                 waiting.is_unsure = True
-        alone = [w for w in group if not w.calls and w not in self._waiting]
         if error.kind is ErrorKind.OVERLOADED:
             self._pause_ms = self._backoff.next_ms()
-            self._waiting = alone + self._waiting
-            self._start_sending()
+            self._put_back(group)
             return
-        for waiting in alone:
+        for waiting in self._held_by_none(group):
             _fail(waiting, _kind(waiting), error.message)
 
+    def _held_by_none(self, group):
+        """Return the transactions that no other call holds, or is to hold."""
+        return [w for w in group if not w.calls and w not in self._waiting]
+
+    def _put_back(self, group):
+        """Send transactions again, before what waits, unless a call holds them."""
+        self._waiting = self._held_by_none(group) + self._waiting
+        self._start_sending()
+
     def _take(self):
         """Take the waiting transactions that fit together, in their order."""
         group, rest, places, entries, size = [], [], set(), 0, 0
@@ -291,9 +299,7 @@
             else:
                 _succeed(waiting, failed)
         if len(again) < len(group):
-            again = [w for w in again if not w.calls and w not in self._waiting]
-            self._waiting = again + self._waiting
-            self._start_sending()
+            self._put_back(again)
             return
         for waiting in again:
             text = "The store refused a condition that holds."
--- a/goldcrestmoor/job/job_store.py
+++ b/goldcrestmoor/job/job_store.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from goldcrestmoor.adapters.group_commit import MAX_BYTES
 from goldcrestmoor.adapters.table import Check, CheckFailed, Committed, Write
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.job.job import Job, JobState, Partial, Result
@@ -26,10 +27,8 @@
 OBJECT_PREFIX = "job-"
 # Below the 64 KiB that a row of the platform's store may hold.
 MAX_CHUNK_BYTES = 60_000
-# Of one transaction: the store takes 100 entries and 1 MB after base64.
+# Of one transaction, with room for the state's row and its check.
 MAX_WRITES = 90
-# 600 kB are 800 kB after base64, which leaves room for keys and checks.
-MAX_WRITE_BYTES = 600_000
 # Of an entry beside its text: ids, versions and their encoding.
 ENTRY_BYTES = 600
 MORE = b"+"
@@ -119,7 +118,7 @@
             zone=zone,
         )
         writes = []
-        if len(data) <= MAX_WRITE_BYTES:
+        if len(data) <= MAX_BYTES:
             writes = list(_chunk_writes(BODY_TABLE, job.id, data))
         else:
             digest = hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
@@ -253,7 +252,7 @@
         """
         ids = []
         while len(ids) < listed:
-            results = await self.results(job_id, len(ids), MAX_WRITE_BYTES)
+            results = await self.results(job_id, len(ids), MAX_BYTES)
             if not results:
                 text = f"Results of job {job_id} are missing."
                 raise ServiceError(ErrorKind.INTERNAL, text)
@@ -313,10 +312,7 @@
         """
         length += ENTRY_BYTES
         writes = 1 + length // MAX_CHUNK_BYTES
-        fits = (
-            self._writes + writes <= MAX_WRITES
-            and self._bytes + length <= MAX_WRITE_BYTES
-        )
+        fits = self._writes + writes <= MAX_WRITES and self._bytes + length <= MAX_BYTES
         self.has_room = self.has_room and (fits or not self._writes)
         self._writes += writes
         self._bytes += length
--- a/test/standins/users_store.py
+++ b/test/standins/users_store.py
@@ -102,12 +102,10 @@
         self.version += 1
         self._write(table, part, key, None)
 
-    def value(self, table, key):
-        """Return the decoded JSON of a row in any part, or None."""
-        for place, row in self.row_by_place.items():
-            if (place[0], place[2]) == (table, key):
-                return json.loads(base64.b64decode(row["value"]))
-        return None
+    def value(self, table, key, part=""):
+        """Return a row's decoded JSON, or None."""
+        row = self.row_by_place.get((table, part, key))
+        return json.loads(base64.b64decode(row["value"])) if row else None
 
     def forget_history(self):
         """Answer 410 to feeds that ask for anything before now."""
