Send nothing more to a server whose response says that it leaves

Cause: a server that leaves says so in its responses (Server-Leaving: 1) before the list does, or while the store is away; the host read only the list, so that requests reached the server until it was cut off. Ruled out: a record by address, as addresses are used again; a record shared between hosts, as each host answers for what it has passed on.

The directory records the instance (name and start time) from genuine responses of all kinds: forwarded ones, streams, items, reports, rejections. 421 comes from another server and marks only that one. It is asked again right before the bytes are sent. The log line of an entry that stops draining says so now.

--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -188,14 +188,16 @@
 
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param http: the :class:`~goldcrestmoor.connection.http_client.HttpClient`.
+    :param directory: the :class:`~goldcrestmoor.process.directory.UpstreamDirectory`.
     :param dialect: the request and response format of the engines.
     """
 
-    __slots__ = ("_clock", "_http", "_dialect")
+    __slots__ = ("_clock", "_http", "_directory", "_dialect")
 
-    def __init__(self, *, clock, http, dialect):
+    def __init__(self, *, clock, http, directory, dialect):
         self._clock = clock
         self._http = http
+        self._directory = directory
         self._dialect = dialect
 
     async def attempt(self, run, engine, terms, on_events):
@@ -227,13 +229,23 @@
                     head_timeout_ms=HEAD_TIMEOUT_MS,
                     progress_timeout_ms=IDLE_TIMEOUT_MS,
                     allow_close_delimited=True,
+                    before_send=lambda: self._directory.check_usable(engine),
                 ) as response:
+                    self._record_leaving(run, engine, response)
                     return await self._read_response(run, response, terms, on_events)
         except ServiceError as e:
             if e.answer.ran is Ran.NOT_RUN:
                 return NotRun(e.message)
             return Broken(e.message)
 
+    def _record_leaving(self, run, engine, response):
+        """Exclude an engine that says in a genuine response that it is leaving."""
+        status, headers = response.status, response.headers
+        if self._dialect.is_genuine(run.item.id, status, headers):
+            name = self._dialect.leaving_server(engine.name, status, headers)
+            if name is not None:
+                self._directory.record_leaving(name, engine)
+
     async def _read_response(self, run, response, terms, on_events):
         dialect = self._dialect
         if dialect.ran(response.status, response.headers) is Ran.NOT_RUN:
--- a/goldcrestmoor/platform/servers.py
+++ b/goldcrestmoor/platform/servers.py
@@ -22,6 +22,9 @@
 DEADLINE_HEADER = b"deadline-ms"
 STAMP_HEADER = b"server-stamp"
 NOT_RUN_HEADER = b"not-run"
+LEAVING_HEADER = b"server-leaving"
+# The id of the server that sent a response, on responses to other ids than its own.
+RESPONDER_HEADER = b"instance-id"
 VERSION_HEADER = b"weight-versions"
 RESUME_HEADER = b"last-event-id"
 # The field that an event begins with when the weight version changes at that event.
@@ -128,6 +131,22 @@
     return True
 
 
+def leaving_server(expected, status, headers):
+    """Return the id of the server that says that it leaves, or None.
+
+    :param expected: the id of the server that the request was meant for.
+    :param status: the response status.
+    :param headers: its ``(name, value)`` byte pairs, names in lower case.
+    """
+    value_by_name = dict(headers)
+    if value_by_name.get(LEAVING_HEADER, b"").strip() != b"1":
+        return None
+    if status != STATUS_MISDIRECTED:
+        return expected
+    # Another server has the address now, and speaks for itself only.
+    return value_by_name.get(RESPONDER_HEADER, b"").decode("latin-1").strip() or None
+
+
 def weight_version(headers):
     """Return the weight version of the first event of a response.
 
@@ -142,12 +161,14 @@
     """Requests state reports from engines and sends them load orders.
 
     :param http: the :class:`~goldcrestmoor.connection.http_client.HttpClient`.
+    :param directory: the :class:`~goldcrestmoor.process.directory.UpstreamDirectory`.
     """
 
-    __slots__ = ("_http",)
+    __slots__ = ("_http", "_directory")
 
-    def __init__(self, *, http):
+    def __init__(self, *, http, directory):
         self._http = http
+        self._directory = directory
 
     async def report(self, upstream):
         """Return an engine's state report, which lags by some hundred milliseconds.
@@ -200,7 +221,7 @@
                 raise _unexpected_status(upstream, status)
 
     async def _send(self, upstream, method, target, headers, body, timeout_ms):
-        return await self._http.request(
+        response = await self._http.request(
             upstream.address,
             upstream.port,
             method,
@@ -210,7 +231,12 @@
             timeout_ms,
             idempotent=True,
             allow_close_delimited=True,
+            before_send=lambda: self._directory.check_usable(upstream),
         )
+        name = leaving_server(upstream.name, response.status, response.headers)
+        if name is not None:
+            self._directory.record_leaving(name, upstream)
+        return response
 
 
 def _unexpected_status(upstream, status):
--- a/goldcrestmoor/process/directory.py
+++ b/goldcrestmoor/process/directory.py
@@ -4,11 +4,15 @@
 
 import msgspec
 
+from goldcrestmoor.errors import ErrorKind, ServiceError
+
 log = logging.getLogger("goldcrestmoor.directory")
 
 # Entries that expired while the store was unavailable are listed again within two
 # seconds of its recovery if the upstream is alive.
 RELIST_GRACE_MS = 2000
+# Leaving servers outlive their entry by seconds; bounds the memory for them.
+MAX_LEAVING = 1024
 
 
 class ListedUpstream(msgspec.Struct, frozen=True):
@@ -59,6 +63,7 @@
         "_on_change",
         "_recovered_ms",
         "_expiry_ms_by_name",
+        "_leaving_start_by_name",
     )
 
     def __init__(self, *, clock, decode, metrics, age_ms, on_change=None):
@@ -70,6 +75,7 @@
         self._on_change = on_change or (lambda: None)
         self._recovered_ms = None
         self._expiry_ms_by_name = {}
+        self._leaving_start_by_name = {}
 
     def usable(self, service):
         """Return a service's upstreams that accept new work, sorted by name.
@@ -81,7 +87,7 @@
             (
                 upstream
                 for upstream in self.upstream_by_name.values()
-                if upstream.service == service and not upstream.is_draining
+                if upstream.service == service and self._accepts_work(upstream)
             ),
             key=lambda upstream: upstream.name,
         )
@@ -95,10 +101,54 @@
         known = self.upstream_by_name.get(upstream.name)
         return (
             known is not None
-            and not known.is_draining
+            and self._accepts_work(known)
             and known.started_ms == upstream.started_ms
         )
 
+    def check_usable(self, upstream):
+        """Raise if an upstream accepts no new work, or has restarted.
+
+        :param upstream: the :class:`ListedUpstream` as it was when it was chosen.
+        :raises ServiceError: ``DRAINING``; the request has not been sent.
+        """
+        if not self.is_usable(upstream):
+            text = f"{upstream.name} left while the request was about to be sent."
+            raise ServiceError(ErrorKind.DRAINING, text)
+
+    def record_leaving(self, name, recipient):
+        """Record that an upstream responded that it is leaving.
+
+        The list may still show it as ready, and may show it again after an outage. It
+        stays excluded under this name until it has restarted.
+
+        :param name: the upstream's name.
+        :param recipient: the :class:`ListedUpstream` that the request was meant for,
+            whose address the responder has.
+        """
+        if name != recipient.name:
+            recipient = self.upstream_by_name.get(name)
+        if recipient is None or not self._accepts_work(recipient):
+            return
+        self._leaving_start_by_name[name] = recipient.started_ms
+        log.info(
+            "%s of %s responded that it is leaving; it gets no more requests.",
+            name,
+            recipient.service,
+        )
+        if len(self._leaving_start_by_name) > MAX_LEAVING:
+            self._drop_oldest_leaving()
+        self._on_change()
+
+    def _accepts_work(self, upstream):
+        leaving_start_ms = self._leaving_start_by_name.get(upstream.name, -1)
+        return not upstream.is_draining and upstream.started_ms > leaving_start_ms
+
+    def _drop_oldest_leaving(self):
+        """Forget the longest known leaving upstream, of those not listed if any."""
+        names = self._leaving_start_by_name
+        unlisted = (name for name in names if name not in self.upstream_by_name)
+        del names[next(unlisted, next(iter(names)))]
+
     def on_feed_recovered(self):
         """Record that the store is available again after an outage."""
         self._recovered_ms = self._clock.now_ms()
@@ -133,7 +183,8 @@
         if known is None:
             log.info("%s of %s is listed.", name, upstream.service)
         elif known.is_draining != upstream.is_draining:
-            log.info("%s of %s is draining.", name, upstream.service)
+            state = "draining" if upstream.is_draining else "no longer draining"
+            log.info("%s of %s is %s.", name, upstream.service, state)
         elif known.started_ms != upstream.started_ms:
             log.info("%s of %s has restarted.", name, upstream.service)
 
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -157,7 +157,12 @@
         self._scheduler = Scheduler(
             clock=clock,
             pool=EnginePool(clock=clock, directory=self._directory),
-            executor=ItemExecutor(clock=clock, http=self._http, dialect=servers),
+            executor=ItemExecutor(
+                clock=clock,
+                http=self._http,
+                directory=self._directory,
+                dialect=servers,
+            ),
             routes=self._routing.current,
             metrics=self._metrics,
         )
@@ -218,7 +223,9 @@
             directory=self._directory,
             versions=self._versions,
             routes=self._routing.current,
-            engines=servers.EngineControlClient(http=self._http),
+            engines=servers.EngineControlClient(
+                http=self._http, directory=self._directory
+            ),
             order_log=OrderLog(
                 clock=self._clock,
                 store=self._store,
--- a/goldcrestmoor/request/forwarding.py
+++ b/goldcrestmoor/request/forwarding.py
@@ -144,6 +144,8 @@
         :param upstream: the upstream.
         :param error: the :class:`~goldcrestmoor.errors.ServiceError`.
         """
+        if error.kind is ErrorKind.DRAINING:
+            return
         if error.kind is ErrorKind.UPSTREAM_TIMEOUT:
             self._loads.record_timeout(upstream, self.route.name)
         else:
@@ -185,6 +187,13 @@
         self._dialect = dialect
         self._metrics = metrics
 
+    def _record_leaving(self, upstream, request_id, status, headers):
+        """Exclude a server that says in a genuine response that it is leaving."""
+        if self._dialect.is_genuine(request_id, status, headers):
+            name = self._dialect.leaving_server(upstream.name, status, headers)
+            if name is not None:
+                self._loads.record_leaving(name, upstream)
+
     def _new_attempts(self, request, route, deadline):
         """Return the attempts of a request that has not been sent yet."""
         return RequestAttempts(
@@ -244,6 +253,7 @@
                     idempotent=route.retry_policy is not RetryPolicy.NEVER,
                     connect_timeout_ms=CONNECT_TIMEOUT_MS,
                     allow_close_delimited=True,
+                    before_send=lambda: self._loads.check_usable(upstream),
                 )
         except ServiceError as e:
             attempts.record_error(upstream, e)
@@ -252,6 +262,7 @@
 
     def _classify(self, upstream, attempts, response):
         status, headers = response.status, response.headers
+        self._record_leaving(upstream, attempts.request.id, status, headers)
         if self._dialect.ran(status, headers) is Ran.NOT_RUN:
             return FailedAttempt(Ran.NOT_RUN, f"Not run, answered {status}")
         if not self._dialect.is_genuine(attempts.request.id, status, headers):
--- a/goldcrestmoor/request/streaming.py
+++ b/goldcrestmoor/request/streaming.py
@@ -114,6 +114,8 @@
     def _record_error(self, upstream, attempts, error):
         # An idle timeout within the stream is the engine's fault; a stream that is
         # longer than its caller's deadline is not.
+        if error.kind is ErrorKind.DRAINING:
+            return
         if error.kind is ErrorKind.UPSTREAM_TIMEOUT and attempts.deadline.passed():
             self._loads.record_timeout(upstream, attempts.route.name)
         else:
@@ -142,12 +144,14 @@
                     MIN_IDLE_TIMEOUT_MS, 4 * attempts.route.target_ms
                 ),
                 allow_close_delimited=True,
+                before_send=lambda: self._loads.check_usable(upstream),
             ) as response:
                 yield response
 
     async def _check_response(self, upstream, attempts, response, has_head):
         """Return None for a stream to forward, else the outcome of the attempt."""
         status, headers = response.status, response.headers
+        self._record_leaving(upstream, attempts.request.id, status, headers)
         if self._dialect.ran(status, headers) is Ran.NOT_RUN:
             async for _ in response.body():
                 pass
--- a/goldcrestmoor/request/upstream_loads.py
+++ b/goldcrestmoor/request/upstream_loads.py
@@ -62,6 +62,22 @@
         choices = (self._candidate(u, now_ms) for u in upstream_by_name.values())
         return upstream_by_name.get(choose_upstream(choices, sent_to))
 
+    def check_usable(self, upstream):
+        """Raise if an upstream accepts no new work, right before a request is sent.
+
+        :param upstream: the upstream.
+        :raises ServiceError: ``DRAINING``.
+        """
+        self._directory.check_usable(upstream)
+
+    def record_leaving(self, name, recipient):
+        """Record that an upstream responded that it is leaving.
+
+        :param name: the upstream's name.
+        :param recipient: the upstream that the request was meant for.
+        """
+        self._directory.record_leaving(name, recipient)
+
     def _candidate(self, upstream, now_ms):
         failure = self._failure_by_name.get(upstream.name)
         return Candidate(
--- a/test/standins/users_server.py
+++ b/test/standins/users_server.py
@@ -24,6 +24,7 @@
     :ivar orders: the accepted load orders.
     :ivar ordered_s: the times of acceptance, by the monotonic clock.
     :ivar lose: whether connections are closed without a response after a run.
+    :ivar leaving: whether every response says that the server is leaving.
     :ivar delay_s: how long an application request takes.
     """
 
@@ -40,6 +41,7 @@
         self.cut_after = None
         self.failing = None
         self.lose = False
+        self.leaving = False
         self.delay_s = 0
         self.echo = None
         self.sequence = 0
@@ -88,6 +90,12 @@
 
     async def handle(self, request):
         """Return the response to a request."""
+        response = await self._answer(request)
+        if self.leaving:
+            response.headers.append(("server-leaving", "1"))
+        return response
+
+    async def _answer(self, request):
         self.seen.append((request.path, request.headers, request.body))
         expected = request.headers.get("expect-instance")
         if expected not in (None, self.name):
--- /dev/null
+++ b/test/test_leaving_servers.py
@@ -0,0 +1,204 @@
+"""Servers that say in their responses that they leave, while the list shows them ready.
+
+A server's entry may lag by seconds or stay as it was while the store is away. A host
+that has passed on such a response and still sends requests there has them cut off when
+the server exits.
+"""
+
+import asyncio
+import time
+import unittest
+
+from goldcrestmoor.adapters.table import Change
+from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
+from goldcrestmoor.platform import servers
+from goldcrestmoor.process import directory
+from goldcrestmoor.process.directory import ListedUpstream, UpstreamDirectory
+from goldcrestmoor.process.metrics import Metrics
+from test import _common
+from test._fleet import ManualClock
+from test._front import FETCH_PATH, FrontFleet, item
+from test.standins.users_server import whole_text
+
+LEAVING = [(b"server-leaving", b"1")]
+
+
+def decode(key, value):
+    service, started_ms = value.decode().split()
+    return ListedUpstream(
+        name=key,
+        service=service,
+        address="127.0.0.1",
+        port=1,
+        zone="a",
+        slots=6,
+        started_ms=int(started_ms),
+    )
+
+
+class RecordTest(unittest.TestCase):
+    def setUp(self):
+        self.directory = UpstreamDirectory(
+            clock=ManualClock(), decode=decode, metrics=Metrics(), age_ms=lambda: 0
+        )
+        self.write("s1", b"app 10")
+        self.write("s2", b"app 10")
+        self.first = self.directory.upstream_by_name["s1"]
+
+    def write(self, key, value):
+        self.directory.apply([Change(key, 1, value)])
+
+    def names(self):
+        return [upstream.name for upstream in self.directory.usable("app")]
+
+    def test_it_stays_excluded_when_its_entry_comes_back(self):
+        self.directory.record_leaving("s1", self.first)
+        self.assertEqual(self.names(), ["s2"])
+        self.write("s1", None)
+        self.write("s1", b"app 10")
+        self.assertEqual(self.names(), ["s2"])
+        # An entry by another writer has no start time.
+        self.write("s1", b"app 0")
+        self.assertEqual(self.names(), ["s2"])
+
+    def test_it_is_excluded_when_its_entry_expired_before_the_response_came(self):
+        self.write("s1", None)
+        self.directory.record_leaving("s1", self.first)
+        self.write("s1", b"app 10")
+        self.assertEqual(self.names(), ["s2"])
+
+    def test_a_server_that_restarted_under_its_id_is_used_again(self):
+        self.directory.record_leaving("s1", self.first)
+        self.write("s1", b"app 11")
+        self.assertEqual(self.names(), ["s1", "s2"])
+
+    def test_it_is_asked_again_right_before_a_request_is_sent(self):
+        self.directory.check_usable(self.first)
+        self.directory.record_leaving("s1", self.first)
+        with self.assertRaises(ServiceError) as caught:
+            self.directory.check_usable(self.first)
+        self.assertEqual(caught.exception.kind, ErrorKind.DRAINING)
+        self.assertIs(caught.exception.answer.ran, Ran.NOT_RUN)
+
+    def test_the_record_is_bounded_and_keeps_listed_servers(self):
+        self.directory.record_leaving("s1", self.first)
+        for number in range(directory.MAX_LEAVING + 10):
+            name = f"gone-{number}"
+            self.write(name, b"app 10")
+            gone = self.directory.upstream_by_name[name]
+            self.directory.record_leaving(name, gone)
+            self.write(name, None)
+        self.assertEqual(self.names(), ["s2"])
+        self.assertLessEqual(
+            len(self.directory._leaving_start_by_name), directory.MAX_LEAVING
+        )
+
+
+class HeaderTest(unittest.TestCase):
+    def test_a_server_speaks_for_itself(self):
+        for status in (200, 500, 503):
+            self.assertEqual(servers.leaving_server("s1", status, LEAVING), "s1")
+        self.assertIsNone(servers.leaving_server("s1", 200, []))
+        others = [(b"server-leaving", b"0")]
+        self.assertIsNone(servers.leaving_server("s1", 200, others))
+
+    def test_another_server_at_the_address_does_not_mark_the_expected_one(self):
+        self.assertIsNone(servers.leaving_server("s1", 421, LEAVING))
+        headers = [*LEAVING, (b"instance-id", b"s9")]
+        self.assertEqual(servers.leaving_server("s1", 421, headers), "s9")
+
+
+class LeavingServersTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.fleet = FrontFleet()
+        self.addAsyncCleanup(self.fleet.close)
+        await self.fleet.start(names=("front-a",))
+        await _common.eventually(lambda: self.answers("probe"))
+
+    async def answers(self, request_id):
+        answer = await self.fleet.ask(
+            "front-a", "POST", FETCH_PATH, b"x", request_id=request_id
+        )
+        return answer.status == 200
+
+    async def fetch_until_run_by(self, server):
+        """Send requests until a server has run one more of them."""
+        before = len(server.runs)
+        for number in range(40):
+            self.assertTrue(await self.answers(f"{server.name}-{number}"))
+            if len(server.runs) > before:
+                return
+        self.fail(f"{server.name} got no request")
+
+    def last_used(self):
+        return max(self.fleet.apps, key=lambda app: len(app.runs))
+
+    async def test_it_gets_no_more_requests_while_the_store_is_away(self):
+        leaving = self.last_used()
+        self.fleet.store.mode = "reset"
+        leaving.leaving = True
+        await self.fetch_until_run_by(leaving)
+        runs = len(leaving.runs)
+        for number in range(20):
+            self.assertTrue(await self.answers(f"later-{number}"))
+        self.assertEqual(len(leaving.runs), runs)
+
+    async def test_a_rejection_says_so_too(self):
+        leaving = self.last_used()
+        leaving.leaving = leaving.refusing = True
+        for number in range(10):
+            self.assertTrue(await self.answers(f"r{number}"))
+        seen = [headers for path, headers, _ in leaving.seen if path == FETCH_PATH]
+        ids = [h["request-id"] for h in seen if h["request-id"] != "probe"]
+        self.assertEqual(len(ids), 1, ids)
+
+    async def test_a_response_to_another_request_excludes_nobody(self):
+        leaving = self.last_used()
+        leaving.leaving, leaving.echo = True, "another"
+        await self.fleet.ask("front-a", "POST", FETCH_PATH, b"x", "r1")
+        leaving.leaving, leaving.echo = False, None
+        await asyncio.sleep(1.2)  # the cool-down after a failed request
+        await self.fetch_until_run_by(leaving)
+
+    async def test_requests_are_refused_at_once_when_all_leave(self):
+        for app in self.fleet.apps:
+            app.leaving = True
+        for number in range(2):
+            await self.answers(f"r{number}")
+        runs = [len(app.runs) for app in self.fleet.apps]
+        started_s = time.monotonic()
+        answer = await self.fleet.ask("front-a", "POST", FETCH_PATH, b"x", "r9")
+        self.assertLess(time.monotonic() - started_s, 0.5)
+        self.assertEqual(answer.status, 503)
+        self.assertIn(b"retry-after", dict(answer.headers))
+        self.assertEqual([len(app.runs) for app in self.fleet.apps], runs)
+
+    async def test_an_engine_finishes_its_items_and_gets_no_others(self):
+        leaving, staying = self.fleet.engines
+        for engine in self.fleet.engines:
+            engine.events = 60
+        leaving.leaving = True
+        await self.fleet.submit("front-a", "j1", 24)
+        results = await self.fleet.all_results("front-a", "j1")
+        self.assertEqual(len(results), 24)
+        for result in results:
+            self.assertEqual(result["text"], whole_text(result["id"], 60))
+        # Four slots are filled before the first response arrives.
+        self.assertLessEqual(len(leaving.runs), 4)
+        self.assertGreater(len(staying.runs), 12)
+        self.assertEqual(len(leaving.runs) + len(staying.runs), 24)
+
+    async def test_a_stream_excludes_its_engine(self):
+        for engine in self.fleet.engines:
+            engine.leaving = True
+        headers = item("s")["headers"]
+        for number in range(4):
+            await self.fleet.ask(
+                "front-a", "POST", "/stream/x", b"", f"s{number}", **headers
+            )
+        runs = [len(engine.runs) for engine in self.fleet.engines]
+        self.assertEqual(runs, [1, 1])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/test/test_streaming.py
+++ b/test/test_streaming.py
@@ -39,6 +39,7 @@
     resume_header=lambda last_id: (b"last-event-id", last_id.encode()),
     ran=lambda status, headers: Ran.RAN,
     is_genuine=lambda request_id, status, headers: True,
+    leaving_server=servers.leaving_server,
 )
 
 
