Score items by their reward calls

An item now generates, is scored, is listed. Its whole text is stored when the call begins, so that a successor of the runner scores it without an engine. A score is taken only from a genuine, framed 2xx to that call; a call without one is sent again, to no more servers than its route allows; as many failures end the item. Calls end with their job. The runner sends them (job/reward_calls.py); which go next and where is decided in job/reward_order.py. Ruled out: calls by any host, which needs a claim for each; a queue of its own in the store, which costs a write for each.

Tests: test/test_reward_calls.py, eleven with daemons; before the change results have no score.

--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -86,6 +86,9 @@
     :ivar avoided_engine: the engine of its last unsuccessful attempt.
     :ivar is_moving: whether its attempt is being cancelled, to continue at another
         engine.
+    :ivar is_complete: whether its text is complete.
+    :ivar is_completion_saved: whether the store shows that it is.
+    :ivar score: the score of its text; empty while it has none.
     """
 
     __slots__ = (
@@ -103,6 +106,9 @@
         "avoided_engine",
         "task",
         "is_moving",
+        "is_complete",
+        "is_completion_saved",
+        "score",
     )
 
     def __init__(self, item, position):
@@ -120,6 +126,9 @@
         self.last_id = ""
         self.versions = []
         self.saved_events = 0
+        self.is_complete = False
+        self.is_completion_saved = False
+        self.score = ""
 
     @property
     def group(self):
@@ -138,6 +147,8 @@
         self.last_id = ""
         self.versions = []
         self.saved_events = 0
+        self.is_complete = False
+        self.is_completion_saved = False
 
     def unsaved(self):
         """Return the events that are not in the store yet, as a :class:`Partial`."""
@@ -148,6 +159,7 @@
             tuple(self.events[self.saved_events :]),
             self.last_id,
             tuple(self.versions),
+            self.is_complete,
         )
 
     def resume(self, partials):
@@ -163,7 +175,9 @@
                 self.events += partial.events
                 self.last_id = partial.last_id
                 self.versions = list(partial.versions)
+                self.is_complete = partial.is_complete
         self.saved_events = len(self.events)
+        self.is_completion_saved = self.is_complete
 
     def add(self, event, version):
         """Append one event.
--- a/goldcrestmoor/job/job.py
+++ b/goldcrestmoor/job/job.py
@@ -3,6 +3,21 @@
 import msgspec
 
 
+class RewardCall(msgspec.Struct, frozen=True):
+    """The request that scores an item's complete text.
+
+    :param id: the request's id.
+    :param host: the host of its route.
+    :param path: the target of the request.
+    :param body: the body of the request.
+    """
+
+    id: str
+    host: str
+    path: str
+    body: bytes
+
+
 class Item(msgspec.Struct, frozen=True):
     """One request of a batch job.
 
@@ -14,6 +29,7 @@
     :param group: the group whose items share a prompt; empty for none.
     :param expected_tokens: the submitter's estimate of the output length, accurate
         at the median but often far off for single items; 0 for none.
+    :param reward_call: the :class:`RewardCall` whose score its result needs, or None.
     """
 
     id: str
@@ -23,6 +39,7 @@
     tokens: int = 0
     group: str = ""
     expected_tokens: int = 0
+    reward_call: RewardCall | None = None
 
 
 class Job(msgspec.Struct, frozen=True):
@@ -84,6 +101,7 @@
     :param events: the data of the new events.
     :param last_id: the id of the last of them.
     :param versions: the weight versions that generated all events so far.
+    :param is_complete: whether the text ends with these events.
     """
 
     position: int
@@ -92,6 +110,7 @@
     events: tuple[str, ...]
     last_id: str
     versions: tuple[int, ...]
+    is_complete: bool = False
 
 
 class Result(msgspec.Struct, frozen=True):
@@ -102,9 +121,11 @@
         abandoned.
     :param text: the data of all events, one per line.
     :param versions: the weight versions that generated the output.
+    :param score: the score that its reward call returned; empty without one.
     """
 
     id: str
     is_completed: bool
     text: str = ""
     versions: tuple[int, ...] = ()
+    score: str = ""
--- a/goldcrestmoor/job/job_run.py
+++ b/goldcrestmoor/job/job_run.py
@@ -1,6 +1,7 @@
 """A batch job that this process runs: its items and its unlisted results."""
 
 import asyncio
+import collections
 import itertools
 import logging
 
@@ -38,6 +39,9 @@
     :param clock: the clock.
     :param store: the :class:`~goldcrestmoor.job.job_store.JobStore`.
     :param on_state: called with each :class:`VersionedState` written or received.
+    :ivar waiting: the items that wait for an engine.
+    :ivar running_by_id: the items whose text an engine generates.
+    :ivar scoring_by_id: the items whose text is complete and has no score yet.
     """
 
     __slots__ = (
@@ -47,7 +51,9 @@
         "due_ms",
         "waiting",
         "running_by_id",
+        "scoring_by_id",
         "engine_by_group",
+        "_missing_by_group",
         "_stored",
         "_process_id",
         "_clock",
@@ -87,7 +93,9 @@
         for run in self.waiting:
             run.resume(partials.get(run.position, ()))
         self.running_by_id = {}
+        self.scoring_by_id = {}
         self.engine_by_group = {}
+        self._missing_by_group = collections.Counter(run.group for run in self.waiting)
         self._stored = stored
         self._process_id = process_id
         self._clock = clock
@@ -137,6 +145,26 @@
         if not self.is_over:
             self.waiting.append(run)
 
+    def start_scoring(self, run):
+        """Record that an item's text is complete, so that only its score is missing.
+
+        The text is stored at once: the next runner needs no engine to score it.
+
+        :param run: the :class:`~goldcrestmoor.job.item_run.ItemRun`.
+        """
+        if run in self.waiting:
+            self.waiting.remove(run)
+        self.running_by_id.pop(run.item.id, None)
+        self.scoring_by_id[run.item.id] = run
+        self._has_finished.set()
+
+    def missing_in_group(self, group):
+        """Return the number of items of a group that have no result yet.
+
+        :param group: the group.
+        """
+        return self._missing_by_group[group]
+
     def finish(self, run, is_completed):
         """Record the result of an item, to be listed.
 
@@ -144,6 +172,8 @@
         :param is_completed: whether its output is complete; otherwise it is abandoned.
         """
         self.running_by_id.pop(run.item.id, None)
+        self.scoring_by_id.pop(run.item.id, None)
+        self._missing_by_group[run.group] -= 1
         if run.started_ms is not None:
             log.info(
                 "Item %s of job %s %s: waited %d ms, then %d ms in %d attempts, last "
@@ -160,7 +190,8 @@
             )
         text = "\n".join(run.events) if is_completed else ""
         versions = tuple(run.versions) if is_completed else ()
-        self._finished.append(Result(run.item.id, is_completed, text, versions))
+        score = run.score if is_completed else ""
+        self._finished.append(Result(run.item.id, is_completed, text, versions, score))
         self._has_finished.set()
 
     async def list_results(self):
@@ -211,9 +242,10 @@
         await self._has_ended.wait()
 
     def _cancel_running(self):
-        """Cancel the running items and return them."""
-        runs = list(self.running_by_id.values())
+        """Cancel the running items and reward calls, and return their items."""
+        runs = [*self.running_by_id.values(), *self.scoring_by_id.values()]
         self.running_by_id.clear()
+        self.scoring_by_id.clear()
         for run in runs:
             if run.task is not None:
                 run.task.cancel()
@@ -225,23 +257,28 @@
     async def _wait_for_results(self):
         if self._is_handed_over:
             return
-        wait_ms = min(self._remaining_ms(), SAVE_CHECK_INTERVAL_MS)
+        wait_ms = min(self.remaining_ms(), SAVE_CHECK_INTERVAL_MS)
         if wait_ms > 0:
             try:
                 async with asyncio.timeout(wait_ms / 1000):
                     await self._has_finished.wait()
             except TimeoutError:
                 pass
-        if self._remaining_ms() <= 0:
+        if self.remaining_ms() <= 0:
             self._abandon_items()
         await self._clock.sleep_ms(BATCH_DELAY_MS)
 
-    def _remaining_ms(self):
+    def remaining_ms(self):
+        """Return the time until its items may be abandoned, in milliseconds."""
         expires_ms = self._stored.state.submitted_ms + self.policy.expire_after_ms
         return expires_ms - self._store.now_ms()
 
     def _abandon_items(self):
-        remaining = self.waiting + list(self.running_by_id.values())
+        remaining = [
+            *self.waiting,
+            *self.running_by_id.values(),
+            *self.scoring_by_id.values(),
+        ]
         if remaining:
             log.warning(
                 "Job %s expired: %d items abandoned.", self.job.id, len(remaining)
@@ -277,6 +314,7 @@
             for run, partial in partials.items():
                 if run.generation == partial.generation:
                     run.saved_events = partial.first + len(partial.events)
+                    run.is_completion_saved = partial.is_complete
             del self._finished[: len(results)]
             if not self._finished:
                 self._has_finished.clear()
@@ -297,10 +335,13 @@
         return partials
 
     def _with_unsaved(self):
-        """Yield the items that have enough unsaved events to be stored."""
+        """Yield the items that have enough unsaved events, or an unsaved whole text."""
         min_events = 1 if self._is_handed_over else MIN_UNSAVED_EVENTS
-        for run in itertools.chain(self.running_by_id.values(), self.waiting):
-            if len(run.events) - run.saved_events >= min_events:
+        for run in itertools.chain(
+            self.scoring_by_id.values(), self.running_by_id.values(), self.waiting
+        ):
+            has_unsaved_end = run.is_complete and not run.is_completion_saved
+            if has_unsaved_end or len(run.events) - run.saved_events >= min_events:
                 yield run
 
     def _is_still_runner(self, stored):
--- a/goldcrestmoor/job/job_supervisor.py
+++ b/goldcrestmoor/job/job_supervisor.py
@@ -133,6 +133,16 @@
         """
         return not self._is_leaving and self._duties.holds(runner_duty(model))
 
+    def open_models(self):
+        """Return the number of models with open jobs, on all hosts."""
+        return len(
+            {
+                stored.state.model
+                for stored in self.state_by_job.values()
+                if self._is_open(stored.state)
+            }
+        )
+
     def update_state(self, job_id, stored):
         """Record a job's state, from the feed or from a write of this process.
 
--- a/goldcrestmoor/job/scheduler.py
+++ b/goldcrestmoor/job/scheduler.py
@@ -31,6 +31,7 @@
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param pool: the :class:`~goldcrestmoor.job.engine_pool.EnginePool`.
     :param executor: the :class:`~goldcrestmoor.job.item_run.ItemExecutor`.
+    :param rewards: the :class:`~goldcrestmoor.job.reward_calls.RewardCaller`.
     :param routes: returns the ``RouteTable`` in effect.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
     """
@@ -39,6 +40,7 @@
         "_clock",
         "_pool",
         "_executor",
+        "_rewards",
         "_routes",
         "_metrics",
         "_runs_by_job",
@@ -47,10 +49,11 @@
         "_tasks",
     )
 
-    def __init__(self, *, clock, pool, executor, routes, metrics):
+    def __init__(self, *, clock, pool, executor, rewards, routes, metrics):
         self._clock = clock
         self._pool = pool
         self._executor = executor
+        self._rewards = rewards
         self._routes = routes
         self._metrics = metrics
         self._runs_by_job = {}
@@ -69,6 +72,9 @@
             self._register_waiting_metrics(job.model)
         largest = self._max_items_by_model.get(job.model, 0)
         self._max_items_by_model[job.model] = max(largest, len(job.items))
+        for run in list(job_run.waiting):
+            if run.is_complete:
+                self._finish_text(job_run, run)
         self.wake()
 
     def remove(self, job_run):
@@ -246,11 +252,20 @@
             run.is_moving = True
             run.task.cancel()
 
+    def _finish_text(self, job_run, run):
+        """List an item whose text is complete, after its reward call if it has one."""
+        if run.item.reward_call is None:
+            job_run.finish(run, is_completed=True)
+        else:
+            job_run.start_scoring(run)
+            self._rewards.add(job_run, run)
+
     def _handle_outcome(self, job_run, run, engine, route, outcome):
         self._metrics.items.labels(type(outcome).__name__.lower()).inc()
         match outcome:
             case Finished():
-                job_run.finish(run, is_completed=True)
+                run.is_complete = True
+                self._finish_text(job_run, run)
                 return
             case Impossible():
                 log.info(
--- a/goldcrestmoor/platform/callers.py
+++ b/goldcrestmoor/platform/callers.py
@@ -7,7 +7,7 @@
 from goldcrestmoor.connection.http_client import end_to_end
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.job.calls import EndJob, ReadItem, ReadResults, SubmitJob
-from goldcrestmoor.job.job import Item, Job
+from goldcrestmoor.job.job import Item, Job, RewardCall
 from goldcrestmoor.platform.servers import DEADLINE_HEADER, ID_HEADER
 
 READY_PATH = "/readiness"
@@ -22,6 +22,14 @@
 _TERMINATED = "terminated"
 
 
+class _Scorer(msgspec.Struct):
+    id: str
+    hostname: str
+    path: str
+    # Base64 on the wire.
+    body: bytes = b""
+
+
 class _Item(msgspec.Struct):
     id: str
     path: str
@@ -31,6 +39,8 @@
     # Base64 on the wire.
     body: bytes = b""
     group: str = ""
+    # The request that scores the text, not a server.
+    scorer: _Scorer | None = None
 
 
 class _Job(msgspec.Struct, rename="camel"):
@@ -47,6 +57,7 @@
     state: str
     text: str
     versions: list[int]
+    score: str | msgspec.UnsetType = msgspec.UNSET
 
 
 class _Page(msgspec.Struct):
@@ -154,9 +165,16 @@
         item.tokens,
         item.group,
         _parse_number(hint.encode()) or 0,
+        _decode_scorer(item.scorer),
     )
 
 
+def _decode_scorer(scorer):
+    if scorer is None:
+        return None
+    return RewardCall(scorer.id, scorer.hostname.lower(), scorer.path, scorer.body)
+
+
 def encode_page(total, after, results):
     """Return the body of a response with results.
 
@@ -173,6 +191,7 @@
                 _COMPLETED if result.is_completed else _TERMINATED,
                 result.text,
                 list(result.versions),
+                result.score or msgspec.UNSET,
             )
             for result in results
         ],
--- a/goldcrestmoor/platform/servers.py
+++ b/goldcrestmoor/platform/servers.py
@@ -102,6 +102,25 @@
     return [(b"host", host.encode()), (ID_HEADER, item.id.encode()), *pairs]
 
 
+def reward_call_headers(reward_call):
+    """Return the request headers for a reward call.
+
+    :param reward_call: the :class:`~goldcrestmoor.job.job.RewardCall`.
+    """
+    return [
+        (b"host", reward_call.host.encode()),
+        (ID_HEADER, reward_call.id.encode()),
+    ]
+
+
+def score(headers):
+    """Return the score in a genuine successful response to a reward call.
+
+    :param headers: its ``(name, value)`` byte pairs, names in lower case.
+    """
+    return dict(headers)[STAMP_HEADER].decode("latin-1")
+
+
 def ran(status, headers):
     """Return whether the request of a response was run.
 
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -17,6 +17,7 @@
 from goldcrestmoor.job.job_api import JobApi
 from goldcrestmoor.job.job_store import STATE_TABLE, JobStore
 from goldcrestmoor.job.job_supervisor import JobSupervisor
+from goldcrestmoor.job.reward_calls import RewardCaller
 from goldcrestmoor.job.scheduler import Scheduler
 from goldcrestmoor.platform import callers as caller_dialect, records, servers
 from goldcrestmoor.platform.store import StoreClient
@@ -86,6 +87,8 @@
         "_directory",
         "_duties",
         "_orders",
+        "_forwarding",
+        "_rewards",
         "_scheduler",
         "_supervisor",
         "_job_api",
@@ -154,6 +157,23 @@
 
     def _make_jobs(self):
         clock = self._clock
+        self._forwarding = {
+            "http": self._http,
+            "loads": UpstreamLoads(
+                clock=clock,
+                http=self._http,
+                directory=self._directory,
+                zone=self.settings.host.zone,
+            ),
+            "dialect": servers,
+            "metrics": self._metrics,
+        }
+        self._rewards = RewardCaller(
+            clock=clock,
+            routes=self._routing.current,
+            open_models=lambda: self._supervisor.open_models(),
+            **self._forwarding,
+        )
         self._scheduler = Scheduler(
             clock=clock,
             pool=EnginePool(clock=clock, directory=self._directory),
@@ -163,6 +183,7 @@
                 directory=self._directory,
                 dialect=servers,
             ),
+            rewards=self._rewards,
             routes=self._routing.current,
             metrics=self._metrics,
         )
@@ -273,17 +294,6 @@
 
     def _make_servers(self):
         self._in_flight = InFlight()
-        forwarding = {
-            "http": self._http,
-            "loads": UpstreamLoads(
-                clock=self._clock,
-                http=self._http,
-                directory=self._directory,
-                zone=self.settings.host.zone,
-            ),
-            "dialect": servers,
-            "metrics": self._metrics,
-        }
         caller_server = HttpServer(
             clock=self._clock,
             settings=self.settings,
@@ -300,8 +310,8 @@
         FrontRequestHandler(
             clock=self._clock,
             routing=self._routing,
-            forwarder=Forwarder(**forwarding),
-            streams=StreamForwarder(**forwarding),
+            forwarder=Forwarder(**self._forwarding),
+            streams=StreamForwarder(**self._forwarding),
             job_api=self._job_api,
             dialect=caller_dialect,
             metrics=self._metrics,
@@ -369,11 +379,13 @@
             if change.key == records.CONFIGURATION_KEY:
                 self._routing.put(change.value)
                 self._scheduler.wake()
+                self._rewards.wake()
             elif change.key.startswith(records.VERSION_PREFIX):
                 self._versions.put(change.value)
 
     def _on_upstreams_changed(self):
         self._scheduler.wake()
+        self._rewards.wake()
         self._orders.wake()
 
     async def run(self):
@@ -385,6 +397,7 @@
         part_by_name = {
             **self._followers,
             "scheduler": self._scheduler,
+            "rewards": self._rewards,
             "board": self._supervisor,
             "orders": self._orders,
             "reach": self._connectivity,
@@ -449,6 +462,7 @@
             await server.stop(CLOSE_TIMEOUT_MS)
         await self._supervisor.close()
         await self._scheduler.close()
+        await self._rewards.close()
         await self._orders.close()
         await self._tasks.close()
         await self._http.close()
--- a/goldcrestmoor/process/metrics.py
+++ b/goldcrestmoor/process/metrics.py
@@ -51,6 +51,10 @@
         "answers",
         "answer_seconds",
         "items_waiting",
+        "reward_calls",
+        "reward_calls_waiting",
+        "reward_calls_in_flight",
+        "reward_seconds",
         "items_waiting_ms",
         "duty_held",
         "feed_age_ms",
@@ -131,6 +135,22 @@
         self.items_waiting = self._gauge(
             "items_waiting", "Items of jobs run here that wait for a slot.", "model"
         )
+        self.reward_calls = self._counter(
+            "reward_calls", "Attempts of reward calls by outcome.", "outcome"
+        )
+        self.reward_calls_waiting = self._gauge(
+            "reward_calls_waiting",
+            "Reward calls of jobs run here that wait for a slot.",
+        )
+        self.reward_calls_in_flight = self._gauge(
+            "reward_calls_in_flight", "Reward calls that a server may be running."
+        )
+        self.reward_seconds = Histogram(
+            "goldcrestmoor_reward_seconds",
+            "Time from an item's complete text until its score.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
         self.items_waiting_ms = self._gauge(
             "items_waiting_ms",
             "How long the job has been run that waits most.",
--- a/goldcrestmoor/request/upstream_loads.py
+++ b/goldcrestmoor/request/upstream_loads.py
@@ -57,10 +57,23 @@
         :param service: the service's name.
         :param sent_to: the names of the upstreams that the request was sent to.
         """
+        name = choose_upstream(self.candidates(service), sent_to)
+        return None if name is None else self.upstream(name)
+
+    def candidates(self, service):
+        """Return the :class:`Candidate` of each usable upstream of a service.
+
+        :param service: the service's name.
+        """
         now_ms = self._clock.now_ms()
-        upstream_by_name = {u.name: u for u in self._directory.usable(service)}
-        choices = (self._candidate(u, now_ms) for u in upstream_by_name.values())
-        return upstream_by_name.get(choose_upstream(choices, sent_to))
+        return [self._candidate(u, now_ms) for u in self._directory.usable(service)]
+
+    def upstream(self, name):
+        """Return a listed upstream.
+
+        :param name: its name, from :meth:`candidates`.
+        """
+        return self._directory.upstream_by_name[name]
 
     def check_usable(self, upstream):
         """Raise if an upstream accepts no new work, right before a request is sent.
--- a/test/standins/users_server.py
+++ b/test/standins/users_server.py
@@ -23,6 +23,7 @@
     :ivar failing: the status returned for every request that runs, or None.
     :ivar orders: the accepted load orders.
     :ivar ordered_s: the times of acceptance, by the monotonic clock.
+    :ivar failing_ids: the ids of the requests that always fail with 500.
     :ivar lose: whether connections are closed without a response after a run.
     :ivar leaving: whether every response says that the server is leaving.
     :ivar delay_s: how long an application request takes.
@@ -40,6 +41,7 @@
         self.refusing = False
         self.cut_after = None
         self.failing = None
+        self.failing_ids = set()
         self.lose = False
         self.leaving = False
         self.delay_s = 0
@@ -130,6 +132,8 @@
         ]
         if self.failing is not None:
             return Response(self.failing, b"", headers)
+        if request_id in self.failing_ids:
+            return Response(500, b"", headers)
         if "model-name" not in request.headers:
             await asyncio.sleep(self.delay_s)
             return Response(200, b"answer to " + request.body, headers)
--- a/test/test_job_run.py
+++ b/test/test_job_run.py
@@ -130,6 +130,7 @@
             clock=Clock(),
             pool=self.pool,
             executor=self.executor,
+            rewards=None,
             routes=lambda: TABLE,
             metrics=Metrics(),
         )
