Import only what a daemon uses

Cause: every subcommand was imported at the start of each, so that goldcrestmoor front loaded the product's own daemon, its language and peer links; settings' validation loaded a library that msgspec replaces, and the web framework loads it too when it is installed; tracing loaded its SDK without an exporter and looked up propagators by entry points.

Subcommands are imported by name, settings are msgspec structs that are checked field by field (every fault with its path, as before), the tracing SDK is loaded by an exporter.

--- a/goldcrestmoor/__main__.py
+++ b/goldcrestmoor/__main__.py
@@ -5,7 +5,7 @@
 import fire
 
 import goldcrestmoor
-from goldcrestmoor.commands import COMMAND_BY_NAME
+from goldcrestmoor.commands import COMMAND_NAMES, load_command
 from goldcrestmoor.errors import UserError
 
 
@@ -14,8 +14,9 @@
     if sys.argv[1:] == ["--version"]:
         print(f"goldcrestmoor {goldcrestmoor.__version__}")
         return
+    names = [name for name in sys.argv[1:2] if name in COMMAND_NAMES] or COMMAND_NAMES
     try:
-        fire.Fire(COMMAND_BY_NAME, name="goldcrestmoor")
+        fire.Fire({name: load_command(name) for name in names}, name="goldcrestmoor")
     except UserError as e:
         print(f"goldcrestmoor: {e}", file=sys.stderr)
         sys.exit(e.exit_code)
--- a/goldcrestmoor/commands/__init__.py
+++ b/goldcrestmoor/commands/__init__.py
@@ -1,20 +1,17 @@
-"""The subcommands of the command line, one file each.
+"""The subcommands of the command line, one file each."""
 
-All subcommands are registered in ``COMMAND_BY_NAME``.
-"""
+import importlib
 
-from goldcrestmoor.commands.ask import ask
-from goldcrestmoor.commands.check import check
-from goldcrestmoor.commands.front import front
-from goldcrestmoor.commands.keygen import keygen
-from goldcrestmoor.commands.replay import replay
-from goldcrestmoor.commands.serve import serve
+# Each is a function in the module of its name.
+COMMAND_NAMES = ("ask", "check", "front", "keygen", "replay", "serve")
 
-COMMAND_BY_NAME = {
-    "ask": ask,
-    "check": check,
-    "front": front,
-    "keygen": keygen,
-    "replay": replay,
-    "serve": serve,
-}
+
+def load_command(name):
+    """Import a subcommand and return its function.
+
+    A daemon imports its own subcommand only: the others load parts of the service that
+    it does not use.
+
+    :param name: its name, from ``COMMAND_NAMES``.
+    """
+    return getattr(importlib.import_module(f"goldcrestmoor.commands.{name}"), name)
--- a/goldcrestmoor/front_settings.py
+++ b/goldcrestmoor/front_settings.py
@@ -4,7 +4,7 @@
 from importlib import resources
 from typing import Annotated
 
-from pydantic import Field, TypeAdapter
+from msgspec import Meta
 
 from goldcrestmoor import settings
 from goldcrestmoor.settings import (
@@ -13,19 +13,18 @@
     LimitSettings,
     LogSettings,
     Port,
+    Section,
     ShutdownSettings,
     TracingSettings,
-    strict_dataclass,
 )
 
 DEFAULTS_FILE = "front_defaults.json"
 
-Text = Annotated[str, Field(min_length=1)]
-Endpoint = Annotated[str, Field(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+Text = Annotated[str, Meta(min_length=1)]
+Endpoint = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
 
 
-@strict_dataclass
-class FrontHostSettings:
+class FrontHostSettings(Section, frozen=True):
     """This host's id, location and addresses, each ``address:port``."""
 
     id: Text
@@ -52,8 +51,7 @@
         return int(self.readiness.rpartition(":")[2])
 
 
-@strict_dataclass
-class StoreSettings:
+class StoreSettings(Section, frozen=True):
     """Address of the platform's store, ``address:port``, and its timeout."""
 
     endpoint: Endpoint
@@ -70,22 +68,19 @@
         return int(self.endpoint.rpartition(":")[2])
 
 
-@strict_dataclass
-class JobSettings:
+class JobSettings(Section, frozen=True):
     """How long batch jobs are retained after submission."""
 
     kept_s: Count
 
 
-@strict_dataclass
-class OrderSettings:
+class OrderSettings(Section, frozen=True):
     """How long one host's load order keeps other hosts from ordering an engine."""
 
     turn_ms: DurationMs
 
 
-@strict_dataclass
-class FrontSettings:
+class FrontSettings(Section, frozen=True):
     """All settings of the daemon on the users' platform."""
 
     host: FrontHostSettings
@@ -98,9 +93,6 @@
     tracing: TracingSettings
 
 
-_adapter = TypeAdapter(FrontSettings)
-
-
 def load(path):
     """Read and validate a settings file.
 
@@ -108,7 +100,7 @@
     :return: the :class:`FrontSettings`, with defaults filled in.
     :raises UserError: listing every error with its path in the document.
     """
-    return settings.validate(_adapter, _defaults(), settings.read(path), path)
+    return settings.validate(FrontSettings, _defaults(), settings.read(path), path)
 
 
 def decode(document, name="settings"):
@@ -119,7 +111,7 @@
     :return: the :class:`FrontSettings`, with defaults filled in.
     :raises UserError: listing every error with its path in the document.
     """
-    return settings.validate(_adapter, _defaults(), document, name)
+    return settings.validate(FrontSettings, _defaults(), document, name)
 
 
 def _defaults():
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -1,10 +1,10 @@
 """The daemon on the users' platform: its components, their start and stop."""
 
 import asyncio
-import dataclasses
 import logging
 import signal
 
+import msgspec
 from blacksheep import Content, Request, Response
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
@@ -427,7 +427,7 @@
         logs.set_level(new.log.level)
         changed = [
             field.name
-            for field in dataclasses.fields(new)
+            for field in msgspec.structs.fields(new)
             if getattr(old, field.name) != getattr(new, field.name)
         ]
         pending = [name for name in changed if name not in RELOADABLE_SECTIONS]
--- a/goldcrestmoor/settings.py
+++ b/goldcrestmoor/settings.py
@@ -1,31 +1,32 @@
 """The daemon's settings: a JSON document, decoded strictly."""
 
 import json
+import typing
 from importlib import resources
 from typing import Annotated, Literal
 
-import pydantic
-from pydantic import ConfigDict, Field, TypeAdapter
-from pydantic.dataclasses import dataclass
+import msgspec
+from msgspec import Meta
 
 from goldcrestmoor.errors import UserError
 
 EXIT_BAD_SETTINGS = 2
 
-Port = Annotated[int, Field(ge=1, le=65535)]
-DurationMs = Annotated[int, Field(gt=0, le=86_400_000)]
-Count = Annotated[int, Field(gt=0)]
-Percent = Annotated[int, Field(ge=0, le=100)]
-Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
-Hash = Annotated[str, Field(pattern=r"^([0-9a-f]{64})?$")]
-OptionalPort = Annotated[int, Field(ge=0, le=65535)]
-CurveKey = Annotated[str, Field(min_length=40, max_length=40)]
+Port = Annotated[int, Meta(ge=1, le=65535)]
+DurationMs = Annotated[int, Meta(gt=0, le=86_400_000)]
+Count = Annotated[int, Meta(gt=0)]
+Percent = Annotated[int, Meta(ge=0, le=100)]
+Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+Hash = Annotated[str, Meta(pattern=r"^([0-9a-f]{64})?$")]
+OptionalPort = Annotated[int, Meta(ge=0, le=65535)]
+CurveKey = Annotated[str, Meta(min_length=40, max_length=40)]
 
-strict_dataclass = dataclass(config=ConfigDict(extra="forbid", strict=True), slots=True)
 
+class Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Base class of the sections of a settings document."""
 
-@strict_dataclass
-class HostSettings:
+
+class HostSettings(Section, frozen=True):
     """This host's id, location and addresses."""
 
     id: Name
@@ -38,8 +39,7 @@
     listen_backlog: Count
 
 
-@strict_dataclass
-class PeerSettings:
+class PeerSettings(Section, frozen=True):
     """A seed host, from which a starting host requests the list of hosts."""
 
     id: Name
@@ -48,8 +48,7 @@
     peer_port: Port
 
 
-@strict_dataclass
-class PlatformSettings:
+class PlatformSettings(Section, frozen=True):
     """Address, timeout and backoff of the platform's service."""
 
     address: str
@@ -59,8 +58,7 @@
     backoff_max_ms: DurationMs
 
 
-@strict_dataclass
-class SecuritySettings:
+class SecuritySettings(Section, frozen=True):
     """The fleet's CURVE key pair and the hash of the operators' token."""
 
     fleet_public_key: CurveKey
@@ -68,8 +66,7 @@
     operator_token_hash: Hash
 
 
-@strict_dataclass
-class LimitSettings:
+class LimitSettings(Section, frozen=True):
     """Limits for requests, queues, connections and retries."""
 
     max_body_bytes: Count
@@ -84,8 +81,7 @@
     application_floor_percent: Percent
 
 
-@strict_dataclass
-class ConfigurationSettings:
+class ConfigurationSettings(Section, frozen=True):
     """How often the head row is read, and how long one read is valid."""
 
     poll_ms: DurationMs
@@ -94,8 +90,7 @@
     answer_timeout_ms: DurationMs
 
 
-@strict_dataclass
-class MembershipSettings:
+class MembershipSettings(Section, frozen=True):
     """Probing of hosts and reading of the host list."""
 
     probe_interval_ms: DurationMs
@@ -104,16 +99,14 @@
     host_list_poll_ms: DurationMs
 
 
-@strict_dataclass
-class IdempotencySettings:
+class IdempotencySettings(Section, frozen=True):
     """How many idempotency keys are remembered, and for how long."""
 
     key_lifetime_ms: DurationMs
     max_remembered: Count
 
 
-@strict_dataclass
-class StepSettings:
+class StepSettings(Section, frozen=True):
     """Hedging of a step's samples and limits of pulling them."""
 
     hedge_percent: Percent
@@ -121,8 +114,7 @@
     max_pull_samples: Count
 
 
-@strict_dataclass
-class PolicySettings:
+class PolicySettings(Section, frozen=True):
     """Policies for ordering and placing work; each has a simple alternative."""
 
     queue: Literal["fair", "fifo"]
@@ -132,34 +124,30 @@
     stragglers: Literal["hedge", "resume", "restart"]
     drop_early: bool
     rollout: Literal["all_at_once", "rolling"]
-    rolling_percent: Annotated[int, Field(ge=1, le=100)]
+    rolling_percent: Annotated[int, Meta(ge=1, le=100)]
 
 
-@strict_dataclass
-class ShutdownSettings:
+class ShutdownSettings(Section, frozen=True):
     """Waiting times of a graceful shutdown."""
 
     unready_ms: DurationMs
     drain_ms: DurationMs
 
 
-@strict_dataclass
-class LogSettings:
+class LogSettings(Section, frozen=True):
     """Log level and format."""
 
     level: Literal["debug", "info", "warning", "error"]
     style: Literal["text", "json"]
 
 
-@strict_dataclass
-class TracingSettings:
+class TracingSettings(Section, frozen=True):
     """Exporter of tracing spans."""
 
     exporter: Literal["none", "console"]
 
 
-@strict_dataclass
-class Settings:
+class Settings(Section, frozen=True):
     """All settings of a daemon."""
 
     host: HostSettings
@@ -177,9 +165,6 @@
     tracing: TracingSettings
 
 
-_adapter = TypeAdapter(Settings)
-
-
 def load(path):
     """Read and validate a settings file.
 
@@ -214,13 +199,13 @@
     :return: the :class:`Settings`, with defaults filled in.
     :raises UserError: listing every error with its path in the document.
     """
-    return validate(_adapter, _defaults(), document, name)
+    return validate(Settings, _defaults(), document, name)
 
 
-def validate(adapter, defaults, document, name):
+def validate(kind, defaults, document, name):
     """Validate a document against a type, with defaults filled in.
 
-    :param adapter: the type's pydantic adapter.
+    :param kind: the type, a :class:`Section` of sections.
     :param defaults: the values for omitted keys.
     :param document: the decoded JSON.
     :param name: the name of the document in error messages.
@@ -228,16 +213,17 @@
     """
     if not isinstance(document, dict):
         raise UserError(f"{name}: the document is not an object.", EXIT_BAD_SETTINGS)
-    try:
-        return adapter.validate_json(json.dumps(_merge(defaults, document)))
-    except pydantic.ValidationError as e:
-        raise UserError(_describe(e, name), EXIT_BAD_SETTINGS) from e
+    merged = _merge(defaults, document)
+    faults = list(_faults(kind, merged, ""))
+    if faults:
+        lines = [f"{name}: {len(faults)} error(s).", *faults]
+        raise UserError("\n  ".join(lines), EXIT_BAD_SETTINGS)
+    return msgspec.convert(merged, kind)
 
 
 def default_limits():
     """Return the default limits."""
-    limits = _defaults()["limits"]
-    return TypeAdapter(LimitSettings).validate_json(json.dumps(limits))
+    return msgspec.convert(_defaults()["limits"], LimitSettings)
 
 
 def _defaults():
@@ -255,10 +241,32 @@
     return merged
 
 
-def _describe(error, name):
-    faults = error.errors(include_url=False)
-    lines = [f"{name}: {len(faults)} error(s)."]
-    for fault in faults:
-        path = ".".join(str(part) for part in fault["loc"])
-        lines.append(f"  {path}: {fault['msg']}")
-    return "\n".join(lines)
+def _faults(kind, value, path):
+    """Yield a line for every error in a value; msgspec itself stops at the first.
+
+    :param kind: the value's type.
+    :param value: the decoded JSON.
+    :param path: its path in the document.
+    """
+    if isinstance(kind, type) and issubclass(kind, Section) and isinstance(value, dict):
+        type_by_name = {f.name: f.type for f in msgspec.structs.fields(kind)}
+        for key in value:
+            if key not in type_by_name:
+                yield f"{_join(path, key)}: There is no such setting."
+        for key, field_type in type_by_name.items():
+            if key in value:
+                yield from _faults(field_type, value[key], _join(path, key))
+            else:
+                yield f"{_join(path, key)}: The setting is missing."
+    elif typing.get_origin(kind) is list and isinstance(value, list):
+        for index, entry in enumerate(value):
+            yield from _faults(typing.get_args(kind)[0], entry, _join(path, index))
+    else:
+        try:
+            msgspec.convert(value, kind)
+        except msgspec.ValidationError as e:
+            yield f"{path}: {e}."
+
+
+def _join(path, key):
+    return f"{path}.{key}" if path else str(key)
--- a/goldcrestmoor/tracing.py
+++ b/goldcrestmoor/tracing.py
@@ -1,15 +1,17 @@
 """Tracing: one span per hop, with W3C trace context propagation."""
 
 import contextlib
+import random
 
-from opentelemetry import propagate, trace
-from opentelemetry.sdk.resources import Resource
-from opentelemetry.sdk.trace import RandomIdGenerator, TracerProvider
-from opentelemetry.sdk.trace.export import ConsoleSpanExporter, SimpleSpanProcessor
+from opentelemetry import trace
+from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
+# Of W3C trace context.
+TRACE_ID_BITS = 128
+SPAN_ID_BITS = 64
 _TRACEPARENT = "traceparent"
 _tracer = trace.get_tracer("goldcrestmoor")
-_id_generator = RandomIdGenerator()
+_propagator = TraceContextTextMapPropagator()
 _is_exporting = False
 
 
@@ -23,6 +25,14 @@
     _is_exporting = exporter != "none"
     if not _is_exporting:
         return
+    # A daemon that exports no spans does not load the SDK.
+    from opentelemetry.sdk.resources import Resource
+    from opentelemetry.sdk.trace import TracerProvider
+    from opentelemetry.sdk.trace.export import (
+        ConsoleSpanExporter,
+        SimpleSpanProcessor,
+    )
+
     provider = TracerProvider(resource=Resource.create({"host.name": host}))
     if exporter == "console":
         provider.add_span_processor(SimpleSpanProcessor(ConsoleSpanExporter()))
@@ -38,7 +48,7 @@
     :param attributes: the span's attributes.
     :return: a context manager that yields the OpenTelemetry span.
     """
-    context = propagate.extract({_TRACEPARENT: parent}) if parent else None
+    context = _propagator.extract({_TRACEPARENT: parent}) if parent else None
     if not _is_exporting:
         with _propagated_context(context) as current:
             yield current
@@ -64,7 +74,7 @@
         return
     current = _tracer.start_span(name, attributes=attributes)
     carrier = {}
-    propagate.inject(carrier, trace.set_span_in_context(current))
+    _propagator.inject(carrier, trace.set_span_in_context(current))
     try:
         yield carrier.get(_TRACEPARENT, "")
     finally:
@@ -81,8 +91,8 @@
     if not current.get_span_context().is_valid:
         current = trace.NonRecordingSpan(
             trace.SpanContext(
-                _id_generator.generate_trace_id(),
-                _id_generator.generate_span_id(),
+                _new_id(TRACE_ID_BITS),
+                _new_id(SPAN_ID_BITS),
                 is_remote=False,
                 trace_flags=trace.TraceFlags(trace.TraceFlags.SAMPLED),
             )
@@ -94,8 +104,13 @@
         yield current
 
 
+def _new_id(bits):
+    # An id of zero is invalid.
+    return random.getrandbits(bits) or 1
+
+
 def traceparent():
     """Return the current span's context as a ``traceparent``, or an empty string."""
     carrier = {}
-    propagate.inject(carrier)
+    _propagator.inject(carrier)
     return carrier.get(_TRACEPARENT, "")
--- a/test/test_commands.py
+++ b/test/test_commands.py
@@ -9,7 +9,7 @@
 
 import goldcrestmoor
 from goldcrestmoor import util
-from goldcrestmoor.commands import COMMAND_BY_NAME
+from goldcrestmoor.commands import COMMAND_NAMES
 from test import _common
 
 TIMEOUT_S = 60
@@ -43,7 +43,7 @@
     def test_help_names_every_command(self):
         code, output, error = run("--help")
         self.assertEqual(code, 0)
-        for name in COMMAND_BY_NAME:
+        for name in COMMAND_NAMES:
             self.assertIn(name, output + error)
 
     def test_valid_settings_are_accepted(self):
--- a/test/test_docs.py
+++ b/test/test_docs.py
@@ -1,11 +1,12 @@
 """The documentation's tables match the code."""
 
-import dataclasses
 import pathlib
 import re
 import typing
 import unittest
 
+import msgspec
+
 from goldcrestmoor import front_settings, settings
 from goldcrestmoor.errors import ANSWER_BY_KIND
 from test import check_docs
@@ -62,5 +63,5 @@
     sections = typing.get_type_hints(document)
     for section, kind in sections.items():
         kind = typing.get_args(kind)[0] if typing.get_args(kind) else kind
-        for field in dataclasses.fields(kind):
+        for field in msgspec.structs.fields(kind):
             yield f"{section}.{field.name}"
