Load other engines while one is another host's to order

Cause: with three engines left for two models, the models share one; its orders by one host every 4 s kept the other host's turn 0.5 s long, and each rejected try counted as a load in progress, so that no other engine was ordered either. Ruled out: engine speed and slots, which were free.

An engine that rejected an order, or is another host's, is deferred: it takes no order until the turn is over, and does not count as loading.

--- a/goldcrestmoor/version/weights/load_orders.py
+++ b/goldcrestmoor/version/weights/load_orders.py
@@ -6,11 +6,14 @@
 import asyncio
 import logging
 
+import msgspec
+
 from goldcrestmoor.clock import MS_PER_SECOND
 from goldcrestmoor.errors import ServiceError
 from goldcrestmoor.util import TaskGroup
 from goldcrestmoor.version.weights.engine_report import LoadMode, Ordered, OrderRefused
-from goldcrestmoor.version.weights.load_plan import EngineWeights, plan_loads
+from goldcrestmoor.version.weights.load_plan import EngineWeights, Load, plan_loads
+from goldcrestmoor.version.weights.order_log import Logged, OthersTurn
 
 log = logging.getLogger("goldcrestmoor.orders")
 
@@ -26,6 +29,19 @@
 REJECTED_RETRY_MS = 600
 
 
+class _PendingOrder(msgspec.Struct, frozen=True):
+    """The last order to an engine, or the last attempt to send it one.
+
+    :param load: the order.
+    :param until_ms: when it is reconsidered.
+    :param is_deferred: whether the engine certainly does not carry it out.
+    """
+
+    load: Load
+    until_ms: float
+    is_deferred: bool
+
+
 class LoadOrders:
     """Orders engines to load the target versions of the models that this host runs.
 
@@ -148,17 +164,23 @@
 
     def _engine_weights(self, upstream):
         pending = self._pending_by_engine.get(upstream.name)
-        is_loading = False
+        is_pending = is_deferred = False
         if pending is not None:
-            load, until_ms = pending
+            load = pending.load
             loaded_version = upstream.version_by_model.get(load.model, 0)
-            is_loading = (
-                loaded_version < load.version and self._clock.now_ms() < until_ms
+            is_pending = (
+                loaded_version < load.version
+                and self._clock.now_ms() < pending.until_ms
             )
-            if not is_loading:
+            is_deferred = pending.is_deferred
+            if not is_pending:
                 del self._pending_by_engine[upstream.name]
         return EngineWeights(
-            upstream.name, upstream.version_by_model, upstream.slots, is_loading
+            upstream.name,
+            upstream.version_by_model,
+            upstream.slots,
+            is_loading=is_pending and not is_deferred,
+            is_deferred=is_pending and is_deferred,
         )
 
     async def _send_order(self, upstream, load, mode):
@@ -174,10 +196,17 @@
             if not is_usable or not self._runs_model(load.model):
                 self._set_pending(load, 0)
                 return
-            fencing = await self._order_log.append(upstream.name)
-            if fencing is None:
-                self._set_pending(load, REJECTED_RETRY_MS)
-                return
+            match await self._order_log.append(upstream.name):
+                case OthersTurn(wait_ms):
+                    log.debug(
+                        "%s is another host's to order for %d ms more.",
+                        upstream.name,
+                        wait_ms,
+                    )
+                    self._set_pending(load, wait_ms, is_deferred=True)
+                    return
+                case Logged(fencing):
+                    pass
             answer = await self._engines.load(
                 upstream,
                 model=load.model,
@@ -210,11 +239,13 @@
                 )
             case OrderRefused(reason):
                 log.info("%s rejected a load order: %s.", upstream.name, reason)
-                self._set_pending(load, REJECTED_RETRY_MS)
+                self._set_pending(load, REJECTED_RETRY_MS, is_deferred=True)
 
-    def _set_pending(self, load, delay_ms):
+    def _set_pending(self, load, delay_ms, is_deferred=False):
         until_ms = self._clock.now_ms() + delay_ms
-        self._pending_by_engine[load.engine] = (load, until_ms)
+        self._pending_by_engine[load.engine] = _PendingOrder(
+            load, until_ms, is_deferred
+        )
 
 
 def _load_mode(table, service):
--- a/goldcrestmoor/version/weights/load_plan.py
+++ b/goldcrestmoor/version/weights/load_plan.py
@@ -9,8 +9,10 @@
 Where several models share the engines, each model is assigned its own subset, so that
 an engine loads the versions of one model, not of all. When engines fail and a subset
 gets too small for a step, the subsets overlap: an engine that loads one model continues
-to serve the others. Of hundreds of engines, only as many load each version as the steps
-need; the rest load versions that stay the target for long enough.
+to serve the others. A shared engine takes orders of one model's host at a time, for
+some seconds each; it must not hold up the loads of the other engines. Of hundreds of
+engines, only as many load each version as the steps need; the rest load versions that
+stay the target for long enough.
 """
 
 import msgspec
@@ -39,12 +41,15 @@
     :param version_by_model: the loaded weight version of each model.
     :param slots: the number of requests that it runs concurrently.
     :param is_loading: whether an order to it is pending.
+    :param is_deferred: whether it takes no order for now, although it loads nothing: it
+        rejected one, or another host has just ordered it.
     """
 
     name: str
     version_by_model: dict[str, int]
     slots: int = 1
     is_loading: bool = False
+    is_deferred: bool = False
 
 
 class Demand(msgspec.Struct, frozen=True):
@@ -97,7 +102,9 @@
     outdated = [
         engine
         for engine in model_engines
-        if _loaded_version(engine, model) < version and not engine.is_loading
+        if _loaded_version(engine, model) < version
+        and not engine.is_loading
+        and not engine.is_deferred
     ]
     if demand.waiting:
         outdated = [
--- a/goldcrestmoor/version/weights/order_log.py
+++ b/goldcrestmoor/version/weights/order_log.py
@@ -34,6 +34,24 @@
     at_ms: int
 
 
+class Logged(msgspec.Struct, frozen=True):
+    """The order is logged and may be sent now.
+
+    :param fencing: its fencing number.
+    """
+
+    fencing: int
+
+
+class OthersTurn(msgspec.Struct, frozen=True):
+    """Another host ordered the engine recently.
+
+    :param wait_ms: how long its turn lasts, in milliseconds.
+    """
+
+    wait_ms: float
+
+
 class OrderLog:
     """Logs load orders in the store before they are sent.
 
@@ -56,13 +74,14 @@
         """Log an order that is about to be sent.
 
         :param engine: the engine's name.
-        :return: the order's fencing number, or None if it is another host's turn.
+        :return: :class:`Logged` or :class:`OthersTurn`.
         :raises ServiceError: when it may not have been logged; send no order.
         """
         entry, version = await self._last_entry(engine)
         now_ms = self._store.now_ms()
-        if not may_order(entry, self._host_id, now_ms, self._turn_ms):
-            return None
+        wait_ms = turn_wait_ms(entry, self._host_id, now_ms, self._turn_ms)
+        if wait_ms > 0:
+            return OthersTurn(wait_ms)
         fencing = entry.fencing + 1 if entry else 1
         # Without this allowance, a slow store would make each entry late.
         write_ms = WRITE_LATENCY_FACTOR * self._store.latency_ms()
@@ -74,7 +93,7 @@
             [Write(TABLE, engine, msgspec.json.encode(new))],
         )
         if not isinstance(answer, Committed):
-            return None
+            return OthersTurn(self._turn_ms + CLOCK_MARGIN_MS)
         self._cached_by_engine[engine] = (
             new,
             answer.version_by_key[f"{TABLE}/{engine}"],
@@ -82,7 +101,7 @@
         if self._clock.now_ms() - sent_ms > write_ms + MAX_SEND_DELAY_MS:
             text = "Logging the load order took too long to still send it."
             raise ServiceError(ErrorKind.PLATFORM_UNAVAILABLE, text)
-        return fencing
+        return Logged(fencing)
 
     async def _last_entry(self, engine):
         cached = self._cached_by_engine.get(engine)
@@ -98,8 +117,8 @@
             raise ServiceError(ErrorKind.INTERNAL, text) from e
 
 
-def may_order(entry, host_id, now_ms, turn_ms):
-    """Return whether a host may order an engine, given the last order to it.
+def turn_wait_ms(entry, host_id, now_ms, turn_ms):
+    """Return how long a host must wait to order an engine, given the last order to it.
 
     :param entry: the :class:`OrderEntry`, or None.
     :param host_id: the host.
@@ -107,5 +126,5 @@
     :param turn_ms: the minimum time between the orders of two hosts, in milliseconds.
     """
     if entry is None or entry.holder == host_id:
-        return True
-    return now_ms - entry.at_ms >= turn_ms + CLOCK_MARGIN_MS
+        return 0
+    return max(0, entry.at_ms + turn_ms + CLOCK_MARGIN_MS - now_ms)
--- a/test/test_decisions.py
+++ b/test/test_decisions.py
@@ -26,7 +26,7 @@
     assign_engines,
     plan_loads,
 )
-from goldcrestmoor.version.weights.order_log import OrderEntry, may_order
+from goldcrestmoor.version.weights.order_log import OrderEntry, turn_wait_ms
 
 
 def engine(name, in_flight=0, **fields):
@@ -181,6 +181,15 @@
             [],
         )
 
+    def test_a_long_item_leaves_an_engine_that_is_a_little_slower(self):
+        """An item of 140 events took 7 s on one of the slower third of the engines."""
+        ms_per_event_by_engine = {"a": 37.6, "b": 49.0, "c": 39.0}
+        running = [RunningItem("long", "b", 40), RunningItem("short", "b", 8)]
+        moves = choose_moves(running, ms_per_event_by_engine, {"a": 1, "b": 6, "c": 0})
+        self.assertEqual(list(moves), ["long"])
+        full = choose_moves(running, ms_per_event_by_engine, {"a": 0, "b": 6, "c": 0})
+        self.assertEqual(list(full), [])
+
     def test_one_engine_alone_is_no_measure(self):
         self.assertEqual(
             list(choose_moves(self.running(3), {"a": 160.0}, {"b": 9})), []
@@ -254,6 +263,14 @@
         engines = [weights(n, is_loading=n in "ab", m=1) for n in "abcdef"]
         self.assertEqual(list(plan_loads("m", 2, engines, ["m"], Demand())), [])
 
+    def test_an_engine_that_another_host_orders_does_not_hold_up_the_others(self):
+        """Two models share one of three engines; steps waited 9 s for a version."""
+        shared = EngineWeights("a", {"m": 1, "n": 9}, is_deferred=True)
+        engines = [shared, weights("b", m=2, n=1), weights("c", m=1, n=9)]
+        demand = Demand(waiting=32, min_version=3)
+        loads = list(plan_loads("m", 3, engines, ["m"], demand))
+        self.assertEqual(loads, [Load("c", "m", 3)])
+
     def test_what_lags_most_loads_first(self):
         engines = [weights("a", m=4), weights("b", m=3), weights("c", m=2)]
         loads = list(plan_loads("m", 4, engines, ["m"], Demand()))
@@ -391,10 +408,10 @@
 class OrderLogTest(unittest.TestCase):
     def test_another_host_waits_until_the_last_order_has_had_its_time(self):
         entry = OrderEntry("host-a", 7, 10_000)
-        self.assertTrue(may_order(entry, "host-a", 10_001, 3000))
-        self.assertFalse(may_order(entry, "host-b", 13_000, 3000))
-        self.assertTrue(may_order(entry, "host-b", 13_500, 3000))
-        self.assertTrue(may_order(None, "host-b", 0, 3000))
+        self.assertEqual(turn_wait_ms(entry, "host-a", 10_001, 3000), 0)
+        self.assertEqual(turn_wait_ms(entry, "host-b", 13_000, 3000), 500)
+        self.assertEqual(turn_wait_ms(entry, "host-b", 13_500, 3000), 0)
+        self.assertEqual(turn_wait_ms(None, "host-b", 0, 3000), 0)
 
 
 def candidate(name, in_flight=0, **fields):
--- a/test/test_order_log.py
+++ b/test/test_order_log.py
@@ -7,9 +7,11 @@
 from goldcrestmoor.adapters.table import Committed, Row
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.version.weights.order_log import (
+    Logged,
     OrderEntry,
     OrderLog,
-    may_order,
+    OthersTurn,
+    turn_wait_ms,
 )
 from test._fleet import ManualClock
 
@@ -55,12 +57,23 @@
     async def test_an_order_is_given_while_the_store_is_slow(self):
         """At 60 times the usual latency, a write queues behind those of three hosts."""
         log = self.make(write_ms=1200, read_ms=240)
-        self.assertEqual(await log.append("engine"), 1)
+        self.assertEqual(await log.append("engine"), Logged(1))
         entry = msgspec.json.decode(self.store.row.value, type=OrderEntry)
         # For another host, the turn starts when the order may have been sent.
         left_ms = self.clock.now_ms()
         turn_over_ms = left_ms + TURN_MS - 1
-        self.assertFalse(may_order(entry, "host-b", turn_over_ms, TURN_MS))
+        self.assertGreater(turn_wait_ms(entry, "host-b", turn_over_ms, TURN_MS), 0)
+
+    async def test_another_host_is_told_when_the_turn_is_over(self):
+        log = self.make(write_ms=4, read_ms=4)
+        self.assertEqual(await log.append("engine"), Logged(1))
+        other = OrderLog(
+            clock=self.clock, store=self.store, host_id="host-b", turn_ms=TURN_MS
+        )
+        turn = await other.append("engine")
+        self.assertIsInstance(turn, OthersTurn)
+        self.clock._now_ms += turn.wait_ms
+        self.assertEqual(await other.append("engine"), Logged(2))
 
     async def test_an_order_that_comes_too_late_is_not_given(self):
         log = self.make(write_ms=1200, read_ms=5)
