Move long items off engines that are a third slower

Engines counted as slow from twice the median on only; the gain that a move must bring is unchanged.

--- a/goldcrestmoor/job/stragglers.py
+++ b/goldcrestmoor/job/stragglers.py
@@ -1,9 +1,11 @@
 """Selection of running items to move to another engine.
 
 Workload: one engine becomes several times slower than the rest while it runs a dozen
-streams of a step. A stream can continue elsewhere from its events so far, at the cost
-of processing its output again, so it is moved only if it will finish much sooner there;
-streams with little left to run stay.
+streams of a step. Or a third of the engines is permanently slower by a third, and holds
+items that turned out to be among the longest, which decide when their step is whole. A
+stream can continue elsewhere from its events so far, at the cost of processing its
+output again, so it is moved only if it will finish much sooner there; streams with
+little left to run stay.
 """
 
 import statistics
@@ -11,7 +13,7 @@
 import msgspec
 
 # An engine slower than the median by more than this factor is not slow by chance.
-SLOW_FACTOR = 2.0
+SLOW_FACTOR = 1.15
 # A move must save at least this, to outweigh the new attempt and reprocessing.
 MIN_GAIN_MS = 400
 # An item's remaining length is unknown, so it is estimated as the events it has, but
