Let an item rest before it is moved again

Ruled out: barring the engine for good, as a slot of a fast one may be free a second later.

Test: test_job_run, an item that came back (four attempts before, two after).

--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -86,6 +86,7 @@
     :ivar avoided_engine: the engine of its last unsuccessful attempt.
     :ivar is_moving: whether its attempt is being cancelled, to continue at another
         engine.
+    :ivar moved_ms: when it was last moved away from an engine, or None.
     :ivar is_complete: whether its text is complete.
     :ivar is_completion_saved: whether the store shows that it is.
     :ivar score: the score of its text; empty while it has none.
@@ -106,6 +107,7 @@
         "avoided_engine",
         "task",
         "is_moving",
+        "moved_ms",
         "is_complete",
         "is_completion_saved",
         "score",
@@ -121,6 +123,7 @@
         self.avoided_engine = ""
         self.task = None
         self.is_moving = False
+        self.moved_ms = None
         self.generation = 0
         self.events = []
         self.last_id = ""
--- a/goldcrestmoor/job/scheduler.py
+++ b/goldcrestmoor/job/scheduler.py
@@ -23,6 +23,8 @@
 
 # The backoff of an engine expires without an event that wakes the loop.
 POLL_INTERVAL_MS = 100
+# An item that no other engine would run is back at the slow one, and stays this long.
+MOVE_INTERVAL_MS = 1000
 
 
 class Scheduler:
@@ -228,9 +230,11 @@
                 self._move_stragglers_from(job_run, share.service)
 
     def _move_stragglers_from(self, job_run, service):
+        now_ms = self._clock.now_ms()
         running = [
             RunningItem(run.item.id, run.engine, len(run.events))
             for run in job_run.running_by_id.values()
+            if run.moved_ms is None or now_ms - run.moved_ms >= MOVE_INTERVAL_MS
         ]
         free_by_engine = {
             load.name: load.slots - load.in_flight
@@ -250,6 +254,7 @@
                 len(run.events),
             )
             run.is_moving = True
+            run.moved_ms = now_ms
             run.task.cancel()
 
     def _finish_text(self, job_run, run):
--- a/test/test_job_run.py
+++ b/test/test_job_run.py
@@ -199,6 +199,30 @@
         await asyncio.sleep(0.25)
         self.assertFalse(running.done())
 
+    async def test_an_item_that_came_back_is_not_moved_again_at_once(self):
+        """Other models' items fill the fast engine, which then rejects this one."""
+        scheduler = self.make_scheduler()
+        run, _ = make_run(1)
+        scheduler.add(run)
+        scheduler._dispatch()
+        await asyncio.sleep(0.01)
+        item = run.running_by_id["i0"]
+        slow, fast = item.engine, "b" if item.engine == "a" else "a"
+        for name, event_ms in ((slow, 400), (fast, 40)):
+            self.pool.record_events(self.pool.upstream(name), event_ms, 1)
+        for _ in range(3):
+            scheduler._move_stragglers()
+            await asyncio.sleep(0.01)
+            # The fast engine is full, so the item goes back.
+            for _ in range(4):
+                self.pool.begin(self.pool.upstream(fast))
+            scheduler._dispatch()
+            await asyncio.sleep(0.01)
+            for _ in range(4):
+                self.pool.end(self.pool.upstream(fast))
+        self.assertEqual([name for _, name in self.executor.seen], [slow] * 2)
+        await scheduler.close()
+
     async def test_a_try_that_ends_before_it_has_begun_leaves_nothing_behind(self):
         scheduler = self.make_scheduler()
         run, _ = make_run(6)
