Spread hosts without load over equal upstreams

Cause: of equal upstreams every host chose the first by name; dozens of hosts that see no requests but their own are a herd on one server of their zone. Ruled out: a random choice for each request, which opens more connections.

Each host has its own order of the upstreams (a hash of both names), used between equal ones only. Test: 79 hosts over two upstreams (79 to 0 before, at least 20 each after).

--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -164,6 +164,7 @@
                 http=self._http,
                 directory=self._directory,
                 zone=self.settings.host.zone,
+                host_id=self.settings.host.id,
             ),
             "dialect": servers,
             "metrics": self._metrics,
--- a/goldcrestmoor/request/upstream_choice.py
+++ b/goldcrestmoor/request/upstream_choice.py
@@ -4,7 +4,8 @@
 connection costs more than the transfer between two zones, and an upstream may be slow,
 failing or terminated while it is still listed. So a request goes to an upstream with
 an open connection and few requests in flight, and avoids those that have just failed
-as long as there is another.
+as long as there is another. A host sees only its own requests: of equal upstreams, each
+host prefers another one, so that hundreds of hosts do not all choose the same.
 """
 
 import msgspec
@@ -26,6 +27,8 @@
     :param has_connection: whether an idle connection to it is open.
     :param is_local: whether it is in this host's availability zone.
     :param has_failed: whether it is in the cool-down after a failed request.
+    :param rank: its rank in this host's order of the upstreams, which decides between
+        equal ones.
     """
 
     name: str
@@ -34,6 +37,7 @@
     has_connection: bool
     is_local: bool
     has_failed: bool
+    rank: int = 0
 
 
 def choose_upstream(choices, avoid=()):
@@ -53,4 +57,4 @@
     cost += FAILED_COST if choice.has_failed else 0
     # A full upstream queues or rejects; any other with a free slot is faster.
     cost += FAILED_COST / 2 if choice.in_flight >= choice.slots else 0
-    return cost, choice.name
+    return cost, choice.rank, choice.name
--- a/goldcrestmoor/request/upstream_loads.py
+++ b/goldcrestmoor/request/upstream_loads.py
@@ -2,6 +2,8 @@
 
 import contextlib
 
+import xxhash
+
 from goldcrestmoor.request.upstream_choice import Candidate, choose_upstream
 
 # An upstream that failed is avoided for this time while there is another, and for twice
@@ -30,6 +32,7 @@
     :param http: the ``HttpClient``, which has the open connections.
     :param directory: the :class:`~goldcrestmoor.process.directory.UpstreamDirectory`.
     :param zone: this host's availability zone.
+    :param host_id: this host, whose order of the upstreams differs from other hosts'.
     """
 
     __slots__ = (
@@ -37,16 +40,18 @@
         "_http",
         "_directory",
         "_zone",
+        "_host_id",
         "_in_flight_by_name",
         "_failure_by_name",
         "_answering_routes",
     )
 
-    def __init__(self, *, clock, http, directory, zone):
+    def __init__(self, *, clock, http, directory, zone, host_id):
         self._clock = clock
         self._http = http
         self._directory = directory
         self._zone = zone
+        self._host_id = host_id
         self._in_flight_by_name = {}
         self._failure_by_name = {}
         self._answering_routes = set()
@@ -100,6 +105,7 @@
             has_connection=self._http.has_idle(upstream.address, upstream.port),
             is_local=upstream.zone == self._zone,
             has_failed=failure is not None and now_ms < failure.until_ms,
+            rank=xxhash.xxh64_intdigest(f"{self._host_id}/{upstream.name}".encode()),
         )
 
     @contextlib.contextmanager
--- a/test/test_streaming.py
+++ b/test/test_streaming.py
@@ -81,8 +81,14 @@
         self.loads = UpstreamLoads(
             clock=self.clock,
             http=http,
-            directory=SimpleNamespace(usable=lambda service: self.upstreams),
+            directory=SimpleNamespace(
+                usable=lambda service: self.upstreams,
+                upstream_by_name={u.name: u for u in self.upstreams},
+                check_usable=lambda upstream: None,
+            ),
             zone="a",
+            # Of equal upstreams, this host prefers the first one.
+            host_id="host-4",
         )
         return StreamForwarder(
             http=http, loads=self.loads, dialect=DIALECT, metrics=Metrics()
--- a/test/test_upstream_loads.py
+++ b/test/test_upstream_loads.py
@@ -1,5 +1,6 @@
 """Which upstreams a host avoids after failures and timeouts."""
 
+import collections
 import unittest
 from types import SimpleNamespace
 
@@ -18,14 +19,28 @@
         self.loads = UpstreamLoads(
             clock=ManualClock(),
             http=SimpleNamespace(has_idle=lambda address, port: True),
-            directory=SimpleNamespace(usable=lambda service: self.upstreams),
+            directory=SimpleNamespace(
+                usable=lambda service: self.upstreams,
+                upstream_by_name={u.name: u for u in self.upstreams},
+                check_usable=lambda upstream: None,
+            ),
             zone="a",
+            # Of equal upstreams, this host prefers the first one.
+            host_id="host-4",
         )
         self.first = self.upstreams[0]
 
     def chosen(self):
         return self.loads.choose(SERVICE, ()).name
 
+    def test_hosts_without_load_do_not_all_choose_the_same_upstream(self):
+        """79 hosts start at once and see no requests but their own."""
+        count_by_name = collections.Counter()
+        for number in range(79):
+            self.loads._host_id = f"host-{number}"
+            count_by_name[self.chosen()] += 1
+        self.assertGreater(min(count_by_name["desk-1"], count_by_name["desk-2"]), 20)
+
     def test_an_upstream_that_failed_is_avoided(self):
         self.assertEqual(self.chosen(), "desk-1")
         self.loads.record_failure(self.first)
