Wake an idle host less often

Cause: an idle host woke 43 times a second: three servers each looked ten times a second whether to exit, and the scheduler and the load orders polled while nothing ran here. The servers wait for their stop, the scheduler for a job, load orders look twice a second until a model's jobs run here.

--- a/goldcrestmoor/job/scheduler.py
+++ b/goldcrestmoor/job/scheduler.py
@@ -116,15 +116,21 @@
     async def run(self):
         """Start items until cancelled."""
         while True:
-            try:
-                async with asyncio.timeout(POLL_INTERVAL_MS / 1000):
-                    await self._wakeup.wait()
-            except TimeoutError:
-                pass
+            await self._wait()
             self._wakeup.clear()
             self._dispatch()
             self._move_stragglers()
 
+    async def _wait(self):
+        if not self._runs_by_job:
+            await self._wakeup.wait()
+            return
+        try:
+            async with asyncio.timeout(POLL_INTERVAL_MS / 1000):
+                await self._wakeup.wait()
+        except TimeoutError:
+            pass
+
     def _register_waiting_metrics(self, model):
         """Register gauges that count a model's waiting items when metrics are read."""
         self._metrics.items_waiting.labels(model).set_function(
--- a/goldcrestmoor/process/http_server.py
+++ b/goldcrestmoor/process/http_server.py
@@ -24,6 +24,8 @@
 KEEP_ALIVE_MS = 30_000
 # Time for aborted requests to send their error response.
 STOP_GRACE_MS = 2000
+# The date in responses has a resolution of one second.
+DATE_INTERVAL_MS = 1000
 UNTRACKED_PATHS = frozenset({"/healthz", "/readyz", "/metrics"})
 EXIT_CANNOT_LISTEN = 1
 REQUEST_ID = re.compile(r"^[A-Za-z0-9._-]{1,64}$")
@@ -54,11 +56,30 @@
 
 
 class _Server(uvicorn.Server):
-    """A uvicorn server that installs no signal handlers."""
+    """A uvicorn server that installs no signal handlers and does not poll for its end.
+
+    uvicorn wakes ten times a second to see whether to exit; an idle host with three
+    servers would wake for little else.
+    """
 
     def __init__(self, config):
         super().__init__(config)
         self.ready = asyncio.Event()
+        self._stopping = asyncio.Event()
+
+    def stop(self):
+        """Accept no new connections and end once the requests in flight are done."""
+        self.should_exit = True
+        self._stopping.set()
+
+    async def main_loop(self):
+        # The counter is 0, so that each tick renews the date in the responses.
+        while not await self.on_tick(0):
+            try:
+                async with asyncio.timeout(DATE_INTERVAL_MS / MS_PER_SECOND):
+                    await self._stopping.wait()
+            except TimeoutError:
+                pass
 
     @contextlib.contextmanager
     def capture_signals(self):
@@ -167,7 +188,7 @@
         if self._server is None:
             return
         self._server.config.timeout_graceful_shutdown = timeout_ms / MS_PER_SECOND
-        self._server.should_exit = True
+        self._server.stop()
         bound_s = (timeout_ms + STOP_GRACE_MS) / MS_PER_SECOND
         done, _ = await asyncio.wait([self._task], timeout=bound_s)
         if not done:
--- a/goldcrestmoor/version/weights/load_orders.py
+++ b/goldcrestmoor/version/weights/load_orders.py
@@ -19,6 +19,8 @@
 
 # Retry delays end without an event that wakes the loop.
 POLL_INTERVAL_MS = 100
+# While this host runs no model's jobs; it may have begun to.
+IDLE_INTERVAL_MS = 500
 # A trainer that is late submits its next step right after it sets a target version, and
 # that step should find the engines free.
 STEP_GRACE_MS = 150
@@ -110,8 +112,10 @@
     async def run(self):
         """Send orders until cancelled."""
         while True:
+            is_idle = not any(map(self._runs_model, self._versions.version_by_model))
+            wait_ms = IDLE_INTERVAL_MS if is_idle else POLL_INTERVAL_MS
             try:
-                async with asyncio.timeout(POLL_INTERVAL_MS / MS_PER_SECOND):
+                async with asyncio.timeout(wait_ms / MS_PER_SECOND):
                     await self._wakeup.wait()
             except TimeoutError:
                 pass
