End streams that stall within an event but still send bytes

Cause: the idle timeout of a connection starts anew with each byte, so that a stream that sends a byte now and then without completing an event held its item for 60 s, and its caller until the deadline.

The event parser measures the time from one whole event to the next and ends the attempt; the item or stream goes on at another engine. Ruled out: a limit on the whole attempt, which cuts slow but sound streams.

Tests: test_front_faults.StalledStreamTest, both fail before (no result within 8 s; no whole answer).

--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -277,7 +277,7 @@
         if version is None:
             return Broken("the response has no weight version")
         on_events(0)
-        reader = EventParser(dialect.EVENT_FIELDS)
+        reader = EventParser(dialect.EVENT_FIELDS, self._clock, IDLE_TIMEOUT_MS)
         async for chunk in response.body():
             count_before = len(run.events)
             for event in reader.feed(chunk):
--- a/goldcrestmoor/request/event_stream.py
+++ b/goldcrestmoor/request/event_stream.py
@@ -36,12 +36,19 @@
     """Parse bytes into events; a truncated event is never yielded.
 
     :param fields: the :class:`EventFields`.
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`, with ``max_gap_ms``.
+    :param max_gap_ms: the longest time from one event to the next. The idle timeout of
+        the connection does not end a stream that stalls within an event and still sends
+        a byte now and then. None for no limit.
     """
 
-    __slots__ = ("_fields", "_buffer")
+    __slots__ = ("_fields", "_clock", "_max_gap_ms", "_last_event_ms", "_buffer")
 
-    def __init__(self, fields):
+    def __init__(self, fields, clock=None, max_gap_ms=None):
         self._fields = fields
+        self._clock = clock
+        self._max_gap_ms = max_gap_ms
+        self._last_event_ms = clock.now_ms() if clock else None
         self._buffer = b""
 
     @property
@@ -53,9 +60,11 @@
         """Yield the events that the next bytes complete.
 
         :param chunk: the bytes.
-        :raises ServiceError: ``UPSTREAM_FAILED`` when the bytes are not valid events.
+        :raises ServiceError: ``UPSTREAM_FAILED`` when the bytes are not valid events,
+            ``UPSTREAM_TIMEOUT`` when no event was complete for too long.
         """
         self._buffer += chunk
+        has_event = False
         while True:
             end = self._buffer.find(b"\n\n")
             crlf = self._buffer.find(b"\r\n\r\n")
@@ -68,12 +77,24 @@
             raw = self._buffer[: end + length]
             self._buffer = self._buffer[end + length :]
             if raw.strip():
+                has_event = True
                 yield self._decode(raw)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ServiceError(
                 ErrorKind.UPSTREAM_FAILED,
                 f"An event is longer than {MAX_EVENT_BYTES} bytes.",
             )
+        self._check_gap(has_event)
+
+    def _check_gap(self, has_event):
+        if self._max_gap_ms is None:
+            return
+        now_ms = self._clock.now_ms()
+        if has_event:
+            self._last_event_ms = now_ms
+        elif now_ms - self._last_event_ms > self._max_gap_ms:
+            text = f"No event was complete for {now_ms - self._last_event_ms:.0f} ms."
+            raise ServiceError(ErrorKind.UPSTREAM_TIMEOUT, text)
 
     def _decode(self, raw):
         event_id, data, version = "", [], None
--- a/goldcrestmoor/request/streaming.py
+++ b/goldcrestmoor/request/streaming.py
@@ -74,7 +74,11 @@
         last_id, has_head, has_events = "", False, False
         while True:
             upstream = attempts.next_upstream()
-            parser = EventParser(self._dialect.EVENT_FIELDS)
+            parser = EventParser(
+                self._dialect.EVENT_FIELDS,
+                attempts.deadline.clock,
+                _idle_timeout_ms(attempts.route),
+            )
             try:
                 async with self._open_stream(upstream, attempts, last_id) as response:
                     outcome = await self._check_response(
@@ -140,9 +144,7 @@
                 request.body,
                 max(1, attempts.deadline.remaining_ms()),
                 idempotent=attempts.route.retry_policy is not RetryPolicy.NEVER,
-                progress_timeout_ms=max(
-                    MIN_IDLE_TIMEOUT_MS, 4 * attempts.route.target_ms
-                ),
+                progress_timeout_ms=_idle_timeout_ms(attempts.route),
                 allow_close_delimited=True,
                 before_send=lambda: self._loads.check_usable(upstream),
             ) as response:
@@ -168,6 +170,10 @@
         return AppResponse(status, tuple(headers), b"".join(chunks))
 
 
+def _idle_timeout_ms(route):
+    return max(MIN_IDLE_TIMEOUT_MS, 4 * route.target_ms)
+
+
 async def _prepend(first, items):
     async with contextlib.aclosing(items):
         if first is not None:
--- a/test/standins/users_server.py
+++ b/test/standins/users_server.py
@@ -7,6 +7,10 @@
 from test.standins.server import Drop, Response, Server, json_response
 
 EVENT_MS = 5
+# A stalled stream sends one byte in this time, well within any idle timeout, for longer
+# than a test waits.
+STALL_INTERVAL_S = 0.3
+STALL_BYTES = 200
 
 
 class UsersServer:
@@ -20,6 +24,8 @@
     :ivar seen: every request received, as ``(path, headers, body)``.
     :ivar refusing: whether requests are rejected with 503 and ``not-run``.
     :ivar cut_after: the number of events after which streams are cut, or None.
+    :ivar stall_after: the number of events after which streams send only a byte now
+        and then, or None.
     :ivar failing: the status returned for every request that runs, or None.
     :ivar orders: the accepted load orders.
     :ivar ordered_s: the times of acceptance, by the monotonic clock.
@@ -40,6 +46,7 @@
         self.ordered_s = []
         self.refusing = False
         self.cut_after = None
+        self.stall_after = None
         self.failing = None
         self.failing_ids = set()
         self.lose = False
@@ -148,6 +155,10 @@
         for number in range(first, self.events):
             if self.cut_after is not None and number - first >= self.cut_after:
                 raise Drop
+            if self.stall_after is not None and number - first >= self.stall_after:
+                for _ in range(STALL_BYTES):
+                    yield b"d"
+                    await asyncio.sleep(STALL_INTERVAL_S)
             lines = ""
             now = self.models[request.headers["model-name"]]
             if now != version:
--- a/test/test_front_faults.py
+++ b/test/test_front_faults.py
@@ -6,7 +6,7 @@
 
 from goldcrestmoor.clock import MS_PER_SECOND
 from test import _common
-from test._front import FETCH_PATH, MODEL, FrontFleet
+from test._front import FETCH_PATH, MODEL, FrontFleet, configuration
 from test.standins.users_server import UsersServer, whole_text
 
 EVENTS = 200
@@ -138,6 +138,32 @@
         self.assertEqual(self.fleet.runner_of("j1"), other)
 
 
+class StalledStreamTest(FaultCase):
+    """A stream sends a byte now and then, but its next event never ends."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.fleet.engines[0].stall_after = 2
+        await self.fleet.start(names=("front-a",))
+
+    async def test_its_item_goes_on_elsewhere(self):
+        self.assertEqual(await self.fleet.submit("front-a", "j1", 8), 202)
+        async with asyncio.timeout(8):
+            self.check_complete(await self.fleet.all_results("front-a", "j1"), 8)
+
+    async def test_its_caller_gets_the_rest_from_another_engine(self):
+        document = configuration(version=9, stream={"timeoutMs": 20_000})
+        self.fleet.store.put("op", "config", document)
+        await self.listed()
+        await _common.eventually(lambda: "ation 9 with" in self.fleet.log_of("front-a"))
+        async with asyncio.timeout(8):
+            answer = await self.fleet.ask(
+                "front-a", "POST", "/stream/x", b"", "s1", model_name=MODEL
+            )
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.body.count(b"\n\n"), self.fleet.engines[0].events)
+
+
 class OrdersTest(FaultCase):
     async def test_two_hosts_never_take_turns_at_an_engine(self):
         """The host that sends load orders hands over while target versions change."""
