--- a/goldcrestmoor/front_settings.py
+++ b/goldcrestmoor/front_settings.py
@@ -26,7 +26,7 @@
 Endpoint = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
 
 
-class FrontHostSettings(Section, frozen=True):
+class FrontHostSettings(Section):
     """This host's id, location and addresses, each ``address:port``."""
 
     id: Text
@@ -55,7 +55,7 @@
         return int(self.readiness.rpartition(":")[2])
 
 
-class StoreSettings(Section, frozen=True):
+class StoreSettings(Section):
     """Address of the platform's store, ``address:port``, and its timeout."""
 
     endpoint: Endpoint
@@ -72,19 +72,19 @@
         return int(self.endpoint.rpartition(":")[2])
 
 
-class JobSettings(Section, frozen=True):
+class JobSettings(Section):
     """How long batch jobs are retained after submission."""
 
     kept_s: Count
 
 
-class OrderSettings(Section, frozen=True):
+class OrderSettings(Section):
     """How long one host's load order keeps other hosts from ordering an engine."""
 
     turn_ms: DurationMs
 
 
-class FrontSettings(Section, frozen=True):
+class FrontSettings(Section):
     """All settings of the daemon on the users' platform."""
 
     host: FrontHostSettings
--- a/goldcrestmoor/settings.py
+++ b/goldcrestmoor/settings.py
@@ -22,11 +22,11 @@
 CurveKey = Annotated[str, Meta(min_length=40, max_length=40)]
 
 
-class Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Section(msgspec.Struct, forbid_unknown_fields=True):
     """Base class of the sections of a settings document."""
 
 
-class HostSettings(Section, frozen=True):
+class HostSettings(Section):
     """This host's id, location and addresses."""
 
     id: Name
@@ -39,7 +39,7 @@
     listen_backlog: Count
 
 
-class PeerSettings(Section, frozen=True):
+class PeerSettings(Section):
     """A seed host, from which a starting host requests the list of hosts."""
 
     id: Name
@@ -48,7 +48,7 @@
     peer_port: Port
 
 
-class PlatformSettings(Section, frozen=True):
+class PlatformSettings(Section):
     """Address, timeout and backoff of the platform's service."""
 
     address: str
@@ -58,7 +58,7 @@
     backoff_max_ms: DurationMs
 
 
-class SecuritySettings(Section, frozen=True):
+class SecuritySettings(Section):
     """The fleet's CURVE key pair and the hash of the operators' token."""
 
     fleet_public_key: CurveKey
@@ -66,7 +66,7 @@
     operator_token_hash: Hash
 
 
-class LimitSettings(Section, frozen=True):
+class LimitSettings(Section):
     """Limits for requests, queues, connections and retries."""
 
     max_body_bytes: Count
@@ -81,7 +81,7 @@
     application_floor_percent: Percent
 
 
-class ConfigurationSettings(Section, frozen=True):
+class ConfigurationSettings(Section):
     """How often the head row is read, and how long one read is valid."""
 
     poll_ms: DurationMs
@@ -90,7 +90,7 @@
     answer_timeout_ms: DurationMs
 
 
-class MembershipSettings(Section, frozen=True):
+class MembershipSettings(Section):
     """Probing of hosts and reading of the host list."""
 
     probe_interval_ms: DurationMs
@@ -99,14 +99,14 @@
     host_list_poll_ms: DurationMs
 
 
-class IdempotencySettings(Section, frozen=True):
+class IdempotencySettings(Section):
     """How many idempotency keys are remembered, and for how long."""
 
     key_lifetime_ms: DurationMs
     max_remembered: Count
 
 
-class StepSettings(Section, frozen=True):
+class StepSettings(Section):
     """Hedging of a step's samples and limits of pulling them."""
 
     hedge_percent: Percent
@@ -114,7 +114,7 @@
     max_pull_samples: Count
 
 
-class PolicySettings(Section, frozen=True):
+class PolicySettings(Section):
     """Policies for ordering and placing work; each has a simple alternative."""
 
     queue: Literal["fair", "fifo"]
@@ -127,27 +127,27 @@
     rolling_percent: Annotated[int, Meta(ge=1, le=100)]
 
 
-class ShutdownSettings(Section, frozen=True):
+class ShutdownSettings(Section):
     """Waiting times of a graceful shutdown."""
 
     unready_ms: DurationMs
     drain_ms: DurationMs
 
 
-class LogSettings(Section, frozen=True):
+class LogSettings(Section):
     """Log level and format."""
 
     level: Literal["debug", "info", "warning", "error"]
     style: Literal["text", "json"]
 
 
-class TracingSettings(Section, frozen=True):
+class TracingSettings(Section):
     """Exporter of tracing spans."""
 
     exporter: Literal["none", "console"]
 
 
-class Settings(Section, frozen=True):
+class Settings(Section):
     """All settings of a daemon."""
 
     host: HostSettings
