--- a/test/proofs/test_orders.py
+++ b/test/proofs/test_orders.py
@@ -86,6 +86,8 @@
         await self.wait_engine_version(self.ignores, 2)
         old = await self.holder()
         new = next(i for i in self.ids if i != old)
+        # A read of the loaded versions that met the delayed link would hold up order 3.
+        await asyncio.sleep(READ_BACK_S)
         # The last load order of the old holder arrives when the new one is active.
         link = self.network.links_by_id[self.ignores.id]
         link.delay(MAX_ORDER_MS - 500, "up")
