Count a reward call as in flight before its task starts

Cause, found on reading the change: calls were counted when their task first ran, so that all calls sent in one turn of the loop saw the servers empty: 32 texts that were complete at once (a successor finds them so) went to one server of six slots, and lookups there waited or were rejected. The decision was right and was given old counts.

Test: test_reward_calls.BurstTest (32 on one server before, five on each of two after).

--- a/goldcrestmoor/job/reward_calls.py
+++ b/goldcrestmoor/job/reward_calls.py
@@ -232,6 +232,7 @@
         server = self._loads.upstream(name)
         call.attempts += 1
         call.last_server = name
+        self._loads.begin(server)
         call.run.task = self._tasks.start(self._attempt(call, server, route))
         # A task that is cancelled before it first runs executes none of its own code.
         call.run.task.add_done_callback(
@@ -249,7 +250,6 @@
             timeout_ms = min(timeout_ms, FIRST_ATTEMPT_TARGETS * route.target_ms)
         try:
             with (
-                self._loads.track_request(server),
                 self._metrics.reward_calls_in_flight.track_inprogress(),
                 tracing.detached_span("reward call", upstream=server.name),
             ):
@@ -291,6 +291,7 @@
         return NoScore(Ran.RAN, f"answered {status}")
 
     def _on_attempt_done(self, call, server, route, task):
+        self._loads.end(server)
         call.run.task = None
         self.wake()
         if call.is_over or task.cancelled():
--- a/goldcrestmoor/request/upstream_loads.py
+++ b/goldcrestmoor/request/upstream_loads.py
@@ -114,14 +114,29 @@
 
         :param upstream: the :class:`~goldcrestmoor.process.directory.ListedUpstream`.
         """
-        name = upstream.name
-        self._in_flight_by_name[name] = self._in_flight_by_name.get(name, 0) + 1
+        self.begin(upstream)
         try:
             yield
         finally:
-            self._in_flight_by_name[name] -= 1
-            if not self._in_flight_by_name[name]:
-                del self._in_flight_by_name[name]
+            self.end(upstream)
+
+    def begin(self, upstream):
+        """Count a request as in flight, before the task that sends it has started.
+
+        :param upstream: the :class:`~goldcrestmoor.process.directory.ListedUpstream`.
+        """
+        name = upstream.name
+        self._in_flight_by_name[name] = self._in_flight_by_name.get(name, 0) + 1
+
+    def end(self, upstream):
+        """Count a request as ended.
+
+        :param upstream: the upstream.
+        """
+        name = upstream.name
+        self._in_flight_by_name[name] -= 1
+        if not self._in_flight_by_name[name]:
+            del self._in_flight_by_name[name]
 
     def record_response(self, upstream, route):
         """Record that an upstream has responded.
--- a/test/test_reward_calls.py
+++ b/test/test_reward_calls.py
@@ -7,13 +7,25 @@
 
 import asyncio
 import base64
+import collections
 import unittest
+from types import SimpleNamespace
 
+from goldcrestmoor.job.item_run import ItemRun
+from goldcrestmoor.job.job import Item, RewardCall
+from goldcrestmoor.job.reward_calls import RewardCaller
+from goldcrestmoor.job.reward_order import RESERVED_SLOTS
+from goldcrestmoor.platform import servers
+from goldcrestmoor.process.metrics import Metrics
+from goldcrestmoor.request.upstream_loads import UpstreamLoads
 from test import _common
+from test._fleet import ManualClock
 from test._front import FETCH_PATH, FrontFleet, configuration, submission
 from test.standins.users_server import whole_text
 
 SCORER_HOST = "App.example"
+SERVICE = "desk"
+SLOTS = 6
 EVENTS = 20
 
 
@@ -30,6 +42,72 @@
     return job
 
 
+class FakeHttp:
+    """Holds every request until the test ends; counts them by port."""
+
+    def __init__(self):
+        self.count_by_port = collections.Counter()
+
+    def has_idle(self, address, port):
+        return False
+
+    async def request(self, address, port, *args, **options):
+        self.count_by_port[port] += 1
+        await asyncio.Event().wait()
+
+
+class BurstTest(unittest.IsolatedAsyncioTestCase):
+    async def test_texts_that_are_complete_at_once_leave_slots_free(self):
+        """A successor finds the whole texts of a step and sends all calls at once."""
+        upstreams = [
+            SimpleNamespace(name=f"s{n}", address="a", port=n, slots=SLOTS, zone="z")
+            for n in range(2)
+        ]
+        directory = SimpleNamespace(
+            usable=lambda service: upstreams,
+            upstream_by_name={u.name: u for u in upstreams},
+        )
+        http, clock = FakeHttp(), ManualClock()
+        loads = UpstreamLoads(
+            clock=clock, http=http, directory=directory, zone="z", host_id="host-a"
+        )
+        route = SimpleNamespace(
+            name="r",
+            attempts=4,
+            timeout_ms=3000,
+            target_ms=1000,
+            service_for=lambda request_id: SERVICE,
+        )
+        caller = RewardCaller(
+            clock=clock,
+            http=http,
+            loads=loads,
+            dialect=servers,
+            metrics=Metrics(),
+            routes=lambda: SimpleNamespace(match=lambda host, path: route),
+            open_models=lambda: 1,
+        )
+        self.addAsyncCleanup(caller.close)
+        job_run = SimpleNamespace(
+            job=SimpleNamespace(id="j", model="m"),
+            priority=1,
+            due_ms=7500,
+            scoring_by_id={},
+            missing_in_group=lambda group: 1,
+            remaining_ms=lambda: 30_000,
+        )
+        for number in range(32):
+            reward_call = RewardCall(f"c{number}", "h", "/score", b"")
+            item = Item(f"i{number}", "/x", {}, b"", reward_call=reward_call)
+            run = ItemRun(item, number)
+            job_run.scoring_by_id[item.id] = run
+            caller.add(job_run, run)
+        caller._send_waiting()
+        await asyncio.sleep(0.01)
+        limit = SLOTS - RESERVED_SLOTS
+        self.assertEqual(http.count_by_port, {0: limit, 1: limit})
+
+
 class RewardCallsTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.fleet = FrontFleet()
