Test more faults of reward calls, and load orders to a leaving engine

A slow server, one that is gone, a step submitted twice; an engine that said it leaves on an item's response gets no order.

--- a/test/test_leaving_servers.py
+++ b/test/test_leaving_servers.py
@@ -17,7 +17,7 @@
 from goldcrestmoor.process.metrics import Metrics
 from test import _common
 from test._fleet import ManualClock
-from test._front import FETCH_PATH, FrontFleet, item
+from test._front import FETCH_PATH, MODEL, FrontFleet, item
 from test.standins.users_server import whole_text
 
 LEAVING = [(b"server-leaving", b"1")]
@@ -188,6 +188,18 @@
         self.assertGreater(len(staying.runs), 12)
         self.assertEqual(len(leaving.runs) + len(staying.runs), 24)
 
+    async def test_it_gets_no_load_order(self):
+        leaving, staying = self.fleet.engines
+        await self.fleet.submit("front-a", "j1", 24)
+        await self.fleet.all_results("front-a", "j1")
+        leaving.leaving = True
+        await self.fleet.submit("front-a", "j2", 24, prefix="k")
+        await self.fleet.all_results("front-a", "j2")
+        self.fleet.store.put("op", f"version/{MODEL}", {"model": MODEL, "version": 2})
+        await _common.eventually(lambda: staying.models[MODEL] == 2)
+        await asyncio.sleep(1)
+        self.assertEqual(leaving.orders, [])
+
     async def test_a_stream_excludes_its_engine(self):
         for engine in self.fleet.engines:
             engine.leaving = True
--- a/test/test_reward_calls.py
+++ b/test/test_reward_calls.py
@@ -200,6 +200,24 @@
         lossy.lose, foreign.echo = False, None
         self.check_scored(await self.fleet.all_results("front-a", "j1"), 4)
 
+    async def test_a_server_that_is_slow_or_gone_is_left_for_another(self):
+        slow, gone = self.fleet.apps
+        slow.delay_s = 30
+        await self.submit(2, "j1")
+        results = await self.fleet.all_results("front-a", "j1")
+        self.check_scored(results, 2)
+        slow.delay_s = 0
+        self.fleet.silent.add(gone.name)
+        await gone.close()
+        await self.submit(4, "j2", prefix="k")
+        self.check_scored(await self.fleet.all_results("front-a", "j2"), 4)
+
+    async def test_a_step_that_is_submitted_twice_is_scored_once(self):
+        await self.submit(4)
+        await self.submit(4)
+        self.check_scored(await self.fleet.all_results("front-b", "j1"), 4)
+        self.assertEqual(sorted(self.calls()), [f"score-i{n}" for n in range(4)])
+
     async def test_a_call_that_always_fails_ends_its_item(self):
         for app in self.fleet.apps:
             app.failing_ids.add("score-i1")
