--- a/goldcrestmoor/request/event_stream.py
+++ b/goldcrestmoor/request/event_stream.py
@@ -37,9 +37,9 @@
 
     :param fields: the :class:`EventFields`.
     :param clock: the :class:`~goldcrestmoor.clock.Clock`, with ``max_gap_ms``.
-    :param max_gap_ms: the longest time from one event to the next. The idle timeout of
-        the connection does not end a stream that stalls within an event and still sends
-        a byte now and then. None for no limit.
+    :param max_gap_ms: the longest time from one event with data to the next. The idle
+        timeout of the connection does not end a stream that stalls and still sends a
+        byte or a comment now and then. None for no limit.
     """
 
     __slots__ = ("_fields", "_clock", "_max_gap_ms", "_last_event_ms", "_buffer")
@@ -77,8 +77,10 @@
             raw = self._buffer[: end + length]
             self._buffer = self._buffer[end + length :]
             if raw.strip():
-                has_event = True
-                yield self._decode(raw)
+                event = self._decode(raw)
+                # A comment shows that the connection is open, not that work goes on.
+                has_event = has_event or bool(event.data)
+                yield event
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ServiceError(
                 ErrorKind.UPSTREAM_FAILED,
--- a/goldcrestmoor/version/weights/load_orders.py
+++ b/goldcrestmoor/version/weights/load_orders.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from goldcrestmoor.clock import MS_PER_SECOND
-from goldcrestmoor.errors import ServiceError
+from goldcrestmoor.errors import Ran, ServiceError
 from goldcrestmoor.util import TaskGroup
 from goldcrestmoor.version.weights.engine_report import LoadMode, Ordered, OrderRefused
 from goldcrestmoor.version.weights.load_plan import EngineWeights, Load, plan_loads
@@ -221,7 +221,6 @@
                 accepted=report.accepted,
             )
         except ServiceError as e:
-            # It may still be carried out, so the engine counts as loading for now.
             self._metrics.orders.labels(e.code).inc()
             log.info(
                 "Ordering %s to load version %d of %s failed: %s",
@@ -230,7 +229,9 @@
                 load.model,
                 e,
             )
-            self._set_pending(load, REJECTED_RETRY_MS * 2)
+            # One that may still be carried out counts as a load in progress.
+            is_deferred = e.answer.ran is Ran.NOT_RUN
+            self._set_pending(load, REJECTED_RETRY_MS * 2, is_deferred)
             return
         self._metrics.orders.labels(type(answer).__name__.lower()).inc()
         match answer:
--- a/test/test_streaming.py
+++ b/test/test_streaming.py
@@ -8,6 +8,7 @@
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
 from goldcrestmoor.platform import servers
 from goldcrestmoor.process.metrics import Metrics
+from goldcrestmoor.request.event_stream import EventParser
 from goldcrestmoor.request.forwarding import CallerRequest
 from goldcrestmoor.request.streaming import StreamForwarder
 from goldcrestmoor.request.upstream_loads import UpstreamLoads
@@ -68,6 +69,30 @@
             raise ServiceError(ErrorKind.UPSTREAM_TIMEOUT, "It fell silent.")
 
 
+class StalledParserTest(unittest.TestCase):
+    """A stream that is open and sends something, but makes no progress."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.parser = EventParser(servers.EVENT_FIELDS, self.clock, 1000)
+
+    def feed_for(self, chunk, duration_ms):
+        for _ in range(duration_ms // 300):
+            self.clock._now_ms += 300
+            list(self.parser.feed(chunk))
+
+    def test_bytes_or_comments_alone_are_no_progress(self):
+        for chunk in (b"d", b": still here\n\n"):
+            self.setUp()
+            with self.assertRaises(ServiceError) as caught:
+                self.feed_for(chunk, 3000)
+            self.assertEqual(caught.exception.kind, ErrorKind.UPSTREAM_TIMEOUT)
+
+    def test_a_slow_stream_goes_on(self):
+        self.feed_for(b"id: 1\ndata: a\n\nid", 600)
+        self.feed_for(b": 2\ndata: b\n\nid", 6000)
+
+
 class StreamingTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.clock = ManualClock()
