Log and count the limits that servers state

A genuine response's limit is decoded, recorded by incarnation of the server, logged when it changes, and responses with one are counted. Nothing that is sent changes.

--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -206,15 +206,18 @@
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param http: the :class:`~goldcrestmoor.connection.http_client.HttpClient`.
     :param directory: the :class:`~goldcrestmoor.process.directory.UpstreamDirectory`.
+    :param limits: the
+        :class:`~goldcrestmoor.process.upstream_limits.UpstreamLimits`.
     :param dialect: the request and response format of the engines.
     """
 
-    __slots__ = ("_clock", "_http", "_directory", "_dialect")
+    __slots__ = ("_clock", "_http", "_directory", "_limits", "_dialect")
 
-    def __init__(self, *, clock, http, directory, dialect):
+    def __init__(self, *, clock, http, directory, limits, dialect):
         self._clock = clock
         self._http = http
         self._directory = directory
+        self._limits = limits
         self._dialect = dialect
 
     async def attempt(self, run, engine, terms, on_events):
@@ -248,20 +251,22 @@
                     allow_close_delimited=True,
                     before_send=lambda: self._directory.check_usable(engine),
                 ) as response:
-                    self._record_leaving(run, engine, response)
+                    self._record_engine_state(run, engine, response)
                     return await self._read_response(run, response, terms, on_events)
         except ServiceError as e:
             if e.answer.ran is Ran.NOT_RUN:
                 return NotRun(e.message)
             return Broken(e.message)
 
-    def _record_leaving(self, run, engine, response):
-        """Exclude an engine that says in a genuine response that it is leaving."""
+    def _record_engine_state(self, run, engine, response):
+        """Record what an engine's genuine response says of the engine itself."""
         status, headers = response.status, response.headers
-        if self._dialect.is_genuine(run.item.id, status, headers):
-            name = self._dialect.leaving_server(engine.name, status, headers)
-            if name is not None:
-                self._directory.record_leaving(name, engine)
+        if not self._dialect.is_genuine(run.item.id, status, headers):
+            return
+        name = self._dialect.leaving_server(engine.name, status, headers)
+        if name is not None:
+            self._directory.record_leaving(name, engine)
+        self._limits.record(engine, self._dialect.stated_limit(status, headers))
 
     async def _read_response(self, run, response, terms, on_events):
         dialect = self._dialect
--- a/goldcrestmoor/job/reward_calls.py
+++ b/goldcrestmoor/job/reward_calls.py
@@ -275,7 +275,7 @@
 
     def _classify(self, reward_call, server, route, response):
         dialect, status, headers = self._dialect, response.status, response.headers
-        self._record_leaving(server, reward_call.id, status, headers)
+        self._record_server_state(server, reward_call.id, status, headers)
         if dialect.ran(status, headers) is Ran.NOT_RUN:
             return NoScore(Ran.NOT_RUN, f"not run, answered {status}")
         if not dialect.is_genuine(reward_call.id, status, headers):
--- a/goldcrestmoor/platform/servers.py
+++ b/goldcrestmoor/platform/servers.py
@@ -1,5 +1,7 @@
 """Requests to the platform's servers, and the interpretation of their responses."""
 
+import math
+
 import msgspec
 
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
@@ -23,6 +25,8 @@
 STAMP_HEADER = b"server-stamp"
 NOT_RUN_HEADER = b"not-run"
 LEAVING_HEADER = b"server-leaving"
+# The requests a second that a server accepts from all hosts together.
+LIMIT_HEADER = b"server-limit"
 # The id of the server that sent a response, on responses to other ids than its own.
 RESPONDER_HEADER = b"instance-id"
 VERSION_HEADER = b"weight-versions"
@@ -166,6 +170,26 @@
     return value_by_name.get(RESPONDER_HEADER, b"").decode("latin-1").strip() or None
 
 
+def stated_limit(status, headers):
+    """Return how many requests a second a server accepts from all hosts together.
+
+    :param status: the response status.
+    :param headers: its ``(name, value)`` byte pairs, names in lower case.
+    :return: infinity without a limit; None when the response doesn't tell.
+    """
+    if status == STATUS_MISDIRECTED:
+        # Another server has the address now.
+        return None
+    value = dict(headers).get(LIMIT_HEADER)
+    if value is None:
+        return math.inf
+    try:
+        per_second = float(value)
+    except ValueError:
+        return None
+    return per_second if math.isfinite(per_second) and per_second >= 0 else None
+
+
 def weight_version(headers):
     """Return the weight version of the first event of a response.
 
@@ -181,13 +205,16 @@
 
     :param http: the :class:`~goldcrestmoor.connection.http_client.HttpClient`.
     :param directory: the :class:`~goldcrestmoor.process.directory.UpstreamDirectory`.
+    :param limits: the
+        :class:`~goldcrestmoor.process.upstream_limits.UpstreamLimits`.
     """
 
-    __slots__ = ("_http", "_directory")
+    __slots__ = ("_http", "_directory", "_limits")
 
-    def __init__(self, *, http, directory):
+    def __init__(self, *, http, directory, limits):
         self._http = http
         self._directory = directory
+        self._limits = limits
 
     async def report(self, upstream):
         """Return an engine's state report, which lags by some hundred milliseconds.
@@ -255,6 +282,8 @@
         name = leaving_server(upstream.name, response.status, response.headers)
         if name is not None:
             self._directory.record_leaving(name, upstream)
+        limit = stated_limit(response.status, response.headers)
+        self._limits.record(upstream, limit)
         return response
 
 
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -32,6 +32,7 @@
 from goldcrestmoor.process.routing import Routing
 from goldcrestmoor.process.shutdown import InFlight
 from goldcrestmoor.process.store_connectivity import HostRow, StoreConnectivity
+from goldcrestmoor.process.upstream_limits import UpstreamLimits
 from goldcrestmoor.request.forwarding import Forwarder
 from goldcrestmoor.request.streaming import StreamForwarder
 from goldcrestmoor.request.upstream_loads import UpstreamLoads
@@ -85,6 +86,7 @@
         "_routing",
         "_versions",
         "_directory",
+        "_limits",
         "_duties",
         "_orders",
         "_forwarding",
@@ -143,6 +145,7 @@
             age_ms=lambda: self._followers[records.UPSTREAM_TABLE].age_ms(),
             on_change=self._on_upstreams_changed,
         )
+        self._limits = UpstreamLimits(clock=clock, metrics=metrics)
         leases = LeaseClient(
             clock=clock,
             table=self._store,
@@ -163,6 +166,7 @@
                 clock=clock,
                 http=self._http,
                 directory=self._directory,
+                limits=self._limits,
                 zone=self.settings.host.zone,
                 host_id=self.settings.host.id,
             ),
@@ -182,6 +186,7 @@
                 clock=clock,
                 http=self._http,
                 directory=self._directory,
+                limits=self._limits,
                 dialect=servers,
             ),
             rewards=self._rewards,
@@ -247,7 +252,7 @@
             versions=self._versions,
             routes=self._routing.current,
             engines=servers.EngineControlClient(
-                http=self._http, directory=self._directory
+                http=self._http, directory=self._directory, limits=self._limits
             ),
             order_log=OrderLog(
                 clock=self._clock,
--- a/goldcrestmoor/process/metrics.py
+++ b/goldcrestmoor/process/metrics.py
@@ -58,6 +58,8 @@
         "items_waiting_ms",
         "duty_held",
         "feed_age_ms",
+        "limited_upstreams",
+        "limited_requests",
     )
 
     def __init__(self):
@@ -164,6 +166,12 @@
             "Time since the store last answered the feed of a table; -1 before.",
             "table",
         )
+        self.limited_upstreams = self._gauge(
+            "limited_upstreams", "Upstreams that state a limit on their requests."
+        )
+        self.limited_requests = self._counter(
+            "limited_requests", "Requests to such upstreams by outcome.", "outcome"
+        )
 
     def _counter(self, name, text, *labels):
         return Counter(f"goldcrestmoor_{name}", text, labels, registry=self.registry)
--- a/goldcrestmoor/request/forwarding.py
+++ b/goldcrestmoor/request/forwarding.py
@@ -187,12 +187,15 @@
         self._dialect = dialect
         self._metrics = metrics
 
-    def _record_leaving(self, upstream, request_id, status, headers):
-        """Exclude a server that says in a genuine response that it is leaving."""
-        if self._dialect.is_genuine(request_id, status, headers):
-            name = self._dialect.leaving_server(upstream.name, status, headers)
-            if name is not None:
-                self._loads.record_leaving(name, upstream)
+    def _record_server_state(self, upstream, request_id, status, headers):
+        """Record what a server's genuine response says of the server itself."""
+        if not self._dialect.is_genuine(request_id, status, headers):
+            return
+        name = self._dialect.leaving_server(upstream.name, status, headers)
+        if name is not None:
+            self._loads.record_leaving(name, upstream)
+        limit = self._dialect.stated_limit(status, headers)
+        self._loads.record_limit(upstream, limit)
 
     def _new_attempts(self, request, route, deadline):
         """Return the attempts of a request that has not been sent yet."""
@@ -262,7 +265,7 @@
 
     def _classify(self, upstream, attempts, response):
         status, headers = response.status, response.headers
-        self._record_leaving(upstream, attempts.request.id, status, headers)
+        self._record_server_state(upstream, attempts.request.id, status, headers)
         if self._dialect.ran(status, headers) is Ran.NOT_RUN:
             return FailedAttempt(Ran.NOT_RUN, f"Not run, answered {status}")
         if not self._dialect.is_genuine(attempts.request.id, status, headers):
--- a/goldcrestmoor/request/streaming.py
+++ b/goldcrestmoor/request/streaming.py
@@ -153,7 +153,7 @@
     async def _check_response(self, upstream, attempts, response, has_head):
         """Return None for a stream to forward, else the outcome of the attempt."""
         status, headers = response.status, response.headers
-        self._record_leaving(upstream, attempts.request.id, status, headers)
+        self._record_server_state(upstream, attempts.request.id, status, headers)
         if self._dialect.ran(status, headers) is Ran.NOT_RUN:
             async for _ in response.body():
                 pass
--- a/goldcrestmoor/request/upstream_loads.py
+++ b/goldcrestmoor/request/upstream_loads.py
@@ -31,6 +31,8 @@
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param http: the ``HttpClient``, which has the open connections.
     :param directory: the :class:`~goldcrestmoor.process.directory.UpstreamDirectory`.
+    :param limits: the
+        :class:`~goldcrestmoor.process.upstream_limits.UpstreamLimits`.
     :param zone: this host's availability zone.
     :param host_id: this host, whose order of the upstreams differs from other hosts'.
     """
@@ -39,6 +41,7 @@
         "_clock",
         "_http",
         "_directory",
+        "_limits",
         "_zone",
         "_host_id",
         "_in_flight_by_name",
@@ -46,10 +49,11 @@
         "_answering_routes",
     )
 
-    def __init__(self, *, clock, http, directory, zone, host_id):
+    def __init__(self, *, clock, http, directory, limits, zone, host_id):
         self._clock = clock
         self._http = http
         self._directory = directory
+        self._limits = limits
         self._zone = zone
         self._host_id = host_id
         self._in_flight_by_name = {}
@@ -96,6 +100,14 @@
         """
         self._directory.record_leaving(name, recipient)
 
+    def record_limit(self, upstream, per_second):
+        """Record the limit on requests that an upstream's own response states.
+
+        :param upstream: the upstream.
+        :param per_second: as for ``UpstreamLimits.record``.
+        """
+        self._limits.record(upstream, per_second)
+
     def _candidate(self, upstream, now_ms):
         failure = self._failure_by_name.get(upstream.name)
         return Candidate(
--- a/test/standins/users_server.py
+++ b/test/standins/users_server.py
@@ -22,6 +22,7 @@
     :param events: the number of events of each item.
     :ivar runs: the ids of the requests that the server started to run.
     :ivar seen: every request received, as ``(path, headers, body)``.
+    :ivar seen_s: when each of them arrived, by the monotonic clock.
     :ivar refusing: whether requests are rejected with 503 and ``not-run``.
     :ivar cut_after: the number of events after which streams are cut, or None.
     :ivar stall_after: the number of events after which streams send only a byte now
@@ -31,6 +32,7 @@
     :ivar ordered_s: the times of acceptance, by the monotonic clock.
     :ivar failing_ids: the ids of the requests that always fail with 500.
     :ivar lose: whether connections are closed without a response after a run.
+    :ivar limit: the requests a second that every response names as the limit, or None.
     :ivar leaving: whether every response says that the server is leaving.
     :ivar delay_s: how long an application request takes.
     """
@@ -51,6 +53,8 @@
         self.failing_ids = set()
         self.lose = False
         self.leaving = False
+        self.limit = None
+        self.seen_s = []
         self.delay_s = 0
         self.echo = None
         self.sequence = 0
@@ -102,9 +106,12 @@
         response = await self._answer(request)
         if self.leaving:
             response.headers.append(("server-leaving", "1"))
+        if self.limit is not None:
+            response.headers.append(("server-limit", str(self.limit)))
         return response
 
     async def _answer(self, request):
+        self.seen_s.append(time.monotonic())
         self.seen.append((request.path, request.headers, request.body))
         expected = request.headers.get("expect-instance")
         if expected not in (None, self.name):
--- a/test/test_platform_names.py
+++ b/test/test_platform_names.py
@@ -9,7 +9,8 @@
 # Names in the platform's protocols that differ from the names used in this project.
 HEADERS = """
     Server-Stamp Expect-Instance Deadline-Ms Not-Run Weight-Versions Instance-Id
-    Wait-Ms Length-Hint Model-Name Token-Count Prompt-Prefix Kv-From
+    Wait-Ms Length-Hint Model-Name Token-Count Prompt-Prefix Kv-From Server-Limit
+    Server-Leaving
 """
 NAMES = """
     rows-tx rows-get rows-feed rows-parts blob-put blob-get blob-drop blob-list
--- a/test/test_reward_calls.py
+++ b/test/test_reward_calls.py
@@ -17,6 +17,7 @@
 from goldcrestmoor.job.reward_order import RESERVED_SLOTS
 from goldcrestmoor.platform import servers
 from goldcrestmoor.process.metrics import Metrics
+from goldcrestmoor.process.upstream_limits import UpstreamLimits
 from goldcrestmoor.request.upstream_loads import UpstreamLoads
 from test import _common
 from test._fleet import ManualClock
@@ -60,7 +61,14 @@
     async def test_texts_that_are_complete_at_once_leave_slots_free(self):
         """A successor finds the whole texts of a step and sends all calls at once."""
         upstreams = [
-            SimpleNamespace(name=f"s{n}", address="a", port=n, slots=SLOTS, zone="z")
+            SimpleNamespace(
+                name=f"s{n}",
+                address="a",
+                port=n,
+                slots=SLOTS,
+                zone="z",
+                started_ms=1,
+            )
             for n in range(2)
         ]
         directory = SimpleNamespace(
@@ -69,7 +77,12 @@
         )
         http, clock = FakeHttp(), ManualClock()
         loads = UpstreamLoads(
-            clock=clock, http=http, directory=directory, zone="z", host_id="host-a"
+            clock=clock,
+            http=http,
+            directory=directory,
+            limits=UpstreamLimits(clock=clock, metrics=Metrics()),
+            zone="z",
+            host_id="host-a",
         )
         route = SimpleNamespace(
             name="r",
--- a/test/test_streaming.py
+++ b/test/test_streaming.py
@@ -8,6 +8,7 @@
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
 from goldcrestmoor.platform import servers
 from goldcrestmoor.process.metrics import Metrics
+from goldcrestmoor.process.upstream_limits import UpstreamLimits
 from goldcrestmoor.request.event_stream import EventParser
 from goldcrestmoor.request.forwarding import CallerRequest
 from goldcrestmoor.request.streaming import StreamForwarder
@@ -41,6 +42,7 @@
     ran=lambda status, headers: Ran.RAN,
     is_genuine=lambda request_id, status, headers: True,
     leaving_server=servers.leaving_server,
+    stated_limit=servers.stated_limit,
 )
 
 
@@ -97,7 +99,9 @@
     def setUp(self):
         self.clock = ManualClock()
         self.upstreams = [
-            SimpleNamespace(name=n, address="10.0.0.1", port=1, slots=6, zone="a")
+            SimpleNamespace(
+                name=n, address="10.0.0.1", port=1, slots=6, zone="a", started_ms=1
+            )
             for n in ("engine-1", "engine-2")
         ]
 
@@ -111,6 +115,7 @@
                 upstream_by_name={u.name: u for u in self.upstreams},
                 check_usable=lambda upstream: None,
             ),
+            limits=UpstreamLimits(clock=self.clock, metrics=Metrics()),
             zone="a",
             # Of equal upstreams, this host prefers the first one.
             host_id="host-4",
--- a/test/test_upstream_loads.py
+++ b/test/test_upstream_loads.py
@@ -4,6 +4,8 @@
 import unittest
 from types import SimpleNamespace
 
+from goldcrestmoor.process.metrics import Metrics
+from goldcrestmoor.process.upstream_limits import UpstreamLimits
 from goldcrestmoor.request.upstream_loads import UpstreamLoads
 from test._fleet import ManualClock
 
@@ -13,7 +15,9 @@
 class UpstreamLoadsTest(unittest.TestCase):
     def setUp(self):
         self.upstreams = [
-            SimpleNamespace(name=n, address="10.0.0.1", port=1, slots=6, zone="a")
+            SimpleNamespace(
+                name=n, address="10.0.0.1", port=1, slots=6, zone="a", started_ms=1
+            )
             for n in ("desk-1", "desk-2")
         ]
         self.loads = UpstreamLoads(
@@ -24,6 +28,7 @@
                 upstream_by_name={u.name: u for u in self.upstreams},
                 check_usable=lambda upstream: None,
             ),
+            limits=UpstreamLimits(clock=ManualClock(), metrics=Metrics()),
             zone="a",
             # Of equal upstreams, this host prefers the first one.
             host_id="host-4",
