Let hosts together keep the limit that a server states

Cause: the header was read by nobody, and nothing in the design bounds what all hosts together send to one server: each host sees only its own requests.

Now a host that has received such a response sends that server only what the limit's owner grants: one host, found by rendezvous hashing among the hosts of the server's zone, with a token bucket at the stated rate; the next owner grants a quarter while the first can't be reached. It needs no store. What isn't granted goes to other servers, waits (items, reward calls), or is refused at once with the time to come back. A request that may have been run by an earlier server is never refused as not run.

--- a/goldcrestmoor/job/engine_choice.py
+++ b/goldcrestmoor/job/engine_choice.py
@@ -27,6 +27,7 @@
     :param version: the weight version of the item's model that it has loaded.
     :param ms_per_event: the mean time per event of its streams; None while unknown.
     :param is_blocked: whether it is backed off after a rejection or failure.
+    :param is_limited: whether it limits its requests.
     """
 
     name: str
@@ -35,6 +36,7 @@
     version: int
     ms_per_event: float | None = None
     is_blocked: bool = False
+    is_limited: bool = False
 
 
 def choose_engine(engines, min_version, group_engine="", avoid=()):
@@ -53,8 +55,9 @@
         and engine.in_flight < engine.slots
         and not engine.is_blocked
     ]
-    preferred = [engine for engine in eligible if engine.name not in avoid]
-    candidates = _fastest(preferred or eligible)
+    preferred = [engine for engine in eligible if engine.name not in avoid] or eligible
+    unlimited = [engine for engine in preferred if not engine.is_limited]
+    candidates = _fastest(unlimited or preferred)
     if not candidates:
         return None
     best = min(candidates, key=_utilization)
--- a/goldcrestmoor/job/engine_pool.py
+++ b/goldcrestmoor/job/engine_pool.py
@@ -46,13 +46,16 @@
 
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param directory: the :class:`~goldcrestmoor.process.directory.UpstreamDirectory`.
+    :param limits: the
+        :class:`~goldcrestmoor.process.upstream_limits.UpstreamLimits`.
     """
 
-    __slots__ = ("_clock", "_directory", "_state_by_key")
+    __slots__ = ("_clock", "_directory", "_limits", "_state_by_key")
 
-    def __init__(self, *, clock, directory):
+    def __init__(self, *, clock, directory, limits):
         self._clock = clock
         self._directory = directory
+        self._limits = limits
         self._state_by_key = {}
 
     def loads(self, service, model):
@@ -75,7 +78,10 @@
             in_flight=state.in_flight,
             version=upstream.version_by_model.get(model, 0),
             ms_per_event=state.ms_per_event,
-            is_blocked=now_ms < state.blocked_until_ms,
+            is_blocked=(
+                now_ms < state.blocked_until_ms or self._limits.pause_ms(upstream) > 0
+            ),
+            is_limited=self._limits.is_limited(upstream),
         )
 
     def ms_per_event_by_engine(self, service):
@@ -108,10 +114,30 @@
         """
         state = self._state(upstream)
         state.in_flight += 1
-        if state.is_rejecting:
+        if state.is_rejecting or self._limits.is_limited(upstream):
             # Send no other until this stream shows whether the engine accepts work.
             self.block(upstream, REJECTED_BACKOFF_MS)
 
+    def is_limited(self, upstream):
+        """Return whether streams need to be admitted by :meth:`admit`.
+
+        :param upstream: the engine.
+        """
+        return self._limits.is_limited(upstream)
+
+    async def admit(self, upstream):
+        """Admit a stream to its engine, after :meth:`begin`.
+
+        :param upstream: the engine.
+        :return: 0 when it is admitted, else how long the engine gets no requests, in
+            milliseconds.
+        """
+        pause_ms = await self._limits.admit(upstream)
+        state = self._state(upstream)
+        if not state.is_rejecting:
+            state.blocked_until_ms = 0
+        return pause_ms
+
     def end(self, upstream):
         """Count a stream as ended.
 
--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -56,6 +56,10 @@
     """This host cancelled the attempt, to continue at another engine."""
 
 
+class Denied(msgspec.Struct, frozen=True):
+    """The engine's limit on requests left no room for the item, which was not sent."""
+
+
 class ItemTerms(msgspec.Struct, frozen=True):
     """The constraints on the attempts of an item.
 
--- a/goldcrestmoor/job/reward_calls.py
+++ b/goldcrestmoor/job/reward_calls.py
@@ -240,6 +240,10 @@
         )
 
     async def _attempt(self, call, server, route):
+        pause_ms = await self._loads.admit(server)
+        if pause_ms:
+            text = f"not admitted for {pause_ms:.0f} ms"
+            return NoScore(Ran.NOT_RUN, text)
         reward_call = call.item.reward_call
         remaining_ms = max(1, call.job_run.remaining_ms())
         headers = self._dialect.request_headers(
--- a/goldcrestmoor/job/scheduler.py
+++ b/goldcrestmoor/job/scheduler.py
@@ -8,6 +8,7 @@
 from goldcrestmoor.job.item_order import order_jobs
 from goldcrestmoor.job.item_run import (
     Broken,
+    Denied,
     Failed,
     Finished,
     Impossible,
@@ -192,6 +193,11 @@
         return True
 
     async def _attempt(self, job_run, run, engine, route):
+        if self._pool.is_limited(engine):
+            if await self._pool.admit(engine):
+                return Denied()
+            # The engine was blocked for other items until this one was admitted.
+            self.wake()
         terms = ItemTerms(
             job_run.job.host, job_run.job.min_version, route.job.single_version
         )
@@ -245,7 +251,9 @@
         free_by_engine = {
             load.name: load.slots - load.in_flight
             for load in self._pool.loads(service, job_run.job.model)
-            if load.version >= job_run.job.min_version and not load.is_blocked
+            if load.version >= job_run.job.min_version
+            and not load.is_blocked
+            and not load.is_limited
         }
         for item_id in choose_moves(
             running, self._pool.ms_per_event_by_engine(service), free_by_engine
@@ -291,6 +299,8 @@
                     log.info("Item %s failed %d times.", run.item.id, run.failures)
                     job_run.finish(run, is_completed=False)
                     return
+            case Denied():
+                log.debug("Item %s was not admitted at %s.", run.item.id, engine.name)
             case Moved():
                 run.is_moving = False
             case NotRun(reason):
--- a/goldcrestmoor/platform/servers.py
+++ b/goldcrestmoor/platform/servers.py
@@ -267,6 +267,7 @@
                 raise _unexpected_status(upstream, status)
 
     async def _send(self, upstream, method, target, headers, body, timeout_ms):
+        await self._limits.admit(upstream, is_required=True)
         response = await self._http.request(
             upstream.address,
             upstream.port,
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -21,13 +21,14 @@
 from goldcrestmoor.job.scheduler import Scheduler
 from goldcrestmoor.platform import callers as caller_dialect, records, servers
 from goldcrestmoor.platform.store import StoreClient
-from goldcrestmoor.process import lease_rows, store_connectivity
+from goldcrestmoor.process import lease_rows, limit_owners, store_connectivity
 from goldcrestmoor.process.directory import UpstreamDirectory
 from goldcrestmoor.process.duties import Duties
 from goldcrestmoor.process.follower import TableFollower
 from goldcrestmoor.process.front_callers import FrontRequestHandler
 from goldcrestmoor.process.http_server import HttpServer, ServerOptions
 from goldcrestmoor.process.leases import LeaseClient
+from goldcrestmoor.process.limit_owners import LimitOwners
 from goldcrestmoor.process.metrics import Metrics
 from goldcrestmoor.process.routing import Routing
 from goldcrestmoor.process.shutdown import InFlight
@@ -145,7 +146,16 @@
             age_ms=lambda: self._followers[records.UPSTREAM_TABLE].age_ms(),
             on_change=self._on_upstreams_changed,
         )
-        self._limits = UpstreamLimits(clock=clock, metrics=metrics)
+        self._limits = UpstreamLimits(
+            clock=clock,
+            metrics=metrics,
+            owners=LimitOwners(
+                clock=clock,
+                http=self._http,
+                host_id=self.settings.host.id,
+                row_by_host=lambda: self._connectivity.row_by_host(),
+            ),
+        )
         leases = LeaseClient(
             clock=clock,
             table=self._store,
@@ -181,7 +191,9 @@
         )
         self._scheduler = Scheduler(
             clock=clock,
-            pool=EnginePool(clock=clock, directory=self._directory),
+            pool=EnginePool(
+                clock=clock, directory=self._directory, limits=self._limits
+            ),
             executor=ItemExecutor(
                 clock=clock,
                 http=self._http,
@@ -339,6 +351,10 @@
         async def relay_call(request: Request) -> Response:
             return await self._relay_call(request)
 
+        async def grant(request: Request) -> Response:
+            return await self._grant(request)
+
+        readiness_server.application.router.add_post(limit_owners.PATH, grant)
         for method in STORE_METHODS:
             readiness_server.application.router.add(
                 method, f"{store_connectivity.CALLS_PREFIX}/*", relay_call
@@ -373,6 +389,17 @@
         )
         return Response(answer.status, None, Content(OCTET_STREAM, answer.body))
 
+    async def _grant(self, request):
+        """Reply to another host's request to the owner of an upstream's limit."""
+        try:
+            message = limit_owners.request_decoder.decode(await request.read() or b"")
+        except msgspec.MsgspecError as e:
+            self._metrics.bad_input.labels("limits").inc()
+            log.warning("A request to grant a request is malformed: %s", e)
+            return Response(400)
+        body = msgspec.json.encode(self._limits.grant(message))
+        return Response(200, None, Content(b"application/json", body))
+
     def _is_ready(self):
         has_routes = self._routing.table is not None
         return (
@@ -471,5 +498,6 @@
         await self._scheduler.close()
         await self._rewards.close()
         await self._orders.close()
+        await self._limits.close()
         await self._tasks.close()
         await self._http.close()
--- a/goldcrestmoor/process/store_connectivity.py
+++ b/goldcrestmoor/process/store_connectivity.py
@@ -109,6 +109,10 @@
             except msgspec.MsgspecError as e:
                 log.warning("The row of host %s is ignored: %s.", change.key, e)
 
+    def row_by_host(self):
+        """Return the :class:`HostRow` of each registered host."""
+        return self._row_by_host
+
     def reaches_store(self):
         """Return whether the store has answered this host recently."""
         age_ms = self._last_answer_age_ms()
--- a/goldcrestmoor/request/forwarding.py
+++ b/goldcrestmoor/request/forwarding.py
@@ -81,19 +81,31 @@
         self._ran = Ran.NOT_RUN
         self._total_ms = deadline.remaining_ms()
 
-    def next_upstream(self):
-        """Return the upstream for the next attempt.
+    async def next_upstream(self):
+        """Return the upstream for the next attempt, which has admitted the request.
 
-        :raises ServiceError: ``NO_UPSTREAM`` when the service has no upstream left.
+        :raises ServiceError: ``NO_UPSTREAM`` when the service has no upstream left,
+            ``OVERLOADED`` when its upstreams admit no more requests,
+            ``UPSTREAM_FAILED`` when an earlier attempt may have been run.
         """
-        upstream = self._loads.choose(self._service, self._sent_to)
+        upstream = await self._loads.admit_one(self._service, self._sent_to)
         if upstream is None:
-            text = f"No server of {self._service} is available."
-            after_ms = retry_decision.RETRY_AFTER_NONE_MS
-            raise ServiceError(ErrorKind.NO_UPSTREAM, text, after_ms)
+            raise self._unavailable()
         self._sent_to.append(upstream.name)
         return upstream
 
+    def _unavailable(self):
+        if self._ran is not Ran.NOT_RUN:
+            text = f"No other server of {self._service} is available."
+            return ServiceError(ErrorKind.UPSTREAM_FAILED, text)
+        pause_ms = self._loads.pause_ms(self._service)
+        if pause_ms is not None:
+            text = f"The servers of {self._service} accept no more requests now."
+            return ServiceError(ErrorKind.OVERLOADED, text, pause_ms)
+        text = f"No server of {self._service} is available."
+        after_ms = retry_decision.RETRY_AFTER_NONE_MS
+        return ServiceError(ErrorKind.NO_UPSTREAM, text, after_ms)
+
     def timeout_ms(self):
         """Return the timeout of the current attempt, in milliseconds."""
         return retry_decision.attempt_timeout_ms(
@@ -226,7 +238,7 @@
         """
         attempts = self._new_attempts(request, route, deadline)
         while True:
-            upstream = attempts.next_upstream()
+            upstream = await attempts.next_upstream()
             outcome = await self._attempt(upstream, attempts)
             match outcome:
                 case AppResponse():
--- a/goldcrestmoor/request/streaming.py
+++ b/goldcrestmoor/request/streaming.py
@@ -73,7 +73,7 @@
         """
         last_id, has_head, has_events = "", False, False
         while True:
-            upstream = attempts.next_upstream()
+            upstream = await attempts.next_upstream()
             parser = EventParser(
                 self._dialect.EVENT_FIELDS,
                 attempts.deadline.clock,
--- a/goldcrestmoor/request/upstream_loads.py
+++ b/goldcrestmoor/request/upstream_loads.py
@@ -69,13 +69,48 @@
         name = choose_upstream(self.candidates(service), sent_to)
         return None if name is None else self.upstream(name)
 
+    async def admit_one(self, service, sent_to):
+        """Return the upstream that a request goes to and that admits it, or None.
+
+        :param service: the service's name.
+        :param sent_to: the names of the upstreams that the request was sent to.
+        """
+        denied = set()
+        while True:
+            upstream = self.choose(service, {*sent_to, *denied})
+            if upstream is None or not await self.admit(upstream):
+                return upstream
+            denied.add(upstream.name)
+
+    async def admit(self, upstream):
+        """Admit a request to an upstream; see ``UpstreamLimits.admit``.
+
+        :param upstream: the upstream.
+        :return: 0 when it is admitted, else the time to wait, in milliseconds.
+        """
+        return await self._limits.admit(upstream)
+
+    def pause_ms(self, service):
+        """Return when a request to a service may next be admitted, in milliseconds.
+
+        :param service: the service's name.
+        :return: the shortest pause of its upstreams that limit their requests; None
+            when no upstream is paused.
+        """
+        pauses_ms = map(self._limits.pause_ms, self._directory.usable(service))
+        return min(filter(None, pauses_ms), default=None)
+
     def candidates(self, service):
-        """Return the :class:`Candidate` of each usable upstream of a service.
+        """Return the :class:`Candidate` of each upstream that may get a request.
 
         :param service: the service's name.
         """
         now_ms = self._clock.now_ms()
-        return [self._candidate(u, now_ms) for u in self._directory.usable(service)]
+        return [
+            self._candidate(upstream, now_ms)
+            for upstream in self._directory.usable(service)
+            if not self._limits.pause_ms(upstream)
+        ]
 
     def upstream(self, name):
         """Return a listed upstream.
@@ -117,6 +152,7 @@
             has_connection=self._http.has_idle(upstream.address, upstream.port),
             is_local=upstream.zone == self._zone,
             has_failed=failure is not None and now_ms < failure.until_ms,
+            is_limited=self._limits.is_limited(upstream),
             rank=xxhash.xxh64_intdigest(f"{self._host_id}/{upstream.name}".encode()),
         )
 
--- a/test/_request_fakes.py
+++ b/test/_request_fakes.py
@@ -10,7 +10,9 @@
 from goldcrestmoor.connection.retry_budget import MAX_SAVED_RETRIES, RetryBudget
 from goldcrestmoor.errors import ErrorKind, ServiceError, from_body, to_body
 from goldcrestmoor.process.decision_log import DecisionLog
+from goldcrestmoor.process.limit_owners import LimitOwners
 from goldcrestmoor.process.metrics import Metrics
+from goldcrestmoor.process.upstream_limits import UpstreamLimits
 from goldcrestmoor.version.configuration.document import (
     Account,
     Configuration,
@@ -181,3 +183,14 @@
 
 def limits(**changes):
     return _common.make_settings(limits=changes).limits
+
+
+def upstream_limits(clock, metrics=None, host_id="host-a"):
+    """Return the limits that a host alone records and grants.
+
+    :param clock: the clock.
+    :param metrics: the metrics; new ones by default.
+    :param host_id: the host.
+    """
+    owners = LimitOwners(clock=clock, http=None, host_id=host_id, row_by_host=dict)
+    return UpstreamLimits(clock=clock, metrics=metrics or Metrics(), owners=owners)
--- a/test/test_engine_pool.py
+++ b/test/test_engine_pool.py
@@ -5,6 +5,7 @@
 
 from goldcrestmoor.job.engine_pool import EnginePool
 from test._fleet import ManualClock
+from test._request_fakes import upstream_limits
 
 
 def upstream(name, started_ms):
@@ -16,7 +17,11 @@
 class EnginePoolTest(unittest.TestCase):
     def setUp(self):
         self.directory = SimpleNamespace(upstream_by_name={})
-        self.pool = EnginePool(clock=ManualClock(), directory=self.directory)
+        self.pool = EnginePool(
+            clock=ManualClock(),
+            directory=self.directory,
+            limits=upstream_limits(ManualClock()),
+        )
 
     def test_engines_that_are_gone_are_forgotten(self):
         """Engines are replaced a few dozen times a day, under new names."""
--- a/test/test_job_run.py
+++ b/test/test_job_run.py
@@ -26,6 +26,7 @@
     group_by_host,
 )
 from test import _common
+from test._request_fakes import upstream_limits
 
 MODEL = "m"
 ROUTE = Route(
@@ -125,7 +126,11 @@
 class JobRunTest(unittest.IsolatedAsyncioTestCase):
     def make_scheduler(self, names="ab"):
         self.executor = FakeExecutor()
-        self.pool = EnginePool(clock=Clock(), directory=FakeDirectory(names))
+        self.pool = EnginePool(
+            clock=Clock(),
+            directory=FakeDirectory(names),
+            limits=upstream_limits(Clock()),
+        )
         return Scheduler(
             clock=Clock(),
             pool=self.pool,
--- a/test/test_reward_calls.py
+++ b/test/test_reward_calls.py
@@ -17,11 +17,11 @@
 from goldcrestmoor.job.reward_order import RESERVED_SLOTS
 from goldcrestmoor.platform import servers
 from goldcrestmoor.process.metrics import Metrics
-from goldcrestmoor.process.upstream_limits import UpstreamLimits
 from goldcrestmoor.request.upstream_loads import UpstreamLoads
 from test import _common
 from test._fleet import ManualClock
 from test._front import FETCH_PATH, FrontFleet, configuration, submission
+from test._request_fakes import upstream_limits
 from test.standins.users_server import whole_text
 
 SCORER_HOST = "App.example"
@@ -80,7 +80,7 @@
             clock=clock,
             http=http,
             directory=directory,
-            limits=UpstreamLimits(clock=clock, metrics=Metrics()),
+            limits=upstream_limits(clock),
             zone="z",
             host_id="host-a",
         )
--- a/test/test_streaming.py
+++ b/test/test_streaming.py
@@ -8,7 +8,6 @@
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
 from goldcrestmoor.platform import servers
 from goldcrestmoor.process.metrics import Metrics
-from goldcrestmoor.process.upstream_limits import UpstreamLimits
 from goldcrestmoor.request.event_stream import EventParser
 from goldcrestmoor.request.forwarding import CallerRequest
 from goldcrestmoor.request.streaming import StreamForwarder
@@ -20,6 +19,7 @@
     ServiceShare,
 )
 from test._fleet import ManualClock
+from test._request_fakes import upstream_limits
 
 SERVICE = "pool"
 DEADLINE_MS = 1000
@@ -115,7 +115,7 @@
                 upstream_by_name={u.name: u for u in self.upstreams},
                 check_usable=lambda upstream: None,
             ),
-            limits=UpstreamLimits(clock=self.clock, metrics=Metrics()),
+            limits=upstream_limits(self.clock),
             zone="a",
             # Of equal upstreams, this host prefers the first one.
             host_id="host-4",
--- a/test/test_upstream_loads.py
+++ b/test/test_upstream_loads.py
@@ -4,10 +4,9 @@
 import unittest
 from types import SimpleNamespace
 
-from goldcrestmoor.process.metrics import Metrics
-from goldcrestmoor.process.upstream_limits import UpstreamLimits
 from goldcrestmoor.request.upstream_loads import UpstreamLoads
 from test._fleet import ManualClock
+from test._request_fakes import upstream_limits
 
 SERVICE = "desk"
 
@@ -28,7 +27,7 @@
                 upstream_by_name={u.name: u for u in self.upstreams},
                 check_usable=lambda upstream: None,
             ),
-            limits=UpstreamLimits(clock=ManualClock(), metrics=Metrics()),
+            limits=upstream_limits(ManualClock()),
             zone="a",
             # Of equal upstreams, this host prefers the first one.
             host_id="host-4",
