Log the software version of servers and of resumed items

It is decoded from the list and logged with each listed server; an item that resumes is logged with the version that began its text, and that of its engine. What is chosen doesn't change.

--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -81,6 +81,7 @@
     :ivar events: the data of the events so far.
     :ivar last_id: the id of the last of them.
     :ivar versions: the weight versions that generated them, in order of first use.
+    :ivar software_version: the software version of the engine that began them.
     :ivar failures: how often an engine reported that the item failed.
     :ivar attempts: how often it was started.
     :ivar engine: the engine that runs it, or None.
@@ -102,6 +103,7 @@
         "events",
         "last_id",
         "versions",
+        "software_version",
         "failures",
         "attempts",
         "generation",
@@ -132,6 +134,7 @@
         self.events = []
         self.last_id = ""
         self.versions = []
+        self.software_version = ""
         self.saved_events = 0
         self.is_complete = False
         self.is_completion_saved = False
@@ -153,6 +156,7 @@
         self.events = []
         self.last_id = ""
         self.versions = []
+        self.software_version = ""
         self.saved_events = 0
         self.is_complete = False
         self.is_completion_saved = False
@@ -239,6 +243,16 @@
         headers = dialect.request_headers(headers, engine, None)
         if run.last_id:
             headers.append(dialect.resume_header(run.last_id))
+            log.info(
+                "Item %s of software version %s resumes after %d events at %s of %s.",
+                run.item.id,
+                run.software_version or "unknown",
+                len(run.events),
+                engine.name,
+                engine.software_version or "unknown",
+            )
+        else:
+            run.software_version = engine.software_version
         try:
             with tracing.detached_span("item", upstream=engine.name):
                 async with self._http.stream(
--- a/goldcrestmoor/platform/records.py
+++ b/goldcrestmoor/platform/records.py
@@ -79,7 +79,7 @@
 
 class _LoadedModel(msgspec.Struct):
     name: str
-    # The weight version; the field of this name in the entry is the software version.
+    # The weight version.
     version: int
 
 
@@ -89,6 +89,8 @@
     zone: str
     state: str
     slots: int
+    # The version of the server's software, not of the weights.
+    version: str = ""
     cold_left_ms: float = 0
     models: list[_LoadedModel] = []
     # Start time of the server in Unix milliseconds; distinguishes two incarnations.
@@ -152,6 +154,7 @@
         cold_ms=int(server.cold_left_ms),
         version_by_model={loaded.name: loaded.version for loaded in server.models},
         started_ms=server.born or 0,
+        software_version=server.version,
     )
 
 
--- a/goldcrestmoor/process/directory.py
+++ b/goldcrestmoor/process/directory.py
@@ -28,6 +28,8 @@
     :param cold_ms: how much longer its cold start lasts, in milliseconds.
     :param version_by_model: the weight version of each model that it has loaded.
     :param started_ms: when this incarnation started; 0 if not reported.
+    :param software_version: the version of its software; what two versions write does
+        not fit together.
     """
 
     name: str
@@ -40,6 +42,7 @@
     cold_ms: int = 0
     version_by_model: dict[str, int] = {}
     started_ms: int = 0
+    software_version: str = ""
 
 
 class UpstreamDirectory:
@@ -181,7 +184,12 @@
         self._expiry_ms_by_name.pop(name, None)
         self.upstream_by_name[name] = upstream
         if known is None:
-            log.info("%s of %s is listed.", name, upstream.service)
+            log.info(
+                "%s of %s is listed, software version %s.",
+                name,
+                upstream.service,
+                upstream.software_version or "unknown",
+            )
         elif known.is_draining != upstream.is_draining:
             state = "draining" if upstream.is_draining else "no longer draining"
             log.info("%s of %s is %s.", name, upstream.service, state)
