Show that texts and streams mix software versions (red)

Three daemons before two engines of each of two versions: an engine crashes, all of a version go, the runner is killed; a response breaks off, a client takes its stream up at another host, or after its host was killed.

--- a/test/standins/users_server.py
+++ b/test/standins/users_server.py
@@ -20,6 +20,7 @@
     :param service: the service that the server belongs to.
     :param models: the weight version of each model; empty for an application.
     :param events: the number of events of each item.
+    :param version: the version of its software, which its events differ by.
     :ivar runs: the ids of the requests that the server started to run.
     :ivar seen: every request received, as ``(path, headers, body)``.
     :ivar seen_s: when each of them arrived, by the monotonic clock.
@@ -37,11 +38,12 @@
     :ivar delay_s: how long an application request takes.
     """
 
-    def __init__(self, name, service, models=None, events=4):
+    def __init__(self, name, service, models=None, events=4, version="v1"):
         self.name = name
         self.service = service
         self.models = dict(models or {})
         self.events = events
+        self.version = version
         self.runs = []
         self.seen = []
         self.orders = []
@@ -90,7 +92,7 @@
             "service": self.service,
             "address": f"127.0.0.1:{self._server.port}",
             "zone": "zone-a",
-            "version": "v1",
+            "version": self.version,
             "slots": 4,
             "state": state,
             "coldLeftMs": 0,
@@ -171,16 +173,21 @@
             if now != version:
                 version = now
                 lines = f"weight-versions: {now}\n"
-            lines += f"id: {number}\ndata: {event_text(request_id, number)}\n\n"
+            data = event_text(request_id, number, self.version)
+            lines += f"id: {number}\ndata: {data}\n\n"
             yield lines.encode()
             await asyncio.sleep(EVENT_MS / 1000)
 
 
-def event_text(request_id, number):
-    """Return the data of one event of an item."""
-    return json.dumps({"of": request_id, "number": number})
+def event_text(request_id, number, version="v1"):
+    """Return the data of one event of an item, as a software version writes it."""
+    event = {"of": request_id, "number": number}
+    if version != "v1":
+        event["by"] = version
+    return json.dumps(event)
 
 
-def whole_text(request_id, events=4):
+def whole_text(request_id, events=4, version="v1"):
     """Return the complete output of an item."""
-    return "\n".join(event_text(request_id, number) for number in range(events))
+    numbers = range(events)
+    return "\n".join(event_text(request_id, number, version) for number in numbers)
--- /dev/null
+++ b/test/test_software_versions.py
@@ -0,0 +1,185 @@
+"""Servers of two software versions side by side, whose events don't fit together.
+
+Engines crash and hosts are killed while half of the engines are replaced by newer ones.
+A stream or a text that goes on at an engine of the other version is corrupt, and no
+server notices.
+"""
+
+import asyncio
+import json
+import unittest
+
+from goldcrestmoor.errors import ServiceError
+from test import _common
+from test._front import HOST, MODEL, FrontFleet, configuration, item
+from test.standins.users_server import UsersServer, whole_text
+
+VERSIONS = ("v1", "v1.1")
+HOSTS = ("front-a", "front-b", "front-c")
+ITEMS = 16
+STREAMS = 12
+
+
+class FleetTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.fleet = FrontFleet()
+        self.addAsyncCleanup(self.fleet.close)
+        self.fleet.engines = [
+            UsersServer(f"engine-{version}-{n}", "pool", {MODEL: 1}, version=version)
+            for version in VERSIONS
+            for n in range(2)
+        ]
+        await self.fleet.start(names=HOSTS)
+
+    def set_engines(self, **values):
+        for engine in self.fleet.engines:
+            for name, value in values.items():
+                setattr(engine, name, value)
+
+    def version_of(self, result, events):
+        """Return the version that wrote a whole text, or "mixed"."""
+        for version in VERSIONS:
+            if result["text"] == whole_text(result["id"], events, version):
+                return version
+        return "mixed"
+
+    async def versions_of_job(self, name, job_id, events):
+        results = await self.fleet.all_results(name, job_id)
+        return [self.version_of(result, events) for result in results]
+
+    async def test_items_of_a_crashed_engine_stay_at_their_version(self):
+        self.set_engines(events=60)
+        await self.fleet.submit("front-a", "j1", ITEMS)
+        crashed, sound = self.fleet.engines[2:]
+        await _common.eventually(lambda: len(crashed.runs) > 2)
+        await asyncio.sleep(0.1)
+        await crashed.close()
+        versions = await self.versions_of_job("front-b", "j1", 60)
+        self.assertEqual(set(versions), set(VERSIONS))
+        # Their events so far are used.
+        resumed = [h for _, h, _ in sound.seen if "last-event-id" in h]
+        self.assertTrue(resumed)
+
+    async def test_items_start_again_when_their_version_is_gone(self):
+        self.set_engines(events=60)
+        await self.fleet.submit("front-a", "j1", ITEMS)
+        old = self.fleet.engines[:2]
+        await _common.eventually(lambda: all(len(engine.runs) > 2 for engine in old))
+        await asyncio.sleep(0.1)
+        for engine in old:
+            self.fleet.silent.add(engine.name)
+            self.fleet.store.put("servers", engine.name, None)
+            await engine.close()
+        versions = await self.versions_of_job("front-b", "j1", 60)
+        self.assertNotIn("mixed", versions)
+
+    async def test_a_successor_continues_texts_at_their_version(self):
+        """Enough events to be stored before the runner is killed."""
+        events = 500
+        self.set_engines(events=events)
+        await self.fleet.submit("front-a", "j1", ITEMS)
+        runner = await _common.eventually(lambda: self.fleet.runner_of("j1"))
+        await asyncio.sleep(1.5)
+        self.fleet.fronts[runner].kill()
+        # Its items have to go elsewhere.
+        self.fleet.engines[2].refusing = True
+        reader = next(name for name in HOSTS if name != runner)
+        versions = await self.versions_of_job(reader, "j1", events)
+        self.assertNotIn("mixed", versions)
+        resumed = [
+            headers
+            for engine in self.fleet.engines
+            for _, headers, _ in engine.seen
+            if "last-event-id" in headers
+        ]
+        self.assertGreater(len(resumed), ITEMS / 2)
+
+    async def read_stream(self, host, request_id, **headers):
+        """Return a stream's events, and whether it ended as complete."""
+        pairs = [(b"host", HOST.encode()), (b"request-id", request_id.encode())]
+        pairs += [
+            (name.replace("_", "-").encode(), str(value).encode())
+            for name, value in (item("s")["headers"] | headers).items()
+        ]
+        body = b""
+        is_complete = False
+        try:
+            async with self.fleet.http.stream(
+                "127.0.0.1",
+                self.fleet.ports[host][0],
+                "POST",
+                "/stream/x",
+                pairs,
+                b"",
+                5000,
+                fresh=True,
+            ) as response:
+                if response.status == 200:
+                    async for chunk in response.body():
+                        body += chunk
+                    is_complete = True
+        except ServiceError:
+            pass
+        lines = body.decode().splitlines()
+        data = [json.loads(line[6:]) for line in lines if line.startswith("data: ")]
+        ids = [int(line[4:]) for line in lines if line.startswith("id: ")]
+        return [*zip(ids, data, strict=True)], is_complete
+
+    def versions_in(self, events):
+        return {event.get("by", "v1") for _, event in events}
+
+    async def begin_streams(self, host):
+        """Begin streams that break off; return the events of each that has some."""
+        self.set_engines(events=20, cut_after=4)
+        begun = {}
+        for number in range(STREAMS):
+            events, is_complete = await self.read_stream(host, f"s{number}")
+            self.assertFalse(is_complete)
+            if events:
+                begun[f"s{number}"] = events
+        self.assertEqual(len(begun), STREAMS)
+        return begun
+
+    async def take_up(self, host, begun):
+        """Take streams up again at a host; return how many went on to their end."""
+        self.set_engines(cut_after=None)
+        count = 0
+        for request_id, events in begun.items():
+            last_id = events[-1][0]
+            more, is_complete = await self.read_stream(
+                host, f"{request_id}-again", last_event_id=last_id, resumes=request_id
+            )
+            self.assertLessEqual(len(self.versions_in(events + more)), 1, request_id)
+            if is_complete:
+                self.assertEqual([id_ for id_, _ in events + more], [*range(20)])
+                count += 1
+        return count
+
+    async def test_a_broken_stream_goes_on_at_its_version_in_one_response(self):
+        changed = configuration(version=4, stream={"attempts": 3})
+        self.fleet.store.put("op", "config", changed)
+        self.set_engines(events=20)
+        for engine in self.fleet.engines[::2]:
+            engine.cut_after = 4
+        await asyncio.sleep(0.5)
+        versions = set()
+        for number in range(STREAMS):
+            events, is_complete = await self.read_stream("front-a", f"s{number}")
+            self.assertTrue(is_complete)
+            self.assertEqual([id_ for id_, _ in events], [*range(20)])
+            versions.add(frozenset(self.versions_in(events)))
+        self.assertLessEqual(max(map(len, versions)), 1)
+
+    async def test_streams_are_taken_up_at_their_version_at_another_host(self):
+        begun = await self.begin_streams("front-a")
+        self.assertEqual(await self.take_up("front-b", begun), STREAMS)
+
+    async def test_streams_are_taken_up_after_their_host_was_killed(self):
+        begun = await self.begin_streams("front-a")
+        self.fleet.fronts["front-a"].kill()
+        went_on = await self.take_up("front-b", begun)
+        self.assertGreaterEqual(went_on, STREAMS / 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
