Continue an item's text only at the software version that began it

Cause: the software version was not among what the choice of an engine regards, nor in what the store keeps of a text, so that an item resumed at whichever engine was free, and a successor could not know better.

Now the version is kept with the text, also in the store, and restricts the choice. An item waits for an engine of its version for as long as generating its text again would take, and starts again at once when none is listed. Slow engines' items move between engines of one version only. A waiting item no longer holds up those behind it.

--- a/goldcrestmoor/job/engine_pool.py
+++ b/goldcrestmoor/job/engine_pool.py
@@ -82,24 +82,9 @@
                 now_ms < state.blocked_until_ms or self._limits.pause_ms(upstream) > 0
             ),
             is_limited=self._limits.is_limited(upstream),
+            software_version=upstream.software_version,
         )
 
-    def ms_per_event_by_engine(self, service):
-        """Return the measured time per event of each usable engine of a service.
-
-        :param service: the service's name.
-        :return: milliseconds per event, by engine name; unmeasured engines are absent.
-        """
-        state_by_name = {
-            upstream.name: self._state_by_key.get(_key(upstream))
-            for upstream in self._directory.usable(service)
-        }
-        return {
-            name: state.ms_per_event
-            for name, state in state_by_name.items()
-            if state is not None and state.ms_per_event is not None
-        }
-
     def upstream(self, name):
         """Return a listed engine.
 
--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -78,6 +78,7 @@
 
     :param item: the :class:`~goldcrestmoor.job.job.Item`.
     :param position: its index in the job.
+    :param now_ms: the time.
     :ivar events: the data of the events so far.
     :ivar last_id: the id of the last of them.
     :ivar versions: the weight versions that generated them, in order of first use.
@@ -88,6 +89,7 @@
     :ivar generation: increases when it restarts from its prompt.
     :ivar saved_events: the number of events in the store.
     :ivar started_ms: when its first attempt began.
+    :ivar progress_ms: when it got its last event, or was created.
     :ivar avoided_engine: the engine of its last unsuccessful attempt.
     :ivar is_moving: whether its attempt is being cancelled, to continue at another
         engine.
@@ -109,6 +111,7 @@
         "generation",
         "saved_events",
         "started_ms",
+        "progress_ms",
         "engine",
         "avoided_engine",
         "task",
@@ -119,12 +122,13 @@
         "score",
     )
 
-    def __init__(self, item, position):
+    def __init__(self, item, position, now_ms=0):
         self.item = item
         self.position = position
         self.failures = 0
         self.attempts = 0
         self.started_ms = None
+        self.progress_ms = now_ms
         self.engine = None
         self.avoided_engine = ""
         self.task = None
@@ -171,6 +175,7 @@
             self.last_id,
             tuple(self.versions),
             self.is_complete,
+            self.software_version,
         )
 
     def resume(self, partials):
@@ -186,6 +191,7 @@
                 self.events += partial.events
                 self.last_id = partial.last_id
                 self.versions = list(partial.versions)
+                self.software_version = partial.software_version
                 self.is_complete = partial.is_complete
         self.saved_events = len(self.events)
         self.is_completion_saved = self.is_complete
@@ -270,11 +276,24 @@
                     before_send=lambda: self._directory.check_usable(engine),
                 ) as response:
                     self._record_engine_state(run, engine, response)
-                    return await self._read_response(run, response, terms, on_events)
+                    outcome = await self._read_response(run, response, terms, on_events)
         except ServiceError as e:
             if e.answer.ran is Ran.NOT_RUN:
                 return NotRun(e.message)
-            return Broken(e.message)
+            outcome = Broken(e.message)
+        if self._has_changed_software(engine):
+            run.restart()
+            return Broken("the engine had restarted with another software version")
+        return outcome
+
+    def _has_changed_software(self, engine):
+        """Return whether an engine restarted, unlisted, before it got the item."""
+        listed = self._directory.upstream_by_name.get(engine.name)
+        return (
+            listed is not None
+            and listed.started_ms != engine.started_ms
+            and listed.software_version != engine.software_version
+        )
 
     def _record_engine_state(self, run, engine, response):
         """Record what an engine's genuine response says of the engine itself."""
--- a/goldcrestmoor/job/job.py
+++ b/goldcrestmoor/job/job.py
@@ -102,6 +102,7 @@
     :param last_id: the id of the last of them.
     :param versions: the weight versions that generated all events so far.
     :param is_complete: whether the text ends with these events.
+    :param software_version: the software version of the engines that generated them.
     """
 
     position: int
@@ -111,6 +112,7 @@
     last_id: str
     versions: tuple[int, ...]
     is_complete: bool = False
+    software_version: str = ""
 
 
 class Result(msgspec.Struct, frozen=True):
--- a/goldcrestmoor/job/job_run.py
+++ b/goldcrestmoor/job/job_run.py
@@ -86,7 +86,7 @@
         self.priority = priority
         self.due_ms = stored.state.submitted_ms + policy.due_after_ms
         self.waiting = [
-            ItemRun(item, position)
+            ItemRun(item, position, clock.now_ms())
             for position, item in enumerate(job.items)
             if item.id not in listed_ids
         ]
--- a/goldcrestmoor/job/scheduler.py
+++ b/goldcrestmoor/job/scheduler.py
@@ -4,7 +4,7 @@
 import functools
 import logging
 
-from goldcrestmoor.job.engine_choice import choose_engine
+from goldcrestmoor.job.engine_choice import choose_engine, should_restart
 from goldcrestmoor.job.item_order import order_jobs
 from goldcrestmoor.job.item_run import (
     Broken,
@@ -155,12 +155,11 @@
         for job_run in order_jobs(self._runs_by_job.values()):
             if job_run.is_over or not job_run.waiting:
                 continue
-            loads_by_service = {}
             for run in job_run.next_items():
-                if not self._assign_engine(job_run, run, table, loads_by_service):
+                if not self._assign_engine(job_run, run, table):
                     break
 
-    def _assign_engine(self, job_run, run, table, loads_by_service):
+    def _assign_engine(self, job_run, run, table):
         """Start an item; return whether the items after it may find an engine too."""
         job = job_run.job
         route = table.match(job.host, run.item.path)
@@ -170,18 +169,18 @@
             job_run.finish(run, is_completed=False)
             return True
         service = route.service_for(run.item.id)
-        loads = loads_by_service.get(service)
-        if loads is None:
-            loads = self._pool.loads(service, job.model)
+        loads = self._pool.loads(service, job.model)
+        self._restart_text(job_run, run, loads)
         name = choose_engine(
             loads,
             job.min_version,
             job_run.engine_by_group.get(run.group, ""),
             (run.avoided_engine,),
+            run.software_version if run.events else None,
         )
         if name is None:
-            loads_by_service[service] = loads
-            return False
+            # Engines of another software version may be free for the items after it.
+            return bool(run.events)
         engine = self._pool.upstream(name)
         self._pool.begin(engine)
         job_run.start(run, name)
@@ -192,6 +191,28 @@
         )
         return True
 
+    def _restart_text(self, job_run, run, loads):
+        """Discard an item's text if waiting for its software version costs more."""
+        if not run.events:
+            return
+        waited_ms = self._clock.now_ms() - run.progress_ms
+        if should_restart(
+            loads,
+            job_run.job.min_version,
+            run.software_version,
+            len(run.events),
+            waited_ms,
+        ):
+            log.info(
+                "Item %s starts again without its %d events: no engine of software "
+                "version %s is free, %d ms after the last event.",
+                run.item.id,
+                len(run.events),
+                run.software_version or "unknown",
+                waited_ms,
+            )
+            run.restart()
+
     async def _attempt(self, job_run, run, engine, route):
         if self._pool.is_limited(engine):
             if await self._pool.admit(engine):
@@ -207,6 +228,7 @@
             nonlocal last_event_ms
             now_ms = self._clock.now_ms()
             if count:
+                run.progress_ms = now_ms
                 self._pool.record_events(engine, now_ms - last_event_ms, count)
             else:
                 self._pool.record_accepted(engine)
@@ -242,22 +264,37 @@
                 self._move_stragglers_from(job_run, share.service)
 
     def _move_stragglers_from(self, job_run, service):
+        loads = self._pool.loads(service, job_run.job.model)
+        for software_version in sorted({load.software_version for load in loads}):
+            same = [load for load in loads if load.software_version == software_version]
+            self._move_stragglers_between(job_run, same)
+
+    def _move_stragglers_between(self, job_run, loads):
+        """Move items between engines of one software version, which can resume them.
+
+        :param loads: their :class:`~goldcrestmoor.job.engine_choice.EngineLoad`.
+        """
         now_ms = self._clock.now_ms()
+        load_by_name = {load.name: load for load in loads}
         running = [
             RunningItem(run.item.id, run.engine, len(run.events))
             for run in job_run.running_by_id.values()
-            if run.moved_ms is None or now_ms - run.moved_ms >= MOVE_INTERVAL_MS
+            if run.engine in load_by_name
+            and (run.moved_ms is None or now_ms - run.moved_ms >= MOVE_INTERVAL_MS)
         ]
         free_by_engine = {
             load.name: load.slots - load.in_flight
-            for load in self._pool.loads(service, job_run.job.model)
+            for load in loads
             if load.version >= job_run.job.min_version
             and not load.is_blocked
             and not load.is_limited
         }
-        for item_id in choose_moves(
-            running, self._pool.ms_per_event_by_engine(service), free_by_engine
-        ):
+        ms_per_event_by_engine = {
+            load.name: load.ms_per_event
+            for load in loads
+            if load.ms_per_event is not None
+        }
+        for item_id in choose_moves(running, ms_per_event_by_engine, free_by_engine):
             run = job_run.running_by_id[item_id]
             if run.is_moving:
                 continue
--- a/test/test_software_versions.py
+++ b/test/test_software_versions.py
@@ -6,12 +6,23 @@
 """
 
 import asyncio
+import contextlib
 import json
 import unittest
+from types import SimpleNamespace
 
+import msgspec
+
+from goldcrestmoor.clock import Clock
 from goldcrestmoor.errors import ServiceError
+from goldcrestmoor.job.engine_choice import EngineLoad, choose_engine, should_restart
+from goldcrestmoor.job.item_run import Broken, ItemExecutor, ItemRun, ItemTerms
+from goldcrestmoor.job.job import Item, Partial
+from goldcrestmoor.platform import servers
+from goldcrestmoor.process.directory import ListedUpstream
 from test import _common
 from test._front import HOST, MODEL, FrontFleet, configuration, item
+from test._request_fakes import upstream_limits
 from test.standins.users_server import UsersServer, whole_text
 
 VERSIONS = ("v1", "v1.1")
@@ -20,6 +31,92 @@
 STREAMS = 12
 
 
+def engine(name, software_version, in_flight=0, **fields):
+    """Return an engine with four slots that needs 20 ms for an event."""
+    fields = {"slots": 4, "version": 5, "ms_per_event": 20, **fields}
+    return EngineLoad(
+        name, in_flight=in_flight, software_version=software_version, **fields
+    )
+
+
+class ChoiceTest(unittest.TestCase):
+    """Half of the engines are replaced; some of the others crash or are full."""
+
+    FREE_OTHER = engine("b", "v1.1")
+
+    def restarts(self, engines, waited_ms, event_count=50):
+        return should_restart(engines, 5, "v1", event_count, waited_ms)
+
+    def test_a_text_goes_on_at_its_version_only(self):
+        engines = [engine("a", "v1", in_flight=3), self.FREE_OTHER]
+        self.assertEqual(choose_engine(engines, 5), "b")
+        self.assertEqual(choose_engine(engines, 5, software_version="v1"), "a")
+        self.assertIsNone(choose_engine(engines, 5, software_version="v0"))
+
+    def test_it_starts_again_at_once_when_its_version_is_gone(self):
+        self.assertTrue(self.restarts([self.FREE_OTHER], 0))
+        # An engine whose weights are too old doesn't help.
+        self.assertTrue(self.restarts([engine("a", "v1", version=4)], 0))
+
+    def test_it_waits_no_longer_than_its_text_takes(self):
+        for engines in (
+            [engine("a", "v1", in_flight=4), self.FREE_OTHER],
+            [engine("a", "v1", is_blocked=True), self.FREE_OTHER],
+        ):
+            self.assertFalse(self.restarts(engines, 999))
+            self.assertTrue(self.restarts(engines, 1000))
+            self.assertTrue(self.restarts(engines, 20, event_count=1))
+
+    def test_it_waits_while_no_engine_is_free(self):
+        full = [engine("a", "v1", in_flight=4), engine("b", "v1.1", in_flight=4)]
+        self.assertFalse(self.restarts(full, 60_000))
+
+    def test_it_keeps_its_text_where_its_version_is_free(self):
+        self.assertFalse(self.restarts([engine("a", "v1"), self.FREE_OTHER], 60_000))
+
+
+class RestartInPlaceTest(unittest.IsolatedAsyncioTestCase):
+    """An engine restarts under its id with newer software; the list shows it later."""
+
+    async def test_the_text_is_discarded(self):
+        old = ListedUpstream(
+            "e", "pool", "a", 1, "z", 4, started_ms=1, software_version="v1"
+        )
+        directory = SimpleNamespace(
+            upstream_by_name={"e": old},
+            check_usable=lambda upstream: None,
+        )
+        response = [
+            (b"request-id", b"i1"),
+            (b"server-stamp", b"s"),
+            (b"weight-versions", b"1"),
+        ]
+
+        async def body():
+            yield b"id: 4\ndata: new\n\n"
+            directory.upstream_by_name["e"] = msgspec.structs.replace(
+                old, started_ms=2, software_version="v1.1"
+            )
+
+        @contextlib.asynccontextmanager
+        async def stream(*args, **options):
+            yield SimpleNamespace(status=200, headers=response, body=body)
+
+        executor = ItemExecutor(
+            clock=Clock(),
+            http=SimpleNamespace(stream=stream),
+            directory=directory,
+            limits=upstream_limits(Clock()),
+            dialect=servers,
+        )
+        run = ItemRun(Item("i1", "/lot/i1", {}, b""), 0)
+        run.resume([Partial(0, 0, 0, ("old",) * 4, "3", (1,), software_version="v1")])
+        terms = ItemTerms("h", 1, False)
+        outcome = await executor.attempt(run, old, terms, lambda count: None)
+        self.assertIsInstance(outcome, Broken)
+        self.assertEqual((run.events, run.last_id, run.generation), ([], "", 1))
+
+
 class FleetTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.fleet = FrontFleet()
