Give calls between hosts a module of their own

Streams that are taken up at another host need such calls as well. Only code is moved; the log line of a host without a reply names the path now. test.test_upstream_limits and test.test_store_connectivity: 24 passed.

--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -26,6 +26,7 @@
 from goldcrestmoor.process.duties import Duties
 from goldcrestmoor.process.follower import TableFollower
 from goldcrestmoor.process.front_callers import FrontRequestHandler
+from goldcrestmoor.process.host_calls import HostCalls
 from goldcrestmoor.process.http_server import HttpServer, ServerOptions
 from goldcrestmoor.process.leases import LeaseClient
 from goldcrestmoor.process.limit_owners import LimitOwners
@@ -87,6 +88,7 @@
         "_routing",
         "_versions",
         "_directory",
+        "_host_calls",
         "_limits",
         "_duties",
         "_orders",
@@ -146,15 +148,15 @@
             age_ms=lambda: self._followers[records.UPSTREAM_TABLE].age_ms(),
             on_change=self._on_upstreams_changed,
         )
+        self._host_calls = HostCalls(
+            clock=clock,
+            http=self._http,
+            row_by_host=lambda: self._connectivity.row_by_host(),
+        )
         self._limits = UpstreamLimits(
             clock=clock,
             metrics=metrics,
-            owners=LimitOwners(
-                clock=clock,
-                http=self._http,
-                host_id=self.settings.host.id,
-                row_by_host=lambda: self._connectivity.row_by_host(),
-            ),
+            owners=LimitOwners(calls=self._host_calls, host_id=self.settings.host.id),
         )
         leases = LeaseClient(
             clock=clock,
--- /dev/null
+++ b/goldcrestmoor/process/host_calls.py
@@ -0,0 +1,84 @@
+"""Calls to other hosts, at the address of their readiness check."""
+
+import logging
+
+import msgspec
+
+from goldcrestmoor.errors import ServiceError
+
+log = logging.getLogger("goldcrestmoor.hosts")
+
+# Some round trips between zones; part of a caller's wait.
+TIMEOUT_MS = 100
+# A host that is gone is removed from the host rows or restarted within seconds.
+UNREACHABLE_MS = 2000
+STATUS_OK = 200
+
+
+class HostCalls:
+    """Sends messages to other hosts and returns their replies.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param http: the :class:`~goldcrestmoor.connection.http_client.HttpClient`.
+    :param row_by_host: returns the
+        :class:`~goldcrestmoor.process.store_connectivity.HostRow` of each host.
+    """
+
+    __slots__ = ("_clock", "_http", "_row_by_host", "_failed_ms_by_host")
+
+    def __init__(self, *, clock, http, row_by_host):
+        self._clock = clock
+        self._http = http
+        self._row_by_host = row_by_host
+        self._failed_ms_by_host = {}
+
+    def zone_by_host(self):
+        """Return the availability zone of each registered host."""
+        return {host: row.zone for host, row in self._row_by_host().items()}
+
+    async def call(self, host, path, message, decoder):
+        """Return a host's reply, or None when it gives none.
+
+        A host that gave none is not called again for a while.
+
+        :param host: the host's id, from :meth:`zone_by_host`.
+        :param path: the path that the message is sent to.
+        :param message: the message, a struct.
+        :param decoder: the decoder of the reply.
+        """
+        row = self._row_by_host().get(host)
+        if row is None or not self._is_reachable(host):
+            return None
+        try:
+            answer = await self._http.request(
+                row.address,
+                row.port,
+                "POST",
+                path,
+                body=msgspec.json.encode(message),
+                timeout_ms=TIMEOUT_MS,
+                idempotent=True,
+            )
+            if answer.status == STATUS_OK:
+                return decoder.decode(answer.body)
+            reason = f"answered {answer.status}"
+        except (ServiceError, msgspec.MsgspecError) as e:
+            reason = str(e)
+        self._failed_ms_by_host[host] = self._clock.now_ms()
+        log.info(
+            "Host %s gave no reply at %s (%s); not asked for %d ms.",
+            host,
+            path,
+            reason,
+            UNREACHABLE_MS,
+        )
+        return None
+
+    def _is_reachable(self, host):
+        failed_ms = self._failed_ms_by_host.get(host)
+        if failed_ms is None:
+            return True
+        if self._clock.now_ms() - failed_ms < UNREACHABLE_MS:
+            return False
+        del self._failed_ms_by_host[host]
+        return True
--- a/test/_request_fakes.py
+++ b/test/_request_fakes.py
@@ -10,6 +10,7 @@
 from goldcrestmoor.connection.retry_budget import MAX_SAVED_RETRIES, RetryBudget
 from goldcrestmoor.errors import ErrorKind, ServiceError, from_body, to_body
 from goldcrestmoor.process.decision_log import DecisionLog
+from goldcrestmoor.process.host_calls import HostCalls
 from goldcrestmoor.process.limit_owners import LimitOwners
 from goldcrestmoor.process.metrics import Metrics
 from goldcrestmoor.process.upstream_limits import UpstreamLimits
@@ -192,5 +193,6 @@
     :param metrics: the metrics; new ones by default.
     :param host_id: the host.
     """
-    owners = LimitOwners(clock=clock, http=None, host_id=host_id, row_by_host=dict)
+    calls = HostCalls(clock=clock, http=None, row_by_host=dict)
+    owners = LimitOwners(calls=calls, host_id=host_id)
     return UpstreamLimits(clock=clock, metrics=metrics or Metrics(), owners=owners)
--- a/test/test_upstream_limits.py
+++ b/test/test_upstream_limits.py
@@ -15,6 +15,7 @@
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.platform import servers
 from goldcrestmoor.process import limit_owners
+from goldcrestmoor.process.host_calls import HostCalls
 from goldcrestmoor.process.limit_owners import LimitOwners
 from goldcrestmoor.process.metrics import Metrics
 from goldcrestmoor.process.store_connectivity import HostRow
@@ -170,9 +171,8 @@
         self.limits_by_host = {}
         rows = {name: HostRow("a", name, 1) for name in names}
         for name in names:
-            owners = LimitOwners(
-                clock=clock, http=self, host_id=name, row_by_host=lambda: rows
-            )
+            calls = HostCalls(clock=clock, http=self, row_by_host=lambda: rows)
+            owners = LimitOwners(calls=calls, host_id=name)
             self.limits_by_host[name] = UpstreamLimits(
                 clock=clock, metrics=Metrics(), owners=owners
             )
