Continue a stream only at the software version that began it

What callers could get: a stream with events of two software versions, in one response when it was resumed, or over their tries when they took it up at another host.

Cause: as for items, the choice of an upstream didn't regard the version; and a host knows nothing of a stream that another one began, or one that was killed since.

Now a stream is bound to the version of the upstream that sent its first event. While several versions are listed, and for a minute after, the serving host records it at three hosts found by rendezvous hashing of the request's id, and a host that takes the stream up asks these. A stream without a record began before there were several versions. What no host can tell is refused as not run rather than guessed. A stream that is taken up goes by the id of the request that began it to one service where a route is split.

--- a/goldcrestmoor/platform/callers.py
+++ b/goldcrestmoor/platform/callers.py
@@ -8,10 +8,12 @@
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.job.calls import EndJob, ReadItem, ReadResults, SubmitJob
 from goldcrestmoor.job.job import Item, Job, RewardCall
-from goldcrestmoor.platform.servers import DEADLINE_HEADER, ID_HEADER
+from goldcrestmoor.platform.servers import DEADLINE_HEADER, ID_HEADER, RESUME_HEADER
 
 READY_PATH = "/readiness"
 WAIT_HEADER = b"wait-ms"
+# The request id of the client attempt that brought the first event of a stream.
+RESUMES_HEADER = b"resumes"
 # The client's estimate of the number of output tokens.
 LENGTH_HINT_HEADER = "length-hint"
 # The longest wait that readers request.
@@ -85,6 +87,18 @@
     return _parse_number(dict(headers).get(DEADLINE_HEADER))
 
 
+def resumed_id(headers):
+    """Return the id of the request that began the stream that a client takes up.
+
+    :param headers: ``(name, value)`` byte pairs, names in lower case.
+    :return: the id, empty if the client doesn't state it; None for a new stream.
+    """
+    value_by_name = dict(headers)
+    if RESUME_HEADER not in value_by_name:
+        return None
+    return value_by_name.get(RESUMES_HEADER, b"").decode("latin-1").strip()
+
+
 def forwarded_headers(headers):
     """Return the client's headers that are forwarded to a server unchanged.
 
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -21,7 +21,12 @@
 from goldcrestmoor.job.scheduler import Scheduler
 from goldcrestmoor.platform import callers as caller_dialect, records, servers
 from goldcrestmoor.platform.store import StoreClient
-from goldcrestmoor.process import lease_rows, limit_owners, store_connectivity
+from goldcrestmoor.process import (
+    lease_rows,
+    limit_owners,
+    store_connectivity,
+    stream_versions,
+)
 from goldcrestmoor.process.directory import UpstreamDirectory
 from goldcrestmoor.process.duties import Duties
 from goldcrestmoor.process.follower import TableFollower
@@ -34,6 +39,7 @@
 from goldcrestmoor.process.routing import Routing
 from goldcrestmoor.process.shutdown import InFlight
 from goldcrestmoor.process.store_connectivity import HostRow, StoreConnectivity
+from goldcrestmoor.process.stream_versions import StreamVersions
 from goldcrestmoor.process.upstream_limits import UpstreamLimits
 from goldcrestmoor.request.forwarding import Forwarder
 from goldcrestmoor.request.streaming import StreamForwarder
@@ -90,6 +96,7 @@
         "_directory",
         "_host_calls",
         "_limits",
+        "_stream_versions",
         "_duties",
         "_orders",
         "_forwarding",
@@ -153,6 +160,9 @@
             http=self._http,
             row_by_host=lambda: self._connectivity.row_by_host(),
         )
+        self._stream_versions = StreamVersions(
+            clock=clock, calls=self._host_calls, host_id=self.settings.host.id
+        )
         self._limits = UpstreamLimits(
             clock=clock,
             metrics=metrics,
@@ -332,7 +342,7 @@
             clock=self._clock,
             routing=self._routing,
             forwarder=Forwarder(**self._forwarding),
-            streams=StreamForwarder(**self._forwarding),
+            streams=StreamForwarder(versions=self._stream_versions, **self._forwarding),
             job_api=self._job_api,
             dialect=caller_dialect,
             metrics=self._metrics,
@@ -354,9 +364,17 @@
             return await self._relay_call(request)
 
         async def grant(request: Request) -> Response:
-            return await self._grant(request)
+            return await self._reply(
+                request, limit_owners.request_decoder, self._limits.grant
+            )
+
+        async def reply_stream(request: Request) -> Response:
+            return await self._reply(
+                request, stream_versions.record_decoder, self._stream_versions.reply
+            )
 
         readiness_server.application.router.add_post(limit_owners.PATH, grant)
+        readiness_server.application.router.add_post(stream_versions.PATH, reply_stream)
         for method in STORE_METHODS:
             readiness_server.application.router.add(
                 method, f"{store_connectivity.CALLS_PREFIX}/*", relay_call
@@ -391,15 +409,19 @@
         )
         return Response(answer.status, None, Content(OCTET_STREAM, answer.body))
 
-    async def _grant(self, request):
-        """Reply to another host's request to the owner of an upstream's limit."""
+    async def _reply(self, request, decoder, reply):
+        """Reply to another host's message.
+
+        :param decoder: the message's decoder.
+        :param reply: returns the reply to a message.
+        """
         try:
-            message = limit_owners.request_decoder.decode(await request.read() or b"")
+            message = decoder.decode(await request.read() or b"")
         except msgspec.MsgspecError as e:
-            self._metrics.bad_input.labels("limits").inc()
-            log.warning("A request to grant a request is malformed: %s", e)
+            self._metrics.bad_input.labels("hosts").inc()
+            log.warning("A message of another host is malformed: %s", e)
             return Response(400)
-        body = msgspec.json.encode(self._limits.grant(message))
+        body = msgspec.json.encode(reply(message))
         return Response(200, None, Content(b"application/json", body))
 
     def _is_ready(self):
@@ -420,6 +442,7 @@
                 self._versions.put(change.value)
 
     def _on_upstreams_changed(self):
+        self._stream_versions.observe(self._directory.upstream_by_name.values())
         self._scheduler.wake()
         self._rewards.wake()
         self._orders.wake()
@@ -501,5 +524,6 @@
         await self._rewards.close()
         await self._orders.close()
         await self._limits.close()
+        await self._stream_versions.close()
         await self._tasks.close()
         await self._http.close()
--- a/goldcrestmoor/process/front_callers.py
+++ b/goldcrestmoor/process/front_callers.py
@@ -133,6 +133,7 @@
             _target(request),
             self._dialect.forwarded_headers(headers),
             body,
+            self._dialect.resumed_id(headers),
         )
         if route.kind is RouteKind.STREAM:
             answer = await self._streams.forward(forwarded, route, deadline)
--- /dev/null
+++ b/goldcrestmoor/process/stream_versions.py
@@ -0,0 +1,186 @@
+"""Records which software version began each stream, on several hosts."""
+
+import asyncio
+import logging
+
+import msgspec
+
+from goldcrestmoor.request.stream_version import VersionHistory
+from goldcrestmoor.util import TaskGroup, rendezvous_order
+
+log = logging.getLogger("goldcrestmoor.streams")
+
+PATH = "/streams"
+# Hosts that keep a record, beside the one that serves the stream; a third of all hosts
+# may be killed at once.
+HOLDERS = 3
+# Bounds the memory for records of streams that ended; a stream lasts seconds.
+MAX_RECORDS = 10_000
+
+
+class StreamRecord(msgspec.Struct, frozen=True):
+    """Records a stream's version, or asks for it.
+
+    :param stream_id: the id of the request that brought the stream's first event.
+    :param service: the service that serves it.
+    :param software_version: the version; None to ask for it.
+    """
+
+    stream_id: str
+    service: str
+    software_version: str | None = None
+
+
+class StreamReply(msgspec.Struct, frozen=True):
+    """The reply to a :class:`StreamRecord`.
+
+    :param recorded: the version in the host's record; None without one.
+    :param unrecorded: the version of streams that no host has a record of; None if the
+        host can't tell.
+    :param is_certain: whether the host has run long enough to know of earlier versions.
+    """
+
+    recorded: str | None
+    unrecorded: str | None
+    is_certain: bool
+
+
+def version_of(own, replies):
+    """Return the version of a stream by what hosts reply, or None.
+
+    :param own: the :class:`StreamReply` of this host, which has no record.
+    :param replies: those of the hosts that would have one, as far as they replied.
+    """
+    for reply in replies:
+        if reply.recorded is not None:
+            return reply.recorded
+    for reply in replies:
+        if reply.is_certain:
+            return reply.unrecorded
+    versions = {reply.unrecorded for reply in (own, *replies)}
+    return versions.pop() if replies and len(versions) == 1 else None
+
+
+record_decoder = msgspec.json.Decoder(StreamRecord)
+_reply_decoder = msgspec.json.Decoder(StreamReply)
+
+
+class StreamVersions:
+    """Finds the version at which a stream goes on.
+
+    :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param calls: the :class:`~goldcrestmoor.process.host_calls.HostCalls`.
+    :param host_id: this host.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_calls",
+        "_host_id",
+        "_history_by_service",
+        "_version_by_stream",
+        "_tasks",
+    )
+
+    def __init__(self, *, clock, calls, host_id):
+        self._clock = clock
+        self._calls = calls
+        self._host_id = host_id
+        self._history_by_service = {}
+        self._version_by_stream = {}
+        self._tasks = TaskGroup()
+
+    def observe(self, upstreams):
+        """Record the software versions of the listed upstreams.
+
+        :param upstreams: an iterable of
+            :class:`~goldcrestmoor.process.directory.ListedUpstream`.
+        """
+        versions_by_service = {}
+        for upstream in upstreams:
+            versions = versions_by_service.setdefault(upstream.service, set())
+            versions.add(upstream.software_version)
+        for service, versions in versions_by_service.items():
+            self._history(service).observe(frozenset(versions))
+
+    def begin(self, stream_id, service, software_version):
+        """Record the version of a new stream, before its first event is sent on.
+
+        :param stream_id: the id of its request.
+        :param service: the service that serves it.
+        :param software_version: the version.
+        """
+        if not self._history(service).needs_records():
+            return
+        record = StreamRecord(stream_id, service, software_version)
+        self.reply(record)
+        for host in self._holders(stream_id):
+            if host != self._host_id:
+                call = self._calls.call(host, PATH, record, _reply_decoder)
+                self._tasks.start(call, "stream record")
+
+    async def find(self, stream_id, service):
+        """Return the version that began a stream, or None if no host can tell.
+
+        :param stream_id: the id of the request that brought its first event; empty if
+            the client didn't state it.
+        :param service: the service that serves it.
+        """
+        question = StreamRecord(stream_id, service)
+        own = self.reply(question)
+        if own.recorded is not None:
+            return own.recorded
+        if not self._history(service).needs_records():
+            return own.unrecorded
+        holders = self._holders(stream_id)
+        replies = await asyncio.gather(
+            *(self._ask(host, question, own) for host in holders)
+        )
+        replies = [reply for reply in replies if reply is not None]
+        version = version_of(own, replies)
+        if version is None:
+            log.info(
+                "The software version of stream %s is unknown; %d of %d hosts replied.",
+                stream_id,
+                len(replies),
+                len(holders),
+            )
+        return version
+
+    def reply(self, record):
+        """Keep a record, and return what this host knows of its stream.
+
+        :param record: the :class:`StreamRecord`, from this or another host.
+        :return: the :class:`StreamReply`.
+        """
+        versions = self._version_by_stream
+        if record.software_version is not None:
+            versions[record.stream_id] = record.software_version
+            while len(versions) > MAX_RECORDS:
+                del versions[next(iter(versions))]
+        history = self._history(record.service)
+        return StreamReply(
+            versions.get(record.stream_id),
+            history.unrecorded_version(),
+            history.is_complete(),
+        )
+
+    async def close(self):
+        """Cancel the calls under way."""
+        await self._tasks.close()
+
+    async def _ask(self, host, question, own):
+        if host == self._host_id:
+            return own
+        return await self._calls.call(host, PATH, question, _reply_decoder)
+
+    def _holders(self, stream_id):
+        """Return the hosts that keep a stream's record, possibly this one too."""
+        hosts = self._calls.zone_by_host() or (self._host_id,)
+        return rendezvous_order(stream_id, hosts)[:HOLDERS]
+
+    def _history(self, service):
+        history = self._history_by_service.get(service)
+        if history is None:
+            history = self._history_by_service[service] = VersionHistory(self._clock)
+        return history
--- a/goldcrestmoor/request/forwarding.py
+++ b/goldcrestmoor/request/forwarding.py
@@ -26,6 +26,8 @@
     :param target: the path and query, as received.
     :param headers: ``(name, value)`` byte pairs to forward.
     :param body: the body.
+    :param resumed_id: the id of the request that began the stream which this one
+        continues; empty if not stated, None for a new stream.
     """
 
     id: str
@@ -33,6 +35,7 @@
     target: str
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
+    resumed_id: str | None = None
 
 
 class FailedAttempt(msgspec.Struct, frozen=True):
@@ -54,15 +57,18 @@
     :param deadline: the time by which the response must be complete.
     :param loads: the :class:`~goldcrestmoor.request.upstream_loads.UpstreamLoads`.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
+    :ivar service: the service that the request goes to.
+    :ivar software_version: the only software version that may serve it, if any.
     """
 
     __slots__ = (
         "request",
         "route",
         "deadline",
+        "service",
+        "software_version",
         "_loads",
         "_metrics",
-        "_service",
         "_sent_to",
         "_possible_runs",
         "_ran",
@@ -75,7 +81,8 @@
         self.deadline = deadline
         self._loads = loads
         self._metrics = metrics
-        self._service = route.service_for(request.id)
+        self.service = route.service_for(request.resumed_id or request.id)
+        self.software_version = None
         self._sent_to = []
         self._possible_runs = 0
         self._ran = Ran.NOT_RUN
@@ -88,7 +95,9 @@
             ``OVERLOADED`` when its upstreams admit no more requests,
             ``UPSTREAM_FAILED`` when an earlier attempt may have been run.
         """
-        upstream = await self._loads.admit_one(self._service, self._sent_to)
+        upstream = await self._loads.admit_one(
+            self.service, self._sent_to, self.software_version
+        )
         if upstream is None:
             raise self._unavailable()
         self._sent_to.append(upstream.name)
@@ -96,13 +105,13 @@
 
     def _unavailable(self):
         if self._ran is not Ran.NOT_RUN:
-            text = f"No other server of {self._service} is available."
+            text = f"No other server of {self.service} is available."
             return ServiceError(ErrorKind.UPSTREAM_FAILED, text)
-        pause_ms = self._loads.pause_ms(self._service)
+        pause_ms = self._loads.pause_ms(self.service)
         if pause_ms is not None:
-            text = f"The servers of {self._service} accept no more requests now."
+            text = f"The servers of {self.service} accept no more requests now."
             return ServiceError(ErrorKind.OVERLOADED, text, pause_ms)
-        text = f"No server of {self._service} is available."
+        text = f"No server of {self.service} is available."
         after_ms = retry_decision.RETRY_AFTER_NONE_MS
         return ServiceError(ErrorKind.NO_UPSTREAM, text, after_ms)
 
@@ -179,7 +188,10 @@
         )
 
     def _has_alternative(self):
-        return self._loads.choose(self._service, self._sent_to) is not None
+        upstream = self._loads.choose(
+            self.service, self._sent_to, self.software_version
+        )
+        return upstream is not None
 
 
 class Sender:
--- a/goldcrestmoor/request/streaming.py
+++ b/goldcrestmoor/request/streaming.py
@@ -2,7 +2,9 @@
 
 Workload: engines crash, hang and change weights while long streams are open. A stream
 that may be resumed continues on another engine after the last complete event that was
-sent to the caller; any other stream is aborted, so that it never looks complete.
+sent to the caller; any other stream is aborted, so that it never looks complete. What
+engines of two software versions write doesn't fit together, so that a stream continues
+only at the version that began it, also when its caller takes it up at another host.
 """
 
 import contextlib
@@ -11,6 +13,7 @@
 import msgspec
 
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
+from goldcrestmoor.request import retry_decision
 from goldcrestmoor.request.apps import AppResponse
 from goldcrestmoor.request.event_stream import EventParser
 from goldcrestmoor.request.forwarding import FailedAttempt, Sender
@@ -37,9 +40,19 @@
 
 
 class StreamForwarder(Sender):
-    """Forward requests whose responses are streams."""
+    """Forward requests whose responses are streams.
 
-    __slots__ = ()
+    Takes the parameters of :class:`Sender`, and:
+
+    :param versions: the
+        :class:`~goldcrestmoor.process.stream_versions.StreamVersions`.
+    """
+
+    __slots__ = ("_versions",)
+
+    def __init__(self, *, versions, **forwarding):
+        super().__init__(**forwarding)
+        self._versions = versions
 
     async def forward(self, request, route, deadline):
         """Return a response once its first event is received, or a complete one.
@@ -49,9 +62,13 @@
         :param deadline: the time by which the stream must have ended.
         :return: a :class:`StreamResponse`, or an
             :class:`~goldcrestmoor.request.apps.AppResponse` when it is not a stream.
-        :raises ServiceError: as ``Forwarder.forward``.
+        :raises ServiceError: as ``Forwarder.forward``; also ``NO_UPSTREAM`` when it is
+            unknown which software version began the stream.
         """
         attempts = self._new_attempts(request, route, deadline)
+        may_resume = route.retry_policy is RetryPolicy.RESUMABLE
+        if may_resume and request.resumed_id is not None:
+            await self._find_version(attempts)
         items = self._run(attempts)
         try:
             head = await anext(items)
@@ -66,6 +83,25 @@
             raise
         return StreamResponse(head, _prepend(first, items))
 
+    async def _find_version(self, attempts):
+        """Restrict a stream that is taken up to the version that began it."""
+        stream_id = attempts.request.resumed_id
+        version = await self._versions.find(stream_id, attempts.service)
+        if version is None:
+            text = f"It is unknown which software version began stream {stream_id}."
+            raise ServiceError(
+                ErrorKind.NO_UPSTREAM, text, retry_decision.RETRY_AFTER_NONE_MS
+            )
+        attempts.software_version = version
+
+    def _begin(self, attempts, upstream):
+        """Restrict a stream to the version of the upstream that began it."""
+        if attempts.software_version is None:
+            attempts.software_version = upstream.software_version
+            self._versions.begin(
+                attempts.request.id, attempts.service, upstream.software_version
+            )
+
     async def _run(self, attempts):
         """Yield the first upstream's headers, then each event's bytes.
 
@@ -94,6 +130,8 @@
                             yield tuple(response.headers)
                         async for chunk in response.body():
                             for event in parser.feed(chunk):
+                                if not has_events:
+                                    self._begin(attempts, upstream)
                                 last_id = event.id or last_id
                                 has_events = True
                                 yield event.raw
--- a/goldcrestmoor/request/upstream_loads.py
+++ b/goldcrestmoor/request/upstream_loads.py
@@ -60,24 +60,25 @@
         self._failure_by_name = {}
         self._answering_routes = set()
 
-    def choose(self, service, sent_to):
+    def choose(self, service, sent_to, software_version=None):
         """Return the upstream that a request goes to, or None.
 
         :param service: the service's name.
         :param sent_to: the names of the upstreams that the request was sent to.
+        :param software_version: the only software version that may serve it, if any.
         """
-        name = choose_upstream(self.candidates(service), sent_to)
+        name = choose_upstream(self.candidates(service, software_version), sent_to)
         return None if name is None else self.upstream(name)
 
-    async def admit_one(self, service, sent_to):
+    async def admit_one(self, service, sent_to, software_version=None):
         """Return the upstream that a request goes to and that admits it, or None.
 
-        :param service: the service's name.
-        :param sent_to: the names of the upstreams that the request was sent to.
+        The parameters are those of :meth:`choose`.
         """
         denied = set()
         while True:
-            upstream = self.choose(service, {*sent_to, *denied})
+            avoided = {*sent_to, *denied}
+            upstream = self.choose(service, avoided, software_version)
             if upstream is None or not await self.admit(upstream):
                 return upstream
             denied.add(upstream.name)
@@ -100,16 +101,18 @@
         pauses_ms = map(self._limits.pause_ms, self._directory.usable(service))
         return min(filter(None, pauses_ms), default=None)
 
-    def candidates(self, service):
+    def candidates(self, service, software_version=None):
         """Return the :class:`Candidate` of each upstream that may get a request.
 
         :param service: the service's name.
+        :param software_version: as for :meth:`choose`.
         """
         now_ms = self._clock.now_ms()
         return [
             self._candidate(upstream, now_ms)
             for upstream in self._directory.usable(service)
-            if not self._limits.pause_ms(upstream)
+            if software_version in (None, upstream.software_version)
+            and not self._limits.pause_ms(upstream)
         ]
 
     def upstream(self, name):
--- a/test/test_software_versions.py
+++ b/test/test_software_versions.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import json
 import unittest
@@ -20,7 +21,10 @@
 from goldcrestmoor.job.job import Item, Partial
 from goldcrestmoor.platform import servers
 from goldcrestmoor.process.directory import ListedUpstream
+from goldcrestmoor.process.stream_versions import StreamReply, version_of
+from goldcrestmoor.request.stream_version import LOOKBACK_MS, VersionHistory
 from test import _common
+from test._fleet import ManualClock
 from test._front import HOST, MODEL, FrontFleet, configuration, item
 from test._request_fakes import upstream_limits
 from test.standins.users_server import UsersServer, whole_text
@@ -117,6 +121,63 @@
         self.assertEqual((run.events, run.last_id, run.generation), ([], "", 1))
 
 
+class VersionHistoryTest(unittest.TestCase):
+    """Which streams need a record, and what began those without one."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.history = VersionHistory(self.clock)
+
+    def observe(self, versions, after_ms):
+        self.clock._now_ms += after_ms
+        self.history.observe(frozenset(versions))
+
+    def test_streams_of_a_release_are_recorded_and_no_others(self):
+        self.observe({"v1"}, 0)
+        self.observe({"v1"}, LOOKBACK_MS)
+        self.assertFalse(self.history.needs_records())
+        self.assertEqual(self.history.unrecorded_version(), "v1")
+        self.observe({"v1", "v2"}, 1000)
+        self.assertTrue(self.history.needs_records())
+        self.observe({"v2"}, 30_000)
+        # A stream without a record began before there were two versions.
+        self.assertEqual(self.history.unrecorded_version(), "v1")
+        self.clock._now_ms += LOOKBACK_MS - 1000
+        self.assertTrue(self.history.needs_records())
+        self.assertIsNone(self.history.unrecorded_version())
+        self.clock._now_ms += 2000
+        self.assertFalse(self.history.needs_records())
+        self.assertEqual(self.history.unrecorded_version(), "v2")
+
+    def test_a_host_that_started_during_a_release_can_not_tell(self):
+        self.observe({"v1", "v2"}, 0)
+        self.assertTrue(self.history.needs_records())
+        self.assertIsNone(self.history.unrecorded_version())
+
+    def test_a_host_that_has_just_started_is_not_certain(self):
+        self.observe({"v2"}, 0)
+        self.assertTrue(self.history.needs_records())
+        self.assertFalse(self.history.is_complete())
+
+
+class StreamVersionTest(unittest.TestCase):
+    def test_a_record_goes_before_what_hosts_assume(self):
+        recorded = StreamReply("v2", "v1", True)
+        others = [StreamReply(None, "v1", True), recorded]
+        self.assertEqual(version_of(others[0], others), "v2")
+
+    def test_a_host_that_would_have_a_record_knows_the_earlier_version(self):
+        young = StreamReply(None, None, False)
+        old = StreamReply(None, "v1", True)
+        self.assertEqual(version_of(young, [young, old]), "v1")
+
+    def test_what_no_host_can_tell_is_not_guessed(self):
+        old, young = StreamReply(None, "v1", True), StreamReply(None, "v2", False)
+        self.assertIsNone(version_of(old, []))
+        self.assertIsNone(version_of(old, [young]))
+        self.assertEqual(version_of(young, [young]), "v2")
+
+
 class FleetTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.fleet = FrontFleet()
@@ -145,14 +206,16 @@
         return [self.version_of(result, events) for result in results]
 
     async def test_items_of_a_crashed_engine_stay_at_their_version(self):
-        self.set_engines(events=60)
-        await self.fleet.submit("front-a", "j1", ITEMS)
+        self.set_engines(events=400)
+        # Of groups of their own, they fill half of each engine.
+        items = [item(f"i{n}", f"g{n}") for n in range(8)]
+        await self.fleet.submit("front-a", "j1", 8, items=items)
         crashed, sound = self.fleet.engines[2:]
-        await _common.eventually(lambda: len(crashed.runs) > 2)
-        await asyncio.sleep(0.1)
+        await _common.eventually(lambda: len(crashed.runs) == 2, 10)
+        await asyncio.sleep(0.5)
         await crashed.close()
-        versions = await self.versions_of_job("front-b", "j1", 60)
-        self.assertEqual(set(versions), set(VERSIONS))
+        versions = await self.versions_of_job("front-b", "j1", 400)
+        self.assertEqual(collections.Counter(versions), {"v1": 4, "v1.1": 4})
         # Their events so far are used.
         resumed = [h for _, h, _ in sound.seen if "last-event-id" in h]
         self.assertTrue(resumed)
--- a/test/test_streaming.py
+++ b/test/test_streaming.py
@@ -7,7 +7,9 @@
 from goldcrestmoor.clock import Deadline
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
 from goldcrestmoor.platform import servers
+from goldcrestmoor.process.host_calls import HostCalls
 from goldcrestmoor.process.metrics import Metrics
+from goldcrestmoor.process.stream_versions import StreamVersions
 from goldcrestmoor.request.event_stream import EventParser
 from goldcrestmoor.request.forwarding import CallerRequest
 from goldcrestmoor.request.streaming import StreamForwarder
@@ -100,7 +102,13 @@
         self.clock = ManualClock()
         self.upstreams = [
             SimpleNamespace(
-                name=n, address="10.0.0.1", port=1, slots=6, zone="a", started_ms=1
+                name=n,
+                address="10.0.0.1",
+                port=1,
+                slots=6,
+                zone="a",
+                started_ms=1,
+                software_version="v1",
             )
             for n in ("engine-1", "engine-2")
         ]
@@ -120,8 +128,13 @@
             # Of equal upstreams, this host prefers the first one.
             host_id="host-4",
         )
+        calls = HostCalls(clock=self.clock, http=None, row_by_host=dict)
         return StreamForwarder(
-            http=http, loads=self.loads, dialect=DIALECT, metrics=Metrics()
+            versions=StreamVersions(clock=self.clock, calls=calls, host_id="host-4"),
+            http=http,
+            loads=self.loads,
+            dialect=DIALECT,
+            metrics=Metrics(),
         )
 
     async def read(self, forwarder):
--- a/test/test_upstream_loads.py
+++ b/test/test_upstream_loads.py
@@ -15,7 +15,13 @@
     def setUp(self):
         self.upstreams = [
             SimpleNamespace(
-                name=n, address="10.0.0.1", port=1, slots=6, zone="a", started_ms=1
+                name=n,
+                address="10.0.0.1",
+                port=1,
+                slots=6,
+                zone="a",
+                started_ms=1,
+                software_version="v1",
             )
             for n in ("desk-1", "desk-2")
         ]
