Bound responses in time and size, whatever a server sends

What callers and hosts got: eight endless responses at a time took 349 to 422 MB of a host (the smallest have 128), answers came 4 to 10 s after the request on a route that allows 2, and items whose rejection had an endless body were never run again.

Causes, all of one class, a response whose end was waited for: - a read's timeout doesn't end reads of data that is there already, so that no deadline holds while a server sends faster than it is read; after the deadline a connection now reads 1 MiB more, for what arrived in a pause; - interim responses (1xx) were skipped without limit; - bodies read whole were bounded each, at 32 MB, but not together, and in streams' routes not at all; now 24 MiB together, beyond 256 KiB each; - the rest of a rejection or failure was read to its end; now 64 KiB, 100 ms; - events without an id on routes that may be resumed, and comments, were passed on without limit; a stream's unfinished event could take 1 MiB.

Events of one read are passed on in one piece.

--- a/goldcrestmoor/connection/http_client.py
+++ b/goldcrestmoor/connection/http_client.py
@@ -1,11 +1,12 @@
 """The HTTP/1.1 client for upstreams and the platform; it never retries."""
 
+import asyncio
 import contextlib
 
 import h11
 import msgspec
 
-from goldcrestmoor.clock import Deadline
+from goldcrestmoor.clock import MS_PER_SECOND, Deadline
 from goldcrestmoor.connection.http_connection import failed, unreachable
 from goldcrestmoor.connection.http_pool import HttpPool
 from goldcrestmoor.errors import ErrorKind, ServiceError
@@ -28,6 +29,17 @@
 _FRAMING_HEADERS = frozenset((b"content-length", b"expect"))
 _BODILESS_METHODS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS", "TRACE"))
 _BODILESS_STATUSES = frozenset((204, 304))
+# Informational responses before the final one.
+MAX_INTERIM_RESPONSES = 16
+# Of all large response bodies that are read whole at a time; the smallest hosts have
+# 128 MB.
+MAX_BUFFERED_BYTES = 24 << 20
+# A body up to this size is read whatever the others take.
+SMALL_BODY_BYTES = 256 << 10
+# The rest of a response that isn't used is read if it is short, so that its connection
+# can be reused.
+MAX_DISCARDED_BYTES = 64 << 10
+DISCARD_TIMEOUT_MS = 100
 
 
 class HttpResponse(msgspec.Struct, frozen=True):
@@ -52,11 +64,12 @@
     :param source: the IP address that connections go out from; any when left out.
     """
 
-    __slots__ = ("_clock", "_limits", "_pool")
+    __slots__ = ("_clock", "_limits", "_pool", "_buffered_bytes")
 
     def __init__(self, *, clock, limits, source=None):
         self._clock = clock
         self._limits = limits
+        self._buffered_bytes = 0
         self._pool = HttpPool(clock=clock, limits=limits, source=source)
 
     async def request(
@@ -78,8 +91,7 @@
 
         :param on_head: called with the status and headers once they are received.
         :return: an :class:`HttpResponse`.
-        :raises ServiceError: also ``UPSTREAM_FAILED`` when the body is longer than
-            ``max_body_bytes``.
+        :raises ServiceError: also those of :meth:`read_body`.
         """
         async with self.stream(
             address,
@@ -94,13 +106,29 @@
         ) as response:
             if on_head is not None:
                 on_head(response.status, response.headers)
-            chunks, size = [], 0
+            body = await self.read_body(response)
+            return HttpResponse(response.status, response.headers, body)
+
+    async def read_body(self, response):
+        """Return the whole body of a response.
+
+        :param response: the :class:`ResponseStream`.
+        :raises ServiceError: ``UPSTREAM_FAILED`` when the body is longer than
+            ``max_body_bytes``, or than the memory for bodies has room for.
+        """
+        body = bytearray()
+        try:
             async for chunk in response.body():
-                chunks.append(chunk)
-                size += len(chunk)
-                if size > self._limits.max_body_bytes:
-                    raise failed((address, port), "the response body is too large")
-            return HttpResponse(response.status, response.headers, b"".join(chunks))
+                body += chunk
+                self._buffered_bytes += len(chunk)
+                if len(body) > self._limits.max_body_bytes:
+                    raise failed(response.target, "the response body is too large")
+                is_full = self._buffered_bytes > MAX_BUFFERED_BYTES
+                if is_full and len(body) > SMALL_BODY_BYTES:
+                    raise failed(response.target, "there is no room for its body")
+            return bytes(body)
+        finally:
+            self._buffered_bytes -= len(body)
 
     @contextlib.asynccontextmanager
     async def stream(
@@ -228,9 +256,12 @@
         if timeout_ms is not None:
             timeout_ms = min(timeout_ms, deadline.remaining_ms())
             deadline = Deadline.after(deadline.clock, timeout_ms)
-        event = await self._connection.next_event(deadline.remaining_ms)
-        while isinstance(event, h11.InformationalResponse):
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._connection.next_event(deadline.remaining_ms)
+            if not isinstance(event, h11.InformationalResponse):
+                break
+        else:
+            raise failed(self.target, "it has too many interim responses")
         self._check_framing(event, method, allow_close_delimited)
         self._connection.record_keep_alive(event.headers)
         self.status = event.status_code
@@ -242,17 +273,34 @@
         has_chunks = b"transfer-encoding" in names
         if has_length and has_chunks:
             raise failed(
-                self._connection.target,
+                self.target,
                 "it has both Content-Length and Transfer-Encoding",
             )
         if method == "HEAD" or head.status_code in _BODILESS_STATUSES:
             return
         if not (has_length or has_chunks or allow_close_delimited):
             raise failed(
-                self._connection.target,
+                self.target,
                 "it has neither Content-Length nor Transfer-Encoding",
             )
 
+    @property
+    def target(self):
+        """The remote ``(address, port)`` pair."""
+        return self._connection.target
+
+    async def discard(self):
+        """Read the rest of a body that isn't used, unless it is long or slow."""
+        size = 0
+        try:
+            async with asyncio.timeout(DISCARD_TIMEOUT_MS / MS_PER_SECOND):
+                async for chunk in self.body():
+                    size += len(chunk)
+                    if size > MAX_DISCARDED_BYTES:
+                        return
+        except TimeoutError:
+            return
+
     async def body(self):
         """Yield the bytes of the body; return only once the framing marks its end.
 
--- a/goldcrestmoor/connection/http_connection.py
+++ b/goldcrestmoor/connection/http_connection.py
@@ -17,6 +17,9 @@
 # After a pause of this process, the timer fires before the event loop has seen a
 # connection that the kernel completed meanwhile; it appears a few iterations later.
 CONNECT_GRACE_MS = 10
+# After a pause of this process, the response may have arrived before the timeout; a
+# larger one is still arriving.
+MAX_LATE_BYTES = 1 << 20
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,6})")
 # A request must reach the server before the server closes the idle connection.
 KEEP_ALIVE_MARGIN_MS = 500
@@ -46,6 +49,7 @@
         "_writer",
         "_codec",
         "_max_header_bytes",
+        "_late_bytes",
     )
 
     def __init__(self, reader, writer, target, max_header_bytes):
@@ -56,6 +60,7 @@
         self._reader = reader
         self._writer = writer
         self._max_header_bytes = max_header_bytes
+        self._late_bytes = 0
         self._codec = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=max_header_bytes
         )
@@ -106,6 +111,7 @@
         head = self._codec.send(request)
         tail = self._codec.send(h11.Data(data=body)) if body else b""
         tail += self._codec.send(h11.EndOfMessage())
+        self._late_bytes = 0
         self._writer.transport.resume_reading()
         self._writer.write(head + tail)
 
@@ -132,13 +138,20 @@
             return event
 
     async def _read(self, timeout_ms):
+        if self._late_bytes > MAX_LATE_BYTES:
+            message = f"{_name(self.target)} did not end its response in time."
+            raise ServiceError(ErrorKind.UPSTREAM_TIMEOUT, message)
         try:
-            return await wait_within(timeout_ms, lambda: self._reader.read(READ_BYTES))
+            data = await wait_within(timeout_ms, lambda: self._reader.read(READ_BYTES))
         except TimeoutError as e:
             message = f"{_name(self.target)} sent no data within {timeout_ms:.0f} ms."
             raise ServiceError(ErrorKind.UPSTREAM_TIMEOUT, message) from e
         except OSError as e:
             raise failed(self.target, "connection lost") from e
+        if timeout_ms <= 0:
+            # The timeout does not end reads of data that is there already.
+            self._late_bytes += len(data)
+        return data
 
     def _check_head_size(self, head):
         size = sum(len(name) + len(value) for name, value in head.headers)
--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -308,12 +308,12 @@
     async def _read_response(self, run, response, terms, on_events):
         dialect = self._dialect
         if dialect.ran(response.status, response.headers) is Ran.NOT_RUN:
-            await _drain(response)
+            await response.discard()
             return NotRun(f"status {response.status}")
         if not dialect.is_genuine(run.item.id, response.status, response.headers):
             return Broken("the response is corrupt or belongs to another request")
         if response.status != STATUS_OK:
-            await _drain(response)
+            await response.discard()
             return _outcome_of(response.status)
         version = dialect.weight_version(response.headers)
         if version is None:
@@ -351,9 +351,3 @@
     if status == STATUS_IMPOSSIBLE:
         return Impossible()
     return Broken(f"status {status}")
-
-
-async def _drain(response):
-    """Read the rest of a short response, so that its connection can be reused."""
-    async for _ in response.body():
-        pass
--- a/goldcrestmoor/request/event_stream.py
+++ b/goldcrestmoor/request/event_stream.py
@@ -5,7 +5,9 @@
 from goldcrestmoor.errors import ErrorKind, ServiceError
 
 # Far above the size of any engine's event; a longer one means a broken stream.
-MAX_EVENT_BYTES = 1 << 20
+MAX_EVENT_BYTES = 128 << 10
+# Comments keep a connection open; more of them between two events mean a broken stream.
+MAX_COMMENTS = 1000
 
 
 class EventFields(msgspec.Struct, frozen=True):
@@ -42,13 +44,21 @@
         byte or a comment now and then. None for no limit.
     """
 
-    __slots__ = ("_fields", "_clock", "_max_gap_ms", "_last_event_ms", "_buffer")
+    __slots__ = (
+        "_fields",
+        "_clock",
+        "_max_gap_ms",
+        "_last_event_ms",
+        "_comments",
+        "_buffer",
+    )
 
     def __init__(self, fields, clock=None, max_gap_ms=None):
         self._fields = fields
         self._clock = clock
         self._max_gap_ms = max_gap_ms
         self._last_event_ms = clock.now_ms() if clock else None
+        self._comments = 0
         self._buffer = b""
 
     @property
@@ -80,6 +90,7 @@
                 event = self._decode(raw)
                 # A comment shows that the connection is open, not that work goes on.
                 has_event = has_event or bool(event.data)
+                self._count_comments(event)
                 yield event
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ServiceError(
@@ -88,6 +99,12 @@
             )
         self._check_gap(has_event)
 
+    def _count_comments(self, event):
+        self._comments = 0 if event.data else self._comments + 1
+        if self._comments > MAX_COMMENTS:
+            text = f"More than {MAX_COMMENTS} comments follow one another."
+            raise ServiceError(ErrorKind.UPSTREAM_FAILED, text)
+
     def _check_gap(self, has_event):
         if self._max_gap_ms is None:
             return
--- a/goldcrestmoor/request/streaming.py
+++ b/goldcrestmoor/request/streaming.py
@@ -103,7 +103,7 @@
             )
 
     async def _run(self, attempts):
-        """Yield the first upstream's headers, then each event's bytes.
+        """Yield the first upstream's headers, then the bytes of its events.
 
         A response that is not a stream is yielded complete, in place of the headers.
         """
@@ -129,12 +129,17 @@
                             has_head = True
                             yield tuple(response.headers)
                         async for chunk in response.body():
-                            for event in parser.feed(chunk):
+                            raw, last_event_id, error = _parse(
+                                parser, chunk, attempts.route
+                            )
+                            if raw:
                                 if not has_events:
                                     self._begin(attempts, upstream)
-                                last_id = event.id or last_id
+                                last_id = last_event_id or last_id
                                 has_events = True
-                                yield event.raw
+                                yield raw
+                            if error is not None:
+                                raise error
                         if not parser.has_partial_event:
                             self._loads.record_response(upstream, attempts.route.name)
                             return
@@ -193,8 +198,7 @@
         status, headers = response.status, response.headers
         self._record_server_state(upstream, attempts.request.id, status, headers)
         if self._dialect.ran(status, headers) is Ran.NOT_RUN:
-            async for _ in response.body():
-                pass
+            await response.discard()
             return FailedAttempt(Ran.NOT_RUN, f"Not run, answered {status}")
         if not self._dialect.is_genuine(attempts.request.id, status, headers):
             return FailedAttempt(Ran.UNKNOWN, "The response is spoilt or another's")
@@ -204,8 +208,32 @@
             return FailedAttempt(
                 Ran.RAN, f"{upstream.name} did not resume the stream: {status}"
             )
-        chunks = [chunk async for chunk in response.body()]
-        return AppResponse(status, tuple(headers), b"".join(chunks))
+        body = await self._http.read_body(response)
+        return AppResponse(status, tuple(headers), body)
+
+
+def _parse(parser, chunk, route):
+    """Return the bytes of the events that a chunk completes, up to the first fault.
+
+    :return: their bytes, the id of the last of them that has one, and the error that
+        ends the stream, or None.
+    """
+    raw, last_id = bytearray(), ""
+    try:
+        for event in parser.feed(chunk):
+            _check_id(event, route)
+            last_id = event.id or last_id
+            raw += event.raw
+    except ServiceError as e:
+        return bytes(raw), last_id, e
+    return bytes(raw), last_id, None
+
+
+def _check_id(event, route):
+    """Raise if an event can't be resumed after, though its route promises it."""
+    may_resume = route.retry_policy is RetryPolicy.RESUMABLE
+    if may_resume and event.data and not event.id:
+        raise ServiceError(ErrorKind.UPSTREAM_FAILED, "An event has no id.")
 
 
 def _idle_timeout_ms(route):
