Look engines up once for items that find none

Since items may wait for a software version without holding up those behind them, each waiting item looked all engines up anew on every wake-up: with a thousand engines and hundreds of waiting texts, a second. The loads are kept until an item is started. Found by reading; test.test_job_run and test.test_software_versions: 29 passed.

--- a/goldcrestmoor/job/scheduler.py
+++ b/goldcrestmoor/job/scheduler.py
@@ -155,12 +155,16 @@
         for job_run in order_jobs(self._runs_by_job.values()):
             if job_run.is_over or not job_run.waiting:
                 continue
+            loads_by_service = {}
             for run in job_run.next_items():
-                if not self._assign_engine(job_run, run, table):
+                if not self._assign_engine(job_run, run, table, loads_by_service):
                     break
 
-    def _assign_engine(self, job_run, run, table):
-        """Start an item; return whether the items after it may find an engine too."""
+    def _assign_engine(self, job_run, run, table, loads_by_service):
+        """Start an item; return whether the items after it may find an engine too.
+
+        :param loads_by_service: the loads of engines since the last item was started.
+        """
         job = job_run.job
         route = table.match(job.host, run.item.path)
         if route is None or route.job is None:
@@ -169,7 +173,10 @@
             job_run.finish(run, is_completed=False)
             return True
         service = route.service_for(run.item.id)
-        loads = self._pool.loads(service, job.model)
+        loads = loads_by_service.get(service)
+        if loads is None:
+            loads = self._pool.loads(service, job.model)
+            loads_by_service[service] = loads
         self._restart_text(job_run, run, loads)
         name = choose_engine(
             loads,
@@ -183,6 +190,7 @@
             return bool(run.events)
         engine = self._pool.upstream(name)
         self._pool.begin(engine)
+        del loads_by_service[service]
         job_run.start(run, name)
         run.task = self._tasks.start(self._attempt(job_run, run, engine, route))
         # A task that is cancelled before it first runs executes none of its own code.
