Let the notes of the shutdown test end one after the other

Its callers' notes took milliseconds, so whether one of them met the host while it drained was chance: when all four ended in one moment, nothing was in flight, and the host closed at once, which is right. With a host that keeps accepting while it drains (a trial on a scratch copy) the test fails.

--- a/test/proofs/test_not_run.py
+++ b/test/proofs/test_not_run.py
@@ -8,6 +8,8 @@
 from test.standins import app
 
 BEYOND_REQUEST_BYTES = 100_000
+CALLERS = 4
+CALLER_INTERVAL_S = 0.25
 
 
 class NotRunTest(RequestCase):
@@ -92,15 +94,19 @@
     async def test_a_host_that_shuts_down(self):
         """Notes sent during shutdown get a correct statement of whether they ran."""
         answers = {}
+        # The notes end one after the other, so that a caller whose note has ended meets
+        # the host while it waits for the others.
+        await self.set_app("desk-1", app.SLOW, slow_s=CALLERS * CALLER_INTERVAL_S)
 
         async def caller(number):
+            await asyncio.sleep(number * CALLER_INTERVAL_S)
             for i in range(1000):
                 name = f"{number}-{i}"
                 answers[name] = await self.note(self.host, name)
                 if not answers[name].status:
                     return
 
-        async with in_background(asyncio.gather(*map(caller, range(4)))) as task:
+        async with in_background(asyncio.gather(*map(caller, range(CALLERS)))) as task:
             await eventually(lambda: len(answers) > 8)
             self.fleet.terminate(self.host)
             await self.fleet.process_by_id[self.host].wait()
