Test that no request that may have run is refused as not run by a limit

The next server's owner can deny a request after an earlier attempt broke off; then the request may have been run. The code distinguishes the two; no test showed it.

--- a/test/test_upstream_limits.py
+++ b/test/test_upstream_limits.py
@@ -12,7 +12,8 @@
 
 import msgspec
 
-from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.clock import Deadline
+from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
 from goldcrestmoor.platform import servers
 from goldcrestmoor.process import limit_owners
 from goldcrestmoor.process.host_calls import HostCalls
@@ -20,11 +21,22 @@
 from goldcrestmoor.process.metrics import Metrics
 from goldcrestmoor.process.store_connectivity import HostRow
 from goldcrestmoor.process.upstream_limits import UpstreamLimits
+from goldcrestmoor.request.forwarding import (
+    CallerRequest,
+    FailedAttempt,
+    RequestAttempts,
+)
 from goldcrestmoor.request.limit_budget import (
     MIN_BURST_REQUESTS,
     RequestBudget,
     owners_of,
 )
+from goldcrestmoor.version.configuration.routes import (
+    RetryPolicy,
+    Route,
+    RouteKind,
+    ServiceShare,
+)
 from test import _common
 from test._fleet import ManualClock
 from test._front import FETCH_PATH, FrontFleet
@@ -223,9 +235,7 @@
         await self.admitted(self.others[:1], rounds=20)
         self.assertEqual(len(self.hosts.asked), MIN_BURST_REQUESTS + 1)
 
-    async def test_the_second_owner_grants_a_quarter_when_the_first_is_gone(
-        self,
-    ):
+    async def test_the_second_owner_grants_a_quarter_when_the_first_is_gone(self):
         self.limits(self.others[0]).record(server(), 4.0)
         self.hosts.down = {self.owner}
         await self.admitted(self.others[:1])
@@ -255,6 +265,59 @@
         self.assertFalse(self.limits(second).is_limited(server()))
 
 
+class RefusalTest(unittest.IsolatedAsyncioTestCase):
+    """A request whose next server admits no more, after an attempt or before any."""
+
+    def attempts(self, admitted):
+        admitted = iter(admitted)
+
+        async def admit_one(service, sent_to, software_version):
+            return next(admitted)
+
+        loads = SimpleNamespace(
+            admit_one=admit_one,
+            choose=lambda *args: server("s2"),
+            pause_ms=lambda service: 300,
+        )
+        route = Route(
+            name="r",
+            host="h",
+            path_prefix="/",
+            kind=RouteKind.PLAIN,
+            retry_policy=RetryPolicy.IDEMPOTENT,
+            shares=(ServiceShare("app"),),
+            timeout_ms=2000,
+            target_ms=100,
+            attempts=3,
+        )
+        return RequestAttempts(
+            request=CallerRequest("id", "GET", "/", (), b""),
+            route=route,
+            deadline=Deadline.after(ManualClock(), 2000),
+            loads=loads,
+            metrics=Metrics(),
+        )
+
+    async def error_after(self, ran):
+        """Return the error when one attempt failed and no server admits another."""
+        attempts = self.attempts([server(), None])
+        await attempts.next_upstream()
+        attempts.retry_or_raise(FailedAttempt(ran, "It broke off"))
+        with self.assertRaises(ServiceError) as caught:
+            await attempts.next_upstream()
+        return caught.exception
+
+    async def test_a_request_that_may_have_run_is_not_refused_as_not_run(self):
+        error = await self.error_after(Ran.UNKNOWN)
+        self.assertEqual(error.kind, ErrorKind.UPSTREAM_FAILED)
+        self.assertIs(error.answer.ran, Ran.UNKNOWN)
+
+    async def test_a_request_that_was_not_run_is_told_when_to_come_back(self):
+        error = await self.error_after(Ran.NOT_RUN)
+        self.assertEqual(error.kind, ErrorKind.OVERLOADED)
+        self.assertEqual(error.retry_after_ms, 300)
+
+
 class FleetTest(unittest.IsolatedAsyncioTestCase):
     """Daemons whose requests together exceed what one host alone would send."""
 
