--- a/goldcrestmoor/process/upstream_limits.py
+++ b/goldcrestmoor/process/upstream_limits.py
@@ -100,7 +100,7 @@
         return not math.isinf(self.per_second(upstream))
 
     def pause_ms(self, upstream):
-        """Return how much longer an upstream gets no requests, in milliseconds.
+        """Return how much longer this host sends an upstream nothing, in milliseconds.
 
         :param upstream: the upstream.
         """
--- a/goldcrestmoor/request/limit_budget.py
+++ b/goldcrestmoor/request/limit_budget.py
@@ -4,7 +4,7 @@
 fewer than there are hosts, while callers press some hosts more than others and each
 host knows only its own requests. So one host, the owner, grants every request to that
 upstream, at the rate that the upstream stated. Hosts that cannot reach the owner ask
-the next one, which grants a quarter of that: the owner may live and grant the rest.
+the next one, which grants a quarter of that: the owner may still grant to others.
 """
 
 import math
@@ -28,7 +28,8 @@
 def owners_of(upstream, zone_by_host):
     """Return the hosts that grant requests to an upstream, the first one first.
 
-    Hosts of the upstream's zone come first: who reaches the upstream reaches them.
+    Hosts of the upstream's zone come first: a host that reaches the upstream most
+    likely reaches them.
 
     :param upstream: the :class:`~goldcrestmoor.process.directory.ListedUpstream`.
     :param zone_by_host: the availability zone of each host.
