--- a/test/test_reward_calls.py
+++ b/test/test_reward_calls.py
@@ -68,6 +68,7 @@
                 slots=SLOTS,
                 zone="z",
                 started_ms=1,
+                software_version="v1",
             )
             for n in range(2)
         ]
