--- a/test/test_completions.py
+++ b/test/test_completions.py
@@ -8,6 +8,7 @@
 from goldcrestmoor.clock import Clock, Deadline
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.request.admission import AdmissionClient
+from goldcrestmoor.request.admission_messages import Acquire
 from goldcrestmoor.request.admission_owner import AdmissionOwner
 from goldcrestmoor.request.completions import Completions
 from goldcrestmoor.request.placement import LeastLoaded, Placement
@@ -21,18 +22,26 @@
 
 
 class CompletionsTestCase(unittest.IsolatedAsyncioTestCase):
+    LIMITS = {"progress_timeout_ms": 300}
+
     async def asyncSetUp(self):
         self.clock = Clock()
         self.account = fakes.account("trainer", "trainer")
         self.lease = fakes.FakeLease(accounts=[self.account])
         self.engines_by_name = {}
+        self.leaving = set()
         await self.add_engine("lm-1")
         self.lease.configuration.pools_by_name["lm"] = fakes.Pool("lm", "engine", "lm")
         parts = fakes.parts()
-        limits = fakes.limits(progress_timeout_ms=300)
+        limits = fakes.limits(**self.LIMITS)
         links = fakes.FakeNetwork().links(HOST)
         self.owner = AdmissionOwner(
-            clock=self.clock, lease=self.lease, settings=limits, links=links, **parts
+            clock=self.clock,
+            lease=self.lease,
+            settings=limits,
+            links=links,
+            is_leaving=self.leaving.__contains__,
+            **parts,
         )
         admission = AdmissionClient(
             clock=self.clock,
@@ -218,3 +227,24 @@
             upstream, model="lm", version=2, fencing=1, timeout_ms=60_000
         )
         self.assertEqual(version, 1)
+
+
+class FullQueueTest(CompletionsTestCase):
+    LIMITS = {"max_queue_per_upstream": 1}
+
+    async def fill_queue(self, name):
+        """Take the two slots of an engine and the only place in its queue."""
+        for n in range(3):
+            message = Acquire(f"other/{n}", name, "other", "trainer", 1, 9, 60_000)
+            await self.owner.on_acquire("host-b1", message)
+
+    async def test_a_full_engine_is_not_reported_as_none_left(self):
+        # The host has not read yet that the second engine leaves; its owner has.
+        await self.add_engine("lm-2")
+        port = self.lease.configuration.upstreams_by_name["lm-2"].port
+        self.lease.replace(fakes.upstream("lm-2", zone="zone-b", port=port))
+        self.leaving.add("lm-2")
+        await self.fill_queue("lm-1")
+        error = await self.error()
+        self.assertEqual(error.kind, ErrorKind.OVERLOADED)
+        self.assertGreater(error.retry_after_ms, 0)
