Parse the events of a read in linear time

Callers of a stream whose server sends comments without end had their final answer up to 0.3 s late, and all else on that daemon waited meanwhile.

A trial build that prints each read shows the cause: seven of eight callers end 0.36 s after one another, each after one read of 120,000 bytes. For every event the parser copied and searched all of the rest, which is quadratic in the bytes of one read. The idle timeout and the test's own writers, suspected before, are ruled out by the same trace: no stream waited for data.

A new test feeds the same events in parts of every size.

--- a/goldcrestmoor/request/event_stream.py
+++ b/goldcrestmoor/request/event_stream.py
@@ -1,5 +1,7 @@
 """Incremental parser of server-sent events."""
 
+import re
+
 import msgspec
 
 from goldcrestmoor.errors import ErrorKind, ServiceError
@@ -8,6 +10,8 @@
 MAX_EVENT_BYTES = 128 << 10
 # Comments keep a connection open; more of them between two events mean a broken stream.
 MAX_COMMENTS = 1000
+_EVENT_END = re.compile(rb"\r\n\r\n|\n\n")
+_MAX_END_BYTES = 4
 
 
 class EventFields(msgspec.Struct, frozen=True):
@@ -73,25 +77,20 @@
         :raises ServiceError: ``UPSTREAM_FAILED`` when the bytes are not valid events,
             ``UPSTREAM_TIMEOUT`` when no event was complete for too long.
         """
-        self._buffer += chunk
-        has_event = False
-        while True:
-            end = self._buffer.find(b"\n\n")
-            crlf = self._buffer.find(b"\r\n\r\n")
-            if crlf >= 0 and (end < 0 or crlf < end):
-                end, length = crlf, 4
-            elif end >= 0:
-                length = 2
-            else:
-                break
-            raw = self._buffer[: end + length]
-            self._buffer = self._buffer[end + length :]
+        # An end may have begun in the bytes received before.
+        searched = max(0, len(self._buffer) - _MAX_END_BYTES + 1)
+        received = self._buffer + chunk
+        begin, has_event = 0, False
+        for end in _EVENT_END.finditer(received, searched):
+            raw = received[begin : end.end()]
+            begin = end.end()
             if raw.strip():
                 event = self._decode(raw)
                 # A comment shows that the connection is open, not that work goes on.
                 has_event = has_event or bool(event.data)
                 self._count_comments(event)
                 yield event
+        self._buffer = received[begin:]
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ServiceError(
                 ErrorKind.UPSTREAM_FAILED,
--- a/test/test_streaming.py
+++ b/test/test_streaming.py
@@ -96,6 +96,20 @@
         self.feed_for(b"id: 1\ndata: a\n\nid", 600)
         self.feed_for(b": 2\ndata: b\n\nid", 6000)
 
+    def test_an_event_may_be_received_in_any_parts(self):
+        received = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: c\n\ndata: d\n\nid"
+        whole = [(e.id, e.data, e.raw) for e in self.parser.feed(received)]
+        self.assertEqual([e[:2] for e in whole[:2]], [("1", "a"), ("2", "b")])
+        for size in range(1, len(received)):
+            self.setUp()
+            events = [
+                (e.id, e.data, e.raw)
+                for begin in range(0, len(received), size)
+                for e in self.parser.feed(received[begin : begin + size])
+            ]
+            self.assertEqual(events, whole, size)
+            self.assertTrue(self.parser.has_partial_event)
+
 
 class StreamingTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
