Leave an engine that was sent nothing without a retry

An engine that began to leave between the grant of its slot and the request's bytes was left as if it had failed: with the retry budget of the pool used up, callers got no_upstream while other engines were serving.

Nothing was sent to such an engine, so going to another one repeats no work, as with outdated weights; the deadline and the count of failures still end it.

The new test lets the engine leave after its grant, without a budget: no_upstream before, the complete text now.

--- a/goldcrestmoor/request/completions.py
+++ b/goldcrestmoor/request/completions.py
@@ -26,6 +26,9 @@
 ACCESS_ERRORS = frozenset(
     {ErrorKind.UNAUTHORIZED, ErrorKind.CONFIG_LAPSED, ErrorKind.FORBIDDEN}
 )
+# The engine was sent nothing, or its weights are outdated and it gave no usable token:
+# going to another one repeats no work, so it costs no retry.
+UNUSED_ERRORS = frozenset({ErrorKind.NO_UPSTREAM, ErrorKind.VERSION_CONFLICT})
 REJECTION_ERRORS = frozenset({ErrorKind.NO_UPSTREAM, ErrorKind.OVERLOADED})
 
 
@@ -228,10 +231,7 @@
             raise error_to_report(progress.failures)
         if len(progress.failures) > MAX_FAILURES or deadline.passed():
             raise error_to_report(progress.failures)
-        # An engine with outdated weights gave no usable token, and keeps being chosen
-        # until it swaps weights: leaving it repeats no work, so it costs no retry.
-        is_outdated = error.kind == ErrorKind.VERSION_CONFLICT
-        if not is_outdated and not self._budget.try_retry(pool):
+        if error.kind not in UNUSED_ERRORS and not self._budget.try_retry(pool):
             raise error_to_report(progress.failures)
         self._metrics.retries.labels(error.code).inc()
         progress.avoid.add(upstream.name)
--- a/test/test_completions.py
+++ b/test/test_completions.py
@@ -3,9 +3,11 @@
 import asyncio
 import contextlib
 import unittest
+from unittest import mock
 
 from goldcrestmoor.adapters.engine import EngineClient
 from goldcrestmoor.clock import Clock, Deadline
+from goldcrestmoor.connection.retry_budget import RetryBudget
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.request.admission import AdmissionClient
 from goldcrestmoor.request.admission_messages import Acquire
@@ -228,6 +230,27 @@
         )
         self.assertEqual(version, 1)
 
+    async def test_an_engine_that_leaves_before_the_bytes_costs_no_retry(self):
+        await self.add_engine("lm-2")
+        self.lease.replace(
+            fakes.upstream(
+                "lm-2",
+                zone="zone-b",
+                port=self.lease.configuration.upstreams_by_name["lm-2"].port,
+            )
+        )
+        self.completions._budget = RetryBudget(clock=self.clock, percent=0)
+        acquire = AdmissionClient.acquire
+
+        async def leave_after_grant(*args):
+            grant = await acquire(*args)
+            lm_1 = fakes.upstream("lm-1", draining=True)
+            self.lease.replace(lm_1)
+            return grant
+
+        with mock.patch.object(AdmissionClient, "acquire", leave_after_grant):
+            self.check_complete(await self.chunks())
+
 
 class FullQueueTest(CompletionsTestCase):
     LIMITS = {"max_queue_per_upstream": 1}
