Divide the ports below the kernel's range among the test modules

Now shown by a run: beside a process that opens and closes connections, a fleet of three daemons on ports 34,000 to 34,299 doesn't start ("Cannot listen on 127.0.0.1:34124: Address already in use", in the first 12 starts), while 12 of 12 starts on 29,000 to 29,299 beside the same process succeed. The readiness of the dead daemon was then waited for in vain.

The range below 32,000 is divided by the number of modules, so that it can't be exceeded by adding modules. A daemon that ends during the start fails the test at once, with its log.

--- a/test/__main__.py
+++ b/test/__main__.py
@@ -4,6 +4,7 @@
 """
 
 import concurrent.futures
+import itertools
 import os
 import pathlib
 import re
@@ -17,9 +18,9 @@
 # Half of a small machine: the proofs check time bounds, which they miss when more
 # modules run in parallel.
 WORKERS = 4
-# All modules together stay below the kernel's range for outgoing connections (32,768).
-FIRST_PORT = 5_000
-PORTS_PER_MODULE = 300
+# Below the kernel's range for outgoing connections, which could take a port between its
+# choice and the start of the process that listens on it.
+FIRST_PORT, LAST_PORT = 5_000, 32_000
 FAILED = re.compile(r"^(?:ERROR|FAIL|UNEXPECTED SUCCESS): .*?\((\S+?)\)", re.M)
 RAN = re.compile(r"^Ran (\d+) test", re.M)
 SKIPPED = re.compile(r"skipped=(\d+)")
@@ -38,13 +39,12 @@
     return [".".join(p.relative_to(ROOT).with_suffix("").parts) for p in paths]
 
 
-def run_module(number, name):
-    """Run one module and return its name, output and exit code."""
-    first = FIRST_PORT + number * PORTS_PER_MODULE
+def run_module(name, first, last):
+    """Run one module on its ports and return its name, output and exit code."""
     done = subprocess.run(
         [sys.executable, "-m", "unittest", "--verbose", name],
         cwd=ROOT,
-        env=os.environ | {PORTS_VARIABLE: f"{first}-{first + PORTS_PER_MODULE}"},
+        env=os.environ | {PORTS_VARIABLE: f"{first}-{last}"},
         stdin=subprocess.DEVNULL,
         stdout=subprocess.PIPE,
         stderr=subprocess.STDOUT,
@@ -57,8 +57,17 @@
 def run_all():
     """Run all modules; return the failing tests' names and the run and skip counts."""
     failing, ran, skipped = set(), 0, 0
+    modules = find_modules()
+    bounds = [
+        FIRST_PORT + n * (LAST_PORT - FIRST_PORT) // len(modules)
+        for n in range(len(modules) + 1)
+    ]
     with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
-        runs = [pool.submit(run_module, *each) for each in enumerate(find_modules())]
+        ranges = itertools.pairwise(bounds)
+        runs = [
+            pool.submit(run_module, name, *ports)
+            for name, ports in zip(modules, ranges, strict=True)
+        ]
         for run in concurrent.futures.as_completed(runs):
             name, output, code = run.result()
             print(output, flush=True)
--- a/test/_front.py
+++ b/test/_front.py
@@ -150,9 +150,23 @@
             self.start_front(name)
         if with_configuration:
             for name in names:
-                await _common.eventually(lambda name=name: self.is_ready(name))
+                await self.wait_ready(name)
         return self
 
+    async def wait_ready(self, name):
+        """Wait until a daemon reports that it is ready; fail with its log."""
+        process = self.fronts[name]
+
+        async def is_ready():
+            if not process.alive():
+                raise AssertionError(f"{name} ended early")
+            return await self.is_ready(name)
+
+        try:
+            await _common.eventually(is_ready)
+        except AssertionError as e:
+            raise AssertionError(f"{e}; its log:\n{process.log_tail()}") from e
+
     def servers(self):
         """Return the application and engine servers."""
         return self.apps + self.engines
