Test that a server which leaves while it is connected to gets no bytes

The new tests let a server say that it leaves between its choice and the end of the connecting, for plain requests, streams, streams that are taken up again or broke off, items, load orders and reward calls, on the real client, directory and stand-ins.

--- a/test/test_leaving_servers.py
+++ b/test/test_leaving_servers.py
@@ -6,30 +6,66 @@
 """
 
 import asyncio
+import contextlib
 import time
 import unittest
+from types import SimpleNamespace
+from unittest import mock
 
+from goldcrestmoor import settings
 from goldcrestmoor.adapters.table import Change
+from goldcrestmoor.clock import Clock, Deadline
+from goldcrestmoor.connection.http_client import HttpClient
+from goldcrestmoor.connection.http_pool import HttpPool
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
+from goldcrestmoor.job.item_run import ItemExecutor, ItemRun, ItemTerms, NotRun
+from goldcrestmoor.job.job import Item, RewardCall
+from goldcrestmoor.job.reward_calls import RewardCaller
 from goldcrestmoor.platform import servers
+from goldcrestmoor.platform.servers import EngineControlClient
 from goldcrestmoor.process import directory
 from goldcrestmoor.process.directory import ListedUpstream, UpstreamDirectory
+from goldcrestmoor.process.host_calls import HostCalls
 from goldcrestmoor.process.metrics import Metrics
+from goldcrestmoor.process.stream_versions import StreamVersions
+from goldcrestmoor.request.forwarding import CallerRequest, Forwarder
+from goldcrestmoor.request.streaming import StreamForwarder
+from goldcrestmoor.request.upstream_loads import UpstreamLoads
+from goldcrestmoor.version.configuration.routes import (
+    RetryPolicy,
+    Route,
+    RouteKind,
+    ServiceShare,
+)
+from goldcrestmoor.version.weights.engine_report import LoadMode
 from test import _common
 from test._fleet import ManualClock
 from test._front import FETCH_PATH, MODEL, FrontFleet, item
-from test.standins.users_server import whole_text
+from test._request_fakes import upstream_limits
+from test.standins.users_server import UsersServer, whole_text
 
 LEAVING = [(b"server-leaving", b"1")]
+SERVICE = "app"
+ROUTE = Route(
+    name="r",
+    host="h",
+    path_prefix="/",
+    kind=RouteKind.STREAM,
+    retry_policy=RetryPolicy.RESUMABLE,
+    shares=(ServiceShare(SERVICE),),
+    timeout_ms=2000,
+    attempts=4,
+    target_ms=1000,
+)
 
 
 def decode(key, value):
-    service, started_ms = value.decode().split()
+    service, started_ms, *port = value.decode().split()
     return ListedUpstream(
         name=key,
         service=service,
         address="127.0.0.1",
-        port=1,
+        port=int(*port),
         zone="a",
         slots=6,
         started_ms=int(started_ms),
@@ -212,5 +248,156 @@
         self.assertEqual(runs, [1, 1])
 
 
+class ConnectingTest(unittest.IsolatedAsyncioTestCase):
+    """A server says that it leaves while a connection to it is opened."""
+
+    async def asyncSetUp(self):
+        self.clock = Clock()
+        self.directory = UpstreamDirectory(
+            clock=self.clock, decode=decode, metrics=Metrics(), age_ms=lambda: 0
+        )
+        self.servers = [UsersServer(f"s{n}", SERVICE, {MODEL: 1}) for n in range(2)]
+        for server in self.servers:
+            await server.start()
+            self.addAsyncCleanup(server.close)
+            row = f"{SERVICE} 10 {server.port}".encode()
+            self.directory.apply([Change(server.name, 1, row)])
+        self.http = HttpClient(clock=self.clock, limits=settings.default_limits())
+        self.addAsyncCleanup(self.http.close)
+        self.limits = upstream_limits(self.clock)
+        loads = UpstreamLoads(
+            clock=self.clock,
+            http=self.http,
+            directory=self.directory,
+            limits=self.limits,
+            zone="a",
+            host_id="host-a",
+        )
+        self.sending = {
+            "http": self.http,
+            "loads": loads,
+            "dialect": servers,
+            "metrics": Metrics(),
+        }
+        self.left = None
+        self.connections_before_leaving = 0
+        acquire = HttpPool.acquire
+
+        async def acquire_slowly(pool, target, *args):
+            connection = await acquire(pool, target, *args)
+            self.connections_before_leaving -= 1
+            if self.connections_before_leaving == -1:
+                self.left = next(s for s in self.servers if s.port == target[1])
+                upstream = self.directory.upstream_by_name[self.left.name]
+                self.directory.record_leaving(self.left.name, upstream)
+            return connection
+
+        patch = mock.patch.object(HttpPool, "acquire", acquire_slowly)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def check_only_the_other_ran_it(self):
+        self.assertEqual(self.left.seen, [])
+        self.assertEqual([len(s.runs) for s in self.servers if s != self.left], [1])
+
+    def request(self, resumed_id=None):
+        headers = ((b"model-name", MODEL.encode()), (b"request-id", b"r1"))
+        return CallerRequest("r1", "POST", "/x", headers, b"x", resumed_id)
+
+    async def test_a_plain_request(self):
+        headers = ((b"request-id", b"r1"),)
+        request = CallerRequest("r1", "POST", "/x", headers, b"x")
+        deadline = Deadline.after(self.clock, 2000)
+        answer = await Forwarder(**self.sending).forward(request, ROUTE, deadline)
+        self.assertEqual(answer.body, b"answer to x")
+        self.check_only_the_other_ran_it()
+
+    async def read_stream(self, request):
+        calls = HostCalls(clock=self.clock, http=None, row_by_host=dict)
+        versions = StreamVersions(clock=self.clock, calls=calls, host_id="host-a")
+        versions.begin("s", SERVICE, "")
+        forwarder = StreamForwarder(versions=versions, **self.sending)
+        deadline = Deadline.after(self.clock, 2000)
+        answer = await forwarder.forward(request, ROUTE, deadline)
+        async with contextlib.aclosing(answer.events) as events:
+            return b"".join([event async for event in events]).count(b"data:")
+
+    async def test_a_stream(self):
+        self.assertEqual(await self.read_stream(self.request()), 4)
+        self.check_only_the_other_ran_it()
+
+    async def test_a_stream_that_is_taken_up_again(self):
+        self.assertEqual(await self.read_stream(self.request("s")), 4)
+        self.check_only_the_other_ran_it()
+
+    async def test_a_stream_that_broke_off(self):
+        for server in self.servers:
+            server.cut_after = 2
+        self.connections_before_leaving = 1
+        with self.assertRaises(ServiceError):
+            await self.read_stream(self.request())
+        self.check_only_the_other_ran_it()
+
+    async def test_an_item(self):
+        executor = ItemExecutor(
+            clock=self.clock,
+            http=self.http,
+            directory=self.directory,
+            limits=self.limits,
+            dialect=servers,
+        )
+        run = ItemRun(Item("i1", "/x", {"model-name": MODEL}, b"x"), 0)
+        engine = self.directory.upstream_by_name["s0"]
+        terms = ItemTerms("h", 1, False)
+        outcome = await executor.attempt(run, engine, terms, lambda count: None)
+        self.assertIsInstance(outcome, NotRun)
+        self.assertEqual(self.left.seen, [])
+
+    async def test_a_load_order(self):
+        client = EngineControlClient(
+            http=self.http, directory=self.directory, limits=self.limits
+        )
+        with self.assertRaises(ServiceError) as caught:
+            await client.load(
+                self.directory.upstream_by_name["s0"],
+                model=MODEL,
+                version=2,
+                mode=LoadMode.WAIT,
+                holder="host-a",
+                fencing=1,
+                accepted=0,
+            )
+        self.assertEqual(caught.exception.kind, ErrorKind.DRAINING)
+        self.assertEqual(self.left.seen, [])
+
+    async def test_a_reward_call(self):
+        caller = RewardCaller(
+            clock=self.clock,
+            routes=lambda: SimpleNamespace(match=lambda host, path: ROUTE),
+            open_models=lambda: 1,
+            **self.sending,
+        )
+        self.addAsyncCleanup(caller.close)
+        item = Item("i1", "/x", {}, b"", reward_call=RewardCall("c1", "h", "/s", b""))
+        run = ItemRun(item, 0)
+        finished = asyncio.Event()
+        job_run = SimpleNamespace(
+            job=SimpleNamespace(id="j", model=MODEL),
+            priority=1,
+            due_ms=self.clock.now_ms() + 7500,
+            scoring_by_id={"i1": run},
+            missing_in_group=lambda group: 1,
+            remaining_ms=lambda: 30_000,
+            finish=lambda run, is_completed: finished.set(),
+        )
+        caller.add(job_run, run)
+        sending = asyncio.ensure_future(caller.run())
+        self.addCleanup(sending.cancel)
+        async with asyncio.timeout(5):
+            await finished.wait()
+        self.assertEqual(run.score, "stamp-c1")
+        self.check_only_the_other_ran_it()
+
+
 if __name__ == "__main__":
     unittest.main()
