Wait for all texts before their runner stops

test_a_runner_that_stops_hands_the_text_over was red beside ten busy processes in 2 of 16 runs ("16 != 8: texts were generated again"). A trace of every request tells the two suspected cases apart: with events of 50 ms in place of 5 the test is red each time, and all eight later requests name the last event that the runner had (Last-Event-ID 5 or 6 of 20). The texts were still being written when the runner stopped 0.3 s after the eighth had begun, and its successor continued them: a race of the test, no complete text was lost.

The test now waits until the runner's metrics show all eight reward calls, which is when it has all texts whole; the check is the same. The case met beside load becomes a test of its own: a runner that stops amid its texts leaves their events, and none is begun anew.

--- a/test/_front.py
+++ b/test/_front.py
@@ -20,6 +20,7 @@
 JOB_PATH = "/lot/x"
 # Longer than it takes to take over and run the jobs of a dead runner.
 WAIT_S = 20
+METRIC_PREFIX = "goldcrestmoor_"
 FETCH_PATH = "/fetch/x"
 
 
@@ -270,6 +271,17 @@
         state = self.store.value("jobs", job_id)
         return state["runner"].partition("/")[0] if state else ""
 
+    async def metrics(self, name):
+        """Return a daemon's metrics by name and labels, without the prefix."""
+        port = self.ports[name][2]
+        answer = await self.http.request("127.0.0.1", port, "GET", "/metrics")
+        value_by_name = {}
+        for line in answer.body.decode().splitlines():
+            if line.startswith(METRIC_PREFIX):
+                metric, _, value = line.removeprefix(METRIC_PREFIX).rpartition(" ")
+                value_by_name[metric] = float(value)
+        return value_by_name
+
     async def close(self):
         """Stop all processes and servers."""
         await stop_all(self.fronts.values())
--- a/test/standins/users_server.py
+++ b/test/standins/users_server.py
@@ -35,6 +35,7 @@
     :ivar lose: whether connections are closed without a response after a run.
     :ivar limit: the requests a second that every response names as the limit, or None.
     :ivar leaving: whether every response says that the server is leaving.
+    :ivar event_ms: the time from one event of an item to the next.
     :ivar delay_s: how long an application request takes.
     """
 
@@ -57,6 +58,7 @@
         self.leaving = False
         self.limit = None
         self.seen_s = []
+        self.event_ms = EVENT_MS
         self.delay_s = 0
         self.echo = None
         self.sequence = 0
@@ -176,7 +178,7 @@
             data = event_text(request_id, number, self.version)
             lines += f"id: {number}\ndata: {data}\n\n"
             yield lines.encode()
-            await asyncio.sleep(EVENT_MS / 1000)
+            await asyncio.sleep(self.event_ms / 1000)
 
 
 def event_text(request_id, number, version="v1"):
--- a/test/test_front.py
+++ b/test/test_front.py
@@ -469,13 +469,7 @@
         await self.fleet.submit("front-a", "j1", 20)
         await self.fleet.all_results("front-a", "j1")
         await self.fleet.ask("front-a", "POST", "/nowhere/x", b"x")
-        port = self.fleet.ports["front-a"][2]
-        answer = await self.fleet.http.request("127.0.0.1", port, "GET", "/metrics")
-        value_by_name = {}
-        for line in answer.body.decode().splitlines():
-            if line.startswith("goldcrestmoor_"):
-                name, _, value = line.removeprefix("goldcrestmoor_").rpartition(" ")
-                value_by_name[name] = float(value)
+        value_by_name = await self.fleet.metrics("front-a")
         for name in (
             'answers_total{kind="unknown",outcome="not_found"}',
             'answers_total{kind="job",outcome="answered"}',
--- a/test/test_reward_calls.py
+++ b/test/test_reward_calls.py
@@ -193,9 +193,14 @@
         for app in self.fleet.apps:
             app.delay_s = 30
         await self.submit(8)
-        await _common.eventually(lambda: len(self.generated()) == 8)
-        await asyncio.sleep(0.3)
-        runner = self.fleet.runner_of("j1")
+        runner = await _common.eventually(lambda: self.fleet.runner_of("j1"))
+
+        async def all_complete():
+            values = await self.fleet.metrics(runner)
+            calls = values["reward_calls_waiting"] + values["reward_calls_in_flight"]
+            return calls == 8
+
+        await _common.eventually(all_complete)
         self.fleet.fronts[runner].terminate()
         for app in self.fleet.apps:
             app.delay_s = 0
@@ -203,6 +208,24 @@
         self.check_scored(await self.fleet.all_results(other, "j1"), 8)
         self.assertEqual(len(self.generated()), 8, "texts were generated again")
 
+    async def test_a_runner_that_stops_amid_texts_leaves_their_events(self):
+        for engine in self.fleet.engines:
+            engine.event_ms = 50
+        await self.submit(8)
+        await _common.eventually(lambda: len(self.generated()) == 8)
+        await asyncio.sleep(0.3)
+        runner = self.fleet.runner_of("j1")
+        self.fleet.fronts[runner].terminate()
+        other = next(n for n in self.fleet.fronts if n != runner)
+        self.check_scored(await self.fleet.all_results(other, "j1"), 8)
+        anew = [
+            headers["request-id"]
+            for engine in self.fleet.engines
+            for _, headers, _ in engine.seen
+            if "model-name" in headers and "last-event-id" not in headers
+        ]
+        self.assertEqual(len(anew), 8, "texts were generated again")
+
     async def test_lost_and_foreign_responses_give_no_score(self):
         lossy, foreign = self.fleet.apps
         lossy.lose = True
