--- a/goldcrestmoor/request/completions.py
+++ b/goldcrestmoor/request/completions.py
@@ -28,7 +28,7 @@
 )
 # The engine was sent nothing, or its weights are outdated and it gave no usable token:
 # going to another one repeats no work, so it costs no retry.
-UNUSED_ERRORS = frozenset({ErrorKind.NO_UPSTREAM, ErrorKind.VERSION_CONFLICT})
+UNCOUNTED_ERRORS = frozenset({ErrorKind.NO_UPSTREAM, ErrorKind.VERSION_CONFLICT})
 REJECTION_ERRORS = frozenset({ErrorKind.NO_UPSTREAM, ErrorKind.OVERLOADED})
 
 
@@ -231,7 +231,7 @@
             raise error_to_report(progress.failures)
         if len(progress.failures) > MAX_FAILURES or deadline.passed():
             raise error_to_report(progress.failures)
-        if error.kind not in UNUSED_ERRORS and not self._budget.try_retry(pool):
+        if error.kind not in UNCOUNTED_ERRORS and not self._budget.try_retry(pool):
             raise error_to_report(progress.failures)
         self._metrics.retries.labels(error.code).inc()
         progress.avoid.add(upstream.name)
--- a/test/test_completions.py
+++ b/test/test_completions.py
@@ -69,12 +69,12 @@
         )
         self.addAsyncCleanup(self.completions.close)
 
-    async def add_engine(self, name, **options):
+    async def add_engine(self, name, zone="zone-a", **options):
         engine, server = standin.make_server(**options)
         await server.start()
         self.addAsyncCleanup(server.close)
         self.engines_by_name[name] = engine
-        self.lease.replace(fakes.upstream(name, port=server.port))
+        self.lease.replace(fakes.upstream(name, zone=zone, port=server.port))
         return engine
 
     def generate(self, max_tokens=20, **options):
@@ -114,14 +114,7 @@
 
     async def test_a_failed_stream_resumes_on_another_engine(self):
         self.engines_by_name["lm-1"].options.cut_after = 8
-        other = await self.add_engine("lm-2", version=2)
-        self.lease.replace(
-            fakes.upstream(
-                "lm-2",
-                zone="zone-b",
-                port=self.lease.configuration.upstreams_by_name["lm-2"].port,
-            )
-        )
+        other = await self.add_engine("lm-2", zone="zone-b", version=2)
         chunks = await self.chunks()
         self.check_complete(chunks)
         segments = [(s.version, s.tokens) for s in merge_by_version(chunks)]
@@ -140,27 +133,13 @@
 
     async def test_an_unresponsive_engine_is_left_long_before_the_deadline(self):
         self.engines_by_name["lm-1"].options.silent_after = 3
-        await self.add_engine("lm-2")
-        self.lease.replace(
-            fakes.upstream(
-                "lm-2",
-                zone="zone-b",
-                port=self.lease.configuration.upstreams_by_name["lm-2"].port,
-            )
-        )
+        await self.add_engine("lm-2", zone="zone-b")
         self.check_complete(await self.chunks())
 
     async def test_an_engine_that_sends_only_comments_is_left_too(self):
         self.engines_by_name["lm-1"].options.silent_after = 3
         self.engines_by_name["lm-1"].options.comment_ms = 50
-        await self.add_engine("lm-2")
-        self.lease.replace(
-            fakes.upstream(
-                "lm-2",
-                zone="zone-b",
-                port=self.lease.configuration.upstreams_by_name["lm-2"].port,
-            )
-        )
+        await self.add_engine("lm-2", zone="zone-b")
         self.check_complete(await self.chunks())
 
     async def test_a_stream_without_an_end_of_stream_marker_is_an_error(self):
@@ -231,21 +210,13 @@
         self.assertEqual(version, 1)
 
     async def test_an_engine_that_leaves_before_the_bytes_costs_no_retry(self):
-        await self.add_engine("lm-2")
-        self.lease.replace(
-            fakes.upstream(
-                "lm-2",
-                zone="zone-b",
-                port=self.lease.configuration.upstreams_by_name["lm-2"].port,
-            )
-        )
+        await self.add_engine("lm-2", zone="zone-b")
         self.completions._budget = RetryBudget(clock=self.clock, percent=0)
         acquire = AdmissionClient.acquire
 
         async def leave_after_grant(*args):
             grant = await acquire(*args)
-            lm_1 = fakes.upstream("lm-1", draining=True)
-            self.lease.replace(lm_1)
+            self.lease.replace(fakes.upstream("lm-1", draining=True))
             return grant
 
         with mock.patch.object(AdmissionClient, "acquire", leave_after_grant):
@@ -263,9 +234,7 @@
 
     async def test_a_full_engine_is_not_reported_as_none_left(self):
         # The host has not read yet that the second engine leaves; its owner has.
-        await self.add_engine("lm-2")
-        port = self.lease.configuration.upstreams_by_name["lm-2"].port
-        self.lease.replace(fakes.upstream("lm-2", zone="zone-b", port=port))
+        await self.add_engine("lm-2", zone="zone-b")
         self.leaving.add("lm-2")
         await self.fill_queue("lm-1")
         error = await self.error()
