Log and count the requests that a server had when it ended

Of a request under which servers ended, the logs showed a broken response and an id that is new with each attempt: neither that a server had ended nor that it was the same request again. A host now tries to connect after a lost response, and where nothing listens it logs the request with a digest of its content and counts it. A connection that opens is kept for the next request. What is sent is unchanged.

--- a/goldcrestmoor/connection/http_client.py
+++ b/goldcrestmoor/connection/http_client.py
@@ -207,6 +207,24 @@
             else:
                 connection.abort()
 
+    async def refuses_connections(self, address, port, timeout_ms):
+        """Return whether nothing listens at an address; False if it can't be told.
+
+        A connection that opens is kept for a later request.
+
+        :param address: the IP address.
+        :param port: the TCP port.
+        :param timeout_ms: how long to wait for the connection, in milliseconds.
+        """
+        endpoint = (address, port)
+        deadline = Deadline.after(self._clock, timeout_ms)
+        try:
+            connection = await self._pool.acquire(endpoint, deadline, True, True)
+        except ServiceError as e:
+            return isinstance(e.__cause__, ConnectionRefusedError)
+        self._pool.release_unused(connection)
+        return False
+
     def has_idle(self, address, port):
         """Return whether an idle connection to an upstream is open.
 
--- a/goldcrestmoor/connection/http_pool.py
+++ b/goldcrestmoor/connection/http_pool.py
@@ -116,6 +116,19 @@
         ):
             connection.abort()
             return
+        self._keep(connection)
+
+    def release_unused(self, connection):
+        """Put a connection that carried no request into the pool.
+
+        :param connection: the :class:`HttpConnection`.
+        """
+        if self._closed or self.idle_count >= MAX_IDLE_CONNECTIONS:
+            connection.abort()
+            return
+        self._keep(connection)
+
+    def _keep(self, connection):
         connection.idle_since_ms = self._clock.now_ms()
         idle = self._idle_by_target.setdefault(connection.target, collections.deque())
         idle.append(connection)
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -27,6 +27,7 @@
     store_connectivity,
     stream_versions,
 )
+from goldcrestmoor.process.crash_reports import CrashReports
 from goldcrestmoor.process.directory import UpstreamDirectory
 from goldcrestmoor.process.duties import Duties
 from goldcrestmoor.process.follower import TableFollower
@@ -97,6 +98,7 @@
         "_host_calls",
         "_limits",
         "_stream_versions",
+        "_crashes",
         "_duties",
         "_orders",
         "_forwarding",
@@ -163,6 +165,7 @@
         self._stream_versions = StreamVersions(
             clock=clock, calls=self._host_calls, host_id=self.settings.host.id
         )
+        self._crashes = CrashReports(clock=clock, http=self._http, metrics=metrics)
         self._limits = UpstreamLimits(
             clock=clock,
             metrics=metrics,
@@ -341,8 +344,12 @@
         FrontRequestHandler(
             clock=self._clock,
             routing=self._routing,
-            forwarder=Forwarder(**self._forwarding),
-            streams=StreamForwarder(versions=self._stream_versions, **self._forwarding),
+            forwarder=Forwarder(crashes=self._crashes, **self._forwarding),
+            streams=StreamForwarder(
+                versions=self._stream_versions,
+                crashes=self._crashes,
+                **self._forwarding,
+            ),
             job_api=self._job_api,
             dialect=caller_dialect,
             metrics=self._metrics,
@@ -524,6 +531,7 @@
         await self._rewards.close()
         await self._orders.close()
         await self._limits.close()
+        await self._crashes.close()
         await self._stream_versions.close()
         await self._tasks.close()
         await self._http.close()
--- a/goldcrestmoor/process/metrics.py
+++ b/goldcrestmoor/process/metrics.py
@@ -60,6 +60,7 @@
         "feed_age_ms",
         "limited_upstreams",
         "limited_requests",
+        "crashed_requests",
     )
 
     def __init__(self):
@@ -172,6 +173,9 @@
         self.limited_requests = self._counter(
             "limited_requests", "Requests to such upstreams by outcome.", "outcome"
         )
+        self.crashed_requests = self._counter(
+            "crashed_requests", "Requests that a server had when it ended."
+        )
 
     def _counter(self, name, text, *labels):
         return Counter(f"goldcrestmoor_{name}", text, labels, registry=self.registry)
--- a/goldcrestmoor/request/forwarding.py
+++ b/goldcrestmoor/request/forwarding.py
@@ -232,7 +232,29 @@
         )
 
 
-class Forwarder(Sender):
+class CallerRequestSender(Sender):
+    """Base class of the forwarders of callers' requests.
+
+    Takes the parameters of :class:`Sender`, and:
+
+    :param crashes: the :class:`~goldcrestmoor.process.crash_reports.CrashReports`.
+    """
+
+    __slots__ = ("_crashes",)
+
+    def __init__(self, *, crashes, **forwarding):
+        super().__init__(**forwarding)
+        self._crashes = crashes
+
+    def _record_lost_response(self, upstream, attempts, sent_ms, error):
+        """Record that an attempt got no response though it may have run."""
+        if error.kind is ErrorKind.UPSTREAM_FAILED:
+            self._crashes.record_failure(
+                upstream, attempts.route, attempts.request, sent_ms
+            )
+
+
+class Forwarder(CallerRequestSender):
     """Forward requests directly from this host to upstreams."""
 
     __slots__ = ()
@@ -264,6 +286,7 @@
         headers = self._dialect.request_headers(
             request.headers, upstream, attempts.deadline.remaining_ms()
         )
+        sent_ms = attempts.deadline.clock.now_ms()
         try:
             with (
                 self._loads.track_request(upstream),
@@ -284,6 +307,7 @@
                 )
         except ServiceError as e:
             attempts.record_error(upstream, e)
+            self._record_lost_response(upstream, attempts, sent_ms, e)
             return FailedAttempt(e.answer.ran, e.message)
         return self._classify(upstream, attempts, response)
 
--- a/goldcrestmoor/request/streaming.py
+++ b/goldcrestmoor/request/streaming.py
@@ -16,7 +16,7 @@
 from goldcrestmoor.request import retry_decision
 from goldcrestmoor.request.apps import AppResponse
 from goldcrestmoor.request.event_stream import EventParser
-from goldcrestmoor.request.forwarding import FailedAttempt, Sender
+from goldcrestmoor.request.forwarding import CallerRequestSender, FailedAttempt
 from goldcrestmoor.version.configuration.routes import RetryPolicy
 
 log = logging.getLogger("goldcrestmoor.streams")
@@ -39,10 +39,10 @@
     events: object
 
 
-class StreamForwarder(Sender):
+class StreamForwarder(CallerRequestSender):
     """Forward requests whose responses are streams.
 
-    Takes the parameters of :class:`Sender`, and:
+    Takes the parameters of ``CallerRequestSender``, and:
 
     :param versions: the
         :class:`~goldcrestmoor.process.stream_versions.StreamVersions`.
@@ -110,6 +110,7 @@
         last_id, has_head, has_events = "", False, False
         while True:
             upstream = await attempts.next_upstream()
+            sent_ms = attempts.deadline.clock.now_ms()
             parser = EventParser(
                 self._dialect.EVENT_FIELDS,
                 attempts.deadline.clock,
@@ -150,6 +151,7 @@
                     self._loads.record_failure(upstream)
             except ServiceError as e:
                 self._record_error(upstream, attempts, e)
+                self._record_lost_response(upstream, attempts, sent_ms, e)
                 outcome = FailedAttempt(e.answer.ran, e.message)
             may_resume = (
                 last_id and attempts.route.retry_policy is RetryPolicy.RESUMABLE
--- a/test/_request_fakes.py
+++ b/test/_request_fakes.py
@@ -9,6 +9,7 @@
 from goldcrestmoor.connection.http_client import HttpClient
 from goldcrestmoor.connection.retry_budget import MAX_SAVED_RETRIES, RetryBudget
 from goldcrestmoor.errors import ErrorKind, ServiceError, from_body, to_body
+from goldcrestmoor.process.crash_reports import CrashReports
 from goldcrestmoor.process.decision_log import DecisionLog
 from goldcrestmoor.process.host_calls import HostCalls
 from goldcrestmoor.process.limit_owners import LimitOwners
@@ -186,6 +187,16 @@
     return _common.make_settings(limits=changes).limits
 
 
+def crash_reports(clock, http, metrics=None):
+    """Return the crash reports of a host.
+
+    :param clock: the clock.
+    :param http: the HTTP client.
+    :param metrics: the metrics; new ones by default.
+    """
+    return CrashReports(clock=clock, http=http, metrics=metrics or Metrics())
+
+
 def upstream_limits(clock, metrics=None, host_id="host-a"):
     """Return the limits that a host alone records and grants.
 
--- a/test/test_streaming.py
+++ b/test/test_streaming.py
@@ -21,7 +21,7 @@
     ServiceShare,
 )
 from test._fleet import ManualClock
-from test._request_fakes import upstream_limits
+from test._request_fakes import crash_reports, upstream_limits
 
 SERVICE = "pool"
 DEADLINE_MS = 1000
@@ -145,6 +145,7 @@
         calls = HostCalls(clock=self.clock, http=None, row_by_host=dict)
         return StreamForwarder(
             versions=StreamVersions(clock=self.clock, calls=calls, host_id="host-4"),
+            crashes=crash_reports(self.clock, http),
             http=http,
             loads=self.loads,
             dialect=DIALECT,
