--- a/test/standins/users_server.py
+++ b/test/standins/users_server.py
@@ -37,6 +37,8 @@
     :ivar leaving: whether every response says that the server is leaving.
     :ivar event_ms: the time from one event of an item to the next.
     :ivar delay_s: how long an application request takes.
+    :ivar crash_bodies: the bodies of requests under which the server ends.
+    :ivar crashed_s: when it ended under one, by the monotonic clock, or None.
     """
 
     def __init__(self, name, service, models=None, events=4, version="v1"):
@@ -60,6 +62,8 @@
         self.seen_s = []
         self.event_ms = EVENT_MS
         self.delay_s = 0
+        self.crash_bodies = set()
+        self.crashed_s = None
         self.echo = None
         self.sequence = 0
         self.accepted = 0
@@ -142,6 +146,10 @@
     async def _run(self, request):
         request_id = request.headers["request-id"]
         self.runs.append(request_id)
+        if request.body in self.crash_bodies:
+            self.crashed_s = time.monotonic()
+            await self.close()
+            raise Drop
         if self.lose:
             raise Drop
         headers = [
