Block requests under which servers crash at all hosts

Cause: a host decides by what one attempt of a caller has met; what the request did to servers before, here or at another host, is nowhere. Ruled out: that hosts remember but don't recognise it under new ids (no line shows that any knew), and that the Retry-After brings it back (the callers return seconds later). The retry within the attempt doubles it.

Now a host that loses a response finds out whether the server still listens. Crashes that follow one another under one content are told to all hosts along a tree, without the store. After the second the host leaves it to the caller to try again, after the third all hosts reject it at once with 503, not run, for a minute; then one host tries it. A server's answer ends the count. The crashes of a blocked request are also in the store, for hosts that start later.

--- a/goldcrestmoor/errors.py
+++ b/goldcrestmoor/errors.py
@@ -33,6 +33,7 @@
     QUEUE_TIMEOUT = "queue_timeout"
     DRAINING = "draining"
     NO_UPSTREAM = "no_upstream"
+    REQUEST_BLOCKED = "request_blocked"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     UPSTREAM_FAILED = "upstream_failed"
     UPSTREAM_TIMEOUT = "upstream_timeout"
@@ -81,6 +82,7 @@
     ErrorKind.QUEUE_TIMEOUT: Answer(503, Ran.NOT_RUN, Retry.LATER, 1000, 5),
     ErrorKind.DRAINING: Answer(503, Ran.NOT_RUN, Retry.LATER, 200, 5),
     ErrorKind.NO_UPSTREAM: Answer(503, Ran.NOT_RUN, Retry.LATER, 2000, 5),
+    ErrorKind.REQUEST_BLOCKED: Answer(503, Ran.NOT_RUN, Retry.LATER, 60_000, 5),
     ErrorKind.UPSTREAM_UNREACHABLE: Answer(502, Ran.NOT_RUN, Retry.LATER, 1000, 6),
     ErrorKind.UPSTREAM_FAILED: Answer(502, Ran.UNKNOWN, Retry.IF_IDEMPOTENT, 500, 6),
     ErrorKind.UPSTREAM_TIMEOUT: Answer(504, Ran.UNKNOWN, Retry.IF_IDEMPOTENT, 500, 6),
--- a/goldcrestmoor/process/broadcast.py
+++ b/goldcrestmoor/process/broadcast.py
@@ -42,13 +42,16 @@
         :param message: a message with a field ``targets``.
         :param targets: the receiving hosts, grouped by zone.
         """
-        for head, *rest in _split(targets):
+        for head, *rest in split_targets(targets):
             copy = msgspec.structs.replace(message, targets=tuple(rest))
             self._links.send(head, copy)
 
 
-def _split(targets):
-    """Yield the targets in at most :data:`FAN_OUT` runs of about equal length."""
+def split_targets(targets):
+    """Yield the targets in at most :data:`FAN_OUT` runs of about equal length.
+
+    :param targets: a sequence of hosts.
+    """
     count = min(FAN_OUT, len(targets))
     start = 0
     for i in range(count):
--- a/goldcrestmoor/process/crash_reports.py
+++ b/goldcrestmoor/process/crash_reports.py
@@ -1,104 +1,362 @@
-"""Finds out whether a server ended while it ran a request."""
+"""The crashes of servers under requests, as all hosts know of them."""
 
-import hashlib
+import asyncio
 import logging
 
 import msgspec
 
-from goldcrestmoor.util import TaskGroup
+from goldcrestmoor import util
+from goldcrestmoor.adapters.table import Write
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.request.crash_history import (
+    CRASHES_TO_BLOCK,
+    CRASHES_TO_END_ATTEMPT,
+    Crash,
+    CrashHistory,
+    next_trial_ms,
+)
+from goldcrestmoor.util import Backoff, TaskGroup, rendezvous_order
 
 log = logging.getLogger("goldcrestmoor.crashes")
 
+CRASH_PATH = "/crashes"
+ANSWER_PATH = "/crashes/answered"
+# The rows of blocked requests, for hosts that start later or missed a report.
+TABLE = "crashes"
 # Some round trips between zones; part of a caller's wait.
 PROBE_TIMEOUT_MS = 100
-DIGEST_BYTES = 16
+# Bounds the memory for requests that were at a server when it crashed.
+MAX_HISTORIES = 4096
+FORGET_INTERVAL_MS = 30_000
+# An outage of the store lasts seconds.
+WRITE_RETRY_MIN_MS = 200
+WRITE_RETRY_MAX_MS = 5_000
 
 
 class Sending(msgspec.Struct, frozen=True):
-    """A request that was sent to a server.
+    """A request that was sent to a server and got no response.
 
     :param request_id: the id of the caller's attempt.
     :param digest: identifies what the caller asked for, whatever the attempt.
     :param sent_ms: when it was sent.
+    :param lost_ms: when its connection was lost.
     """
 
     request_id: str
     digest: str
     sent_ms: float
+    lost_ms: float
+
+
+class ReportedCrash(msgspec.Struct, frozen=True):
+    """A crash under a request, as sent to other hosts.
+
+    :param digest: identifies the request.
+    :param id: identifies the crash.
+    :param ordinal: as in :class:`~goldcrestmoor.request.crash_history.Crash`.
+    """
+
+    digest: str
+    id: str
+    ordinal: int
+
+
+class CrashReport(msgspec.Struct, frozen=True):
+    """Reports the requests that a server had when it crashed.
+
+    :param crashes: the :class:`ReportedCrash` of each.
+    :param targets: the hosts that the receiver forwards it to.
+    """
+
+    crashes: tuple[ReportedCrash, ...]
+    targets: tuple[str, ...] = ()
+
+
+class AnswerReport(msgspec.Struct, frozen=True):
+    """Reports that a server answered a request that had crashes.
+
+    :param digest: identifies the request.
+    :param targets: the hosts that the receiver forwards it to.
+    """
+
+    digest: str
+    targets: tuple[str, ...] = ()
+
+
+class Received(msgspec.Struct, frozen=True):
+    """The reply to a report."""
+
+
+class _StoredCrash(msgspec.Struct, frozen=True):
+    id: str
+    ordinal: int
+    # By the store's clock.
+    known_ms: float
+
+
+crash_decoder = msgspec.json.Decoder(CrashReport)
+answer_decoder = msgspec.json.Decoder(AnswerReport)
+_reply_decoder = msgspec.json.Decoder(Received)
+_row_decoder = msgspec.json.Decoder(list[_StoredCrash])
 
 
 class CrashReports:
-    """Tells servers that ended from connections that broke.
+    """Notices crashes under requests, tells all hosts, and blocks such requests.
 
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param http: the :class:`~goldcrestmoor.connection.http_client.HttpClient`.
+    :param store: the store's client.
+    :param calls: the :class:`~goldcrestmoor.process.host_calls.HostCalls`.
+    :param host_id: this host.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
     """
 
-    __slots__ = ("_clock", "_http", "_metrics", "_sendings_by_upstream", "_tasks")
+    __slots__ = (
+        "_clock",
+        "_http",
+        "_store",
+        "_calls",
+        "_host_id",
+        "_metrics",
+        "_probe_by_upstream",
+        "_sendings_by_upstream",
+        "_history_by_digest",
+        "_stored_digests",
+        "_tasks",
+    )
 
-    def __init__(self, *, clock, http, metrics):
+    def __init__(self, *, clock, http, store, calls, host_id, metrics):
         self._clock = clock
         self._http = http
+        self._store = store
+        self._calls = calls
+        self._host_id = host_id
         self._metrics = metrics
+        self._probe_by_upstream = {}
         self._sendings_by_upstream = {}
+        self._history_by_digest = {}
+        self._stored_digests = set()
         self._tasks = TaskGroup()
+        metrics.blocked_requests.set_function(self._blocked_count)
+
+    def is_empty(self):
+        """Return whether no crash is known, so that no request needs a digest."""
+        return not self._history_by_digest
+
+    def check(self, digest):
+        """Raise if a request is blocked.
 
-    def record_failure(self, upstream, route, request, sent_ms):
+        :param digest: identifies the request.
+        :raises ServiceError: ``REQUEST_BLOCKED``.
+        """
+        history = self._history_by_digest.get(digest)
+        if history is None:
+            return
+        trial_ms = next_trial_ms(history, digest, self._hosts(), self._host_id)
+        if trial_ms is None:
+            return
+        now_ms = self._clock.now_ms()
+        if now_ms < trial_ms:
+            text = f"{history.count()} servers crashed under this request."
+            after_ms = int(trial_ms - now_ms)
+            raise ServiceError(ErrorKind.REQUEST_BLOCKED, text, after_ms)
+        history.trial_ms = now_ms
+        log.info("The request with content %s is sent again, as a trial.", digest)
+
+    def may_send_again(self, digest):
+        """Return whether a host may send a request again within a caller's attempt.
+
+        :param digest: identifies the request.
+        """
+        history = self._history_by_digest.get(digest)
+        return history is None or history.count() < CRASHES_TO_END_ATTEMPT
+
+    async def record_failure(self, upstream, digest, request_id, sent_ms, is_first):
         """Record that a request may have run and its response was lost.
 
         :param upstream: the upstream that it was sent to.
-        :param route: the request's
-            :class:`~goldcrestmoor.version.configuration.routes.Route`.
-        :param request: the :class:`~goldcrestmoor.request.forwarding.CallerRequest`.
+        :param digest: identifies the request.
+        :param request_id: the id of the caller's attempt.
         :param sent_ms: when it was sent.
+        :param is_first: whether it is the attempt's first; the request may be sent
+            again then whether or not the upstream crashed, unless others did before.
         """
-        sending = Sending(request.id, content_digest(route.host, request), sent_ms)
+        now_ms = self._clock.now_ms()
+        sending = Sending(request_id, digest, sent_ms, now_ms)
         key = upstream.name, upstream.started_ms
-        sendings = self._sendings_by_upstream.get(key)
-        if sendings is not None:
-            sendings.append(sending)
+        self._sendings_by_upstream.setdefault(key, []).append(sending)
+        probe = self._probe_by_upstream.get(key)
+        if probe is None:
+            probe = self._tasks.start(self._probe(key, upstream), "probe of a server")
+            self._probe_by_upstream[key] = probe
+        if not is_first or digest in self._history_by_digest:
+            # The probe goes on for others when this caller leaves.
+            await asyncio.shield(probe)
+
+    def record_answer(self, digest):
+        """Record that a server answered a request, which then crashes no servers.
+
+        :param digest: identifies the request.
+        """
+        history = self._history_by_digest.get(digest)
+        if history is None:
             return
-        self._sendings_by_upstream[key] = [sending]
-        self._tasks.start(self._probe(upstream), "probe of a server")
+        count = history.count()
+        self._forget(digest)
+        # Other hosts count on from one crash at most.
+        if count > 1:
+            self._calls.broadcast(
+                ANSWER_PATH, AnswerReport(digest), self._host_id, _reply_decoder
+            )
+
+    def receive_crash(self, report):
+        """Apply a report of another host, and forward it.
+
+        :param report: the :class:`CrashReport`.
+        """
+        now_ms = self._clock.now_ms()
+        for crash in report.crashes:
+            self._add(crash.digest, Crash(crash.id, crash.ordinal, now_ms))
+        self._calls.forward(CRASH_PATH, report, report.targets, _reply_decoder)
+        return Received()
+
+    def receive_answer(self, report):
+        """Apply a report of another host, and forward it.
+
+        :param report: the :class:`AnswerReport`.
+        """
+        self._history_by_digest.pop(report.digest, None)
+        self._calls.forward(ANSWER_PATH, report, report.targets, _reply_decoder)
+        return Received()
+
+    def apply(self, changes):
+        """Apply changes from the feed of blocked requests.
+
+        :param changes: a list of :class:`~goldcrestmoor.adapters.table.Change`.
+        """
+        offset_ms = self._store.now_ms() - self._clock.now_ms()
+        for change in changes:
+            if change.value is None:
+                self._stored_digests.discard(change.key)
+                self._history_by_digest.pop(change.key, None)
+                continue
+            try:
+                stored = _row_decoder.decode(change.value)
+            except msgspec.MsgspecError as e:
+                self._metrics.bad_input.labels("crashes").inc()
+                log.warning("The crashes of request %s are ignored: %s.", change.key, e)
+                continue
+            self._stored_digests.add(change.key)
+            for crash in stored:
+                known_ms = crash.known_ms - offset_ms
+                self._add(change.key, Crash(crash.id, crash.ordinal, known_ms))
+
+    async def run(self):
+        """Forget outdated crashes until cancelled."""
+        while True:
+            await self._clock.sleep_ms(FORGET_INTERVAL_MS)
+            now_ms = self._clock.now_ms()
+            for digest, history in list(self._history_by_digest.items()):
+                if history.is_outdated(now_ms):
+                    self._history_by_digest.pop(digest)
+                    if rendezvous_order(digest, self._hosts())[0] == self._host_id:
+                        self._remove_row(digest)
 
     async def close(self):
-        """Cancel the probes under way."""
+        """Cancel the probes, reports and writes under way."""
         await self._tasks.close()
 
-    async def _probe(self, upstream):
-        """Find out whether an upstream ended under the requests sent to it."""
+    def _hosts(self):
+        return self._calls.zone_by_host() or (self._host_id,)
+
+    def _blocked_count(self):
+        histories = self._history_by_digest.values()
+        return sum(h.count() >= CRASHES_TO_BLOCK for h in histories)
+
+    async def _probe(self, key, upstream):
+        """Find out whether an upstream crashed under the requests sent to it."""
         try:
             has_ended = await self._http.refuses_connections(
                 upstream.address, upstream.port, PROBE_TIMEOUT_MS
             )
         finally:
-            key = upstream.name, upstream.started_ms
+            del self._probe_by_upstream[key]
             sendings = self._sendings_by_upstream.pop(key)
-        if not has_ended:
-            return
-        for sending in sendings:
-            self._metrics.crashed_requests.inc()
-            log.info(
-                "%s of %s ended while it had request %s, content %s, for %d ms.",
-                upstream.name,
-                upstream.service,
-                sending.request_id,
-                sending.digest,
-                self._clock.now_ms() - sending.sent_ms,
+        if has_ended:
+            crashes = tuple(self._record(upstream, sending) for sending in sendings)
+            self._calls.broadcast(
+                CRASH_PATH, CrashReport(crashes), self._host_id, _reply_decoder
             )
 
+    def _record(self, upstream, sending):
+        """Record a crash under a request; return it as other hosts are told."""
+        digest = sending.digest
+        history = self._history_by_digest.get(digest)
+        known = 0 if history is None else history.count(sending.sent_ms)
+        crash = Crash(util.new_id(), known + 1, sending.lost_ms)
+        self._metrics.crashed_requests.inc()
+        log.info(
+            "%s of %s ended while it had request %s, content %s, for %d ms: crash %d "
+            "in a row.",
+            upstream.name,
+            upstream.service,
+            sending.request_id,
+            digest,
+            sending.lost_ms - sending.sent_ms,
+            crash.ordinal,
+        )
+        self._add(digest, crash)
+        if crash.ordinal >= CRASHES_TO_BLOCK:
+            self._tasks.start(self._write_row(digest), "row of a blocked request")
+        return ReportedCrash(digest, crash.id, crash.ordinal)
 
-def content_digest(host, request):
-    """Return what identifies a request however often its caller sends it.
+    def _add(self, digest, crash):
+        history = self._history_by_digest.get(digest)
+        if history is None:
+            history = self._history_by_digest[digest] = CrashHistory()
+            if len(self._history_by_digest) > MAX_HISTORIES:
+                del self._history_by_digest[next(iter(self._history_by_digest))]
+        count = history.count()
+        history.add(crash)
+        if history.count() > count and history.count() >= CRASHES_TO_BLOCK:
+            log.warning(
+                "Servers crashed %d times in a row under the request with content %s; "
+                "it is blocked for %d s.",
+                history.count(),
+                digest,
+                (history.blocked_until_ms() - self._clock.now_ms()) // 1000,
+            )
 
-    :param host: the host of its route.
-    :param request: the :class:`~goldcrestmoor.request.forwarding.CallerRequest`.
-    """
-    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    caller = dict(request.headers).get(b"authorization", b"")
-    parts = (host.encode(), request.method.encode(), request.target.encode(), caller)
-    for part in (*parts, request.body):
-        digest.update(len(part).to_bytes(8))
-        digest.update(part)
-    return digest.hexdigest()
+    def _forget(self, digest):
+        del self._history_by_digest[digest]
+        log.info("A server answered the request with content %s.", digest)
+        self._remove_row(digest)
+
+    def _remove_row(self, digest):
+        if digest in self._stored_digests:
+            self._stored_digests.discard(digest)
+            self._tasks.start(self._write(digest, None), "row of a request")
+
+    async def _write_row(self, digest):
+        """Store the crashes of a blocked request, as long as it is blocked."""
+        backoff = Backoff(WRITE_RETRY_MIN_MS, WRITE_RETRY_MAX_MS)
+        while digest in self._history_by_digest:
+            store_ms = self._store.now_ms()
+            if store_ms is not None:
+                offset_ms = store_ms - self._clock.now_ms()
+                stored = [
+                    _StoredCrash(crash.id, crash.ordinal, crash.known_ms + offset_ms)
+                    for crash in self._history_by_digest[digest].crashes
+                ]
+                if await self._write(digest, msgspec.json.encode(stored)):
+                    return
+            await self._clock.sleep_ms(backoff.next_ms())
+
+    async def _write(self, digest, value):
+        """Write or remove a row; return whether that certainly succeeded."""
+        try:
+            await self._store.transact([], [Write(TABLE, digest, value)])
+        except ServiceError as e:
+            log.info("The row of request content %s was not written: %s", digest, e)
+            return False
+        return True
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -22,6 +22,7 @@
 from goldcrestmoor.platform import callers as caller_dialect, records, servers
 from goldcrestmoor.platform.store import StoreClient
 from goldcrestmoor.process import (
+    crash_reports,
     lease_rows,
     limit_owners,
     store_connectivity,
@@ -68,6 +69,9 @@
 # A lease is renewed every half second; this pause does not delay the detection of an
 # expired one.
 LEASE_FEED_PAUSE_MS = 200
+# Other hosts are told of crashes directly; the feed serves those that missed it.
+CRASH_FEED_PAUSE_MS = 2000
+CRASH_FEED_OUTAGE_MS = 4000
 # Less than a runner's lease with its margin; a slow store may take a second to answer,
 # and a dead runner must still be replaced.
 LEASE_FEED_OUTAGE_MS = 2000
@@ -165,7 +169,14 @@
         self._stream_versions = StreamVersions(
             clock=clock, calls=self._host_calls, host_id=self.settings.host.id
         )
-        self._crashes = CrashReports(clock=clock, http=self._http, metrics=metrics)
+        self._crashes = CrashReports(
+            clock=clock,
+            http=self._http,
+            store=self._store,
+            calls=self._host_calls,
+            host_id=self.settings.host.id,
+            metrics=metrics,
+        )
         self._limits = UpstreamLimits(
             clock=clock,
             metrics=metrics,
@@ -250,6 +261,12 @@
                 pause_ms=LEASE_FEED_PAUSE_MS,
                 outage_ms=LEASE_FEED_OUTAGE_MS,
             ),
+            crash_reports.TABLE: self._follow(
+                crash_reports.TABLE,
+                self._crashes.apply,
+                pause_ms=CRASH_FEED_PAUSE_MS,
+                outage_ms=CRASH_FEED_OUTAGE_MS,
+            ),
             STATE_TABLE: self._follow(
                 STATE_TABLE,
                 self._supervisor.apply,
@@ -380,6 +397,22 @@
                 request, stream_versions.record_decoder, self._stream_versions.reply
             )
 
+        async def receive_crash(request: Request) -> Response:
+            return await self._reply(
+                request, crash_reports.crash_decoder, self._crashes.receive_crash
+            )
+
+        async def receive_answer(request: Request) -> Response:
+            return await self._reply(
+                request, crash_reports.answer_decoder, self._crashes.receive_answer
+            )
+
+        readiness_server.application.router.add_post(
+            crash_reports.CRASH_PATH, receive_crash
+        )
+        readiness_server.application.router.add_post(
+            crash_reports.ANSWER_PATH, receive_answer
+        )
         readiness_server.application.router.add_post(limit_owners.PATH, grant)
         readiness_server.application.router.add_post(stream_versions.PATH, reply_stream)
         for method in STORE_METHODS:
@@ -467,6 +500,7 @@
             "board": self._supervisor,
             "orders": self._orders,
             "reach": self._connectivity,
+            "crashes": self._crashes,
         }
         for name, part in part_by_name.items():
             self._tasks.start(util.keep_running(name, part.run, self._clock), name)
@@ -532,6 +566,7 @@
         await self._orders.close()
         await self._limits.close()
         await self._crashes.close()
+        await self._host_calls.close()
         await self._stream_versions.close()
         await self._tasks.close()
         await self._http.close()
--- a/goldcrestmoor/process/host_calls.py
+++ b/goldcrestmoor/process/host_calls.py
@@ -5,6 +5,8 @@
 import msgspec
 
 from goldcrestmoor.errors import ServiceError
+from goldcrestmoor.process.broadcast import split_targets
+from goldcrestmoor.util import TaskGroup
 
 log = logging.getLogger("goldcrestmoor.hosts")
 
@@ -16,7 +18,7 @@
 
 
 class HostCalls:
-    """Sends messages to other hosts and returns their replies.
+    """Sends messages to one or all other hosts.
 
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param http: the :class:`~goldcrestmoor.connection.http_client.HttpClient`.
@@ -24,13 +26,14 @@
         :class:`~goldcrestmoor.process.store_connectivity.HostRow` of each host.
     """
 
-    __slots__ = ("_clock", "_http", "_row_by_host", "_failed_ms_by_host")
+    __slots__ = ("_clock", "_http", "_row_by_host", "_failed_ms_by_host", "_tasks")
 
     def __init__(self, *, clock, http, row_by_host):
         self._clock = clock
         self._http = http
         self._row_by_host = row_by_host
         self._failed_ms_by_host = {}
+        self._tasks = TaskGroup()
 
     def zone_by_host(self):
         """Return the availability zone of each registered host."""
@@ -74,6 +77,42 @@
         )
         return None
 
+    def broadcast(self, path, message, host_id, decoder):
+        """Send a message to all other hosts, which forward it along a tree.
+
+        It needs no store, but hosts that are cut off miss it; they need a second source
+        of the same information.
+
+        :param path: the path that the message is sent to.
+        :param message: the message, a struct with the field ``targets``.
+        :param host_id: this host.
+        :param decoder: the decoder of the replies.
+        """
+        zones = self.zone_by_host()
+        others = sorted((zone, host) for host, zone in zones.items() if host != host_id)
+        self.forward(path, message, [host for _, host in others], decoder)
+
+    def forward(self, path, message, targets, decoder):
+        """Forward a broadcast message to its targets.
+
+        The parameters are those of :meth:`broadcast`, and:
+
+        :param targets: the receiving hosts, grouped by zone.
+        """
+        for head, *rest in split_targets(targets):
+            self._tasks.start(
+                self._send_subtree(head, rest, path, message, decoder), "broadcast"
+            )
+
+    async def close(self):
+        """Cancel the broadcasts under way."""
+        await self._tasks.close()
+
+    async def _send_subtree(self, head, rest, path, message, decoder):
+        copy = msgspec.structs.replace(message, targets=tuple(rest))
+        if await self.call(head, path, copy, decoder) is None:
+            self.forward(path, message, rest, decoder)
+
     def _is_reachable(self, host):
         failed_ms = self._failed_ms_by_host.get(host)
         if failed_ms is None:
--- a/goldcrestmoor/process/metrics.py
+++ b/goldcrestmoor/process/metrics.py
@@ -61,6 +61,7 @@
         "limited_upstreams",
         "limited_requests",
         "crashed_requests",
+        "blocked_requests",
     )
 
     def __init__(self):
@@ -176,6 +177,9 @@
         self.crashed_requests = self._counter(
             "crashed_requests", "Requests that a server had when it ended."
         )
+        self.blocked_requests = self._gauge(
+            "blocked_requests", "Requests that are blocked as servers crash under them."
+        )
 
     def _counter(self, name, text, *labels):
         return Counter(f"goldcrestmoor_{name}", text, labels, registry=self.registry)
--- a/goldcrestmoor/request/forwarding.py
+++ b/goldcrestmoor/request/forwarding.py
@@ -1,5 +1,6 @@
 """Forwarding of a request to the upstreams of its route, with a complete response."""
 
+import hashlib
 import logging
 
 import msgspec
@@ -16,6 +17,7 @@
 SERVER_ERROR = 500
 # Several round trips between zones; also bounds the time lost on a partitioned server.
 CONNECT_TIMEOUT_MS = 150
+DIGEST_BYTES = 16
 
 
 class CallerRequest(msgspec.Struct, frozen=True):
@@ -37,6 +39,19 @@
     body: bytes
     resumed_id: str | None = None
 
+    def content_digest(self, host):
+        """Return what identifies the request however often its caller sends it.
+
+        :param host: the host of its route.
+        """
+        caller = dict(self.headers).get(b"authorization", b"")
+        parts = host.encode(), self.method.encode(), self.target.encode(), caller
+        digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        for part in (*parts, self.body):
+            digest.update(len(part).to_bytes(8, "big"))
+            digest.update(part)
+        return digest.hexdigest()
+
 
 class FailedAttempt(msgspec.Struct, frozen=True):
     """The outcome of an attempt that gave no response to forward.
@@ -57,6 +72,7 @@
     :param deadline: the time by which the response must be complete.
     :param loads: the :class:`~goldcrestmoor.request.upstream_loads.UpstreamLoads`.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
+    :param crashes: the :class:`~goldcrestmoor.process.crash_reports.CrashReports`.
     :ivar service: the service that the request goes to.
     :ivar software_version: the only software version that may serve it, if any.
     """
@@ -69,18 +85,24 @@
         "software_version",
         "_loads",
         "_metrics",
+        "_crashes",
+        "_digest",
+        "_lost_responses",
         "_sent_to",
         "_possible_runs",
         "_ran",
         "_total_ms",
     )
 
-    def __init__(self, *, request, route, deadline, loads, metrics):
+    def __init__(self, *, request, route, deadline, loads, metrics, crashes):
         self.request = request
         self.route = route
         self.deadline = deadline
         self._loads = loads
         self._metrics = metrics
+        self._crashes = crashes
+        self._digest = None
+        self._lost_responses = 0
         self.service = route.service_for(request.resumed_id or request.id)
         self.software_version = None
         self._sent_to = []
@@ -93,8 +115,10 @@
 
         :raises ServiceError: ``NO_UPSTREAM`` when the service has no upstream left,
             ``OVERLOADED`` when its upstreams admit no more requests,
+            ``REQUEST_BLOCKED`` when servers crashed under it too often,
             ``UPSTREAM_FAILED`` when an earlier attempt may have been run.
         """
+        self._check_crashes()
         upstream = await self._loads.admit_one(
             self.service, self._sent_to, self.software_version
         )
@@ -103,6 +127,21 @@
         self._sent_to.append(upstream.name)
         return upstream
 
+    def _check_crashes(self):
+        if self._crashes.is_empty():
+            return
+        try:
+            self._crashes.check(self._content_digest())
+        except ServiceError as e:
+            if self._ran is Ran.NOT_RUN:
+                raise
+            raise ServiceError(ErrorKind.UPSTREAM_FAILED, e.message) from e
+
+    def _content_digest(self):
+        if self._digest is None:
+            self._digest = self.request.content_digest(self.route.host)
+        return self._digest
+
     def _unavailable(self):
         if self._ran is not Ran.NOT_RUN:
             text = f"No other server of {self.service} is available."
@@ -142,6 +181,8 @@
             self.route.attempts,
             self.deadline.remaining_ms(),
             self._has_alternative(),
+            self._lost_responses > 0
+            and not self._crashes.may_send_again(self._content_digest()),
         )
         log.info(
             "Request %s on route %s at %s, %d of %d ms left: %s; %s.",
@@ -172,6 +213,29 @@
         else:
             self._loads.record_failure(upstream)
 
+    async def record_lost_response(self, upstream, sent_ms, error):
+        """Record that a request that may have run got no response.
+
+        :param upstream: the upstream.
+        :param sent_ms: when it was sent.
+        :param error: the :class:`~goldcrestmoor.errors.ServiceError`.
+        """
+        if error.kind is not ErrorKind.UPSTREAM_FAILED:
+            return
+        self._lost_responses += 1
+        await self._crashes.record_failure(
+            upstream,
+            self._content_digest(),
+            self.request.id,
+            sent_ms,
+            self._lost_responses == 1,
+        )
+
+    def record_run(self):
+        """Record that an upstream ran the request and didn't crash."""
+        if not self._crashes.is_empty():
+            self._crashes.record_answer(self._content_digest())
+
     def record_response(self, status):
         """Log the response that is forwarded.
 
@@ -221,16 +285,6 @@
         limit = self._dialect.stated_limit(status, headers)
         self._loads.record_limit(upstream, limit)
 
-    def _new_attempts(self, request, route, deadline):
-        """Return the attempts of a request that has not been sent yet."""
-        return RequestAttempts(
-            request=request,
-            route=route,
-            deadline=deadline,
-            loads=self._loads,
-            metrics=self._metrics,
-        )
-
 
 class CallerRequestSender(Sender):
     """Base class of the forwarders of callers' requests.
@@ -246,12 +300,16 @@
         super().__init__(**forwarding)
         self._crashes = crashes
 
-    def _record_lost_response(self, upstream, attempts, sent_ms, error):
-        """Record that an attempt got no response though it may have run."""
-        if error.kind is ErrorKind.UPSTREAM_FAILED:
-            self._crashes.record_failure(
-                upstream, attempts.route, attempts.request, sent_ms
-            )
+    def _new_attempts(self, request, route, deadline):
+        """Return the attempts of a request that has not been sent yet."""
+        return RequestAttempts(
+            request=request,
+            route=route,
+            deadline=deadline,
+            loads=self._loads,
+            metrics=self._metrics,
+            crashes=self._crashes,
+        )
 
 
 class Forwarder(CallerRequestSender):
@@ -307,7 +365,7 @@
                 )
         except ServiceError as e:
             attempts.record_error(upstream, e)
-            self._record_lost_response(upstream, attempts, sent_ms, e)
+            await attempts.record_lost_response(upstream, sent_ms, e)
             return FailedAttempt(e.answer.ran, e.message)
         return self._classify(upstream, attempts, response)
 
@@ -320,6 +378,7 @@
             self._loads.record_failure(upstream)
             return FailedAttempt(Ran.UNKNOWN, "The response is spoilt or another's")
         self._loads.record_response(upstream, attempts.route.name)
+        attempts.record_run()
         if (
             status == SERVER_ERROR
             and attempts.route.retry_policy is RetryPolicy.IDEMPOTENT
--- a/goldcrestmoor/request/retry_decision.py
+++ b/goldcrestmoor/request/retry_decision.py
@@ -39,7 +39,15 @@
     retry_after_ms: int
 
 
-def decide_retry(ran, retry_policy, runs, attempts, remaining_ms, has_alternative):
+def decide_retry(
+    ran,
+    retry_policy,
+    runs,
+    attempts,
+    remaining_ms,
+    has_alternative,
+    crashes_servers=False,
+):
     """Decide what follows an attempt that gave no response to forward.
 
     :param ran: the :class:`~goldcrestmoor.errors.Ran` of all attempts so far: whether
@@ -49,9 +57,12 @@
     :param attempts: how many upstreams may run the request.
     :param remaining_ms: the time left, in milliseconds.
     :param has_alternative: whether there is an upstream that was not tried yet.
+    :param crashes_servers: whether it must not be sent again as servers crashed under
+        it.
     :return: :class:`SendAgain` or :class:`GiveUp`.
     """
     may_retry = retry_policy is not RetryPolicy.NEVER or ran is Ran.NOT_RUN
+    may_retry = may_retry and not crashes_servers
     if (
         may_retry
         and has_alternative
--- a/goldcrestmoor/request/streaming.py
+++ b/goldcrestmoor/request/streaming.py
@@ -122,6 +122,7 @@
                         upstream, attempts, response, has_head
                     )
                     if isinstance(outcome, AppResponse):
+                        attempts.record_run()
                         yield outcome
                         return
                     if outcome is None:
@@ -143,15 +144,15 @@
                                 raise error
                         if not parser.has_partial_event:
                             self._loads.record_response(upstream, attempts.route.name)
+                            attempts.record_run()
                             return
-                        outcome = FailedAttempt(
-                            Ran.UNKNOWN, "The stream ended within an event"
-                        )
+                        text = "The stream ended within an event"
+                        raise ServiceError(ErrorKind.UPSTREAM_FAILED, text)
                 if outcome.ran is not Ran.NOT_RUN:
                     self._loads.record_failure(upstream)
             except ServiceError as e:
                 self._record_error(upstream, attempts, e)
-                self._record_lost_response(upstream, attempts, sent_ms, e)
+                await attempts.record_lost_response(upstream, sent_ms, e)
                 outcome = FailedAttempt(e.answer.ran, e.message)
             may_resume = (
                 last_id and attempts.route.retry_policy is RetryPolicy.RESUMABLE
--- a/test/_request_fakes.py
+++ b/test/_request_fakes.py
@@ -194,7 +194,14 @@
     :param http: the HTTP client.
     :param metrics: the metrics; new ones by default.
     """
-    return CrashReports(clock=clock, http=http, metrics=metrics or Metrics())
+    return CrashReports(
+        clock=clock,
+        http=http,
+        store=None,
+        calls=HostCalls(clock=clock, http=http, row_by_host=dict),
+        host_id="host-a",
+        metrics=metrics or Metrics(),
+    )
 
 
 def upstream_limits(clock, metrics=None, host_id="host-a"):
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -7,8 +7,32 @@
 import asyncio
 import time
 import unittest
+from types import SimpleNamespace
+from unittest import mock
 
+import msgspec
+
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.process import crash_reports
+from goldcrestmoor.process.crash_reports import CrashReports
+from goldcrestmoor.process.host_calls import HostCalls
+from goldcrestmoor.process.metrics import Metrics
+from goldcrestmoor.process.store_connectivity import HostRow
+from goldcrestmoor.request import retry_decision
+from goldcrestmoor.request.crash_history import (
+    BLOCK_FACTOR,
+    BLOCK_MS,
+    CRASHES_TO_BLOCK,
+    FORGET_MS,
+    Crash,
+    CrashHistory,
+    next_trial_ms,
+)
+from goldcrestmoor.request.forwarding import CallerRequest
+from goldcrestmoor.request.retry_decision import GiveUp, SendAgain
+from goldcrestmoor.version.configuration.routes import RetryPolicy
 from test import _common
+from test._fleet import ManualClock
 from test._front import FETCH_PATH, FrontFleet
 from test.standins.users_server import UsersServer
 
@@ -16,6 +40,203 @@
 REPEATED = b"the same for all callers"
 
 
+class HistoryTest(unittest.TestCase):
+    """What a host concludes from the crashes that it knows of."""
+
+    HOSTS = ("host-a", "host-b", "host-c")
+
+    def history(self, *ordinals):
+        history = CrashHistory()
+        for n, ordinal in enumerate(ordinals):
+            history.add(Crash(f"crash-{n}", ordinal, 100 * n))
+        return history
+
+    def trials_ms(self, history):
+        return sorted(
+            next_trial_ms(history, "digest", self.HOSTS, host) for host in self.HOSTS
+        )
+
+    def test_three_crashes_in_a_row_block_a_request(self):
+        self.assertIsNone(self.history(1, 2).blocked_until_ms())
+        self.assertEqual(self.history(1, 2, 3).blocked_until_ms(), 200 + BLOCK_MS)
+
+    def test_servers_that_crash_at_once_block_no_request_that_all_of_them_had(self):
+        self.assertIsNone(self.history(1, 1, 1, 1).blocked_until_ms())
+
+    def test_a_crash_is_counted_once(self):
+        history = self.history(1, 2)
+        self.assertFalse(history.add(Crash("crash-1", 2, 900)))
+        self.assertEqual(history.count(), 2)
+
+    def test_one_host_after_another_tries_a_blocked_request(self):
+        history = self.history(1, 2, 3)
+        first_ms = history.blocked_until_ms()
+        self.assertEqual(
+            self.trials_ms(history), [first_ms + n * BLOCK_MS for n in range(3)]
+        )
+        history.trial_ms = first_ms
+        self.assertEqual(self.trials_ms(history)[0], first_ms + BLOCK_MS)
+
+    def test_a_trial_that_crashes_a_server_blocks_the_request_for_longer(self):
+        history = self.history(1, 2, 3)
+        history.add(Crash("trial", 4, BLOCK_MS))
+        until_ms = BLOCK_MS + BLOCK_FACTOR * BLOCK_MS
+        self.assertEqual(history.blocked_until_ms(), until_ms)
+
+    def test_crashes_are_forgotten_after_the_block(self):
+        history = self.history(1, 2, 3)
+        until_ms = history.blocked_until_ms() + FORGET_MS
+        self.assertFalse(history.is_outdated(until_ms - 1))
+        self.assertTrue(history.is_outdated(until_ms))
+
+    def test_a_host_sends_a_request_that_crashed_two_servers_no_further(self):
+        for crashes_servers, expected in ((False, SendAgain), (True, GiveUp)):
+            decision = retry_decision.decide_retry(
+                retry_decision.Ran.UNKNOWN,
+                RetryPolicy.IDEMPOTENT,
+                2,
+                4,
+                1000,
+                True,
+                crashes_servers,
+            )
+            self.assertIsInstance(decision, expected)
+
+    def test_the_digest_is_the_same_for_each_attempt_of_a_caller(self):
+        def digest(host="h", request_id="r1", **fields):
+            parts = {"method": "POST", "target": "/x?q=1", "body": b"b"} | fields
+            request = CallerRequest(
+                request_id,
+                parts["method"],
+                parts["target"],
+                ((b"request-id", request_id.encode()), *parts.get("headers", ())),
+                parts["body"],
+            )
+            return request.content_digest(host)
+
+        self.assertEqual(digest(), digest(request_id="r2"))
+        others = (
+            digest(host="i"),
+            digest(method="GET"),
+            digest(target="/x?q=2"),
+            digest(body=b"c"),
+            digest(headers=((b"authorization", b"a"),)),
+        )
+        self.assertEqual(len({digest(), *others}), 1 + len(others))
+
+
+class FakeHosts:
+    """The hosts of a fleet before one service, without the store."""
+
+    def __init__(self, names, clock):
+        self.clock = clock
+        self.down = set()
+        self.ended = {"s1"}
+        self.reports_by_host = {}
+        rows = {name: HostRow("a", name, 1) for name in names}
+        for name in names:
+            self.reports_by_host[name] = CrashReports(
+                clock=clock,
+                http=self,
+                store=self,
+                calls=HostCalls(clock=clock, http=self, row_by_host=lambda: rows),
+                host_id=name,
+                metrics=Metrics(),
+            )
+
+    def now_ms(self):
+        return None
+
+    async def refuses_connections(self, address, port, timeout_ms):
+        return address in self.ended
+
+    async def request(self, address, port, method, target, body, **options):
+        if address in self.down:
+            raise ServiceError(ErrorKind.UPSTREAM_UNREACHABLE, "It is down.")
+        reports = self.reports_by_host[address]
+        if target == crash_reports.CRASH_PATH:
+            reply = reports.receive_crash(crash_reports.crash_decoder.decode(body))
+        else:
+            reply = reports.receive_answer(crash_reports.answer_decoder.decode(body))
+        return SimpleNamespace(status=200, body=msgspec.json.encode(reply))
+
+
+class ReportsTest(unittest.IsolatedAsyncioTestCase):
+    """What hosts tell each other, here twenty of them, more than one hop reaches."""
+
+    def setUp(self):
+        self.enterContext(mock.patch.object(crash_reports, "log"))
+        self.clock = ManualClock()
+        self.names = [f"host-{n:02}" for n in range(20)]
+        self.hosts = FakeHosts(self.names, self.clock)
+
+    async def crash(self, name, digest="d", server="s1"):
+        """Lose the response of a request that a host has sent just now."""
+        sent_ms = self.clock.now_ms()
+        self.clock._now_ms += 50
+        upstream = SimpleNamespace(
+            name=server, service="app", started_ms=1, address=server, port=1
+        )
+        reports = self.hosts.reports_by_host[name]
+        await reports.record_failure(upstream, digest, "r", sent_ms, is_first=False)
+        await self.settle()
+
+    async def settle(self):
+        for _ in range(30):
+            await asyncio.sleep(0)
+
+    def blocking(self, digest="d"):
+        """Return the hosts that block a request."""
+        names = []
+        for name, reports in self.hosts.reports_by_host.items():
+            try:
+                reports.check(digest)
+            except ServiceError as e:
+                self.assertEqual(e.kind, ErrorKind.REQUEST_BLOCKED)
+                self.assertGreaterEqual(e.retry_after_ms, BLOCK_MS - 1000)
+                names.append(name)
+        return names
+
+    async def test_crashes_at_several_hosts_block_a_request_at_all(self):
+        for name in self.names[:CRASHES_TO_BLOCK]:
+            self.assertEqual(self.blocking(), [])
+            await self.crash(name)
+        self.assertEqual(self.blocking(), self.names)
+        self.assertEqual(self.blocking("other"), [])
+
+    async def test_a_host_that_forwards_nothing_is_passed_over(self):
+        self.hosts.down = {self.names[1]}
+        for _ in range(CRASHES_TO_BLOCK):
+            await self.crash(self.names[0])
+        reached = [name for name in self.names if name not in self.hosts.down]
+        self.assertEqual([n for n in self.blocking() if n in reached], reached)
+
+    async def test_a_broken_connection_to_a_server_that_listens_is_no_crash(self):
+        for _ in range(CRASHES_TO_BLOCK):
+            await self.crash(self.names[0], server="s2")
+        self.assertEqual(self.blocking(), [])
+
+    async def test_a_request_that_a_server_answers_is_not_blocked(self):
+        for name in self.names[: CRASHES_TO_BLOCK - 1]:
+            await self.crash(name)
+        self.hosts.reports_by_host[self.names[5]].record_answer("d")
+        await self.settle()
+        for name in self.names[: CRASHES_TO_BLOCK - 1]:
+            await self.crash(name)
+        self.assertEqual(self.blocking(), [])
+
+    async def test_a_trial_that_is_answered_ends_the_block_at_all_hosts(self):
+        for name in self.names[:CRASHES_TO_BLOCK]:
+            await self.crash(name)
+        self.clock._now_ms += BLOCK_MS
+        blocking = self.blocking()
+        self.assertEqual(len(blocking), len(self.names) - 1)
+        (trial,) = set(self.names) - set(blocking)
+        self.hosts.reports_by_host[trial].record_answer("d")
+        await self.settle()
+        self.assertEqual(self.blocking(), [])
+
+
 class FleetTest(unittest.IsolatedAsyncioTestCase):
     """Daemons before servers that start again after each crash."""
 
--- a/test/test_upstream_limits.py
+++ b/test/test_upstream_limits.py
@@ -40,7 +40,7 @@
 from test import _common
 from test._fleet import ManualClock
 from test._front import FETCH_PATH, FrontFleet
-from test._request_fakes import upstream_limits
+from test._request_fakes import crash_reports, upstream_limits
 
 
 def server(name="s1", started_ms=1, zone="a"):
@@ -296,6 +296,7 @@
             deadline=Deadline.after(ManualClock(), 2000),
             loads=loads,
             metrics=Metrics(),
+            crashes=crash_reports(ManualClock(), None),
         )
 
     async def error_after(self, ran):
