Log which servers a host can't reach, and how many others do

Where a host rejects a request as it reaches no server, nothing tells whether the servers are gone or this host alone lost them. A host that can't connect to a server now asks a few others, whose replies come from a recent answer or a connection that they open, and logs the result. What is sent to servers for callers is unchanged.

--- a/goldcrestmoor/connection/http_client.py
+++ b/goldcrestmoor/connection/http_client.py
@@ -225,6 +225,19 @@
         self._pool.release_unused(connection)
         return False
 
+    async def opens_connection(self, address, port, timeout_ms):
+        """Return whether a new connection opens; it is kept for a later request.
+
+        The parameters are those of :meth:`refuses_connections`.
+        """
+        deadline = Deadline.after(self._clock, timeout_ms)
+        try:
+            connection = await self._pool.acquire((address, port), deadline, True, True)
+        except ServiceError:
+            return False
+        self._pool.release_unused(connection)
+        return True
+
     def has_idle(self, address, port):
         """Return whether an idle connection to an upstream is open.
 
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -1,6 +1,7 @@
 """The daemon on the users' platform: its components, their start and stop."""
 
 import asyncio
+import inspect
 import logging
 import signal
 
@@ -25,6 +26,7 @@
     crash_reports,
     lease_rows,
     limit_owners,
+    server_paths,
     store_connectivity,
     stream_versions,
 )
@@ -39,6 +41,7 @@
 from goldcrestmoor.process.limit_owners import LimitOwners
 from goldcrestmoor.process.metrics import Metrics
 from goldcrestmoor.process.routing import Routing
+from goldcrestmoor.process.server_paths import ServerPaths
 from goldcrestmoor.process.shutdown import InFlight
 from goldcrestmoor.process.store_connectivity import HostRow, StoreConnectivity
 from goldcrestmoor.process.stream_versions import StreamVersions
@@ -103,6 +106,7 @@
         "_limits",
         "_stream_versions",
         "_crashes",
+        "_paths",
         "_duties",
         "_orders",
         "_forwarding",
@@ -177,6 +181,14 @@
             host_id=self.settings.host.id,
             metrics=metrics,
         )
+        self._paths = ServerPaths(
+            clock=clock,
+            http=self._http,
+            directory=self._directory,
+            calls=self._host_calls,
+            host_id=self.settings.host.id,
+            metrics=metrics,
+        )
         self._limits = UpstreamLimits(
             clock=clock,
             metrics=metrics,
@@ -358,15 +370,16 @@
                 is_closing=lambda: self._is_leaving,
             ),
         )
+        sending = {
+            "crashes": self._crashes,
+            "paths": self._paths,
+            **self._forwarding,
+        }
         FrontRequestHandler(
             clock=self._clock,
             routing=self._routing,
-            forwarder=Forwarder(crashes=self._crashes, **self._forwarding),
-            streams=StreamForwarder(
-                versions=self._stream_versions,
-                crashes=self._crashes,
-                **self._forwarding,
-            ),
+            forwarder=Forwarder(**sending),
+            streams=StreamForwarder(versions=self._stream_versions, **sending),
             job_api=self._job_api,
             dialect=caller_dialect,
             metrics=self._metrics,
@@ -407,6 +420,14 @@
                 request, crash_reports.answer_decoder, self._crashes.receive_answer
             )
 
+        async def reply_reach(request: Request) -> Response:
+            return await self._reply(
+                request, server_paths.question_decoder, self._paths.reply
+            )
+
+        readiness_server.application.router.add_post(
+            server_paths.REACH_PATH, reply_reach
+        )
         readiness_server.application.router.add_post(
             crash_reports.CRASH_PATH, receive_crash
         )
@@ -453,7 +474,7 @@
         """Reply to another host's message.
 
         :param decoder: the message's decoder.
-        :param reply: returns the reply to a message.
+        :param reply: returns the reply to a message, or a coroutine that does.
         """
         try:
             message = decoder.decode(await request.read() or b"")
@@ -461,7 +482,10 @@
             self._metrics.bad_input.labels("hosts").inc()
             log.warning("A message of another host is malformed: %s", e)
             return Response(400)
-        body = msgspec.json.encode(reply(message))
+        answer = reply(message)
+        if inspect.isawaitable(answer):
+            answer = await answer
+        body = msgspec.json.encode(answer)
         return Response(200, None, Content(b"application/json", body))
 
     def _is_ready(self):
@@ -566,6 +590,7 @@
         await self._orders.close()
         await self._limits.close()
         await self._crashes.close()
+        await self._paths.close()
         await self._host_calls.close()
         await self._stream_versions.close()
         await self._tasks.close()
--- a/goldcrestmoor/process/metrics.py
+++ b/goldcrestmoor/process/metrics.py
@@ -62,6 +62,7 @@
         "limited_requests",
         "crashed_requests",
         "blocked_requests",
+        "unreachable_upstreams",
     )
 
     def __init__(self):
@@ -177,6 +178,9 @@
         self.crashed_requests = self._counter(
             "crashed_requests", "Requests that a server had when it ended."
         )
+        self.unreachable_upstreams = self._gauge(
+            "unreachable_upstreams", "Upstreams that this host can't connect to."
+        )
         self.blocked_requests = self._gauge(
             "blocked_requests", "Requests that are blocked as servers crash under them."
         )
--- a/goldcrestmoor/request/forwarding.py
+++ b/goldcrestmoor/request/forwarding.py
@@ -292,13 +292,15 @@
     Takes the parameters of :class:`Sender`, and:
 
     :param crashes: the :class:`~goldcrestmoor.process.crash_reports.CrashReports`.
+    :param paths: the :class:`~goldcrestmoor.process.server_paths.ServerPaths`.
     """
 
-    __slots__ = ("_crashes",)
+    __slots__ = ("_crashes", "_paths")
 
-    def __init__(self, *, crashes, **forwarding):
+    def __init__(self, *, crashes, paths, **forwarding):
         super().__init__(**forwarding)
         self._crashes = crashes
+        self._paths = paths
 
     def _new_attempts(self, request, route, deadline):
         """Return the attempts of a request that has not been sent yet."""
@@ -350,9 +352,8 @@
                 self._loads.track_request(upstream),
                 tracing.span("forward", upstream=upstream.name),
             ):
-                response = await self._http.request(
-                    upstream.address,
-                    upstream.port,
+                response = await self._paths.request(
+                    upstream,
                     request.method,
                     request.target,
                     headers,
--- a/goldcrestmoor/request/streaming.py
+++ b/goldcrestmoor/request/streaming.py
@@ -181,9 +181,8 @@
             resume = self._dialect.resume_header(last_id)
             headers = [pair for pair in headers if pair[0] != resume[0]] + [resume]
         with self._loads.track_request(upstream):
-            async with self._http.stream(
-                upstream.address,
-                upstream.port,
+            async with self._paths.stream(
+                upstream,
                 request.method,
                 request.target,
                 headers,
--- a/test/_request_fakes.py
+++ b/test/_request_fakes.py
@@ -14,6 +14,7 @@
 from goldcrestmoor.process.host_calls import HostCalls
 from goldcrestmoor.process.limit_owners import LimitOwners
 from goldcrestmoor.process.metrics import Metrics
+from goldcrestmoor.process.server_paths import ServerPaths
 from goldcrestmoor.process.upstream_limits import UpstreamLimits
 from goldcrestmoor.version.configuration.document import (
     Account,
@@ -204,6 +205,24 @@
     )
 
 
+def server_paths(clock, http, directory, metrics=None):
+    """Return the paths of a host that knows no other.
+
+    :param clock: the clock.
+    :param http: the HTTP client.
+    :param directory: the directory of upstreams.
+    :param metrics: the metrics; new ones by default.
+    """
+    return ServerPaths(
+        clock=clock,
+        http=http,
+        directory=directory,
+        calls=HostCalls(clock=clock, http=http, row_by_host=dict),
+        host_id="host-a",
+        metrics=metrics or Metrics(),
+    )
+
+
 def upstream_limits(clock, metrics=None, host_id="host-a"):
     """Return the limits that a host alone records and grants.
 
--- a/test/test_leaving_servers.py
+++ b/test/test_leaving_servers.py
@@ -41,7 +41,7 @@
 from test import _common
 from test._fleet import ManualClock
 from test._front import FETCH_PATH, MODEL, FrontFleet, item
-from test._request_fakes import crash_reports, upstream_limits
+from test._request_fakes import crash_reports, server_paths, upstream_limits
 from test.standins.users_server import UsersServer, whole_text
 
 LEAVING = [(b"server-leaving", b"1")]
@@ -304,12 +304,19 @@
         headers = ((b"model-name", MODEL.encode()), (b"request-id", b"r1"))
         return CallerRequest("r1", "POST", "/x", headers, b"x", resumed_id)
 
+    def caller_sending(self):
+        """Return what forwarders of callers' requests take."""
+        http = self.sending["http"]
+        return self.sending | {
+            "crashes": crash_reports(self.clock, http),
+            "paths": server_paths(self.clock, http, self.directory),
+        }
+
     async def test_a_plain_request(self):
         headers = ((b"request-id", b"r1"),)
         request = CallerRequest("r1", "POST", "/x", headers, b"x")
         deadline = Deadline.after(self.clock, 2000)
-        crashes = crash_reports(self.clock, self.sending["http"])
-        forwarder = Forwarder(crashes=crashes, **self.sending)
+        forwarder = Forwarder(**self.caller_sending())
         answer = await forwarder.forward(request, ROUTE, deadline)
         self.assertEqual(answer.body, b"answer to x")
         self.check_only_the_other_ran_it()
@@ -318,8 +325,7 @@
         calls = HostCalls(clock=self.clock, http=None, row_by_host=dict)
         versions = StreamVersions(clock=self.clock, calls=calls, host_id="host-a")
         versions.begin("s", SERVICE, "")
-        crashes = crash_reports(self.clock, self.sending["http"])
-        forwarder = StreamForwarder(versions=versions, crashes=crashes, **self.sending)
+        forwarder = StreamForwarder(versions=versions, **self.caller_sending())
         deadline = Deadline.after(self.clock, 2000)
         answer = await forwarder.forward(request, ROUTE, deadline)
         async with contextlib.aclosing(answer.events) as events:
--- a/test/test_streaming.py
+++ b/test/test_streaming.py
@@ -21,7 +21,7 @@
     ServiceShare,
 )
 from test._fleet import ManualClock
-from test._request_fakes import crash_reports, upstream_limits
+from test._request_fakes import crash_reports, server_paths, upstream_limits
 
 SERVICE = "pool"
 DEADLINE_MS = 1000
@@ -129,14 +129,15 @@
 
     def make_forwarder(self, idle_ms=None):
         http = FakeHttp(self.clock, idle_ms)
+        directory = SimpleNamespace(
+            usable=lambda service: self.upstreams,
+            upstream_by_name={u.name: u for u in self.upstreams},
+            check_usable=lambda upstream: None,
+        )
         self.loads = UpstreamLoads(
             clock=self.clock,
             http=http,
-            directory=SimpleNamespace(
-                usable=lambda service: self.upstreams,
-                upstream_by_name={u.name: u for u in self.upstreams},
-                check_usable=lambda upstream: None,
-            ),
+            directory=directory,
             limits=upstream_limits(self.clock),
             zone="a",
             # Of equal upstreams, this host prefers the first one.
@@ -146,6 +147,7 @@
         return StreamForwarder(
             versions=StreamVersions(clock=self.clock, calls=calls, host_id="host-4"),
             crashes=crash_reports(self.clock, http),
+            paths=server_paths(self.clock, http, directory),
             http=http,
             loads=self.loads,
             dialect=DIALECT,
