--- a/test/_front.py
+++ b/test/_front.py
@@ -12,6 +12,7 @@
 from goldcrestmoor.errors import ServiceError
 from test import _common
 from test._process import Process, stop_all
+from test.fault_proxy import Link
 from test.standins.users_server import UsersServer
 from test.standins.users_store import UsersStore
 
@@ -123,6 +124,7 @@
         self.fronts = {}
         self.ports = {}
         self.gates = {}
+        self.links_by_host = {}
         self.zones = {}
         self.kept_s = 120
         self.log_style = "text"
@@ -133,11 +135,16 @@
         self.http = HttpClient(clock=Clock(), limits=settings.default_limits())
 
     async def start(
-        self, names=("front-a", "front-b"), with_configuration=True, zones=None
+        self,
+        names=("front-a", "front-b"),
+        with_configuration=True,
+        zones=None,
+        linked=(),
     ):
         """Start the stand-ins and daemons, and wait until the daemons are ready.
 
         :param zones: the availability zone of each daemon; the same for all by default.
+        :param linked: the daemons that have links of their own to the servers.
         """
         self.zones = zones or {}
         await self.store.start()
@@ -148,6 +155,8 @@
         self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
         for name in names:
             self.gates[name] = await self.store.gate(name)
+            if name in linked:
+                await self.link_servers(name)
             self.start_front(name)
         if with_configuration:
             for name in names:
@@ -211,6 +220,33 @@
                     self.store.put("servers", server.name, server.entry())
             await asyncio.sleep(0.3)
 
+    async def link_servers(self, name):
+        """Give a daemon links of its own to all servers, before it starts.
+
+        :return: the :class:`~test.fault_proxy.Link` of each server, by its name.
+        """
+        links = {}
+        for server in self.servers():
+            # A port that is left for a while must not be used by a connection.
+            port = _common.free_port()
+            links[server.name] = Link("127.0.0.1", server.port, port=port)
+            await links[server.name].start()
+        self.links_by_host[name] = links
+
+        def rewrite(response):
+            body = json.loads(response.body)
+            for row in body.get("rows", ()):
+                if row["table"] == "servers" and row["key"] in links:
+                    entry = json.loads(base64.b64decode(row["value"]))
+                    entry["address"] = f"127.0.0.1:{links[row['key']].port}"
+                    value = base64.b64encode(json.dumps(entry).encode()).decode()
+                    row["value"] = value
+            response.body = json.dumps(body).encode()
+            return response
+
+        self.store.rewrite_by_gate[name] = rewrite
+        return links
+
     async def is_ready(self, name):
         """Return whether a daemon reports that it is ready."""
         try:
@@ -288,6 +324,9 @@
         if self._heartbeat_task is not None:
             self._heartbeat_task.cancel()
         await self.http.close()
+        for links in self.links_by_host.values():
+            for link in links.values():
+                await link.close()
         for server in self.servers():
             await server.close()
         await self.store.close()
--- a/test/fault_proxy.py
+++ b/test/fault_proxy.py
@@ -9,11 +9,14 @@
 
 import asyncio
 import json
+import socket
 import sys
 
 from test.standins import server
 
 READ_BYTES = 65536
+# Connections that fill the queue of a listener that accepts none.
+UNANSWERED_FILL = 4
 UP = "up"
 DOWN = "down"
 BOTH = "both"
@@ -53,6 +56,7 @@
         "_silent_pairs",
         "_source_by_pair",
         "_blocked_prefixes",
+        "_unanswered",
     )
 
     def __init__(self, target_address, target_port, address="127.0.0.1", port=0):
@@ -68,6 +72,7 @@
         self._silent_pairs = set()
         self._source_by_pair = {}
         self._blocked_prefixes = set()
+        self._unanswered = []
 
     async def start(self):
         """Start listening."""
@@ -81,6 +86,7 @@
         if self._server is not None:
             self._server.close()
             self._server = None
+        self._answer()
         self.cut()
 
     def any_open(self, pairs):
@@ -143,6 +149,32 @@
         source = self._source_by_pair.get(pair, "")
         return any(source.startswith(prefix) for prefix in self._blocked_prefixes)
 
+    def refuse_new(self):
+        """Refuse new connections; the open ones live on."""
+        self._server.close()
+        self._server = None
+
+    async def leave_unanswered(self):
+        """Drop all bytes on the open connections, and let new ones wait for ever."""
+        self.silence_old()
+        self.refuse_new()
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((self.address, self.port))
+        listener.listen(0)
+        self._unanswered = [listener]
+        # The kernel drops what comes once the queue of the listener is full.
+        for _ in range(UNANSWERED_FILL):
+            waiting = socket.socket()
+            waiting.setblocking(False)
+            waiting.connect_ex((self.address, self.port))
+            self._unanswered.append(waiting)
+
+    def _answer(self):
+        for each in self._unanswered:
+            each.close()
+        self._unanswered = []
+
     async def refuse(self):
         """Refuse new connections and abort the open ones."""
         await self.close()
@@ -150,6 +182,7 @@
     async def heal(self):
         """Remove the faults; connections of :meth:`silence_old` stay silent."""
         self._faults_by_direction = {UP: Faults(), DOWN: Faults()}
+        self._answer()
         if self._server is None:
             await self.start()
 
--- a/test/standins/users_store.py
+++ b/test/standins/users_store.py
@@ -54,6 +54,8 @@
         self._late_tasks = set()
         self.cut = set()
         self.turned_away = set()
+        # What changes the rows of a response at a gate, by the gate's name.
+        self.rewrite_by_gate = {}
 
     @property
     def port(self):
@@ -75,7 +77,8 @@
             response = await self.handle(request)
             if name in self.cut:
                 await asyncio.sleep(60)
-            return response
+            rewrite = self.rewrite_by_gate.get(name)
+            return response if rewrite is None else rewrite(response)
 
         server = Server(handle_at_gate, "127.0.0.1", 0)
         await server.start()
