Relay callers' requests of hosts that reach no server

Cause: a host's own links are its only way to a server. Ruled out as the whole: that such hosts stay ready, as the platform uses all hosts of a zone when fewer than half are; and connections that hang, which cost only the first second or so.

Now a host that can't connect to a server sends the request through one of up to ten hosts that it asks and that can. All decisions stay with the host that has the caller; the relay sends once, looks at the list right before the bytes, and ends the work when the caller leaves. After a lost or late response the host finds out whether it still reaches the server, and others whose connections are idle, before it sends the request again.

The test of a caller that leaves is red without the cancelling of relayed requests. In test_leaving_servers the connections that are counted are now those that a request follows on: a probe opens one more.

--- a/goldcrestmoor/connection/http_client.py
+++ b/goldcrestmoor/connection/http_client.py
@@ -207,36 +207,38 @@
             else:
                 connection.abort()
 
-    async def refuses_connections(self, address, port, timeout_ms):
-        """Return whether nothing listens at an address; False if it can't be told.
+    async def connection_error(self, address, port, timeout_ms):
+        """Try to connect, and return the error, or None when a connection opens.
 
-        A connection that opens is kept for a later request.
+        The connection is kept for a later request.
 
         :param address: the IP address.
         :param port: the TCP port.
         :param timeout_ms: how long to wait for the connection, in milliseconds.
         """
-        endpoint = (address, port)
         deadline = Deadline.after(self._clock, timeout_ms)
         try:
-            connection = await self._pool.acquire(endpoint, deadline, True, True)
+            connection = await self._pool.acquire((address, port), deadline, True, True)
         except ServiceError as e:
-            return isinstance(e.__cause__, ConnectionRefusedError)
+            return e
         self._pool.release_unused(connection)
-        return False
+        return None
 
-    async def opens_connection(self, address, port, timeout_ms):
-        """Return whether a new connection opens; it is kept for a later request.
+    async def refuses_connections(self, address, port, timeout_ms):
+        """Return whether nothing listens at an address; False if it can't be told.
 
-        The parameters are those of :meth:`refuses_connections`.
+        The parameters are those of :meth:`connection_error`.
         """
-        deadline = Deadline.after(self._clock, timeout_ms)
-        try:
-            connection = await self._pool.acquire((address, port), deadline, True, True)
-        except ServiceError:
-            return False
-        self._pool.release_unused(connection)
-        return True
+        error = await self.connection_error(address, port, timeout_ms)
+        return error is not None and isinstance(error.__cause__, ConnectionRefusedError)
+
+    def drop_idle(self, address, port):
+        """Close the idle connections to an upstream.
+
+        :param address: the upstream's IP address.
+        :param port: the upstream's port.
+        """
+        self._pool.drop((address, port))
 
     def has_idle(self, address, port):
         """Return whether an idle connection to an upstream is open.
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -1,12 +1,13 @@
 """The daemon on the users' platform: its components, their start and stop."""
 
 import asyncio
+import contextlib
 import inspect
 import logging
 import signal
 
 import msgspec
-from blacksheep import Content, Request, Response
+from blacksheep import Content, Request, Response, StreamedContent
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from goldcrestmoor import front_settings, logs, util
@@ -46,7 +47,9 @@
 from goldcrestmoor.process.store_connectivity import HostRow, StoreConnectivity
 from goldcrestmoor.process.stream_versions import StreamVersions
 from goldcrestmoor.process.upstream_limits import UpstreamLimits
+from goldcrestmoor.request import relayed_messages
 from goldcrestmoor.request.forwarding import Forwarder
+from goldcrestmoor.request.request_relay import RequestRelay
 from goldcrestmoor.request.streaming import StreamForwarder
 from goldcrestmoor.request.upstream_loads import UpstreamLoads
 from goldcrestmoor.util import TaskGroup
@@ -173,18 +176,18 @@
         self._stream_versions = StreamVersions(
             clock=clock, calls=self._host_calls, host_id=self.settings.host.id
         )
-        self._crashes = CrashReports(
+        self._paths = ServerPaths(
             clock=clock,
             http=self._http,
-            store=self._store,
+            directory=self._directory,
             calls=self._host_calls,
             host_id=self.settings.host.id,
             metrics=metrics,
         )
-        self._paths = ServerPaths(
+        self._crashes = CrashReports(
             clock=clock,
             http=self._http,
-            directory=self._directory,
+            store=self._store,
             calls=self._host_calls,
             host_id=self.settings.host.id,
             metrics=metrics,
@@ -388,7 +391,9 @@
             clock=self._clock,
             settings=self.settings,
             metrics=self._metrics,
-            options=ServerOptions(port=self.settings.host.readiness_port),
+            options=ServerOptions(
+                port=self.settings.host.readiness_port, cancels_on_disconnect=True
+            ),
         )
 
         async def ready(request: Request) -> Response:
@@ -425,6 +430,28 @@
                 request, server_paths.question_decoder, self._paths.reply
             )
 
+        relay = RequestRelay(
+            directory=self._directory, in_flight=self._in_flight, **self._forwarding
+        )
+
+        async def relay_request(request: Request) -> Response:
+            items = relay.relay(
+                _target(request), request.headers, await request.read() or b""
+            )
+            # An error before the first bytes becomes the response.
+            head = await anext(items)
+
+            async def stream():
+                async with contextlib.aclosing(items):
+                    yield head
+                    async for chunk in items:
+                        yield chunk
+
+            return Response(200, None, StreamedContent(OCTET_STREAM, stream))
+
+        readiness_server.application.router.add_post(
+            f"{relayed_messages.RELAY_PREFIX}/*", relay_request
+        )
         readiness_server.application.router.add_post(
             server_paths.REACH_PATH, reply_reach
         )
@@ -460,11 +487,9 @@
 
     async def _relay_call(self, request):
         """Relay another host's call to the store and return its response."""
-        query = request.scope.get("query_string", b"")
-        target = request.scope["raw_path"] + (b"?" + query if query else b"")
         answer = await self._connectivity.relay(
             request.method,
-            target.decode("latin-1").removeprefix(store_connectivity.CALLS_PREFIX),
+            _target(request).removeprefix(store_connectivity.CALLS_PREFIX),
             [pair for pair in request.headers if pair[0].lower() != b"host"],
             await request.read() or b"",
         )
@@ -595,3 +620,9 @@
         await self._stream_versions.close()
         await self._tasks.close()
         await self._http.close()
+
+
+def _target(request):
+    query = request.scope.get("query_string", b"")
+    target = request.scope["raw_path"] + (b"?" + query if query else b"")
+    return target.decode("latin-1")
--- a/goldcrestmoor/process/host_calls.py
+++ b/goldcrestmoor/process/host_calls.py
@@ -39,6 +39,13 @@
         """Return the availability zone of each registered host."""
         return {host: row.zone for host, row in self._row_by_host().items()}
 
+    def row(self, host):
+        """Return the row of a host, or None if it isn't registered.
+
+        :param host: the host's id.
+        """
+        return self._row_by_host().get(host)
+
     async def call(self, host, path, message, decoder):
         """Return a host's reply, or None when it gives none.
 
--- a/goldcrestmoor/process/metrics.py
+++ b/goldcrestmoor/process/metrics.py
@@ -63,6 +63,7 @@
         "crashed_requests",
         "blocked_requests",
         "unreachable_upstreams",
+        "relayed_requests",
     )
 
     def __init__(self):
@@ -181,6 +182,11 @@
         self.unreachable_upstreams = self._gauge(
             "unreachable_upstreams", "Upstreams that this host can't connect to."
         )
+        self.relayed_requests = self._counter(
+            "relayed_requests",
+            "Requests sent through another host, by outcome.",
+            "outcome",
+        )
         self.blocked_requests = self._gauge(
             "blocked_requests", "Requests that are blocked as servers crash under them."
         )
--- /dev/null
+++ b/goldcrestmoor/request/path_choice.py
@@ -0,0 +1,59 @@
+"""Chooses the host through which requests go to a server that this host can't reach.
+
+Workload: hosts lose all servers for seconds, also most or all hosts of a zone, while
+callers press them and the other hosts reach the servers. The few hosts that do are
+asked by all others at once, so each asks a few, of its own zone and of others, and uses
+any of those that reach the server.
+"""
+
+import random
+
+import msgspec
+
+# Hosts that are asked, at most. With a third of all hosts left, it is unlikely that
+# none of them is among these.
+OWN_ZONE_HOSTS = 4
+OTHER_ZONE_HOSTS = 6
+
+
+class Reach(msgspec.Struct, frozen=True):
+    """What a host says of its path to a server.
+
+    :param is_reached: whether it reaches the server.
+    :param is_refused: whether nothing listened at the server's address just now.
+    """
+
+    is_reached: bool
+    is_refused: bool = False
+
+
+def hosts_to_ask(zone_by_host, host_id, sample=random.sample):
+    """Return the hosts to ask about a server.
+
+    :param zone_by_host: the availability zone of each host.
+    :param host_id: this host.
+    :param sample: returns a number of random elements of a list.
+    """
+    own_zone = zone_by_host.get(host_id)
+    own, others = [], []
+    for host, zone in zone_by_host.items():
+        if host != host_id:
+            (own if zone == own_zone else others).append(host)
+    return [
+        *sample(own, min(len(own), OWN_ZONE_HOSTS)),
+        *sample(others, min(len(others), OTHER_ZONE_HOSTS)),
+    ]
+
+
+def choose_host(reach_by_host, zone_by_host, host_id, choice=random.choice):
+    """Return a host that reaches a server, of this host's zone if possible, or None.
+
+    :param reach_by_host: the :class:`Reach` of each host that replied.
+    :param zone_by_host: the availability zone of each host.
+    :param host_id: this host.
+    :param choice: returns a random element of a list.
+    """
+    reaching = [host for host, reach in reach_by_host.items() if reach.is_reached]
+    own_zone = zone_by_host.get(host_id)
+    near = [host for host in reaching if zone_by_host.get(host) == own_zone]
+    return choice(near or reaching) if reaching else None
--- a/test/standins/server.py
+++ b/test/standins/server.py
@@ -52,16 +52,22 @@
 class Server:
     """HTTP server for a handler, ``async (Request) -> Response``, on one address."""
 
-    __slots__ = ("handler", "address", "port", "_server", "_writers", "_tasks")
+    __slots__ = ("handler", "address", "port", "_server", "_reader_by_writer", "_tasks")
 
     def __init__(self, handler, address, port):
         self.handler = handler
         self.address = address
         self.port = port
         self._server = None
-        self._writers = set()
+        self._reader_by_writer = {}
         self._tasks = set()
 
+    @property
+    def connection_count(self):
+        """The number of connections that the other end has not closed."""
+        readers = self._reader_by_writer.values()
+        return sum(not reader.at_eof() for reader in readers)
+
     async def start(self):
         """Start listening."""
         self._server = await asyncio.start_server(
@@ -73,7 +79,7 @@
     async def close(self):
         """Stop listening and abort all connections."""
         self._server.close()
-        for writer in list(self._writers):
+        for writer in list(self._reader_by_writer):
             writer.transport.abort()
 
     async def run(self):
@@ -83,7 +89,7 @@
         await self._server.serve_forever()
 
     async def _serve(self, reader, writer):
-        self._writers.add(writer)
+        self._reader_by_writer[writer] = reader
         # Nothing else refers to the task of a handler that never returns; it would be
         # garbage-collected together with its connection.
         task = asyncio.current_task()
@@ -95,7 +101,7 @@
         except (Drop, ConnectionError, h11.ProtocolError, asyncio.CancelledError):
             pass
         finally:
-            self._writers.discard(writer)
+            self._reader_by_writer.pop(writer, None)
             self._tasks.discard(task)
             writer.transport.abort() if writer.is_closing() else writer.close()
 
--- a/test/standins/users_server.py
+++ b/test/standins/users_server.py
@@ -74,6 +74,11 @@
         """The port that the server listens on."""
         return self._server.port
 
+    @property
+    def connection_count(self):
+        """The number of connections that hosts have not closed."""
+        return self._server.connection_count
+
     async def start(self, port=0):
         """Start listening.
 
--- a/test/test_cut_from_servers.py
+++ b/test/test_cut_from_servers.py
@@ -5,14 +5,69 @@
 """
 
 import asyncio
+import random
 import time
 import unittest
 
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.request.path_choice import Reach, choose_host, hosts_to_ask
+from goldcrestmoor.request.relayed_messages import relay_headers, relay_terms
 from test import _common
 from test._front import FETCH_PATH, MODEL, FrontFleet
 from test.standins.users_server import whole_text
 
 
+class PathChoiceTest(unittest.TestCase):
+    """Most hosts of three zones are cut off, and ask about the same servers."""
+
+    ZONES = {f"{zone}-{n:02}": zone for zone in "abc" for n in range(30)}
+    LEFT = {host for host in ZONES if int(host[2:]) % 3 == 0}
+
+    def setUp(self):
+        self.random = random.Random(1)
+
+    def ask(self, host):
+        asked = hosts_to_ask(self.ZONES, host, self.random.sample)
+        return {each: Reach(each in self.LEFT) for each in asked}
+
+    def test_nearly_all_hosts_find_one_that_reaches_a_server(self):
+        cut = [host for host in self.ZONES if host not in self.LEFT]
+        replies = [self.ask(host) for host in cut]
+        self.assertTrue(all(len(each) == 10 for each in replies))
+        self.assertFalse(any(host in replies[n] for n, host in enumerate(cut)))
+        chosen = [
+            choose_host(reply, self.ZONES, host, self.random.choice)
+            for host, reply in zip(cut, replies, strict=True)
+        ]
+        self.assertGreater(sum(host is not None for host in chosen), 0.9 * len(cut))
+        most = max(chosen.count(host) for host in self.LEFT)
+        self.assertLessEqual(most, 8, "one host relays for most of the others")
+
+    def test_a_host_of_the_same_zone_comes_first(self):
+        reach = {"a-01": Reach(True), "b-01": Reach(True), "b-02": Reach(False)}
+        chosen = {choose_host(reach, self.ZONES, "b-09") for _ in range(20)}
+        self.assertEqual(chosen, {"b-01"})
+
+    def test_without_a_host_that_reaches_the_server_there_is_none(self):
+        reach = {"a-01": Reach(False), "b-01": Reach(False, True)}
+        self.assertIsNone(choose_host(reach, self.ZONES, "b-09"))
+
+
+class RelayTermsTest(unittest.TestCase):
+    def test_the_server_gets_the_callers_headers_alone(self):
+        headers = [(b"host", b"h"), (b"request-id", b"r")]
+        sent = headers + relay_headers("s1", "GET", 99.5, True)
+        terms = relay_terms([*sent, (b"traceparent", b"t")])
+        self.assertEqual(terms.headers, headers)
+        self.assertEqual((terms.server, terms.method), ("s1", "GET"))
+        self.assertEqual((terms.timeout_ms, terms.is_idempotent), (99, True))
+
+    def test_a_request_without_terms_is_malformed(self):
+        with self.assertRaises(ServiceError) as caught:
+            relay_terms([(b"relay-server", b"s1")])
+        self.assertEqual(caught.exception.kind, ErrorKind.BAD_REQUEST)
+
+
 class FleetTest(unittest.IsolatedAsyncioTestCase):
     """Daemons, most of which lose their links to all servers."""
 
@@ -106,6 +161,25 @@
         served = [name for name, answer, _ in answers if answer.status == 200]
         self.assertEqual(len(runs), len(served))
 
+    async def test_work_ends_when_a_relayed_caller_leaves(self):
+        for link in self.links():
+            await link.refuse()
+        await self.press(self.SETTLE_S, prefix="settle-")
+        for app in self.fleet.apps:
+            app.delay_s = 5
+
+        def open_connections():
+            return sum(app.connection_count for app in self.fleet.apps)
+
+        ask = self.fleet.ask(self.CUT[0], "POST", FETCH_PATH, b"x", "left")
+        asking = asyncio.create_task(ask)
+        await _common.eventually(
+            lambda: any("left" in app.runs for app in self.fleet.apps)
+        )
+        before = open_connections()
+        asking.cancel()
+        await _common.eventually(lambda: open_connections() < before, 0.5)
+
     async def test_a_stream(self):
         for link in self.links():
             await link.refuse()
--- a/test/test_http_client.py
+++ b/test/test_http_client.py
@@ -364,8 +364,8 @@
             async for chunk in response.body():
                 self.assertTrue(chunk)
                 break
-            self.assertEqual(len(server._writers), 1)
-        await _common.eventually(lambda: not server._writers)
+            self.assertEqual(len(server._reader_by_writer), 1)
+        await _common.eventually(lambda: not server._reader_by_writer)
 
     async def test_idle_connections_are_bounded_and_closed(self):
         self.limits.idle_connection_ms = 50
--- a/test/test_leaving_servers.py
+++ b/test/test_leaving_servers.py
@@ -283,8 +283,11 @@
         self.connections_before_leaving = 0
         acquire = HttpPool.acquire
 
-        async def acquire_slowly(pool, target, *args):
-            connection = await acquire(pool, target, *args)
+        async def acquire_slowly(pool, target, deadline, idempotent, fresh, *args):
+            connection = await acquire(pool, target, deadline, idempotent, fresh, *args)
+            if fresh:
+                # A probe, on which no request follows.
+                return connection
             self.connections_before_leaving -= 1
             if self.connections_before_leaving == -1:
                 self.left = next(s for s in self.servers if s.port == target[1])
@@ -306,11 +309,9 @@
 
     def caller_sending(self):
         """Return what forwarders of callers' requests take."""
-        http = self.sending["http"]
-        return self.sending | {
-            "crashes": crash_reports(self.clock, http),
-            "paths": server_paths(self.clock, http, self.directory),
-        }
+        paths = server_paths(self.clock, self.sending["http"], self.directory)
+        crashes = crash_reports(self.clock, self.sending["http"])
+        return self.sending | {"crashes": crashes, "paths": paths}
 
     async def test_a_plain_request(self):
         headers = ((b"request-id", b"r1"),)
--- a/test/test_streaming.py
+++ b/test/test_streaming.py
@@ -62,6 +62,9 @@
     def has_idle(self, address, port):
         return True
 
+    async def connection_error(self, address, port, timeout_ms):
+        return None
+
     @contextlib.asynccontextmanager
     async def stream(self, *args, **options):
         yield SimpleNamespace(status=200, headers=HEADERS, body=self._body)
@@ -144,10 +147,11 @@
             host_id="host-4",
         )
         calls = HostCalls(clock=self.clock, http=None, row_by_host=dict)
+        paths = server_paths(self.clock, http, directory)
         return StreamForwarder(
             versions=StreamVersions(clock=self.clock, calls=calls, host_id="host-4"),
             crashes=crash_reports(self.clock, http),
-            paths=server_paths(self.clock, http, directory),
+            paths=paths,
             http=http,
             loads=self.loads,
             dialect=DIALECT,
