Count no crash where another host reaches the server

Seen by reading: a host that is cut off with resets and refusals takes each lost response for a server's crash, so that a request that is sent again at such a host could be blocked on all hosts although no server crashed.

--- a/goldcrestmoor/connection/http_client.py
+++ b/goldcrestmoor/connection/http_client.py
@@ -224,14 +224,6 @@
         self._pool.release_unused(connection)
         return None
 
-    async def refuses_connections(self, address, port, timeout_ms):
-        """Return whether nothing listens at an address; False if it can't be told.
-
-        The parameters are those of :meth:`connection_error`.
-        """
-        error = await self.connection_error(address, port, timeout_ms)
-        return error is not None and isinstance(error.__cause__, ConnectionRefusedError)
-
     def drop_idle(self, address, port):
         """Close the idle connections to an upstream.
 
--- a/goldcrestmoor/process/crash_reports.py
+++ b/goldcrestmoor/process/crash_reports.py
@@ -23,8 +23,6 @@
 ANSWER_PATH = "/crashes/answered"
 # The rows of blocked requests, for hosts that start later or missed a report.
 TABLE = "crashes"
-# Some round trips between zones; part of a caller's wait.
-PROBE_TIMEOUT_MS = 100
 # Bounds the memory for requests that were at a server when it crashed.
 MAX_HISTORIES = 4096
 FORGET_INTERVAL_MS = 30_000
@@ -104,7 +102,7 @@
     """Notices crashes under requests, tells all hosts, and blocks such requests.
 
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
-    :param http: the :class:`~goldcrestmoor.connection.http_client.HttpClient`.
+    :param paths: the :class:`~goldcrestmoor.process.server_paths.ServerPaths`.
     :param store: the store's client.
     :param calls: the :class:`~goldcrestmoor.process.host_calls.HostCalls`.
     :param host_id: this host.
@@ -113,7 +111,7 @@
 
     __slots__ = (
         "_clock",
-        "_http",
+        "_paths",
         "_store",
         "_calls",
         "_host_id",
@@ -125,9 +123,9 @@
         "_tasks",
     )
 
-    def __init__(self, *, clock, http, store, calls, host_id, metrics):
+    def __init__(self, *, clock, paths, store, calls, host_id, metrics):
         self._clock = clock
-        self._http = http
+        self._paths = paths
         self._store = store
         self._calls = calls
         self._host_id = host_id
@@ -276,9 +274,7 @@
     async def _probe(self, key, upstream):
         """Find out whether an upstream crashed under the requests sent to it."""
         try:
-            has_ended = await self._http.refuses_connections(
-                upstream.address, upstream.port, PROBE_TIMEOUT_MS
-            )
+            has_ended = await self._paths.has_ended(upstream)
         finally:
             del self._probe_by_upstream[key]
             sendings = self._sendings_by_upstream.pop(key)
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -186,7 +186,7 @@
         )
         self._crashes = CrashReports(
             clock=clock,
-            http=self._http,
+            paths=self._paths,
             store=self._store,
             calls=self._host_calls,
             host_id=self.settings.host.id,
--- a/test/_request_fakes.py
+++ b/test/_request_fakes.py
@@ -188,18 +188,18 @@
     return _common.make_settings(limits=changes).limits
 
 
-def crash_reports(clock, http, metrics=None):
+def crash_reports(clock, paths, metrics=None):
     """Return the crash reports of a host.
 
     :param clock: the clock.
-    :param http: the HTTP client.
+    :param paths: the host's paths to servers.
     :param metrics: the metrics; new ones by default.
     """
     return CrashReports(
         clock=clock,
-        http=http,
+        paths=paths,
         store=None,
-        calls=HostCalls(clock=clock, http=http, row_by_host=dict),
+        calls=HostCalls(clock=clock, http=None, row_by_host=dict),
         host_id="host-a",
         metrics=metrics or Metrics(),
     )
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -137,7 +137,7 @@
         for name in names:
             self.reports_by_host[name] = CrashReports(
                 clock=clock,
-                http=self,
+                paths=self,
                 store=self,
                 calls=HostCalls(clock=clock, http=self, row_by_host=lambda: rows),
                 host_id=name,
@@ -147,8 +147,8 @@
     def now_ms(self):
         return None
 
-    async def refuses_connections(self, address, port, timeout_ms):
-        return address in self.ended
+    async def has_ended(self, upstream):
+        return upstream.name in self.ended
 
     async def request(self, address, port, method, target, body, **options):
         if address in self.down:
--- a/test/test_cut_from_servers.py
+++ b/test/test_cut_from_servers.py
@@ -91,6 +91,10 @@
         answer = await self.fleet.ask(name, "POST", FETCH_PATH, b"x", f"probe-{name}")
         return answer.status == 200
 
+    async def reaches_all_servers(self):
+        metrics = await self.fleet.metrics(self.CUT[0])
+        return metrics["unreachable_upstreams"] == 0
+
     def links(self):
         """Yield all links of the daemons that are cut off."""
         for name in self.CUT:
@@ -180,6 +184,32 @@
         asking.cancel()
         await _common.eventually(lambda: open_connections() < before, 0.5)
 
+    async def test_requests_that_a_cut_breaks_off_count_as_no_crash(self):
+        """The same request is at a server when its host's links are lost, again."""
+        for number in range(4):
+            for app in self.fleet.apps:
+                app.delay_s = 0.5
+            ask = self.fleet.ask(
+                self.CUT[0], "POST", "/once/x", b"same", f"same-{number}"
+            )
+            asking = asyncio.create_task(ask)
+            await _common.eventually(
+                lambda number=number, asking=asking: (
+                    asking.done()
+                    or any(f"same-{number}" in app.runs for app in self.fleet.apps)
+                )
+            )
+            for link in self.links():
+                await link.refuse()
+            self.assertEqual((await asking).status, 502)
+            for app in self.fleet.apps:
+                app.delay_s = 0
+            await self.heal()
+            await _common.eventually(self.reaches_all_servers)
+        metrics = await self.fleet.metrics(self.CUT[0])
+        self.assertEqual(metrics["crashed_requests_total"], 0)
+        self.assertEqual(metrics["blocked_requests"], 0)
+
     async def test_a_stream(self):
         for link in self.links():
             await link.refuse()
--- a/test/test_leaving_servers.py
+++ b/test/test_leaving_servers.py
@@ -310,7 +310,7 @@
     def caller_sending(self):
         """Return what forwarders of callers' requests take."""
         paths = server_paths(self.clock, self.sending["http"], self.directory)
-        crashes = crash_reports(self.clock, self.sending["http"])
+        crashes = crash_reports(self.clock, paths)
         return self.sending | {"crashes": crashes, "paths": paths}
 
     async def test_a_plain_request(self):
--- a/test/test_streaming.py
+++ b/test/test_streaming.py
@@ -150,7 +150,7 @@
         paths = server_paths(self.clock, http, directory)
         return StreamForwarder(
             versions=StreamVersions(clock=self.clock, calls=calls, host_id="host-4"),
-            crashes=crash_reports(self.clock, http),
+            crashes=crash_reports(self.clock, paths),
             paths=paths,
             http=http,
             loads=self.loads,
