Relay items and reward calls of hosts that reach no server

Items and reward calls now take the paths that callers' requests take. The new test (the runner alone loses its links; 24 items of 40 events within a trainer's 7.5 s) was red, not whole in 20 s, and is green. Load orders stay direct, as they must come from one host. The fakes of three tests got paths instead of the HTTP client; one counts requests where they are opened.

--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -218,18 +218,18 @@
     """Sends items to engines and collects their output.
 
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
-    :param http: the :class:`~goldcrestmoor.connection.http_client.HttpClient`.
+    :param paths: the :class:`~goldcrestmoor.process.server_paths.ServerPaths`.
     :param directory: the :class:`~goldcrestmoor.process.directory.UpstreamDirectory`.
     :param limits: the
         :class:`~goldcrestmoor.process.upstream_limits.UpstreamLimits`.
     :param dialect: the request and response format of the engines.
     """
 
-    __slots__ = ("_clock", "_http", "_directory", "_limits", "_dialect")
+    __slots__ = ("_clock", "_paths", "_directory", "_limits", "_dialect")
 
-    def __init__(self, *, clock, http, directory, limits, dialect):
+    def __init__(self, *, clock, paths, directory, limits, dialect):
         self._clock = clock
-        self._http = http
+        self._paths = paths
         self._directory = directory
         self._limits = limits
         self._dialect = dialect
@@ -261,9 +261,8 @@
             run.software_version = engine.software_version
         try:
             with tracing.detached_span("item", upstream=engine.name):
-                async with self._http.stream(
-                    engine.address,
-                    engine.port,
+                async with self._paths.stream(
+                    engine,
                     "POST",
                     run.item.path,
                     headers,
--- a/goldcrestmoor/job/reward_calls.py
+++ b/goldcrestmoor/job/reward_calls.py
@@ -106,12 +106,14 @@
     Takes the parameters of :class:`Sender`, and:
 
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :param paths: the :class:`~goldcrestmoor.process.server_paths.ServerPaths`.
     :param routes: returns the ``RouteTable`` in effect.
     :param open_models: returns the number of models with open jobs, on all hosts.
     """
 
     __slots__ = (
         "_clock",
+        "_paths",
         "_routes",
         "_open_models",
         "_pending_by_item",
@@ -119,9 +121,10 @@
         "_tasks",
     )
 
-    def __init__(self, *, clock, routes, open_models, metrics, **forwarding):
+    def __init__(self, *, clock, paths, routes, open_models, metrics, **forwarding):
         super().__init__(metrics=metrics, **forwarding)
         self._clock = clock
+        self._paths = paths
         self._routes = routes
         self._open_models = open_models
         self._pending_by_item = {}
@@ -257,9 +260,8 @@
                 self._metrics.reward_calls_in_flight.track_inprogress(),
                 tracing.detached_span("reward call", upstream=server.name),
             ):
-                response = await self._http.request(
-                    server.address,
-                    server.port,
+                response = await self._paths.request(
+                    server,
                     "POST",
                     reward_call.path,
                     headers,
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -226,6 +226,7 @@
         }
         self._rewards = RewardCaller(
             clock=clock,
+            paths=self._paths,
             routes=self._routing.current,
             open_models=lambda: self._supervisor.open_models(),
             **self._forwarding,
@@ -237,7 +238,7 @@
             ),
             executor=ItemExecutor(
                 clock=clock,
-                http=self._http,
+                paths=self._paths,
                 directory=self._directory,
                 limits=self._limits,
                 dialect=servers,
--- a/test/test_cut_from_servers.py
+++ b/test/test_cut_from_servers.py
@@ -237,5 +237,40 @@
             self.assertLess(took_s, 0.5)
 
 
+class ItemsTest(unittest.IsolatedAsyncioTestCase):
+    """The host that runs a job loses its links to all servers, and it alone."""
+
+    HOSTS = ("front-a", "front-b")
+    # A trainer waits for a step about this long.
+    STEP_S = 7.5
+
+    async def asyncSetUp(self):
+        self.fleet = FrontFleet()
+        self.addAsyncCleanup(self.fleet.close)
+        for engine in self.fleet.engines:
+            engine.events = 40
+        await self.fleet.start(names=self.HOSTS, linked=self.HOSTS)
+
+    async def cut_runner(self, job_id):
+        """Wait until items run, and cut the links of the host that runs the job."""
+
+        def has_begun():
+            return any(engine.runs for engine in self.fleet.engines)
+
+        await _common.eventually(has_begun)
+        runner = await _common.eventually(lambda: self.fleet.runner_of(job_id))
+        for link in self.fleet.links_by_host[runner].values():
+            await link.refuse()
+
+    async def test_a_step_is_whole_in_time(self):
+        self.assertEqual(await self.fleet.submit("front-a", "j1", 24), 202)
+        started_s = time.monotonic()
+        await self.cut_runner("j1")
+        results = await self.fleet.all_results("front-a", "j1")
+        self.assertLess(time.monotonic() - started_s, self.STEP_S)
+        expected = {f"i{n}": whole_text(f"i{n}", 40) for n in range(24)}
+        self.assertEqual({r["id"]: r["text"] for r in results}, expected)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/test/test_leaving_servers.py
+++ b/test/test_leaving_servers.py
@@ -351,7 +351,7 @@
     async def test_an_item(self):
         executor = ItemExecutor(
             clock=self.clock,
-            http=self.http,
+            paths=self.caller_sending()["paths"],
             directory=self.directory,
             limits=self.limits,
             dialect=servers,
@@ -383,6 +383,7 @@
     async def test_a_reward_call(self):
         caller = RewardCaller(
             clock=self.clock,
+            paths=self.caller_sending()["paths"],
             routes=lambda: SimpleNamespace(match=lambda host, path: ROUTE),
             open_models=lambda: 1,
             **self.sending,
--- a/test/test_reward_calls.py
+++ b/test/test_reward_calls.py
@@ -8,6 +8,7 @@
 import asyncio
 import base64
 import collections
+import contextlib
 import unittest
 from types import SimpleNamespace
 
@@ -21,7 +22,7 @@
 from test import _common
 from test._fleet import ManualClock
 from test._front import FETCH_PATH, FrontFleet, configuration, submission
-from test._request_fakes import upstream_limits
+from test._request_fakes import server_paths, upstream_limits
 from test.standins.users_server import whole_text
 
 SCORER_HOST = "App.example"
@@ -52,9 +53,11 @@
     def has_idle(self, address, port):
         return False
 
-    async def request(self, address, port, *args, **options):
+    @contextlib.asynccontextmanager
+    async def stream(self, address, port, *args, **options):
         self.count_by_port[port] += 1
         await asyncio.Event().wait()
+        yield
 
 
 class BurstTest(unittest.IsolatedAsyncioTestCase):
@@ -94,6 +97,7 @@
         )
         caller = RewardCaller(
             clock=clock,
+            paths=server_paths(clock, http, directory),
             http=http,
             loads=loads,
             dialect=servers,
--- a/test/test_software_versions.py
+++ b/test/test_software_versions.py
@@ -108,7 +108,7 @@
 
         executor = ItemExecutor(
             clock=Clock(),
-            http=SimpleNamespace(stream=stream),
+            paths=SimpleNamespace(stream=stream),
             directory=directory,
             limits=upstream_limits(Clock()),
             dialect=servers,
