Relay no request to a server that has started again

Seen by reading: a relay found the server by its name alone. One that had started again under its name, perhaps with another software version, would have got a request, or the rest of a text, that was meant for the one before. The relay now compares the start time that the sending host knows. The new test was red (the request was sent) and is green; with it, tests of what else a relay checks. test_cut_from_servers: 18 passed.

--- a/goldcrestmoor/process/server_paths.py
+++ b/goldcrestmoor/process/server_paths.py
@@ -250,7 +250,7 @@
             text = f"Host {host} is no longer registered."
             raise ServiceError(ErrorKind.UPSTREAM_UNREACHABLE, text)
         relayed = relay_headers(
-            upstream.name, method, timeout_ms, options.get("idempotent", False)
+            upstream, method, timeout_ms, options.get("idempotent", False)
         )
         # A relay that is idle for long closes its connections like any server.
         options = options | {"allow_close_delimited": False}
--- a/goldcrestmoor/request/relayed_messages.py
+++ b/goldcrestmoor/request/relayed_messages.py
@@ -8,6 +8,7 @@
 RELAY_PREFIX = "/servers/requests"
 HEAD_END = b"\n"
 _SERVER_HEADER = b"relay-server"
+_STARTED_HEADER = b"relay-server-started-ms"
 _METHOD_HEADER = b"relay-method"
 _TIMEOUT_HEADER = b"relay-timeout-ms"
 _IDEMPOTENT_HEADER = b"relay-idempotent"
@@ -15,6 +16,7 @@
 _RELAY_HEADERS = frozenset(
     (
         _SERVER_HEADER,
+        _STARTED_HEADER,
         _METHOD_HEADER,
         _TIMEOUT_HEADER,
         _IDEMPOTENT_HEADER,
@@ -28,6 +30,7 @@
     """How a relay sends a request.
 
     :param server: the name of the server that it goes to.
+    :param started_ms: when that server started; a later start is another server.
     :param method: the HTTP method.
     :param timeout_ms: the timeout of the whole exchange, in milliseconds.
     :param is_idempotent: whether it may be repeated.
@@ -35,6 +38,7 @@
     """
 
     server: str
+    started_ms: int
     method: str
     timeout_ms: int
     is_idempotent: bool
@@ -55,13 +59,17 @@
 _head_decoder = msgspec.json.Decoder(RelayedHead)
 
 
-def relay_headers(server, method, timeout_ms, is_idempotent):
+def relay_headers(upstream, method, timeout_ms, is_idempotent):
     """Return the headers that tell a relay how to send a request.
 
-    The parameters are those of :class:`RelayTerms`.
+    The parameters are those of :class:`RelayTerms`, and:
+
+    :param upstream: the server, a
+        :class:`~goldcrestmoor.process.directory.ListedUpstream`.
     """
     return [
-        (_SERVER_HEADER, server.encode()),
+        (_SERVER_HEADER, upstream.name.encode()),
+        (_STARTED_HEADER, str(upstream.started_ms).encode()),
         (_METHOD_HEADER, method.encode()),
         (_TIMEOUT_HEADER, str(max(1, int(timeout_ms))).encode()),
         (_IDEMPOTENT_HEADER, b"1" if is_idempotent else b"0"),
@@ -77,13 +85,15 @@
     pairs = [(name.lower(), value) for name, value in headers]
     values = dict(pairs)
     timeout = values.get(_TIMEOUT_HEADER, b"")
+    started = values.get(_STARTED_HEADER, b"")
     server = values.get(_SERVER_HEADER, b"").decode("latin-1")
     method = values.get(_METHOD_HEADER, b"").decode("latin-1")
-    if not (server and method and timeout.isdigit()):
+    if not (server and method and started.isdigit() and timeout.isdigit()):
         text = "A relayed request lacks its server, method or timeout."
         raise ServiceError(ErrorKind.BAD_REQUEST, text)
     return RelayTerms(
         server,
+        int(started),
         method,
         int(timeout),
         values.get(_IDEMPOTENT_HEADER) == b"1",
--- a/goldcrestmoor/request/request_relay.py
+++ b/goldcrestmoor/request/request_relay.py
@@ -43,7 +43,7 @@
             when the request was not run, else those of the ``HttpClient``.
         """
         terms = relay_terms(headers)
-        upstream = self._upstream(terms.server)
+        upstream = self._upstream(terms)
         request_id = dict(terms.headers).get(b"request-id", b"").decode("latin-1")
         async with contextlib.AsyncExitStack() as stack:
             stack.enter_context(self._counted())
@@ -70,10 +70,14 @@
             async for chunk in response.body():
                 yield chunk
 
-    def _upstream(self, name):
-        upstream = self._directory.upstream_by_name.get(name)
-        if upstream is None or not self._directory.is_usable(upstream):
-            text = f"{name} accepts no new work."
+    def _upstream(self, terms):
+        upstream = self._directory.upstream_by_name.get(terms.server)
+        if (
+            upstream is None
+            or upstream.started_ms != terms.started_ms
+            or not self._directory.is_usable(upstream)
+        ):
+            text = f"{terms.server} accepts no new work, or has started again."
             raise ServiceError(ErrorKind.DRAINING, text)
         return upstream
 
--- a/test/test_cut_from_servers.py
+++ b/test/test_cut_from_servers.py
@@ -5,16 +5,29 @@
 """
 
 import asyncio
+import json
 import random
 import time
 import unittest
-
-from goldcrestmoor.errors import ErrorKind, ServiceError
+from types import SimpleNamespace
+
+from goldcrestmoor import settings
+from goldcrestmoor.adapters.table import Change
+from goldcrestmoor.clock import Clock
+from goldcrestmoor.connection.http_client import HttpClient
+from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
+from goldcrestmoor.platform import records, servers
+from goldcrestmoor.process.directory import UpstreamDirectory
+from goldcrestmoor.process.metrics import Metrics
+from goldcrestmoor.process.shutdown import InFlight
 from goldcrestmoor.request.path_choice import Reach, choose_host, hosts_to_ask
 from goldcrestmoor.request.relayed_messages import relay_headers, relay_terms
+from goldcrestmoor.request.request_relay import RequestRelay
+from goldcrestmoor.request.upstream_loads import UpstreamLoads
 from test import _common
 from test._front import FETCH_PATH, MODEL, FrontFleet
-from test.standins.users_server import whole_text
+from test._request_fakes import upstream_limits
+from test.standins.users_server import UsersServer, whole_text
 
 
 class PathChoiceTest(unittest.TestCase):
@@ -56,10 +69,12 @@
 class RelayTermsTest(unittest.TestCase):
     def test_the_server_gets_the_callers_headers_alone(self):
         headers = [(b"host", b"h"), (b"request-id", b"r")]
-        sent = headers + relay_headers("s1", "GET", 99.5, True)
+        upstream = SimpleNamespace(name="s1", started_ms=7)
+        sent = headers + relay_headers(upstream, "GET", 99.5, True)
         terms = relay_terms([*sent, (b"traceparent", b"t")])
         self.assertEqual(terms.headers, headers)
-        self.assertEqual((terms.server, terms.method), ("s1", "GET"))
+        self.assertEqual((terms.server, terms.started_ms), ("s1", 7))
+        self.assertEqual(terms.method, "GET")
         self.assertEqual((terms.timeout_ms, terms.is_idempotent), (99, True))
 
     def test_a_request_without_terms_is_malformed(self):
@@ -68,6 +83,74 @@
         self.assertEqual(caught.exception.kind, ErrorKind.BAD_REQUEST)
 
 
+class RequestRelayTest(unittest.IsolatedAsyncioTestCase):
+    """What a relay checks by itself before it sends a request."""
+
+    async def asyncSetUp(self):
+        self.server = UsersServer("s1", "app")
+        await self.server.start()
+        self.addAsyncCleanup(self.server.close)
+        clock = Clock()
+        http = HttpClient(clock=clock, limits=settings.default_limits())
+        self.addAsyncCleanup(http.close)
+        directory = UpstreamDirectory(
+            clock=clock,
+            decode=records.decode_upstream,
+            metrics=Metrics(),
+            age_ms=lambda: 0,
+        )
+        entry = json.dumps(self.server.entry(born=2)).encode()
+        directory.apply([Change("s1", 1, entry)])
+        loads = UpstreamLoads(
+            clock=clock,
+            http=http,
+            directory=directory,
+            limits=upstream_limits(clock),
+            zone="a",
+            host_id="host-a",
+        )
+        self.in_flight = InFlight()
+        self.relay = RequestRelay(
+            http=http,
+            loads=loads,
+            dialect=servers,
+            metrics=Metrics(),
+            directory=directory,
+            in_flight=self.in_flight,
+        )
+
+    async def send(self, server="s1", started_ms=2):
+        upstream = SimpleNamespace(name=server, started_ms=started_ms)
+        headers = [(b"host", b"h"), (b"request-id", b"r1")]
+        headers += relay_headers(upstream, "POST", 1000, False)
+        chunks = self.relay.relay("/servers/requests/x", headers, b"body")
+        return b"".join([chunk async for chunk in chunks])
+
+    async def check_refused(self, kind, **terms):
+        with self.assertRaises(ServiceError) as caught:
+            await self.send(**terms)
+        self.assertEqual(caught.exception.kind, kind)
+        self.assertIs(caught.exception.answer.ran, Ran.NOT_RUN)
+        self.assertEqual(self.server.seen, [])
+
+    async def test_the_head_comes_before_the_body(self):
+        head, _, body = (await self.send()).partition(b"\n")
+        self.assertEqual(json.loads(head)["status"], 200)
+        self.assertEqual(body, b"answer to body")
+        self.assertEqual(self.in_flight.count, 0)
+
+    async def test_an_unknown_server_gets_nothing(self):
+        await self.check_refused(ErrorKind.DRAINING, server="s2")
+
+    async def test_a_server_that_has_started_again_gets_nothing(self):
+        """It may have another software version, which can't go on with a text."""
+        await self.check_refused(ErrorKind.DRAINING, started_ms=1)
+
+    async def test_a_relay_that_stops_sends_nothing(self):
+        self.in_flight.stop()
+        await self.check_refused(ErrorKind.DRAINING)
+
+
 class FleetTest(unittest.IsolatedAsyncioTestCase):
     """Daemons, most of which lose their links to all servers."""
 
