Follow the table of blocked requests

The component that forgets old crashes had the name of the table's feed in the daemon's list of components and replaced it there, so the feed never ran; the reports between hosts hid it, and the test of hosts that start later allowed three more retries, which sufficed.

The component has a name of its own now.

--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -550,7 +550,7 @@
             "board": self._supervisor,
             "orders": self._orders,
             "reach": self._connectivity,
-            "crashes": self._crashes,
+            "crash histories": self._crashes,
         }
         for name, part in part_by_name.items():
             self._tasks.start(util.keep_running(name, part.run, self._clock), name)
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -344,8 +344,11 @@
         for name in self.HOSTS:
             self.fleet.start_front(name)
             await self.fleet.wait_ready(name)
+        started_s = time.monotonic()
         await self.press(6)
         self.check_retries()
+        late = [seen_s for seen_s in self.runs_of(CRASHING) if seen_s > started_s]
+        self.assertEqual(late, [])
 
     async def test_hosts_tell_each_other_without_the_store(self):
         self.keeps_ids = True
