--- a/test/fault_proxy.py
+++ b/test/fault_proxy.py
@@ -89,6 +89,11 @@
         self._answer()
         self.cut()
 
+    @property
+    def is_listening(self):
+        """Whether new connections are accepted."""
+        return self._server is not None
+
     def any_open(self, pairs):
         """Return whether any of the connections that :meth:`cut` returned is open."""
         return any(pair in self._pairs for pair in pairs)
--- a/test/standins/users_server.py
+++ b/test/standins/users_server.py
@@ -37,7 +37,9 @@
     :ivar leaving: whether every response says that the server is leaving.
     :ivar event_ms: the time from one event of an item to the next.
     :ivar delay_s: how long an application request takes.
+    :ivar born: the start time in its entry.
     :ivar crash_bodies: the bodies of requests under which the server ends.
+    :ivar on_crash: awaited with the server when it ends under a request.
     :ivar crashed_s: when it ended under one, by the monotonic clock, or None.
     """
 
@@ -62,8 +64,10 @@
         self.seen_s = []
         self.event_ms = EVENT_MS
         self.delay_s = 0
+        self.born = 1
         self.crash_bodies = set()
         self.crashed_s = None
+        self.on_crash = _do_nothing
         self.echo = None
         self.sequence = 0
         self.accepted = 0
@@ -110,7 +114,7 @@
             "stage": "both",
             "models": models,
             "seq": self.sequence,
-            "born": 1,
+            "born": self.born,
             **fields,
         }
 
@@ -153,6 +157,7 @@
         self.runs.append(request_id)
         if request.body in self.crash_bodies:
             self.crashed_s = time.monotonic()
+            await self.on_crash(self)
             await self.close()
             raise Drop
         if self.lose:
@@ -194,6 +199,10 @@
             await asyncio.sleep(self.event_ms / 1000)
 
 
+async def _do_nothing(server):
+    pass
+
+
 def event_text(request_id, number, version="v1"):
     """Return the data of one event of an item, as a software version writes it."""
     event = {"of": request_id, "number": number}
