Correct three comments of the relay

Found by reading the whole change once more: one comment gave a reason that isn't the line's, one told how a number was arrived at, and a parameter had no description. Only comments and docstrings are changed.

--- a/goldcrestmoor/process/server_paths.py
+++ b/goldcrestmoor/process/server_paths.py
@@ -283,7 +283,7 @@
         relayed = relay_headers(
             upstream, method, timeout_ms, options.get("idempotent", False)
         )
-        # A relay that is idle for long closes its connections like any server.
+        # The relay frames every body; one that only a close ends was cut off.
         options = options | {"allow_close_delimited": False}
         async with self._http.stream(
             row.address,
--- a/goldcrestmoor/request/path_choice.py
+++ b/goldcrestmoor/request/path_choice.py
@@ -10,8 +10,7 @@
 
 import msgspec
 
-# Hosts that are asked, at most. With a third of all hosts left, it is unlikely that
-# none of them is among these.
+# Bounds the calls when a whole zone asks at once.
 OWN_ZONE_HOSTS = 4
 OTHER_ZONE_HOSTS = 6
 
--- a/goldcrestmoor/request/relayed_messages.py
+++ b/goldcrestmoor/request/relayed_messages.py
@@ -116,7 +116,8 @@
 
     :param response: the ``ResponseStream`` of the relay.
     :param head: the :class:`RelayedHead`.
-    :param rest: the bytes that were read behind the head.
+    :param chunks: the iterator of the relay's response body, behind the head.
+    :param rest: the bytes that were read with the head.
     """
 
     __slots__ = ("status", "headers", "_response", "_chunks", "_rest")
