Decode client accounts, scaling bounds and the platform's API

Client accounts, their API keys, the bounds of scaling and the address of the platform's API are decoded into types of our own. Optional sections of the settings are None where the platform has no such field, so that earlier deployments get the settings they had. Nothing acts on them yet.

--- a/goldcrestmoor/front_settings.py
+++ b/goldcrestmoor/front_settings.py
@@ -84,13 +84,51 @@
     turn_ms: DurationMs
 
 
+class ApiSettings(Section):
+    """The platform's API: its address, its rate limit and the calls due to it."""
+
+    endpoint: Endpoint
+    calls_per_s: Annotated[float, Meta(gt=0)]
+    duties: list[str]
+
+    @property
+    def address(self):
+        """The API's IP address."""
+        return self.endpoint.rpartition(":")[0]
+
+    @property
+    def port(self):
+        """The API's TCP port."""
+        return int(self.endpoint.rpartition(":")[2])
+
+
+class UsageSettings(Section):
+    """Length of a usage window, and when its report is due after its end."""
+
+    window_s: Count
+    due_s: Count
+
+
+class AccountSettings(Section):
+    """Whether keys are refused by a host that may miss their withdrawal, and when."""
+
+    strict_revocation: bool
+    revoke_ms: DurationMs
+
+
 class FrontSettings(Section):
-    """All settings of the daemon on the users' platform."""
+    """All settings of the daemon on the users' platform.
+
+    A section that the platform does not provide is None.
+    """
 
     host: FrontHostSettings
     store: StoreSettings
     jobs: JobSettings
     orders: OrderSettings
+    api: ApiSettings | None
+    usage: UsageSettings | None
+    accounts: AccountSettings | None
     limits: LimitSettings
     shutdown: ShutdownSettings
     log: LogSettings
--- a/goldcrestmoor/platform/records.py
+++ b/goldcrestmoor/platform/records.py
@@ -2,7 +2,13 @@
 
 import msgspec
 
+from goldcrestmoor.clock import MS_PER_SECOND
 from goldcrestmoor.process.directory import ListedUpstream
+from goldcrestmoor.version.configuration.accounts import (
+    AccountDirectory,
+    ClientAccount,
+    key_digest,
+)
 from goldcrestmoor.version.configuration.routes import (
     CallerLimits,
     JobPolicy,
@@ -10,6 +16,7 @@
     Route,
     RouteKind,
     RouteTable,
+    ScalingBounds,
     Service,
     ServiceShare,
     group_by_host,
@@ -46,6 +53,7 @@
     keep_s: float = 0
     run_aim_ms: float = 0
     single_version: bool = False
+    public: bool = False
 
 
 class _Model(msgspec.Struct):
@@ -56,11 +64,19 @@
     models: list[_Model] = []
 
 
+class _Scaling(msgspec.Struct, rename="camel"):
+    # By availability zone.
+    min: int
+    max: int
+    boot_s: float = 0
+
+
 class _Service(msgspec.Struct, rename="camel"):
     name: str
     # The number of connections that one server accepts from all callers together.
     max_conns: int = 0
     engine: _Engine | None = None
+    scaling: _Scaling | None = None
 
 
 class _Limits(msgspec.Struct, rename="camel"):
@@ -70,11 +86,19 @@
     idle_timeout_ms: int
 
 
+class _Tenant(msgspec.Struct, rename="camel"):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
 class _Configuration(msgspec.Struct):
     version: int
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
+    # The client accounts; callers need no keys where the field is missing.
+    tenants: list[_Tenant] | None = None
 
 
 class _LoadedModel(msgspec.Struct):
@@ -126,6 +150,7 @@
             limits.header_timeout_ms,
             limits.idle_timeout_ms,
         ),
+        _decode_accounts(document.tenants),
     )
 
 
@@ -188,9 +213,22 @@
         priority=route.priority,
         attempts=max(1, route.attempts),
         job=job,
+        is_public=route.public,
     )
 
 
+def _decode_accounts(tenants):
+    if tenants is None:
+        return None
+    account_by_name, account_by_digest = {}, {}
+    for tenant in tenants:
+        account = ClientAccount(tenant.name, tenant.priority)
+        account_by_name[account.name] = account
+        for key in tenant.api_keys:
+            account_by_digest[key_digest(key.encode())] = account
+    return AccountDirectory(account_by_name, account_by_digest)
+
+
 def _retry_policy(route):
     match route.route_type:
         case "safe":
@@ -205,6 +243,13 @@
 
 def _decode_service(service):
     models = service.engine.models if service.engine else []
+    scaling = None
+    if service.scaling is not None:
+        scaling = ScalingBounds(
+            service.scaling.min,
+            service.scaling.max,
+            int(service.scaling.boot_s * MS_PER_SECOND),
+        )
     return Service(
-        service.name, tuple(model.name for model in models), service.max_conns
+        service.name, tuple(model.name for model in models), service.max_conns, scaling
     )
--- a/goldcrestmoor/process/duties.py
+++ b/goldcrestmoor/process/duties.py
@@ -60,6 +60,21 @@
         lease = self._held_by_name.get(name)
         return lease is not None and lease.holds()
 
+    def lease(self, name):
+        """Return this host's newest lease on a duty, or None if it never had one.
+
+        :param name: the duty.
+        """
+        return self._held_by_name.get(name)
+
+    def holder(self, name):
+        """Return the host that holds a duty according to the feed, or None.
+
+        :param name: the duty.
+        """
+        row = self._row_by_name.get(name)
+        return row.holder or None if row is not None else None
+
     def is_claimable(self, name):
         """Return whether a duty may be claimed, according to the feed.
 
--- a/goldcrestmoor/process/leases.py
+++ b/goldcrestmoor/process/leases.py
@@ -42,6 +42,8 @@
     :param version: the version of the row that it replaces; 0 for none.
     :param was_released: whether no earlier holder can still be active, because
         there was none or it released the duty itself.
+    :param continues_own: whether the last holder was this host, or there was none.
+    :ivar acquired_ms: when the lease was acquired.
     """
 
     __slots__ = (
@@ -49,16 +51,20 @@
         "row",
         "version",
         "was_released",
+        "continues_own",
+        "acquired_ms",
         "expires_ms",
         "lost",
         "_clock",
     )
 
-    def __init__(self, clock, name, row, version, was_released):
+    def __init__(self, clock, name, row, version, was_released, continues_own=False):
         self.name = name
         self.row = row
         self.version = version
         self.was_released = was_released
+        self.continues_own = continues_own
+        self.acquired_ms = clock.now_ms()
         self.expires_ms = 0
         self.lost = False
         self._clock = clock
@@ -149,7 +155,8 @@
         new = LeaseRow(self._host_id, token, fencing, duration_ms)
         was_released = known is None or not known.holder
         version = row.version if row else 0
-        lease = Lease(self._clock, name, new, version, was_released)
+        continues_own = known is None or self.is_own(known)
+        lease = Lease(self._clock, name, new, version, was_released, continues_own)
         if not await self._write(lease):
             return None
         self._observed_by_name.pop(name, None)
--- a/goldcrestmoor/process/metrics.py
+++ b/goldcrestmoor/process/metrics.py
@@ -64,6 +64,9 @@
         "blocked_requests",
         "unreachable_upstreams",
         "relayed_requests",
+        "api_calls",
+        "unauthorized",
+        "accounts",
     )
 
     def __init__(self):
@@ -191,6 +194,16 @@
             "blocked_requests", "Requests that are blocked as servers crash under them."
         )
 
+        self.api_calls = self._counter(
+            "api_calls", "Calls to the platform's API.", "call", "outcome"
+        )
+        self.unauthorized = self._counter(
+            "unauthorized",
+            "Requests refused for their API key, by the account that held it.",
+            "account",
+        )
+        self.accounts = self._gauge("accounts", "Client accounts in force here.")
+
     def _counter(self, name, text, *labels):
         return Counter(f"goldcrestmoor_{name}", text, labels, registry=self.registry)
 
--- a/goldcrestmoor/version/configuration/routes.py
+++ b/goldcrestmoor/version/configuration/routes.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from goldcrestmoor.version.configuration.accounts import AccountDirectory
+
 
 class RouteKind(enum.StrEnum):
     """The kind of responses that a route has."""
@@ -63,6 +65,7 @@
     :param priority: 0 is the most urgent.
     :param attempts: the maximum number of upstreams that a request is sent to.
     :param job: the policy of batch jobs, on a route of that kind.
+    :param is_public: whether its requests need no API key.
     """
 
     name: str
@@ -76,6 +79,7 @@
     priority: int = 0
     attempts: int = 1
     job: JobPolicy | None = None
+    is_public: bool = False
 
     def service_for(self, request_id):
         """Return the service for a request, chosen by the services' weights.
@@ -96,6 +100,19 @@
         return self.shares[-1].service
 
 
+class ScalingBounds(msgspec.Struct, frozen=True):
+    """How many servers of a service may be ordered in each availability zone.
+
+    :param min_servers: the smallest number.
+    :param max_servers: the largest number.
+    :param boot_ms: the time until a new server serves, in milliseconds.
+    """
+
+    min_servers: int
+    max_servers: int
+    boot_ms: int
+
+
 class Service(msgspec.Struct, frozen=True):
     """A group of interchangeable upstreams.
 
@@ -103,11 +120,13 @@
     :param models: the models that its engines run; empty for applications.
     :param max_connections: the maximum number of connections that one upstream
         accepts from all hosts together.
+    :param scaling: the :class:`ScalingBounds`; None if its servers can't be ordered.
     """
 
     name: str
     models: tuple[str, ...] = ()
     max_connections: int = 0
+    scaling: ScalingBounds | None = None
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
@@ -132,12 +151,16 @@
     :param routes_by_host: each host's routes, longest prefix first.
     :param services_by_name: the services.
     :param limits: the :class:`CallerLimits`.
+    :param accounts: the
+        :class:`~goldcrestmoor.version.configuration.accounts.AccountDirectory`; None
+        where callers have no accounts.
     """
 
     version: int
     routes_by_host: dict[str, tuple[Route, ...]]
     services_by_name: dict[str, Service]
     limits: CallerLimits
+    accounts: AccountDirectory | None = None
 
     def match(self, host, path):
         """Return the route of a request, or None.
--- a/test/_front.py
+++ b/test/_front.py
@@ -129,6 +129,8 @@
         self.kept_s = 120
         self.log_style = "text"
         self.documents = {}
+        # Further sections of every daemon's settings, by name.
+        self.sections = {}
         self._directory = tempfile.TemporaryDirectory()
         self._heartbeat_task = None
         self.silent = set()
@@ -197,6 +199,7 @@
             "jobs": {"kept_s": self.kept_s},
             "store": {"endpoint": f"127.0.0.1:{self.gates[name]}"},
             "log": {"style": self.log_style},
+            **self.sections,
         }
         path = self.write_settings(name, document)
         arguments = ["goldcrestmoor", "front", str(path)]
--- a/test/test_front_settings.py
+++ b/test/test_front_settings.py
@@ -25,21 +25,42 @@
 }
 
 
+# The fields that only some deployments have.
+OPTIONAL_FIELDS = {
+    "cloud": {
+        "address": "10.200.0.199:8608",
+        "dutyPerS": 50.0,
+        "duties": ["usage_report", "autoscale"],
+    },
+    "bounds": {
+        **FIELDS["bounds"],
+        "windowS": 5,
+        "usageLateS": 10,
+        "strictRevoke": False,
+        "revokeMs": 5000,
+    },
+}
+
+
 def fill(template, fields):
-    """Replace each placeholder by its field as JSON."""
+    """Replace each placeholder by its field as JSON, and drop sections without one."""
 
-    def value(match):
+    def value_of(path):
         found = fields
-        for name in match[1].split("."):
-            found = found[name]
-        return json.dumps(found)
+        for name in path.split("."):
+            found = found.get(name) if found else None
+        return found
 
-    return re.sub(r"\{\{([\w.]+)\|json\}\}", value, template)
+    def section(match):
+        return match[2] if value_of(match[1]) else ""
+
+    kept = re.sub(r"(?s)\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", section, template)
+    return re.sub(r"\{\{([\w.]+)\|json\}\}", lambda m: json.dumps(value_of(m[1])), kept)
 
 
 class FrontSettingsTest(unittest.TestCase):
-    def document(self):
-        return json.loads(fill(TEMPLATE.read_text(), FIELDS))
+    def document(self, **fields):
+        return json.loads(fill(TEMPLATE.read_text(), FIELDS | fields))
 
     def write(self, document):
         folder = tempfile.TemporaryDirectory()
@@ -60,6 +81,17 @@
         self.assertEqual((loaded.host.cores, loaded.host.core_share), (3, 0.717))
         self.assertEqual((loaded.orders.turn_ms, loaded.jobs.kept_s), (3000, 120))
 
+    def test_a_platform_without_an_api_leaves_its_sections_out(self):
+        loaded = front_settings.decode(self.document())
+        self.assertEqual((loaded.api, loaded.usage, loaded.accounts), (None,) * 3)
+
+    def test_the_sections_of_the_platforms_api_are_filled(self):
+        loaded = front_settings.decode(self.document(**OPTIONAL_FIELDS))
+        self.assertEqual((loaded.api.address, loaded.api.port), ("10.200.0.199", 8608))
+        self.assertEqual(loaded.api.duties, ["usage_report", "autoscale"])
+        self.assertEqual((loaded.usage.window_s, loaded.usage.due_s), (5, 10))
+        self.assertFalse(loaded.accounts.strict_revocation)
+
     def test_every_fault_is_named_with_its_path(self):
         document = self.document()
         document["host"]["callers"] = "nowhere"
--- a/test/test_platform_names.py
+++ b/test/test_platform_names.py
@@ -10,14 +10,15 @@
 HEADERS = """
     Server-Stamp Expect-Instance Deadline-Ms Not-Run Weight-Versions Instance-Id
     Wait-Ms Length-Hint Model-Name Token-Count Prompt-Prefix Kv-From Server-Limit
-    Server-Leaving
+    Server-Leaving X-Api-Key Tenant-Id Duty-Holder Fence-Token
 """
 NAMES = """
     rows-tx rows-get rows-feed rows-parts blob-put blob-get blob-drop blob-list
     setKeys nowMs hasMore waitMs pathPrefix routeType targetLatencyMs timeoutMs
     runAimMs keepS singleVersion minVersion targetGroups stickySessions maxConns
     coldLeftMs op/config op/version /readiness /lots /items/ /report /order
-    heartbeatMs leaseMs statusS machineClass
+    heartbeatMs leaseMs statusS machineClass tenants apiKeys windowId bootS spotPrice
+    zonePrices usage_report autoscale dutyPerS strictRevoke /scaling
 """
 
 
