Decode which listed servers may be reclaimed

Servers that the platform may reclaim are marked in the list and leave a whole zone at once. Nothing read the mark. ListedUpstream has is_reclaimable now; any JSON value is accepted, as a malformed mark must not make a server unusable. The remaining time of a server is not read: only the state draining tells that it leaves.

--- a/goldcrestmoor/platform/records.py
+++ b/goldcrestmoor/platform/records.py
@@ -119,6 +119,9 @@
     models: list[_LoadedModel] = []
     # Start time of the server in Unix milliseconds; distinguishes two incarnations.
     born: int | None = None
+    # Of any type: a mark that is malformed must not make the server unusable. The field
+    # leaves_ms is not read, as only the state tells that a server leaves.
+    spot: object = False
 
 
 class _TargetVersion(msgspec.Struct):
@@ -180,6 +183,7 @@
         version_by_model={loaded.name: loaded.version for loaded in server.models},
         started_ms=server.born or 0,
         software_version=server.version,
+        is_reclaimable=bool(server.spot),
     )
 
 
--- a/goldcrestmoor/process/directory.py
+++ b/goldcrestmoor/process/directory.py
@@ -30,6 +30,7 @@
     :param started_ms: when this incarnation started; 0 if not reported.
     :param software_version: the version of its software; what two versions write does
         not fit together.
+    :param is_reclaimable: whether the platform may reclaim it, with others of its zone.
     """
 
     name: str
@@ -43,6 +44,7 @@
     version_by_model: dict[str, int] = {}
     started_ms: int = 0
     software_version: str = ""
+    is_reclaimable: bool = False
 
 
 class UpstreamDirectory:
--- a/test/test_directory.py
+++ b/test/test_directory.py
@@ -1,8 +1,10 @@
 """The upstream directory while the store is intermittently unavailable."""
 
+import json
 import unittest
 
 from goldcrestmoor.adapters.table import Change
+from goldcrestmoor.platform import records
 from goldcrestmoor.process.directory import (
     RELIST_GRACE_MS,
     ListedUpstream,
@@ -94,3 +96,23 @@
         self.recover_store()
         self.write("s1", None)
         self.assertNotIn("s1", self.directory.upstream_by_name)
+
+
+class DecodeTest(unittest.TestCase):
+    def decode(self, **fields):
+        entry = {"service": "pool", "address": "127.0.0.1:1", "zone": "a", "slots": 8}
+        value = json.dumps(entry | {"state": "ready"} | fields).encode()
+        return records.decode_upstream("s1", value)
+
+    def test_only_the_state_tells_that_a_server_leaves(self):
+        """A server that may be reclaimed later must get work until then."""
+        upstream = self.decode(spot=True, leaves_ms=5000)
+        self.assertTrue(upstream.is_reclaimable)
+        self.assertFalse(upstream.is_draining)
+        self.assertTrue(self.decode(spot=True, state="draining").is_draining)
+
+    def test_a_malformed_mark_leaves_the_server_usable(self):
+        """Its work is worth more than the knowledge that it may be reclaimed."""
+        self.assertTrue(self.decode(spot="0.4").is_reclaimable)
+        self.assertFalse(self.decode(spot=None).is_reclaimable)
+        self.assertFalse(self.decode().is_reclaimable)
