Read the headers of calls to the API's stand-in as text

The stand-in looked up headers by bytes, while its HTTP server passes names and values as text, so every call ended with a KeyError and a closed connection. The names are text now.

Seen: orders of a real daemon are recorded (test.test_front_capacity).

--- a/test/standins/users_api.py
+++ b/test/standins/users_api.py
@@ -48,10 +48,9 @@
                 return Response(429)
             case "silent":
                 await asyncio.sleep(60)
-        headers = dict(request.headers)
         body = request.json()
-        holder = headers[b"duty-holder"].decode()
-        fencing = int(headers[b"fence-token"])
+        holder = request.headers["duty-holder"]
+        fencing = int(request.headers["fence-token"])
         self.calls.append((request.path, holder, fencing, body))
         self.arrived_s.append(asyncio.get_running_loop().time())
         if self.lost_answers:
