Give the states of open jobs of all hosts

Orders of servers need the open items of every job, which the supervisor knows from the feed. open_states() returns them; open_models() uses it. No behaviour changes.

--- a/goldcrestmoor/job/job_supervisor.py
+++ b/goldcrestmoor/job/job_supervisor.py
@@ -137,15 +137,17 @@
         """
         return not self._is_leaving and self._duties.holds(runner_duty(model))
 
+    def open_states(self):
+        """Return the states of the jobs that have items to list, on all hosts."""
+        return [
+            stored.state
+            for stored in self.state_by_job.values()
+            if self._is_open(stored.state)
+        ]
+
     def open_models(self):
         """Return the number of models with open jobs, on all hosts."""
-        return len(
-            {
-                stored.state.model
-                for stored in self.state_by_job.values()
-                if self._is_open(stored.state)
-            }
-        )
+        return len({state.model for state in self.open_states()})
 
     def update_state(self, job_id, stored):
         """Record a job's state, from the feed or from a write of this process.
