Order servers from the platform, at the holder of the API's duty

The plan of capacity_plan.py is carried out by the holder of platform-api: it keeps the row capacity, writes it before a changed target is ordered, and checks the list, the lease and the turn before each call. It is active only where the settings name the duty and a service has scaling bounds. A host without the section api has no new part.

--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -22,6 +22,7 @@
 from goldcrestmoor.job.reward_calls import RewardCaller
 from goldcrestmoor.job.scheduler import Scheduler
 from goldcrestmoor.platform import callers as caller_dialect, records, servers
+from goldcrestmoor.platform.cloud import SERVERS_DUTY, PlatformApi
 from goldcrestmoor.platform.store import StoreClient
 from goldcrestmoor.process import (
     crash_reports,
@@ -31,9 +32,11 @@
     store_connectivity,
     stream_versions,
 )
+from goldcrestmoor.process.capacity_orders import CapacityOrders
 from goldcrestmoor.process.crash_reports import CrashReports
 from goldcrestmoor.process.directory import UpstreamDirectory
 from goldcrestmoor.process.duties import Duties
+from goldcrestmoor.process.exclusive_duty import ExclusiveDuty
 from goldcrestmoor.process.follower import TableFollower
 from goldcrestmoor.process.front_callers import FrontRequestHandler
 from goldcrestmoor.process.host_calls import HostCalls
@@ -81,6 +84,8 @@
 # Less than a runner's lease with its margin; a slow store may take a second to answer,
 # and a dead runner must still be replaced.
 LEASE_FEED_OUTAGE_MS = 2000
+# The duty to make all calls to the platform's API.
+API_DUTY = "platform-api"
 # Short enough not to delay the shutdown noticeably.
 DRAIN_POLL_MS = 20
 STORE_METHODS = ("GET", "POST", "PUT", "DELETE")
@@ -119,6 +124,9 @@
         "_job_api",
         "_followers",
         "_connectivity",
+        "_api_duty",
+        "_api",
+        "_capacity",
         "_in_flight",
         "_servers",
         "_is_leaving",
@@ -150,6 +158,8 @@
         self._make_jobs()
         self._make_orders()
         self._make_connectivity()
+        self._make_api()
+        self._make_capacity()
         self._make_servers()
 
     def _make_feed_consumers(self):
@@ -354,6 +364,45 @@
             store_connectivity.TABLE, self._connectivity.apply
         )
 
+    def _make_api(self):
+        """Create the client of the platform's API, and the duty to call it."""
+        self._api_duty = self._api = None
+        host, api = self.settings.host, self.settings.api
+        if api is None:
+            return
+        self._api_duty = ExclusiveDuty(
+            clock=self._clock,
+            duties=self._duties,
+            name=API_DUTY,
+            turn_ms=self.settings.orders.turn_ms,
+            cores=host.cores * host.core_share,
+        )
+        self._api = PlatformApi(
+            http=self._http,
+            address=api.address,
+            port=api.port,
+            host_id=host.id,
+            metrics=self._metrics,
+        )
+
+    def _make_capacity(self):
+        self._capacity = None
+        api = self.settings.api
+        if api is None or SERVERS_DUTY not in api.duties:
+            return
+        self._capacity = CapacityOrders(
+            clock=self._clock,
+            duty=self._api_duty,
+            api=self._api,
+            store=self._store,
+            directory=self._directory,
+            is_list_current=self._followers[records.UPSTREAM_TABLE].is_current,
+            routes=self._routing.current,
+            open_states=self._supervisor.open_states,
+            calls_per_s=api.calls_per_s,
+            metrics=self._metrics,
+        )
+
     def _last_answer_age_ms(self):
         """Return the time since the store last answered a feed, or None."""
         ages = [follower.age_ms() for follower in self._followers.values()]
@@ -552,6 +601,10 @@
             "reach": self._connectivity,
             "crash histories": self._crashes,
         }
+        if self._api_duty is not None:
+            part_by_name["platform api"] = self._api_duty
+        if self._capacity is not None:
+            part_by_name["capacity"] = self._capacity
         for name, part in part_by_name.items():
             self._tasks.start(util.keep_running(name, part.run, self._clock), name)
         for server in self._servers:
@@ -591,6 +644,8 @@
         """Accept no new work, and finish the work in progress."""
         log.info("Stop signal received; no longer ready.")
         self._is_leaving = True
+        if self._api_duty is not None:
+            self._api_duty.leave()
         unready_deadline = Deadline.after(
             self._clock, self.settings.shutdown.unready_ms
         )
--- a/goldcrestmoor/process/metrics.py
+++ b/goldcrestmoor/process/metrics.py
@@ -67,6 +67,9 @@
         "api_calls",
         "unauthorized",
         "accounts",
+        "server_orders",
+        "target_servers",
+        "listed_servers",
     )
 
     def __init__(self):
@@ -203,6 +206,21 @@
             "account",
         )
         self.accounts = self._gauge("accounts", "Client accounts in force here.")
+        self.server_orders = self._counter(
+            "server_orders", "Orders of servers.", "service", "zone", "outcome"
+        )
+        self.target_servers = self._gauge(
+            "target_servers",
+            "Servers that this host orders, as holder of the duty.",
+            "service",
+            "zone",
+        )
+        self.listed_servers = self._gauge(
+            "listed_servers",
+            "Listed servers that accept work, at the host that orders servers.",
+            "service",
+            "zone",
+        )
 
     def _counter(self, name, text, *labels):
         return Counter(f"goldcrestmoor_{name}", text, labels, registry=self.registry)
