Make the client account part of a request's identity

Cause: crashes of servers are counted by the content of a request, and two accounts may send the same content.

Change: CallerRequest has the account, which its content digest includes. Digests of requests without an account are unchanged, as rows of the store are named by them.

Seen: test.test_crashing_requests passes, with digests of two accounts.

--- a/goldcrestmoor/request/forwarding.py
+++ b/goldcrestmoor/request/forwarding.py
@@ -30,6 +30,7 @@
     :param body: the body.
     :param resumed_id: the id of the request that began the stream which this one
         continues; empty if not stated, None for a new stream.
+    :param account: the client account that it belongs to; empty for none.
     """
 
     id: str
@@ -38,6 +39,7 @@
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
     resumed_id: str | None = None
+    account: str = ""
 
     def content_digest(self, host):
         """Return what identifies the request however often its caller sends it.
@@ -45,7 +47,10 @@
         :param host: the host of its route.
         """
         caller = dict(self.headers).get(b"authorization", b"")
-        parts = host.encode(), self.method.encode(), self.target.encode(), caller
+        parts = [host.encode(), self.method.encode(), self.target.encode(), caller]
+        # Stored digests of requests without an account stay as they were.
+        if self.account:
+            parts.append(self.account.encode())
         digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
         for part in (*parts, self.body):
             digest.update(len(part).to_bytes(8, "big"))
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -111,6 +111,7 @@
                 parts["target"],
                 ((b"request-id", request_id.encode()), *parts.get("headers", ())),
                 parts["body"],
+                account=parts.get("account", ""),
             )
             return request.content_digest(host)
 
@@ -121,6 +122,8 @@
             digest(target="/x?q=2"),
             digest(body=b"c"),
             digest(headers=((b"authorization", b"a"),)),
+            digest(account="a"),
+            digest(account="b"),
         )
         self.assertEqual(len({digest(), *others}), 1 + len(others))
 
