Accept configurations with faults in client accounts

Cause: a host rejected a whole configuration for an account without a name or with a priority of another type, though the operator's store had accepted it. A key that two accounts hold was the second one's.

Change: faults are collected with the accounts, as sentences without the key. A key of several accounts is assigned to none, an account without a usable name is ignored with its keys, and an unknown priority leaves the route's.

--- a/goldcrestmoor/platform/records.py
+++ b/goldcrestmoor/platform/records.py
@@ -4,11 +4,7 @@
 
 from goldcrestmoor.clock import MS_PER_SECOND
 from goldcrestmoor.process.directory import ListedUpstream
-from goldcrestmoor.version.configuration.accounts import (
-    AccountDirectory,
-    ClientAccount,
-    key_digest,
-)
+from goldcrestmoor.version.configuration.accounts import ListedAccount, make_directory
 from goldcrestmoor.version.configuration.routes import (
     CallerLimits,
     JobPolicy,
@@ -87,9 +83,10 @@
 
 
 class _Tenant(msgspec.Struct, rename="camel"):
-    name: str
-    api_keys: list[str] = []
-    priority: int | None = None
+    # A fault in one account must not reject the configuration.
+    name: object = None
+    api_keys: list[object] | None = None
+    priority: object = None
 
 
 class _Configuration(msgspec.Struct):
@@ -224,13 +221,10 @@
 def _decode_accounts(tenants):
     if tenants is None:
         return None
-    account_by_name, account_by_digest = {}, {}
-    for tenant in tenants:
-        account = ClientAccount(tenant.name, tenant.priority)
-        account_by_name[account.name] = account
-        for key in tenant.api_keys:
-            account_by_digest[key_digest(key.encode())] = account
-    return AccountDirectory(account_by_name, account_by_digest)
+    return make_directory(
+        ListedAccount(tenant.name, tenant.api_keys or [], tenant.priority)
+        for tenant in tenants
+    )
 
 
 def _retry_policy(route):
