Let batch jobs belong to client accounts

Cause: items and reward calls must carry the account of the job's submission, also after a change of runner, and another account must not find the job.

Change: Job and JobState have the account, empty in what was stored before. Bodies of jobs that a host has at hand are used only for the same account. Servers are told the account; an item's own headers can't set or remove it, and keys in them are not stored. The account's priority replaces the route's. Without accounts the headers are the same as before.

The fake route table of test.test_reward_calls has the method that reward calls use now.

--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -66,11 +66,14 @@
     :param host: the host of the item's route.
     :param min_version: the oldest weight version accepted for its events.
     :param single_version: whether all events must come from one weight version.
+    :param account: the client account that the engine is told, empty for none; None
+        where callers have no accounts.
     """
 
     host: str
     min_version: int
     single_version: bool
+    account: str | None = None
 
 
 class ItemRun:
@@ -245,7 +248,7 @@
         :return: the outcome, one of the classes above.
         """
         dialect = self._dialect
-        headers = dialect.item_headers(run.item, terms.host)
+        headers = dialect.item_headers(run.item, terms.host, terms.account)
         headers = dialect.request_headers(headers, engine, None)
         if run.last_id:
             headers.append(dialect.resume_header(run.last_id))
--- a/goldcrestmoor/job/job.py
+++ b/goldcrestmoor/job/job.py
@@ -53,6 +53,7 @@
     :param min_version: the oldest weight version accepted for the output.
     :param step: the trainer's step.
     :param target_groups: the number of complete groups that the trainer waits for.
+    :param account: the client account that it belongs to; empty for none.
     """
 
     id: str
@@ -63,6 +64,7 @@
     min_version: int = 0
     step: int = 0
     target_groups: int = 0
+    account: str = ""
 
 
 class JobState(msgspec.Struct, frozen=True):
@@ -78,6 +80,7 @@
     :param listed: the number of results listed so far.
     :param is_ended: whether the submitter has ended the job.
     :param zone: the availability zone of the host that accepted it.
+    :param account: the client account that the job belongs to; empty for none.
     """
 
     host: str
@@ -90,6 +93,7 @@
     listed: int = 0
     is_ended: bool = False
     zone: str = ""
+    account: str = ""
 
 
 class Partial(msgspec.Struct, frozen=True):
--- a/goldcrestmoor/job/job_run.py
+++ b/goldcrestmoor/job/job_run.py
@@ -35,7 +35,7 @@
     :param listed_ids: the ids of the items whose results are already listed.
     :param partials: the stored partial outputs of the other items, by position.
     :param policy: the ``JobPolicy`` of its route.
-    :param priority: its route's priority.
+    :param priority: the priority of its account, else of its route.
     :param clock: the clock.
     :param store: the :class:`~goldcrestmoor.job.job_store.JobStore`.
     :param on_state: called with each :class:`VersionedState` written or received.
--- a/goldcrestmoor/job/job_store.py
+++ b/goldcrestmoor/job/job_store.py
@@ -118,6 +118,7 @@
             total=len(job.items),
             submitted_ms=self.now_ms(),
             zone=zone,
+            account=job.account,
         )
         writes = []
         if len(data) <= MAX_BYTES:
--- a/goldcrestmoor/job/job_supervisor.py
+++ b/goldcrestmoor/job/job_supervisor.py
@@ -357,7 +357,8 @@
     async def _create_run(self, job_id, stored):
         """Make this process a job's runner; return the run, or None if it cannot be."""
         job = self._job_by_id.pop(job_id, None)
-        if job is None:
+        if job is None or job.account != stored.state.account:
+            # What was cached is a submission of another account under the same id.
             job = await self._store.load(job_id, stored.state)
         listed_ids, partials = set(), {}
         if stored.state.runner:
@@ -387,7 +388,7 @@
             listed_ids=listed_ids,
             partials=partials,
             policy=route.job,
-            priority=route.priority,
+            priority=table.priority_of(route, job.account),
             clock=self._clock,
             store=self._store,
             on_state=self.update_state,
--- a/goldcrestmoor/job/reward_calls.py
+++ b/goldcrestmoor/job/reward_calls.py
@@ -249,9 +249,9 @@
             return NoScore(Ran.NOT_RUN, text)
         reward_call = call.item.reward_call
         remaining_ms = max(1, call.job_run.remaining_ms())
-        headers = self._dialect.request_headers(
-            self._dialect.reward_call_headers(reward_call), server, remaining_ms
-        )
+        account = self._routes().sent_account(call.job_run.job.account)
+        headers = self._dialect.reward_call_headers(reward_call, account)
+        headers = self._dialect.request_headers(headers, server, remaining_ms)
         timeout_ms = min(remaining_ms, route.timeout_ms)
         if not call.ran_at:
             timeout_ms = min(timeout_ms, FIRST_ATTEMPT_TARGETS * route.target_ms)
--- a/goldcrestmoor/job/scheduler.py
+++ b/goldcrestmoor/job/scheduler.py
@@ -227,8 +227,12 @@
                 return Denied()
             # The engine was blocked for other items until this one was admitted.
             self.wake()
+        job = job_run.job
         terms = ItemTerms(
-            job_run.job.host, job_run.job.min_version, route.job.single_version
+            job.host,
+            job.min_version,
+            route.job.single_version,
+            self._routes().sent_account(job.account),
         )
         last_event_ms = self._clock.now_ms()
 
--- a/goldcrestmoor/platform/callers.py
+++ b/goldcrestmoor/platform/callers.py
@@ -8,7 +8,14 @@
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.job.calls import EndJob, ReadItem, ReadResults, SubmitJob
 from goldcrestmoor.job.job import Item, Job, RewardCall
-from goldcrestmoor.platform.servers import DEADLINE_HEADER, ID_HEADER, RESUME_HEADER
+from goldcrestmoor.platform.servers import (
+    API_KEY_HEADER,
+    DEADLINE_HEADER,
+    ID_HEADER,
+    RESUME_HEADER,
+    drop_account_headers,
+    with_account,
+)
 
 READY_PATH = "/readiness"
 WAIT_HEADER = b"wait-ms"
@@ -99,12 +106,24 @@
     return value_by_name.get(RESUMES_HEADER, b"").decode("latin-1").strip()
 
 
-def forwarded_headers(headers):
-    """Return the client's headers that are forwarded to a server unchanged.
+def api_key(headers):
+    """Return the API key of a client's request, empty if there is none.
 
     :param headers: ``(name, value)`` byte pairs, names in lower case.
     """
-    return tuple(pair for pair in end_to_end(headers) if pair[0] != DEADLINE_HEADER)
+    # A repeated header means the same as one with a list, which is no valid key.
+    return b", ".join(value.strip() for n, value in headers if n == API_KEY_HEADER)
+
+
+def forwarded_headers(headers, account=None):
+    """Return the headers of a client's request that are forwarded to a server.
+
+    :param headers: ``(name, value)`` byte pairs, names in lower case.
+    :param account: the name of the account that the server is told, empty for none;
+        None where clients have no accounts, for the headers as they are.
+    """
+    pairs = [pair for pair in end_to_end(headers) if pair[0] != DEADLINE_HEADER]
+    return tuple(with_account(pairs, account))
 
 
 def job_call(method, path, query, headers):
@@ -141,13 +160,15 @@
     return SubmitJob() if method == "POST" else None
 
 
-def decode_job(job_id, host, path, body):
+def decode_job(job_id, host, path, body, account=None):
     """Return the batch job of a submission.
 
     :param job_id: the id of the submission, which becomes the job's id.
     :param host: the Host that the client sent.
     :param path: the path that it was submitted to.
     :param body: the body.
+    :param account: the name of the account that it belongs to, empty for none; None
+        where clients have no accounts.
     :raises ServiceError: ``BAD_REQUEST`` when it is malformed.
     """
     try:
@@ -155,7 +176,7 @@
     except (msgspec.MsgspecError, UnicodeDecodeError) as e:
         text = f"The batch job is malformed: {e}."
         raise ServiceError(ErrorKind.BAD_REQUEST, text) from e
-    items = tuple(_decode_item(item) for item in job.items)
+    items = tuple(_decode_item(item, account is not None) for item in job.items)
     return Job(
         id=job_id,
         host=host,
@@ -165,16 +186,19 @@
         min_version=job.min_version,
         step=job.step,
         target_groups=job.target_groups,
+        account=account or "",
     )
 
 
-def _decode_item(item):
+def _decode_item(item, has_accounts):
+    # Keys must not be stored with the job.
+    headers = drop_account_headers(item.headers) if has_accounts else item.headers
     value_by_name = {name.lower(): value for name, value in item.headers.items()}
     hint = value_by_name.get(LENGTH_HINT_HEADER, "")
     return Item(
         item.id,
         item.path,
-        item.headers,
+        headers,
         item.body,
         item.tokens,
         item.group,
--- a/goldcrestmoor/platform/servers.py
+++ b/goldcrestmoor/platform/servers.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from goldcrestmoor.connection.http_client import end_to_end
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
 from goldcrestmoor.request.event_stream import EventFields
 from goldcrestmoor.version.weights.engine_report import (
@@ -31,11 +32,14 @@
 RESPONDER_HEADER = b"instance-id"
 VERSION_HEADER = b"weight-versions"
 RESUME_HEADER = b"last-event-id"
+API_KEY_HEADER = b"x-api-key"
+ACCOUNT_HEADER = b"tenant-id"
 # The field that an event begins with when the weight version changes at that event.
 EVENT_FIELDS = EventFields(version="weight-versions")
 
 # Set for each server, replacing the caller's values.
 _REPLACED_HEADERS = frozenset((INSTANCE_HEADER, DEADLINE_HEADER, b"content-length"))
+_ACCOUNT_HEADERS = frozenset((API_KEY_HEADER, ACCOUNT_HEADER))
 _JSON = [(b"content-type", b"application/json")]
 # A report needs no slot and takes one round trip.
 REPORT_TIMEOUT_MS = 500
@@ -84,6 +88,30 @@
     return pairs
 
 
+def with_account(headers, account):
+    """Return headers that tell a server the client account, and no API key.
+
+    :param headers: ``(name, value)`` byte pairs, names in lower case.
+    :param account: the account's name, empty for none; None where clients have no
+        accounts, for the headers as they are.
+    """
+    if account is None:
+        return headers
+    pairs = [pair for pair in headers if pair[0] not in _ACCOUNT_HEADERS]
+    if account:
+        pairs.append((ACCOUNT_HEADER, account.encode()))
+    return pairs
+
+
+def drop_account_headers(headers):
+    """Return headers without a client account and an API key.
+
+    :param headers: values by name.
+    """
+    names = {name.decode() for name in _ACCOUNT_HEADERS}
+    return {name: v for name, v in headers.items() if name.lower() not in names}
+
+
 def resume_header(event_id):
     """Return the header that resumes a stream after a given event.
 
@@ -92,29 +120,35 @@
     return (RESUME_HEADER, event_id.encode())
 
 
-def item_headers(item, host):
+def item_headers(item, host, account=None):
     """Return the request headers for an item of a batch job.
 
     :param item: the :class:`~goldcrestmoor.job.job.Item`.
     :param host: the host of its route.
+    :param account: as for :func:`with_account`.
     """
     pairs = [
         (name.lower().encode("latin-1"), value.encode("latin-1"))
         for name, value in item.headers.items()
         if name.lower() not in ("host", "request-id")
     ]
+    if account is not None:
+        # An item's ``Connection`` header could name the account's header.
+        pairs = with_account(list(end_to_end(pairs)), account)
     return [(b"host", host.encode()), (ID_HEADER, item.id.encode()), *pairs]
 
 
-def reward_call_headers(reward_call):
+def reward_call_headers(reward_call, account=None):
     """Return the request headers for a reward call.
 
     :param reward_call: the :class:`~goldcrestmoor.job.job.RewardCall`.
+    :param account: as for :func:`with_account`.
     """
-    return [
+    pairs = [
         (b"host", reward_call.host.encode()),
         (ID_HEADER, reward_call.id.encode()),
     ]
+    return with_account(pairs, account)
 
 
 def score(headers):
--- a/goldcrestmoor/version/configuration/routes.py
+++ b/goldcrestmoor/version/configuration/routes.py
@@ -173,6 +173,42 @@
                 return route
         return None
 
+    def has_only_public_jobs(self, host):
+        """Return whether no batch job route of a host needs an API key.
+
+        :param host: the host name in the request.
+        """
+        routes = self.routes_by_host.get(host, ())
+        return all(route.is_public for route in routes if route.kind is RouteKind.JOB)
+
+    def is_public(self, host, path):
+        """Return whether a request needs no API key, or has no route.
+
+        :param host: the host name in the request.
+        :param path: the path, without the query.
+        """
+        route = self.match(host, path)
+        return route is None or route.is_public
+
+    def priority_of(self, route, account):
+        """Return the priority of an account's work; 0 is the most urgent.
+
+        :param route: the :class:`Route` of the work.
+        :param account: the account's name; empty for none.
+        """
+        known = self.accounts.account_by_name.get(account) if self.accounts else None
+        if known is None or known.priority is None:
+            return route.priority
+        return known.priority
+
+    def sent_account(self, account):
+        """Return the account that servers are told with work of an account.
+
+        :param account: the account's name; empty for none.
+        :return: the name; None where callers have no accounts.
+        """
+        return account if account or self.accounts is not None else None
+
     def has_job_route(self, host):
         """Return whether a host has a route for batch jobs.
 
--- a/test/test_reward_calls.py
+++ b/test/test_reward_calls.py
@@ -102,12 +102,14 @@
             loads=loads,
             dialect=servers,
             metrics=Metrics(),
-            routes=lambda: SimpleNamespace(match=lambda host, path: route),
+            routes=lambda: SimpleNamespace(
+                match=lambda host, path: route, sent_account=lambda account: None
+            ),
             open_models=lambda: 1,
         )
         self.addAsyncCleanup(caller.close)
         job_run = SimpleNamespace(
-            job=SimpleNamespace(id="j", model="m"),
+            job=SimpleNamespace(id="j", model="m", account=""),
             priority=1,
             due_ms=7500,
             scoring_by_id={},
