Authenticate callers by the API keys of the configuration

Cause: with client accounts in the configuration, a request on a route that is not public needs a key that is in force at this host.

Change: the key is checked once the route is known and before the body is read, and again if the configuration changed while the body was arriving. Requests without a valid key are answered 401.

--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -33,6 +33,7 @@
     stream_versions,
 )
 from goldcrestmoor.process.capacity_orders import CapacityOrders
+from goldcrestmoor.process.client_keys import ClientKeys
 from goldcrestmoor.process.crash_reports import CrashReports
 from goldcrestmoor.process.directory import UpstreamDirectory
 from goldcrestmoor.process.duties import Duties
@@ -92,6 +93,15 @@
 OCTET_STREAM = b"application/octet-stream"
 
 
+def decode_configuration(data):
+    """Return the ``RouteTable`` in a document with the operator's configuration.
+
+    :param data: the document's bytes.
+    :raises ValueError: when it is not a valid configuration.
+    """
+    return records.decode_configuration(data)
+
+
 class FrontDaemon:
     """The daemon process of one host on the users' platform.
 
@@ -107,6 +117,7 @@
         "_metrics",
         "_http",
         "_store",
+        "_keys",
         "_routing",
         "_versions",
         "_directory",
@@ -165,7 +176,12 @@
     def _make_feed_consumers(self):
         """Create the feed consumers: routes, versions, upstreams and duties."""
         clock, metrics = self._clock, self._metrics
-        self._routing = Routing(decode=records.decode_configuration, metrics=metrics)
+        self._keys = ClientKeys(metrics=metrics)
+        self._routing = Routing(
+            decode=records.decode_configuration,
+            metrics=metrics,
+            on_change=self._keys.adopt,
+        )
         self._versions = TargetVersions(
             decode=records.decode_target_version,
             metrics=metrics,
@@ -435,6 +451,7 @@
             streams=StreamForwarder(versions=self._stream_versions, **sending),
             job_api=self._job_api,
             dialect=caller_dialect,
+            keys=self._keys,
             metrics=self._metrics,
         ).register(caller_server.application)
         readiness_server = HttpServer(
--- a/goldcrestmoor/process/front_callers.py
+++ b/goldcrestmoor/process/front_callers.py
@@ -5,6 +5,7 @@
 import logging
 from urllib.parse import unquote
 
+import msgspec
 from blacksheep import Content, Request, Response, StreamedContent
 
 from goldcrestmoor import logs
@@ -14,6 +15,7 @@
 from goldcrestmoor.request.app_routes import METHODS, to_response
 from goldcrestmoor.request.apps import AppResponse
 from goldcrestmoor.request.forwarding import CallerRequest
+from goldcrestmoor.request.key_check import NO_ACCOUNT
 from goldcrestmoor.request.streaming import StreamResponse
 from goldcrestmoor.version.configuration.routes import RouteKind
 
@@ -47,6 +49,7 @@
     :param streams: the :class:`~goldcrestmoor.request.streaming.StreamForwarder`.
     :param job_api: the :class:`~goldcrestmoor.job.job_api.JobApi`.
     :param dialect: decodes and encodes the callers' protocol.
+    :param keys: the :class:`~goldcrestmoor.process.client_keys.ClientKeys`.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
     """
 
@@ -57,11 +60,12 @@
         "_streams",
         "_job_api",
         "_dialect",
+        "_keys",
         "_metrics",
     )
 
     def __init__(
-        self, *, clock, routing, forwarder, streams, job_api, dialect, metrics
+        self, *, clock, routing, forwarder, streams, job_api, dialect, keys, metrics
     ):
         self._clock = clock
         self._routing = routing
@@ -69,6 +73,7 @@
         self._streams = streams
         self._job_api = job_api
         self._dialect = dialect
+        self._keys = keys
         self._metrics = metrics
 
     def register(self, app):
@@ -115,25 +120,33 @@
             call = self._dialect.job_call(request.method, path, query, headers)
             if call is not None:
                 request_kind.kind = KIND_JOB_CALL
-                return await self._answer_job_call(call)
+                account = self._authenticate(headers, table.has_only_public_jobs(host))
+                return await self._answer_job_call(call, account)
         route = table.match(host, path)
         if route is None:
             raise ServiceError(ErrorKind.NOT_FOUND, "There is no such route.")
         request_kind.kind = route.kind.value
+        account = self._authenticate(headers, route.is_public)
         # The deadline starts here, although the body may still be arriving.
         deadline = self._deadline(route, headers)
         body = await request.read() or b""
+        if self._routing.table is not table:
+            # The key may have been withdrawn while the body was arriving.
+            account = self._authenticate(headers, route.is_public)
         if route.kind is RouteKind.JOB:
             call = self._dialect.submission(request.method)
             if call is not None:
-                return await self._submit(call, host, path, body)
+                return await self._submit(call, host, path, body, account, route)
+        if account is not None and account.priority is not None:
+            route = msgspec.structs.replace(route, priority=account.priority)
         forwarded = CallerRequest(
             self._dialect.request_id(headers),
             request.method,
             _target(request),
-            self._dialect.forwarded_headers(headers),
+            self._dialect.forwarded_headers(headers, _name(account)),
             body,
             self._dialect.resumed_id(headers),
+            _name(account) or "",
         )
         if route.kind is RouteKind.STREAM:
             answer = await self._streams.forward(forwarded, route, deadline)
@@ -150,29 +163,56 @@
         timeouts_ms = [ms for ms in (requested_ms, route.timeout_ms) if ms]
         return Deadline.after(self._clock, min(timeouts_ms))
 
-    async def _submit(self, call, host, path, body):
+    def _authenticate(self, headers, is_public):
+        return self._keys.authenticate(self._dialect.api_key(headers), is_public)
+
+    async def _submit(self, call, host, path, body, account, route):
         match call:
             case SubmitJob():
                 job_id = logs.request_id.get()
-                job = self._dialect.decode_job(job_id, host, path, body)
+                # Jobs of public routes belong to no account, whatever their key.
+                owner = _name(NO_ACCOUNT if account and route.is_public else account)
+                job = self._dialect.decode_job(job_id, host, path, body, owner)
+                if account is NO_ACCOUNT:
+                    self._check_items_public(job)
                 await self._job_api.submit(job)
                 return Response(202)
 
-    async def _answer_job_call(self, call):
+    def _check_items_public(self, job):
+        """Refuse a job without a key if an item or a reward call needs one.
+
+        They could go to any route, and a public one must give no access to the others.
+        """
+        table = self._routing.table
+        for item in job.items:
+            targets = [(job.host, item.path)]
+            if item.reward_call is not None:
+                targets.append((item.reward_call.host, item.reward_call.path))
+            for host, path in targets:
+                if not table.is_public(host, path):
+                    self._keys.authenticate(b"", is_public=False)
+
+    async def _answer_job_call(self, call, account):
+        name = _name(account)
         match call:
             case ReadResults():
                 max_bytes = self._dialect.MAX_PAGE_BYTES
-                total, results = await self._job_api.results(call, max_bytes)
+                total, results = await self._job_api.results(call, max_bytes, name)
                 body = self._dialect.encode_page(total, call.after, results)
                 return Response(200, None, Content(JSON, body))
             case ReadItem():
-                body = await self._job_api.item_body(call)
+                body = await self._job_api.item_body(call, name)
                 return Response(200, None, Content(OCTET_STREAM, body))
             case EndJob():
-                await self._job_api.end(call)
+                await self._job_api.end(call, name)
                 return Response(200)
 
 
+def _name(account):
+    """Return the name of an account, empty for none, or None without accounts."""
+    return None if account is None else account.name
+
+
 def _to_streaming_response(answer):
     headers = list(answer.headers)
     content_type = dict(headers).get(b"content-type")
--- a/goldcrestmoor/process/routing.py
+++ b/goldcrestmoor/process/routing.py
@@ -11,13 +11,15 @@
     :param decode: decodes a row's value into a ``RouteTable``; raises
         :class:`ValueError` if the value is not one.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
+    :param on_change: called with each table that comes into effect.
     :ivar table: the ``RouteTable`` in effect, or None before the first one was read.
     """
 
-    __slots__ = ("table", "_decode", "_metrics")
+    __slots__ = ("table", "_decode", "_metrics", "_on_change")
 
-    def __init__(self, *, decode, metrics):
+    def __init__(self, *, decode, metrics, on_change):
         self.table = None
+        self._on_change = on_change
         self._decode = decode
         self._metrics = metrics
 
@@ -40,6 +42,7 @@
             return
         before = self.table.version if self.table else None
         self.table = table
+        self._on_change(table)
         self._metrics.configuration_version.set(table.version)
         count = sum(len(routes) for routes in table.routes_by_host.values())
         log.info(
--- a/test/_front.py
+++ b/test/_front.py
@@ -25,8 +25,12 @@
 FETCH_PATH = "/fetch/x"
 
 
-def configuration(version=3, **changes):
-    """Return a configuration with a route for fetches and one for jobs."""
+def configuration(version=3, tenants=None, more_routes=(), **changes):
+    """Return a configuration with a route for fetches and one for jobs.
+
+    :param tenants: the client accounts; None for a configuration without accounts.
+    :param more_routes: changes that make a further route from the one for fetches.
+    """
     fetch = {
         "name": "fetch",
         "hostname": HOST,
@@ -62,13 +66,15 @@
         "resumable": True,
     }
     once = fetch | {"name": "once", "pathPrefix": "/once/", "routeType": "unsafe"}
-    return {
+    accounts = {} if tenants is None else {"tenants": tenants}
+    return accounts | {
         "version": version,
         "routes": [
             fetch | changes.get("fetch", {}),
             job | changes.get("job", {}),
             stream | changes.get("stream", {}),
             once,
+            *(fetch | fields for fields in more_routes),
         ],
         "services": [
             {"name": "pool", "maxConns": 160, "engine": {"models": [{"name": MODEL}]}},
@@ -131,6 +137,10 @@
         self.documents = {}
         # Further sections of every daemon's settings, by name.
         self.sections = {}
+        # Arguments of the first configuration.
+        self.configured = {}
+        # Sent with each request that has no other API key.
+        self.api_key = ""
         self._directory = tempfile.TemporaryDirectory()
         self._heartbeat_task = None
         self.silent = set()
@@ -153,7 +163,7 @@
         for server in self.servers():
             await server.start()
         if with_configuration:
-            self.store.put("op", "config", configuration())
+            self.store.put("op", "config", configuration(**self.configured))
         self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
         for name in names:
             self.gates[name] = await self.store.gate(name)
@@ -261,7 +271,10 @@
 
     async def ask(self, name, method, target, body=b"", request_id="r1", **headers):
         """Send a request to a daemon on a new connection."""
-        pairs = [(b"host", HOST.encode()), (b"request-id", request_id.encode())]
+        host = headers.pop("host", HOST)
+        pairs = [(b"host", host.encode()), (b"request-id", request_id.encode())]
+        if self.api_key:
+            headers.setdefault("x_api_key", self.api_key)
         pairs += [
             (key.replace("_", "-").encode(), str(value).encode())
             for key, value in headers.items()
