Give a fake of the route table the account that reward calls send

Cause: test.test_leaving_servers failed in test_a_reward_call since reward calls ask the route table which account servers are told; its fake has no such method.

Change: the fakes of the table and of the job have it.

Seen: test.test_leaving_servers passes again.

--- a/test/test_leaving_servers.py
+++ b/test/test_leaving_servers.py
@@ -384,7 +384,9 @@
         caller = RewardCaller(
             clock=self.clock,
             paths=self.caller_sending()["paths"],
-            routes=lambda: SimpleNamespace(match=lambda host, path: ROUTE),
+            routes=lambda: SimpleNamespace(
+                match=lambda host, path: ROUTE, sent_account=lambda account: None
+            ),
             open_models=lambda: 1,
             **self.sending,
         )
@@ -393,7 +395,7 @@
         run = ItemRun(item, 0)
         finished = asyncio.Event()
         job_run = SimpleNamespace(
-            job=SimpleNamespace(id="j", model=MODEL),
+            job=SimpleNamespace(id="j", model=MODEL, account=""),
             priority=1,
             due_ms=self.clock.now_ms() + 7500,
             scoring_by_id={"i1": run},
