--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -127,6 +127,8 @@
         "_crashes",
         "_paths",
         "_duties",
+        "_api_duty",
+        "_api",
         "_orders",
         "_forwarding",
         "_rewards",
@@ -135,8 +137,6 @@
         "_job_api",
         "_followers",
         "_connectivity",
-        "_api_duty",
-        "_api",
         "_capacity",
         "_in_flight",
         "_servers",
@@ -166,10 +166,10 @@
             metrics=self._metrics,
         )
         self._make_feed_consumers()
+        self._make_api()
         self._make_jobs()
         self._make_orders()
         self._make_connectivity()
-        self._make_api()
         self._make_capacity()
         self._make_servers()
 
@@ -235,6 +235,27 @@
             metrics=metrics,
         )
 
+    def _make_api(self):
+        """Create the client of the platform's API and the duty to call it."""
+        settings = self.settings
+        self._api_duty = self._api = None
+        if settings.api is None:
+            return
+        self._api_duty = ExclusiveDuty(
+            clock=self._clock,
+            duties=self._duties,
+            name=API_DUTY,
+            turn_ms=settings.orders.turn_ms,
+            cores=settings.host.cores * settings.host.core_share,
+        )
+        self._api = PlatformApi(
+            http=self._http,
+            address=settings.api.address,
+            port=settings.api.port,
+            host_id=settings.host.id,
+            metrics=self._metrics,
+        )
+
     def _make_jobs(self):
         clock = self._clock
         self._forwarding = {
@@ -380,27 +401,6 @@
             store_connectivity.TABLE, self._connectivity.apply
         )
 
-    def _make_api(self):
-        """Create the client of the platform's API, and the duty to call it."""
-        self._api_duty = self._api = None
-        host, api = self.settings.host, self.settings.api
-        if api is None:
-            return
-        self._api_duty = ExclusiveDuty(
-            clock=self._clock,
-            duties=self._duties,
-            name=API_DUTY,
-            turn_ms=self.settings.orders.turn_ms,
-            cores=host.cores * host.core_share,
-        )
-        self._api = PlatformApi(
-            http=self._http,
-            address=api.address,
-            port=api.port,
-            host_id=host.id,
-            metrics=self._metrics,
-        )
-
     def _make_capacity(self):
         self._capacity = None
         api = self.settings.api
