Wait for a whole turn also when a new holder is restarted

A host that took the duty over and was killed within its turn found its own lease after the restart and acted at once, although the previous holder may have acted a moment ago. Hosts killed in turn could so act in the order A, B, A within a turn. The lease row now states whether its holder has waited; only then does the next process of that host act at once.

ExclusiveDuty also names the holding (holder and fencing number) and the time of its acquisition, which the usage reports need.

--- a/goldcrestmoor/process/duties.py
+++ b/goldcrestmoor/process/duties.py
@@ -75,6 +75,16 @@
         row = self._row_by_name.get(name)
         return row.holder or None if row is not None else None
 
+    def holding(self, name):
+        """Return a duty's holder and fencing number according to the feed, or None.
+
+        The number tells two holdings of one host apart.
+
+        :param name: the duty.
+        """
+        row = self._row_by_name.get(name)
+        return (row.holder, row.fencing) if row is not None and row.holder else None
+
     def is_claimable(self, name):
         """Return whether a duty may be claimed, according to the feed.
 
--- a/goldcrestmoor/process/exclusive_duty.py
+++ b/goldcrestmoor/process/exclusive_duty.py
@@ -3,7 +3,8 @@
 Workload: hosts are killed, frozen and restarted in turn, so that the holder changes
 several times within seconds, and a host may get back a duty that it has just lost. The
 platform sees only the calls. It must see neither a lower fencing number after a higher
-one, nor two hosts that take turns within a few seconds.
+one, nor two hosts that take turns within a few seconds. A host that is restarted goes
+on at once with its own lease, unless its last process was still waiting for its turn.
 """
 
 import logging
@@ -65,6 +66,14 @@
         """Return the host that holds the duty according to the feed, or None."""
         return self._duties.holder(self.name)
 
+    def holding(self):
+        """Return the holder and its fencing number according to the feed, or None."""
+        return self._duties.holding(self.name)
+
+    def acquired_ms(self):
+        """Return when this host acquired the duty that it holds."""
+        return self._duties.lease(self.name).acquired_ms
+
     def leave(self):
         """Claim the duty no more."""
         self._is_leaving = True
@@ -73,6 +82,7 @@
         """Claim the duty whenever it is free, until cancelled."""
         while True:
             await self._clock.sleep_ms(POLL_INTERVAL_MS)
+            self._settle()
             if not self._is_claimable():
                 continue
             delay_ms = random.random() * MAX_CLAIM_DELAY_MS
@@ -87,6 +97,13 @@
             except ServiceError as e:
                 log.info("Claiming the duty %s failed: %s", self.name, e)
 
+    def _settle(self):
+        """Let the next process of this host act at once, as this one has waited."""
+        if self.may_act():
+            lease = self._duties.lease(self.name)
+            if not lease.row.is_settled:
+                lease.settle()
+
     def _is_claimable(self):
         return (
             not self._is_leaving
--- a/goldcrestmoor/process/leases.py
+++ b/goldcrestmoor/process/leases.py
@@ -42,7 +42,8 @@
     :param version: the version of the row that it replaces; 0 for none.
     :param was_released: whether no earlier holder can still be active, because
         there was none or it released the duty itself.
-    :param continues_own: whether the last holder was this host, or there was none.
+    :param continues_own: whether the last holder was this host, and its lease was
+        settled, or there was none.
     :ivar acquired_ms: when the lease was acquired.
     """
 
@@ -78,6 +79,10 @@
         """Return whether the lease is currently held. Call again before each use."""
         return not self.lost and self._clock.now_ms() < self.expires_ms
 
+    def settle(self):
+        """State with the next renewal that the holder need not wait any longer."""
+        self.row = msgspec.structs.replace(self.row, is_settled=True)
+
     def extend(self, version, sent_ms):
         """Record a successful write of the row.
 
@@ -152,10 +157,11 @@
             return None
         fencing = known.fencing + 1 if known else 1
         token = secrets.token_hex(TOKEN_BYTES)
-        new = LeaseRow(self._host_id, token, fencing, duration_ms)
+        is_settled = known is not None and self.is_own(known) and known.is_settled
+        new = LeaseRow(self._host_id, token, fencing, duration_ms, is_settled)
         was_released = known is None or not known.holder
         version = row.version if row else 0
-        continues_own = known is None or self.is_own(known)
+        continues_own = known is None or is_settled
         lease = Lease(self._clock, name, new, version, was_released, continues_own)
         if not await self._write(lease):
             return None
