Count the starts of callers' requests by client account

Usage reports need the requests that a server began to run, once each. A plain request is counted right before its bytes are sent and withdrawn if it turns out not to have been run, so that one that runs for long counts in the window in which it began; a stream is counted with its first event. A stream that its caller takes up again was counted when it began. Items and reward calls are sent by other classes and don't count. Without a counter nothing is counted.

--- a/goldcrestmoor/request/forwarding.py
+++ b/goldcrestmoor/request/forwarding.py
@@ -10,6 +10,7 @@
 from goldcrestmoor.request import retry_decision
 from goldcrestmoor.request.apps import AppResponse
 from goldcrestmoor.request.retry_decision import GiveUp, SendAgain
+from goldcrestmoor.request.usage_counter import RequestUsage
 from goldcrestmoor.version.configuration.routes import RetryPolicy
 
 log = logging.getLogger("goldcrestmoor.forward")
@@ -78,6 +79,8 @@
     :param loads: the :class:`~goldcrestmoor.request.upstream_loads.UpstreamLoads`.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
     :param crashes: the :class:`~goldcrestmoor.process.crash_reports.CrashReports`.
+    :param usage: the :class:`~goldcrestmoor.request.usage_counter.UsageCounter`, or
+        None.
     :ivar service: the service that the request goes to.
     :ivar software_version: the only software version that may serve it, if any.
     """
@@ -96,10 +99,13 @@
         "_sent_to",
         "_possible_runs",
         "_ran",
+        "_usage",
         "_total_ms",
     )
 
-    def __init__(self, *, request, route, deadline, loads, metrics, crashes):
+    def __init__(
+        self, *, request, route, deadline, loads, metrics, crashes, usage=None
+    ):
         self.request = request
         self.route = route
         self.deadline = deadline
@@ -113,6 +119,7 @@
         self._sent_to = []
         self._possible_runs = 0
         self._ran = Ran.NOT_RUN
+        self._usage = RequestUsage(usage, request.account)
         self._total_ms = deadline.remaining_ms()
 
     async def next_upstream(self):
@@ -236,6 +243,15 @@
             self._lost_responses == 1,
         )
 
+    def record_start(self):
+        """Count the request in its account's usage, unless it is counted already."""
+        self._usage.start()
+
+    def record_not_run(self):
+        """Withdraw it from the usage, unless an earlier attempt may have been run."""
+        if self._ran is Ran.NOT_RUN:
+            self._usage.withdraw()
+
     def record_run(self):
         """Record that an upstream ran the request and didn't crash."""
         if not self._crashes.is_empty():
@@ -298,14 +314,17 @@
 
     :param crashes: the :class:`~goldcrestmoor.process.crash_reports.CrashReports`.
     :param paths: the :class:`~goldcrestmoor.process.server_paths.ServerPaths`.
+    :param usage: the :class:`~goldcrestmoor.request.usage_counter.UsageCounter`; None
+        where usage isn't reported.
     """
 
-    __slots__ = ("_crashes", "_paths")
+    __slots__ = ("_crashes", "_paths", "_usage")
 
-    def __init__(self, *, crashes, paths, **forwarding):
+    def __init__(self, *, crashes, paths, usage=None, **forwarding):
         super().__init__(**forwarding)
         self._crashes = crashes
         self._paths = paths
+        self._usage = usage
 
     def _new_attempts(self, request, route, deadline):
         """Return the attempts of a request that has not been sent yet."""
@@ -316,6 +335,7 @@
             loads=self._loads,
             metrics=self._metrics,
             crashes=self._crashes,
+            usage=self._usage,
         )
 
 
@@ -344,6 +364,8 @@
                     attempts.record_response(outcome.status)
                     return outcome
                 case FailedAttempt():
+                    if outcome.ran is Ran.NOT_RUN:
+                        attempts.record_not_run()
                     attempts.retry_or_raise(outcome)
 
     async def _attempt(self, upstream, attempts):
@@ -352,6 +374,12 @@
             request.headers, upstream, attempts.deadline.remaining_ms()
         )
         sent_ms = attempts.deadline.clock.now_ms()
+
+        def before_send():
+            self._loads.check_usable(upstream)
+            # Before the response, so that a window that closes meanwhile has it.
+            attempts.record_start()
+
         try:
             with (
                 self._loads.track_request(upstream),
@@ -367,7 +395,7 @@
                     idempotent=route.retry_policy is not RetryPolicy.NEVER,
                     connect_timeout_ms=CONNECT_TIMEOUT_MS,
                     allow_close_delimited=True,
-                    before_send=lambda: self._loads.check_usable(upstream),
+                    before_send=before_send,
                 )
         except ServiceError as e:
             attempts.record_error(upstream, e)
--- a/goldcrestmoor/request/streaming.py
+++ b/goldcrestmoor/request/streaming.py
@@ -102,6 +102,11 @@
                 attempts.request.id, attempts.service, upstream.software_version
             )
 
+    def _count(self, attempts):
+        """Count a stream, unless it was counted when it began."""
+        if attempts.request.resumed_id is None:
+            attempts.record_start()
+
     async def _run(self, attempts):
         """Yield the first upstream's headers, then the bytes of its events.
 
@@ -122,6 +127,7 @@
                         upstream, attempts, response, has_head
                     )
                     if isinstance(outcome, AppResponse):
+                        self._count(attempts)
                         attempts.record_run()
                         yield outcome
                         return
@@ -137,6 +143,7 @@
                             if raw:
                                 if not has_events:
                                     self._begin(attempts, upstream)
+                                    self._count(attempts)
                                 last_id = last_event_id or last_id
                                 has_events = True
                                 yield raw
