Check the duty again right before a call to the platform's API is sent

Opening a connection to a slow API may take longer than the rest of the lease, and the same host may claim the duty again meanwhile: a call with the old fencing number would then follow one with the new number. The client asks once more just before the first byte whether the duty is still held with the call's number.

Seen: test_exclusive_duty and the linter pass.

--- a/goldcrestmoor/platform/cloud.py
+++ b/goldcrestmoor/platform/cloud.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from goldcrestmoor.adapters.platform_api import Accepted, Refused, Unanswered
-from goldcrestmoor.errors import ServiceError
+from goldcrestmoor.errors import ErrorKind, ServiceError
 
 USAGE_DUTY = "usage_report"
 SERVERS_DUTY = "autoscale"
@@ -35,15 +35,20 @@
     :param port: its TCP port.
     :param host_id: this host, which the calls name as the holder.
     :param metrics: counts calls by kind and outcome.
+    :param may_send: returns whether a call with a fencing number may be sent; asked
+        again right before its first byte, as the connection may have taken a while.
     """
 
-    __slots__ = ("_http", "_target", "_host_id", "_metrics")
+    __slots__ = ("_http", "_target", "_host_id", "_metrics", "_may_send")
 
-    def __init__(self, *, http, address, port, host_id, metrics):
+    def __init__(
+        self, *, http, address, port, host_id, metrics, may_send=lambda fencing: True
+    ):
         self._http = http
         self._target = (address, port)
         self._host_id = host_id
         self._metrics = metrics
+        self._may_send = may_send
 
     async def report_usage(self, window, count_by_account, fencing):
         """Report the requests that began in one window.
@@ -76,9 +81,22 @@
             (HOLDER_HEADER, self._host_id.encode()),
             (FENCING_HEADER, str(fencing).encode()),
         ]
+
+        def check():
+            if not self._may_send(fencing):
+                text = "The duty is no longer held."
+                raise ServiceError(ErrorKind.DRAINING, text)
+
         try:
             response = await self._http.request(
-                *self._target, "POST", path, headers, body, TIMEOUT_MS, idempotent=False
+                *self._target,
+                "POST",
+                path,
+                headers,
+                body,
+                TIMEOUT_MS,
+                idempotent=False,
+                before_send=check,
             )
         except ServiceError as e:
             self._metrics.api_calls.labels(call, e.code).inc()
--- a/goldcrestmoor/process/exclusive_duty.py
+++ b/goldcrestmoor/process/exclusive_duty.py
@@ -58,6 +58,13 @@
         held_ms = self._clock.now_ms() - lease.acquired_ms
         return lease.continues_own or held_ms >= self._turn_ms
 
+    def may_send(self, fencing):
+        """Return whether a call with a fencing number may still be sent.
+
+        :param fencing: what :meth:`fencing` returned when the call was decided on.
+        """
+        return self.may_act() and self.fencing() == fencing
+
     def fencing(self):
         """Return the fencing number of the holder's calls."""
         return self._duties.lease(self.name).fencing
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -254,6 +254,7 @@
             port=settings.api.port,
             host_id=settings.host.id,
             metrics=self._metrics,
+            may_send=self._api_duty.may_send,
         )
 
     def _make_jobs(self):
