Report the usage of client accounts to the platform's API

The platform bills client accounts by the requests that servers began to run in each window. Hosts now send their counts to the holder of the API duty, which commits each window to the store and reports only what is committed, so that no second report of a window can have other counts. A commit is also tied to the row before it: a holder that was frozen for longer than rows are kept must not write a removed row anew. The holder's own counts are kept by another host, which hands them to the next holder. Nothing of it is created where the settings have no API, no usage section or no such duty.

A call between hosts can be repeated although the last one failed: no other host can take the counts. The fake table removes rows when told to.

--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -22,7 +22,7 @@
 from goldcrestmoor.job.reward_calls import RewardCaller
 from goldcrestmoor.job.scheduler import Scheduler
 from goldcrestmoor.platform import callers as caller_dialect, records, servers
-from goldcrestmoor.platform.cloud import SERVERS_DUTY, PlatformApi
+from goldcrestmoor.platform.cloud import SERVERS_DUTY, USAGE_DUTY, PlatformApi
 from goldcrestmoor.platform.store import StoreClient
 from goldcrestmoor.process import (
     crash_reports,
@@ -31,6 +31,7 @@
     server_paths,
     store_connectivity,
     stream_versions,
+    usage_counts,
 )
 from goldcrestmoor.process.capacity_orders import CapacityOrders
 from goldcrestmoor.process.client_keys import ClientKeys
@@ -51,6 +52,7 @@
 from goldcrestmoor.process.store_connectivity import HostRow, StoreConnectivity
 from goldcrestmoor.process.stream_versions import StreamVersions
 from goldcrestmoor.process.upstream_limits import UpstreamLimits
+from goldcrestmoor.process.usage import Usage
 from goldcrestmoor.request import relayed_messages
 from goldcrestmoor.request.forwarding import Forwarder
 from goldcrestmoor.request.request_relay import RequestRelay
@@ -129,6 +131,7 @@
         "_duties",
         "_api_duty",
         "_api",
+        "_usage",
         "_orders",
         "_forwarding",
         "_rewards",
@@ -238,7 +241,7 @@
     def _make_api(self):
         """Create the client of the platform's API and the duty to call it."""
         settings = self.settings
-        self._api_duty = self._api = None
+        self._api_duty = self._api = self._usage = None
         if settings.api is None:
             return
         self._api_duty = ExclusiveDuty(
@@ -256,6 +259,18 @@
             metrics=self._metrics,
             may_send=self._api_duty.may_send,
         )
+        if settings.usage is not None and USAGE_DUTY in settings.api.duties:
+            self._usage = Usage(
+                clock=self._clock,
+                settings=settings.usage,
+                duty=self._api_duty,
+                api=self._api,
+                store=self._store,
+                calls=self._host_calls,
+                host_id=settings.host.id,
+                process_id=util.new_id(),
+                metrics=self._metrics,
+            )
 
     def _make_jobs(self):
         clock = self._clock
@@ -443,6 +458,7 @@
         sending = {
             "crashes": self._crashes,
             "paths": self._paths,
+            "usage": self._usage and self._usage.counter,
             **self._forwarding,
         }
         FrontRequestHandler(
@@ -498,6 +514,11 @@
                 request, server_paths.question_decoder, self._paths.reply
             )
 
+        async def receive_usage(request: Request) -> Response:
+            return await self._reply(
+                request, usage_counts.request_decoder, self._usage.receive
+            )
+
         relay = RequestRelay(
             directory=self._directory, in_flight=self._in_flight, **self._forwarding
         )
@@ -530,6 +551,10 @@
             crash_reports.ANSWER_PATH, receive_answer
         )
         readiness_server.application.router.add_post(limit_owners.PATH, grant)
+        if self._usage is not None:
+            readiness_server.application.router.add_post(
+                usage_counts.PATH, receive_usage
+            )
         readiness_server.application.router.add_post(stream_versions.PATH, reply_stream)
         for method in STORE_METHODS:
             readiness_server.application.router.add(
@@ -623,6 +648,8 @@
             part_by_name["platform api"] = self._api_duty
         if self._capacity is not None:
             part_by_name["capacity"] = self._capacity
+        if self._usage is not None:
+            part_by_name["usage"] = self._usage
         for name, part in part_by_name.items():
             self._tasks.start(util.keep_running(name, part.run, self._clock), name)
         for server in self._servers:
@@ -679,6 +706,8 @@
         drain_deadline = Deadline.after(self._clock, self.settings.shutdown.drain_ms)
         while self._in_flight.count and not drain_deadline.passed():
             await self._clock.sleep_ms(DRAIN_POLL_MS)
+        if self._usage is not None:
+            await self._usage.flush()
 
     async def _close(self):
         for server in self._servers:
--- a/goldcrestmoor/process/host_calls.py
+++ b/goldcrestmoor/process/host_calls.py
@@ -46,7 +46,16 @@
         """
         return self._row_by_host().get(host)
 
-    async def call(self, host, path, message, decoder, timeout_ms=TIMEOUT_MS):
+    async def call(
+        self,
+        host,
+        path,
+        message,
+        decoder,
+        timeout_ms=TIMEOUT_MS,
+        *,
+        is_repeated=False,
+    ):
         """Return a host's reply, or None when it gives none.
 
         A host that gave none is not called again for a while.
@@ -56,9 +65,11 @@
         :param message: the message, a struct.
         :param decoder: the decoder of the reply.
         :param timeout_ms: the timeout, in milliseconds.
+        :param is_repeated: whether a host is called although it gave no reply just now,
+            because no other can take the message.
         """
         row = self._row_by_host().get(host)
-        if row is None or not self._is_reachable(host):
+        if row is None or not (is_repeated or self._is_reachable(host)):
             return None
         try:
             answer = await self._http.request(
--- a/goldcrestmoor/process/metrics.py
+++ b/goldcrestmoor/process/metrics.py
@@ -70,6 +70,9 @@
         "server_orders",
         "target_servers",
         "listed_servers",
+        "usage_windows",
+        "usage_report_age_s",
+        "usage_unreported_starts",
     )
 
     def __init__(self):
@@ -221,6 +224,17 @@
             "service",
             "zone",
         )
+        self.usage_windows = self._counter(
+            "usage_windows", "Usage windows reported by this host.", "outcome"
+        )
+        self.usage_report_age_s = self._gauge(
+            "usage_report_age_s",
+            "Time since a usage report of this host was accepted; -1 before.",
+        )
+        self.usage_unreported_starts = self._gauge(
+            "usage_unreported_starts",
+            "Starts of requests that the holder of the API duty has not received.",
+        )
 
     def _counter(self, name, text, *labels):
         return Counter(f"goldcrestmoor_{name}", text, labels, registry=self.registry)
--- a/goldcrestmoor/process/true_time.py
+++ b/goldcrestmoor/process/true_time.py
@@ -15,6 +15,8 @@
 SAMPLE_MS = 30_000
 # The median of fewer is no majority.
 MIN_HOSTS = 3
+# Monotonic clocks drift by some ten milliseconds in ten minutes.
+AGREED_MS = 600_000
 
 
 class TrueTime:
@@ -23,15 +25,13 @@
     :param now_ms: the monotonic clock, in milliseconds.
     :param wall_ms: the wall clock at the same moment, in milliseconds since 1970.
     :ivar offset_ms: true time minus the monotonic clock, in milliseconds.
-    :ivar is_agreed: whether it is more than this host's own clock: a holder stated it,
-        or this host took it as the holder.
     """
 
-    __slots__ = ("offset_ms", "is_agreed", "_sample_by_host")
+    __slots__ = ("offset_ms", "_agreed_ms", "_sample_by_host")
 
     def __init__(self, now_ms, wall_ms):
         self.offset_ms = wall_ms - now_ms
-        self.is_agreed = False
+        self._agreed_ms = None
         self._sample_by_host = {}
 
     def at(self, now_ms):
@@ -42,6 +42,15 @@
         """
         return now_ms + self.offset_ms
 
+    def is_agreed(self, now_ms):
+        """Return whether this is more than the host's own clock.
+
+        A holder stated it lately, or this host took it as the holder.
+
+        :param now_ms: the monotonic clock, in milliseconds.
+        """
+        return self._agreed_ms is not None and now_ms - self._agreed_ms < AGREED_MS
+
     def adopt(self, sent_ms, received_ms, true_ms):
         """Follow the time that the holder has stated.
 
@@ -52,7 +61,7 @@
         :param true_ms: the time in the reply, in milliseconds since 1970.
         :return: by how much the time has changed, in milliseconds.
         """
-        self.is_agreed = True
+        self._agreed_ms = received_ms
         shift_ms = true_ms - self.at((sent_ms + received_ms) // 2)
         if abs(shift_ms) <= received_ms - sent_ms:
             return 0
@@ -76,7 +85,7 @@
         :param now_ms: the monotonic clock, in milliseconds.
         :return: by how much the time has changed, in milliseconds.
         """
-        self.is_agreed = True
+        self._agreed_ms = now_ms
         self._sample_by_host = {
             host: (at_ms, offset_ms)
             for host, (at_ms, offset_ms) in self._sample_by_host.items()
--- a/test/_table.py
+++ b/test/_table.py
@@ -26,6 +26,9 @@
         versions = {}
         for write in writes:
             name = (write.table, write.key)
+            if write.value is None:
+                self.rows_by_name.pop(name, None)
+                continue
             old = self.rows_by_name.get(name)
             version = (old.version if old else 0) + 1
             self.rows_by_name[name] = table_service.Row(write.key, version, write.value)
--- a/test/test_exclusive_duty.py
+++ b/test/test_exclusive_duty.py
@@ -1,58 +1,18 @@
 """No two hosts make the calls of an exclusive duty in turns."""
 
-import asyncio
 import itertools
 import unittest
 
-from goldcrestmoor.adapters.table import Change
-from goldcrestmoor.process.duties import Duties
-from goldcrestmoor.process.exclusive_duty import LEASE_MS, ExclusiveDuty
-from goldcrestmoor.process.lease_rows import TABLE
-from goldcrestmoor.process.leases import LeaseClient
-from goldcrestmoor.process.metrics import Metrics
+from goldcrestmoor.process.exclusive_duty import LEASE_MS
 from test import _table
-from test._fleet import HostClock, ManualClock
+from test._duty_hosts import TURN_MS, DutyHost
+from test._fleet import ManualClock
 
-DUTY = "platform-api"
-TURN_MS = 3000
 STEP_MS = 100
 # The lease, its margin, a poll and the spread of the claims.
 TAKEOVER_MS = 4500
 
 
-class Host:
-    """One process of a host that acts on the duty whenever it may."""
-
-    def __init__(self, fleet, name):
-        self.name = name
-        self.clock = HostClock(fleet.clock)
-        self._table = fleet.table
-        self._client = fleet.table.client(self.clock)
-        self._leases = LeaseClient(clock=self.clock, table=self._client, host_id=name)
-        self._duties = Duties(
-            leases=self._leases,
-            is_feed_current=lambda: not fleet.table.is_down,
-            metrics=Metrics(),
-        )
-        self.duty = ExclusiveDuty(
-            clock=self.clock, duties=self._duties, name=DUTY, turn_ms=TURN_MS, cores=2
-        )
-        self._task = asyncio.create_task(self.duty.run())
-
-    def feed(self):
-        row = self._table.rows_by_name.get((TABLE, DUTY))
-        if row is not None and self.clock.thawed.is_set():
-            self._duties.apply([Change(DUTY, row.version, row.value)])
-
-    async def release(self):
-        self.duty.leave()
-        await self._duties.release_all()
-
-    async def kill(self):
-        self._task.cancel()
-        await self._leases.close()
-
-
 class ExclusiveDutyTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.clock = ManualClock()
@@ -69,7 +29,7 @@
 
     def start(self, *names):
         for name in names:
-            self.hosts[name] = Host(self, name)
+            self.hosts[name] = DutyHost(self.clock, self.table, name)
 
     async def run_for(self, duration_ms, until=None):
         """Let the hosts act at each step; stop early once a predicate is true."""
