--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -199,6 +199,19 @@
         self.saved_events = len(self.events)
         self.is_completion_saved = self.is_complete
 
+    def take_over(self, output, now_ms):
+        """Go on from output that an ended job left, which this job has not stored.
+
+        :param output: the :class:`~goldcrestmoor.job.partial_cache.KeptOutput`.
+        :param now_ms: the time.
+        """
+        self.events = list(output.events)
+        self.last_id = output.last_id
+        self.versions = list(output.versions)
+        self.software_version = output.software_version
+        self.is_complete = output.is_complete
+        self.progress_ms = now_ms
+
     def add(self, event, version):
         """Append one event.
 
