Start items by need and continue resubmitted ones where accounts exist

The scheduler uses the order by need where the configuration in force has accounts; elsewhere it orders jobs and items as before.

When a job ends, the output of its unfinished items is kept, and the next step's items of the same ids go on from it, also when that step was accepted before the feed reported the end. They have no stored events in the new job, so all their events are saved like new ones and outlive a change of runner.

Metrics count starts and given-up groups by class.

--- a/goldcrestmoor/job/job_run.py
+++ b/goldcrestmoor/job/job_run.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from goldcrestmoor.job import job_store
+from goldcrestmoor.job import job_store, work_order
 from goldcrestmoor.job.item_order import order_items
 from goldcrestmoor.job.item_run import ItemRun
 from goldcrestmoor.job.job import Result
@@ -42,6 +42,9 @@
     :ivar waiting: the items that wait for an engine.
     :ivar running_by_id: the items whose text an engine generates.
     :ivar scoring_by_id: the items whose text is complete and has no score yet.
+    :ivar lost_groups: the groups with an abandoned item.
+    :ivar resubmitted_groups: the groups that an ended job had left unfinished.
+    :ivar needed_groups: the groups that its trainer is expected to wait for.
     """
 
     __slots__ = (
@@ -53,6 +56,11 @@
         "running_by_id",
         "scoring_by_id",
         "engine_by_group",
+        "lost_groups",
+        "resubmitted_groups",
+        "needed_groups",
+        "_stopped",
+        "_group_count",
         "_missing_by_group",
         "_stored",
         "_process_id",
@@ -95,6 +103,11 @@
         self.running_by_id = {}
         self.scoring_by_id = {}
         self.engine_by_group = {}
+        self.lost_groups = set()
+        self.resubmitted_groups = set()
+        self.needed_groups = frozenset()
+        self._stopped = []
+        self._group_count = len({item.group or item.id for item in job.items})
         self._missing_by_group = collections.Counter(run.group for run in self.waiting)
         self._stored = stored
         self._process_id = process_id
@@ -121,6 +134,22 @@
         """Return the waiting items in the order in which to start them."""
         return order_items(self.waiting)
 
+    def due_in_ms(self):
+        """Return the time until its results are due; negative after it has passed."""
+        return self.due_ms - self._store.now_ms()
+
+    def in_progress(self):
+        """Return the unfinished items that do not wait for an engine."""
+        return [*self.running_by_id.values(), *self.scoring_by_id.values()]
+
+    def unfinished_groups(self):
+        """Return the groups with an unfinished item."""
+        return {work_order.group_key(run) for run in self.waiting + self.in_progress()}
+
+    def whole_groups(self):
+        """Return the number of groups whose output is complete."""
+        return self._group_count - len(self.unfinished_groups() | self.lost_groups)
+
     def start(self, run, engine):
         """Record that an item has been started at an engine.
 
@@ -174,6 +203,8 @@
         self.running_by_id.pop(run.item.id, None)
         self.scoring_by_id.pop(run.item.id, None)
         self._missing_by_group[run.group] -= 1
+        if not is_completed:
+            self.lost_groups.add(work_order.group_key(run))
         if run.started_ms is not None:
             log.info(
                 "Item %s of job %s %s: waited %d ms, then %d ms in %d attempts, last "
@@ -231,8 +262,14 @@
         """Start no more items and cancel those that are running."""
         self._is_over = True
         self._has_finished.set()
+        self._stopped += self.waiting
         self.waiting.clear()
-        self._cancel_running()
+        self._stopped += self._cancel_running()
+
+    def take_stopped(self):
+        """Return the items that were unfinished when the job was stopped, once."""
+        stopped, self._stopped = self._stopped, []
+        return stopped
 
     async def hand_over(self):
         """Stop once all output is stored for the next runner to continue from."""
@@ -243,7 +280,7 @@
 
     def _cancel_running(self):
         """Cancel the running items and reward calls, and return their items."""
-        runs = [*self.running_by_id.values(), *self.scoring_by_id.values()]
+        runs = self.in_progress()
         self.running_by_id.clear()
         self.scoring_by_id.clear()
         for run in runs:
--- a/goldcrestmoor/job/job_supervisor.py
+++ b/goldcrestmoor/job/job_supervisor.py
@@ -162,6 +162,8 @@
         run = self._runs_by_job.get(job_id)
         if run is not None:
             run.apply_state(stored)
+            if stored.state.is_ended:
+                self._scheduler.keep_output(run)
         self.wake()
 
     def wake(self):
--- a/goldcrestmoor/job/scheduler.py
+++ b/goldcrestmoor/job/scheduler.py
@@ -4,7 +4,11 @@
 import functools
 import logging
 
-from goldcrestmoor.job.engine_choice import choose_engine, should_restart
+from goldcrestmoor.job.engine_choice import (
+    UNKNOWN_MS_PER_EVENT,
+    choose_engine,
+    should_restart,
+)
 from goldcrestmoor.job.item_order import order_jobs
 from goldcrestmoor.job.item_run import (
     Broken,
@@ -16,7 +20,18 @@
     Moved,
     NotRun,
 )
+from goldcrestmoor.job.partial_cache import PartialCache
 from goldcrestmoor.job.stragglers import RunningItem, choose_moves
+from goldcrestmoor.job.work_order import (
+    HintScale,
+    OpenJob,
+    ServedAccounts,
+    WorkClass,
+    gives_up_in_ms,
+    group_key,
+    order_work,
+    pool_capacity,
+)
 from goldcrestmoor.util import TaskGroup
 from goldcrestmoor.version.weights.load_plan import Demand
 
@@ -24,6 +39,8 @@
 
 # The backoff of an engine expires without an event that wakes the loop.
 POLL_INTERVAL_MS = 100
+# Ordering a thousand items takes 3 ms, and an item runs for about a second.
+ORDER_INTERVAL_MS = 50
 # An item that no other engine would run is back at the slow one, and stays this long.
 MOVE_INTERVAL_MS = 1000
 
@@ -48,6 +65,11 @@
         "_metrics",
         "_runs_by_job",
         "_max_items_by_model",
+        "_partials",
+        "_hint_scale",
+        "_served",
+        "_order",
+        "_ordered_ms",
         "_wakeup",
         "_tasks",
     )
@@ -61,6 +83,11 @@
         self._metrics = metrics
         self._runs_by_job = {}
         self._max_items_by_model = {}
+        self._partials = PartialCache(clock=clock)
+        self._hint_scale = HintScale()
+        self._served = ServedAccounts()
+        self._order = []
+        self._ordered_ms = 0
         self._wakeup = asyncio.Event()
         self._tasks = TaskGroup()
 
@@ -75,10 +102,79 @@
             self._register_waiting_metrics(job.model)
         largest = self._max_items_by_model.get(job.model, 0)
         self._max_items_by_model[job.model] = max(largest, len(job.items))
+        self._take_over_output(job_run)
+        self._finish_complete(job_run)
+        self._order = []
+        self.wake()
+
+    def _finish_complete(self, job_run):
+        """Finish the items of a job whose text an earlier run of them completed."""
         for run in list(job_run.waiting):
             if run.is_complete:
                 self._finish_text(job_run, run)
-        self.wake()
+
+    def keep_output(self, job_run):
+        """Keep the unfinished output of an ended job for items that come again.
+
+        :param job_run: the :class:`~goldcrestmoor.job.job_run.JobRun`.
+        """
+        if not self._has_accounts():
+            return
+        job_run.stop()
+        stopped = job_run.take_stopped()
+        groups = {group_key(run) for run in stopped}
+        # Without a decision yet, all groups are needed.
+        needed = job_run.needed_groups or groups
+        for group in groups:
+            work_class = WorkClass.NEEDED if group in needed else WorkClass.SURPLUS
+            self._metrics.groups_given_up.labels(work_class.name.lower()).inc()
+        self._partials.keep(job_run.job, stopped)
+        # The next step may have been accepted here before the feed reported the end.
+        for other in self._runs_by_job.values():
+            if not other.is_over:
+                self._take_over_output(other)
+                self._finish_complete(other)
+
+    def _take_over_output(self, job_run):
+        """Let the items of a job go on from the output that ended jobs have left."""
+        if not self._has_accounts() or self._partials.is_empty():
+            return
+        job = job_run.job
+        known = continued = 0
+        for run in job_run.waiting + job_run.in_progress():
+            output = self._partials.take(job, run.item)
+            if output is None:
+                continue
+            known += 1
+            job_run.resubmitted_groups.add(group_key(run))
+            if (
+                run.started_ms is None
+                and not run.events
+                and self._fits(job_run, run, output)
+            ):
+                run.take_over(output, self._clock.now_ms())
+                continued += 1
+        if known:
+            log.info(
+                "Job %s has %d items that an ended job had left unfinished; %d go on "
+                "from earlier output.",
+                job.id,
+                known,
+                continued,
+            )
+
+    def _fits(self, job_run, run, output):
+        job, single_version = job_run.job, job_run.policy.single_version
+        route = self._routes().match(job.host, run.item.path)
+        if route is None:
+            return False
+        loads = self._pool.loads(route.service_for(run.item.id), job.model)
+        versions = {load.version for load in loads}
+        return output.fits(run.item, job.min_version, single_version, versions)
+
+    def _has_accounts(self):
+        table = self._routes()
+        return table is not None and table.accounts is not None
 
     def remove(self, job_run):
         """Start no more of a job's items.
@@ -87,6 +183,7 @@
         """
         if self._runs_by_job.get(job_run.job.id) is job_run:
             del self._runs_by_job[job_run.job.id]
+            self._order = []
 
     def wake(self):
         """Check again for engines with free slots."""
@@ -123,7 +220,8 @@
             self._move_stragglers()
 
     async def _wait(self):
-        if not self._runs_by_job:
+        self._partials.expire()
+        if not self._runs_by_job and self._partials.is_empty():
             await self._wakeup.wait()
             return
         try:
@@ -152,6 +250,9 @@
         table = self._routes()
         if table is None:
             return
+        if table.accounts is not None:
+            self._dispatch_by_need(table)
+            return
         for job_run in order_jobs(self._runs_by_job.values()):
             if job_run.is_over or not job_run.waiting:
                 continue
@@ -160,6 +261,100 @@
                 if not self._assign_engine(job_run, run, table, loads_by_service):
                     break
 
+    def _dispatch_by_need(self, table):
+        """Start waiting items, those first whose delay costs callers most."""
+        now_ms = self._clock.now_ms()
+        if not self._order or now_ms - self._ordered_ms >= ORDER_INTERVAL_MS:
+            self._decide_order(table, now_ms)
+        if self._order:
+            self._start_in_order(table, now_ms)
+
+    def _decide_order(self, table, now_ms):
+        runs = [run for run in self._runs_by_job.values() if not run.is_over]
+        pools = {_pool(run, table) for run in runs if run.waiting}
+        if not self._has_free_engine(pools):
+            return
+        jobs = [self._open_job(run, table) for run in runs]
+        capacity_by_pool = {
+            job.pool: pool_capacity(self._pool_loads(job.pool), UNKNOWN_MS_PER_EVENT)
+            for job in jobs
+        }
+        starved = self._served.starved(jobs, now_ms)
+        self._order, needed_by_job = order_work(
+            jobs, capacity_by_pool, self._hint_scale, starved
+        )
+        self._ordered_ms = now_ms
+        for job in jobs:
+            job.run.needed_groups = needed_by_job[job.id]
+
+    def _start_in_order(self, table, now_ms):
+        waiting = [run for run in self._runs_by_job.values() if run.waiting]
+        pools = {_pool(run, table) for run in waiting}
+        left, loads_by_model, full = [], {}, set()
+        order = iter(self._order)
+        for work in order:
+            job_run, run = work.run, work.item
+            job = job_run.job
+            route = table.match(job.host, run.item.path)
+            service = route.service_for(run.item.id) if route else None
+            # Texts wait for engines of their software version, other items for any.
+            need = (service, job.model, job.min_version)
+            if not run.events and need in full:
+                left.append(work)
+                continue
+            if job_run.is_over or run not in job_run.waiting:
+                continue
+            loads_by_service = loads_by_model.setdefault(job.model, {})
+            may_go_on = self._assign_engine(job_run, run, table, loads_by_service)
+            if run.item.id in job_run.running_by_id:
+                # The engine has a slot less for the other models too.
+                loads_by_model.clear()
+                self._served.record(job.account, now_ms)
+                self._metrics.items_started.labels(work.work_class.name.lower()).inc()
+                continue
+            left.append(work)
+            if not may_go_on:
+                full.add(need)
+            if not self._has_free_engine(pools):
+                break
+        self._order = [*left, *order]
+
+    def _has_free_engine(self, pools):
+        """Return whether any engine of pools is free, or one has no engines."""
+        return any(
+            not pool
+            or any(
+                load.in_flight < load.slots and not load.is_blocked
+                for load in self._pool_loads(pool)
+            )
+            for pool in pools
+        )
+
+    def _open_job(self, job_run, table):
+        job = job_run.job
+        due_in_ms = job_run.due_in_ms()
+        return OpenJob(
+            run=job_run,
+            id=job.id,
+            account=job.account,
+            priority=job_run.priority,
+            pool=_pool(job_run, table),
+            due_in_ms=due_in_ms,
+            gives_up_in_ms=gives_up_in_ms(due_in_ms, job_run.policy.due_after_ms),
+            target_groups=job.target_groups,
+            whole_groups=job_run.whole_groups(),
+            lost_groups=frozenset(job_run.lost_groups),
+            resubmitted_groups=frozenset(job_run.resubmitted_groups),
+            kept_groups=job_run.needed_groups,
+            waiting=list(job_run.waiting),
+            running=job_run.in_progress(),
+            waited_ms=job_run.age_ms(),
+        )
+
+    def _pool_loads(self, services):
+        """Return the loads of the engines of services, whatever their model."""
+        return [load for name in services for load in self._pool.loads(name, "")]
+
     def _assign_engine(self, job_run, run, table, loads_by_service):
         """Start an item; return whether the items after it may find an engine too.
 
@@ -333,6 +528,7 @@
         match outcome:
             case Finished():
                 run.is_complete = True
+                self._hint_scale.record(len(run.events), run.expected_tokens)
                 self._finish_text(job_run, run)
                 return
             case Impossible():
@@ -365,3 +561,11 @@
                     reason,
                 )
         job_run.requeue(run)
+
+
+def _pool(job_run, table):
+    """Return the services that run a job's items; empty without a route."""
+    job = job_run.job
+    path = job_run.waiting[0].item.path if job_run.waiting else job.path
+    route = table.match(job.host, path)
+    return tuple(share.service for share in route.shares) if route else ()
--- a/goldcrestmoor/process/metrics.py
+++ b/goldcrestmoor/process/metrics.py
@@ -50,6 +50,9 @@
         "items",
         "answers",
         "answer_seconds",
+        "items_started",
+        "groups_given_up",
+        "refusals",
         "items_waiting",
         "reward_calls",
         "reward_calls_waiting",
@@ -150,6 +153,18 @@
         self.items_waiting = self._gauge(
             "items_waiting", "Items of jobs run here that wait for a slot.", "model"
         )
+        self.items_started = self._counter(
+            "items_started", "Starts of jobs' items by class of work.", "class"
+        )
+        self.groups_given_up = self._counter(
+            "groups_given_up", "Groups not whole when their job ended.", "class"
+        )
+        self.refusals = self._counter(
+            "refusals",
+            "Requests refused for load, by reason and priority.",
+            "reason",
+            "priority",
+        )
         self.reward_calls = self._counter(
             "reward_calls", "Attempts of reward calls by outcome.", "outcome"
         )
