Refuse plain requests that cannot be answered in time

Under overload servers spend slots on requests whose callers no longer wait, and callers that were refused all return after the same 100 ms.

--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -55,6 +55,7 @@
 from goldcrestmoor.process.usage import Usage
 from goldcrestmoor.request import relayed_messages
 from goldcrestmoor.request.forwarding import Forwarder
+from goldcrestmoor.request.load_shedding import LoadShedding
 from goldcrestmoor.request.request_relay import RequestRelay
 from goldcrestmoor.request.streaming import StreamForwarder
 from goldcrestmoor.request.upstream_loads import UpstreamLoads
@@ -459,6 +460,11 @@
             "crashes": self._crashes,
             "paths": self._paths,
             "usage": self._usage and self._usage.counter,
+            "shedding": LoadShedding(
+                clock=self._clock,
+                routes=self._routing.current,
+                metrics=self._metrics,
+            ),
             **self._forwarding,
         }
         FrontRequestHandler(
--- a/goldcrestmoor/request/forwarding.py
+++ b/goldcrestmoor/request/forwarding.py
@@ -81,6 +81,8 @@
     :param crashes: the :class:`~goldcrestmoor.process.crash_reports.CrashReports`.
     :param usage: the :class:`~goldcrestmoor.request.usage_counter.UsageCounter`, or
         None.
+    :param shedding: the :class:`~goldcrestmoor.request.load_shedding.LoadShedding`, or
+        None.
     :ivar service: the service that the request goes to.
     :ivar software_version: the only software version that may serve it, if any.
     """
@@ -94,6 +96,7 @@
         "_loads",
         "_metrics",
         "_crashes",
+        "_shedding",
         "_digest",
         "_lost_responses",
         "_sent_to",
@@ -104,7 +107,16 @@
     )
 
     def __init__(
-        self, *, request, route, deadline, loads, metrics, crashes, usage=None
+        self,
+        *,
+        request,
+        route,
+        deadline,
+        loads,
+        metrics,
+        crashes,
+        usage=None,
+        shedding=None,
     ):
         self.request = request
         self.route = route
@@ -112,6 +124,7 @@
         self._loads = loads
         self._metrics = metrics
         self._crashes = crashes
+        self._shedding = shedding
         self._digest = None
         self._lost_responses = 0
         self.service = route.service_for(request.resumed_id or request.id)
@@ -139,6 +152,16 @@
         self._sent_to.append(upstream.name)
         return upstream
 
+    def check_time_left(self):
+        """Raise if no server would respond in the time left, unless it may have run.
+
+        :raises ServiceError: ``QUEUE_TIMEOUT``.
+        """
+        if self._shedding is not None and self._ran is Ran.NOT_RUN:
+            self._shedding.check_time_left(
+                self.service, self.route.priority, self.deadline.remaining_ms()
+            )
+
     def _check_crashes(self):
         if self._crashes.is_empty():
             return
@@ -210,6 +233,10 @@
             case SendAgain():
                 self._metrics.retries.labels(failure.ran.value).inc()
             case GiveUp(kind, retry_after_ms):
+                if kind is ErrorKind.OVERLOADED and self._shedding is not None:
+                    retry_after_ms = self._shedding.record_refused(
+                        self.service, self.route.priority, retry_after_ms
+                    )
                 raise ServiceError(kind, failure.reason, retry_after_ms)
 
     def record_error(self, upstream, error):
@@ -257,6 +284,14 @@
         if not self._crashes.is_empty():
             self._crashes.record_answer(self._content_digest())
 
+    def record_response_time(self, sent_ms):
+        """Record how long a server took for its response.
+
+        :param sent_ms: when the request was sent.
+        """
+        if self._shedding is not None:
+            self._shedding.record_response(self.service, sent_ms)
+
     def record_response(self, status):
         """Log the response that is forwarded.
 
@@ -316,15 +351,18 @@
     :param paths: the :class:`~goldcrestmoor.process.server_paths.ServerPaths`.
     :param usage: the :class:`~goldcrestmoor.request.usage_counter.UsageCounter`; None
         where usage isn't reported.
+    :param shedding: the :class:`~goldcrestmoor.request.load_shedding.LoadShedding`;
+        None to refuse no request for load.
     """
 
-    __slots__ = ("_crashes", "_paths", "_usage")
+    __slots__ = ("_crashes", "_paths", "_usage", "_shedding")
 
-    def __init__(self, *, crashes, paths, usage=None, **forwarding):
+    def __init__(self, *, crashes, paths, usage=None, shedding=None, **forwarding):
         super().__init__(**forwarding)
         self._crashes = crashes
         self._paths = paths
         self._usage = usage
+        self._shedding = shedding
 
     def _new_attempts(self, request, route, deadline):
         """Return the attempts of a request that has not been sent yet."""
@@ -336,6 +374,7 @@
             metrics=self._metrics,
             crashes=self._crashes,
             usage=self._usage,
+            shedding=self._shedding,
         )
 
 
@@ -351,12 +390,13 @@
         :param route: its :class:`~goldcrestmoor.version.configuration.routes.Route`.
         :param deadline: the time by which the response must be complete.
         :return: an :class:`~goldcrestmoor.request.apps.AppResponse`.
-        :raises ServiceError: ``NO_UPSTREAM`` or ``OVERLOADED`` when the request was
-            certainly not run, ``UPSTREAM_FAILED`` or ``UPSTREAM_TIMEOUT`` when it may
-            have been.
+        :raises ServiceError: ``NO_UPSTREAM``, ``OVERLOADED`` or ``QUEUE_TIMEOUT`` when
+            the request was certainly not run, ``UPSTREAM_FAILED`` or
+            ``UPSTREAM_TIMEOUT`` when it may have been.
         """
         attempts = self._new_attempts(request, route, deadline)
         while True:
+            attempts.check_time_left()
             upstream = await attempts.next_upstream()
             outcome = await self._attempt(upstream, attempts)
             match outcome:
@@ -401,9 +441,9 @@
             attempts.record_error(upstream, e)
             await attempts.record_lost_response(upstream, sent_ms, e)
             return FailedAttempt(e.answer.ran, e.message)
-        return self._classify(upstream, attempts, response)
+        return self._classify(upstream, attempts, response, sent_ms)
 
-    def _classify(self, upstream, attempts, response):
+    def _classify(self, upstream, attempts, response, sent_ms):
         status, headers = response.status, response.headers
         self._record_server_state(upstream, attempts.request.id, status, headers)
         if self._dialect.ran(status, headers) is Ran.NOT_RUN:
@@ -413,6 +453,7 @@
             return FailedAttempt(Ran.UNKNOWN, "The response is spoilt or another's")
         self._loads.record_response(upstream, attempts.route.name)
         attempts.record_run()
+        attempts.record_response_time(sent_ms)
         if (
             status == SERVER_ERROR
             and attempts.route.retry_policy is RetryPolicy.IDEMPOTENT
