Let a follower learn rows that another host has read

A host whose feed of the operator's table is silent acts on old rows, although other hosts have newer ones. TableFollower.learn applies such rows like rows of the feed: only newer ones, and none that was deleted before the feed's position.

rows_age_ms tells since when the rows were surely complete. It counts from when the request was sent, so that an answer that waited in the buffers of a frozen process isn't taken for a recent one.

--- a/goldcrestmoor/process/follower.py
+++ b/goldcrestmoor/process/follower.py
@@ -45,6 +45,7 @@
         "_outage_ms",
         "_version",
         "_answered_ms",
+        "_complete_ms",
         "_is_outage",
         "_has_failed",
     )
@@ -70,6 +71,7 @@
         self._outage_ms = outage_ms
         self._version = None
         self._answered_ms = None
+        self._complete_ms = None
         self._is_outage = False
         self._has_failed = False
 
@@ -79,10 +81,37 @@
             return None
         return self._clock.now_ms() - self._answered_ms
 
+    def rows_age_ms(self):
+        """Return the time since the rows were surely complete, or None if never.
+
+        Unlike :meth:`age_ms`, it counts the time for which an answer waited in the
+        buffers of this process while that was frozen.
+        """
+        if self._complete_ms is None:
+            return None
+        return self._clock.now_ms() - self._complete_ms
+
     def is_current(self):
         """Return whether the store answered recently enough to rely on the rows."""
         return self._answered_ms is not None and self.age_ms() < self._outage_ms
 
+    def learn(self, rows):
+        """Apply rows that another host has read from the same table.
+
+        The feed continues from where it was, so that it also brings whatever they
+        left out.
+
+        :param rows: the :class:`~goldcrestmoor.adapters.table.Row` objects.
+        :return: how many of them were newer than those known.
+        """
+        # An unknown row from before the feed's position has been deleted since.
+        changes = [
+            Change(row.key, row.version, row.value)
+            for row in rows
+            if self._version is None or row.version > self._version
+        ]
+        return self._apply(changes)
+
     async def run(self):
         """Follow the table until cancelled."""
         backoff = Backoff(RETRY_MIN_MS, RETRY_MAX_MS)
@@ -96,9 +125,10 @@
                 await self._clock.sleep_ms(backoff.next_ms())
 
     async def _poll(self):
+        sent_ms = self._clock.now_ms()
         if self._version is None:
             rows, version = await self._store.snapshot(self._table)
-            self._record_response()
+            self._record_response(sent_ms)
             self._replace(rows, version)
             return
         # After a failure, a request without a wait checks that the store is reachable.
@@ -111,11 +141,13 @@
                 )
                 self._version = None
             case Changes(changes, version):
-                self._record_response()
+                # Without changes, the store answers at the end of the wait.
+                waited_ms = 0 if changes else wait_ms
+                self._record_response(sent_ms + waited_ms)
                 self._version = version
                 self._apply(changes)
 
-    def _record_response(self):
+    def _record_response(self, complete_ms):
         unresponsive_ms = self.age_ms()
         if self._is_outage or (
             unresponsive_ms is not None and unresponsive_ms > self._outage_ms
@@ -129,6 +161,7 @@
         self._is_outage = False
         self._has_failed = False
         self._answered_ms = self._clock.now_ms()
+        self._complete_ms = min(complete_ms, self._answered_ms)
 
     def _record_failure(self, error):
         self._has_failed = True
@@ -168,3 +201,4 @@
             applied.append(change)
         if applied:
             self._on_changes(applied)
+        return len(applied)
--- a/test/test_follower.py
+++ b/test/test_follower.py
@@ -1,10 +1,10 @@
-"""A slow change feed does not count as an outage."""
+"""A slow change feed is no outage, and learned rows never go back to older ones."""
 
 import asyncio
 import random
 import unittest
 
-from goldcrestmoor.adapters.table import Changes
+from goldcrestmoor.adapters.table import Change, Changes, Row
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.process.follower import RETRY_MAX_MS, TableFollower
 from test._fleet import ManualClock
@@ -18,15 +18,17 @@
         self.delay_ms = 0
         self.is_unavailable = False
         self.version = 1
+        self.rows = []
+        self.changed = []
 
     async def snapshot(self, table):
         await self._answer()
-        return [], self.version
+        return list(self.rows), self.version
 
     async def changes(self, table, after, wait_ms):
         await self._answer()
         await self.clock.sleep_ms(wait_ms)
-        return Changes([], self.version)
+        return Changes(list(self.changed), self.version)
 
     async def _answer(self):
         if self.is_unavailable:
@@ -88,3 +90,36 @@
         await self.clock.advance(RETRY_MAX_MS + 50)
         self.assertTrue(follower.is_current())
         self.assertEqual(self.returns, 1)
+
+    async def test_rows_of_another_host_never_go_back(self):
+        """A withdrawn API key would be valid again."""
+        self.store.version, self.store.rows = 10, [Row("a", 5, b"5"), Row("b", 6, b"6")]
+        follower = await self.follow()
+        self.assertEqual(follower.learn([Row("a", 20, b"20"), Row("b", 4, b"4")]), 1)
+        # Deleted by version 10; the other host has not read that yet.
+        self.assertEqual(follower.learn([Row("c", 9, b"9")]), 0)
+        # The feed is behind the learned row, and goes past it later.
+        self.store.version, self.store.changed = 15, [Change("a", 15, b"15")]
+        await self.clock.advance(1200)
+        self.assertEqual(follower.row_by_key["a"].value, b"20")
+        self.store.version, self.store.changed = 25, [Change("a", 25, None)]
+        await self.clock.advance(1200)
+        self.assertNotIn("a", follower.row_by_key)
+
+    async def test_a_snapshot_drops_only_learned_rows_that_are_older(self):
+        self.store.is_unavailable = True
+        follower = await self.follow()
+        self.assertEqual(follower.learn([Row("a", 20, b"20"), Row("b", 8, b"8")]), 2)
+        self.store.is_unavailable, self.store.version = False, 10
+        await self.clock.advance(1200)
+        self.assertEqual(follower.row_by_key, {"a": Row("a", 20, b"20")})
+
+    async def test_an_answer_that_waited_in_a_frozen_process_is_old(self):
+        """The process reads it after the freeze, when its rows may be seconds old."""
+        follower = await self.follow()
+        await self.clock.advance(2000)
+        self.assertLess(follower.rows_age_ms(), 1000)
+        self.store.delay_ms = 5000
+        await self.clock.advance(6200)
+        self.assertLess(follower.age_ms(), 1000)
+        self.assertGreater(follower.rows_age_ms(), 4000)
