Learn the operator's rows from other hosts while the store is silent

A host that the store rejects keeps its old configuration: it uses no relay, and a withdrawn API key works there until the store serves it again. Where the configuration has accounts, such a host now asks up to three others, once a second, at POST /configuration, and applies newer rows like those of its feed. A reply states the age of what the other host knows, so that the age is known where no feed answers.

A host that starts without the store knows no other host. So each host whose feed is current introduces itself to three others in turns, one in two seconds; a host that has read no table of hosts asks those. It isn't ready, as it knows no servers.

Without accounts in the configuration, or before the first one without the settings' section, the part sleeps and no message is sent.

--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -25,6 +25,7 @@
 from goldcrestmoor.platform.cloud import SERVERS_DUTY, USAGE_DUTY, PlatformApi
 from goldcrestmoor.platform.store import StoreClient
 from goldcrestmoor.process import (
+    configuration_exchange,
     crash_reports,
     lease_rows,
     limit_owners,
@@ -35,6 +36,7 @@
 )
 from goldcrestmoor.process.capacity_orders import CapacityOrders
 from goldcrestmoor.process.client_keys import ClientKeys
+from goldcrestmoor.process.configuration_exchange import ConfigurationExchange
 from goldcrestmoor.process.crash_reports import CrashReports
 from goldcrestmoor.process.directory import UpstreamDirectory
 from goldcrestmoor.process.duties import Duties
@@ -142,6 +144,7 @@
         "_followers",
         "_connectivity",
         "_capacity",
+        "_exchange",
         "_in_flight",
         "_servers",
         "_is_leaving",
@@ -417,6 +420,16 @@
         self._followers[store_connectivity.TABLE] = self._follow(
             store_connectivity.TABLE, self._connectivity.apply
         )
+        self._exchange = ConfigurationExchange(
+            clock=self._clock,
+            calls=self._host_calls,
+            host_id=host.id,
+            rows=self._followers[records.OPERATOR_TABLE],
+            hosts=self._followers[store_connectivity.TABLE],
+            routing=self._routing,
+            settings=self.settings.accounts,
+            metrics=self._metrics,
+        )
 
     def _make_capacity(self):
         self._capacity = None
@@ -525,6 +538,11 @@
                 request, usage_counts.request_decoder, self._usage.receive
             )
 
+        async def reply_rows(request: Request) -> Response:
+            return await self._reply(
+                request, configuration_exchange.request_decoder, self._exchange.reply
+            )
+
         relay = RequestRelay(
             directory=self._directory, in_flight=self._in_flight, **self._forwarding
         )
@@ -556,6 +574,9 @@
         readiness_server.application.router.add_post(
             crash_reports.ANSWER_PATH, receive_answer
         )
+        readiness_server.application.router.add_post(
+            configuration_exchange.PATH, reply_rows
+        )
         readiness_server.application.router.add_post(limit_owners.PATH, grant)
         if self._usage is not None:
             readiness_server.application.router.add_post(
@@ -615,7 +636,10 @@
     def _is_ready(self):
         has_routes = self._routing.table is not None
         return (
-            not self._is_leaving and has_routes and self._connectivity.accepts_callers()
+            not self._is_leaving
+            and has_routes
+            and self._connectivity.accepts_callers()
+            and self._exchange.accepts_callers()
         )
 
     def _apply_operator_rows(self, changes):
@@ -624,6 +648,7 @@
                 continue
             if change.key == records.CONFIGURATION_KEY:
                 self._routing.put(change.value)
+                self._exchange.update_scope()
                 self._scheduler.wake()
                 self._rewards.wake()
             elif change.key.startswith(records.VERSION_PREFIX):
@@ -649,6 +674,7 @@
             "orders": self._orders,
             "reach": self._connectivity,
             "crash histories": self._crashes,
+            "configuration": self._exchange,
         }
         if self._api_duty is not None:
             part_by_name["platform api"] = self._api_duty
--- a/goldcrestmoor/process/metrics.py
+++ b/goldcrestmoor/process/metrics.py
@@ -76,6 +76,9 @@
         "usage_windows",
         "usage_report_age_s",
         "usage_unreported_starts",
+        "configuration_age_ms",
+        "learned_rows",
+        "outdated_refusals",
     )
 
     def __init__(self):
@@ -250,6 +253,16 @@
             "usage_unreported_starts",
             "Starts of requests that the holder of the API duty has not received.",
         )
+        self.configuration_age_ms = self._gauge(
+            "configuration_age_ms",
+            "Time since the configuration was surely the newest; -1 before.",
+        )
+        self.learned_rows = self._counter(
+            "learned_rows", "Rows of the operator's table learned from other hosts."
+        )
+        self.outdated_refusals = self._counter(
+            "outdated_refusals", "Requests refused as the configuration is too old."
+        )
 
     def _counter(self, name, text, *labels):
         return Counter(f"goldcrestmoor_{name}", text, labels, registry=self.registry)
