Refuse requests that need a key while the configuration is too old

With strict_revocation, a host that may have missed the withdrawal of a key must not accept it. The request handler asks check_current once it knows that a request needs a key, and answers 503, not run, with a Retry-After; public routes and paths without a route are answered as before. The check is the last age that this host or one that replied to it can prove, against revoke_ms.

--- a/goldcrestmoor/process/front_callers.py
+++ b/goldcrestmoor/process/front_callers.py
@@ -50,6 +50,8 @@
     :param job_api: the :class:`~goldcrestmoor.job.job_api.JobApi`.
     :param dialect: decodes and encodes the callers' protocol.
     :param keys: the :class:`~goldcrestmoor.process.client_keys.ClientKeys`.
+    :param check_current: raises ``ServiceError`` when the configuration is too old for
+        its API keys to be trusted.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
     """
 
@@ -61,11 +63,22 @@
         "_job_api",
         "_dialect",
         "_keys",
+        "_check_current",
         "_metrics",
     )
 
     def __init__(
-        self, *, clock, routing, forwarder, streams, job_api, dialect, keys, metrics
+        self,
+        *,
+        clock,
+        routing,
+        forwarder,
+        streams,
+        job_api,
+        dialect,
+        keys,
+        check_current,
+        metrics,
     ):
         self._clock = clock
         self._routing = routing
@@ -74,6 +87,7 @@
         self._job_api = job_api
         self._dialect = dialect
         self._keys = keys
+        self._check_current = check_current
         self._metrics = metrics
 
     def register(self, app):
@@ -164,6 +178,8 @@
         return Deadline.after(self._clock, min(timeouts_ms))
 
     def _authenticate(self, headers, is_public):
+        if self._keys.accounts is not None and not is_public:
+            self._check_current()
         return self._keys.authenticate(self._dialect.api_key(headers), is_public)
 
     async def _submit(self, call, host, path, body, account, route):
--- a/test/test_configuration_exchange.py
+++ b/test/test_configuration_exchange.py
@@ -235,6 +235,29 @@
         self.assertEqual(await self.version("front-a"), 3)
         self.assertNotIn("is learned from", self.fleet.log_of("front-a"))
 
+    async def test_strict_revocation_refuses_once_all_hosts_are_cut_off(self):
+        await self.start(("front-a", "front-b"), strict_revocation=True, revoke_ms=4000)
+        self.put(4, has_new_route=True)
+        await _common.eventually(lambda: self.serves("front-a", NEW_PATH), 5)
+        # While another host is served, the age of its configuration counts.
+        self.fleet.store.turned_away.add("front-a")
+        end_s = time.monotonic() + 7
+        while time.monotonic() < end_s:
+            self.assertEqual(await self.status("front-a", NEW_PATH), 200)
+            await asyncio.sleep(0.2)
+        self.fleet.store.turned_away.add("front-b")
+        await _common.eventually(lambda: self.is_outdated("front-a"), 6)
+        answer = await self.ask("front-a", NEW_PATH)
+        self.assertIn(b"retry-after", dict(answer.headers))
+        self.assertTrue(await self.serves("front-a", FETCH_PATH))
+        self.assertEqual(await self.status("front-a", "/none"), 404)
+        self.assertFalse(await self.fleet.is_ready("front-a"))
+        self.fleet.store.turned_away.clear()
+        await _common.eventually(lambda: self.serves("front-a", NEW_PATH), 5)
+
+    async def is_outdated(self, name):
+        return await self.status(name, NEW_PATH) == 503
+
     async def test_without_strict_revocation_hosts_go_on(self):
         await self.start(("front-a", "front-b"), revoke_ms=1000)
         self.put(4, has_new_route=True)
