Order enough servers that the loss of a zone is borne

Cause: the plan ordered two items for each slot, spread evenly over the zones. After the loss of the largest of three zones a slot ran three items, and three rounds of the longest items (2.8 s each) exceed the 7.5 s in which a step is due and its 0.7 s of grace.

Change: servers are added until the zones without the largest one have as many as are needed, within the bounds. A single zone gets none.

--- a/goldcrestmoor/process/capacity_plan.py
+++ b/goldcrestmoor/process/capacity_plan.py
@@ -19,7 +19,8 @@
 # The longest items have 140 events of about 20 ms each.
 ROUND_MS = 2800
 # Two rounds of the longest items take 5.6 s of the 7.5 s in which a step is due. The
-# rest is for placing items, moving them off a failed engine, and reward calls.
+# rest is for placing items, moving them off a failed engine, and reward calls. A third
+# round, as after the loss of one zone of three, would not fit.
 ITEMS_PER_SLOT = 2
 # A trainer gives up on a step at 1.6 times the time in which it is due. What is still
 # open after this many times is work that nobody waits for.
@@ -143,6 +144,26 @@
     return count_by_zone
 
 
+def add_zone_reserve(count_by_zone, needed, bounds):
+    """Return the numbers with servers added, so that any zone may be lost.
+
+    The others then have as many as are needed, unless the bounds are reached first. A
+    zone is lost at once, and its servers are replaced too late for the step that runs.
+
+    :param count_by_zone: the number of servers of each zone.
+    :param needed: how many servers are needed in all.
+    :param bounds: as for :func:`spread`.
+    """
+    # A single zone has no other to take over from it.
+    while len(count_by_zone) > 1:
+        left = sum(count_by_zone.values()) - max(count_by_zone.values())
+        larger = add_servers(count_by_zone, 1, bounds, count_by_zone)
+        if left >= needed or larger == count_by_zone:
+            break
+        count_by_zone = larger
+    return count_by_zone
+
+
 class FirstSight:
     """Tells when a list of servers has ceased to fill."""
 
@@ -347,7 +368,9 @@
         for name, zone in self._zone_by_name.items():
             zone.target = min(zone.target, bounds.max_servers)
             zone.observe(servers_by_zone.get(name, ZoneServers()))
-        even = spread(self._needed_servers(), bounds, self.first_by_zone)
+        needed = self._needed_servers()
+        even = spread(needed, bounds, self.first_by_zone)
+        even = add_zone_reserve(even, needed, bounds)
         wanted = self._move_refused(now_ms, even)
         for name, zone in self._zone_by_name.items():
             zone.aim(now_ms, wanted[name])
