List a resubmitted item once whose text is complete already

Cause: an item whose job ended while it was scored is kept with a complete text. Submitted again without a reward call, it was finished at once, but stayed in the queue: it was run and listed a second time, which made the number of listed results exceed the number of items.

Change: finishing an item removes it from the queue, as starting its reward call does.

Seen: the new test found the finished item still waiting.

--- a/goldcrestmoor/job/job_run.py
+++ b/goldcrestmoor/job/job_run.py
@@ -200,6 +200,8 @@
         :param run: the :class:`~goldcrestmoor.job.item_run.ItemRun`.
         :param is_completed: whether its output is complete; otherwise it is abandoned.
         """
+        if run in self.waiting:
+            self.waiting.remove(run)
         self.running_by_id.pop(run.item.id, None)
         self.scoring_by_id.pop(run.item.id, None)
         self._missing_by_group[run.group] -= 1
--- a/goldcrestmoor/job/scheduler.py
+++ b/goldcrestmoor/job/scheduler.py
@@ -364,7 +364,6 @@
         route = table.match(job.host, run.item.path)
         if route is None or route.job is None:
             log.warning("Item %s no longer has a route and is abandoned.", run.item.id)
-            job_run.waiting.remove(run)
             job_run.finish(run, is_completed=False)
             return True
         service = route.service_for(run.item.id)
--- a/test/test_partial_cache.py
+++ b/test/test_partial_cache.py
@@ -94,6 +94,20 @@
             self.assertEqual(result.text, "e0\ne1\ne2\ne3")
             self.assertEqual(result.versions, (1, 2, 3))
 
+    async def test_a_complete_text_without_a_reward_call_is_listed_once(self):
+        """Its job ended while it was scored, and the next one has it not scored. If it
+        still waited, it would be run and listed again, past the end of the job."""
+        before = self.run_job("before")
+        before.waiting[0].add(Event("0", "e0", None, b""), 1)
+        before.waiting[0].is_complete = True
+        before.start_scoring(before.waiting[0])
+        self.scheduler._runs_by_job["before"] = before
+        self.scheduler.keep_output(before)
+        self.scheduler.remove(before)
+        again = self.submit_again()
+        self.assertEqual([result.text for result in again._finished], ["e0"])
+        self.assertEqual(again.waiting, [])
+
     async def test_the_next_step_may_be_known_before_the_end_of_the_last(self):
         again = self.run_job("again")
         self.scheduler.add(again)
