Limit the kept output of ended jobs by its bytes in memory

Cause: the limit of 16 MB counted characters. Texts outside Latin-1 take two or four bytes a character, so that a host kept up to four times as much, of the 200 MB that the smallest have.

Change: the size of the strings in memory counts.

Seen: the new test found texts of twice and four times the limit kept.

--- a/goldcrestmoor/job/partial_cache.py
+++ b/goldcrestmoor/job/partial_cache.py
@@ -7,6 +7,7 @@
 
 import collections
 import hashlib
+import sys
 
 import msgspec
 
@@ -14,9 +15,8 @@
 MAX_BYTES = 16_000_000
 # Two steps: a group that is submitted again is in the step after the one that ended.
 KEPT_MS = 30_000
-# What an entry and each of its events take beside their text.
+# What an entry takes beside its events.
 ENTRY_OVERHEAD_BYTES = 600
-EVENT_OVERHEAD_BYTES = 60
 DIGEST_BYTES = 16
 
 
@@ -135,6 +135,6 @@
 
 
 def _size(output):
-    text_bytes = sum(map(len, output.events))
-    overhead = EVENT_OVERHEAD_BYTES * len(output.events) + ENTRY_OVERHEAD_BYTES
-    return text_bytes + overhead
+    """Return the bytes that an output takes in memory."""
+    event_bytes = sum(map(sys.getsizeof, output.events))
+    return event_bytes + sys.getsizeof(output.events) + ENTRY_OVERHEAD_BYTES
--- a/test/test_partial_cache.py
+++ b/test/test_partial_cache.py
@@ -152,6 +152,17 @@
         kept = [cache.take(before.job, i) is not None for i in before.job.items]
         self.assertEqual(kept, [False, False, True, True])
 
+    async def test_the_limit_is_one_of_bytes_in_memory(self):
+        """Most texts outside Latin-1 take two bytes a character, some four; a small
+        host would keep four times what it may."""
+        for character, share in (("x", 1), ("\u6c34", 2), ("\U0001f30a", 4)):
+            with self.subTest(character):
+                cache = PartialCache(clock=self.clock)
+                run = self.run_job("j").waiting[0]
+                run.events = [character * (partial_cache.MAX_BYTES // share + 1)]
+                cache.keep(self.run_job("j").job, [run])
+                self.assertTrue(cache.is_empty())
+
     async def test_surplus_items_take_only_the_slots_that_are_left(self):
         run = self.run_job("j", "aaabbbccc", target_groups=1)
         self.scheduler.add(run)
