Set a refusing zone's target anew before the zone is asked again

Cause: a refused order sets the target back to what the platform agreed to, which may be below the operator's minimum. The next update raises it once the refusal has expired. If it expired between the update and the order, while the row was written, the order had the low number.

Change: a refusal ends in an update only.

--- a/goldcrestmoor/process/capacity_plan.py
+++ b/goldcrestmoor/process/capacity_plan.py
@@ -237,12 +237,16 @@
         self.first = first
         self.target = self.agreed = target
         self.sent = None
-        self.accepted_ms = self.attempted_ms = self.refused_until_ms = 0
+        self.accepted_ms = self.attempted_ms = 0
+        self.refused_until_ms = None
         self.short_since_ms = self.lower_since_ms = None
         self.servers = ZoneServers()
         self.has_new_reclaim = False
 
-    def observe(self, servers):
+    def observe(self, now_ms, servers):
+        # Here only: the target is set anew before the zone is asked again.
+        if self.is_refused and now_ms >= self.refused_until_ms:
+            self.refused_until_ms = None
         if servers.reclaimed > self.servers.reclaimed:
             self.has_new_reclaim = True
         self.servers = servers
@@ -261,15 +265,16 @@
                 self.lower_since_ms = now_ms
             return
         self.lower_since_ms = None
-        if not self.is_refused(now_ms):
+        if not self.is_refused:
             self.target = wanted
 
-    def is_refused(self, now_ms):
-        return now_ms < self.refused_until_ms
+    @property
+    def is_refused(self):
+        return self.refused_until_ms is not None
 
     def reason(self, now_ms, boot_ms):
         """Return why an order is due, or None if none is."""
-        if self.is_refused(now_ms):
+        if self.is_refused:
             return None
         if self.sent is None:
             return "first order of this host"
@@ -367,11 +372,11 @@
         self._measure_slots(servers_by_zone.values())
         for name, zone in self._zone_by_name.items():
             zone.target = min(zone.target, bounds.max_servers)
-            zone.observe(servers_by_zone.get(name, ZoneServers()))
+            zone.observe(now_ms, servers_by_zone.get(name, ZoneServers()))
         needed = self._needed_servers()
         even = spread(needed, bounds, self.first_by_zone)
         even = add_zone_reserve(even, needed, bounds)
-        wanted = self._move_refused(now_ms, even)
+        wanted = self._move_refused(even)
         for name, zone in self._zone_by_name.items():
             zone.aim(now_ms, wanted[name])
         self._lower(now_ms, sum(even.values()), wanted)
@@ -436,17 +441,15 @@
             return 0
         return math.ceil(self._peak.slots() / self._slots_per_server)
 
-    def _move_refused(self, now_ms, count_by_zone):
+    def _move_refused(self, count_by_zone):
         """Give other zones the servers that refusing zones lack."""
         missing = sum(
             max(0, count_by_zone[name] - zone.servers.accepting)
             for name, zone in self._zone_by_name.items()
-            if zone.is_refused(now_ms)
+            if zone.is_refused
         )
         others = [
-            name
-            for name, zone in self._zone_by_name.items()
-            if not zone.is_refused(now_ms)
+            name for name, zone in self._zone_by_name.items() if not zone.is_refused
         ]
         return add_servers(count_by_zone, missing, self._bounds, others)
 
--- a/test/test_capacity_orders.py
+++ b/test/test_capacity_orders.py
@@ -10,6 +10,7 @@
 from goldcrestmoor.adapters.table import Change
 from goldcrestmoor.job.job import JobState
 from goldcrestmoor.process.capacity_orders import CapacityOrders
+from goldcrestmoor.process.capacity_plan import REFUSAL_MS, ServicePlan, ZoneServers
 from goldcrestmoor.process.directory import ListedUpstream, UpstreamDirectory
 from goldcrestmoor.process.metrics import Metrics
 from goldcrestmoor.version.configuration.routes import (
@@ -372,5 +373,22 @@
         self.assertGreaterEqual(min(b - a for a, b in itertools.pairwise(times)), 2500)
 
 
+class PlanTest(unittest.TestCase):
+    def test_a_refusal_that_expires_while_the_row_is_written(self):
+        """The target of a refusing zone is what the platform agreed to, which may be
+        less than the operator's minimum, until it is set anew."""
+        bounds = ScalingBounds(3, 15, BOOT_MS)
+        plan = ServicePlan(
+            now_ms=0, bounds=bounds, first_by_zone={"a": 2}, target_by_zone={"a": 2}
+        )
+        servers = {"a": ZoneServers(2, 2 * SLOTS, 2, 0)}
+        plan.update(0, bounds, servers, 0)
+        plan.record_refused(plan.due(0)[0], 0)
+        plan.update(REFUSAL_MS - 1, bounds, servers, 0)
+        self.assertEqual(plan.due(REFUSAL_MS), [])
+        plan.update(REFUSAL_MS, bounds, servers, 0)
+        self.assertEqual([order.count for order in plan.due(REFUSAL_MS)], [3])
+
+
 if __name__ == "__main__":
     unittest.main()
