Count streams that can't be resumed whatever their callers state

Cause: a stream whose caller names the request that began it isn't counted, as it was counted when it began. That held also on routes whose streams can't be resumed, where the request is sent like a new one: with the header Last-Event-ID an account's streams were never reported.

Change: only on routes whose streams can be resumed such a request isn't counted.

--- a/goldcrestmoor/request/streaming.py
+++ b/goldcrestmoor/request/streaming.py
@@ -104,7 +104,8 @@
 
     def _count(self, attempts):
         """Count a stream, unless it was counted when it began."""
-        if attempts.request.resumed_id is None:
+        may_resume = attempts.route.retry_policy is RetryPolicy.RESUMABLE
+        if attempts.request.resumed_id is None or not may_resume:
             attempts.record_start()
 
     async def _run(self, attempts):
--- a/test/test_usage_counter.py
+++ b/test/test_usage_counter.py
@@ -108,12 +108,13 @@
             **options,
         )
 
-    async def forward(self, kind=RouteKind.PLAIN, account=ACCOUNT, resumed_id=None):
-        policy = RetryPolicy.IDEMPOTENT
+    async def forward(
+        self, kind=RouteKind.PLAIN, account=ACCOUNT, resumed_id=None, policy=None
+    ):
         forwarder = Forwarder
         options = {}
         if kind is RouteKind.STREAM:
-            policy, forwarder = RetryPolicy.RESUMABLE, StreamForwarder
+            policy, forwarder = policy or RetryPolicy.RESUMABLE, StreamForwarder
             calls = HostCalls(clock=self.clock, http=None, row_by_host=dict)
             versions = StreamVersions(clock=self.clock, calls=calls, host_id="host-a")
             versions.begin("r0", "pool", "")
@@ -123,7 +124,7 @@
             host="h",
             path_prefix="/",
             kind=kind,
-            retry_policy=policy,
+            retry_policy=policy or RetryPolicy.IDEMPOTENT,
             shares=(ServiceShare("pool"),),
             timeout_ms=2000,
             attempts=3,
@@ -182,6 +183,16 @@
         await self.forward(RouteKind.STREAM, resumed_id="r0")
         self.assertEqual(self.counted(), 1)
 
+    async def test_a_stream_that_cannot_be_resumed_counts_whatever_its_caller_states(
+        self,
+    ):
+        """Servers begin it anew; a header would let an account use them unbilled."""
+        for policy in (RetryPolicy.NEVER, RetryPolicy.IDEMPOTENT):
+            with self.subTest(policy):
+                before = self.counted()
+                await self.forward(RouteKind.STREAM, resumed_id="r0", policy=policy)
+                self.assertEqual(self.counted(), before + 1)
+
     async def test_a_request_of_no_account_counts_nothing(self):
         await self.forward(account="")
         self.assertEqual(self.counter.changes, 0)
