Bound the processes whose message numbers the holder keeps

Cause: the holder of the API duty kept the number of the last usage message of each process until the duty moved on. Hosts are restarted, so this grew as long as one host held the duty.

Change: the 2000 processes that sent last are kept.

--- a/goldcrestmoor/process/usage_counts.py
+++ b/goldcrestmoor/process/usage_counts.py
@@ -22,6 +22,8 @@
 # A larger change of the time moves starts into other windows noticeably.
 MAX_SHIFT_MS = 100
 KEPT_MS = 30_000
+# Several times the processes of a fleet; those that were restarted are forgotten.
+MAX_PROCESSES = 2000
 
 
 class UsageCounts(msgspec.Struct, frozen=True):
@@ -141,7 +143,7 @@
         self._fencing = None
         # By window and process.
         self._counts_by_window = collections.defaultdict(dict)
-        self._number_by_process = {}
+        self._number_by_process = collections.OrderedDict()
         # This host's own counts that no other host has yet.
         self._own = None
 
@@ -195,6 +197,9 @@
         # A message that was delayed must not replace a newer one.
         if message.number > self._number_by_process.get(message.process, 0):
             self._number_by_process[message.process] = message.number
+            self._number_by_process.move_to_end(message.process)
+            if len(self._number_by_process) > MAX_PROCESSES:
+                self._number_by_process.popitem(last=False)
             self._put(message, now_ms)
         is_agreed = self._time.is_agreed(now_ms)
         true_ms = self._time.at(now_ms) if is_agreed else None
--- a/test/test_usage_reports.py
+++ b/test/test_usage_reports.py
@@ -12,9 +12,14 @@
 from goldcrestmoor.adapters.platform_api import Accepted, Refused, Unanswered
 from goldcrestmoor.process import usage_counts
 from goldcrestmoor.process.exclusive_duty import ExclusiveDuty
+from goldcrestmoor.process.true_time import TrueTime
 from goldcrestmoor.process.usage import Usage
 from goldcrestmoor.process.usage_reports import TABLE
-from goldcrestmoor.process.usage_windows import ROW_KEPT_MS, CommittedCounts
+from goldcrestmoor.process.usage_windows import (
+    ROW_KEPT_MS,
+    CommittedCounts,
+    UsageWindows,
+)
 from test import _table
 from test._duty_hosts import TURN_MS, DutyHost
 from test._fleet import ManualClock, settle
@@ -364,6 +369,36 @@
 
 
 class SizeTest(unittest.TestCase):
+    def test_the_holder_forgets_processes_that_ended_long_ago(self):
+        """Hosts are restarted for months while one host holds the duty."""
+        clock = ManualClock()
+        duty = SimpleNamespace(is_held=lambda: True, fencing=lambda: 1)
+        collector = usage_counts.UsageCollector(
+            clock=clock,
+            duty=duty,
+            host_id="host-a",
+            time=TrueTime(clock.now_ms(), clock.now_ms()),
+            windows=UsageWindows(window_ms=WINDOW_MS, due_ms=DUE_MS),
+            delay_ms=lambda: 3000,
+            kept_ms=30_000,
+        )
+        window = clock.now_ms() // WINDOW_MS
+        newest = usage_counts.UsageCounts(
+            "host-b", "p", 2, 0, window, {window: {"acme": 2}}
+        )
+        late = msgspec.structs.replace(newest, number=1, counts={window: {"acme": 1}})
+        for number in range(3 * usage_counts.MAX_PROCESSES):
+            other = msgspec.structs.replace(newest, process=str(number), counts={})
+            collector.receive(other)
+            if number % 100 == 0:
+                collector.receive(newest)
+                newest = msgspec.structs.replace(newest, number=newest.number + 1)
+        collector.receive(late)
+        self.assertEqual(collector.counts(window), {"acme": 2})
+        self.assertLessEqual(
+            len(collector._number_by_process), usage_counts.MAX_PROCESSES
+        )
+
     def test_a_large_fleet_sends_the_holder_no_more_messages_than_it_takes(self):
         self.assertEqual(usage_counts.interval_ms(68), 1000)
         per_s = 350 * 1000 / usage_counts.interval_ms(350)
