Send a leaving host's counts also to a holder it has just seen

Cause: a host that leaves sends the counts that the holder of the API duty lacks. What the holder lacks is reset when a new one is seen, at the next step of the sender. In the 250 ms before it, a new holder was taken to have what the last one had, and got nothing from the process that ended then.

Change: the last message checks for a new holder as each step does.

Seen: the new test found no message to the second holder.

--- a/goldcrestmoor/process/usage_counts.py
+++ b/goldcrestmoor/process/usage_counts.py
@@ -343,12 +343,7 @@
         if holding is None:
             return
         now_ms = self._clock.now_ms()
-        if holding != self._sent_to:
-            self._sent_to = holding
-            self._sent_changes = 0
-            self._first_open = 0
-            self._owed = self._entrusted or self._owed
-            self._entrusted = None
+        if self._begin_holding(holding):
             # All hosts learn of a new holder at once.
             self._next_ms = now_ms + random.random() * self._interval_ms()
         if self._counter.changes != self._sent_changes and now_ms >= self._next_ms:
@@ -357,9 +352,23 @@
     async def flush(self):
         """Send at once what the holder doesn't have, as this host is leaving."""
         holding = self._holding()
-        if holding is not None and self._counter.changes != self._sent_changes:
+        if holding is None:
+            return
+        self._begin_holding(holding)
+        if self._counter.changes != self._sent_changes:
             await self._send(holding)
 
+    def _begin_holding(self, holding):
+        """Return whether a holding is new; its holder has none of the counts yet."""
+        if holding == self._sent_to:
+            return False
+        self._sent_to = holding
+        self._sent_changes = 0
+        self._first_open = 0
+        self._owed = self._entrusted or self._owed
+        self._entrusted = None
+        return True
+
     async def _call(self, holder, message):
         """Return the holder's reply, or None."""
         if holder == self._host_id:
--- a/test/test_usage_reports.py
+++ b/test/test_usage_reports.py
@@ -20,6 +20,7 @@
     CommittedCounts,
     UsageWindows,
 )
+from goldcrestmoor.request.usage_counter import UsageCounter
 from test import _table
 from test._duty_hosts import TURN_MS, DutyHost
 from test._fleet import ManualClock, settle
@@ -368,6 +369,39 @@
         self.check_reports(first=max(missing) + 1)
 
 
+class SenderTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_host_that_leaves_sends_its_counts_to_a_holder_it_has_just_seen(
+        self,
+    ):
+        """Nobody else has them: the new holder starts without any counts."""
+        clock, received = ManualClock(), []
+        holding = ("host-a", 1)
+
+        async def call(host, path, message, *args, **options):
+            received.append((host, message.counts))
+            return usage_counts.UsageReply(True, clock.now_ms(), 0, *holding)
+
+        counter = UsageCounter(clock=clock, window_ms=WINDOW_MS, kept_ms=30_000)
+        sender = usage_counts.UsageSender(
+            clock=clock,
+            duty=SimpleNamespace(holding=lambda: holding),
+            calls=SimpleNamespace(call=call, zone_by_host=dict),
+            counter=counter,
+            collector=None,
+            time=TrueTime(clock.now_ms(), clock.now_ms()),
+            host_id="host-c",
+            process_id="p",
+            metrics=mock.Mock(),
+        )
+        await clock.advance(6 * WINDOW_MS)
+        counter.add("acme")
+        await sender.flush()
+        holding = ("host-b", 2)
+        await sender.flush()
+        self.assertEqual([host for host, _ in received], ["host-a", "host-b"])
+        self.assertEqual(received[0][1], received[1][1])
+
+
 class SizeTest(unittest.TestCase):
     def test_the_holder_forgets_processes_that_ended_long_ago(self):
         """Hosts are restarted for months while one host holds the duty."""
