Name usage messages and states by what they hold, and mend pages

The field for the holder's own counts, and the sender's states of them, had names that didn't say what they hold. Some lines of pages and comments were figurative or not idiomatic. No behaviour changes.

--- a/goldcrestmoor/process/capacity_plan.py
+++ b/goldcrestmoor/process/capacity_plan.py
@@ -32,9 +32,9 @@
 # A server that crashed is listed again within its boot time and a heartbeat or two.
 REPLACEMENT_MARGIN_MS = 2000
 # The servers of a reclaimed zone say so within a heartbeat of each other; one or two
-# orders answer to all of them.
+# orders replace all of them.
 RECLAIM_PAUSE_MS = 1000
-# How long a zone that had no server to give is not asked again.
+# How long no order is sent for a zone that had no server available.
 REFUSAL_MS = 10_000
 # While the system starts, servers are added to the list one by one; one that crashes
 # meanwhile is back after its boot time. This is the least time that is waited for both.
--- a/goldcrestmoor/process/exclusive_duty.py
+++ b/goldcrestmoor/process/exclusive_duty.py
@@ -82,7 +82,7 @@
         return self._duties.lease(self.name).acquired_ms
 
     def leave(self):
-        """Claim the duty no more."""
+        """Stop claiming the duty."""
         self._is_leaving = True
 
     async def run(self):
--- a/goldcrestmoor/process/usage_counts.py
+++ b/goldcrestmoor/process/usage_counts.py
@@ -56,8 +56,8 @@
     :param first_open: the first window that isn't committed yet.
     :param holder: the holder of the duty according to the receiver; empty without one.
     :param fencing: its fencing number.
-    :param entrusted: the holder's own counts, which would be lost with it; the receiver
-        of the reply sends them to the next holder.
+    :param holder_counts: the holder's own counts, which would be lost with it; the
+        receiver of the reply sends them to the next holder.
     """
 
     is_received: bool
@@ -65,7 +65,7 @@
     first_open: int
     holder: str
     fencing: int
-    entrusted: UsageCounts | None = None
+    holder_counts: UsageCounts | None = None
 
 
 request_decoder = msgspec.json.Decoder(UsageCounts)
@@ -101,7 +101,7 @@
 class UsageCollector:
     """Adds up the counts of all hosts, at the holder of the duty.
 
-    It goes on while the store is away and the lease has lapsed, until another holder is
+    It goes on while the store is down and the lease has lapsed, until another holder is
     known: the hosts keep their starts for less time than an outage may take.
 
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
@@ -203,13 +203,13 @@
             self._put(message, now_ms)
         is_agreed = self._time.is_agreed(now_ms)
         true_ms = self._time.at(now_ms) if is_agreed else None
-        entrusted = None
+        holder_counts = None
         if is_direct and message.host == self._host_id:
             self._own = msgspec.structs.replace(message, wall_ms=None)
         else:
-            entrusted, self._own = self._own, None
+            holder_counts, self._own = self._own, None
         first_open = self._windows.first_open()
-        return UsageReply(True, true_ms, first_open, holder, fencing, entrusted)
+        return UsageReply(True, true_ms, first_open, holder, fencing, holder_counts)
 
     def counts(self, window):
         """Return the number of starts in a window by client account.
@@ -286,11 +286,11 @@
         "_number",
         "_sent_changes",
         "_sent_to",
-        "_told",
+        "_stated_holding",
         "_first_open",
         "_next_ms",
-        "_entrusted",
-        "_owed",
+        "_holder_counts",
+        "_undelivered",
     )
 
     def __init__(
@@ -320,13 +320,13 @@
         # The holding that has received this host's counts, or is to get them next.
         self._sent_to = None
         # The holding that another host has stated, perhaps newer than the feed's.
-        self._told = ("", 0)
+        self._stated_holding = ("", 0)
         self._first_open = 0
         self._next_ms = 0
         # The newest counts of a holder that this host keeps, and those that the next
         # holder is to get.
-        self._entrusted = None
-        self._owed = None
+        self._holder_counts = None
+        self._undelivered = None
         metrics.usage_unreported_starts.set_function(
             lambda: self._counter.changes - self._sent_changes
         )
@@ -365,8 +365,8 @@
         self._sent_to = holding
         self._sent_changes = 0
         self._first_open = 0
-        self._owed = self._entrusted or self._owed
-        self._entrusted = None
+        self._undelivered = self._holder_counts or self._undelivered
+        self._holder_counts = None
         return True
 
     async def _call(self, holder, message):
@@ -376,16 +376,16 @@
         reply = await self._calls.call(
             holder, PATH, message, _reply_decoder, TIMEOUT_MS, is_repeated=True
         )
-        if reply is not None and reply.entrusted is not None:
-            self._entrusted = reply.entrusted
+        if reply is not None and reply.holder_counts is not None:
+            self._holder_counts = reply.holder_counts
         return reply
 
     async def _send(self, holding):
         holder, _ = holding
-        if self._owed is not None:
-            reply = await self._call(holder, self._owed)
+        if self._undelivered is not None:
+            reply = await self._call(holder, self._undelivered)
             if reply is not None and reply.is_received:
-                self._owed = None
+                self._undelivered = None
         changes = self._counter.changes
         sent_ms = self._clock.now_ms()
         reply = await self._call(holder, self._message())
@@ -393,7 +393,9 @@
         self._next_ms = now_ms + RETRY_MS
         if reply is None:
             return
-        self._told = max(self._told, (reply.holder, reply.fencing), key=_fencing)
+        self._stated_holding = max(
+            self._stated_holding, (reply.holder, reply.fencing), key=_fencing
+        )
         if not reply.is_received:
             return
         if reply.true_ms is None:
@@ -426,7 +428,9 @@
 
     def _holding(self):
         """Return the newest known holder and its fencing number, or None."""
-        holding = max(self._duty.holding() or ("", 0), self._told, key=_fencing)
+        holding = max(
+            self._duty.holding() or ("", 0), self._stated_holding, key=_fencing
+        )
         return holding if holding[0] else None
 
     def _interval_ms(self):
--- a/goldcrestmoor/process/usage_windows.py
+++ b/goldcrestmoor/process/usage_windows.py
@@ -2,9 +2,9 @@
 
 Workload: a window ends every five seconds and its report is due ten seconds later. The
 holder of the duty is killed, frozen or cut off from the store between any two steps,
-the platform's API or the store is away for minutes, and two hosts may believe to hold
-the duty. The platform must never get two reports of one window with different counts,
-so that counts are reported only once they are committed, and then only these.
+the platform's API or the store is down for minutes, and two hosts may believe that
+they hold the duty. The platform must never get two reports of one window with different
+counts, so that counts are reported only once they are committed, and then only these.
 """
 
 import msgspec
@@ -83,7 +83,7 @@
         return (window + 1) * self._window_ms
 
     def load(self, rows, began_ms, now_ms):
-        """Take over what is committed, at the begin of a holding or after a conflict.
+        """Take over what is committed, when a holding begins or after a conflict.
 
         :param rows: the :class:`CommittedCounts` by window.
         :param began_ms: when this host acquired the duty, in true time.
--- a/test/test_usage_reports.py
+++ b/test/test_usage_reports.py
@@ -258,7 +258,7 @@
         self.check_reports()
         self.assertEqual(len(self.api.arrived), len(self.reported()) + 3)
 
-    async def test_two_hosts_that_believe_to_hold_the_duty(self):
+    async def test_two_hosts_believe_that_they_hold_the_duty(self):
         await self.run_for(30_000)
         old = self.holder()
         fencing = old.duty.fencing()
