Need a key on a route that stops to be public while a body arrives

The key was checked again after the body when the configuration had changed, but by the public flag of the old route. A request without a key, sent slowly to a public route that the operator closed meanwhile, still reached a server. The route now needs a key as it does in the configuration in force.

Test: test.test_key_check, 16 passed; the new test failed before the change.

--- a/goldcrestmoor/process/front_callers.py
+++ b/goldcrestmoor/process/front_callers.py
@@ -145,7 +145,9 @@
         deadline = self._deadline(route, headers)
         body = await request.read() or b""
         if self._routing.table is not table:
-            # The key may have been withdrawn while the body was arriving.
+            # While the body was arriving, the key may have been withdrawn, or the route
+            # may have come to need one.
+            route = _with_access(route, self._routing.table.match(host, path))
             account = self._authenticate(headers, route.is_public)
         if route.kind is RouteKind.JOB:
             call = self._dialect.submission(request.method)
@@ -229,6 +231,17 @@
     return None if account is None else account.name
 
 
+def _with_access(route, newer):
+    """Return a route that needs an API key as it does in a newer configuration.
+
+    :param route: the route that a request is forwarded by.
+    :param newer: the route of the newer configuration; None if that has none.
+    """
+    if newer is None or newer.is_public == route.is_public:
+        return route
+    return msgspec.structs.replace(route, is_public=newer.is_public)
+
+
 def _to_streaming_response(answer):
     headers = list(answer.headers)
     content_type = dict(headers).get(b"content-type")
--- a/test/test_key_check.py
+++ b/test/test_key_check.py
@@ -15,6 +15,10 @@
 from goldcrestmoor.job.job_store import VersionedState, decode_state
 from goldcrestmoor.job.job_supervisor import JobSupervisor
 from goldcrestmoor.platform import callers, records, servers
+from goldcrestmoor.process.client_keys import ClientKeys
+from goldcrestmoor.process.front_callers import FrontRequestHandler
+from goldcrestmoor.process.metrics import Metrics
+from goldcrestmoor.process.routing import Routing
 from goldcrestmoor.request import key_check
 from goldcrestmoor.request.key_check import (
     MAX_WITHDRAWN,
@@ -140,6 +144,60 @@
         self.assertEqual(dict(servers.item_headers(item, "h"))[b"tenant-id"], b"t")
 
 
+class SlowBodyTest(unittest.IsolatedAsyncioTestCase):
+    """What changes while a body arrives must count before a server gets the request."""
+
+    def setUp(self):
+        metrics = Metrics()
+        keys = ClientKeys(metrics=metrics)
+        self.routing = Routing(
+            decode=records.decode_configuration, metrics=metrics, on_change=keys.adopt
+        )
+        self.forward = mock.AsyncMock()
+        self.handler = FrontRequestHandler(
+            clock=Clock(),
+            routing=self.routing,
+            forwarder=SimpleNamespace(forward=self.forward),
+            streams=None,
+            job_api=None,
+            dialect=callers,
+            keys=keys,
+            check_current=lambda: None,
+            metrics=metrics,
+        )
+
+    def put(self, version, is_public):
+        document = _front.configuration(
+            version, [account("a", "k")], fetch={"public": is_public}
+        )
+        self.routing.put(json.dumps(document).encode())
+
+    async def check_refused(self, kind, change, **headers):
+        async def read():
+            change()
+            return b"x"
+
+        headers = {"host": _front.HOST, "request-id": "r", **headers}
+        pairs = [(name.encode(), value.encode()) for name, value in headers.items()]
+        request = SimpleNamespace(
+            method="POST",
+            headers=pairs,
+            scope={"raw_path": _front.FETCH_PATH.encode()},
+            get_first_header=dict(pairs).get,
+            read=read,
+        )
+        with self.assertRaises(ServiceError) as caught:
+            await self.handler._handle(request)
+        self.assertIs(caught.exception.kind, kind)
+        self.forward.assert_not_awaited()
+
+    async def test_a_route_that_is_no_longer_public_needs_a_key(self):
+        self.put(3, is_public=True)
+        await self.check_refused(
+            ErrorKind.UNAUTHORIZED, lambda: self.put(4, is_public=False)
+        )
+
+
 class FakeStore:
     """Has the job ``j`` of account ``a``, which it accepted before."""
 
