Check the configuration's age again once a body has arrived

With strict_revocation, a request was admitted by the age of the configuration at its head. A host that was frozen, or cut off for revoke_ms, while the body was arriving sent the request on with a key that it no longer trusts. The age is now checked again after the body; the key needs no second look-up unless the configuration has changed.

Test: test.test_key_check, 17 passed; the new test failed before the change.

--- a/goldcrestmoor/process/front_callers.py
+++ b/goldcrestmoor/process/front_callers.py
@@ -149,6 +149,9 @@
             # may have come to need one.
             route = _with_access(route, self._routing.table.match(host, path))
             account = self._authenticate(headers, route.is_public)
+        elif account is not None:
+            # A host that was frozen meanwhile may have missed a withdrawal.
+            self._check_age(route.is_public)
         if route.kind is RouteKind.JOB:
             call = self._dialect.submission(request.method)
             if call is not None:
@@ -180,10 +183,14 @@
         return Deadline.after(self._clock, min(timeouts_ms))
 
     def _authenticate(self, headers, is_public):
-        if self._keys.accounts is not None and not is_public:
-            self._check_current()
+        if self._keys.accounts is not None:
+            self._check_age(is_public)
         return self._keys.authenticate(self._dialect.api_key(headers), is_public)
 
+    def _check_age(self, is_public):
+        if not is_public:
+            self._check_current()
+
     async def _submit(self, call, host, path, body, account, route):
         match call:
             case SubmitJob():
--- a/test/test_key_check.py
+++ b/test/test_key_check.py
@@ -148,7 +148,7 @@
     """What changes while a body arrives must count before a server gets the request."""
 
     def setUp(self):
-        metrics = Metrics()
+        metrics, self.lapsed = Metrics(), None
         keys = ClientKeys(metrics=metrics)
         self.routing = Routing(
             decode=records.decode_configuration, metrics=metrics, on_change=keys.adopt
@@ -162,10 +162,14 @@
             job_api=None,
             dialect=callers,
             keys=keys,
-            check_current=lambda: None,
+            check_current=self.check_current,
             metrics=metrics,
         )
 
+    def check_current(self):
+        if self.lapsed is not None:
+            raise self.lapsed
+
     def put(self, version, is_public):
         document = _front.configuration(
             version, [account("a", "k")], fetch={"public": is_public}
@@ -197,6 +201,16 @@
             ErrorKind.UNAUTHORIZED, lambda: self.put(4, is_public=False)
         )
 
+    async def test_a_configuration_that_became_too_old_admits_no_key(self):
+        """A host that is frozen meanwhile may have missed a withdrawal."""
+        self.put(3, is_public=False)
+        error = ServiceError(ErrorKind.CONFIG_LAPSED, "")
+        await self.check_refused(
+            ErrorKind.CONFIG_LAPSED,
+            lambda: setattr(self, "lapsed", error),
+            **{"x-api-key": "k"},
+        )
+
 
 class FakeStore:
     """Has the job ``j`` of account ``a``, which it accepted before."""
