Introduce hosts to each other also while the store answers nobody

Only hosts whose feed is current introduced themselves. So a host that started while the store answered nobody, or none of its three predecessors, was told of no host that it could ask, and stayed without a configuration, although all the others had one. Hosts now introduce themselves whether their feed is silent or not.

Tests: test.test_configuration_exchange, 11 passed; the new test failed before the change.

--- a/goldcrestmoor/process/configuration_exchange.py
+++ b/goldcrestmoor/process/configuration_exchange.py
@@ -181,12 +181,14 @@
         return RowsReply(newer, self.age_ms(), self._rows.age_ms())
 
     async def run(self):
-        """Ask other hosts whenever the feed is silent, until cancelled."""
+        """Ask other hosts while the feed is silent, and introduce this host to them."""
         while True:
             await self._in_scope.wait()
             started_ms = self._clock.now_ms()
             if is_silent(self._feed_age_ms(), self._rows.rows_age_ms()):
-                await self._ask_round(started_ms)
+                await asyncio.gather(
+                    self._ask_round(started_ms), self._introduce(started_ms)
+                )
                 next_ms = started_ms + ASK_INTERVAL_MS
             else:
                 self._record_recovery(started_ms)
@@ -262,7 +264,9 @@
     async def _introduce(self, now_ms):
         """Tell another host this one's address, in turns, every few seconds.
 
-        A host that starts without the store knows no host that it could ask.
+        A host that starts without the store knows no host that it could ask. Nor is
+        the store silent to this host alone then, perhaps, so that introductions don't
+        depend on the feed.
         """
         own_row = self._hosts.row_by_key.get(self._host_id)
         if now_ms - self._introduced_ms < INTRODUCE_INTERVAL_MS or own_row is None:
--- a/test/test_configuration_exchange.py
+++ b/test/test_configuration_exchange.py
@@ -8,6 +8,7 @@
 from goldcrestmoor.adapters.table import Row
 from goldcrestmoor.errors import ServiceError
 from goldcrestmoor.front_settings import AccountSettings
+from goldcrestmoor.process.configuration_age import SILENT_MS
 from goldcrestmoor.process.configuration_exchange import (
     ConfigurationExchange,
     RowsReply,
@@ -209,6 +210,17 @@
         self.fleet.store.turned_away.clear()
         await self.fleet.wait_ready("front-a")
 
+    async def test_a_host_that_starts_while_the_store_rejects_all_asks_others(self):
+        """Whose feed is silent as well still has the configuration."""
+        await self.start(("front-a", "front-b"))
+        self.fleet.store.turned_away.update(("front-a", "front-b"))
+        self.fleet.fronts["front-a"].kill()
+        await self.fleet.fronts["front-a"].wait()
+        await asyncio.sleep(SILENT_MS / 1000 + FEED_WAIT_MS / 1000)
+        self.fleet.start_front("front-a")
+        await _common.eventually(lambda: self.has("front-a", 3), REACHED_S + OUTER_S)
+        self.assertFalse(await self.fleet.is_ready("front-a"))
+
     async def test_a_host_that_was_frozen_and_is_rejected_follows_a_change(self):
         await self.start()
         await self.reject("front-a")
