Ignore keys on public routes while the configuration is too old

With strict_revocation, a host with an old configuration refused requests that need a key, but honoured an old key on public routes: servers were told its account, a job of a public route could have items on routes that need a key, and job calls at a host name with public jobs alone could end the account's jobs. A key now counts there as an invalid one does. A public job whose items need a key is answered 503 by such a host, as their requests are.

The request handler gets the ConfigurationExchange, and checks a request again after its body if the configuration has changed or isn't trusted; one rule takes the place of two.

--- a/goldcrestmoor/process/configuration_exchange.py
+++ b/goldcrestmoor/process/configuration_exchange.py
@@ -145,12 +145,17 @@
             ages_ms.append(self._clock.now_ms() - self._complete_ms)
         return min((age_ms for age_ms in ages_ms if age_ms is not None), default=None)
 
+    def trusts_keys(self):
+        """Return whether the configuration is recent enough to trust its API keys."""
+        # Without a bound, requests don't cost a reading of the clock.
+        return self._max_age_ms is None or may_trust(self.age_ms(), self._max_age_ms)
+
     def check_current(self):
         """Raise if the configuration is too old for its keys to be trusted.
 
         :raises ServiceError: ``CONFIG_LAPSED``.
         """
-        if self._is_trusted():
+        if self.trusts_keys():
             return
         self._metrics.outdated_refusals.inc()
         text = "This host may not know which API keys have been withdrawn."
@@ -162,7 +167,7 @@
             # Other tables, such as the list of servers, have not been read either.
             return False
         table = self._routing.table
-        return table is None or table.accounts is None or self._is_trusted()
+        return table is None or table.accounts is None or self.trusts_keys()
 
     def reply(self, request):
         """Reply to another host.
@@ -202,10 +207,6 @@
         age_ms = self._rows.age_ms()
         return self._clock.now_ms() - self._started_ms if age_ms is None else age_ms
 
-    def _is_trusted(self):
-        # Without a bound, requests don't cost a reading of the clock.
-        return self._max_age_ms is None or may_trust(self.age_ms(), self._max_age_ms)
-
     async def _ask_round(self, now_ms):
         zones = self._calls.zone_by_host()
         self._reply_by_host = {
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -488,7 +488,7 @@
             job_api=self._job_api,
             dialect=caller_dialect,
             keys=self._keys,
-            check_current=self._exchange.check_current,
+            exchange=self._exchange,
             metrics=self._metrics,
         ).register(caller_server.application)
         readiness_server = HttpServer(
--- a/goldcrestmoor/process/front_callers.py
+++ b/goldcrestmoor/process/front_callers.py
@@ -50,8 +50,8 @@
     :param job_api: the :class:`~goldcrestmoor.job.job_api.JobApi`.
     :param dialect: decodes and encodes the callers' protocol.
     :param keys: the :class:`~goldcrestmoor.process.client_keys.ClientKeys`.
-    :param check_current: raises ``ServiceError`` when the configuration is too old for
-        its API keys to be trusted.
+    :param exchange: the
+        :class:`~goldcrestmoor.process.configuration_exchange.ConfigurationExchange`.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
     """
 
@@ -63,7 +63,7 @@
         "_job_api",
         "_dialect",
         "_keys",
-        "_check_current",
+        "_exchange",
         "_metrics",
     )
 
@@ -77,7 +77,7 @@
         job_api,
         dialect,
         keys,
-        check_current,
+        exchange,
         metrics,
     ):
         self._clock = clock
@@ -87,7 +87,7 @@
         self._job_api = job_api
         self._dialect = dialect
         self._keys = keys
-        self._check_current = check_current
+        self._exchange = exchange
         self._metrics = metrics
 
     def register(self, app):
@@ -144,14 +144,11 @@
         # The deadline starts here, although the body may still be arriving.
         deadline = self._deadline(route, headers)
         body = await request.read() or b""
-        if self._routing.table is not table:
-            # While the body was arriving, the key may have been withdrawn, or the route
-            # may have come to need one.
+        if self._routing.table is not table or not self._exchange.trusts_keys():
+            # While the body was arriving, the key may have been withdrawn, the route
+            # may have come to need one, or this host may have been frozen.
             route = _with_access(route, self._routing.table.match(host, path))
             account = self._authenticate(headers, route.is_public)
-        elif account is not None:
-            # A host that was frozen meanwhile may have missed a withdrawal.
-            self._check_age(route.is_public)
         if route.kind is RouteKind.JOB:
             call = self._dialect.submission(request.method)
             if call is not None:
@@ -183,13 +180,14 @@
         return Deadline.after(self._clock, min(timeouts_ms))
 
     def _authenticate(self, headers, is_public):
+        key = self._dialect.api_key(headers)
         if self._keys.accounts is not None:
-            self._check_age(is_public)
-        return self._keys.authenticate(self._dialect.api_key(headers), is_public)
-
-    def _check_age(self, is_public):
-        if not is_public:
-            self._check_current()
+            if not is_public:
+                self._exchange.check_current()
+            elif key and not self._exchange.trusts_keys():
+                # It may have been withdrawn, and is ignored as an invalid one is.
+                key = b""
+        return self._keys.authenticate(key, is_public)
 
     async def _submit(self, call, host, path, body, account, route):
         match call:
@@ -215,6 +213,7 @@
                 targets.append((item.reward_call.host, item.reward_call.path))
             for host, path in targets:
                 if not table.is_public(host, path):
+                    self._exchange.check_current()
                     self._keys.authenticate(b"", is_public=False)
 
     async def _answer_job_call(self, call, account):
--- a/test/test_key_check.py
+++ b/test/test_key_check.py
@@ -20,6 +20,7 @@
 from goldcrestmoor.process.metrics import Metrics
 from goldcrestmoor.process.routing import Routing
 from goldcrestmoor.request import key_check
+from goldcrestmoor.request.apps import AppResponse
 from goldcrestmoor.request.key_check import (
     MAX_WITHDRAWN,
     MISSING,
@@ -144,73 +145,95 @@
         self.assertEqual(dict(servers.item_headers(item, "h"))[b"tenant-id"], b"t")
 
 
-class SlowBodyTest(unittest.IsolatedAsyncioTestCase):
-    """What changes while a body arrives must count before a server gets the request."""
+class AccessTest(unittest.IsolatedAsyncioTestCase):
+    """Which requests are sent on, by what the host knows when their body has come."""
 
     def setUp(self):
-        metrics, self.lapsed = Metrics(), None
+        metrics, self.trusts_keys = Metrics(), True
         keys = ClientKeys(metrics=metrics)
         self.routing = Routing(
             decode=records.decode_configuration, metrics=metrics, on_change=keys.adopt
         )
-        self.forward = mock.AsyncMock()
+        self.forward, self.submit = mock.AsyncMock(), mock.AsyncMock()
+        self.forward.return_value = AppResponse(200, [], b"")
         self.handler = FrontRequestHandler(
             clock=Clock(),
             routing=self.routing,
             forwarder=SimpleNamespace(forward=self.forward),
             streams=None,
-            job_api=None,
+            job_api=SimpleNamespace(submit=self.submit),
             dialect=callers,
             keys=keys,
-            check_current=self.check_current,
+            exchange=SimpleNamespace(
+                trusts_keys=lambda: self.trusts_keys, check_current=self.check_current
+            ),
             metrics=metrics,
         )
 
     def check_current(self):
-        if self.lapsed is not None:
-            raise self.lapsed
+        if not self.trusts_keys:
+            raise ServiceError(ErrorKind.CONFIG_LAPSED, "")
 
-    def put(self, version, is_public):
-        document = _front.configuration(
-            version, [account("a", "k")], fetch={"public": is_public}
-        )
+    def put(self, version, **changes):
+        document = _front.configuration(version, [account("a", "k")], **changes)
         self.routing.put(json.dumps(document).encode())
 
-    async def check_refused(self, kind, change, **headers):
+    def ask(self, path, body=b"x", during=lambda: None, key="k"):
         async def read():
-            change()
-            return b"x"
+            during()
+            return body
 
-        headers = {"host": _front.HOST, "request-id": "r", **headers}
+        headers = {"host": _front.HOST, "request-id": "r", "x-api-key": key}
         pairs = [(name.encode(), value.encode()) for name, value in headers.items()]
         request = SimpleNamespace(
             method="POST",
             headers=pairs,
-            scope={"raw_path": _front.FETCH_PATH.encode()},
+            scope={"raw_path": path.encode()},
             get_first_header=dict(pairs).get,
             read=read,
         )
+        return self.handler._handle(request)
+
+    async def check_refused(self, kind, *arguments, **options):
         with self.assertRaises(ServiceError) as caught:
-            await self.handler._handle(request)
+            await self.ask(*arguments, **options)
         self.assertIs(caught.exception.kind, kind)
         self.forward.assert_not_awaited()
+        self.submit.assert_not_awaited()
 
     async def test_a_route_that_is_no_longer_public_needs_a_key(self):
-        self.put(3, is_public=True)
+        """It may change while the body arrives."""
+        self.put(3, fetch={"public": True})
         await self.check_refused(
-            ErrorKind.UNAUTHORIZED, lambda: self.put(4, is_public=False)
+            ErrorKind.UNAUTHORIZED,
+            _front.FETCH_PATH,
+            during=lambda: self.put(4),
+            key="",
         )
 
     async def test_a_configuration_that_became_too_old_admits_no_key(self):
-        """A host that is frozen meanwhile may have missed a withdrawal."""
-        self.put(3, is_public=False)
-        error = ServiceError(ErrorKind.CONFIG_LAPSED, "")
+        """A host that is frozen while the body arrives may have missed a withdrawal."""
+        self.put(3)
         await self.check_refused(
             ErrorKind.CONFIG_LAPSED,
-            lambda: setattr(self, "lapsed", error),
-            **{"x-api-key": "k"},
+            _front.FETCH_PATH,
+            during=lambda: setattr(self, "trusts_keys", False),
         )
 
+    async def test_a_key_that_is_not_trusted_counts_on_no_public_route(self):
+        """It may have been withdrawn; public jobs must not open other routes to it."""
+        self.put(3, fetch={"public": True}, job={"public": True})
+        self.trusts_keys = False
+        await self.ask(_front.FETCH_PATH)
+        forwarded = self.forward.await_args.args[0]
+        self.assertEqual(forwarded.account, "")
+        self.assertNotIn("tenant-id", str(forwarded.headers))
+        self.forward.reset_mock()
+        job = _front.submission(1)
+        job["items"][0]["path"] = "/stream/x"
+        body = json.dumps(job).encode()
+        await self.check_refused(ErrorKind.CONFIG_LAPSED, _front.JOB_PATH, body)
+
 
 class FakeStore:
     """Has the job ``j`` of account ``a``, which it accepted before."""
