Log how long the store has not answered also at a host that just started

The line named the time of the feed's last answer, which read 'None ms ago' at a host whose feed has never been answered. It names the time since the start there.

Seen: test.test_configuration_age passes; the line is not asserted beyond its beginning.

--- a/goldcrestmoor/process/configuration_exchange.py
+++ b/goldcrestmoor/process/configuration_exchange.py
@@ -239,9 +239,9 @@
             self._asking_since_ms = now_ms
             self._learned_count = 0
             log.info(
-                "The configuration is learned from other hosts: the store last "
-                "answered %s ms ago.",
-                self._rows.age_ms(),
+                "The configuration is learned from other hosts: the store has not "
+                "answered for %d ms.",
+                self._feed_age_ms(),
             )
 
     async def _ask(self, host):
