--- a/test/test_configuration_age.py
+++ b/test/test_configuration_age.py
@@ -48,7 +48,7 @@
         self.assertEqual(len(learned_ms), count)
         return max(learned_ms.values()), max(requests.values())
 
-    def test_a_change_spreads_in_time_and_presses_no_host(self):
+    def test_a_change_spreads_in_time_and_overloads_no_host(self):
         """The only host that the store serves must not get all others' requests."""
         for count, current_count in ((350, 1), (350, 10), (88, 1), (68, 34), (5, 1)):
             for seed in range(2):
