Wait for recent rows after a freeze before requests are checked

A host that was frozen for longer than a change of the configuration may take handled the requests that had arrived meanwhile at once, by the keys from before: a key withdrawn 9 s earlier was answered 200. After a gap of 2 s in which this process did not run, requests now wait until the feed or another host has shown that the rows are less than 2 s old, for 600 ms at most; then they are checked as before, so that an outage of the store for all hosts stops no requests.

--- a/goldcrestmoor/process/configuration_exchange.py
+++ b/goldcrestmoor/process/configuration_exchange.py
@@ -8,6 +8,7 @@
 from goldcrestmoor.adapters.table import Row
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.process.configuration_age import (
+    FROZEN_MS,
     MAX_ASKED,
     MAX_REPLACEMENTS,
     REPLY_VALID_MS,
@@ -33,6 +34,10 @@
 RECOVERED_AFTER_MS = 3000
 # Bounds the checks while the feed is about to count as silent.
 MIN_CHECK_INTERVAL_MS = 100
+# How long requests wait for recent rows after a freeze; a reply of another host takes
+# some milliseconds, and the feed's first answer its whole wait if there is no change.
+RESUME_WAIT_MS = 600
+RESUME_POLL_MS = 10
 # The next round may bring a younger configuration.
 REFUSED_RETRY_MS = ASK_INTERVAL_MS
 
@@ -103,6 +108,8 @@
         "_learned_count",
         "_introduced_ms",
         "_turn",
+        "_last_run_ms",
+        "_resumed_ms",
     )
 
     def __init__(
@@ -127,6 +134,8 @@
         self._asking_since_ms = self._asked_ms = None
         self._learned_count = 0
         self._turn = 0
+        # When this process last ran, and when it resumed after a freeze.
+        self._last_run_ms, self._resumed_ms = self._started_ms, None
         self.update_scope()
         metrics.configuration_age_ms.set_function(self._age_for_metrics)
 
@@ -161,6 +170,18 @@
         text = "This host may not know which API keys have been withdrawn."
         raise ServiceError(ErrorKind.CONFIG_LAPSED, text, REFUSED_RETRY_MS)
 
+    async def wait_after_freeze(self):
+        """Wait until the rows are recent, for a short time after a freeze at most.
+
+        Requests that arrived during the freeze would else be checked by keys that may
+        have been withdrawn long ago.
+        """
+        if not self._in_scope.is_set():
+            return
+        self._detect_freeze()
+        while self._is_resuming():
+            await self._clock.sleep_ms(RESUME_POLL_MS)
+
     def accepts_callers(self):
         """Return whether new callers may be sent to this host."""
         if self._rows.age_ms() is None:
@@ -190,6 +211,7 @@
         while True:
             await self._in_scope.wait()
             started_ms = self._clock.now_ms()
+            self._detect_freeze()
             if is_silent(self._feed_age_ms(), self._rows.rows_age_ms()):
                 await asyncio.gather(
                     self._ask_round(started_ms), self._introduce(started_ms)
@@ -199,6 +221,7 @@
                 self._record_recovery(started_ms)
                 await self._introduce(started_ms)
                 next_ms = self._clock.now_ms() + SILENT_MS - self._feed_age_ms()
+            self._detect_freeze()
             wait_ms = next_ms - self._clock.now_ms()
             await self._clock.sleep_ms(max(wait_ms, MIN_CHECK_INTERVAL_MS))
 
@@ -207,6 +230,21 @@
         age_ms = self._rows.age_ms()
         return self._clock.now_ms() - self._started_ms if age_ms is None else age_ms
 
+    def _detect_freeze(self):
+        now_ms = self._clock.now_ms()
+        if now_ms - self._last_run_ms >= FROZEN_MS:
+            self._resumed_ms = now_ms
+        self._last_run_ms = now_ms
+
+    def _is_resuming(self):
+        if self._resumed_ms is None:
+            return False
+        if self._clock.now_ms() - self._resumed_ms >= RESUME_WAIT_MS:
+            self._resumed_ms = None
+            return False
+        age_ms = self.age_ms()
+        return age_ms is None or age_ms >= FROZEN_MS
+
     async def _ask_round(self, now_ms):
         zones = self._calls.zone_by_host()
         self._reply_by_host = {
--- a/goldcrestmoor/process/front_callers.py
+++ b/goldcrestmoor/process/front_callers.py
@@ -122,6 +122,7 @@
             self._metrics.answer_seconds.labels(request_kind.kind).observe(elapsed_s)
 
     async def _serve(self, request, request_kind):
+        await self._exchange.wait_after_freeze()
         table = self._routing.table
         if table is None:
             text = "This host has not loaded its routes yet."
@@ -144,6 +145,7 @@
         # The deadline starts here, although the body may still be arriving.
         deadline = self._deadline(route, headers)
         body = await request.read() or b""
+        await self._exchange.wait_after_freeze()
         if self._routing.table is not table or not self._exchange.trusts_keys():
             # While the body was arriving, the key may have been withdrawn, the route
             # may have come to need one, or this host may have been frozen.
--- a/test/test_client_accounts.py
+++ b/test/test_client_accounts.py
@@ -25,6 +25,8 @@
 HOSTS = ("front-a", "front-b")
 # The operator's rule: so long after the store accepted a change it is in force.
 CONFIGURATION_S = 3
+# The same at a host that could not receive it, in addition.
+OUTER_S = 6
 KEY = "key-of-acme-1"
 OTHER_KEY = "key-of-birch-1"
 ACCOUNTS = [
@@ -183,6 +185,21 @@
         self.fleet.api_key = "key-of-acme-2"
         self.assertEqual(await self.status("front-a", FETCH_PATH), 200)
 
+    async def test_a_host_that_was_frozen_sends_no_request_with_a_withdrawn_key(self):
+        """Requests from meanwhile must not be checked by the keys from before."""
+        await self.start()
+        frozen = self.fleet.fronts["front-a"]
+        frozen.freeze()
+        asking = asyncio.create_task(
+            self.status("front-a", FETCH_PATH, request_id="frozen")
+        )
+        changed = [account("acme", "key-of-acme-2"), *ACCOUNTS[1:]]
+        self.fleet.store.put("op", "config", configuration(4, changed))
+        await asyncio.sleep(CONFIGURATION_S + OUTER_S)
+        frozen.thaw()
+        self.assertEqual(await asking, 401)
+        self.assertEqual(self.seen_ids("frozen"), set())
+
     async def test_a_relayed_request_has_its_account(self):
         await self.start(linked=("front-a",))
         for link in self.fleet.links_by_host["front-a"].values():
--- a/test/test_configuration_exchange.py
+++ b/test/test_configuration_exchange.py
@@ -10,13 +10,14 @@
 from goldcrestmoor.front_settings import AccountSettings
 from goldcrestmoor.process.configuration_age import SILENT_MS
 from goldcrestmoor.process.configuration_exchange import (
+    RESUME_WAIT_MS,
     ConfigurationExchange,
     RowsReply,
 )
 from goldcrestmoor.process.follower import FEED_WAIT_MS, TableFollower
 from goldcrestmoor.process.metrics import Metrics
 from test import _common
-from test._fleet import ManualClock
+from test._fleet import ManualClock, settle
 from test._front import FETCH_PATH, FrontFleet, configuration
 from test.test_follower import SlowStore
 
@@ -112,6 +113,25 @@
         self.assertGreater(caught.exception.retry_after_ms, 0)
         self.assertFalse(exchange.accepts_callers())
 
+    async def test_no_request_waits_long_after_a_freeze_while_no_host_is_served(self):
+        """An outage of the store for all must not add to the time of each request."""
+        exchange = self.exchange()
+        self.start(self.follower, exchange)
+        await self.clock.advance(1000)
+        self.store.is_unavailable = True
+        await self.clock.advance(5000)
+        self.clock._now_ms += 10_000
+        waiting = [asyncio.create_task(exchange.wait_after_freeze()) for _ in "ab"]
+        await self.clock.advance(RESUME_WAIT_MS // 2)
+        self.assertFalse(any(task.done() for task in waiting))
+        await self.clock.advance(RESUME_WAIT_MS // 2 + 100)
+        self.assertTrue(all(task.done() for task in waiting))
+        for _ in range(100):
+            await self.clock.advance(100)
+            begun = asyncio.create_task(exchange.wait_after_freeze())
+            await settle()
+            self.assertTrue(begun.done())
+
     async def test_hosts_that_are_gone_are_replaced_at_once(self):
         """With half of the hosts gone, a change would need several seconds more."""
         self.zones = {f"host-{n}": "a" for n in range(8)} | self.zones
--- a/test/test_key_check.py
+++ b/test/test_key_check.py
@@ -165,7 +165,9 @@
             dialect=callers,
             keys=keys,
             exchange=SimpleNamespace(
-                trusts_keys=lambda: self.trusts_keys, check_current=self.check_current
+                trusts_keys=lambda: self.trusts_keys,
+                check_current=self.check_current,
+                wait_after_freeze=mock.AsyncMock(),
             ),
             metrics=metrics,
         )
