Share the parts of a sending host among tests

Cause: two test classes build the directory, the limits, the paths and the HTTP client of a host that sends requests to stand-in servers, each in its own way; a third is about to.

Change: ListingHost in test/_request_fakes.py has these parts. The checks are the same. The hosts' probes of servers are ended with the test now.

--- a/test/_request_fakes.py
+++ b/test/_request_fakes.py
@@ -2,20 +2,25 @@
 
 import asyncio
 import contextlib
+import json
 import types
 
-from goldcrestmoor import util, wire
+from goldcrestmoor import settings, util, wire
+from goldcrestmoor.adapters.table import Change
 from goldcrestmoor.clock import Clock
 from goldcrestmoor.connection.http_client import HttpClient
 from goldcrestmoor.connection.retry_budget import MAX_SAVED_RETRIES, RetryBudget
 from goldcrestmoor.errors import ErrorKind, ServiceError, from_body, to_body
+from goldcrestmoor.platform import records, servers
 from goldcrestmoor.process.crash_reports import CrashReports
 from goldcrestmoor.process.decision_log import DecisionLog
+from goldcrestmoor.process.directory import UpstreamDirectory
 from goldcrestmoor.process.host_calls import HostCalls
 from goldcrestmoor.process.limit_owners import LimitOwners
 from goldcrestmoor.process.metrics import Metrics
 from goldcrestmoor.process.server_paths import ServerPaths
 from goldcrestmoor.process.upstream_limits import UpstreamLimits
+from goldcrestmoor.request.upstream_loads import UpstreamLoads
 from goldcrestmoor.version.configuration.document import (
     Account,
     Configuration,
@@ -233,3 +238,58 @@
     calls = HostCalls(clock=clock, http=None, row_by_host=dict)
     owners = LimitOwners(calls=calls, host_id=host_id)
     return UpstreamLimits(clock=clock, metrics=metrics or Metrics(), owners=owners)
+
+
+class ListingHost:
+    """The parts of one host that send requests to the servers listed there.
+
+    :param clock: the clock.
+    :ivar directory: the directory of upstreams.
+    :ivar limits: the limits of upstreams.
+    :ivar paths: the paths to them.
+    :ivar sending: the arguments of a ``Sender``.
+    """
+
+    def __init__(self, clock):
+        metrics = Metrics()
+        http = HttpClient(clock=clock, limits=settings.default_limits())
+        self.directory = UpstreamDirectory(
+            clock=clock,
+            decode=records.decode_upstream,
+            metrics=metrics,
+            age_ms=lambda: 0,
+        )
+        self.limits = upstream_limits(clock)
+        self.paths = server_paths(clock, http, self.directory)
+        self.sending = {
+            "http": http,
+            "loads": UpstreamLoads(
+                clock=clock,
+                http=http,
+                directory=self.directory,
+                limits=self.limits,
+                zone="zone-a",
+                host_id="host-a",
+            ),
+            "dialect": servers,
+            "metrics": metrics,
+        }
+        self._crashes = crash_reports(clock, self.paths)
+
+    def list_server(self, server, **fields):
+        """Add a stand-in server to the list.
+
+        :param fields: fields of its entry.
+        """
+        entry = json.dumps(server.entry(**fields)).encode()
+        self.directory.apply([Change(server.name, 1, entry)])
+
+    def caller_sending(self):
+        """Return the arguments of a ``CallerRequestSender``."""
+        return self.sending | {"crashes": self._crashes, "paths": self.paths}
+
+    async def close(self):
+        """Close the connections, and end the probes of servers."""
+        await self._crashes.close()
+        await self.paths.close()
+        await self.sending["http"].close()
--- a/test/test_cut_from_servers.py
+++ b/test/test_cut_from_servers.py
@@ -11,22 +11,15 @@
 import unittest
 from types import SimpleNamespace
 
-from goldcrestmoor import settings
-from goldcrestmoor.adapters.table import Change
 from goldcrestmoor.clock import Clock
-from goldcrestmoor.connection.http_client import HttpClient
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
-from goldcrestmoor.platform import records, servers
-from goldcrestmoor.process.directory import UpstreamDirectory
-from goldcrestmoor.process.metrics import Metrics
 from goldcrestmoor.process.shutdown import InFlight
 from goldcrestmoor.request.path_choice import Reach, choose_host, hosts_to_ask
 from goldcrestmoor.request.relayed_messages import relay_headers, relay_terms
 from goldcrestmoor.request.request_relay import RequestRelay
-from goldcrestmoor.request.upstream_loads import UpstreamLoads
 from test import _common
 from test._front import FETCH_PATH, MODEL, FrontFleet
-from test._request_fakes import upstream_limits
+from test._request_fakes import ListingHost
 from test.standins.users_server import UsersServer, whole_text
 
 
@@ -90,33 +83,12 @@
         self.server = UsersServer("s1", "app")
         await self.server.start()
         self.addAsyncCleanup(self.server.close)
-        clock = Clock()
-        http = HttpClient(clock=clock, limits=settings.default_limits())
-        self.addAsyncCleanup(http.close)
-        directory = UpstreamDirectory(
-            clock=clock,
-            decode=records.decode_upstream,
-            metrics=Metrics(),
-            age_ms=lambda: 0,
-        )
-        entry = json.dumps(self.server.entry(born=2)).encode()
-        directory.apply([Change("s1", 1, entry)])
-        loads = UpstreamLoads(
-            clock=clock,
-            http=http,
-            directory=directory,
-            limits=upstream_limits(clock),
-            zone="a",
-            host_id="host-a",
-        )
+        host = ListingHost(Clock())
+        self.addAsyncCleanup(host.close)
+        host.list_server(self.server, born=2)
         self.in_flight = InFlight()
         self.relay = RequestRelay(
-            http=http,
-            loads=loads,
-            dialect=servers,
-            metrics=Metrics(),
-            directory=directory,
-            in_flight=self.in_flight,
+            directory=host.directory, in_flight=self.in_flight, **host.sending
         )
 
     async def send(self, server="s1", started_ms=2):
--- a/test/test_leaving_servers.py
+++ b/test/test_leaving_servers.py
@@ -12,10 +12,8 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from goldcrestmoor import settings
 from goldcrestmoor.adapters.table import Change
 from goldcrestmoor.clock import Clock, Deadline
-from goldcrestmoor.connection.http_client import HttpClient
 from goldcrestmoor.connection.http_pool import HttpPool
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
 from goldcrestmoor.job.item_run import ItemExecutor, ItemRun, ItemTerms, NotRun
@@ -30,7 +28,6 @@
 from goldcrestmoor.process.stream_versions import StreamVersions
 from goldcrestmoor.request.forwarding import CallerRequest, Forwarder
 from goldcrestmoor.request.streaming import StreamForwarder
-from goldcrestmoor.request.upstream_loads import UpstreamLoads
 from goldcrestmoor.version.configuration.routes import (
     RetryPolicy,
     Route,
@@ -41,7 +38,7 @@
 from test import _common
 from test._fleet import ManualClock
 from test._front import FETCH_PATH, MODEL, FrontFleet, item
-from test._request_fakes import crash_reports, server_paths, upstream_limits
+from test._request_fakes import ListingHost
 from test.standins.users_server import UsersServer, whole_text
 
 LEAVING = [(b"server-leaving", b"1")]
@@ -253,32 +250,14 @@
 
     async def asyncSetUp(self):
         self.clock = Clock()
-        self.directory = UpstreamDirectory(
-            clock=self.clock, decode=decode, metrics=Metrics(), age_ms=lambda: 0
-        )
+        self.host = ListingHost(self.clock)
+        self.addAsyncCleanup(self.host.close)
+        self.directory = self.host.directory
         self.servers = [UsersServer(f"s{n}", SERVICE, {MODEL: 1}) for n in range(2)]
         for server in self.servers:
             await server.start()
             self.addAsyncCleanup(server.close)
-            row = f"{SERVICE} 10 {server.port}".encode()
-            self.directory.apply([Change(server.name, 1, row)])
-        self.http = HttpClient(clock=self.clock, limits=settings.default_limits())
-        self.addAsyncCleanup(self.http.close)
-        self.limits = upstream_limits(self.clock)
-        loads = UpstreamLoads(
-            clock=self.clock,
-            http=self.http,
-            directory=self.directory,
-            limits=self.limits,
-            zone="a",
-            host_id="host-a",
-        )
-        self.sending = {
-            "http": self.http,
-            "loads": loads,
-            "dialect": servers,
-            "metrics": Metrics(),
-        }
+            self.host.list_server(server)
         self.left = None
         self.connections_before_leaving = 0
         acquire = HttpPool.acquire
@@ -307,17 +286,11 @@
         headers = ((b"model-name", MODEL.encode()), (b"request-id", b"r1"))
         return CallerRequest("r1", "POST", "/x", headers, b"x", resumed_id)
 
-    def caller_sending(self):
-        """Return what forwarders of callers' requests take."""
-        paths = server_paths(self.clock, self.sending["http"], self.directory)
-        crashes = crash_reports(self.clock, paths)
-        return self.sending | {"crashes": crashes, "paths": paths}
-
     async def test_a_plain_request(self):
         headers = ((b"request-id", b"r1"),)
         request = CallerRequest("r1", "POST", "/x", headers, b"x")
         deadline = Deadline.after(self.clock, 2000)
-        forwarder = Forwarder(**self.caller_sending())
+        forwarder = Forwarder(**self.host.caller_sending())
         answer = await forwarder.forward(request, ROUTE, deadline)
         self.assertEqual(answer.body, b"answer to x")
         self.check_only_the_other_ran_it()
@@ -325,8 +298,8 @@
     async def read_stream(self, request):
         calls = HostCalls(clock=self.clock, http=None, row_by_host=dict)
         versions = StreamVersions(clock=self.clock, calls=calls, host_id="host-a")
-        versions.begin("s", SERVICE, "")
-        forwarder = StreamForwarder(versions=versions, **self.caller_sending())
+        versions.begin("s", SERVICE, "v1")
+        forwarder = StreamForwarder(versions=versions, **self.host.caller_sending())
         deadline = Deadline.after(self.clock, 2000)
         answer = await forwarder.forward(request, ROUTE, deadline)
         async with contextlib.aclosing(answer.events) as events:
@@ -351,9 +324,9 @@
     async def test_an_item(self):
         executor = ItemExecutor(
             clock=self.clock,
-            paths=self.caller_sending()["paths"],
+            paths=self.host.paths,
             directory=self.directory,
-            limits=self.limits,
+            limits=self.host.limits,
             dialect=servers,
         )
         run = ItemRun(Item("i1", "/x", {"model-name": MODEL}, b"x"), 0)
@@ -365,7 +338,9 @@
 
     async def test_a_load_order(self):
         client = EngineControlClient(
-            http=self.http, directory=self.directory, limits=self.limits
+            http=self.host.sending["http"],
+            directory=self.directory,
+            limits=self.host.limits,
         )
         with self.assertRaises(ServiceError) as caught:
             await client.load(
@@ -383,12 +358,12 @@
     async def test_a_reward_call(self):
         caller = RewardCaller(
             clock=self.clock,
-            paths=self.caller_sending()["paths"],
+            paths=self.host.paths,
             routes=lambda: SimpleNamespace(
                 match=lambda host, path: ROUTE, sent_account=lambda account: None
             ),
             open_models=lambda: 1,
-            **self.sending,
+            **self.host.sending,
         )
         self.addAsyncCleanup(caller.close)
         item = Item("i1", "/x", {}, b"", reward_call=RewardCall("c1", "h", "/s", b""))
