Test that a relay sends nothing to a server that leaves meanwhile

Cause: no test failed when a relay no longer looked at the server right before the bytes. A server that says that it is leaving while the relay connects to it would get new work then, which is cut off when it exits.

Change: ConnectingTest has a test in which the server says so to the relay between the choice and the bytes.

Seen: tried by taking before_send out of RequestRelay.relay: the test fails ("ServiceError not raised", the server ran the request); with it the test passes.

--- a/test/test_leaving_servers.py
+++ b/test/test_leaving_servers.py
@@ -25,8 +25,11 @@
 from goldcrestmoor.process.directory import ListedUpstream, UpstreamDirectory
 from goldcrestmoor.process.host_calls import HostCalls
 from goldcrestmoor.process.metrics import Metrics
+from goldcrestmoor.process.shutdown import InFlight
 from goldcrestmoor.process.stream_versions import StreamVersions
 from goldcrestmoor.request.forwarding import CallerRequest, Forwarder
+from goldcrestmoor.request.relayed_messages import RELAY_PREFIX, relay_headers
+from goldcrestmoor.request.request_relay import RequestRelay
 from goldcrestmoor.request.streaming import StreamForwarder
 from goldcrestmoor.version.configuration.routes import (
     RetryPolicy,
@@ -321,6 +324,19 @@
             await self.read_stream(self.request())
         self.check_only_the_other_ran_it()
 
+    async def test_a_request_of_another_host(self):
+        relay = RequestRelay(
+            directory=self.directory, in_flight=InFlight(), **self.host.sending
+        )
+        server = self.directory.upstream_by_name["s0"]
+        headers = [(b"request-id", b"r1"), *relay_headers(server, "POST", 1000, True)]
+        with self.assertRaises(ServiceError) as caught:
+            async for _ in relay.relay(f"{RELAY_PREFIX}/x", headers, b"x"):
+                pass
+        self.assertEqual(caught.exception.kind, ErrorKind.DRAINING)
+        self.assertIs(caught.exception.answer.ran, Ran.NOT_RUN)
+        self.assertEqual(self.left.seen, [])
+
     async def test_an_item(self):
         executor = ItemExecutor(
             clock=self.clock,
