Test which connections a relay sends unrepeatable requests on

Cause: no test failed when a relay ignored whether a request may be repeated. Its client never sends a request twice by itself; what the flag decides is whether the request may go on a connection that has been idle for long, which the server may be closing. A request that must not be repeated is lost for good there, as nobody can tell whether it was run.

Change: RequestRelayTest has a server that closes such a connection when the request arrives there; the request is run, once, on another connection. One that may be repeated takes the open connection. A third test counts the runs of a request on a kept connection that the server closes after it has run the request: one.

--- a/test/test_cut_from_servers.py
+++ b/test/test_cut_from_servers.py
@@ -11,15 +11,17 @@
 import unittest
 from types import SimpleNamespace
 
-from goldcrestmoor.clock import Clock
+from goldcrestmoor.connection.http_pool import VERIFIED_IDLE_MS
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
 from goldcrestmoor.process.shutdown import InFlight
 from goldcrestmoor.request.path_choice import Reach, choose_host, hosts_to_ask
 from goldcrestmoor.request.relayed_messages import relay_headers, relay_terms
 from goldcrestmoor.request.request_relay import RequestRelay
 from test import _common
+from test._fleet import ManualClock
 from test._front import FETCH_PATH, MODEL, FrontFleet
 from test._request_fakes import ListingHost
+from test.standins.server import Drop
 from test.standins.users_server import UsersServer, whole_text
 
 
@@ -76,14 +78,36 @@
         self.assertEqual(caught.exception.kind, ErrorKind.BAD_REQUEST)
 
 
+class KeepingServer(UsersServer):
+    """Keeps connections, and may close the first one when it gets a request there.
+
+    :ivar connections_by_id: how many there were when a request came, by its id.
+    :ivar closes_kept: whether it closes a connection that is the only one, without
+        running the request.
+    """
+
+    def __init__(self, name, service):
+        super().__init__(name, service)
+        self.connections_by_id = {}
+        self.closes_kept = False
+
+    async def handle(self, request):
+        count = self.connection_count
+        self.connections_by_id[request.headers["request-id"]] = count
+        if self.closes_kept and count == 1:
+            raise Drop
+        return await super().handle(request)
+
+
 class RequestRelayTest(unittest.IsolatedAsyncioTestCase):
     """What a relay checks by itself before it sends a request."""
 
     async def asyncSetUp(self):
-        self.server = UsersServer("s1", "app")
+        self.server = KeepingServer("s1", "app")
         await self.server.start()
         self.addAsyncCleanup(self.server.close)
-        host = ListingHost(Clock())
+        self.clock = ManualClock()
+        host = ListingHost(self.clock)
         self.addAsyncCleanup(host.close)
         host.list_server(self.server, born=2)
         self.in_flight = InFlight()
@@ -91,10 +115,10 @@
             directory=host.directory, in_flight=self.in_flight, **host.sending
         )
 
-    async def send(self, server="s1", started_ms=2):
+    async def send(self, server="s1", started_ms=2, request_id=b"r1", repeatable=False):
         upstream = SimpleNamespace(name=server, started_ms=started_ms)
-        headers = [(b"host", b"h"), (b"request-id", b"r1")]
-        headers += relay_headers(upstream, "POST", 1000, False)
+        headers = [(b"host", b"h"), (b"request-id", request_id)]
+        headers += relay_headers(upstream, "POST", 1000, repeatable)
         chunks = self.relay.relay("/servers/requests/x", headers, b"body")
         return b"".join([chunk async for chunk in chunks])
 
@@ -122,6 +146,30 @@
         self.in_flight.stop()
         await self.check_refused(ErrorKind.DRAINING)
 
+    async def test_what_a_kept_connection_lost_is_not_sent_on_another_one(self):
+        """The server has run it when it closes, so that it would run twice."""
+        await self.send()
+        self.server.lose = True
+        with self.assertRaises(ServiceError) as caught:
+            await self.send(request_id=b"r2")
+        self.assertIs(caught.exception.answer.ran, Ran.UNKNOWN)
+        self.assertEqual(self.server.connections_by_id["r2"], 1, "none was kept")
+        self.assertEqual(self.server.runs, ["r1", "r2"])
+
+    async def test_what_must_not_be_repeated_takes_no_connection_idle_for_long(self):
+        """The server may be closing it as idle, and the request is lost for good."""
+        await self.send()
+        self.clock._now_ms += VERIFIED_IDLE_MS + 1
+        self.server.closes_kept = True
+        await self.send(request_id=b"r2")
+        self.assertEqual(self.server.runs, ["r1", "r2"])
+
+    async def test_what_may_be_repeated_takes_the_connection_that_is_open(self):
+        await self.send()
+        self.clock._now_ms += VERIFIED_IDLE_MS + 1
+        await self.send(request_id=b"r2", repeatable=True)
+        self.assertEqual(self.server.connections_by_id["r2"], 1)
+
 
 class FleetTest(unittest.IsolatedAsyncioTestCase):
     """Daemons, most of which lose their links to all servers."""
