Test what a host that is cut off sends to a relay

Cause: no test failed when such a host told its relay that every request may be repeated, or didn't look at the server again right before it sent the request to the relay, which may not know yet that the server is leaving.

Change: a test for each, with a server that refuses connections and a host that says that it reaches the server.

--- a/test/_request_fakes.py
+++ b/test/_request_fakes.py
@@ -210,19 +210,21 @@
     )
 
 
-def server_paths(clock, http, directory, metrics=None):
-    """Return the paths of a host that knows no other.
+def server_paths(clock, http, directory, metrics=None, row_by_host=None):
+    """Return the paths of a host.
 
     :param clock: the clock.
     :param http: the HTTP client.
     :param directory: the directory of upstreams.
     :param metrics: the metrics; new ones by default.
+    :param row_by_host: the rows of other hosts; none by default.
     """
+    rows = row_by_host or {}
     return ServerPaths(
         clock=clock,
         http=http,
         directory=directory,
-        calls=HostCalls(clock=clock, http=http, row_by_host=dict),
+        calls=HostCalls(clock=clock, http=http, row_by_host=lambda: rows),
         host_id="host-a",
         metrics=metrics or Metrics(),
     )
@@ -244,13 +246,14 @@
     """The parts of one host that send requests to the servers listed there.
 
     :param clock: the clock.
+    :param row_by_host: the rows of the hosts that it asks for paths; none by default.
     :ivar directory: the directory of upstreams.
     :ivar limits: the limits of upstreams.
     :ivar paths: the paths to them.
     :ivar sending: the arguments of a ``Sender``.
     """
 
-    def __init__(self, clock):
+    def __init__(self, clock, row_by_host=None):
         metrics = Metrics()
         http = HttpClient(clock=clock, limits=settings.default_limits())
         self.directory = UpstreamDirectory(
@@ -260,7 +263,7 @@
             age_ms=lambda: 0,
         )
         self.limits = upstream_limits(clock)
-        self.paths = server_paths(clock, http, self.directory)
+        self.paths = server_paths(clock, http, self.directory, row_by_host=row_by_host)
         self.sending = {
             "http": http,
             "loads": UpstreamLoads(
--- a/test/test_cut_from_servers.py
+++ b/test/test_cut_from_servers.py
@@ -11,17 +11,24 @@
 import unittest
 from types import SimpleNamespace
 
+from goldcrestmoor.clock import Clock
 from goldcrestmoor.connection.http_pool import VERIFIED_IDLE_MS
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
+from goldcrestmoor.process.server_paths import REACH_PATH
 from goldcrestmoor.process.shutdown import InFlight
+from goldcrestmoor.process.store_connectivity import HostRow
 from goldcrestmoor.request.path_choice import Reach, choose_host, hosts_to_ask
-from goldcrestmoor.request.relayed_messages import relay_headers, relay_terms
+from goldcrestmoor.request.relayed_messages import (
+    encode_head,
+    relay_headers,
+    relay_terms,
+)
 from goldcrestmoor.request.request_relay import RequestRelay
 from test import _common
 from test._fleet import ManualClock
 from test._front import FETCH_PATH, MODEL, FrontFleet
 from test._request_fakes import ListingHost
-from test.standins.server import Drop
+from test.standins.server import Drop, Response, Server, json_response
 from test.standins.users_server import UsersServer, whole_text
 
 
@@ -171,6 +178,53 @@
         self.assertEqual(self.server.connections_by_id["r2"], 1)
 
 
+class RelayedRequestTest(unittest.IsolatedAsyncioTestCase):
+    """What a host that doesn't reach a server sends to one that does."""
+
+    async def asyncSetUp(self):
+        self.relayed = []
+        relay = Server(self.handle, "127.0.0.1", 0)
+        await relay.start()
+        self.addAsyncCleanup(relay.close)
+        row = HostRow("zone-a", "127.0.0.1", relay.port)
+        self.host = ListingHost(Clock(), {"host-b": row})
+        self.addAsyncCleanup(self.host.close)
+        server = UsersServer("s1", "app")
+        await server.start()
+        self.host.list_server(server)
+        await server.close()
+        self.server = self.host.directory.upstream_by_name["s1"]
+
+    async def handle(self, request):
+        if request.path == REACH_PATH:
+            return json_response({"is_reached": True})
+        self.relayed.append(
+            relay_terms([(n.encode(), v.encode()) for n, v in request.headers.items()])
+        )
+        return Response(200, encode_head(200, []) + b"answer")
+
+    async def send(self, **options):
+        sent = self.server, "POST", "/x", [], b"x", 1000
+        return await self.host.paths.request(*sent, **options)
+
+    async def test_the_relay_learns_whether_it_may_be_repeated(self):
+        for idempotent in (True, False):
+            self.assertEqual((await self.send(idempotent=idempotent)).body, b"answer")
+            self.assertEqual(self.relayed.pop().is_idempotent, idempotent)
+
+    async def test_the_relay_gets_nothing_for_a_server_that_leaves_meanwhile(self):
+        """The relay may not have been told of it."""
+
+        def leave():
+            self.host.directory.record_leaving("s1", self.server)
+            self.host.directory.check_usable(self.server)
+
+        with self.assertRaises(ServiceError) as caught:
+            await self.send(before_send=leave)
+        self.assertEqual(caught.exception.kind, ErrorKind.DRAINING)
+        self.assertEqual(self.relayed, [])
+
+
 class FleetTest(unittest.IsolatedAsyncioTestCase):
     """Daemons, most of which lose their links to all servers."""
 
