Test that an attempt ends once two servers crashed under it

Cause: no test failed when a host didn't ask whether a request may be sent again. The route of the tests with daemons allows two attempts, which end the request by themselves; where a route allows more, each attempt of a caller would take all those servers down.

Change: a forwarder with a route of four attempts, and four servers that end under the request: two of them get it. Where the servers only lose the response and go on listening, all four get it.

Seen: tried by putting False in place of the question in RequestAttempts.retry_or_raise, and by letting may_send_again always return True: the first test fails both times (3 != 2). With False always returned both fail (1 != 2, 1 != 4). Unchanged, test.test_crashing_requests passes.

--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from goldcrestmoor.clock import Clock, Deadline
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.process import crash_reports
 from goldcrestmoor.process.crash_reports import CrashReports
@@ -23,17 +24,24 @@
     BLOCK_FACTOR,
     BLOCK_MS,
     CRASHES_TO_BLOCK,
+    CRASHES_TO_END_ATTEMPT,
     FORGET_MS,
     Crash,
     CrashHistory,
     next_trial_ms,
 )
-from goldcrestmoor.request.forwarding import CallerRequest
+from goldcrestmoor.request.forwarding import CallerRequest, Forwarder
 from goldcrestmoor.request.retry_decision import GiveUp, SendAgain
-from goldcrestmoor.version.configuration.routes import RetryPolicy
+from goldcrestmoor.version.configuration.routes import (
+    RetryPolicy,
+    Route,
+    RouteKind,
+    ServiceShare,
+)
 from test import _common
 from test._fleet import ManualClock
 from test._front import FETCH_PATH, FrontFleet
+from test._request_fakes import ListingHost
 from test.standins.users_server import UsersServer
 
 CRASHING = b"crash"
@@ -240,6 +248,57 @@
         self.assertEqual(self.blocking(), [])
 
 
+class AttemptTest(unittest.IsolatedAsyncioTestCase):
+    """One caller's attempt at a host that may send it to four servers."""
+
+    ROUTE = Route(
+        name="r",
+        host="h",
+        path_prefix="/",
+        kind=RouteKind.PLAIN,
+        retry_policy=RetryPolicy.IDEMPOTENT,
+        shares=(ServiceShare("app"),),
+        timeout_ms=2000,
+        attempts=4,
+        target_ms=200,
+    )
+
+    async def asyncSetUp(self):
+        self.clock = Clock()
+        self.host = ListingHost(self.clock)
+        self.addAsyncCleanup(self.host.close)
+        self.servers = [UsersServer(f"s{n}", "app") for n in range(4)]
+        for server in self.servers:
+            await server.start()
+            self.addAsyncCleanup(server.close)
+            self.host.list_server(server)
+
+    async def forward(self):
+        headers = ((b"request-id", b"r1"),)
+        request = CallerRequest("r1", "POST", "/x", headers, CRASHING)
+        forwarder = Forwarder(**self.host.caller_sending())
+        deadline = Deadline.after(self.clock, self.ROUTE.timeout_ms)
+        return await forwarder.forward(request, self.ROUTE, deadline)
+
+    def runs(self):
+        return sum(len(server.runs) for server in self.servers)
+
+    async def test_it_ends_once_two_servers_have_crashed_under_it(self):
+        for server in self.servers:
+            server.crash_bodies = {CRASHING}
+        with self.assertRaises(ServiceError) as caught:
+            await self.forward()
+        self.assertEqual(caught.exception.kind, ErrorKind.UPSTREAM_FAILED)
+        self.assertEqual(self.runs(), CRASHES_TO_END_ATTEMPT)
+
+    async def test_it_goes_on_while_servers_lose_it_without_a_crash(self):
+        for server in self.servers:
+            server.lose = True
+        with self.assertRaises(ServiceError):
+            await self.forward()
+        self.assertEqual(self.runs(), self.ROUTE.attempts)
+
+
 class FleetTest(unittest.IsolatedAsyncioTestCase):
     """Daemons before servers that start again after each crash."""
 
