Test that the end of a text is handed over after its events

Cause: no test failed when the end of a whole text was not stored: the events that the tests hand over are fewer than are stored while a job runs, so that the end goes along with them. A text whose last events are stored already would be sent to an engine again by the next runner.

Change: a test in which all events are stored when the text ends and its job is handed over.

--- a/test/test_job_run.py
+++ b/test/test_job_run.py
@@ -9,7 +9,7 @@
 from goldcrestmoor.job.engine_pool import EnginePool
 from goldcrestmoor.job.item_run import Finished
 from goldcrestmoor.job.job import Item, Job, JobState
-from goldcrestmoor.job.job_run import JobRun
+from goldcrestmoor.job.job_run import MIN_UNSAVED_EVENTS, JobRun
 from goldcrestmoor.job.job_store import VersionedState
 from goldcrestmoor.job.scheduler import Scheduler
 from goldcrestmoor.process.directory import ListedUpstream
@@ -305,6 +305,24 @@
         await asyncio.sleep(0.05)
         self.assertEqual(len(self.executor.seen), 3)
 
+    async def test_the_end_of_a_text_is_handed_over_after_all_its_events(self):
+        """The next runner would send it to an engine again, and score it late."""
+        run, store = make_run(1)
+        item_run = run.waiting[0]
+        run.start(item_run, "a")
+        for number in range(MIN_UNSAVED_EVENTS):
+            item_run.add(Event(str(number), f"e{number}", None, b""), 1)
+        listing = asyncio.create_task(run.list_results())
+        await _common.eventually(lambda: item_run.saved_events, timeout_s=3)
+        item_run.is_complete = True
+        run.start_scoring(item_run)
+        async with asyncio.timeout(0.3):
+            await run.hand_over()
+            await listing
+        again, _ = make_run(1, {0: store.partials})
+        self.assertEqual(len(again.waiting[0].events), MIN_UNSAVED_EVENTS)
+        self.assertTrue(again.waiting[0].is_complete)
+
     async def test_finished_items_are_listed_together(self):
         scheduler = self.make_scheduler()
         run, store = make_run(6)
