Bound the time of reads after a response's timeout

Cause: after its timeout a response may be read for another MiB, as that may have arrived before during a pause of the process. The bound is for each connection, and takes no account of how fast the process reads: eight responses of 1 MiB each are 8 MiB, for which a busy process takes longer than the half second in which callers expect their answer after the timeout.

Change: reads after the timeout also end 100 ms after the first of them.

Seen: the new test slows the reads of eight endless responses to 15 ms each.

--- a/goldcrestmoor/connection/http_connection.py
+++ b/goldcrestmoor/connection/http_connection.py
@@ -20,6 +20,9 @@
 # After a pause of this process, the response may have arrived before the timeout; a
 # larger one is still arriving.
 MAX_LATE_BYTES = 1 << 20
+# A process that reads slower than servers send always finds data; it must report the
+# timeout within the half second that callers allow, together for all connections.
+MAX_LATE_READ_MS = 100
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,6})")
 # A request must reach the server before the server closes the idle connection.
 KEEP_ALIVE_MARGIN_MS = 500
@@ -50,6 +53,7 @@
         "_codec",
         "_max_header_bytes",
         "_late_bytes",
+        "_late_since_s",
     )
 
     def __init__(self, reader, writer, target, max_header_bytes):
@@ -61,6 +65,7 @@
         self._writer = writer
         self._max_header_bytes = max_header_bytes
         self._late_bytes = 0
+        self._late_since_s = None
         self._codec = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=max_header_bytes
         )
@@ -112,6 +117,7 @@
         tail = self._codec.send(h11.Data(data=body)) if body else b""
         tail += self._codec.send(h11.EndOfMessage())
         self._late_bytes = 0
+        self._late_since_s = None
         self._writer.transport.resume_reading()
         self._writer.write(head + tail)
 
@@ -138,7 +144,10 @@
             return event
 
     async def _read(self, timeout_ms):
-        if self._late_bytes > MAX_LATE_BYTES:
+        if timeout_ms > 0:
+            # The timeout of the head may have passed, and that of the body not.
+            self._late_since_s = None
+        elif self._has_read_enough_late():
             message = f"{_name(self.target)} did not end its response in time."
             raise ServiceError(ErrorKind.UPSTREAM_TIMEOUT, message)
         try:
@@ -153,6 +162,14 @@
             self._late_bytes += len(data)
         return data
 
+    def _has_read_enough_late(self):
+        """Return whether reads since the timeout must end; the first call starts it."""
+        now_s = asyncio.get_running_loop().time()
+        if self._late_since_s is None:
+            self._late_since_s = now_s
+        late_ms = (now_s - self._late_since_s) * MS_PER_SECOND
+        return self._late_bytes > MAX_LATE_BYTES or late_ms > MAX_LATE_READ_MS
+
     def _check_head_size(self, head):
         size = sum(len(name) + len(value) for name, value in head.headers)
         if size > self._max_header_bytes:
--- a/test/test_http_stalls.py
+++ b/test/test_http_stalls.py
@@ -133,3 +133,44 @@
         ):
             await self.get(port)
         self.assertEqual(caught.exception.kind, ErrorKind.UPSTREAM_UNREACHABLE)
+
+
+class SlowReaderTest(unittest.IsolatedAsyncioTestCase):
+    """A process that has little of a CPU, before servers that send faster than that.
+
+    Something to read is always there, so that no deadline would hold.
+    """
+
+    CALLERS = 8
+    # For up to 256 KB; the callers' responses together come at 17 MB/s.
+    READ_S = 0.015
+    # From the users' rule: so long after its timeout a caller has a final answer.
+    MAX_LATE_S = 0.5
+
+    async def test_a_deadline_holds_while_there_is_something_to_read(self):
+        timeout_ms = 2 * TIMEOUT_MS
+        body = b"4000\r\n%b\r\n" % bytes(16_384) * 512
+        head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        client = HttpClient(clock=Clock(), limits=_common.make_settings().limits)
+        self.addAsyncCleanup(client.close)
+        read = http_connection.HttpConnection._read
+
+        async def read_slowly(*args):
+            data = await read(*args)
+            time.sleep(self.READ_S)
+            return data
+
+        async def ask():
+            server = ThreadServer([head + body], lambda: None)
+            self.addCleanup(server.close)
+            started_s = time.monotonic()
+            with self.assertRaises(ServiceError) as caught:
+                await client.request(
+                    "127.0.0.1", server.port, "GET", "/x", timeout_ms=timeout_ms
+                )
+            self.assertEqual(caught.exception.kind, ErrorKind.UPSTREAM_TIMEOUT)
+            return time.monotonic() - started_s - timeout_ms / 1000
+
+        with mock.patch.object(http_connection.HttpConnection, "_read", read_slowly):
+            late_s = await asyncio.gather(*(ask() for _ in range(self.CALLERS)))
+        self.assertLess(max(late_s), self.MAX_LATE_S)
