--- a/goldcrestmoor/process/configuration_exchange.py
+++ b/goldcrestmoor/process/configuration_exchange.py
@@ -28,7 +28,8 @@
 # A reply may hold the whole configuration. Two replacements of hosts that give none fit
 # into a round.
 ASK_TIMEOUT_MS = 300
-# A host that starts without the store is found by its predecessors within seconds.
+# A predecessor introduces itself to the same host every third time, so that a host that
+# starts without the store is found within 9 s, the time that a change may take.
 INTRODUCE_INTERVAL_MS = 2000
 # A slow store answers now and then; that is not logged each time.
 RECOVERED_AFTER_MS = 3000
