Report the starts of a former holder that the store rejects alone

Cause: the holder of the API duty adds its own starts to its own counts. If the store rejects only this host, its lease lapses and another host takes over, but its feed still names itself. The other hosts send their counts to the new holder, so nothing tells it, and its starts were in no report until the store accepted it again.

Change: with each message to itself under a lapsed lease it asks another host who holds the duty, and then sends its counts there.

--- a/goldcrestmoor/process/usage_counts.py
+++ b/goldcrestmoor/process/usage_counts.py
@@ -380,8 +380,25 @@
             self._holder_counts = reply.holder_counts
         return reply
 
+    async def _ask_for_holder(self):
+        """Ask any other host who holds the duty, as this host's lease has lapsed.
+
+        While the store rejects this host alone, its feed doesn't show who took over.
+        """
+        others = self._calls.zone_by_host().keys() - {self._host_id}
+        if others:
+            reply = await self._call(random.choice(sorted(others)), self._message())
+            self._learn_holding(reply)
+
+    def _learn_holding(self, reply):
+        if reply is not None:
+            stated = reply.holder, reply.fencing
+            self._stated_holding = max(self._stated_holding, stated, key=_fencing)
+
     async def _send(self, holding):
         holder, _ = holding
+        if holder == self._host_id and not self._duty.is_held():
+            await self._ask_for_holder()
         if self._undelivered is not None:
             reply = await self._call(holder, self._undelivered)
             if reply is not None and reply.is_received:
@@ -391,12 +408,8 @@
         reply = await self._call(holder, self._message())
         now_ms = self._clock.now_ms()
         self._next_ms = now_ms + RETRY_MS
-        if reply is None:
-            return
-        self._stated_holding = max(
-            self._stated_holding, (reply.holder, reply.fencing), key=_fencing
-        )
-        if not reply.is_received:
+        self._learn_holding(reply)
+        if reply is None or not reply.is_received:
             return
         if reply.true_ms is None:
             self._next_ms = now_ms + self._interval_ms()
--- a/test/_duty_hosts.py
+++ b/test/_duty_hosts.py
@@ -32,7 +32,7 @@
         self._leases = LeaseClient(clock=self.clock, table=self.client, host_id=name)
         self._duties = Duties(
             leases=self._leases,
-            is_feed_current=lambda: not table.is_down,
+            is_feed_current=self._reaches_table,
             metrics=self.metrics,
         )
         self.duty = ExclusiveDuty(
@@ -40,10 +40,13 @@
         )
         self.tasks = [asyncio.create_task(self.duty.run())]
 
+    def _reaches_table(self):
+        return not self._table.is_down and not self.client.is_cut_off
+
     def feed(self):
-        """Apply the duty's row as the feed does, unless host or store is away."""
-        if not self.clock.thawed.is_set() or self._table.is_down:
-            self._was_down = self._table.is_down
+        """Apply the duty's row as the feed does, unless host or store is down."""
+        if not self.clock.thawed.is_set() or not self._reaches_table():
+            self._was_down = not self._reaches_table()
             return
         if self._was_down:
             self._duties.on_feed_recovered()
--- a/test/_table.py
+++ b/test/_table.py
@@ -37,9 +37,13 @@
 
 
 class FakeTableClient:
-    """One host's client; it gets no responses while the host is frozen."""
+    """One host's client; it gets no responses while the host is frozen.
+
+    :ivar is_cut_off: whether the table service rejects this host alone.
+    """
 
     def __init__(self, table, clock):
+        self.is_cut_off = False
         self._table = table
         self._clock = clock
 
@@ -71,5 +75,5 @@
 
     async def _check_up(self):
         await self._clock.thawed.wait()
-        if self._table.is_down:
+        if self._table.is_down or self.is_cut_off:
             raise ServiceError(ErrorKind.PLATFORM_UNAVAILABLE)
--- a/test/test_usage_reports.py
+++ b/test/test_usage_reports.py
@@ -296,6 +296,20 @@
         await self.run_for(10_000)
         self.reported()
 
+    async def test_the_holder_is_cut_off_from_the_store_alone(self):
+        """It still serves callers, and doesn't learn from the feed who took over."""
+        await self.run_for(30_000)
+        old = self.holder()
+        old.client.is_cut_off = True
+        await self.run_for(TAKEOVER_MS)
+        self.assertNotEqual(self.holder().name, old.name)
+        first = self.clock.now_ms() // WINDOW_MS + 1
+        await self.run_for(40_000)
+        self.check_reports(first)
+        old.client.is_cut_off = False
+        await self.run_for(30_000)
+        self.check_reports(first)
+
     async def test_a_host_dies_with_starts_that_it_has_not_sent(self):
         await self.run_for(30_000)
         name = next(n for n in HOSTS if self.hosts[n] is not self.holder())
