Say in the log of an order that a zone may be lost

Cause: since the loss of a zone is provided for, the logged peak and slots of a server explain only part of the number ordered.

Change: the line names the rule. No behaviour changes.

--- a/goldcrestmoor/process/capacity_plan.py
+++ b/goldcrestmoor/process/capacity_plan.py
@@ -353,6 +353,7 @@
             f"{state.servers.accepting} accept work, {state.servers.reclaimed} are "
             f"being reclaimed, {state.first} at first sight; the peak needs "
             f"{self._peak.slots():.0f} slots at {self._slots_per_server or 0:.1f} each"
+            ", also without the largest zone"
         )
 
     def pause(self):
