Let an item that failed wait for another engine

Cause: an engine that answers each item with 500 does so within milliseconds, so that it has free slots while the others are full. An item that failed there was sent there again at once, three times, and was ended, though the other engine would have run it. test.test_endless_responses.test_items_are_run_by_the_other_engine meets this beside heavy load alone, as the kinds of responses before the failures leave the engine backed off: it gets an item every 100 ms then, and without load the other engine has done the rest meanwhile.

Change: an item takes an engine that it failed at only if all others that may run it are backed off; it waits for those that are full, and items behind it may start meanwhile.

--- a/goldcrestmoor/job/engine_choice.py
+++ b/goldcrestmoor/job/engine_choice.py
@@ -10,6 +10,10 @@
 While engines are replaced by ones of a newer software version, some crash or are full.
 A text goes on only at the version that began it, so its item waits for such an engine
 for as long as it would take to generate the text again.
+
+One engine may report that each item fails, within milliseconds, so that it is free when
+the others are full. An item that failed there waits for another one, or it would fail
+as often as its route allows.
 """
 
 import msgspec
@@ -48,7 +52,12 @@
 
 
 def choose_engine(
-    engines, min_version, group_engine="", avoid=(), software_version=None
+    engines,
+    min_version,
+    group_engine="",
+    avoid=(),
+    software_version=None,
+    failed_at=frozenset(),
 ):
     """Return the name of the engine that runs an item, or None to wait.
 
@@ -59,13 +68,18 @@
         engine is eligible.
     :param software_version: the software version that began the item's text; None for
         an item without one.
+    :param failed_at: engines that reported that the item failed; used only when all
+        others are backed off or unusable, not when they are full.
     """
-    eligible = [
+    usable = [
         engine
         for engine in engines
-        if _is_free(engine, min_version)
+        if engine.version >= min_version
+        and not engine.is_blocked
         and software_version in (None, engine.software_version)
     ]
+    usable = [engine for engine in usable if engine.name not in failed_at] or usable
+    eligible = [engine for engine in usable if engine.in_flight < engine.slots]
     preferred = [engine for engine in eligible if engine.name not in avoid] or eligible
     unlimited = [engine for engine in preferred if not engine.is_limited]
     candidates = _fastest(unlimited or preferred)
--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -87,6 +87,7 @@
     :ivar versions: the weight versions that generated them, in order of first use.
     :ivar software_version: the software version of the engine that began them.
     :ivar failures: how often an engine reported that the item failed.
+    :ivar failed_at: the names of these engines.
     :ivar attempts: how often it was started.
     :ivar engine: the engine that runs it, or None.
     :ivar generation: increases when it restarts from its prompt.
@@ -110,6 +111,7 @@
         "versions",
         "software_version",
         "failures",
+        "failed_at",
         "attempts",
         "generation",
         "saved_events",
@@ -129,6 +131,7 @@
         self.item = item
         self.position = position
         self.failures = 0
+        self.failed_at = set()
         self.attempts = 0
         self.started_ms = None
         self.progress_ms = now_ms
--- a/goldcrestmoor/job/scheduler.py
+++ b/goldcrestmoor/job/scheduler.py
@@ -378,10 +378,12 @@
             job_run.engine_by_group.get(run.group, ""),
             (run.avoided_engine,),
             run.software_version if run.events else None,
+            run.failed_at,
         )
         if name is None:
-            # Engines of another software version may be free for the items after it.
-            return bool(run.events)
+            # Engines of another software version, or those that it failed at, may be
+            # free for the items after it.
+            return bool(run.events or run.failed_at)
         engine = self._pool.upstream(name)
         self._pool.begin(engine)
         del loads_by_service[service]
@@ -538,6 +540,7 @@
                 return
             case Failed():
                 run.failures += 1
+                run.failed_at.add(engine.name)
                 run.restart()
                 if run.failures >= route.attempts:
                     log.info("Item %s failed %d times.", run.item.id, run.failures)
--- a/test/test_decisions.py
+++ b/test/test_decisions.py
@@ -129,6 +129,26 @@
         self.assertEqual(choose_engine(loads, 5, avoid=("a",)), "b")
         self.assertEqual(choose_engine(loads[:1], 5, avoid=("a",)), "a")
 
+    def test_an_item_waits_for_a_full_engine_rather_than_fail_again(self):
+        """An engine that fails all items at once is the only one with free slots."""
+        full, free = engine("b", 12), engine("a", 0)
+
+        def choose(*loads, failed_at=("a",)):
+            return choose_engine(loads, 5, failed_at=failed_at)
+
+        self.assertIsNone(choose(free, full))
+        self.assertEqual(choose(free, engine("b", 11)), "b")
+        self.assertEqual(choose(free, full, failed_at=("b",)), "a")
+        # It isn't known when these accept it, if ever.
+        self.assertEqual(choose(free, engine("b", is_blocked=True)), "a")
+        self.assertEqual(choose(free, engine("b", version=4)), "a")
+        self.assertEqual(choose(free, engine("b"), failed_at=("a", "b")), "a")
+
+    def test_an_item_waits_for_no_engine_that_cannot_continue_its_text(self):
+        loads = [engine("a", software_version="v1"), engine("b", software_version="v2")]
+        name = choose_engine(loads, 5, software_version="v1", failed_at=("a",))
+        self.assertEqual(name, "a")
+
 
 class _Job:
     def __init__(self, name, due_ms, priority=1):
--- a/test/test_endless_responses.py
+++ b/test/test_endless_responses.py
@@ -167,6 +167,13 @@
                 self.assertNotIn(200, statuses)
                 await self.check_closed(self.engine, name)
 
+    async def test_items_that_fail_wait_for_the_other_engine(self):
+        """The failing one is always free, and the other one is full."""
+        self.engine.mode = BODIES["failure"]
+        await self.fleet.submit("front-a", "j", 8)
+        for result in await self.fleet.all_results("front-a", "j"):
+            self.assertEqual(result["text"], whole_text(result["id"], EVENTS))
+
     async def test_items_are_run_by_the_other_engine(self):
         for name, mode in {**HEADS, **BODIES, **STREAMS}.items():
             with self.subTest(name):
--- a/test/test_job_run.py
+++ b/test/test_job_run.py
@@ -7,7 +7,7 @@
 
 from goldcrestmoor.clock import Clock
 from goldcrestmoor.job.engine_pool import EnginePool
-from goldcrestmoor.job.item_run import Finished
+from goldcrestmoor.job.item_run import Failed, Finished
 from goldcrestmoor.job.job import Item, Job, JobState
 from goldcrestmoor.job.job_run import MIN_UNSAVED_EVENTS, JobRun
 from goldcrestmoor.job.job_store import VersionedState
@@ -93,8 +93,7 @@
         self.seen.append((run.item.id, engine.name))
         self.running[run.item.id] = done = asyncio.get_running_loop().create_future()
         on_events(0)
-        await done
-        return Finished()
+        return await done or Finished()
 
 
 def make_run(count, partials=None, runner="me"):
@@ -281,6 +280,27 @@
         self.assertEqual(again.waiting[0].events, ["new"])
         self.assertEqual(again.waiting[0].versions, [2])
 
+    async def test_an_item_that_waits_for_another_engine_holds_up_no_other_item(self):
+        """The engine that it failed at has the only free slot."""
+        scheduler = self.make_scheduler()
+        run, _ = make_run(9)
+        (last,) = run.waiting[8:]
+        scheduler.add(run)
+        running = asyncio.create_task(scheduler.run())
+        self.addCleanup(running.cancel)
+        await _common.eventually(lambda: len(self.executor.running) == 8)
+        failing, other = (
+            next(item for item, engine in self.executor.seen if engine == name)
+            for name in "ab"
+        )
+        self.executor.running[failing].set_result(Failed())
+        await _common.eventually(lambda: len(self.executor.seen) == 9, timeout_s=1)
+        self.assertEqual(self.executor.seen[8], (last.item.id, "a"))
+        self.executor.running[other].set_result(None)
+        await _common.eventually(lambda: len(self.executor.seen) == 10, timeout_s=1)
+        self.assertEqual(self.executor.seen[9], (failing, "b"))
+        run.stop()
+
     async def test_a_job_is_handed_over_with_all_that_was_made(self):
         scheduler = self.make_scheduler()
         run, store = make_run(3)
