Test the check of the duty right before a call to the platform

Cause: no test failed when a call to the platform's API was sent after the duty had ended while its connection was opened, or under the fencing number of an earlier lease of the same host.

Change: a test for each.

Seen: tried by taking before_send out of PlatformApi._send (the call was accepted), and by leaving out either half of ExclusiveDuty.may_send ("True is not false"): the tests fail.

--- a/test/test_exclusive_duty.py
+++ b/test/test_exclusive_duty.py
@@ -2,11 +2,20 @@
 
 import itertools
 import unittest
-
+from unittest import mock
+
+from goldcrestmoor import settings
+from goldcrestmoor.adapters.platform_api import Accepted, Unanswered
+from goldcrestmoor.clock import Clock
+from goldcrestmoor.connection.http_client import HttpClient
+from goldcrestmoor.connection.http_pool import HttpPool
+from goldcrestmoor.platform.cloud import PlatformApi
 from goldcrestmoor.process.exclusive_duty import LEASE_MS
+from goldcrestmoor.process.metrics import Metrics
 from test import _table
 from test._duty_hosts import TURN_MS, DutyHost
 from test._fleet import ManualClock
+from test.standins.users_api import UsersApi
 
 STEP_MS = 100
 # The lease, its margin, a poll and the spread of the claims.
@@ -125,6 +134,51 @@
         await self.run_for(2 * TURN_MS)
         self.check_calls()
 
+    async def test_a_call_is_not_sent_under_an_earlier_lease_of_the_same_host(self):
+        """The host got the duty again while the call's connection was opened."""
+        self.start("a")
+        await self.run_for(6000, until=self.held_by("a"))
+        first = self.hosts["a"].duty.fencing()
+        self.assertTrue(self.hosts["a"].duty.may_send(first))
+        await self.hosts["a"].release()
+        self.assertFalse(self.hosts["a"].duty.may_send(first))
+        await self.kill("a")
+        self.start("a")
+        await self.run_for(6000, until=lambda: self.hosts["a"].duty.may_act())
+        again = self.hosts["a"].duty.fencing()
+        self.assertFalse(self.hosts["a"].duty.may_send(first))
+        self.assertTrue(self.hosts["a"].duty.may_send(again))
+
+
+class PlatformApiTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_duty_that_ends_while_the_api_is_connected_to_sends_nothing(self):
+        """A slow API accepts a connection after the rest of the lease."""
+        api = UsersApi()
+        await api.start()
+        self.addAsyncCleanup(api.close)
+        http = HttpClient(clock=Clock(), limits=settings.default_limits())
+        self.addAsyncCleanup(http.close)
+        held, acquire = {7}, HttpPool.acquire
+
+        async def acquire_slowly(*args):
+            connection = await acquire(*args)
+            held.clear()
+            return connection
+
+        platform = PlatformApi(
+            http=http,
+            address="127.0.0.1",
+            port=api.port,
+            host_id="a",
+            metrics=Metrics(),
+            may_send=held.__contains__,
+        )
+        self.assertIsInstance(await platform.report_usage(1, {}, 7), Accepted)
+        with mock.patch.object(HttpPool, "acquire", acquire_slowly):
+            outcome = await platform.report_usage(2, {}, 7)
+        self.assertIsInstance(outcome, Unanswered)
+        self.assertEqual([window for window, _ in api.usage()], [1])
+
 
 if __name__ == "__main__":
     unittest.main()
