Read the host's memory and the platform's contracts from the settings

A bound on the memory held for slow readers needs the size of the host, and applies only where the platform has the contract in force.

--- a/goldcrestmoor/front_settings.py
+++ b/goldcrestmoor/front_settings.py
@@ -23,11 +23,16 @@
 Text = Annotated[str, Meta(min_length=1)]
 Cores = Annotated[float, Meta(gt=0)]
 Share = Annotated[float, Meta(gt=0, le=1)]
+MemoryMb = Annotated[float, Meta(ge=0)]
 Endpoint = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
 
 
 class FrontHostSettings(Section):
-    """This host's id, location and addresses, each ``address:port``."""
+    """This host's id, location and size, and addresses, each ``address:port``.
+
+    The platform states its memory and the contracts in force; without either, no memory
+    is bounded.
+    """
 
     id: Text
     zone: Text
@@ -38,6 +43,8 @@
     listen_backlog: Count
     cores: Cores
     core_share: Share
+    memory_mb: MemoryMb | None
+    contracts: list[str] | None
 
     @property
     def address(self):
--- a/goldcrestmoor/platform/callers.py
+++ b/goldcrestmoor/platform/callers.py
@@ -17,6 +17,8 @@
     with_account,
 )
 
+# The contract that bounds what hosts hold for callers and servers that read slowly.
+PRESSURE_CONTRACT = "pressure"
 READY_PATH = "/readiness"
 WAIT_HEADER = b"wait-ms"
 # The request id of the client attempt that brought the first event of a stream.
--- a/test/test_front_settings.py
+++ b/test/test_front_settings.py
@@ -20,7 +20,8 @@
     "region": "r",
     "listen": {"front": "10.1.0.10:8263", "ready": "10.1.0.10:8268"},
     "provider": {"address": "10.200.1.7:8266"},
-    "limits": {"cores": 3, "cpuShare": 0.717},
+    "limits": {"cores": 3, "cpuShare": 0.717, "memoryMb": 200},
+    "contracts": ["pressure"],
     "bounds": {"leaseMs": 3000, "statusS": 120},
 }
 
@@ -79,12 +80,27 @@
             (loaded.store.address, loaded.store.port), ("10.200.1.7", 8266)
         )
         self.assertEqual((loaded.host.cores, loaded.host.core_share), (3, 0.717))
+        self.assertEqual(loaded.host.memory_mb, 200)
+        self.assertEqual(loaded.host.contracts, ["pressure"])
         self.assertEqual((loaded.orders.turn_ms, loaded.jobs.kept_s), (3000, 120))
 
     def test_a_platform_without_an_api_leaves_its_sections_out(self):
         loaded = front_settings.decode(self.document())
         self.assertEqual((loaded.api, loaded.usage, loaded.accounts), (None,) * 3)
 
+    def test_a_host_starts_whatever_is_stated_of_its_memory(self):
+        """A daemon that rejects its settings serves nobody."""
+        for limits, contracts in (
+            (FIELDS["limits"] | {"memoryMb": None}, None),
+            (FIELDS["limits"] | {"memoryMb": 0}, []),
+            (FIELDS["limits"] | {"memoryMb": 552.5}, ["unknown"]),
+        ):
+            document = self.document(limits=limits, contracts=contracts)
+            loaded = front_settings.decode(document)
+            self.assertEqual(loaded.host.memory_mb, limits["memoryMb"])
+        del document["host"]["memory_mb"], document["host"]["contracts"]
+        self.assertEqual(front_settings.decode(document).host.contracts, [])
+
     def test_the_sections_of_the_platforms_api_are_filled(self):
         loaded = front_settings.decode(self.document(**OPTIONAL_FIELDS))
         self.assertEqual((loaded.api.address, loaded.api.port), ("10.200.0.199", 8608))
