Bound the requests and bodies in flight at one server

A server crashes when the requests that it holds exceed its memory. Where ServerBodies is given, plain requests, streams, items, reward calls and relayed requests count together; what exceeds a server goes to another one or is refused as overload.

--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -1,5 +1,6 @@
 """The state of a running item of a batch job, and single attempts to run it."""
 
+import contextlib
 import logging
 
 import msgspec
@@ -242,16 +243,19 @@
     :param limits: the
         :class:`~goldcrestmoor.process.upstream_limits.UpstreamLimits`.
     :param dialect: the request and response format of the engines.
+    :param bodies: the :class:`~goldcrestmoor.request.server_bodies.ServerBodies`; None
+        for no bound on what is in flight at an engine.
     """
 
-    __slots__ = ("_clock", "_paths", "_directory", "_limits", "_dialect")
+    __slots__ = ("_clock", "_paths", "_directory", "_limits", "_dialect", "_bodies")
 
-    def __init__(self, *, clock, paths, directory, limits, dialect):
+    def __init__(self, *, clock, paths, directory, limits, dialect, bodies=None):
         self._clock = clock
         self._paths = paths
         self._directory = directory
         self._limits = limits
         self._dialect = dialect
+        self._bodies = bodies
 
     async def attempt(self, run, engine, terms, on_events):
         """Run an item at an engine, continuing after the events that it has.
@@ -264,6 +268,9 @@
         :return: the outcome, one of the classes above.
         """
         dialect = self._dialect
+        size = len(run.item.body)
+        if self._bodies is not None and not self._bodies.fits(engine, size):
+            return NotRun("this host has as much in flight there as it may")
         headers = dialect.item_headers(run.item, terms.host, terms.account)
         headers = dialect.request_headers(headers, engine, None)
         if run.last_id:
@@ -279,7 +286,10 @@
         else:
             run.software_version = engine.software_version
         try:
-            with tracing.detached_span("item", upstream=engine.name):
+            with (
+                self._tracked(engine, size),
+                tracing.detached_span("item", upstream=engine.name),
+            ):
                 async with self._paths.stream(
                     engine,
                     "POST",
@@ -304,6 +314,11 @@
             return Broken("the engine had restarted with another software version")
         return outcome
 
+    def _tracked(self, engine, size):
+        if self._bodies is None:
+            return contextlib.nullcontext()
+        return self._bodies.track(engine, size)
+
     def _has_changed_software(self, engine):
         """Return whether an engine restarted, unlisted, before it got the item."""
         listed = self._directory.upstream_by_name.get(engine.name)
--- a/goldcrestmoor/job/reward_calls.py
+++ b/goldcrestmoor/job/reward_calls.py
@@ -221,7 +221,7 @@
         if service in full_services:
             return
         name = choose_server(
-            self._loads.candidates(service),
+            self._loads.candidates(service, size=len(reward_call.body)),
             call.ran_at,
             call.last_server,
             route.attempts,
@@ -235,7 +235,7 @@
         server = self._loads.upstream(name)
         call.attempts += 1
         call.last_server = name
-        self._loads.begin(server)
+        self._loads.begin(server, len(reward_call.body))
         call.run.task = self._tasks.start(self._attempt(call, server, route))
         # A task that is cancelled before it first runs executes none of its own code.
         call.run.task.add_done_callback(
@@ -297,7 +297,7 @@
         return NoScore(Ran.RAN, f"answered {status}")
 
     def _on_attempt_done(self, call, server, route, task):
-        self._loads.end(server)
+        self._loads.end(server, len(call.item.reward_call.body))
         call.run.task = None
         self.wake()
         if call.is_over or task.cancelled():
--- a/goldcrestmoor/request/forwarding.py
+++ b/goldcrestmoor/request/forwarding.py
@@ -145,7 +145,7 @@
         """
         self._check_crashes()
         upstream = await self._loads.admit_one(
-            self.service, self._sent_to, self.software_version
+            self.service, self._sent_to, self.software_version, len(self.request.body)
         )
         if upstream is None:
             raise self._unavailable()
@@ -185,6 +185,10 @@
         if pause_ms is not None:
             text = f"The servers of {self.service} accept no more requests now."
             return ServiceError(ErrorKind.OVERLOADED, text, pause_ms)
+        if self._loads.is_full(self.service, len(self.request.body)):
+            text = f"The servers of {self.service} have no room for this request now."
+            after_ms = retry_decision.RETRY_AFTER_FULL_MS
+            return ServiceError(ErrorKind.OVERLOADED, text, after_ms)
         text = f"No server of {self.service} is available."
         after_ms = retry_decision.RETRY_AFTER_NONE_MS
         return ServiceError(ErrorKind.NO_UPSTREAM, text, after_ms)
@@ -309,7 +313,7 @@
 
     def _has_alternative(self):
         upstream = self._loads.choose(
-            self.service, self._sent_to, self.software_version
+            self.service, self._sent_to, self.software_version, len(self.request.body)
         )
         return upstream is not None
 
@@ -422,7 +426,7 @@
 
         try:
             with (
-                self._loads.track_request(upstream),
+                self._loads.track_request(upstream, len(request.body)),
                 tracing.span("forward", upstream=upstream.name),
             ):
                 response = await self._paths.request(
--- a/goldcrestmoor/request/request_relay.py
+++ b/goldcrestmoor/request/request_relay.py
@@ -44,10 +44,13 @@
         """
         terms = relay_terms(headers)
         upstream = self._upstream(terms)
+        if not self._loads.has_room(upstream, len(body)):
+            text = f"{terms.server} has no room for another request of this host."
+            raise ServiceError(ErrorKind.OVERLOADED, text)
         request_id = dict(terms.headers).get(b"request-id", b"").decode("latin-1")
         async with contextlib.AsyncExitStack() as stack:
             stack.enter_context(self._counted())
-            stack.enter_context(self._loads.track_request(upstream))
+            stack.enter_context(self._loads.track_request(upstream, len(body)))
             response = await stack.enter_async_context(
                 self._http.stream(
                     upstream.address,
--- a/goldcrestmoor/request/streaming.py
+++ b/goldcrestmoor/request/streaming.py
@@ -188,7 +188,7 @@
         if last_id:
             resume = self._dialect.resume_header(last_id)
             headers = [pair for pair in headers if pair[0] != resume[0]] + [resume]
-        with self._loads.track_request(upstream):
+        with self._loads.track_request(upstream, len(request.body)):
             async with self._paths.stream(
                 upstream,
                 request.method,
--- a/goldcrestmoor/request/upstream_loads.py
+++ b/goldcrestmoor/request/upstream_loads.py
@@ -35,6 +35,8 @@
         :class:`~goldcrestmoor.process.upstream_limits.UpstreamLimits`.
     :param zone: this host's availability zone.
     :param host_id: this host, whose order of the upstreams differs from other hosts'.
+    :param bodies: the :class:`~goldcrestmoor.request.server_bodies.ServerBodies`; None
+        for no bound on what is in flight at an upstream.
     """
 
     __slots__ = (
@@ -44,33 +46,37 @@
         "_limits",
         "_zone",
         "_host_id",
+        "_bodies",
         "_in_flight_by_name",
         "_failure_by_name",
         "_answering_routes",
     )
 
-    def __init__(self, *, clock, http, directory, limits, zone, host_id):
+    def __init__(self, *, clock, http, directory, limits, zone, host_id, bodies=None):
         self._clock = clock
         self._http = http
         self._directory = directory
         self._limits = limits
         self._zone = zone
         self._host_id = host_id
+        self._bodies = bodies
         self._in_flight_by_name = {}
         self._failure_by_name = {}
         self._answering_routes = set()
 
-    def choose(self, service, sent_to, software_version=None):
+    def choose(self, service, sent_to, software_version=None, size=0):
         """Return the upstream that a request goes to, or None.
 
         :param service: the service's name.
         :param sent_to: the names of the upstreams that the request was sent to.
         :param software_version: the only software version that may serve it, if any.
+        :param size: the size of the request's body.
         """
-        name = choose_upstream(self.candidates(service, software_version), sent_to)
+        candidates = self.candidates(service, software_version, size)
+        name = choose_upstream(candidates, sent_to)
         return None if name is None else self.upstream(name)
 
-    async def admit_one(self, service, sent_to, software_version=None):
+    async def admit_one(self, service, sent_to, software_version=None, size=0):
         """Return the upstream that a request goes to and that admits it, or None.
 
         The parameters are those of :meth:`choose`.
@@ -78,8 +84,12 @@
         denied = set()
         while True:
             avoided = {*sent_to, *denied}
-            upstream = self.choose(service, avoided, software_version)
-            if upstream is None or not await self.admit(upstream):
+            upstream = self.choose(service, avoided, software_version, size)
+            if upstream is None:
+                return None
+            is_admitted = not await self.admit(upstream)
+            # Others may have been sent there while this one was being admitted.
+            if is_admitted and self.has_room(upstream, size):
                 return upstream
             denied.add(upstream.name)
 
@@ -101,11 +111,29 @@
         pauses_ms = map(self._limits.pause_ms, self._directory.usable(service))
         return min(filter(None, pauses_ms), default=None)
 
-    def candidates(self, service, software_version=None):
+    def has_room(self, upstream, size):
+        """Return whether a request fits among those in flight at an upstream.
+
+        :param upstream: the upstream.
+        :param size: the size of the request's body.
+        """
+        return self._bodies is None or self._bodies.fits(upstream, size)
+
+    def is_full(self, service, size):
+        """Return whether a service has an upstream, but one without room for a request.
+
+        :param service: the service's name.
+        :param size: the size of the request's body.
+        """
+        usable = self._directory.usable(service)
+        return any(not self.has_room(upstream, size) for upstream in usable)
+
+    def candidates(self, service, software_version=None, size=0):
         """Return the :class:`Candidate` of each upstream that may get a request.
 
         :param service: the service's name.
         :param software_version: as for :meth:`choose`.
+        :param size: as for :meth:`choose`.
         """
         now_ms = self._clock.now_ms()
         return [
@@ -113,6 +141,7 @@
             for upstream in self._directory.usable(service)
             if software_version in (None, upstream.software_version)
             and not self._limits.pause_ms(upstream)
+            and self.has_room(upstream, size)
         ]
 
     def upstream(self, name):
@@ -160,30 +189,37 @@
         )
 
     @contextlib.contextmanager
-    def track_request(self, upstream):
+    def track_request(self, upstream, size=0):
         """Count a request as in flight for as long as the block runs.
 
         :param upstream: the :class:`~goldcrestmoor.process.directory.ListedUpstream`.
+        :param size: the size of the request's body.
         """
-        self.begin(upstream)
+        self.begin(upstream, size)
         try:
             yield
         finally:
-            self.end(upstream)
+            self.end(upstream, size)
 
-    def begin(self, upstream):
+    def begin(self, upstream, size=0):
         """Count a request as in flight, before the task that sends it has started.
 
         :param upstream: the :class:`~goldcrestmoor.process.directory.ListedUpstream`.
+        :param size: the size of the request's body.
         """
         name = upstream.name
         self._in_flight_by_name[name] = self._in_flight_by_name.get(name, 0) + 1
+        if self._bodies is not None:
+            self._bodies.begin(upstream, size)
 
-    def end(self, upstream):
+    def end(self, upstream, size=0):
         """Count a request as ended.
 
         :param upstream: the upstream.
+        :param size: as for :meth:`begin`.
         """
+        if self._bodies is not None:
+            self._bodies.end(upstream, size)
         name = upstream.name
         self._in_flight_by_name[name] -= 1
         if not self._in_flight_by_name[name]:
--- a/test/test_upstream_loads.py
+++ b/test/test_upstream_loads.py
@@ -4,6 +4,7 @@
 import unittest
 from types import SimpleNamespace
 
+from goldcrestmoor.request.server_bodies import ServerBodies
 from goldcrestmoor.request.upstream_loads import UpstreamLoads
 from test._fleet import ManualClock
 from test._request_fakes import upstream_limits
@@ -43,6 +44,18 @@
     def chosen(self):
         return self.loads.choose(SERVICE, ()).name
 
+    def test_what_exceeds_a_server_goes_to_another(self):
+        """A server crashes under requests that exceed its memory."""
+        self.loads._bodies = ServerBodies()
+        size = 5 << 20
+        with self.loads.track_request(self.first, size):
+            self.assertEqual(self.loads.choose(SERVICE, (), None, size).name, "desk-2")
+            with self.loads.track_request(self.upstreams[1], size):
+                self.assertIsNone(self.loads.choose(SERVICE, (), None, size))
+                self.assertTrue(self.loads.is_full(SERVICE, size))
+                self.assertEqual(self.chosen(), "desk-1")
+        self.assertFalse(self.loads.is_full(SERVICE, size))
+
     def test_hosts_without_load_do_not_all_choose_the_same_upstream(self):
         """79 hosts start at once and see no requests but their own."""
         count_by_name = collections.Counter()
