Bound the memory held for callers and servers that read slowly

A host over its memory limit is killed, and a server resets a response that stays unread. Where the contract is in force, streams are read ahead of their callers up to a bound, bodies are admitted against the budget before they arrive, and stalled connections are reset when it is used up.

--- a/goldcrestmoor/connection/http_client.py
+++ b/goldcrestmoor/connection/http_client.py
@@ -62,12 +62,16 @@
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param limits: the :class:`~goldcrestmoor.settings.LimitSettings`.
     :param source: the IP address that connections go out from; any when left out.
+    :param memory: the :class:`~goldcrestmoor.process.memory_guard.MemoryGuard` that
+        counts request bodies until upstreams have taken them, and whole responses while
+        they arrive; None to count nothing.
     """
 
-    __slots__ = ("_clock", "_limits", "_pool", "_buffered_bytes")
+    __slots__ = ("_clock", "_limits", "_pool", "_memory", "_buffered_bytes")
 
-    def __init__(self, *, clock, limits, source=None):
+    def __init__(self, *, clock, limits, source=None, memory=None):
         self._clock = clock
+        self._memory = memory
         self._limits = limits
         self._buffered_bytes = 0
         self._pool = HttpPool(clock=clock, limits=limits, source=source)
@@ -120,7 +124,7 @@
         try:
             async for chunk in response.body():
                 body += chunk
-                self._buffered_bytes += len(chunk)
+                self._count_buffered(len(chunk))
                 if len(body) > self._limits.max_body_bytes:
                     raise failed(response.target, "the response body is too large")
                 is_full = self._buffered_bytes > MAX_BUFFERED_BYTES
@@ -128,7 +132,12 @@
                     raise failed(response.target, "there is no room for its body")
             return bytes(body)
         finally:
-            self._buffered_bytes -= len(body)
+            self._count_buffered(-len(body))
+
+    def _count_buffered(self, size):
+        self._buffered_bytes += size
+        if self._memory is not None:
+            self._memory.hold_incoming(self._buffered_bytes)
 
     @contextlib.asynccontextmanager
     async def stream(
@@ -193,8 +202,9 @@
             if before_send is not None:
                 before_send()
             connection.send(request, body)
-            await response.read_head(method, head_timeout_ms, allow_close_delimited)
-            yield response
+            with self._counted(connection, body):
+                await response.read_head(method, head_timeout_ms, allow_close_delimited)
+                yield response
         except ServiceError:
             # A network path or server that lost the state of one pooled connection
             # has often lost the state of all of them.
@@ -207,6 +217,11 @@
             else:
                 connection.abort()
 
+    def _counted(self, connection, body):
+        if self._memory is None:
+            return contextlib.nullcontext()
+        return self._memory.track_upload(connection.transport, len(body))
+
     async def connection_error(self, address, port, timeout_ms):
         """Try to connect, and return the error, or None when a connection opens.
 
--- a/goldcrestmoor/connection/http_connection.py
+++ b/goldcrestmoor/connection/http_connection.py
@@ -94,6 +94,11 @@
             raise unreachable(target, "connection refused") from e
         return cls(reader, writer, target, limits.max_header_bytes)
 
+    @property
+    def transport(self):
+        """The asyncio transport."""
+        return self._writer.transport
+
     def is_usable(self):
         """Return whether the connection is open and has no unread data."""
         transport = self._writer.transport
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -29,6 +29,7 @@
     crash_reports,
     lease_rows,
     limit_owners,
+    read_ahead,
     server_paths,
     store_connectivity,
     stream_versions,
@@ -47,6 +48,8 @@
 from goldcrestmoor.process.http_server import HttpServer, ServerOptions
 from goldcrestmoor.process.leases import LeaseClient
 from goldcrestmoor.process.limit_owners import LimitOwners
+from goldcrestmoor.process.memory_budget import MemoryBudget
+from goldcrestmoor.process.memory_guard import MemoryGuard
 from goldcrestmoor.process.metrics import Metrics
 from goldcrestmoor.process.routing import Routing
 from goldcrestmoor.process.server_paths import ServerPaths
@@ -59,6 +62,7 @@
 from goldcrestmoor.request.forwarding import Forwarder
 from goldcrestmoor.request.load_shedding import LoadShedding
 from goldcrestmoor.request.request_relay import RequestRelay
+from goldcrestmoor.request.server_bodies import ServerBodies
 from goldcrestmoor.request.streaming import StreamForwarder
 from goldcrestmoor.request.upstream_loads import UpstreamLoads
 from goldcrestmoor.util import TaskGroup
@@ -120,6 +124,8 @@
         "_path",
         "_clock",
         "_metrics",
+        "_memory",
+        "_bodies",
         "_http",
         "_store",
         "_keys",
@@ -161,8 +167,12 @@
         self._stop = asyncio.Event()
         self._tasks = TaskGroup()
         host = settings.host
+        self._make_memory()
         self._http = HttpClient(
-            clock=self._clock, limits=settings.limits, source=host.address
+            clock=self._clock,
+            limits=settings.limits,
+            source=host.address,
+            memory=self._memory,
         )
         self._store = StoreClient(
             clock=self._clock,
@@ -180,6 +190,20 @@
         self._make_capacity()
         self._make_servers()
 
+    def _make_memory(self):
+        """Create the bounds on memory, where the contract for them is in force."""
+        host = self.settings.host
+        self._memory = self._bodies = None
+        if caller_dialect.PRESSURE_CONTRACT not in (host.contracts or ()):
+            return
+        self._bodies = ServerBodies()
+        if host.memory_mb:
+            self._memory = MemoryGuard(
+                clock=self._clock,
+                budget=MemoryBudget.of_host(host.memory_mb),
+                metrics=self._metrics,
+            )
+
     def _make_feed_consumers(self):
         """Create the feed consumers: routes, versions, upstreams and duties."""
         clock, metrics = self._clock, self._metrics
@@ -287,6 +311,7 @@
                 limits=self._limits,
                 zone=self.settings.host.zone,
                 host_id=self.settings.host.id,
+                bodies=self._bodies,
             ),
             "dialect": servers,
             "metrics": self._metrics,
@@ -309,6 +334,7 @@
                 directory=self._directory,
                 limits=self._limits,
                 dialect=servers,
+                bodies=self._bodies,
             ),
             rewards=self._rewards,
             routes=self._routing.current,
@@ -467,6 +493,7 @@
                 keep_alive_ms=KEEP_ALIVE_MS,
                 cancels_on_disconnect=True,
                 is_closing=lambda: self._is_leaving,
+                memory=self._memory,
             ),
         )
         sending = {
@@ -496,7 +523,9 @@
             settings=self.settings,
             metrics=self._metrics,
             options=ServerOptions(
-                port=self.settings.host.readiness_port, cancels_on_disconnect=True
+                port=self.settings.host.readiness_port,
+                cancels_on_disconnect=True,
+                memory=self._memory,
             ),
         )
 
@@ -561,7 +590,8 @@
                     async for chunk in items:
                         yield chunk
 
-            return Response(200, None, StreamedContent(OCTET_STREAM, stream))
+            provider = read_ahead.buffered(request, stream)
+            return Response(200, None, StreamedContent(OCTET_STREAM, provider))
 
         readiness_server.application.router.add_post(
             f"{relayed_messages.RELAY_PREFIX}/*", relay_request
@@ -677,6 +707,8 @@
             "crash histories": self._crashes,
             "configuration": self._exchange,
         }
+        if self._memory is not None:
+            part_by_name["memory"] = self._memory
         if self._api_duty is not None:
             part_by_name["platform api"] = self._api_duty
         if self._capacity is not None:
--- a/goldcrestmoor/process/front_callers.py
+++ b/goldcrestmoor/process/front_callers.py
@@ -12,6 +12,7 @@
 from goldcrestmoor.clock import MS_PER_SECOND, Deadline
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.job.calls import EndJob, ReadItem, ReadResults, SubmitJob
+from goldcrestmoor.process import memory_guard, read_ahead
 from goldcrestmoor.request.app_routes import METHODS, to_response
 from goldcrestmoor.request.apps import AppResponse
 from goldcrestmoor.request.forwarding import CallerRequest
@@ -106,7 +107,9 @@
         request_kind, started_ms = _RequestKind(), self._clock.now_ms()
         outcome = "answered"
         try:
-            return await self._serve(request, request_kind)
+            response = await self._serve(request, request_kind)
+            _count_body(request, response)
+            return response
         except ServiceError as e:
             outcome = e.code
             log.info(
@@ -172,7 +175,7 @@
             answer = await self._forwarder.forward(forwarded, route, deadline)
         match answer:
             case StreamResponse():
-                return _to_streaming_response(answer)
+                return _to_streaming_response(answer, request, deadline)
             case AppResponse():
                 return to_response(answer, request.method)
 
@@ -250,7 +253,14 @@
     return msgspec.structs.replace(route, is_public=newer.is_public)
 
 
-def _to_streaming_response(answer):
+def _count_body(request, response):
+    """Count a whole response as held until the caller has it, where memory counts."""
+    memory = memory_guard.of_scope(request.scope)
+    if memory is not None and response.content and response.content.length > 0:
+        memory.add_response(response.content.length)
+
+
+def _to_streaming_response(answer, request, deadline):
     headers = list(answer.headers)
     content_type = dict(headers).get(b"content-type")
     others = [
@@ -264,7 +274,8 @@
             async for event in answer.events:
                 yield event
 
-    return Response(200, others, StreamedContent(content_type, events))
+    provider = read_ahead.buffered(request, events, deadline)
+    return Response(200, others, StreamedContent(content_type, provider))
 
 
 def _host(request):
--- a/goldcrestmoor/process/http_protocol.py
+++ b/goldcrestmoor/process/http_protocol.py
@@ -7,13 +7,16 @@
 from goldcrestmoor import errors
 from goldcrestmoor.clock import MS_PER_SECOND
 from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.process.memory_guard import STATE_KEY
 
 
-def protocol_class(metrics, head_timeout_ms):
+def protocol_class(metrics, head_timeout_ms, memory=None):
     """Return uvicorn's protocol with this service's error format and head timeout.
 
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
     :param head_timeout_ms: the timeout for a request head, in milliseconds.
+    :param memory: the :class:`~goldcrestmoor.process.memory_guard.MemoryGuard` that
+        counts what connections hold; None to count nothing.
     """
 
     class Protocol(H11Protocol):
@@ -70,4 +73,16 @@
             self.transport.write(head.encode() + body)
             self.transport.close()
 
-    return Protocol
+    class CountedProtocol(Protocol):
+        """The same, with the memory held for the connection."""
+
+        def connection_made(self, transport):
+            super().connection_made(transport)
+            self.memory = memory.open_caller(transport)
+            self.app_state = {**self.app_state, STATE_KEY: self.memory}
+
+        def connection_lost(self, exc):
+            self.memory.close()
+            super().connection_lost(exc)
+
+    return Protocol if memory is None else CountedProtocol
--- a/goldcrestmoor/process/http_server.py
+++ b/goldcrestmoor/process/http_server.py
@@ -16,7 +16,9 @@
 from goldcrestmoor import errors, logs, tracing, util
 from goldcrestmoor.clock import MS_PER_SECOND
 from goldcrestmoor.errors import ErrorKind, ServiceError, UserError
+from goldcrestmoor.process import memory_guard
 from goldcrestmoor.process.http_protocol import protocol_class
+from goldcrestmoor.process.memory_guard import MemoryGuard
 
 log = logging.getLogger("goldcrestmoor.http")
 
@@ -100,6 +102,7 @@
     :param cancels_on_disconnect: whether a disconnect of the caller cancels every
         request, not only a stream that has started.
     :param is_closing: returns whether to close connections after a response.
+    :param memory: counts and bounds what connections hold; None for no bound.
     """
 
     port: int | None = None
@@ -108,6 +111,7 @@
     keep_alive_ms: int = KEEP_ALIVE_MS
     cancels_on_disconnect: bool = False
     is_closing: Callable[[], bool] = lambda: False
+    memory: MemoryGuard | None = None
 
 
 class HttpServer:
@@ -158,7 +162,9 @@
         listener = _listen(host.address, port)
         config = uvicorn.Config(
             self._serve,
-            http=protocol_class(self._metrics, limits.progress_timeout_ms),
+            http=protocol_class(
+                self._metrics, limits.progress_timeout_ms, self._options.memory
+            ),
             ws="none",
             interface="asgi3",
             lifespan="off",
@@ -208,6 +214,7 @@
         parent = header_by_name.get(b"traceparent", b"").decode("latin-1")
         route = scope["path"].split("/")[1]
         started_ms = self._clock.now_ms()
+        memory = memory_guard.of_scope(scope)
         try:
             with tracing.span(f"{scope['method']} /{route}", parent or None):
                 send = _with_header(send, id_header, request_id)
@@ -216,9 +223,16 @@
                 watcher = _DisconnectWatcher(
                     receive, send, self._options.cancels_on_disconnect
                 )
-                bounded = _with_body_limits(watcher.receive, self._settings.limits)
+                receive, limits = watcher.receive, self._settings.limits
+                if memory is not None:
+                    receive = memory.admitting(
+                        receive, header_by_name, limits.max_body_bytes
+                    )
+                bounded = _with_body_limits(receive, limits)
                 await watcher.run(self._handle(scope, bounded, watcher.send))
         finally:
+            if memory is not None:
+                memory.end_exchange()
             logs.request_id.reset(token)
             elapsed_s = (self._clock.now_ms() - started_ms) / MS_PER_SECOND
             known = route if route in ("apps", "v1", "operator") else "other"
@@ -243,7 +257,9 @@
         elif error.kind == ErrorKind.UNAUTHORIZED:
             self._metrics.bad_input.labels("token").inc()
         response = self._error_response(error)
-        if error.kind in (ErrorKind.TOO_LARGE, ErrorKind.BAD_REQUEST):
+        memory = memory_guard.of_scope(request.scope)
+        leaves_body = memory is not None and memory.is_closing
+        if leaves_body or error.kind in (ErrorKind.TOO_LARGE, ErrorKind.BAD_REQUEST):
             # The rest of the body is not read, so the connection cannot be reused.
             response.add_header(b"Connection", b"close")
         return response
--- a/goldcrestmoor/process/metrics.py
+++ b/goldcrestmoor/process/metrics.py
@@ -79,6 +79,9 @@
         "configuration_age_ms",
         "learned_rows",
         "outdated_refusals",
+        "held_bytes",
+        "connections_given_up",
+        "memory_refusals",
     )
 
     def __init__(self):
@@ -263,6 +266,15 @@
         self.outdated_refusals = self._counter(
             "outdated_refusals", "Requests refused as the configuration is too old."
         )
+        self.held_bytes = self._gauge(
+            "held_bytes", "Bytes held for callers and servers that read slowly.", "kind"
+        )
+        self.connections_given_up = self._counter(
+            "connections_given_up", "Connections closed for what they hold.", "reason"
+        )
+        self.memory_refusals = self._counter(
+            "memory_refusals", "Requests refused because no memory is left for them."
+        )
 
     def _counter(self, name, text, *labels):
         return Counter(f"goldcrestmoor_{name}", text, labels, registry=self.registry)
--- a/test/_front.py
+++ b/test/_front.py
@@ -137,6 +137,8 @@
         self.documents = {}
         # Further sections of every daemon's settings, by name.
         self.sections = {}
+        # Further fields of the section ``host`` of every daemon's settings.
+        self.host_fields = {}
         # Arguments of the first configuration.
         self.configured = {}
         # Sent with each request that has no other API key.
@@ -205,6 +207,7 @@
                 "callers": f"127.0.0.1:{callers}",
                 "readiness": f"127.0.0.1:{readiness}",
                 "metrics_port": metrics,
+                **self.host_fields,
             },
             "jobs": {"kept_s": self.kept_s},
             "store": {"endpoint": f"127.0.0.1:{self.gates[name]}"},
