Test relayed requests to full servers and responses that are not taken

A relay must count the bodies of other hosts' requests, and a whole response that its caller does not read must make way for large bodies.

--- a/test/_request_fakes.py
+++ b/test/_request_fakes.py
@@ -247,13 +247,15 @@
 
     :param clock: the clock.
     :param row_by_host: the rows of the hosts that it asks for paths; none by default.
+    :param bodies: the :class:`~goldcrestmoor.request.server_bodies.ServerBodies`; None
+        to bound no bodies.
     :ivar directory: the directory of upstreams.
     :ivar limits: the limits of upstreams.
     :ivar paths: the paths to them.
     :ivar sending: the arguments of a ``Sender``.
     """
 
-    def __init__(self, clock, row_by_host=None):
+    def __init__(self, clock, row_by_host=None, bodies=None):
         metrics = Metrics()
         http = HttpClient(clock=clock, limits=settings.default_limits())
         self.directory = UpstreamDirectory(
@@ -273,6 +275,7 @@
                 limits=self.limits,
                 zone="zone-a",
                 host_id="host-a",
+                bodies=bodies,
             ),
             "dialect": servers,
             "metrics": metrics,
--- a/test/test_cut_from_servers.py
+++ b/test/test_cut_from_servers.py
@@ -24,6 +24,7 @@
     relay_terms,
 )
 from goldcrestmoor.request.request_relay import RequestRelay
+from goldcrestmoor.request.server_bodies import MAX_BODY_BYTES, ServerBodies
 from test import _common
 from test._fleet import ManualClock
 from test._front import FETCH_PATH, MODEL, FrontFleet
@@ -114,9 +115,10 @@
         await self.server.start()
         self.addAsyncCleanup(self.server.close)
         self.clock = ManualClock()
-        host = ListingHost(self.clock)
+        host = ListingHost(self.clock, bodies=ServerBodies())
         self.addAsyncCleanup(host.close)
         host.list_server(self.server, born=2)
+        self.loads = host.sending["loads"]
         self.in_flight = InFlight()
         self.relay = RequestRelay(
             directory=host.directory, in_flight=self.in_flight, **host.sending
@@ -142,6 +144,14 @@
         self.assertEqual(body, b"answer to body")
         self.assertEqual(self.in_flight.count, 0)
 
+    async def test_a_server_that_is_full_of_bodies_gets_nothing(self):
+        """Relayed requests count as well, or a server crashes under them."""
+        upstream = SimpleNamespace(name="s1")
+        with self.loads.track_request(upstream, MAX_BODY_BYTES):
+            await self.check_refused(ErrorKind.OVERLOADED)
+        await self.send()
+        self.assertEqual(len(self.server.seen), 1)
+
     async def test_an_unknown_server_gets_nothing(self):
         await self.check_refused(ErrorKind.DRAINING, server="s2")
 
--- a/test/test_slow_readers.py
+++ b/test/test_slow_readers.py
@@ -149,8 +149,8 @@
         }
         await self.fleet.start(names=("front-a",))
 
-    async def open_stream(self, number):
-        """Begin a stream on a connection with a small buffer; read nothing of it."""
+    async def connect(self):
+        """Return a connection to the daemon with a small buffer."""
         connection = socket.socket()
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
         connection.setblocking(False)
@@ -158,7 +158,13 @@
         loop = asyncio.get_running_loop()
         port = self.fleet.ports["front-a"][0]
         await loop.sock_connect(connection, ("127.0.0.1", port))
+        return connection
+
+    async def open_stream(self, number):
+        """Begin a stream; read nothing of it."""
+        connection = await self.connect()
         head = STREAM.format(HOST, f"s{number}", MODEL)
+        loop = asyncio.get_running_loop()
         await loop.sock_sendall(connection, head.encode())
         return connection
 
@@ -260,6 +266,35 @@
         self.assertTrue(is_reset)
         self.assertEqual(await self.held("response"), 0)
 
+    async def test_a_whole_response_that_is_not_taken_makes_way(self):
+        """Callers that stop must not keep others' large bodies out for good."""
+        await self.start()
+        connection, size = await self.connect(), 5 * MB
+        head = f"POST {FETCH_PATH} HTTP/1.1\r\nhost: {HOST}\r\nrequest-id: f\r\n"
+        head += f"content-length: {size}\r\n\r\n"
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(connection, head.encode() + bytes(size))
+
+        async def response_is_held():
+            return await self.held("response") >= size
+
+        await _common.eventually(response_is_held, 5)
+
+        async def post():
+            answer = await self.fleet.ask("front-a", "POST", FETCH_PATH, bytes(size))
+            return answer.status
+
+        self.assertEqual(await post(), 503)
+
+        async def is_served():
+            return await post() == 200
+
+        await _common.eventually(is_served, GIVEN_UP_S)
+        self.assertEqual(await self.given_up("stalled"), 1)
+        received, is_reset = await self.read_to_end(connection)
+        self.assertTrue(is_reset)
+        self.assertLess(len(received), size)
+
     async def test_large_bodies_are_refused_when_servers_read_slowly(self):
         """Bodies that wait for slow servers would fill the host's memory."""
         await self.start(apps=[UnreadingServer(f"app-{n}", "app") for n in "01"])
