Name the reserve for a lost zone in an order's log only where there is one

Cause: the line named it also for a service in a single zone, which has none, and as if the bounds always allowed it.

Change: it is named with several zones, and subject to the bounds.

--- a/goldcrestmoor/process/capacity_plan.py
+++ b/goldcrestmoor/process/capacity_plan.py
@@ -349,11 +349,15 @@
         :param zone: the order's zone.
         """
         state = self._zone_by_name[zone]
+        has_others = len(self._zone_by_name) > 1
+        reserve = (
+            ", also without the largest zone if bounds allow" if has_others else ""
+        )
         return (
             f"{state.servers.accepting} accept work, {state.servers.reclaimed} are "
             f"being reclaimed, {state.first} at first sight; the peak needs "
             f"{self._peak.slots():.0f} slots at {self._slots_per_server or 0:.1f} each"
-            ", also without the largest zone"
+            f"{reserve}"
         )
 
     def pause(self):
