Let the soak be extended by further checks

A soak of the duties needs the fleet, the faults and the checks of the present one, with other headers, statuses and choices of hosts. Those are methods now, and the kind of soak is an argument. The configuration of the tests can have scaling bounds.

--- a/test/_front.py
+++ b/test/_front.py
@@ -25,11 +25,12 @@
 FETCH_PATH = "/fetch/x"
 
 
-def configuration(version=3, tenants=None, more_routes=(), **changes):
+def configuration(version=3, tenants=None, more_routes=(), scaling=None, **changes):
     """Return a configuration with a route for fetches and one for jobs.
 
     :param tenants: the client accounts; None for a configuration without accounts.
     :param more_routes: changes that make a further route from the one for fetches.
+    :param scaling: the bounds of the engines' service; None for none.
     """
     fetch = {
         "name": "fetch",
@@ -67,6 +68,8 @@
     }
     once = fetch | {"name": "once", "pathPrefix": "/once/", "routeType": "unsafe"}
     accounts = {} if tenants is None else {"tenants": tenants}
+    bounds = {} if scaling is None else {"scaling": scaling}
+    pool = {"name": "pool", "maxConns": 160, "engine": {"models": [{"name": MODEL}]}}
     return accounts | {
         "version": version,
         "routes": [
@@ -77,7 +80,7 @@
             *(fetch | fields for fields in more_routes),
         ],
         "services": [
-            {"name": "pool", "maxConns": 160, "engine": {"models": [{"name": MODEL}]}},
+            pool | bounds,
             {"name": "app", "maxConns": 110},
         ],
         "limits": {
--- a/test/soak.py
+++ b/test/soak.py
@@ -45,6 +45,8 @@
     :ivar problems: what broke a promise, as text.
     """
 
+    duration_s = DURATION_S
+
     def __init__(self, seed):
         self.random = random.Random(seed)
         self.fleet = FrontFleet()
@@ -64,7 +66,7 @@
         """Run the seed; the fleet is closed afterwards."""
         try:
             await self._start()
-            end_s = time.monotonic() + DURATION_S
+            end_s = time.monotonic() + self.duration_s
             clients = [self._client(end_s) for _ in range(CLIENTS)]
             await asyncio.gather(self._inject(end_s), *clients)
             await asyncio.gather(*self._tasks)
@@ -72,6 +74,7 @@
             await self._check_jobs()
             self._check_runs()
             self._check_crashes()
+            await self._check_more()
         finally:
             if self._restarts is not None:
                 self._restarts.cancel()
@@ -121,7 +124,7 @@
     async def _inject(self, end_s):
         while time.monotonic() < end_s:
             await asyncio.sleep(self.random.uniform(0.2, 1.2))
-            host = self.random.choice(HOSTS)
+            host = self._choose_host()
             fault = self.random.choice(
                 (
                     self._cut,
@@ -135,6 +138,10 @@
             )
             self._spawn(fault(host, self.random.uniform(0.3, 4.0)))
 
+    def _choose_host(self):
+        """Return the host of the next fault."""
+        return self.random.choice(HOSTS)
+
     def _record(self, host, name, duration_s):
         now_s = time.monotonic()
         self.faults.append((now_s, host, name))
@@ -220,7 +227,11 @@
                 self.fleet.ports[host][0],
                 "POST",
                 ONCE_PATH if is_once else FETCH_PATH,
-                [(b"host", HOST.encode()), (b"request-id", request_id.encode())],
+                [
+                    (b"host", HOST.encode()),
+                    (b"request-id", request_id.encode()),
+                    *self._credentials(request_id, is_crashing),
+                ],
                 body,
                 10_000,
                 idempotent=True,
@@ -239,14 +250,24 @@
             self.problems.append(f"{request_id}: another answer {answer.body!r}")
         if answer.status in (429, 503):
             self.refused.add(request_id)
-        if answer.status not in (200, 429, 502, 503, 504):
-            self.problems.append(f"{request_id}: status {answer.status}")
+        self._check_status(request_id, host, started_s, answer.status)
         is_calm = self._disturbed_until_s[host] < started_s
         if is_calm and took_s > TIMEOUT_S + SLACK_S:
             self.problems.append(f"{request_id} at {host}: {took_s:.2f} s")
 
+    def _credentials(self, request_id, is_crashing):
+        """Return further headers of a request."""
+        return ()
+
+    def _check_status(self, request_id, host, started_s, status):
+        if status not in (200, 429, 502, 503, 504):
+            self.problems.append(f"{request_id}: status {status}")
+
     # What must hold in the end
 
+    async def _check_more(self):
+        """Check what a derived soak adds, before the fleet is closed."""
+
     async def _heal(self):
         for host in HOSTS:
             await self._heal_links(host)
@@ -264,11 +285,14 @@
     async def _check_jobs(self):
         for n in range(2):
             results = await self.fleet.all_results(HOSTS[n], f"job{n}")
-            for result in results:
-                if result["text"] != whole_text(result["id"], EVENTS):
-                    self.problems.append(f"job{n}: {result['id']} isn't whole")
-            if len({result["id"] for result in results}) != ITEMS:
-                self.problems.append(f"job{n}: items twice")
+            self._check_results(f"job{n}", results, ITEMS)
+
+    def _check_results(self, job_id, results, count):
+        for result in results:
+            if result["text"] != whole_text(result["id"], EVENTS):
+                self.problems.append(f"{job_id}: {result['id']} isn't whole")
+        if len({result["id"] for result in results}) != count:
+            self.problems.append(f"{job_id}: items twice")
 
     def _check_runs(self):
         runs = collections.Counter()
@@ -308,9 +332,9 @@
         )
 
 
-async def run_seed(seed):
-    """Run one seed and return its problems, with the :class:`Soak`."""
-    soak = Soak(seed)
+async def run_seed(seed, kind=Soak):
+    """Run one seed and return its problems, with the soak of the kind."""
+    soak = kind(seed)
     try:
         await soak.run()
     except AssertionError as e:
@@ -318,11 +342,12 @@
     return soak
 
 
-def main():
+def main(kind=Soak):
+    """Run the range of seeds that the command line names."""
     first, last = int(sys.argv[1]), int(sys.argv[2])
     failed = []
     for seed in range(first, last + 1):
-        soak = asyncio.run(run_seed(seed))
+        soak = asyncio.run(run_seed(seed, kind))
         faults = collections.Counter(name for _, _, name in soak.faults)
         print(
             f"seed {seed}: {'FAILED' if soak.problems else 'ok'}, "
--- a/test/standins/users_api.py
+++ b/test/standins/users_api.py
@@ -9,6 +9,8 @@
     """Accepts calls of the holder of a duty, and records them.
 
     :ivar calls: every call that arrived, as ``(path, holder, fencing, body)``.
+    :ivar received: also every call that was refused, with the time of its arrival
+        first.
     :ivar arrived_s: when each of them arrived, by the loop's clock.
     :ivar mode: ``""`` to accept calls, ``busy`` to answer 503, ``reset`` to close
         connections, ``silent`` to answer nothing, ``full`` to answer 429.
@@ -18,6 +20,7 @@
 
     def __init__(self):
         self.calls = []
+        self.received = []
         self.arrived_s = []
         self.mode = ""
         self.lost_answers = 0
@@ -39,6 +42,11 @@
 
     async def handle(self, request):
         """Answer one call."""
+        body = request.json()
+        holder = request.headers["duty-holder"]
+        fencing = int(request.headers["fence-token"])
+        now_s = asyncio.get_running_loop().time()
+        self.received.append((now_s, request.path, holder, fencing, body))
         match self.mode:
             case "busy":
                 return Response(503)
@@ -48,11 +56,8 @@
                 return Response(429)
             case "silent":
                 await asyncio.sleep(60)
-        body = request.json()
-        holder = request.headers["duty-holder"]
-        fencing = int(request.headers["fence-token"])
         self.calls.append((request.path, holder, fencing, body))
-        self.arrived_s.append(asyncio.get_running_loop().time())
+        self.arrived_s.append(now_s)
         if self.lost_answers:
             self.lost_answers -= 1
             raise Drop
