Soak client accounts, usage reports and server orders

The soak had no accounts and no duties. The new kind runs the same faults, more of them at the holder of the duty, with keys that change, a trainer's jobs, an API that fails in series, scaling bounds, engines of unequal speed and a client that reads slowly. It checks keys and accounts at servers, jobs of other accounts, reports, fencing numbers, turns, counts and orders.

--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -1,13 +1,14 @@
-"""A short run of the soak; ``test/soak.py`` has the long one."""
+"""Short runs of the soaks; ``test/soak.py`` and ``soak_accounts.py`` have long ones."""
 
 import unittest
 
 from test import soak
+from test.soak_accounts import AccountSoak
 
 
 class SoakTest(unittest.IsolatedAsyncioTestCase):
-    async def check(self, seed):
-        run = await soak.run_seed(seed)
+    async def check(self, seed, kind=soak.Soak):
+        run = await soak.run_seed(seed, kind)
         self.assertEqual(run.problems, [], f"seed {seed}, faults {run.faults}")
 
     async def test_seed_1(self):
@@ -20,6 +21,10 @@
     async def test_seed_3(self):
         await self.check(3)
 
+    async def test_accounts_and_duties_seed_1(self):
+        """Keys, jobs, reports or orders that are wrong under overlapping faults."""
+        await self.check(1, AccountSoak)
+
 
 if __name__ == "__main__":
     unittest.main()
