Create each server of the front daemon in a method of its own

The method that created all three servers had grown to 130 lines, with seven wrappers that differed only in their arguments. The replies to other hosts' messages are now a table by path. No behaviour changes; test.test_front and test.test_shutdown pass.

--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -482,12 +482,24 @@
 
     def _make_servers(self):
         self._in_flight = InFlight()
-        caller_server = HttpServer(
+        self._servers = [
+            self._make_readiness_server(),
+            self._make_caller_server(),
+            self._make_metrics_server(),
+        ]
+
+    def _make_server(self, options, in_flight=None):
+        return HttpServer(
             clock=self._clock,
             settings=self.settings,
             metrics=self._metrics,
-            in_flight=self._in_flight,
-            options=ServerOptions(
+            in_flight=in_flight,
+            options=options,
+        )
+
+    def _make_caller_server(self):
+        server = self._make_server(
+            ServerOptions(
                 id_header=servers.ID_HEADER,
                 retry_headers=caller_dialect.retry_headers,
                 keep_alive_ms=KEEP_ALIVE_MS,
@@ -495,6 +507,7 @@
                 is_closing=lambda: self._is_leaving,
                 memory=self._memory,
             ),
+            in_flight=self._in_flight,
         )
         sending = {
             "crashes": self._crashes,
@@ -517,17 +530,19 @@
             keys=self._keys,
             exchange=self._exchange,
             metrics=self._metrics,
-        ).register(caller_server.application)
-        readiness_server = HttpServer(
-            clock=self._clock,
-            settings=self.settings,
-            metrics=self._metrics,
-            options=ServerOptions(
+        ).register(server.application)
+        return server
+
+    def _make_readiness_server(self):
+        """Create the server of the readiness check, which other hosts call too."""
+        server = self._make_server(
+            ServerOptions(
                 port=self.settings.host.readiness_port,
                 cancels_on_disconnect=True,
                 memory=self._memory,
-            ),
+            )
         )
+        router = server.application.router
 
         async def ready(request: Request) -> Response:
             return Response(200 if self._is_ready() else 503)
@@ -538,103 +553,83 @@
         async def relay_call(request: Request) -> Response:
             return await self._relay_call(request)
 
-        async def grant(request: Request) -> Response:
-            return await self._reply(
-                request, limit_owners.request_decoder, self._limits.grant
-            )
-
-        async def reply_stream(request: Request) -> Response:
-            return await self._reply(
-                request, stream_versions.record_decoder, self._stream_versions.reply
-            )
-
-        async def receive_crash(request: Request) -> Response:
-            return await self._reply(
-                request, crash_reports.crash_decoder, self._crashes.receive_crash
-            )
-
-        async def receive_answer(request: Request) -> Response:
-            return await self._reply(
-                request, crash_reports.answer_decoder, self._crashes.receive_answer
-            )
-
-        async def reply_reach(request: Request) -> Response:
-            return await self._reply(
-                request, server_paths.question_decoder, self._paths.reply
-            )
-
-        async def receive_usage(request: Request) -> Response:
-            return await self._reply(
-                request, usage_counts.request_decoder, self._usage.receive
-            )
-
-        async def reply_rows(request: Request) -> Response:
-            return await self._reply(
-                request, configuration_exchange.request_decoder, self._exchange.reply
-            )
-
         relay = RequestRelay(
             directory=self._directory, in_flight=self._in_flight, **self._forwarding
         )
 
         async def relay_request(request: Request) -> Response:
-            items = relay.relay(
-                _target(request), request.headers, await request.read() or b""
+            return await self._relay_request(relay, request)
+
+        router.add_get(caller_dialect.READY_PATH, ready)
+        router.add_get(store_connectivity.STATUS_PATH, reaches_store)
+        router.add_post(f"{relayed_messages.RELAY_PREFIX}/*", relay_request)
+        for method in STORE_METHODS:
+            router.add(method, f"{store_connectivity.CALLS_PREFIX}/*", relay_call)
+        for path, (decoder, reply) in self._reply_by_path().items():
+            self._add_reply(router, path, decoder, reply)
+        return server
+
+    def _reply_by_path(self):
+        """Return the decoder of other hosts' messages and the reply, by their path."""
+        reply_by_path = {
+            server_paths.REACH_PATH: (server_paths.question_decoder, self._paths.reply),
+            crash_reports.CRASH_PATH: (
+                crash_reports.crash_decoder,
+                self._crashes.receive_crash,
+            ),
+            crash_reports.ANSWER_PATH: (
+                crash_reports.answer_decoder,
+                self._crashes.receive_answer,
+            ),
+            configuration_exchange.PATH: (
+                configuration_exchange.request_decoder,
+                self._exchange.reply,
+            ),
+            limit_owners.PATH: (limit_owners.request_decoder, self._limits.grant),
+            stream_versions.PATH: (
+                stream_versions.record_decoder,
+                self._stream_versions.reply,
+            ),
+        }
+        if self._usage is not None:
+            reply_by_path[usage_counts.PATH] = (
+                usage_counts.request_decoder,
+                self._usage.receive,
             )
-            # An error before the first bytes becomes the response.
-            head = await anext(items)
+        return reply_by_path
 
-            async def stream():
-                async with contextlib.aclosing(items):
-                    yield head
-                    async for chunk in items:
-                        yield chunk
+    def _add_reply(self, router, path, decoder, reply):
+        async def handle(request: Request) -> Response:
+            return await self._reply(request, decoder, reply)
 
-            provider = read_ahead.buffered(request, stream)
-            return Response(200, None, StreamedContent(OCTET_STREAM, provider))
+        router.add_post(path, handle)
 
-        readiness_server.application.router.add_post(
-            f"{relayed_messages.RELAY_PREFIX}/*", relay_request
-        )
-        readiness_server.application.router.add_post(
-            server_paths.REACH_PATH, reply_reach
-        )
-        readiness_server.application.router.add_post(
-            crash_reports.CRASH_PATH, receive_crash
-        )
-        readiness_server.application.router.add_post(
-            crash_reports.ANSWER_PATH, receive_answer
-        )
-        readiness_server.application.router.add_post(
-            configuration_exchange.PATH, reply_rows
-        )
-        readiness_server.application.router.add_post(limit_owners.PATH, grant)
-        if self._usage is not None:
-            readiness_server.application.router.add_post(
-                usage_counts.PATH, receive_usage
-            )
-        readiness_server.application.router.add_post(stream_versions.PATH, reply_stream)
-        for method in STORE_METHODS:
-            readiness_server.application.router.add(
-                method, f"{store_connectivity.CALLS_PREFIX}/*", relay_call
-            )
-        readiness_server.application.router.add_get(caller_dialect.READY_PATH, ready)
-        readiness_server.application.router.add_get(
-            store_connectivity.STATUS_PATH, reaches_store
-        )
-        metrics_server = HttpServer(
-            clock=self._clock,
-            settings=self.settings,
-            metrics=self._metrics,
-            options=ServerOptions(port=self.settings.host.metrics_port),
-        )
+    def _make_metrics_server(self):
+        server = self._make_server(ServerOptions(port=self.settings.host.metrics_port))
 
         async def metrics(request: Request) -> Response:
             body = generate_latest(self._metrics.registry)
             return Response(200, None, Content(CONTENT_TYPE_LATEST.encode(), body))
 
-        metrics_server.application.router.add_get("/metrics", metrics)
-        self._servers = [readiness_server, caller_server, metrics_server]
+        server.application.router.add_get("/metrics", metrics)
+        return server
+
+    async def _relay_request(self, relay, request):
+        """Relay another host's request to a server and return its response."""
+        items = relay.relay(
+            _target(request), request.headers, await request.read() or b""
+        )
+        # An error before the first bytes becomes the response.
+        head = await anext(items)
+
+        async def stream():
+            async with contextlib.aclosing(items):
+                yield head
+                async for chunk in items:
+                    yield chunk
+
+        provider = read_ahead.buffered(request, stream)
+        return Response(200, None, StreamedContent(OCTET_STREAM, provider))
 
     async def _relay_call(self, request):
         """Relay another host's call to the store and return its response."""
