Compare turns of the API's holder only with its own earlier calls

A host without an earlier call was compared with the start of the clock, so that on a machine that had just started its first call counted as a return. Seen in a trial of the check with calls at 1 s to 21 s, which now reports only the turns A, B, A among them, besides the other broken rules.

--- a/test/soak_accounts.py
+++ b/test/soak_accounts.py
@@ -303,7 +303,7 @@
                 self.problems.append(f"{host}: {fencing} after {last_fencing}")
             if host_by_fencing.setdefault(fencing, host) != host:
                 self.problems.append(f"{fencing} is used by two hosts")
-            since_s = now_s - acted_s.get(host, 0.0)
+            since_s = now_s - acted_s.get(host, -TURN_S)
             if host != last_host and since_s < TURN_S:
                 self.problems.append(f"{host}, {last_host}, {host} in {since_s:.2f} s")
             last_fencing, last_host, acted_s[host] = fencing, host, now_s
