Put groups off only while slots are short

Cause: groups beyond those that a trainer waits for were started last also while the slots finish everything in time. Such a group is not complete when its step ends, comes again in the next step, which waits for it, and starts there from its prompt.

Change: while the open work is under 60% of what the slots do in its time, all groups that can still matter count as needed.

New: nothing is put off while slots suffice.

--- a/goldcrestmoor/job/work_order.py
+++ b/goldcrestmoor/job/work_order.py
@@ -8,7 +8,8 @@
 needs and that can be in time go first, by deadline, and when they are more than the
 slots finish, the groups with the most work are left for later, as each of them takes
 the time of several others. Groups that no trainer waits for fill the slots that are
-left over.
+left over. While the slots finish all groups well in time, none is put off: work that is
+put off comes again, and delays the steps after it.
 """
 
 import collections
@@ -33,6 +34,9 @@
 # A group that was needed and has output is replaced only by one that is expected to
 # finish in less than this share of its time, so that the choice doesn't flip.
 REPLACE_SHARE = 0.7
+# Slots are short once the open work exceeds this share of what they do in its time.
+# Lengths are underestimated by hints, and a step's last long items leave slots idle.
+FULL_SHARE = 0.6
 # The window over which accounts are compared.
 SERVED_WINDOW_MS = 10_000
 # Below this share of the average, an account goes first at its priority.
@@ -141,6 +145,16 @@
         """Whether an ended job had left it unfinished."""
         return self.key in self.job.resubmitted_groups
 
+    @property
+    def time_ms(self):
+        """The time until its last event must be there for the group to be in time."""
+        return self.job.due_in_ms + GRACE_MS - LISTING_MS
+
+    @property
+    def give_up_ms(self):
+        """The time until its last event must be there before the trainer gives up."""
+        return self.job.gives_up_in_ms - LISTING_MS
+
     @property
     def cost(self):
         """The sort key of how soon it is expected to be whole."""
@@ -272,15 +286,17 @@
         ``kept_groups`` of the next decision.
     """
     group_by_job, needed_by_job = {}, {}
-    candidates_by_pool = collections.defaultdict(list)
+    groups_by_pool = collections.defaultdict(list)
     for job in jobs:
         groups = _groups(job, capacity_by_pool[job.pool], scale)
         group_by_job[job.id] = groups
+        groups_by_pool[job.pool] += groups.values()
         needed = list(_choose_needed(job, groups.values()))
         needed_by_job[job.id] = frozenset(group.key for group in needed)
-        candidates_by_pool[job.pool] += needed
-    for pool, candidates in candidates_by_pool.items():
-        _mark_late(candidates, capacity_by_pool[pool].slots)
+        for group in needed:
+            group.work_class = WorkClass.NEEDED
+    for pool, groups in groups_by_pool.items():
+        _mark_late(groups, capacity_by_pool[pool].slots)
     ordered = []
     for job in jobs:
         groups = group_by_job[job.id]
@@ -332,32 +348,64 @@
 
 
 def _mark_late(groups, slots):
-    """Class needed groups by whether they can be in time, if the slots allow.
+    """Class groups by whether they can be in time, if the slots allow.
+
+    While the slots finish all groups in time, all count as needed, also those that no
+    trainer waits for: one that is not complete when its step ends comes again in the
+    next step and is waited for there.
+
+    :param groups: the groups of one pool, with the needed ones classed so.
+    :param slots: the number of its slots.
+    """
+    open_groups = [g for g in groups if g.work_class is not WorkClass.HOPELESS]
+    for group in open_groups:
+        if group.longest_ms > group.give_up_ms:
+            group.work_class = WorkClass.HOPELESS
+    possible = [g for g in open_groups if g.work_class is not WorkClass.HOPELESS]
+    if _fit(possible, slots):
+        for group in possible:
+            group.work_class = WorkClass.NEEDED
+        return
+    _leave_late([g for g in possible if g.work_class is WorkClass.NEEDED], slots)
+
+
+def _fit(groups, slots):
+    """Return whether the slots finish the work of groups well before their deadlines.
+
+    A group whose longest item can't be in time any more has until its trainer gives up.
+    """
+    load_ms = 0
+    for deadline_ms, total_ms in sorted(
+        (g.time_ms if g.longest_ms <= g.time_ms else g.give_up_ms, g.total_ms)
+        for g in groups
+    ):
+        load_ms += total_ms
+        if load_ms > deadline_ms * slots * FULL_SHARE:
+            return False
+    return True
+
+
+def _leave_late(groups, slots):
+    """Class needed groups as late that would make others late.
 
     Groups are admitted by deadline. While their work exceeds what the slots do until
     the deadline at hand, the one with the most work is left for later: the rule of
     Moore and Hodgson, which leaves the fewest jobs late on one machine. Groups that
     were submitted again are left last, else the longest would be left in each step.
-
-    :param groups: the needed groups of one pool.
-    :param slots: the number of its slots.
     """
     admitted, load_ms, priority = [], 0, None
     groups.sort(key=lambda group: (group.job.priority, group.job.due_in_ms))
     for number, group in enumerate(groups):
-        time_ms = group.job.due_in_ms + GRACE_MS - LISTING_MS
-        if group.longest_ms > time_ms:
-            is_hopeless = group.longest_ms > group.job.gives_up_in_ms - LISTING_MS
-            group.work_class = WorkClass.HOPELESS if is_hopeless else WorkClass.LATE
+        if group.longest_ms > group.time_ms:
+            group.work_class = WorkClass.LATE
             continue
         if group.job.priority != priority:
             # Work of a more urgent priority is never left for less urgent work.
             admitted, priority = [], group.job.priority
-        group.work_class = WorkClass.NEEDED
         load_ms += group.total_ms
         entry = group.is_resubmitted, -group.total_ms, number, group
         heapq.heappush(admitted, entry)
-        while admitted and load_ms > time_ms * max(1, slots):
+        while admitted and load_ms > group.time_ms * max(1, slots):
             *_, left = heapq.heappop(admitted)
             left.work_class = WorkClass.LATE
             load_ms -= left.total_ms
