--- a/test/test_upstream_limits.py
+++ b/test/test_upstream_limits.py
@@ -271,7 +271,7 @@
     def attempts(self, admitted):
         admitted = iter(admitted)
 
-        async def admit_one(service, sent_to, software_version):
+        async def admit_one(service, sent_to, software_version, size):
             return next(admitted)
 
         loads = SimpleNamespace(
