--- a/goldcrestmoor/front_settings.py
+++ b/goldcrestmoor/front_settings.py
@@ -62,23 +62,28 @@
         return int(self.readiness.rpartition(":")[2])
 
 
-class StoreSettings(Section):
-    """Address of the platform's store, ``address:port``, and its timeout."""
+class ServiceSettings(Section):
+    """Base class of the sections of services of the platform, by address."""
 
     endpoint: Endpoint
-    timeout_ms: DurationMs
 
     @property
     def address(self):
-        """The store's IP address."""
+        """The service's IP address."""
         return self.endpoint.rpartition(":")[0]
 
     @property
     def port(self):
-        """The store's TCP port."""
+        """The service's TCP port."""
         return int(self.endpoint.rpartition(":")[2])
 
 
+class StoreSettings(ServiceSettings):
+    """Address of the platform's store, ``address:port``, and its timeout."""
+
+    timeout_ms: DurationMs
+
+
 class JobSettings(Section):
     """How long batch jobs are retained after submission."""
 
@@ -91,23 +96,12 @@
     turn_ms: DurationMs
 
 
-class ApiSettings(Section):
+class ApiSettings(ServiceSettings):
     """The platform's API: its address, its rate limit and the calls due to it."""
 
-    endpoint: Endpoint
     calls_per_s: Annotated[float, Meta(gt=0)]
     duties: list[str]
 
-    @property
-    def address(self):
-        """The API's IP address."""
-        return self.endpoint.rpartition(":")[0]
-
-    @property
-    def port(self):
-        """The API's TCP port."""
-        return int(self.endpoint.rpartition(":")[2])
-
 
 class UsageSettings(Section):
     """Length of a usage window, and when its report is due after its end."""
