Name infeasible work and the outcome of usage windows in usual terms

The class of work that can no longer matter was called hopeless, and one outcome label of a metric had a space in it. test.test_work_order passes.

--- a/goldcrestmoor/job/work_order.py
+++ b/goldcrestmoor/job/work_order.py
@@ -56,7 +56,7 @@
     NEEDED = 0
     LATE = 1
     SURPLUS = 2
-    HOPELESS = 3
+    INFEASIBLE = 3
 
 
 class OpenJob(msgspec.Struct, frozen=True):
@@ -332,12 +332,12 @@
 
 
 def _choose_needed(job, groups):
-    """Yield the groups that the trainer waits for, and class those lost as hopeless."""
+    """Yield the groups that the trainer waits for; class lost ones as infeasible."""
     others = []
     left = job.target_groups - job.whole_groups
     for group in groups:
         if group.key in job.lost_groups:
-            group.work_class = WorkClass.HOPELESS
+            group.work_class = WorkClass.INFEASIBLE
         elif group.is_resubmitted or not job.target_groups:
             left -= 1
             yield group
@@ -357,11 +357,11 @@
     :param groups: the groups of one pool, with the needed ones classed so.
     :param slots: the number of its slots.
     """
-    open_groups = [g for g in groups if g.work_class is not WorkClass.HOPELESS]
+    open_groups = [g for g in groups if g.work_class is not WorkClass.INFEASIBLE]
     for group in open_groups:
         if group.longest_ms > group.give_up_ms:
-            group.work_class = WorkClass.HOPELESS
-    possible = [g for g in open_groups if g.work_class is not WorkClass.HOPELESS]
+            group.work_class = WorkClass.INFEASIBLE
+    possible = [g for g in open_groups if g.work_class is not WorkClass.INFEASIBLE]
     if _fit(possible, slots):
         for group in possible:
             group.work_class = WorkClass.NEEDED
@@ -413,7 +413,7 @@
 
 def _order_key(job, item, work_class, scale, starved):
     return (
-        # No caller waits for surplus or hopeless work, whatever its priority.
+        # No caller waits for surplus or infeasible work, whatever its priority.
         max(work_class, WorkClass.LATE),
         job.priority,
         job.account not in starved,
--- a/goldcrestmoor/process/usage_reports.py
+++ b/goldcrestmoor/process/usage_reports.py
@@ -184,7 +184,7 @@
         self._backoff.reset()
         self._accepted_ms = self._clock.now_ms()
         is_late = self._windows.is_late(report.window, self._true_ms())
-        outcome = "late" if is_late else "in time"
+        outcome = "late" if is_late else "in_time"
         if report.is_repeated:
             outcome = "repeated"
         self._windows.close(report)
--- a/test/test_usage_daemons.py
+++ b/test/test_usage_daemons.py
@@ -58,7 +58,7 @@
         due_s = (windows[-1] + 1) * WINDOW_S + 2 * WINDOW_S
         self.assertLess(time.time(), due_s + 1)
         values = await self.fleet.metrics(self.holder())
-        self.assertEqual(values['usage_windows_total{outcome="in time"}'], len(windows))
+        self.assertEqual(values['usage_windows_total{outcome="in_time"}'], len(windows))
 
     async def test_the_holder_is_killed_before_it_reads_a_response(self):
         await self.reports(2)
