--- a/goldcrestmoor/process/capacity_orders.py
+++ b/goldcrestmoor/process/capacity_orders.py
@@ -19,7 +19,7 @@
 from goldcrestmoor.clock import MS_PER_SECOND
 from goldcrestmoor.errors import ServiceError
 from goldcrestmoor.process.capacity_plan import (
-    FirstSight,
+    BaselineDetector,
     JobLoad,
     ServicePlan,
     ZoneServers,
@@ -95,7 +95,7 @@
         "_version",
         "_record_by_service",
         "_plan_by_service",
-        "_sight_by_service",
+        "_detector_by_service",
     )
 
     def __init__(
@@ -180,7 +180,7 @@
         self._version = 0
         self._record_by_service = {}
         self._plan_by_service = {}
-        self._sight_by_service = {}
+        self._detector_by_service = {}
         self._metrics.target_servers.clear()
         self._metrics.listed_servers.clear()
 
@@ -212,8 +212,8 @@
     def _pause(self):
         for plan in self._plan_by_service.values():
             plan.pause()
-        for sight in self._sight_by_service.values():
-            sight.reset()
+        for detector in self._detector_by_service.values():
+            detector.reset()
 
     def _update(self, bounds_by_service):
         jobs_by_service = self._jobs_by_service()
@@ -277,8 +277,8 @@
                 target_by_zone=record.targets,
             )
         count_by_zone = {z: s.listed for z, s in servers_by_zone.items() if s.listed}
-        sight = self._sight_by_service.setdefault(service, FirstSight())
-        if sight.observe(now_ms, count_by_zone, bounds.boot_ms):
+        detector = self._detector_by_service.setdefault(service, BaselineDetector())
+        if detector.observe(now_ms, count_by_zone, bounds.boot_ms):
             if plan is None:
                 plan = ServicePlan(
                     now_ms=now_ms, bounds=bounds, first_by_zone={}, target_by_zone={}
@@ -286,7 +286,7 @@
             for zone in count_by_zone.keys() - plan.first_by_zone.keys():
                 count = count_by_zone[zone]
                 log.info(
-                    "%s has %d servers in %s at first sight.", service, count, zone
+                    "%s has %d servers in %s in the baseline.", service, count, zone
                 )
                 plan.add_zone(zone, count, count)
         if plan is not None:
--- a/goldcrestmoor/process/capacity_plan.py
+++ b/goldcrestmoor/process/capacity_plan.py
@@ -39,7 +39,7 @@
 REFUSAL_MS = 10_000
 # While the system starts, servers are added to the list one by one; one that crashes
 # meanwhile is back after its boot time. This is the least time that is waited for both.
-FIRST_SIGHT_MS = 5000
+MIN_SETTLED_MS = 5000
 
 
 class JobLoad(msgspec.Struct, frozen=True):
@@ -165,7 +165,7 @@
     return count_by_zone
 
 
-class FirstSight:
+class BaselineDetector:
     """Tells when a list of servers has ceased to fill."""
 
     __slots__ = ("_count_by_zone", "_since_ms")
@@ -175,7 +175,7 @@
         self._since_ms = None
 
     def observe(self, now_ms, count_by_zone, boot_ms):
-        """Record the numbers; return whether they may be taken as the first sight.
+        """Record the numbers; return whether they may be taken as the baseline.
 
         :param count_by_zone: the number of servers of each zone that has any.
         :param boot_ms: the time until a new server serves, in milliseconds.
@@ -183,7 +183,7 @@
         if self._since_ms is None or count_by_zone != self._count_by_zone:
             self._count_by_zone = count_by_zone
             self._since_ms = now_ms
-        wait_ms = max(FIRST_SIGHT_MS, boot_ms + REPLACEMENT_MARGIN_MS)
+        wait_ms = max(MIN_SETTLED_MS, boot_ms + REPLACEMENT_MARGIN_MS)
         return bool(count_by_zone) and now_ms - self._since_ms >= wait_ms
 
     def reset(self):
@@ -356,7 +356,7 @@
         )
         return (
             f"{state.servers.accepting} accept work, {state.servers.reclaimed} are "
-            f"being reclaimed, {state.first} at first sight; the peak needs "
+            f"being reclaimed, {state.first} in the baseline; the peak needs "
             f"{self._peak.slots():.0f} slots at {self._slots_per_server or 0:.1f} each"
             f"{reserve}"
         )
--- a/test/test_capacity_orders.py
+++ b/test/test_capacity_orders.py
@@ -205,7 +205,7 @@
         calls = await self.play(120, self.steps(items=40))
         self.assertEqual(sorted(calls), sorted(FIRST.items()))
 
-    async def test_the_first_sight_waits_until_the_list_has_filled(self):
+    async def test_the_baseline_waits_until_the_list_has_filled(self):
         """Otherwise servers that start a little later would be ordered to go."""
 
         def fill(passed_ms):
@@ -328,7 +328,7 @@
 
     async def test_the_next_holder_goes_on_from_the_row(self):
         """A host that has seen no peak must not take the servers of the last one away,
-        nor take a list for the first sight in which servers are missing."""
+        nor take a list for the baseline in which servers are missing."""
         duty = self.start_holder()
         await self.play(20)
         await self.play(10, self.steps(items=200))
--- a/test/test_front_capacity.py
+++ b/test/test_front_capacity.py
@@ -6,7 +6,7 @@
 from test.standins.users_api import UsersApi
 
 BOOT_S = 1
-# The claim of the duty, the time to settle and the first sight.
+# The claim of the duty, the time to settle and the baseline.
 FIRST_ORDER_S = 30
 
 
