Remove what nothing calls from the platform's API and the duties

Reclaimable servers are never ordered, and the holder alone is asked nowhere since the usage reports take it with its fencing number. The reason of the API's timeout is now the lease, which it must stay under, and not how slow the API may be. The call's bytes are unchanged; test.test_exclusive_duty and test.test_duties pass.

--- a/goldcrestmoor/platform/cloud.py
+++ b/goldcrestmoor/platform/cloud.py
@@ -10,7 +10,7 @@
 HOLDER_HEADER = b"duty-holder"
 FENCING_HEADER = b"fence-token"
 STATUS_OK = 200
-# An API that is fifty times slower than usual answers in about half a second.
+# Less than a lease and its margin, so that a call has ended when another host may act.
 TIMEOUT_MS = 1500
 
 
@@ -19,12 +19,11 @@
     counts: dict[str, int]
 
 
-class _ServerOrder(msgspec.Struct, rename="camel", omit_defaults=True):
+class _ServerOrder(msgspec.Struct, rename="camel"):
     service: str
     zone: str
     # The number of servers, unlike the field of this name in batch jobs.
     target_groups: int
-    spot: bool = False
 
 
 class PlatformApi:
@@ -62,17 +61,16 @@
         body = msgspec.json.encode(_Usage(window, counts))
         return await self._send("usage", "/usage", body, fencing)
 
-    async def order_servers(self, service, zone, count, fencing, *, is_spot=False):
+    async def order_servers(self, service, zone, count, fencing):
         """Order that a service has a number of servers in an availability zone.
 
         :param service: the service's name.
         :param zone: the availability zone.
-        :param count: how many servers of this kind it shall have there in all.
+        :param count: how many servers it shall have there in all.
         :param fencing: the fencing number of the duty.
-        :param is_spot: whether servers are ordered that the platform may reclaim.
         :return: one of the outcomes in ``adapters/platform_api.py``.
         """
-        body = msgspec.json.encode(_ServerOrder(service, zone, count, is_spot))
+        body = msgspec.json.encode(_ServerOrder(service, zone, count))
         return await self._send("servers", "/scaling", body, fencing)
 
     async def _send(self, call, path, body, fencing):
--- a/goldcrestmoor/process/duties.py
+++ b/goldcrestmoor/process/duties.py
@@ -67,14 +67,6 @@
         """
         return self._held_by_name.get(name)
 
-    def holder(self, name):
-        """Return the host that holds a duty according to the feed, or None.
-
-        :param name: the duty.
-        """
-        row = self._row_by_name.get(name)
-        return row.holder or None if row is not None else None
-
     def holding(self, name):
         """Return a duty's holder and fencing number according to the feed, or None.
 
--- a/goldcrestmoor/process/exclusive_duty.py
+++ b/goldcrestmoor/process/exclusive_duty.py
@@ -69,10 +69,6 @@
         """Return the fencing number of the holder's calls."""
         return self._duties.lease(self.name).fencing
 
-    def holder(self):
-        """Return the host that holds the duty according to the feed, or None."""
-        return self._duties.holder(self.name)
-
     def holding(self):
         """Return the holder and its fencing number according to the feed, or None."""
         return self._duties.holding(self.name)
