Show that a host the store turns away mixes two software versions

Cause: StreamVersions.find takes the list of servers as current however long the store has been silent, and asks no other host for the stream's record. Change: a case under review/4 (script).

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+export PYTHONPATH=$PWD:$PWD/target/deps
+exec python3 review/4/case.py
