--- a/review/4/case.py
+++ b/review/4/case.py
@@ -20,14 +20,16 @@
 
 HOSTS = 8
 STREAMS = 24
-EVENTS, EVENT_S = 40, 0.1
+EVENTS, EVENT_S = 100, 0.1
 TIMEOUT_MS = 12_000
 # All hosts have run for longer than any stream before anything happens.
 CALM_S = 62
 # From the moment when the store begins to turn the host away; the site's figures are
 # 9 s and 0.33 of the machines. Calls that wait for changes end within half a second.
 TURNED_AWAY_S = 9.0
-RELEASE_AT_S, STREAMS_AT_S, KILL_AT_S, RESUME_AT_S = 0.6, 1.1, 1.7, 1.85
+STOP_AT_S, RELEASE_AT_S, STREAMS_AT_S, RESUME_AT_S = 0.2, 0.6, 1.1, 8.4
+# SIGKILL follows SIGTERM after this time.
+GRACE_S = 8.0
 # More streams than this break the rule.
 SPARED = 2
 
@@ -151,21 +153,22 @@
         asyncio.get_running_loop().call_later(
             TURNED_AWAY_S, store.turned_away.discard, turned_away
         )
+    await at(STOP_AT_S)
+    record(f"planned: {first} is stopped (SIGTERM); SIGKILL follows {GRACE_S} s later")
+    hosts[first].signal(signal.SIGTERM)
+    asyncio.get_running_loop().call_later(GRACE_S, hosts[first].signal, signal.SIGKILL)
     await at(RELEASE_AT_S)
-    record("a release: two servers of software version v2 are added")
+    record("planned: two servers of software version v2 are added")
     for new in engines[2:]:
         new.is_listed = True
         store.put("servers", new.name, new.entry())
     await at(STREAMS_AT_S)
     streams = [Stream(n) for n in range(STREAMS)]
-    record(f"client: {STREAMS} streams begin at {first}")
+    record(f"client: {STREAMS} streams begin at {first}, still in rotation")
     reading = [
         asyncio.create_task(read_stream(hosts[first], stream, stream.id))
         for stream in streams
     ]
-    await at(KILL_AT_S)
-    record(f"{first} is killed (SIGKILL)")
-    hosts[first].signal(signal.SIGKILL)
     await asyncio.gather(*reading)
     for stream in streams:
         record(f"client: {stream.id} broke off after {len(stream.data)} events")
