Apply a job's newest state to a run before its items start

Cause: the host that takes a job over records itself as the runner, then reads results and partial outputs, and only then registers its run. A state that the feed brings in between is kept in state_by_job and reaches no run; JobRun._claim asks nothing, as the runner is already this process. The same gap covers a first runner that reads the body, and a host that begins to leave during the reads. The removal of a job's row reached no run at all. Ruled out: a late feed; the case's store shows the end 160 ms after it.

Change: the run is registered first, then gets the newest known state, and begins only if its job is open, still this host's, and the host stays. Removing a job's row stops its run.

--- a/goldcrestmoor/job/job_supervisor.py
+++ b/goldcrestmoor/job/job_supervisor.py
@@ -161,9 +161,7 @@
         self.state_by_job[job_id] = stored
         run = self._runs_by_job.get(job_id)
         if run is not None:
-            run.apply_state(stored)
-            if stored.state.is_ended:
-                self._scheduler.keep_output(run)
+            self._apply_to_run(run, stored)
         self.wake()
 
     def wake(self):
@@ -411,13 +409,35 @@
     async def _run(self, run):
         job_id = run.job.id
         self._runs_by_job[job_id] = run
-        self._scheduler.add(run)
         try:
+            if not self._may_begin(run):
+                log.info("Job %s is not run here: it changed while read.", job_id)
+                return
+            self._scheduler.add(run)
             await run.list_results()
         finally:
             self._scheduler.remove(run)
             del self._runs_by_job[job_id]
 
+    def _may_begin(self, run):
+        """Return whether a run may begin after what happened while its job was read.
+
+        Until now the run was not registered, so no change has reached it.
+        """
+        stored = self.state_by_job.get(run.job.id)
+        if stored is None or self._is_leaving:
+            return False
+        self._apply_to_run(run, stored)
+        return not run.is_over
+
+    def _apply_to_run(self, run, stored):
+        run.apply_state(stored)
+        if stored.state.is_ended:
+            self._scheduler.keep_output(run)
+
     def _forget(self, job_id):
         self.state_by_job.pop(job_id, None)
         self._job_by_id.pop(job_id, None)
+        run = self._runs_by_job.get(job_id)
+        if run is not None:
+            run.stop()
