Check whose response it is before believing that a request was not run

Cause: forwarder, streams, items and reward calls asked whether a response says "not run" before they compared its Request-Id, so that a late second copy of a refusal counted for the next request on the connection. A refusal or failure without an id passed as genuine. Load orders and reports share these connections and compared nothing.

Change: servers.ran takes the request's id and returns UNKNOWN for any response that isn't the server's own to this request; the senders have no second way to decide. Orders and reports carry an id. A connection on which another's response came is closed, by a relay too. ServerPaths.request has no caller left in the product and is removed; its test reads the body itself.

--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -340,11 +340,12 @@
 
     async def _read_response(self, run, response, terms, on_events):
         dialect = self._dialect
-        if dialect.ran(response.status, response.headers) is Ran.NOT_RUN:
-            await response.discard()
-            return NotRun(f"status {response.status}")
-        if not dialect.is_genuine(run.item.id, response.status, response.headers):
-            return Broken("the response is corrupt or belongs to another request")
+        match dialect.ran(run.item.id, response.status, response.headers):
+            case Ran.NOT_RUN:
+                await response.discard()
+                return NotRun(f"status {response.status}")
+            case Ran.UNKNOWN:
+                return Broken("the response is corrupt or belongs to another request")
         if response.status != STATUS_OK:
             await response.discard()
             return _outcome_of(response.status)
--- a/goldcrestmoor/job/reward_calls.py
+++ b/goldcrestmoor/job/reward_calls.py
@@ -260,7 +260,7 @@
                 self._metrics.reward_calls_in_flight.track_inprogress(),
                 tracing.detached_span("reward call", upstream=server.name),
             ):
-                response = await self._paths.request(
+                async with self._paths.stream(
                     server,
                     "POST",
                     reward_call.path,
@@ -270,30 +270,28 @@
                     idempotent=True,
                     connect_timeout_ms=CONNECT_TIMEOUT_MS,
                     before_send=lambda: self._loads.check_usable(server),
-                )
+                ) as response:
+                    return await self._read(reward_call, server, route, response)
         except ServiceError as e:
             if e.kind is ErrorKind.UPSTREAM_TIMEOUT:
                 self._loads.record_timeout(server, route.name)
             elif e.kind is not ErrorKind.DRAINING:
                 self._loads.record_failure(server)
             return NoScore(e.answer.ran, e.message)
-        return self._classify(reward_call, server, route, response)
-
-    def _classify(self, reward_call, server, route, response):
-        dialect, status, headers = self._dialect, response.status, response.headers
-        self._record_server_state(server, reward_call.id, status, headers)
-        if dialect.ran(status, headers) is Ran.NOT_RUN:
-            return NoScore(Ran.NOT_RUN, f"not run, answered {status}")
-        if not dialect.is_genuine(reward_call.id, status, headers):
-            self._loads.record_failure(server)
-            return NoScore(
-                Ran.UNKNOWN, "the response is corrupt or belongs to another request"
-            )
+
+    async def _read(self, reward_call, server, route, response):
+        failure = await self._check_genuine(server, reward_call.id, response)
+        if failure is not None:
+            if failure.ran is not Ran.NOT_RUN:
+                self._loads.record_failure(server)
+            return NoScore(failure.ran, failure.reason)
+        status, headers = response.status, response.headers
+        await self._http.read_body(response)
         self._loads.record_response(server, route.name)
         if status == STATUS_FAILED:
             return CallFailed()
         if status in SUCCESSES:
-            return Scored(dialect.score(headers))
+            return Scored(self._dialect.score(headers))
         return NoScore(Ran.RAN, f"answered {status}")
 
     def _on_attempt_done(self, call, server, route, task):
--- a/goldcrestmoor/platform/servers.py
+++ b/goldcrestmoor/platform/servers.py
@@ -4,7 +4,9 @@
 
 import msgspec
 
+from goldcrestmoor import util
 from goldcrestmoor.connection.http_client import end_to_end
+from goldcrestmoor.connection.http_connection import failed
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
 from goldcrestmoor.request.event_stream import EventFields
 from goldcrestmoor.version.weights.engine_report import (
@@ -159,12 +161,16 @@
     return dict(headers)[STAMP_HEADER].decode("latin-1")
 
 
-def ran(status, headers):
-    """Return whether the request of a response was run.
+def ran(request_id, status, headers):
+    """Return whether a request was run, by the response that was received for it.
 
+    :param request_id: the request's id, as it was sent.
     :param status: the response status.
     :param headers: its ``(name, value)`` byte pairs, names in lower case.
+    :return: ``UNKNOWN`` when the response is not the server's own to this request.
     """
+    if not is_genuine(request_id, status, headers):
+        return Ran.UNKNOWN
     if status == STATUS_MISDIRECTED or any(n == NOT_RUN_HEADER for n, _ in headers):
         return Ran.NOT_RUN
     return Ran.RAN
@@ -173,19 +179,19 @@
 def is_genuine(request_id, status, headers):
     """Return whether a response was sent by the server itself for this request.
 
-    :param request_id: the request's id, as it was sent.
+    Servers send a second copy of a response at times, where the response to the next
+    request is expected. They name the request's id in every response.
+
+    :param request_id: the request's id, as it was sent; empty if it had none.
     :param status: the response status.
     :param headers: its ``(name, value)`` byte pairs, names in lower case.
     """
     value_by_name = dict(headers)
     if b"content-encoding" in value_by_name:
         return False
-    echoed = value_by_name.get(ID_HEADER)
-    if echoed is not None and echoed != request_id.encode("latin-1"):
+    if value_by_name.get(ID_HEADER, b"") != request_id.encode("latin-1"):
         return False
-    if status in SUCCESSES:
-        return echoed is not None and STAMP_HEADER in value_by_name
-    return True
+    return status not in SUCCESSES or STAMP_HEADER in value_by_name
 
 
 def leaving_server(expected, status, headers):
@@ -302,15 +308,24 @@
 
     async def _send(self, upstream, method, target, headers, body, timeout_ms):
         await self._limits.admit(upstream, is_required=True)
+        request_id = util.new_id().encode()
+
+        def check_id(status, received):
+            """Raise for a late copy of the response to another request or call."""
+            if dict(received).get(ID_HEADER, request_id) != request_id:
+                address = upstream.address, upstream.port
+                raise failed(address, "the response is for another request")
+
         response = await self._http.request(
             upstream.address,
             upstream.port,
             method,
             target,
-            headers,
+            [*headers, (ID_HEADER, request_id)],
             body,
             timeout_ms,
             idempotent=True,
+            on_head=check_id,
             allow_close_delimited=True,
             before_send=lambda: self._directory.check_usable(upstream),
         )
--- a/goldcrestmoor/process/server_paths.py
+++ b/goldcrestmoor/process/server_paths.py
@@ -8,7 +8,6 @@
 
 import msgspec
 
-from goldcrestmoor.connection.http_client import HttpResponse
 from goldcrestmoor.connection.http_connection import unreachable
 from goldcrestmoor.errors import ErrorBody, ErrorKind, Ran, ServiceError, from_body
 from goldcrestmoor.request.path_choice import Reach, choose_host, hosts_to_ask
@@ -129,17 +128,6 @@
         self._tasks = TaskGroup()
         metrics.unreachable_upstreams.set_function(self._unreachable_count)
 
-    async def request(self, upstream, *args, **options):
-        """Send a request and return its complete response.
-
-        The parameters and errors are those of :meth:`stream`.
-
-        :return: an :class:`~goldcrestmoor.connection.http_client.HttpResponse`.
-        """
-        async with self.stream(upstream, *args, **options) as response:
-            body = await self._http.read_body(response)
-            return HttpResponse(response.status, response.headers, body)
-
     @contextlib.asynccontextmanager
     async def stream(self, upstream, method, target, headers, body, timeout_ms, **opts):
         """Send a request and stream its response; see ``HttpClient.stream``.
--- a/goldcrestmoor/request/forwarding.py
+++ b/goldcrestmoor/request/forwarding.py
@@ -345,6 +345,27 @@
         limit = self._dialect.stated_limit(status, headers)
         self._loads.record_limit(upstream, limit)
 
+    async def _check_genuine(self, upstream, request_id, response):
+        """Return None if a server ran a request, else the failure of the attempt.
+
+        The body of a response to another request is left unread, which closes its
+        connection: the response to this one may still arrive there.
+
+        :param upstream: the server.
+        :param request_id: the request's id, as it was sent.
+        :param response: the ``ResponseStream``, whose body has not been read.
+        """
+        status, headers = response.status, response.headers
+        self._record_server_state(upstream, request_id, status, headers)
+        match self._dialect.ran(request_id, status, headers):
+            case Ran.RAN:
+                return None
+            case Ran.NOT_RUN:
+                await response.discard()
+                return FailedAttempt(Ran.NOT_RUN, f"Not run, answered {status}")
+            case Ran.UNKNOWN:
+                return FailedAttempt(Ran.UNKNOWN, "The response is spoilt or another's")
+
 
 class CallerRequestSender(Sender):
     """Base class of the forwarders of callers' requests.
@@ -429,7 +450,7 @@
                 self._loads.track_request(upstream, len(request.body)),
                 tracing.span("forward", upstream=upstream.name),
             ):
-                response = await self._paths.request(
+                async with self._paths.stream(
                     upstream,
                     request.method,
                     request.target,
@@ -440,21 +461,21 @@
                     connect_timeout_ms=CONNECT_TIMEOUT_MS,
                     allow_close_delimited=True,
                     before_send=before_send,
-                )
+                ) as response:
+                    return await self._read(upstream, attempts, response, sent_ms)
         except ServiceError as e:
             attempts.record_error(upstream, e)
             await attempts.record_lost_response(upstream, sent_ms, e)
             return FailedAttempt(e.answer.ran, e.message)
-        return self._classify(upstream, attempts, response, sent_ms)
 
-    def _classify(self, upstream, attempts, response, sent_ms):
+    async def _read(self, upstream, attempts, response, sent_ms):
+        failure = await self._check_genuine(upstream, attempts.request.id, response)
+        if failure is not None:
+            if failure.ran is not Ran.NOT_RUN:
+                self._loads.record_failure(upstream)
+            return failure
         status, headers = response.status, response.headers
-        self._record_server_state(upstream, attempts.request.id, status, headers)
-        if self._dialect.ran(status, headers) is Ran.NOT_RUN:
-            return FailedAttempt(Ran.NOT_RUN, f"Not run, answered {status}")
-        if not self._dialect.is_genuine(attempts.request.id, status, headers):
-            self._loads.record_failure(upstream)
-            return FailedAttempt(Ran.UNKNOWN, "The response is spoilt or another's")
+        body = await self._http.read_body(response)
         self._loads.record_response(upstream, attempts.route.name)
         attempts.record_run()
         attempts.record_response_time(sent_ms)
@@ -463,4 +484,4 @@
             and attempts.route.retry_policy is RetryPolicy.IDEMPOTENT
         ):
             return FailedAttempt(Ran.RAN, "The server failed")
-        return AppResponse(status, tuple(headers), response.body)
+        return AppResponse(status, tuple(headers), body)
--- a/goldcrestmoor/request/request_relay.py
+++ b/goldcrestmoor/request/request_relay.py
@@ -70,6 +70,9 @@
             status, received = response.status, response.headers
             self._record_server_state(upstream, request_id, status, received)
             yield encode_head(status, received)
+            if not self._dialect.is_genuine(request_id, status, received):
+                # Unread, its connection is closed: the right response may still come.
+                return
             async for chunk in response.body():
                 yield chunk
 
--- a/goldcrestmoor/request/streaming.py
+++ b/goldcrestmoor/request/streaming.py
@@ -205,13 +205,10 @@
 
     async def _check_response(self, upstream, attempts, response, has_head):
         """Return None for a stream to forward, else the outcome of the attempt."""
+        failure = await self._check_genuine(upstream, attempts.request.id, response)
+        if failure is not None:
+            return failure
         status, headers = response.status, response.headers
-        self._record_server_state(upstream, attempts.request.id, status, headers)
-        if self._dialect.ran(status, headers) is Ran.NOT_RUN:
-            await response.discard()
-            return FailedAttempt(Ran.NOT_RUN, f"Not run, answered {status}")
-        if not self._dialect.is_genuine(attempts.request.id, status, headers):
-            return FailedAttempt(Ran.UNKNOWN, "The response is spoilt or another's")
         if dict(headers).get(b"content-type", b"").startswith(EVENT_STREAM):
             return None
         if has_head:
--- a/test/standins/server.py
+++ b/test/standins/server.py
@@ -34,14 +34,18 @@
 
 
 class Response:
-    """A response whose body is bytes, or an async iterator of bytes sent in chunks."""
+    """A response whose body is bytes, or an async iterator of bytes sent in chunks.
 
-    __slots__ = ("status", "headers", "body")
+    :ivar before: bytes that are sent before it, or None.
+    """
+
+    __slots__ = ("status", "headers", "body", "before")
 
     def __init__(self, status=200, body=b"", headers=()):
         self.status = status
         self.headers = list(headers)
         self.body = body
+        self.before = None
 
 
 def json_response(value, status=200, headers=()):
@@ -110,6 +114,8 @@
         if request is None:
             return False
         response = await self.handler(request)
+        if response.before is not None:
+            writer.write(response.before)
         body = response.body
         headers = list(response.headers)
         if isinstance(body, bytes):
--- a/test/standins/users_server.py
+++ b/test/standins/users_server.py
@@ -40,6 +40,8 @@
     :ivar born: the start time in its entry.
     :ivar crash_bodies: the bodies of requests under which the server ends.
     :ivar on_crash: awaited with the server when it ends under a request.
+    :ivar late_copy: the bytes of an earlier response, sent again before the next
+        response; None for none.
     :ivar crashed_s: when it ended under one, by the monotonic clock, or None.
     """
 
@@ -68,6 +70,7 @@
         self.crash_bodies = set()
         self.crashed_s = None
         self.on_crash = _do_nothing
+        self.late_copy = None
         self.echo = None
         self.sequence = 0
         self.accepted = 0
@@ -121,6 +124,7 @@
     async def handle(self, request):
         """Return the response to a request."""
         response = await self._answer(request)
+        response.before, self.late_copy = self.late_copy, None
         if self.leaving:
             response.headers.append(("server-leaving", "1"))
         if self.limit is not None:
@@ -132,7 +136,8 @@
         self.seen.append((request.path, request.headers, request.body))
         expected = request.headers.get("expect-instance")
         if expected not in (None, self.name):
-            return Response(421, headers=[("instance-id", self.name)])
+            headers = [*_echo(request), ("instance-id", self.name)]
+            return Response(421, headers=headers)
         if request.path == "/report":
             return json_response(
                 {"models": self.entry()["models"], "busy": False, "seq": self.accepted}
@@ -140,7 +145,7 @@
         if request.path == "/order":
             return self._load_order(request.json())
         if self.refusing:
-            return Response(503, headers=[("not-run", "1")])
+            return Response(503, headers=[*_echo(request), ("not-run", "1")])
         return await self._run(request)
 
     def _load_order(self, order):
@@ -199,6 +204,11 @@
             await asyncio.sleep(self.event_ms / 1000)
 
 
+def _echo(request):
+    request_id = request.headers.get("request-id")
+    return [("request-id", request_id)] if request_id else []
+
+
 async def _do_nothing(server):
     pass
 
--- a/test/test_cut_from_servers.py
+++ b/test/test_cut_from_servers.py
@@ -215,11 +215,12 @@
 
     async def send(self, **options):
         sent = self.server, "POST", "/x", [], b"x", 1000
-        return await self.host.paths.request(*sent, **options)
+        async with self.host.paths.stream(*sent, **options) as response:
+            return await self.host.sending["http"].read_body(response)
 
     async def test_the_relay_learns_whether_it_may_be_repeated(self):
         for idempotent in (True, False):
-            self.assertEqual((await self.send(idempotent=idempotent)).body, b"answer")
+            self.assertEqual(await self.send(idempotent=idempotent), b"answer")
             self.assertEqual(self.relayed.pop().is_idempotent, idempotent)
 
     async def test_the_relay_gets_nothing_for_a_server_that_leaves_meanwhile(self):
--- a/test/test_leaving_servers.py
+++ b/test/test_leaving_servers.py
@@ -194,6 +194,9 @@
         await self.fleet.ask("front-a", "POST", FETCH_PATH, b"x", "r1")
         leaving.leaving, leaving.echo = False, None
         await asyncio.sleep(1.2)  # the cool-down after a failed request
+        # The connection of the foreign response is closed, and new ones are avoided.
+        for app in self.fleet.apps:
+            app.refusing = app is not leaving
         await self.fetch_until_run_by(leaving)
 
     async def test_requests_are_refused_at_once_when_all_leave(self):
