Refuse requests that would outlast a stopping host

Cause: a stopping host only turned unready. Requests on open connections were taken until the servers closed, whatever time they had. Requests that other hosts send through this one as well. The time to drain began after the hand-over, and the servers closed in turn, so that the end could come later than the grace.

Change: StopSchedule decides. While the balancer may send new connections all requests are accepted, then those whose deadline lies before the host's end; the others get 503, not run, at once. Idle connections of callers are closed when the balancer has noticed. Relays ask the same. All times count from the signal; the servers close together.

--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -11,7 +11,7 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from goldcrestmoor import front_settings, logs, util
-from goldcrestmoor.clock import MS_PER_SECOND, Clock, Deadline
+from goldcrestmoor.clock import MS_PER_SECOND, Clock
 from goldcrestmoor.connection.http_client import HttpClient
 from goldcrestmoor.errors import ServiceError, UserError
 from goldcrestmoor.job.engine_pool import EnginePool
@@ -54,6 +54,7 @@
 from goldcrestmoor.process.routing import Routing
 from goldcrestmoor.process.server_paths import ServerPaths
 from goldcrestmoor.process.shutdown import InFlight
+from goldcrestmoor.process.stop_schedule import StopSchedule
 from goldcrestmoor.process.store_connectivity import HostRow, StoreConnectivity
 from goldcrestmoor.process.stream_versions import StreamVersions
 from goldcrestmoor.process.upstream_limits import UpstreamLimits
@@ -153,6 +154,7 @@
         "_exchange",
         "_in_flight",
         "_servers",
+        "_caller_server",
         "_is_leaving",
         "_stop",
         "_tasks",
@@ -482,9 +484,10 @@
 
     def _make_servers(self):
         self._in_flight = InFlight()
+        self._caller_server = self._make_caller_server()
         self._servers = [
             self._make_readiness_server(),
-            self._make_caller_server(),
+            self._caller_server,
             self._make_metrics_server(),
         ]
 
@@ -529,6 +532,7 @@
             dialect=caller_dialect,
             keys=self._keys,
             exchange=self._exchange,
+            in_flight=self._in_flight,
             metrics=self._metrics,
         ).register(server.application)
         return server
@@ -751,9 +755,11 @@
         self._is_leaving = True
         if self._api_duty is not None:
             self._api_duty.leave()
-        unready_deadline = Deadline.after(
-            self._clock, self.settings.shutdown.unready_ms
+        shutdown = self.settings.shutdown
+        schedule = StopSchedule(
+            self._clock, shutdown.unready_ms, shutdown.drain_ms, CLOSE_TIMEOUT_MS
         )
+        self._in_flight.schedule = schedule
         await self._supervisor.hand_over(HAND_OVER_TIMEOUT_MS)
         try:
             async with asyncio.timeout(CLOSE_TIMEOUT_MS / MS_PER_SECOND):
@@ -762,16 +768,18 @@
         except (TimeoutError, ServiceError) as e:
             log.warning("Notifying the store that this host leaves failed: %s", e)
         # The load balancer sends new connections until two checks have failed.
-        await self._clock.sleep_ms(unready_deadline.remaining_ms())
-        drain_deadline = Deadline.after(self._clock, self.settings.shutdown.drain_ms)
-        while self._in_flight.count and not drain_deadline.passed():
+        await self._clock.sleep_ms(schedule.unready.remaining_ms())
+        # Their next requests go to other hosts, on new connections.
+        self._caller_server.close_idle()
+        while self._in_flight.count and not schedule.drain.passed():
             await self._clock.sleep_ms(DRAIN_POLL_MS)
         if self._usage is not None:
             await self._usage.flush()
 
     async def _close(self):
-        for server in self._servers:
-            await server.stop(CLOSE_TIMEOUT_MS)
+        async with asyncio.TaskGroup() as stopping:
+            for server in self._servers:
+                stopping.create_task(server.stop(CLOSE_TIMEOUT_MS))
         await self._supervisor.close()
         await self._scheduler.close()
         await self._rewards.close()
--- a/goldcrestmoor/process/front_callers.py
+++ b/goldcrestmoor/process/front_callers.py
@@ -27,6 +27,9 @@
 # A starting host has its routes after a few reads of the store.
 NO_ROUTES_RETRY_MS = 500
 
+# Longer than calls of jobs take while the store answers; they have no deadline.
+JOB_CALL_MS = 2500
+
 # Metric labels of requests that no route matches.
 KIND_UNKNOWN = "unknown"
 KIND_JOB_CALL = "job call"
@@ -53,6 +56,7 @@
     :param keys: the :class:`~goldcrestmoor.process.client_keys.ClientKeys`.
     :param exchange: the
         :class:`~goldcrestmoor.process.configuration_exchange.ConfigurationExchange`.
+    :param in_flight: the :class:`~goldcrestmoor.process.shutdown.InFlight`.
     :param metrics: the :class:`~goldcrestmoor.process.metrics.Metrics`.
     """
 
@@ -65,6 +69,7 @@
         "_dialect",
         "_keys",
         "_exchange",
+        "_in_flight",
         "_metrics",
     )
 
@@ -79,6 +84,7 @@
         dialect,
         keys,
         exchange,
+        in_flight,
         metrics,
     ):
         self._clock = clock
@@ -89,6 +95,7 @@
         self._dialect = dialect
         self._keys = keys
         self._exchange = exchange
+        self._in_flight = in_flight
         self._metrics = metrics
 
     def register(self, app):
@@ -157,7 +164,9 @@
         if route.kind is RouteKind.JOB:
             call = self._dialect.submission(request.method)
             if call is not None:
+                self._in_flight.check_time(JOB_CALL_MS)
                 return await self._submit(call, host, path, body, account, route)
+        self._in_flight.check_time(deadline.remaining_ms())
         if account is not None and account.priority is not None:
             route = msgspec.structs.replace(route, priority=account.priority)
         forwarded = CallerRequest(
@@ -225,14 +234,17 @@
         name = _name(account)
         match call:
             case ReadResults():
+                self._in_flight.check_time(call.wait_ms + JOB_CALL_MS)
                 max_bytes = self._dialect.MAX_PAGE_BYTES
                 total, results = await self._job_api.results(call, max_bytes, name)
                 body = self._dialect.encode_page(total, call.after, results)
                 return Response(200, None, Content(JSON, body))
             case ReadItem():
+                self._in_flight.check_time(JOB_CALL_MS)
                 body = await self._job_api.item_body(call, name)
                 return Response(200, None, Content(OCTET_STREAM, body))
             case EndJob():
+                self._in_flight.check_time(JOB_CALL_MS)
                 await self._job_api.end(call, name)
                 return Response(200)
 
--- a/goldcrestmoor/process/http_protocol.py
+++ b/goldcrestmoor/process/http_protocol.py
@@ -40,6 +40,12 @@
             elif self.head_timer is None:
                 self._start_head_timer()
 
+        def close_if_idle(self):
+            """Close the connection if it had a response and no request since."""
+            had_response = self.cycle is not None and self.cycle.response_complete
+            if had_response and not self.conn.trailing_data[0]:
+                self.shutdown()
+
         def send_400_response(self, msg):
             self._reject(
                 ServiceError(ErrorKind.BAD_REQUEST, "The request head is malformed.")
--- a/goldcrestmoor/process/http_server.py
+++ b/goldcrestmoor/process/http_server.py
@@ -186,6 +186,11 @@
             self._task.result()
         log.info("Serving on %s:%d.", host.address, port)
 
+    def close_idle(self):
+        """Close the connections that callers keep for later requests."""
+        for connection in list(self._server.server_state.connections):
+            connection.close_if_idle()
+
     async def stop(self, timeout_ms):
         """Accept no new connections, and let requests in flight finish.
 
--- a/goldcrestmoor/process/shutdown.py
+++ b/goldcrestmoor/process/shutdown.py
@@ -17,18 +17,25 @@
 DRAIN_POLL_MS = 20
 
 
+# Another host can take a request at once.
+RETRY_ELSEWHERE_MS = 10
+
+
 class InFlight:
     """Counts the requests in flight, and stops accepting new ones.
 
     :ivar count: how many requests are in flight.
     :ivar is_open: whether new requests are accepted.
+    :ivar schedule: the :class:`~goldcrestmoor.process.stop_schedule.StopSchedule` of a
+        host that is stopping, or None.
     """
 
-    __slots__ = ("count", "is_open")
+    __slots__ = ("count", "is_open", "schedule")
 
     def __init__(self):
         self.count = 0
         self.is_open = True
+        self.schedule = None
 
     @contextlib.contextmanager
     def track(self):
@@ -50,6 +57,16 @@
         finally:
             self.count -= 1
 
+    def check_time(self, longest_ms):
+        """Raise if a new request could outlast this host.
+
+        :param longest_ms: the longest time that it may take, in milliseconds.
+        :raises ServiceError: ``DRAINING``.
+        """
+        if self.schedule is not None and not self.schedule.accepts(longest_ms):
+            text = "This host stops before the request would have to end."
+            raise ServiceError(ErrorKind.DRAINING, text, RETRY_ELSEWHERE_MS)
+
     def stop(self):
         """Accept no new requests."""
         self.is_open = False
--- a/goldcrestmoor/request/request_relay.py
+++ b/goldcrestmoor/request/request_relay.py
@@ -43,6 +43,7 @@
             when the request was not run, else those of the ``HttpClient``.
         """
         terms = relay_terms(headers)
+        self._in_flight.check_time(terms.timeout_ms)
         upstream = self._upstream(terms)
         if not self._loads.has_room(upstream, len(body)):
             text = f"{terms.server} has no room for another request of this host."
--- a/test/test_key_check.py
+++ b/test/test_key_check.py
@@ -19,6 +19,7 @@
 from goldcrestmoor.process.front_callers import FrontRequestHandler
 from goldcrestmoor.process.metrics import Metrics
 from goldcrestmoor.process.routing import Routing
+from goldcrestmoor.process.shutdown import InFlight
 from goldcrestmoor.request import key_check
 from goldcrestmoor.request.apps import AppResponse
 from goldcrestmoor.request.key_check import (
@@ -169,6 +170,7 @@
                 check_current=self.check_current,
                 wait_after_freeze=mock.AsyncMock(),
             ),
+            in_flight=InFlight(),
             metrics=metrics,
         )
 
