Ask for a stream's record even if the upstream list shows one version

Cause: StreamVersions.find answered by itself if the list of upstreams had shown one version for a minute, however old the list was; a release that the host had missed didn't count. Its replies to other hosts claimed certainty in the same way.

Change: the holders of the record are always asked. Without a reply a host decides alone only with a current list of one version. Replies are certain only while the list is current. The messages are as before.

Ruled out: a lost record; the hosts that held it were alive and were not asked.

--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -233,7 +233,10 @@
             row_by_host=lambda: self._connectivity.row_by_host(),
         )
         self._stream_versions = StreamVersions(
-            clock=clock, calls=self._host_calls, host_id=self.settings.host.id
+            clock=clock,
+            calls=self._host_calls,
+            host_id=self.settings.host.id,
+            list_age_ms=lambda: self._followers[records.UPSTREAM_TABLE].rows_age_ms(),
         )
         self._paths = ServerPaths(
             clock=clock,
--- a/goldcrestmoor/process/stream_versions.py
+++ b/goldcrestmoor/process/stream_versions.py
@@ -14,6 +14,9 @@
 # Hosts that keep a record, beside the one that serves the stream; a third of all hosts
 # may be killed at once.
 HOLDERS = 3
+# After missed answers of its feed, the list of upstreams may lack a version that other
+# hosts use.
+LIST_VALID_MS = 2000
 # Bounds the memory for records of streams that ended; a stream lasts seconds.
 MAX_RECORDS = 10_000
 
@@ -37,7 +40,8 @@
     :param recorded: the version in the host's record; None without one.
     :param unrecorded: the version of streams that no host has a record of; None if the
         host can't tell.
-    :param is_certain: whether the host has run long enough to know of earlier versions.
+    :param is_certain: whether the host has run long enough to know of earlier versions,
+        and its list of upstreams is current.
     """
 
     recorded: str | None
@@ -71,21 +75,25 @@
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param calls: the :class:`~goldcrestmoor.process.host_calls.HostCalls`.
     :param host_id: this host.
+    :param list_age_ms: returns the time since the list of upstreams was surely
+        complete, or None if it never was.
     """
 
     __slots__ = (
         "_clock",
         "_calls",
         "_host_id",
+        "_list_age_ms",
         "_history_by_service",
         "_version_by_stream",
         "_tasks",
     )
 
-    def __init__(self, *, clock, calls, host_id):
+    def __init__(self, *, clock, calls, host_id, list_age_ms):
         self._clock = clock
         self._calls = calls
         self._host_id = host_id
+        self._list_age_ms = list_age_ms
         self._history_by_service = {}
         self._version_by_stream = {}
         self._tasks = TaskGroup()
@@ -122,6 +130,10 @@
     async def find(self, stream_id, service):
         """Return the version that began a stream, or None if no host can tell.
 
+        The hosts that would have its record are asked even if this one knows of a
+        single version: the others may have begun streams at upstreams that are not on
+        its list yet.
+
         :param stream_id: the id of the request that brought its first event; empty if
             the client didn't state it.
         :param service: the service that serves it.
@@ -130,20 +142,22 @@
         own = self.reply(question)
         if own.recorded is not None:
             return own.recorded
-        if not self._history(service).needs_records():
-            return own.unrecorded
         holders = self._holders(stream_id)
         replies = await asyncio.gather(
             *(self._ask(host, question, own) for host in holders)
         )
         replies = [reply for reply in replies if reply is not None]
         version = version_of(own, replies)
+        if version is None and not replies and self._knows_single_version(service):
+            return own.unrecorded
         if version is None:
             log.info(
-                "The software version of stream %s is unknown; %d of %d hosts replied.",
+                "The software version of stream %s is unknown; %d of %d hosts replied, "
+                "the list of upstreams is %s ms old.",
                 stream_id,
                 len(replies),
                 len(holders),
+                self._list_age_ms(),
             )
         return version
 
@@ -162,7 +176,7 @@
         return StreamReply(
             versions.get(record.stream_id),
             history.unrecorded_version(),
-            history.is_complete(),
+            history.is_complete() and self._is_list_current(),
         )
 
     async def close(self):
@@ -171,9 +185,18 @@
 
     async def _ask(self, host, question, own):
         if host == self._host_id:
-            return own
+            # That it has no record tells nothing while it may have missed a release.
+            return own if self._is_list_current() else None
         return await self._calls.call(host, PATH, question, _reply_decoder)
 
+    def _is_list_current(self):
+        age_ms = self._list_age_ms()
+        return age_ms is not None and age_ms < LIST_VALID_MS
+
+    def _knows_single_version(self, service):
+        """Return whether no stream needed a record for as long as one lasts."""
+        return self._is_list_current() and not self._history(service).needs_records()
+
     def _holders(self, stream_id):
         """Return the hosts that keep a stream's record, possibly this one too."""
         hosts = self._calls.zone_by_host() or (self._host_id,)
--- a/test/test_leaving_servers.py
+++ b/test/test_leaving_servers.py
@@ -303,7 +303,12 @@
 
     async def read_stream(self, request):
         calls = HostCalls(clock=self.clock, http=None, row_by_host=dict)
-        versions = StreamVersions(clock=self.clock, calls=calls, host_id="host-a")
+        versions = StreamVersions(
+            clock=self.clock,
+            calls=calls,
+            host_id="host-a",
+            list_age_ms=lambda: 0,
+        )
         versions.begin("s", SERVICE, "v1")
         forwarder = StreamForwarder(versions=versions, **self.host.caller_sending())
         deadline = Deadline.after(self.clock, 2000)
--- a/test/test_software_versions.py
+++ b/test/test_software_versions.py
@@ -21,7 +21,13 @@
 from goldcrestmoor.job.job import Item, Partial
 from goldcrestmoor.platform import servers
 from goldcrestmoor.process.directory import ListedUpstream
-from goldcrestmoor.process.stream_versions import StreamReply, version_of
+from goldcrestmoor.process.stream_versions import (
+    HOLDERS,
+    LIST_VALID_MS,
+    StreamReply,
+    StreamVersions,
+    version_of,
+)
 from goldcrestmoor.request.stream_version import LOOKBACK_MS, VersionHistory
 from test import _common
 from test._fleet import ManualClock
@@ -178,6 +184,66 @@
         self.assertEqual(version_of(young, [young]), "v2")
 
 
+class MissedReleaseTest(unittest.IsolatedAsyncioTestCase):
+    """A host takes streams up while its list of upstreams lacks a new version.
+
+    The store turns it away, or its feed is a moment behind. It knows of one version for
+    a minute, and took that for the version of every stream (ORDER).
+    """
+
+    HOSTS = tuple(f"host-{n}" for n in range(HOLDERS + 1))
+
+    def setUp(self):
+        self.clock, self.list_age_ms = ManualClock(), 0
+        self.reply_by_host = {}
+        calls = SimpleNamespace(
+            zone_by_host=lambda: dict.fromkeys(self.HOSTS, "zone-a"), call=self.call
+        )
+        self.versions = StreamVersions(
+            clock=self.clock,
+            calls=calls,
+            host_id=self.HOSTS[0],
+            list_age_ms=lambda: self.list_age_ms,
+        )
+        upstream = ListedUpstream("e", "pool", "a", 1, "z", 4, software_version="v1")
+        self.versions.observe([upstream])
+        self.clock._now_ms += LOOKBACK_MS
+
+    async def call(self, host, path, message, decoder):
+        return self.reply_by_host.get(host)
+
+    async def find_all(self):
+        """Return the versions found of streams with different holders."""
+        return {await self.versions.find(f"s{n}", "pool") for n in range(STREAMS)}
+
+    def reply_from_all(self, *reply):
+        """Let all other hosts give a reply."""
+        self.reply_by_host = dict.fromkeys(self.HOSTS[1:], StreamReply(*reply))
+
+    async def test_the_record_of_other_hosts_goes_before_its_own_list(self):
+        self.reply_from_all("v2", "v1", True)
+        for self.list_age_ms in (0, LIST_VALID_MS, None):
+            self.assertEqual(await self.find_all(), {"v2"})
+
+    async def test_it_does_not_guess_when_no_other_host_replies(self):
+        self.list_age_ms = LIST_VALID_MS
+        self.assertEqual(await self.find_all(), {None})
+
+    async def test_a_current_list_of_one_version_needs_no_other_host(self):
+        self.assertEqual(await self.find_all(), {"v1"})
+
+    async def test_hosts_agree_while_the_store_is_away_for_all(self):
+        self.list_age_ms = LIST_VALID_MS
+        self.reply_from_all(None, "v1", False)
+        self.assertEqual(await self.find_all(), {"v1"})
+
+    def test_its_own_reply_is_certain_only_while_its_list_is_current(self):
+        question = SimpleNamespace(stream_id="s", service="pool", software_version=None)
+        self.assertTrue(self.versions.reply(question).is_certain)
+        self.list_age_ms = LIST_VALID_MS
+        self.assertFalse(self.versions.reply(question).is_certain)
+
+
 class FleetTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.fleet = FrontFleet()
--- a/test/test_streaming.py
+++ b/test/test_streaming.py
@@ -149,7 +149,12 @@
         calls = HostCalls(clock=self.clock, http=None, row_by_host=dict)
         paths = server_paths(self.clock, http, directory)
         return StreamForwarder(
-            versions=StreamVersions(clock=self.clock, calls=calls, host_id="host-4"),
+            versions=StreamVersions(
+                clock=self.clock,
+                calls=calls,
+                host_id="host-4",
+                list_age_ms=lambda: 0,
+            ),
             crashes=crash_reports(self.clock, paths),
             paths=paths,
             http=http,
--- a/test/test_usage_counter.py
+++ b/test/test_usage_counter.py
@@ -116,7 +116,12 @@
         if kind is RouteKind.STREAM:
             policy, forwarder = policy or RetryPolicy.RESUMABLE, StreamForwarder
             calls = HostCalls(clock=self.clock, http=None, row_by_host=dict)
-            versions = StreamVersions(clock=self.clock, calls=calls, host_id="host-a")
+            versions = StreamVersions(
+                clock=self.clock,
+                calls=calls,
+                host_id="host-a",
+                list_age_ms=lambda: 0,
+            )
             versions.begin("r0", "pool", "")
             options["versions"] = versions
         route = Route(
