Read odd entries of servers as ones that name no server

What callers saw: 500 for requests that went to a server with a port out of range, or 400 for one whose id no header can hold; hosts missed changes of the list that came beside a deeply nested entry (reported by other operators; by tests here).

Cause: readers caught the errors that they knew. RecursionError, OverflowError, int() of "²" or of thousands of digits, and binascii.Error are others. The feed moves on before its consumer has applied a batch, so that one row took the rest with it; a row that isn't base64 stopped it.

Change: one function decodes what others have written and raises ValueError, one parses whole numbers; both serve entries, versions, configurations, submissions, reports, events and messages of hosts. Entries have bounds on address, port and numbers. TableFollower applies a failed batch row by row.

--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from goldcrestmoor import tracing
+from goldcrestmoor.decoding import parse_integer
 from goldcrestmoor.errors import Ran, ServiceError
 from goldcrestmoor.job.job import Partial
 from goldcrestmoor.request.event_stream import EventParser
@@ -223,9 +224,8 @@
         :param version: the weight version that generated it.
         :return: whether its id directly follows that of the last event.
         """
-        if not event.id.isdigit():
-            return False
-        if self.last_id and int(event.id) != int(self.last_id) + 1:
+        number = parse_integer(event.id)
+        if number is None or (self.last_id and number != int(self.last_id) + 1):
             return False
         self.events.append(event.data)
         self.last_id = event.id
--- a/goldcrestmoor/platform/callers.py
+++ b/goldcrestmoor/platform/callers.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from goldcrestmoor.connection.http_client import end_to_end
+from goldcrestmoor.decoding import decode
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.job.calls import EndJob, ReadItem, ReadResults, SubmitJob
 from goldcrestmoor.job.job import Item, Job, RewardCall
@@ -174,8 +175,8 @@
     :raises ServiceError: ``BAD_REQUEST`` when it is malformed.
     """
     try:
-        job = _job_decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as e:
+        job = decode(_job_decoder, body)
+    except ValueError as e:
         text = f"The batch job is malformed: {e}."
         raise ServiceError(ErrorKind.BAD_REQUEST, text) from e
     items = tuple(_decode_item(item, account is not None) for item in job.items)
--- a/goldcrestmoor/platform/records.py
+++ b/goldcrestmoor/platform/records.py
@@ -1,8 +1,12 @@
 """Decoders of rows that the platform's operator, trainers and servers write."""
 
+import ipaddress
+from typing import Annotated
+
 import msgspec
 
 from goldcrestmoor.clock import MS_PER_SECOND
+from goldcrestmoor.decoding import MAX_INTEGER, decode, parse_integer
 from goldcrestmoor.process.directory import ListedUpstream
 from goldcrestmoor.version.configuration.accounts import ListedAccount, make_directory
 from goldcrestmoor.version.configuration.routes import (
@@ -23,6 +27,11 @@
 CONFIGURATION_KEY = "config"
 VERSION_PREFIX = "version/"
 
+# The whole numbers that an entry may hold.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+_Duration = Annotated[float, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+_MAX_PORT = 65_535
+
 _KIND_BY_ROUTE_TYPE = {"streaming": RouteKind.STREAM, "rollout": RouteKind.JOB}
 
 
@@ -101,7 +110,7 @@
 class _LoadedModel(msgspec.Struct):
     name: str
     # The weight version.
-    version: int
+    version: _Count
 
 
 class _Server(msgspec.Struct, rename="camel"):
@@ -109,13 +118,13 @@
     address: str
     zone: str
     state: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)]
     # The version of the server's software, not of the weights.
     version: str = ""
-    cold_left_ms: float = 0
+    cold_left_ms: _Duration = 0
     models: list[_LoadedModel] = []
     # Start time of the server in Unix milliseconds; distinguishes two incarnations.
-    born: int | None = None
+    born: _Count | None = None
     # Of any type: a mark that is malformed must not make the server unusable. The field
     # leaves_ms is not read, as only the state tells that a server leaves.
     spot: object = False
@@ -123,7 +132,7 @@
 
 class _TargetVersion(msgspec.Struct):
     model: str
-    version: int
+    version: _Count
 
 
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
@@ -138,7 +147,7 @@
     :return: a :class:`~goldcrestmoor.version.configuration.routes.RouteTable`.
     :raises ValueError: when they are not a valid configuration.
     """
-    document = _configuration_decoder.decode(value)
+    document = decode(_configuration_decoder, value)
     limits = document.limits
     return RouteTable(
         document.version,
@@ -162,17 +171,21 @@
     :return: a :class:`~goldcrestmoor.process.directory.ListedUpstream`.
     :raises ValueError: when they do not describe a usable server.
     """
-    server = _server_decoder.decode(value)
-    address, _, port = server.address.rpartition(":")
+    server = decode(_server_decoder, value)
+    address, _, port_text = server.address.rpartition(":")
+    ipaddress.ip_address(address)
+    port = parse_integer(port_text)
+    if port is None or not 0 < port <= _MAX_PORT:
+        raise ValueError(f"port {port_text[:10]!r} is out of range")
     if server.state not in ("ready", "draining"):
         raise ValueError(f"unknown state {server.state!r}")
-    if not address or not port.isdigit() or server.slots < 1:
-        raise ValueError("no address or no slots")
+    if not (key.isascii() and key.isprintable() and key == key.strip()):
+        raise ValueError("its id can't be sent in a header")
     return ListedUpstream(
         name=key,
         service=server.service,
         address=address,
-        port=int(port),
+        port=port,
         zone=server.zone,
         slots=server.slots,
         is_draining=server.state == "draining",
@@ -190,7 +203,7 @@
     :param value: the row's bytes.
     :raises ValueError: when they are malformed.
     """
-    target = _version_decoder.decode(value)
+    target = decode(_version_decoder, value)
     return target.model, target.version
 
 
--- a/goldcrestmoor/platform/servers.py
+++ b/goldcrestmoor/platform/servers.py
@@ -7,6 +7,7 @@
 from goldcrestmoor import util
 from goldcrestmoor.connection.http_client import end_to_end
 from goldcrestmoor.connection.http_connection import failed
+from goldcrestmoor.decoding import decode, parse_integer
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
 from goldcrestmoor.request.event_stream import EventFields
 from goldcrestmoor.version.weights.engine_report import (
@@ -236,8 +237,7 @@
     :param headers: ``(name, value)`` byte pairs, names in lower case.
     :return: the version, or None when the response has none.
     """
-    value = dict(headers).get(VERSION_HEADER, b"").strip()
-    return int(value) if value.isdigit() else None
+    return parse_integer(dict(headers).get(VERSION_HEADER, b"").strip())
 
 
 class EngineControlClient:
@@ -270,8 +270,8 @@
         if response.status != STATUS_OK:
             raise _unexpected_status(upstream, response.status)
         try:
-            report = _report_decoder.decode(response.body)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as e:
+            report = decode(_report_decoder, response.body)
+        except ValueError as e:
             text = f"{upstream.name} sent a malformed report."
             raise ServiceError(ErrorKind.UPSTREAM_FAILED, text) from e
         version_by_model = {loaded.name: loaded.version for loaded in report.models}
--- a/goldcrestmoor/platform/store.py
+++ b/goldcrestmoor/platform/store.py
@@ -403,7 +403,12 @@
 
 
 def _value(row):
-    return base64.b64decode(row.value)
+    try:
+        return base64.b64decode(row.value)
+    except ValueError:
+        # Without a value, the row is one that can't be read, and so is no other.
+        log.warning("Row %s of %s is not in base64.", row.key, row.table)
+        return b""
 
 
 def _row(row):
--- a/goldcrestmoor/process/follower.py
+++ b/goldcrestmoor/process/follower.py
@@ -200,5 +200,20 @@
                 self.row_by_key[key] = Row(key, change.version, change.value)
             applied.append(change)
         if applied:
-            self._on_changes(applied)
+            self._deliver(applied)
         return len(applied)
+
+    def _deliver(self, changes):
+        """Pass changes on; one that can't be applied doesn't take others with it."""
+        try:
+            self._on_changes(changes)
+        except Exception:
+            if len(changes) > 1:
+                for change in changes:
+                    self._deliver([change])
+                return
+            log.exception(
+                "Row %s of %s can't be applied and is skipped.",
+                changes[0].key,
+                self._table,
+            )
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -13,6 +13,7 @@
 from goldcrestmoor import front_settings, logs, util
 from goldcrestmoor.clock import MS_PER_SECOND, Clock
 from goldcrestmoor.connection.http_client import HttpClient
+from goldcrestmoor.decoding import decode
 from goldcrestmoor.errors import ServiceError, UserError
 from goldcrestmoor.job.engine_pool import EnginePool
 from goldcrestmoor.job.item_run import ItemExecutor
@@ -655,8 +656,8 @@
         :param reply: returns the reply to a message, or a coroutine that does.
         """
         try:
-            message = decoder.decode(await request.read() or b"")
-        except msgspec.MsgspecError as e:
+            message = decode(decoder, await request.read() or b"")
+        except ValueError as e:
             self._metrics.bad_input.labels("hosts").inc()
             log.warning("A message of another host is malformed: %s", e)
             return Response(400)
--- a/goldcrestmoor/process/host_calls.py
+++ b/goldcrestmoor/process/host_calls.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from goldcrestmoor.decoding import decode
 from goldcrestmoor.errors import ServiceError
 from goldcrestmoor.process.broadcast import split_targets
 from goldcrestmoor.util import TaskGroup
@@ -82,9 +83,9 @@
                 idempotent=True,
             )
             if answer.status == STATUS_OK:
-                return decoder.decode(answer.body)
+                return decode(decoder, answer.body)
             reason = f"answered {answer.status}"
-        except (ServiceError, msgspec.MsgspecError) as e:
+        except (ServiceError, ValueError) as e:
             reason = str(e)
         self._failed_ms_by_host[host] = self._clock.now_ms()
         log.info(
--- a/goldcrestmoor/request/event_stream.py
+++ b/goldcrestmoor/request/event_stream.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from goldcrestmoor.decoding import parse_integer
 from goldcrestmoor.errors import ErrorKind, ServiceError
 
 # Far above the size of any engine's event; a longer one means a broken stream.
@@ -128,8 +129,8 @@
                 data.append(value)
             elif name == "id":
                 event_id = value
-            elif name == self._fields.version and value.strip().isdigit():
-                version = int(value)
+            elif name == self._fields.version:
+                version = parse_integer(value.strip())
             elif line and name and not separator:
                 raise ServiceError(ErrorKind.UPSTREAM_FAILED, "An event is malformed.")
         return Event(event_id, "\n".join(data), version, raw)
--- a/test/test_follower.py
+++ b/test/test_follower.py
@@ -68,6 +68,23 @@
             self.assertTrue(follower.is_current())
         self.assertEqual(self.returns, 0)
 
+    async def test_a_row_that_cannot_be_applied_takes_no_other_with_it(self):
+        """One entry from another writer may be what its consumer can't read."""
+        applied = []
+
+        def apply(changes):
+            for change in changes:
+                if change.key == "odd":
+                    raise RecursionError
+                applied.append(change.key)
+
+        follower = await self.follow()
+        follower._on_changes = apply
+        changes = [Change(key, 9, b"x") for key in ("a", "odd", "b")]
+        with self.assertLogs("goldcrestmoor.follower"):
+            follower._apply(changes)
+        self.assertEqual(set(applied), {"a", "b"})
+
     async def test_an_outage_is_noticed_and_so_is_its_end(self):
         await self.see_an_outage_and_its_end()
 
