Pass only events that follow on as the rest of a stream

What callers saw: after a stream had broken off, the text of the next server's error within it, and then the end as if it were complete; or the first events twice.

Cause: StreamForwarder told a stream by its content type alone, and trusted the next server to go on after Last-Event-Id.

Change: a stream has status 200; any other response is a failure, or the answer if nothing was sent yet. On routes that resume, ids must increase across servers.

--- a/goldcrestmoor/request/streaming.py
+++ b/goldcrestmoor/request/streaming.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from goldcrestmoor.decoding import parse_integer
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
 from goldcrestmoor.request import retry_decision
 from goldcrestmoor.request.apps import AppResponse
@@ -138,14 +139,13 @@
                             has_head = True
                             yield tuple(response.headers)
                         async for chunk in response.body():
-                            raw, last_event_id, error = _parse(
-                                parser, chunk, attempts.route
+                            raw, last_id, error = _parse(
+                                parser, chunk, attempts.route, last_id
                             )
                             if raw:
                                 if not has_events:
                                     self._begin(attempts, upstream)
                                     self._count(attempts)
-                                last_id = last_event_id or last_id
                                 has_events = True
                                 yield raw
                             if error is not None:
@@ -209,7 +209,8 @@
         if failure is not None:
             return failure
         status, headers = response.status, response.headers
-        if dict(headers).get(b"content-type", b"").startswith(EVENT_STREAM):
+        content_type = dict(headers).get(b"content-type", b"")
+        if status == STATUS_OK and content_type.startswith(EVENT_STREAM):
             return None
         if has_head:
             return FailedAttempt(
@@ -219,16 +220,17 @@
         return AppResponse(status, tuple(headers), body)
 
 
-def _parse(parser, chunk, route):
+def _parse(parser, chunk, route, last_id):
     """Return the bytes of the events that a chunk completes, up to the first fault.
 
-    :return: their bytes, the id of the last of them that has one, and the error that
-        ends the stream, or None.
+    :param last_id: the id of the last event before, from any server; empty for none.
+    :return: their bytes, the id of the last event, and the error that ends the stream,
+        or None.
     """
-    raw, last_id = bytearray(), ""
+    raw = bytearray()
     try:
         for event in parser.feed(chunk):
-            _check_id(event, route)
+            _check_id(event, route, last_id)
             last_id = event.id or last_id
             raw += event.raw
     except ServiceError as e:
@@ -236,11 +238,19 @@
     return bytes(raw), last_id, None
 
 
-def _check_id(event, route):
-    """Raise if an event can't be resumed after, though its route promises it."""
-    may_resume = route.retry_policy is RetryPolicy.RESUMABLE
-    if may_resume and event.data and not event.id:
+def _check_id(event, route, last_id):
+    """Raise if a stream can't go on after an event, though its route promises it.
+
+    A server that didn't resume sends events again that its predecessor had sent.
+    """
+    if route.retry_policy is not RetryPolicy.RESUMABLE:
+        return
+    if event.data and not event.id:
         raise ServiceError(ErrorKind.UPSTREAM_FAILED, "An event has no id.")
+    number, last = parse_integer(event.id), parse_integer(last_id)
+    if number is not None and last is not None and number <= last:
+        text = f"Event {event.id} does not follow event {last_id}."
+        raise ServiceError(ErrorKind.UPSTREAM_FAILED, text)
 
 
 def _idle_timeout_ms(route):
