Take a stream without a length and without an event for a cut one

Cause: a body that only the close of its connection ends looks complete wherever it is cut. Streams and items never asked how a body ends.

Change: ResponseStream tells whether only the close ends it. Without an event in it, such a response is a failed attempt.

--- a/goldcrestmoor/connection/http_client.py
+++ b/goldcrestmoor/connection/http_client.py
@@ -266,12 +266,15 @@
     :param connection: the connection, with the request written.
     :param deadline: the request's deadline.
     :param progress_timeout_ms: the idle timeout of the body.
+    :ivar ends_by_close: whether only the close of the connection ends the body, so that
+        a truncated one looks complete.
     """
 
     __slots__ = (
         "status",
         "headers",
         "is_complete",
+        "ends_by_close",
         "_connection",
         "_deadline",
         "_progress_timeout_ms",
@@ -281,6 +284,7 @@
         self.status = None
         self.headers = ()
         self.is_complete = False
+        self.ends_by_close = False
         self._connection = connection
         self._deadline = deadline
         self._progress_timeout_ms = progress_timeout_ms
@@ -318,7 +322,8 @@
             )
         if method == "HEAD" or head.status_code in _BODILESS_STATUSES:
             return
-        if not (has_length or has_chunks or allow_close_delimited):
+        self.ends_by_close = not (has_length or has_chunks)
+        if self.ends_by_close and not allow_close_delimited:
             raise failed(
                 self.target,
                 "it has neither Content-Length nor Transfer-Encoding",
--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -354,6 +354,7 @@
             return Broken("the response has no weight version")
         on_events(0)
         reader = EventParser(dialect.EVENT_FIELDS, self._clock, IDLE_TIMEOUT_MS)
+        count_at_start = len(run.events)
         async for chunk in response.body():
             count_before = len(run.events)
             for event in reader.feed(chunk):
@@ -362,8 +363,9 @@
                 if error:
                     return Broken(error)
             on_events(len(run.events) - count_before)
-        if reader.has_partial_event or not run.events:
-            return Broken("the stream ended within an event")
+        is_cut = response.ends_by_close and len(run.events) == count_at_start
+        if reader.has_partial_event or is_cut or not run.events:
+            return Broken("the stream ended within an event, or before the first")
         return Finished()
 
 
--- a/goldcrestmoor/request/relayed_messages.py
+++ b/goldcrestmoor/request/relayed_messages.py
@@ -50,10 +50,13 @@
 
     :param status: the server's HTTP status.
     :param headers: ``(name, value)`` pairs, decoded as Latin-1.
+    :param ends_by_close: as for ``ResponseStream``; hosts of the release before don't
+        tell.
     """
 
     status: int
     headers: list[tuple[str, str]]
+    ends_by_close: bool = False
 
 
 _head_decoder = msgspec.json.Decoder(RelayedHead)
@@ -101,14 +104,15 @@
     )
 
 
-def encode_head(status, headers):
+def encode_head(status, headers, ends_by_close=False):
     """Return the head of a relayed response, as its relay sends it before the body.
 
     :param status: the server's HTTP status.
     :param headers: its ``(name, value)`` byte pairs.
+    :param ends_by_close: as for ``ResponseStream``.
     """
     pairs = [(n.decode("latin-1"), v.decode("latin-1")) for n, v in headers]
-    return msgspec.json.encode(RelayedHead(status, pairs)) + HEAD_END
+    return msgspec.json.encode(RelayedHead(status, pairs, ends_by_close)) + HEAD_END
 
 
 class RelayedResponse:
@@ -120,10 +124,11 @@
     :param rest: the bytes that were read with the head.
     """
 
-    __slots__ = ("status", "headers", "_response", "_chunks", "_rest")
+    __slots__ = ("status", "headers", "ends_by_close", "_response", "_chunks", "_rest")
 
     def __init__(self, response, head, chunks, rest):
         self.status = head.status
+        self.ends_by_close = head.ends_by_close
         self.headers = [
             (name.encode("latin-1"), value.encode("latin-1"))
             for name, value in head.headers
--- a/goldcrestmoor/request/request_relay.py
+++ b/goldcrestmoor/request/request_relay.py
@@ -70,7 +70,7 @@
             )
             status, received = response.status, response.headers
             self._record_server_state(upstream, request_id, status, received)
-            yield encode_head(status, received)
+            yield encode_head(status, received, response.ends_by_close)
             if not self._dialect.is_genuine(request_id, status, received):
                 # Unread, its connection is closed: the right response may still come.
                 return
--- a/goldcrestmoor/request/streaming.py
+++ b/goldcrestmoor/request/streaming.py
@@ -116,6 +116,7 @@
         """
         last_id, has_head, has_events = "", False, False
         while True:
+            has_new_events = False
             upstream = await attempts.next_upstream()
             sent_ms = attempts.deadline.clock.now_ms()
             parser = EventParser(
@@ -146,15 +147,16 @@
                                 if not has_events:
                                     self._begin(attempts, upstream)
                                     self._count(attempts)
-                                has_events = True
+                                has_events = has_new_events = True
                                 yield raw
                             if error is not None:
                                 raise error
-                        if not parser.has_partial_event:
+                        is_cut = response.ends_by_close and not has_new_events
+                        if not (parser.has_partial_event or is_cut):
                             self._loads.record_response(upstream, attempts.route.name)
                             attempts.record_run()
                             return
-                        text = "The stream ended within an event"
+                        text = "The stream ended within an event, or before the first"
                         raise ServiceError(ErrorKind.UPSTREAM_FAILED, text)
                 if outcome.ran is not Ran.NOT_RUN:
                     self._loads.record_failure(upstream)
--- a/test/test_broken_streams.py
+++ b/test/test_broken_streams.py
@@ -7,8 +7,22 @@
 import asyncio
 import unittest
 
+import msgspec
+
+from goldcrestmoor.clock import Clock
+from goldcrestmoor.job.item_run import Broken, ItemExecutor, ItemRun, ItemTerms
+from goldcrestmoor.job.job import Item, Partial
+from goldcrestmoor.platform import servers
+from goldcrestmoor.process.shutdown import InFlight
+from goldcrestmoor.request.relayed_messages import (
+    RELAY_PREFIX,
+    RelayedHead,
+    relay_headers,
+)
+from goldcrestmoor.request.request_relay import RequestRelay
 from test import _common
 from test._front import FETCH_PATH, HOST, MODEL, FrontFleet
+from test._request_fakes import ListingHost
 from test.test_odd_entries import ENTRY
 
 EVENTS = 4
@@ -159,6 +173,12 @@
                 self.assertEqual(self.status(answer), status)
                 self.assertTrue(answer.endswith(ERROR_TEXT))
 
+    async def test_a_stream_that_ends_before_its_first_event_is_not_whole(self):
+        """Only the close ends it, so that nothing tells it from a broken one."""
+        empty = head(200, STAMP, STREAM_TYPE)
+        answer = await self.ask("/stream/x", empty, empty, empty)
+        self.assertEqual(self.status(answer), 502)
+
     async def test_a_stream_that_was_whole_before_it_broke_ends_as_whole(self):
         """Its server closed before the last chunk; nothing is left to resume."""
         whole = STREAM_HEAD + events(1, EVENTS)
@@ -168,6 +188,48 @@
         self.assertTrue(answer.endswith(LAST_CHUNK))
 
 
+class CutItemTest(unittest.IsolatedAsyncioTestCase):
+    """An item goes on at a server that closes before its first event."""
+
+    async def asyncSetUp(self):
+        self.host = ListingHost(Clock())
+        self.addAsyncCleanup(self.host.close)
+        self.script = [head(200, STAMP, STREAM_TYPE)]
+        server = RawServer("s1", "pool", self.script)
+        await server.start()
+        self.addAsyncCleanup(server.close)
+        self.host.list_server(server)
+        self.upstream = self.host.directory.upstream_by_name["s1"]
+
+    async def test_its_text_is_not_complete(self):
+        """It was listed without what the next server had still to send (MIXED)."""
+        executor = ItemExecutor(
+            clock=Clock(),
+            paths=self.host.paths,
+            directory=self.host.directory,
+            limits=self.host.limits,
+            dialect=servers,
+        )
+        run = ItemRun(Item("r1", "/x", {}, b"x"), 0)
+        run.resume([Partial(0, 0, 0, ("event 1", "event 2"), "2", (1,))])
+        terms = ItemTerms("h", 1, False)
+        outcome = await executor.attempt(run, self.upstream, terms, lambda count: None)
+        self.assertIsInstance(outcome, Broken)
+
+    async def test_a_relay_tells_that_only_the_close_ends_it(self):
+        relay = RequestRelay(
+            directory=self.host.directory, in_flight=InFlight(), **self.host.sending
+        )
+        headers = [(b"request-id", b"r1")]
+        headers += relay_headers(self.upstream, "POST", 1000, True)
+        line = await anext(relay.relay(f"{RELAY_PREFIX}/x", headers, b""))
+        self.assertTrue(msgspec.json.decode(line, type=RelayedHead).ends_by_close)
+
+    def test_a_relay_of_the_release_before_is_understood(self):
+        line = b'{"status": 200, "headers": []}'
+        self.assertFalse(msgspec.json.decode(line, type=RelayedHead).ends_by_close)
+
+
 class CutHeadTest(RawCase):
     """A server stops in the middle of its response's head and closes."""
 
--- a/test/test_software_versions.py
+++ b/test/test_software_versions.py
@@ -110,7 +110,9 @@
 
         @contextlib.asynccontextmanager
         async def stream(*args, **options):
-            yield SimpleNamespace(status=200, headers=response, body=body)
+            yield SimpleNamespace(
+                status=200, headers=response, ends_by_close=False, body=body
+            )
 
         executor = ItemExecutor(
             clock=Clock(),
--- a/test/test_streaming.py
+++ b/test/test_streaming.py
@@ -67,7 +67,9 @@
 
     @contextlib.asynccontextmanager
     async def stream(self, *args, **options):
-        yield SimpleNamespace(status=200, headers=HEADERS, body=self._body)
+        yield SimpleNamespace(
+            status=200, headers=HEADERS, ends_by_close=False, body=self._body
+        )
 
     async def _body(self):
         yield b"id: 1\ndata: a\n\n"
