Claim no duty after leaving has begun

Cause: a host waits for its turn before it claims a model's jobs and didn't look again whether it leaves. It took the lease after it had released all, and the next runner waited for its expiry.

Test: a_host_that_leaves_before_its_turn_claims_nothing, red before.

--- a/goldcrestmoor/job/job_supervisor.py
+++ b/goldcrestmoor/job/job_supervisor.py
@@ -350,6 +350,8 @@
         )
         if delay_ms:
             await self._clock.sleep_ms(delay_ms)
+            if self._is_leaving:
+                return False
             if not self._duties.is_claimable(name) and not self._duties.holds(name):
                 return False
         return await self._duties.claim(name, RUNNER_LEASE_MS)
--- a/test/test_job_supervisor.py
+++ b/test/test_job_supervisor.py
@@ -123,6 +123,14 @@
         self.apply_accepted("zone-b")
         self.assertGreaterEqual(await self.claim_ms(seen_ms), OTHER_ZONE_DELAY_MS)
 
+    async def test_a_host_that_leaves_before_its_turn_claims_nothing(self):
+        """Its lease would keep the next runner waiting after it is gone."""
+        self.apply_accepted("zone-b")
+        await asyncio.sleep(SAME_ZONE_DELAY_MS / 2000)
+        await self.supervisor.hand_over(100)
+        await _common.eventually(lambda: not self.supervisor._starting)
+        self.assertEqual(self.duties.claims_ms, [])
+
     async def test_a_runner_that_was_restarted_goes_on_at_once(self):
         self.duties.was_held = True
         seen_ms = self.clock.now_ms()
