Let a host with a current list decide beside hosts that have just started

Hosts that restarted have neither records nor versions, and their replies said nothing; a host that knew of one version for a minute refused the stream. A reply that is certain still goes first. A negative time of a cold start is no reason to leave a server out.

Test: it_decides_where_hosts_that_have_just_started_reply, red before.

--- a/goldcrestmoor/platform/records.py
+++ b/goldcrestmoor/platform/records.py
@@ -27,9 +27,9 @@
 CONFIGURATION_KEY = "config"
 VERSION_PREFIX = "version/"
 
-# The whole numbers that an entry may hold.
+# The numbers that an entry may hold.
 _Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
-_Duration = Annotated[float, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+_Duration = Annotated[float, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 _MAX_PORT = 65_535
 
 _KIND_BY_ROUTE_TYPE = {"streaming": RouteKind.STREAM, "rollout": RouteKind.JOB}
--- a/goldcrestmoor/process/stream_versions.py
+++ b/goldcrestmoor/process/stream_versions.py
@@ -148,7 +148,8 @@
         )
         replies = [reply for reply in replies if reply is not None]
         version = version_of(own, replies)
-        if version is None and not replies and self._knows_single_version(service):
+        can_tell = any(reply.is_certain for reply in replies)
+        if version is None and not can_tell and self._knows_single_version(service):
             return own.unrecorded
         if version is None:
             log.info(
--- a/test/test_software_versions.py
+++ b/test/test_software_versions.py
@@ -234,6 +234,13 @@
     async def test_a_current_list_of_one_version_needs_no_other_host(self):
         self.assertEqual(await self.find_all(), {"v1"})
 
+    async def test_it_decides_where_hosts_that_have_just_started_reply(self):
+        self.reply_from_all(None, None, False)
+        self.assertEqual(await self.find_all(), {"v1"})
+        # One that has run long enough knows that there were several.
+        self.reply_from_all(None, None, True)
+        self.assertEqual(await self.find_all(), {None})
+
     async def test_hosts_agree_while_the_store_is_away_for_all(self):
         self.list_age_ms = LIST_VALID_MS
         self.reply_from_all(None, "v1", False)
