Take no version that certain hosts disagree on

Cause: of two certain replies the first one counted, so that a host that knows of one version could overrule one that knows of several.

Change: certain replies have to agree.

Test: it_decides_where_hosts_that_have_just_started_reply is red on and on, green now.

--- a/goldcrestmoor/process/stream_versions.py
+++ b/goldcrestmoor/process/stream_versions.py
@@ -58,10 +58,8 @@
     for reply in replies:
         if reply.recorded is not None:
             return reply.recorded
-    for reply in replies:
-        if reply.is_certain:
-            return reply.unrecorded
-    versions = {reply.unrecorded for reply in (own, *replies)}
+    certain = {reply.unrecorded for reply in replies if reply.is_certain}
+    versions = certain or {reply.unrecorded for reply in (own, *replies)}
     return versions.pop() if replies and len(versions) == 1 else None
 
 
