End the lines of events as the format does

Cause: EventParser split events by str.splitlines, which ends lines at eight more characters than text/event-stream, and didn't know CR alone.

Change: lines end with CR LF, LF or CR, also where a CR LF is cut between two reads; a byte order mark at the start is skipped; the buffer is no longer copied for each read. Line ends behind the last event are sent on. Other places that split what comes from outside: completions split bytes at LF (JSON lines), traces are read as binary lines, an operator's statement is split at LF for positions in messages, headers are h11's; reward answers and the trainer client read JSON or headers. None uses splitlines.

--- a/goldcrestmoor/request/event_stream.py
+++ b/goldcrestmoor/request/event_stream.py
@@ -11,8 +11,14 @@
 MAX_EVENT_BYTES = 128 << 10
 # Comments keep a connection open; more of them between two events mean a broken stream.
 MAX_COMMENTS = 1000
-_EVENT_END = re.compile(rb"\r\n\r\n|\n\n")
+# A line ends with CR LF, LF or CR alone, and an event with an empty line. Where lines
+# end with CR LF, a CR at the end of a read waits for its LF.
+_EVENT_END = re.compile(
+    rb"\r\n(?:\r\n|\n|\r(?=[^\n]))|(?:(?<!\r)\n|\r(?!\n))(?:\r\n|\n|\r(?!\n))"
+)
 _MAX_END_BYTES = 4
+_LINE_END = re.compile("\r\n|\n|\r")
+_BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
 class EventFields(msgspec.Struct, frozen=True):
@@ -56,6 +62,8 @@
         "_last_event_ms",
         "_comments",
         "_buffer",
+        "_is_start",
+        "_has_cr",
     )
 
     def __init__(self, fields, clock=None, max_gap_ms=None):
@@ -64,13 +72,21 @@
         self._max_gap_ms = max_gap_ms
         self._last_event_ms = clock.now_ms() if clock else None
         self._comments = 0
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._is_start = True
+        # Most streams have none, and are parsed several times as fast.
+        self._has_cr = False
 
     @property
     def has_partial_event(self):
         """Whether an event has begun but not ended."""
         return bool(self._buffer.strip())
 
+    @property
+    def rest(self):
+        """The bytes after the last event; line ends only, unless one has begun."""
+        return bytes(self._buffer)
+
     def feed(self, chunk):
         """Yield the events that the next bytes complete.
 
@@ -78,20 +94,13 @@
         :raises ServiceError: ``UPSTREAM_FAILED`` when the bytes are not valid events,
             ``UPSTREAM_TIMEOUT`` when no event was complete for too long.
         """
-        # An end may have begun in the bytes received before.
-        searched = max(0, len(self._buffer) - _MAX_END_BYTES + 1)
-        received = self._buffer + chunk
-        begin, has_event = 0, False
-        for end in _EVENT_END.finditer(received, searched):
-            raw = received[begin : end.end()]
-            begin = end.end()
-            if raw.strip():
-                event = self._decode(raw)
-                # A comment shows that the connection is open, not that work goes on.
-                has_event = has_event or bool(event.data)
-                self._count_comments(event)
-                yield event
-        self._buffer = received[begin:]
+        has_event = False
+        for raw in self._split(chunk):
+            event = self._decode(raw)
+            # A comment shows that the connection is open, not that work goes on.
+            has_event = has_event or bool(event.data)
+            self._count_comments(event)
+            yield event
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ServiceError(
                 ErrorKind.UPSTREAM_FAILED,
@@ -99,6 +108,42 @@
             )
         self._check_gap(has_event)
 
+    def _split(self, chunk):
+        """Return the bytes of each event that the next bytes complete."""
+        buffer = self._buffer
+        # An end may have begun in the bytes received before.
+        searched = max(0, len(buffer) - _MAX_END_BYTES + 1)
+        buffer += chunk
+        self._has_cr = self._has_cr or b"\r" in chunk
+        if self._is_start:
+            if len(buffer) < len(_BYTE_ORDER_MARK) and _BYTE_ORDER_MARK.startswith(
+                buffer
+            ):
+                return []
+            self._is_start, searched = False, 0
+            if buffer.startswith(_BYTE_ORDER_MARK):
+                del buffer[: len(_BYTE_ORDER_MARK)]
+        begin, events = 0, []
+        for end in self._ends(searched):
+            raw = bytes(buffer[begin:end])
+            begin = end
+            if raw.strip():
+                events.append(raw)
+        if begin:
+            del buffer[:begin]
+        return events
+
+    def _ends(self, searched):
+        """Yield where each event in the buffer ends, from a position on."""
+        buffer = self._buffer
+        if self._has_cr:
+            for end in _EVENT_END.finditer(buffer, searched):
+                yield end.end()
+            return
+        while (found := buffer.find(b"\n\n", searched)) >= 0:
+            searched = found + 2
+            yield searched
+
     def _count_comments(self, event):
         self._comments = 0 if event.data else self._comments + 1
         if self._comments > MAX_COMMENTS:
@@ -118,11 +163,11 @@
     def _decode(self, raw):
         event_id, data, version = "", [], None
         try:
-            lines = raw.decode().splitlines()
+            text = raw.decode()
         except UnicodeDecodeError as e:
             text = "An event is not valid UTF-8."
             raise ServiceError(ErrorKind.UPSTREAM_FAILED, text) from e
-        for line in lines:
+        for line in _LINE_END.split(text) if self._has_cr else text.split("\n"):
             name, separator, value = line.partition(":")
             value = value.removeprefix(" ")
             if name == "data":
--- a/goldcrestmoor/request/streaming.py
+++ b/goldcrestmoor/request/streaming.py
@@ -153,6 +153,8 @@
                                 raise error
                         is_cut = response.ends_by_close and not has_new_events
                         if not (parser.has_partial_event or is_cut):
+                            if parser.rest:
+                                yield parser.rest
                             self._loads.record_response(upstream, attempts.route.name)
                             attempts.record_run()
                             return
