Answer requests that the end of a host interrupts with an error of their own

Cause: uvicorn cancels what is left, and answers 500 where nothing was sent.

Change: the server answers 502 outcome_unknown, as JSON, and closes the connection; a response that has started is cut as before.

Test: a_request_that_the_end_interrupts_is_told_so, red before (500).

--- a/goldcrestmoor/process/http_server.py
+++ b/goldcrestmoor/process/http_server.py
@@ -69,6 +69,11 @@
         self.ready = asyncio.Event()
         self._stopping = asyncio.Event()
 
+    @property
+    def is_stopping(self):
+        """Whether :meth:`stop` was called."""
+        return self._stopping.is_set()
+
     def stop(self):
         """Accept no new connections and end once the requests in flight are done."""
         self.should_exit = True
@@ -234,7 +239,12 @@
                         receive, header_by_name, limits.max_body_bytes
                     )
                 bounded = _with_body_limits(receive, limits)
-                await watcher.run(self._handle(scope, bounded, watcher.send))
+                try:
+                    await watcher.run(self._handle(scope, bounded, watcher.send))
+                except asyncio.CancelledError:
+                    if watcher.has_started or not self._server.is_stopping:
+                        raise
+                    await self._answer_interrupted(watcher.send)
         finally:
             if memory is not None:
                 memory.end_exchange()
@@ -256,6 +266,15 @@
             response.add_header(b"Connection", b"close")
             await send_asgi_response(response, send)
 
+    async def _answer_interrupted(self, send):
+        """Answer a request that the end of this server interrupts."""
+        text = "This host stopped before the request was done."
+        error = ServiceError(ErrorKind.OUTCOME_UNKNOWN, text)
+        log.warning("A request is interrupted by the stop.")
+        response = self._error_response(error)
+        response.add_header(b"Connection", b"close")
+        await send_asgi_response(response, send)
+
     async def _answer_error(self, app, request, error):
         if error.kind in (ErrorKind.BAD_REQUEST, ErrorKind.TOO_LARGE):
             self._metrics.bad_input.labels("request").inc()
@@ -288,9 +307,12 @@
 
     A streaming response is always cancelled. Any other response is completed unless
     ``cancels_all`` is set, because its effects may have to be recorded.
+
+    :ivar has_started: whether the response's head was sent.
     """
 
     __slots__ = (
+        "has_started",
         "_receive",
         "_send",
         "_cancels_all",
@@ -306,6 +328,7 @@
         self._task = None
         self._watcher = None
         self._disconnected = False
+        self.has_started = False
 
     async def run(self, serving):
         self._task = asyncio.current_task()
@@ -327,6 +350,7 @@
         return message
 
     async def send(self, message):
+        self.has_started = True
         is_last = message["type"] == "http.response.body" and not message.get(
             "more_body"
         )
--- a/test/test_stopping_host.py
+++ b/test/test_stopping_host.py
@@ -1,6 +1,7 @@
 """A stopping host gets requests on kept connections until its process is gone."""
 
 import asyncio
+import json
 import unittest
 
 from goldcrestmoor.errors import ErrorKind, ServiceError
@@ -10,7 +11,7 @@
 from goldcrestmoor.request.request_relay import RequestRelay
 from test import _common
 from test._fleet import ManualClock
-from test._front import FETCH_PATH, HOST, MODEL, FrontFleet
+from test._front import FETCH_PATH, HOST, MODEL, FrontFleet, configuration
 from test._request_fakes import FakeClock, ListingHost
 from test.standins.users_server import UsersServer
 
@@ -153,6 +154,25 @@
         late.send(FETCH_PATH, "short", 1000)
         self.assertEqual((await late.head())[0], 200)
 
+    async def test_a_request_that_the_end_interrupts_is_told_so(self):
+        """It got a bare 500 from the HTTP library, as for an unexpected error."""
+        for app in self.fleet.apps:
+            app.delay_s = LONG_MS / 1000
+        self.fleet.store.put(
+            "op", "config", configuration(9, fetch={"timeoutMs": LONG_MS})
+        )
+        await asyncio.sleep(0.5)
+        busy = await self.connect()
+        busy.send(FETCH_PATH, "long", LONG_MS)
+        await _common.eventually(
+            lambda: any("long" in app.runs for app in self.fleet.apps)
+        )
+        self.fleet.fronts["front-a"].terminate()
+        status, _ = await busy.head()
+        self.assertEqual(status, 502)
+        body = json.loads(await busy.reader.read())
+        self.assertEqual(body["code"], "outcome_unknown")
+
     async def test_kept_connections_are_closed_before_they_are_used_in_vain(self):
         """Their callers open new ones, to hosts that stay."""
         kept = await self.connect()
