Close the connections of the clients that a replay and the demo make

Cause: trainer and notes clients have a connection pool of their own, and nothing could close it. Found by recording where the writers that were open at the end had been made.

Change: clients have close(); the player closes those that it makes, the demo its own.

--- a/goldcrestmoor/client/notes.py
+++ b/goldcrestmoor/client/notes.py
@@ -69,6 +69,10 @@
         self._transport = transport or make_transport(token)
         self._clock = clock or Clock()
 
+    async def close(self):
+        """Close the open connections, at the end of the event loop at the latest."""
+        await self._transport.close()
+
     async def save(self, path, body, timeout_ms, headers=()):
         """Save one note.
 
--- a/goldcrestmoor/client/trainer.py
+++ b/goldcrestmoor/client/trainer.py
@@ -96,6 +96,10 @@
         self._transport = transport or make_transport(token)
         self._clock = clock or Clock()
 
+    async def close(self):
+        """Close the open connections, at the end of the event loop at the latest."""
+        await self._transport.close()
+
     async def publish(self, model, version, timeout_ms=REQUEST_TIMEOUT_MS):
         """Publish a new weight version and make it the client's current version.
 
--- a/goldcrestmoor/client/transport.py
+++ b/goldcrestmoor/client/transport.py
@@ -59,6 +59,10 @@
             parts.hostname, port, "POST", path, all_headers, body, timeout_ms
         )
 
+    async def close(self):
+        """Close the open connections."""
+        await self._http.close()
+
 
 def make_transport(token):
     """Return a transport with a separate connection pool.
--- a/goldcrestmoor/load/player.py
+++ b/goldcrestmoor/load/player.py
@@ -100,6 +100,12 @@
         await asyncio.gather(*trainers, *pending)
         return self._clock.now_ms() - self._started_ms
 
+    async def close(self):
+        """Close the connections of the clients that it has made."""
+        clients = (*self._trainer_by_account.values(), *self._notes_by_account.values())
+        for client in clients:
+            await client.close()
+
     async def _arrivals(self, entries):
         others = (entry for entry in entries if not isinstance(entry, Step))
         for number, entry in enumerate(others):
--- a/goldcrestmoor/load/replay.py
+++ b/goldcrestmoor/load/replay.py
@@ -43,6 +43,7 @@
         after = await _read_all_metrics(http, plan.urls)
         runs = await control.runs() if control else Runs()
     finally:
+        await player.close()
         await http.close()
     return _report(head, player.tally, wall_ms, before, after, runs)
 
--- a/test/demo.py
+++ b/test/demo.py
@@ -65,6 +65,14 @@
 async def run_step(fleet, tally):
     """Submit a step as its trainer and collect its samples."""
     client = TrainerClient(fleet.urls(), TRAINER_TOKEN, STALENESS_BOUND)
+    try:
+        await collect_step(client, tally)
+    finally:
+        await client.close()
+
+
+async def collect_step(client, tally):
+    """Submit a step and collect its samples."""
     client.version = 1
     groups = [
         GroupBody(i, f"Summarize panel {i}.", SAMPLES_PER_GROUP, MAX_TOKENS, 100 * i)
@@ -113,6 +121,19 @@
 async def save_notes(fleet, tally):
     """Save notes, and compare with the applications' own counts."""
     client = NotesClient(fleet.urls(), APP_TOKEN)
+    try:
+        saved = await count_saved(client)
+    finally:
+        await client.close()
+    count_by_note = await notes_ran(fleet)
+    doubled = sum(count - 1 for count in count_by_note.values())
+    tally.lines.append(f"notes saved {saved} of {NOTES}, doubled {doubled}")
+    if saved < NOTES or doubled or len(count_by_note) != saved:
+        tally.faults.append(f"{saved} notes were saved; {len(count_by_note)} ran.")
+
+
+async def count_saved(client):
+    """Save notes and return how many were."""
     saved = 0
     for number in range(NOTES):
         name = f"note-{number}"
@@ -124,11 +145,7 @@
             [(b"x-note-id", name.encode())],
         )
         saved += answer.outcome == Outcome.SAVED
-    count_by_note = await notes_ran(fleet)
-    doubled = sum(count - 1 for count in count_by_note.values())
-    tally.lines.append(f"notes saved {saved} of {NOTES}, doubled {doubled}")
-    if saved < NOTES or doubled or len(count_by_note) != saved:
-        tally.faults.append(f"{saved} notes were saved; {len(count_by_note)} ran.")
+    return saved
 
 
 async def notes_ran(fleet):
--- a/test/test_replay.py
+++ b/test/test_replay.py
@@ -75,6 +75,8 @@
         entries[1:3] = [msgspec.structs.replace(entries[2], step="s3")]
         code, output = await self.replay(head, entries[1:], "--json")
         self.assertEqual(code, 1, output)
+        # Connections that are still open at the end show behind the last line.
+        self.assertNotIn("Event loop is closed", output)
         report = json.loads(output.splitlines()[-1])
         self.assertEqual(report["samples_delivered"], SAMPLES)
         self.assertEqual((report["doubled"], report["lost"]), (0, 0))
