Send a stream's record until its holders have it

Cause: 48 streams that begin at once sent 144 records at once, each on a new connection, once, with 100 ms for the reply; the hosts' logs show that most got none, and that the host was not asked again for 2 s. The questions of the host that took the streams up went the same way. A stream whose record is lost counts as one from before the release.

Ruled out: the list of upstreams; the streams that were mixed are those whose records front-3 logged as lost.

Change: four calls at a time to a host, for records and for questions apart; 500 ms each; a record is repeated until it is acknowledged; the first event waits up to 100 ms until one other host has it. Messages are as before.

--- a/goldcrestmoor/process/stream_versions.py
+++ b/goldcrestmoor/process/stream_versions.py
@@ -5,8 +5,9 @@
 
 import msgspec
 
+from goldcrestmoor.clock import MS_PER_SECOND
 from goldcrestmoor.request.stream_version import VersionHistory
-from goldcrestmoor.util import TaskGroup, rendezvous_order
+from goldcrestmoor.util import Backoff, TaskGroup, rendezvous_order
 
 log = logging.getLogger("goldcrestmoor.streams")
 
@@ -17,6 +18,16 @@
 # After missed answers of its feed, the list of upstreams may lack a version that other
 # hosts use.
 LIST_VALID_MS = 2000
+# Many streams begin, or are taken up, at one moment. More calls to a host at a time
+# would each open a connection, and time out together.
+CALLS_PER_HOST = 4
+CALL_TIMEOUT_MS = 500
+# How long a stream's first event waits until another host has its record.
+ACKNOWLEDGE_MS = 100
+# A record that isn't acknowledged is sent again for about as long as a stream lasts.
+RECORD_ATTEMPTS = 12
+RETRY_MIN_MS = 50
+RETRY_MAX_MS = 1000
 # Bounds the memory for records of streams that ended; a stream lasts seconds.
 MAX_RECORDS = 10_000
 
@@ -84,6 +95,7 @@
         "_list_age_ms",
         "_history_by_service",
         "_version_by_stream",
+        "_slots_by_host",
         "_tasks",
     )
 
@@ -94,6 +106,7 @@
         self._list_age_ms = list_age_ms
         self._history_by_service = {}
         self._version_by_stream = {}
+        self._slots_by_host = {}
         self._tasks = TaskGroup()
 
     def observe(self, upstreams):
@@ -109,9 +122,11 @@
         for service, versions in versions_by_service.items():
             self._history(service).observe(frozenset(versions))
 
-    def begin(self, stream_id, service, software_version):
+    async def begin(self, stream_id, service, software_version):
         """Record the version of a new stream, before its first event is sent on.
 
+        Returns once another host has the record, or after a short time without.
+
         :param stream_id: the id of its request.
         :param service: the service that serves it.
         :param software_version: the version.
@@ -120,10 +135,27 @@
             return
         record = StreamRecord(stream_id, service, software_version)
         self.reply(record)
-        for host in self._holders(stream_id):
-            if host != self._host_id:
-                call = self._calls.call(host, PATH, record, _reply_decoder)
-                self._tasks.start(call, "stream record")
+        others = [host for host in self._holders(stream_id) if host != self._host_id]
+        is_recorded = asyncio.Event()
+        for host in others:
+            self._tasks.start(self._send_record(host, record, is_recorded), "record")
+        if not others:
+            return
+        try:
+            async with asyncio.timeout(ACKNOWLEDGE_MS / MS_PER_SECOND):
+                await is_recorded.wait()
+        except TimeoutError:
+            log.info("No other host has the record of stream %s yet.", stream_id)
+
+    async def _send_record(self, host, record, is_recorded):
+        """Send a record until its holder has it."""
+        backoff = Backoff(RETRY_MIN_MS, RETRY_MAX_MS)
+        for _ in range(RECORD_ATTEMPTS):
+            if await self._call(host, record, is_repeated=True) is not None:
+                is_recorded.set()
+                return
+            await self._clock.sleep_ms(backoff.next_ms())
+        log.warning("Host %s has no record of stream %s.", host, record.stream_id)
 
     async def find(self, stream_id, service):
         """Return the version that began a stream, or None if no host can tell.
@@ -186,7 +218,31 @@
         if host == self._host_id:
             # That it has no record tells nothing while it may have missed a release.
             return own if self._is_list_current() else None
-        return await self._calls.call(host, PATH, question, _reply_decoder)
+        return await self._call(host, question)
+
+    async def _call(self, host, record, is_repeated=False):
+        # Questions don't wait behind records for a host that hangs.
+        async with self._slots(host, is_repeated):
+            return await self._calls.call(
+                host,
+                PATH,
+                record,
+                _reply_decoder,
+                CALL_TIMEOUT_MS,
+                is_repeated=is_repeated,
+            )
+
+    def _slots(self, host, is_repeated):
+        """Return the semaphore that bounds the calls of one kind to a host."""
+        slots_by_kind = self._slots_by_host.get(host)
+        if slots_by_kind is None:
+            known = self._slots_by_host.keys() & self._calls.zone_by_host().keys()
+            self._slots_by_host = {name: self._slots_by_host[name] for name in known}
+            slots_by_kind = {
+                kind: asyncio.Semaphore(CALLS_PER_HOST) for kind in (False, True)
+            }
+            self._slots_by_host[host] = slots_by_kind
+        return slots_by_kind[is_repeated]
 
     def _is_list_current(self):
         age_ms = self._list_age_ms()
--- a/goldcrestmoor/request/streaming.py
+++ b/goldcrestmoor/request/streaming.py
@@ -95,11 +95,11 @@
             )
         attempts.software_version = version
 
-    def _begin(self, attempts, upstream):
+    async def _begin(self, attempts, upstream):
         """Restrict a stream to the version of the upstream that began it."""
         if attempts.software_version is None:
             attempts.software_version = upstream.software_version
-            self._versions.begin(
+            await self._versions.begin(
                 attempts.request.id, attempts.service, upstream.software_version
             )
 
@@ -145,7 +145,7 @@
                             )
                             if raw:
                                 if not has_events:
-                                    self._begin(attempts, upstream)
+                                    await self._begin(attempts, upstream)
                                     self._count(attempts)
                                 has_events = has_new_events = True
                                 yield raw
--- a/test/test_software_versions.py
+++ b/test/test_software_versions.py
@@ -22,6 +22,8 @@
 from goldcrestmoor.platform import servers
 from goldcrestmoor.process.directory import ListedUpstream
 from goldcrestmoor.process.stream_versions import (
+    ACKNOWLEDGE_MS,
+    CALLS_PER_HOST,
     HOLDERS,
     LIST_VALID_MS,
     StreamReply,
@@ -211,7 +213,7 @@
         self.versions.observe([upstream])
         self.clock._now_ms += LOOKBACK_MS
 
-    async def call(self, host, path, message, decoder):
+    async def call(self, host, path, message, decoder, timeout_ms, is_repeated):
         return self.reply_by_host.get(host)
 
     async def find_all(self):
@@ -253,6 +255,77 @@
         self.assertFalse(self.versions.reply(question).is_certain)
 
 
+class RecordTest(unittest.IsolatedAsyncioTestCase):
+    """Many streams begin at a moment of a release at which hosts reply late.
+
+    Each record was sent once, all at the same time, with a tenth of a second for a
+    reply; a stream whose records were lost went on at the other version (ORDER).
+    """
+
+    HOSTS = MissedReleaseTest.HOSTS
+
+    def setUp(self):
+        self.failures_left = collections.Counter()
+        self.recorded = collections.Counter()
+        self.calling = collections.Counter()
+        self.most_calling = 0
+        self.replies = asyncio.Event()
+        self.replies.set()
+        calls = SimpleNamespace(
+            zone_by_host=lambda: dict.fromkeys(self.HOSTS, "zone-a"), call=self.call
+        )
+        self.versions = StreamVersions(
+            clock=Clock(), calls=calls, host_id=self.HOSTS[0], list_age_ms=lambda: 0
+        )
+        self.addAsyncCleanup(self.versions.close)
+
+    async def call(self, host, path, record, decoder, *timeout_ms, is_repeated=False):
+        self.calling[host] += 1
+        self.most_calling = max(self.most_calling, self.calling[host])
+        try:
+            await self.replies.wait()
+            await asyncio.sleep(0)
+            if self.failures_left[host]:
+                self.failures_left[host] -= 1
+                return None
+            self.recorded[record.stream_id] += 1
+            return StreamReply(record.software_version, None, False)
+        finally:
+            self.calling[host] -= 1
+
+    async def begin_all(self):
+        """Begin streams at the same time."""
+        begun = (self.versions.begin(f"s{n}", "pool", "v2") for n in range(STREAMS))
+        await asyncio.gather(*begun)
+
+    async def test_a_record_is_sent_until_its_holder_has_it(self):
+        self.failures_left.update(dict.fromkeys(self.HOSTS, 3))
+        await self.begin_all()
+        least = HOLDERS - 1
+        await _common.eventually(
+            lambda: all(self.recorded[f"s{n}"] >= least for n in range(STREAMS))
+        )
+
+    async def test_calls_to_one_host_wait_for_each_other(self):
+        await self.begin_all()
+        await _common.eventually(lambda: not self.calling.total())
+        self.assertLessEqual(self.most_calling, CALLS_PER_HOST)
+
+    async def test_a_stream_begins_once_another_host_has_its_record(self):
+        self.replies.clear()
+        beginning = asyncio.create_task(self.versions.begin("s0", "pool", "v2"))
+        await asyncio.sleep(ACKNOWLEDGE_MS / 4000)
+        self.assertFalse(beginning.done())
+        self.replies.set()
+        await beginning
+        self.assertTrue(self.recorded["s0"])
+
+    async def test_a_stream_does_not_wait_for_hosts_that_hang(self):
+        self.replies.clear()
+        async with asyncio.timeout(5 * ACKNOWLEDGE_MS / 1000):
+            await self.versions.begin("s0", "pool", "v2")
+
+
 class FleetTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.fleet = FrontFleet()
--- a/test/test_usage_counter.py
+++ b/test/test_usage_counter.py
@@ -122,7 +122,7 @@
                 host_id="host-a",
                 list_age_ms=lambda: 0,
             )
-            versions.begin("r0", "pool", "")
+            await versions.begin("r0", "pool", "")
             options["versions"] = versions
         route = Route(
             name="r",
