--- a/test/test_leaving_servers.py
+++ b/test/test_leaving_servers.py
@@ -309,7 +309,7 @@
             host_id="host-a",
             list_age_ms=lambda: 0,
         )
-        versions.begin("s", SERVICE, "v1")
+        await versions.begin("s", SERVICE, "v1")
         forwarder = StreamForwarder(versions=versions, **self.host.caller_sending())
         deadline = Deadline.after(self.clock, 2000)
         answer = await forwarder.forward(request, ROUTE, deadline)
