--- a/goldcrestmoor/job/reward_calls.py
+++ b/goldcrestmoor/job/reward_calls.py
@@ -271,7 +271,9 @@
                     connect_timeout_ms=CONNECT_TIMEOUT_MS,
                     before_send=lambda: self._loads.check_usable(server),
                 ) as response:
-                    return await self._read(reward_call, server, route, response)
+                    return await self._read_response(
+                        reward_call, server, route, response
+                    )
         except ServiceError as e:
             if e.kind is ErrorKind.UPSTREAM_TIMEOUT:
                 self._loads.record_timeout(server, route.name)
@@ -279,8 +281,8 @@
                 self._loads.record_failure(server)
             return NoScore(e.answer.ran, e.message)
 
-    async def _read(self, reward_call, server, route, response):
-        failure = await self._check_genuine(server, reward_call.id, response)
+    async def _read_response(self, reward_call, server, route, response):
+        failure = await self._attempt_failure(server, reward_call.id, response)
         if failure is not None:
             if failure.ran is not Ran.NOT_RUN:
                 self._loads.record_failure(server)
--- a/goldcrestmoor/request/forwarding.py
+++ b/goldcrestmoor/request/forwarding.py
@@ -345,7 +345,7 @@
         limit = self._dialect.stated_limit(status, headers)
         self._loads.record_limit(upstream, limit)
 
-    async def _check_genuine(self, upstream, request_id, response):
+    async def _attempt_failure(self, upstream, request_id, response):
         """Return None if a server ran a request, else the failure of the attempt.
 
         The body of a response to another request is left unread, which closes its
@@ -462,14 +462,16 @@
                     allow_close_delimited=True,
                     before_send=before_send,
                 ) as response:
-                    return await self._read(upstream, attempts, response, sent_ms)
+                    return await self._read_response(
+                        upstream, attempts, response, sent_ms
+                    )
         except ServiceError as e:
             attempts.record_error(upstream, e)
             await attempts.record_lost_response(upstream, sent_ms, e)
             return FailedAttempt(e.answer.ran, e.message)
 
-    async def _read(self, upstream, attempts, response, sent_ms):
-        failure = await self._check_genuine(upstream, attempts.request.id, response)
+    async def _read_response(self, upstream, attempts, response, sent_ms):
+        failure = await self._attempt_failure(upstream, attempts.request.id, response)
         if failure is not None:
             if failure.ran is not Ran.NOT_RUN:
                 self._loads.record_failure(upstream)
--- a/goldcrestmoor/request/streaming.py
+++ b/goldcrestmoor/request/streaming.py
@@ -209,7 +209,7 @@
 
     async def _check_response(self, upstream, attempts, response, has_head):
         """Return None for a stream to forward, else the outcome of the attempt."""
-        failure = await self._check_genuine(upstream, attempts.request.id, response)
+        failure = await self._attempt_failure(upstream, attempts.request.id, response)
         if failure is not None:
             return failure
         status, headers = response.status, response.headers
