Let the tests of closed connections fail on the code before

Two of the seven tests of late copies passed on as well: the copy and the right response came in one read, whose rest closes a connection, and what was left open the pool's reaper closed within the time that the tests waited. The stand-in now sends the copy 50 ms ahead, and the tests wait 2 s.

All seven are red on and green here.

--- a/test/standins/server.py
+++ b/test/standins/server.py
@@ -11,6 +11,8 @@
 import h11
 
 READ_BYTES = 65536
+# Long enough for a caller to read what comes before a response by itself.
+BEFORE_S = 0.05
 
 
 class Drop(Exception):
@@ -116,6 +118,8 @@
         response = await self.handler(request)
         if response.before is not None:
             writer.write(response.before)
+            await writer.drain()
+            await asyncio.sleep(BEFORE_S)
         body = response.body
         headers = list(response.headers)
         if isinstance(body, bytes):
--- a/test/test_late_copies.py
+++ b/test/test_late_copies.py
@@ -31,6 +31,8 @@
 
 MODEL = "m0"
 TIMEOUT_MS = 2000
+# At once, and well before the pool looks for idle connections to close.
+CLOSE_TIMEOUT_S = 2
 REFUSAL = b"HTTP/1.1 503 Busy\r\n%sNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
 MISDIRECTED = b"HTTP/1.1 421 Misdirected\r\n%sContent-Length: 0\r\n\r\n"
 FAILURE = b"HTTP/1.1 500 Failed\r\n%sContent-Length: 0\r\n\r\n"
@@ -181,7 +183,9 @@
         while self.servers[0].late_copy is not None:
             answer = await forwarder.forward(request("r1"), route, deadline)
             self.assertEqual(answer.status, 200)
-        await _common.eventually(lambda: not self.servers[0].connection_count)
+        await _common.eventually(
+            lambda: not self.servers[0].connection_count, CLOSE_TIMEOUT_S
+        )
 
     async def test_a_relay_closes_a_connection_on_which_a_copy_came(self):
         await self.start_servers("app")
@@ -200,7 +204,9 @@
             item async for item in relay.relay(f"{RELAY_PREFIX}/x", headers, b"")
         ]
         self.assertIn(b"earlier", received[0])
-        await _common.eventually(lambda: not self.servers[0].connection_count)
+        await _common.eventually(
+            lambda: not self.servers[0].connection_count, CLOSE_TIMEOUT_S
+        )
 
 
 if __name__ == "__main__":
