--- /dev/null
+++ b/review/lib_2/__init__.py
@@ -0,0 +1,1 @@
+"""What the scripts of the second review share."""
