--- a/review/lib_2/deployment.py
+++ b/review/lib_2/deployment.py
@@ -293,6 +293,8 @@
     async def start(self, configuration, servers, zones, memory_mb=330, status_s=120):
         """Start the store, servers and a daemon in each of the zones.
 
+        Each daemon has a gate of the store under its name, which can be closed to it.
+
         :raises TimeoutError: when a daemon isn't ready within half a minute.
         """
         self.servers = servers
@@ -305,7 +307,7 @@
             daemon = Daemon(
                 f"front-{zone}-{number}",
                 zone,
-                self.store.port,
+                await self.store.gate(f"front-{zone}-{number}"),
                 self._directory.name,
                 memory_mb,
                 status_s,
--- a/review/lib_2/streams.py
+++ b/review/lib_2/streams.py
@@ -65,13 +65,14 @@
                 await asyncio.sleep(self._retry_s)
 
     async def _attempt(self, this, request_id, left_ms):
+        body = f"prompt {self.number}"
         headers = [
             ("Host", HOST),
             ("Request-Id", request_id),
             ("Deadline-Ms", left_ms),
             ("Model-Name", MODELS[0]),
             ("Token-Count", "271,400"),
-            ("Content-Length", 1),
+            ("Content-Length", len(body)),
         ]
         if this.resumes:
             headers.append(("Last-Event-Id", self.last_event))
@@ -83,7 +84,7 @@
                     this.daemon.address, this.daemon.callers
                 )
                 with contextlib.closing(writer):
-                    writer.write("\r\n".join([*lines, "", "x"]).encode())
+                    writer.write("\r\n".join([*lines, "", body]).encode())
                     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
                     status = head.splitlines()[0]
                     if " 200 " not in status:
