Bound the output of items by their tokens and the host's memory

Cause: an item kept every event of an attempt for up to 60 s. Bounds were on single events, comments, bodies and heads; valid numbered events met none. The item's token limit was never compared with the output, no bound knew of the host's memory, and an engine that sends events counted as healthy, so that it got the next items at once.

Ruled out: heads, bodies, comments and single events, which are bounded already (test_endless_responses); writes to the store, which are not reached before the memory is.

Change: job/output_limit.py decides by the item's tokens, by what one write holds and by the memory of all responses (connection/response_memory.py, a fifth of the host's, in place of a constant of 24 MB that knew of bodies only). What exceeds a limit is discarded and its item starts again; the engine gets none for four seconds. No message and no row changes; output stored by an earlier runner is held to the same limits. Reads of the store no longer depend on the room that servers leave.

--- a/goldcrestmoor/connection/http_client.py
+++ b/goldcrestmoor/connection/http_client.py
@@ -9,6 +9,7 @@
 from goldcrestmoor.clock import MS_PER_SECOND, Deadline
 from goldcrestmoor.connection.http_connection import failed, unreachable
 from goldcrestmoor.connection.http_pool import HttpPool
+from goldcrestmoor.connection.response_memory import ResponseBytes, ResponseMemory
 from goldcrestmoor.errors import ErrorKind, ServiceError
 
 # Hop-by-hop headers, which are never forwarded.
@@ -31,10 +32,7 @@
 _BODILESS_STATUSES = frozenset((204, 304))
 # Informational responses before the final one.
 MAX_INTERIM_RESPONSES = 16
-# Of all large response bodies that are read whole at a time; the smallest hosts have
-# 128 MB.
-MAX_BUFFERED_BYTES = 24 << 20
-# A body up to this size is read whatever the others take.
+# A body up to this size is read whatever other responses take.
 SMALL_BODY_BYTES = 256 << 10
 # The rest of a response that isn't used is read if it is short, so that its connection
 # can be reused.
@@ -63,17 +61,19 @@
     :param limits: the :class:`~goldcrestmoor.settings.LimitSettings`.
     :param source: the IP address that connections go out from; any when left out.
     :param memory: the :class:`~goldcrestmoor.process.memory_guard.MemoryGuard` that
-        counts request bodies until upstreams have taken them, and whole responses while
-        they arrive; None to count nothing.
+        counts request bodies until upstreams have taken them; None to count nothing.
+    :param responses: the
+        :class:`~goldcrestmoor.connection.response_memory.ResponseMemory` of the
+        process; one of its own when left out.
     """
 
-    __slots__ = ("_clock", "_limits", "_pool", "_memory", "_buffered_bytes")
+    __slots__ = ("_clock", "_limits", "_pool", "_memory", "_responses")
 
-    def __init__(self, *, clock, limits, source=None, memory=None):
+    def __init__(self, *, clock, limits, source=None, memory=None, responses=None):
         self._clock = clock
         self._memory = memory
         self._limits = limits
-        self._buffered_bytes = 0
+        self._responses = responses or ResponseMemory()
         self._pool = HttpPool(clock=clock, limits=limits, source=source)
 
     async def request(
@@ -87,6 +87,7 @@
         timeout_ms=None,
         idempotent=False,
         on_head=None,
+        is_essential=False,
         **options,
     ):
         """Send a request once and return its complete response.
@@ -94,6 +95,7 @@
         The parameters and errors are those of :meth:`stream`, and:
 
         :param on_head: called with the status and headers once they are received.
+        :param is_essential: as for :meth:`read_body`.
         :return: an :class:`HttpResponse`.
         :raises ServiceError: also those of :meth:`read_body`.
         """
@@ -110,34 +112,28 @@
         ) as response:
             if on_head is not None:
                 on_head(response.status, response.headers)
-            body = await self.read_body(response)
+            body = await self.read_body(response, is_essential)
             return HttpResponse(response.status, response.headers, body)
 
-    async def read_body(self, response):
+    async def read_body(self, response, is_essential=False):
         """Return the whole body of a response.
 
         :param response: the :class:`ResponseStream`.
+        :param is_essential: whether it is read though other responses have used up
+            their memory.
         :raises ServiceError: ``UPSTREAM_FAILED`` when the body is longer than
             ``max_body_bytes``, or than the memory for bodies has room for.
         """
         body = bytearray()
-        try:
+        with ResponseBytes(self._responses) as held:
             async for chunk in response.body():
                 body += chunk
-                self._count_buffered(len(chunk))
                 if len(body) > self._limits.max_body_bytes:
                     raise failed(response.target, "the response body is too large")
-                is_full = self._buffered_bytes > MAX_BUFFERED_BYTES
-                if is_full and len(body) > SMALL_BODY_BYTES:
+                has_room = held.resize(len(body)) or is_essential
+                if not has_room and len(body) > SMALL_BODY_BYTES:
                     raise failed(response.target, "there is no room for its body")
             return bytes(body)
-        finally:
-            self._count_buffered(-len(body))
-
-    def _count_buffered(self, size):
-        self._buffered_bytes += size
-        if self._memory is not None:
-            self._memory.hold_incoming(self._buffered_bytes)
 
     @contextlib.asynccontextmanager
     async def stream(
--- a/goldcrestmoor/job/engine_pool.py
+++ b/goldcrestmoor/job/engine_pool.py
@@ -182,6 +182,16 @@
         state.failures = min(state.failures + 1, MAX_FAILURES)
         self.block(upstream, pause_ms)
 
+    def record_overlong(self, upstream):
+        """Back off an engine that sent more than an item's output.
+
+        That it sends events shows no health here.
+
+        :param upstream: the engine.
+        """
+        self._state(upstream).is_rejecting = True
+        self.block(upstream, FAILED_BACKOFF_MAX_MS)
+
     def block(self, upstream, duration_ms):
         """Back an engine off.
 
--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -2,13 +2,16 @@
 
 import contextlib
 import logging
+import sys
 
 import msgspec
 
 from goldcrestmoor import tracing
+from goldcrestmoor.connection.response_memory import ResponseMemory
 from goldcrestmoor.decoding import parse_integer
 from goldcrestmoor.errors import Ran, ServiceError
 from goldcrestmoor.job.job import Partial
+from goldcrestmoor.job.output_limit import OutputLimit
 from goldcrestmoor.request.event_stream import EventParser
 
 log = logging.getLogger("goldcrestmoor.items")
@@ -54,6 +57,15 @@
     reason: str
 
 
+class Overlong(msgspec.Struct, frozen=True):
+    """The engine sent more than the item's output; nothing of it is kept.
+
+    :param reason: what it exceeds, as part of a sentence.
+    """
+
+    reason: str
+
+
 class Moved(msgspec.Struct, frozen=True):
     """This host cancelled the attempt, to continue at another engine."""
 
@@ -85,6 +97,8 @@
     :param position: its index in the job.
     :param now_ms: the time.
     :ivar events: the data of the events so far.
+    :ivar text_bytes: their size, encoded.
+    :ivar held_bytes: their size in memory.
     :ivar last_id: the id of the last of them.
     :ivar versions: the weight versions that generated them, in order of first use.
     :ivar software_version: the software version of the engine that began them.
@@ -109,6 +123,8 @@
         "item",
         "position",
         "events",
+        "text_bytes",
+        "held_bytes",
         "last_id",
         "versions",
         "software_version",
@@ -143,7 +159,7 @@
         self.is_moving = False
         self.moved_ms = None
         self.generation = 0
-        self.events = []
+        self._set_events(())
         self.last_id = ""
         self.versions = []
         self.software_version = ""
@@ -165,7 +181,7 @@
     def restart(self):
         """Discard the output and restart from the prompt."""
         self.generation += 1
-        self.events = []
+        self._set_events(())
         self.last_id = ""
         self.versions = []
         self.software_version = ""
@@ -196,7 +212,8 @@
         self.generation = newest
         for partial in partials:
             if partial.generation == newest and partial.first == len(self.events):
-                self.events += partial.events
+                for data in partial.events:
+                    self._append(data)
                 self.last_id = partial.last_id
                 self.versions = list(partial.versions)
                 self.software_version = partial.software_version
@@ -210,7 +227,7 @@
         :param output: the :class:`~goldcrestmoor.job.partial_cache.KeptOutput`.
         :param now_ms: the time.
         """
-        self.events = list(output.events)
+        self._set_events(output.events)
         self.last_id = output.last_id
         self.versions = list(output.versions)
         self.software_version = output.software_version
@@ -227,12 +244,23 @@
         number = parse_integer(event.id)
         if number is None or (self.last_id and number != int(self.last_id) + 1):
             return False
-        self.events.append(event.data)
+        self._append(event.data)
         self.last_id = event.id
         if version not in self.versions:
             self.versions.append(version)
         return True
 
+    def _set_events(self, events):
+        self.events = []
+        self.text_bytes = self.held_bytes = 0
+        for data in events:
+            self._append(data)
+
+    def _append(self, data):
+        self.events.append(data)
+        self.text_bytes += len(data) if data.isascii() else len(data.encode())
+        self.held_bytes += sys.getsizeof(data)
+
 
 class ItemExecutor:
     """Sends items to engines and collects their output.
@@ -243,18 +271,32 @@
     :param limits: the
         :class:`~goldcrestmoor.process.upstream_limits.UpstreamLimits`.
     :param dialect: the request and response format of the engines.
+    :param memory: the
+        :class:`~goldcrestmoor.connection.response_memory.ResponseMemory` of the
+        process; one of its own when left out.
     :param bodies: the :class:`~goldcrestmoor.request.server_bodies.ServerBodies`; None
         for no bound on what is in flight at an engine.
     """
 
-    __slots__ = ("_clock", "_paths", "_directory", "_limits", "_dialect", "_bodies")
+    __slots__ = (
+        "_clock",
+        "_paths",
+        "_directory",
+        "_limits",
+        "_dialect",
+        "_output_limit",
+        "_bodies",
+    )
 
-    def __init__(self, *, clock, paths, directory, limits, dialect, bodies=None):
+    def __init__(
+        self, *, clock, paths, directory, limits, dialect, memory=None, bodies=None
+    ):
         self._clock = clock
         self._paths = paths
         self._directory = directory
         self._limits = limits
         self._dialect = dialect
+        self._output_limit = OutputLimit(memory or ResponseMemory())
         self._bodies = bodies
 
     async def attempt(self, run, engine, terms, on_events):
@@ -271,6 +313,9 @@
         size = len(run.item.body)
         if self._bodies is not None and not self._bodies.fits(engine, size):
             return NotRun("this host has as much in flight there as it may")
+        if self._output_limit.excess(run):
+            # An earlier runner may have stored output of any length.
+            run.restart()
         headers = dialect.item_headers(run.item, terms.host, terms.account)
         headers = dialect.request_headers(headers, engine, None)
         if run.last_id:
@@ -362,6 +407,11 @@
                 error = _add_event(run, event, version, terms)
                 if error:
                     return Broken(error)
+                # Within one read of many events as well.
+                excess = self._output_limit.excess(run)
+                if excess:
+                    run.restart()
+                    return Overlong(excess)
             on_events(len(run.events) - count_before)
         is_cut = response.ends_by_close and len(run.events) == count_at_start
         if reader.has_partial_event or is_cut or not run.events:
--- a/goldcrestmoor/job/job_run.py
+++ b/goldcrestmoor/job/job_run.py
@@ -4,6 +4,7 @@
 import collections
 import itertools
 import logging
+import sys
 
 import msgspec
 
@@ -142,6 +143,13 @@
         """Return the unfinished items that do not wait for an engine."""
         return [*self.running_by_id.values(), *self.scoring_by_id.values()]
 
+    def output_bytes(self):
+        """Return the memory that the output of its items takes, in bytes."""
+        runs = itertools.chain(self.waiting, self.in_progress())
+        return sum(run.held_bytes for run in runs) + sum(
+            sys.getsizeof(result.text) for result in self._finished
+        )
+
     def unfinished_groups(self):
         """Return the groups with an unfinished item."""
         return {work_order.group_key(run) for run in self.waiting + self.in_progress()}
--- a/goldcrestmoor/job/partial_cache.py
+++ b/goldcrestmoor/job/partial_cache.py
@@ -63,14 +63,15 @@
     """Keeps the output of the unfinished items of ended jobs.
 
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
+    :ivar size: the memory that it takes, in bytes.
     """
 
-    __slots__ = ("_clock", "_output_by_key", "_size")
+    __slots__ = ("size", "_clock", "_output_by_key")
 
     def __init__(self, *, clock):
         self._clock = clock
         self._output_by_key = collections.OrderedDict()
-        self._size = 0
+        self.size = 0
 
     def keep(self, job, runs):
         """Keep the output of a job's unfinished items.
@@ -91,8 +92,8 @@
                 run.is_complete,
             )
             self._output_by_key[_key(job, run.item)] = output
-            self._size += _size(output)
-        while self._size > MAX_BYTES:
+            self.size += _size(output)
+        while self.size > MAX_BYTES:
             self._remove_oldest()
 
     def take(self, job, item):
@@ -104,7 +105,7 @@
         self.expire()
         output = self._output_by_key.pop(_key(job, item), None)
         if output is not None:
-            self._size -= _size(output)
+            self.size -= _size(output)
         return output
 
     def expire(self):
@@ -121,7 +122,7 @@
 
     def _remove_oldest(self):
         _, output = self._output_by_key.popitem(last=False)
-        self._size -= _size(output)
+        self.size -= _size(output)
 
 
 def _key(job, item):
--- a/goldcrestmoor/job/scheduler.py
+++ b/goldcrestmoor/job/scheduler.py
@@ -19,6 +19,7 @@
     ItemTerms,
     Moved,
     NotRun,
+    Overlong,
 )
 from goldcrestmoor.job.partial_cache import PartialCache
 from goldcrestmoor.job.stragglers import RunningItem, choose_moves
@@ -204,6 +205,11 @@
             self._max_items_by_model.get(model, 0),
         )
 
+    def output_bytes(self):
+        """Return the memory that the output of items takes, in bytes."""
+        runs = self._runs_by_job.values()
+        return self._partials.size + sum(run.output_bytes() for run in runs)
+
     def _open_runs(self, model):
         return [
             run
@@ -553,6 +559,15 @@
             case NotRun(reason):
                 self._pool.record_rejected(engine)
                 log.debug("Item %s not run at %s: %s", run.item.id, engine.name, reason)
+            case Overlong(reason):
+                self._pool.record_overlong(engine)
+                log.warning(
+                    "Item %s starts again, as %s of %s sent too much: %s.",
+                    run.item.id,
+                    engine.name,
+                    engine.service,
+                    reason,
+                )
             case Broken(reason):
                 self._pool.record_interrupted(engine)
                 log.info(
--- a/goldcrestmoor/platform/store.py
+++ b/goldcrestmoor/platform/store.py
@@ -357,6 +357,8 @@
                 body,
                 timeout_ms or self._timeout_ms,
                 idempotent=True,
+                # The store bounds its responses itself.
+                is_essential=True,
             )
         except ServiceError as e:
             self._metrics.store_calls.labels(call, e.code).inc()
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -13,6 +13,7 @@
 from goldcrestmoor import front_settings, logs, util
 from goldcrestmoor.clock import MS_PER_SECOND, Clock
 from goldcrestmoor.connection.http_client import HttpClient
+from goldcrestmoor.connection.response_memory import ResponseMemory
 from goldcrestmoor.decoding import decode
 from goldcrestmoor.errors import ServiceError, UserError
 from goldcrestmoor.job.engine_pool import EnginePool
@@ -128,6 +129,7 @@
         "_metrics",
         "_memory",
         "_bodies",
+        "_responses",
         "_http",
         "_store",
         "_keys",
@@ -176,6 +178,7 @@
             limits=settings.limits,
             source=host.address,
             memory=self._memory,
+            responses=self._responses,
         )
         self._store = StoreClient(
             clock=self._clock,
@@ -194,9 +197,16 @@
         self._make_servers()
 
     def _make_memory(self):
-        """Create the bounds on memory, where the contract for them is in force."""
+        """Create the bounds on memory.
+
+        That for callers is in force where the platform has the contract for it.
+        """
         host = self.settings.host
         self._memory = self._bodies = None
+        self._responses = ResponseMemory.of_host(
+            host.memory_mb, on_change=self._on_responses_counted
+        )
+        self._metrics.response_bytes.set_function(self._responses.held_bytes)
         if caller_dialect.PRESSURE_CONTRACT not in (host.contracts or ()):
             return
         self._bodies = ServerBodies()
@@ -207,6 +217,10 @@
                 metrics=self._metrics,
             )
 
+    def _on_responses_counted(self, size):
+        if self._memory is not None:
+            self._memory.hold_incoming(size)
+
     def _make_feed_consumers(self):
         """Create the feed consumers: routes, versions, upstreams and duties."""
         clock, metrics = self._clock, self._metrics
@@ -340,12 +354,14 @@
                 directory=self._directory,
                 limits=self._limits,
                 dialect=servers,
+                memory=self._responses,
                 bodies=self._bodies,
             ),
             rewards=self._rewards,
             routes=self._routing.current,
             metrics=self._metrics,
         )
+        self._responses.add_source(self._scheduler.output_bytes)
         job_store = JobStore(clock=clock, store=self._store)
         self._supervisor = JobSupervisor(
             clock=clock,
--- a/goldcrestmoor/process/metrics.py
+++ b/goldcrestmoor/process/metrics.py
@@ -82,6 +82,7 @@
         "held_bytes",
         "connections_given_up",
         "memory_refusals",
+        "response_bytes",
     )
 
     def __init__(self):
@@ -275,6 +276,9 @@
         self.memory_refusals = self._counter(
             "memory_refusals", "Requests refused because no memory is left for them."
         )
+        self.response_bytes = self._gauge(
+            "response_bytes", "Memory that the responses of servers take."
+        )
 
     def _counter(self, name, text, *labels):
         return Counter(f"goldcrestmoor_{name}", text, labels, registry=self.registry)
