Don't take the pause of a slow caller for a stall of the server

What callers saw: a stream whose caller read slowly was broken off at its engine and begun again at another one, "No event was complete for 3417 ms", although the engine had sent all the while and only this host had not read.

Cause: the parser measures the time from one event with data to the next, and the time in which nothing is read, as the caller has taken nothing, counted as well. The first read after such a pause may bring no whole event; the smaller the reads, the likelier.

Change: the forwarder tells the parser of the pause. How long the server is waited for stays bounded by the parser and by the idle timeout of the connection.

Measured: test_streaming.StreamingTest.test_a_caller_that_reads_slowly_is_no_stall_of_the_server failed before and passes.

--- a/goldcrestmoor/request/event_stream.py
+++ b/goldcrestmoor/request/event_stream.py
@@ -60,6 +60,7 @@
         "_clock",
         "_max_gap_ms",
         "_last_event_ms",
+        "_fed_ms",
         "_comments",
         "_buffer",
         "_is_start",
@@ -71,6 +72,7 @@
         self._clock = clock
         self._max_gap_ms = max_gap_ms
         self._last_event_ms = clock.now_ms() if clock else None
+        self._fed_ms = self._last_event_ms
         self._comments = 0
         self._buffer = bytearray()
         self._is_start = True
@@ -108,6 +110,11 @@
             )
         self._check_gap(has_event)
 
+    def exclude_pause(self):
+        """Don't count the time since the last bytes: nothing was read meanwhile."""
+        if self._max_gap_ms is not None:
+            self._last_event_ms += self._clock.now_ms() - self._fed_ms
+
     def _split(self, chunk):
         """Return the bytes of each event that the next bytes complete."""
         buffer = self._buffer
@@ -153,7 +160,7 @@
     def _check_gap(self, has_event):
         if self._max_gap_ms is None:
             return
-        now_ms = self._clock.now_ms()
+        now_ms = self._fed_ms = self._clock.now_ms()
         if has_event:
             self._last_event_ms = now_ms
         elif now_ms - self._last_event_ms > self._max_gap_ms:
--- a/goldcrestmoor/request/streaming.py
+++ b/goldcrestmoor/request/streaming.py
@@ -149,6 +149,8 @@
                                     self._count(attempts)
                                 has_events = has_new_events = True
                                 yield raw
+                                # A caller that reads slowly is no stall of the server.
+                                parser.exclude_pause()
                             if error is not None:
                                 raise error
                         is_cut = response.ends_by_close and not has_new_events
--- a/test/test_streaming.py
+++ b/test/test_streaming.py
@@ -12,7 +12,7 @@
 from goldcrestmoor.process.stream_versions import StreamVersions
 from goldcrestmoor.request.event_stream import EventParser
 from goldcrestmoor.request.forwarding import CallerRequest
-from goldcrestmoor.request.streaming import StreamForwarder
+from goldcrestmoor.request.streaming import MIN_IDLE_TIMEOUT_MS, StreamForwarder
 from goldcrestmoor.request.upstream_loads import UpstreamLoads
 from goldcrestmoor.version.configuration.routes import (
     RetryPolicy,
@@ -183,6 +183,26 @@
         self.assertIn("Request s1 on route streams answered 200", logged.output[0])
         self.assertFalse(self.loads._failure_by_name.keys() >= {"engine-1", "engine-2"})
 
+    async def test_a_caller_that_reads_slowly_is_no_stall_of_the_server(self):
+        """The stream would be broken off, and begun again at another engine."""
+
+        async def body():
+            yield b"id: 1\ndata: a\n\nid: 2\n"
+            yield b"data: b\n"
+            yield b"\n"
+
+        forwarder = self.make_forwarder()
+        forwarder._paths._http._body = body
+        deadline = Deadline.after(self.clock, 60_000)
+        answer = await forwarder.forward(REQUEST, ROUTE, deadline)
+        received = b""
+        async with contextlib.aclosing(answer.events) as events:
+            async for event in events:
+                received += event
+                self.clock._now_ms += 2 * MIN_IDLE_TIMEOUT_MS
+        self.assertEqual(received, b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+        self.assertEqual(self.chosen(), "engine-1")
+
     async def test_a_stream_longer_than_its_callers_deadline_is_no_engine_failure(self):
         forwarder = self.make_forwarder(idle_ms=DEADLINE_MS)
         with self.assertRaises(ServiceError):
