Count what is read of responses against the host's memory

What callers saw: with 100 callers at once, servers that send without end took a host over its 128 MB: 204 MB with whole bodies, 167 MB with streams whose callers read slowly.

Cause: up to 384 KB of each response were read ahead by the event loop, and held again by the parser and by the caller's connection; nothing counted them. Bodies up to 256 KB were always kept, and large ones grew in place, which left holes in the memory.

Change: a connection reads 32 KB at a time, and buffers twice as much. Bodies are kept in blocks.

--- a/goldcrestmoor/connection/http_client.py
+++ b/goldcrestmoor/connection/http_client.py
@@ -32,8 +32,8 @@
 _BODILESS_STATUSES = frozenset((204, 304))
 # Informational responses before the final one.
 MAX_INTERIM_RESPONSES = 16
-# A body up to this size is read whatever other responses take.
-SMALL_BODY_BYTES = 256 << 10
+# Bodies are kept in blocks of about this size while they are read.
+BLOCK_BYTES = 64 << 10
 # The rest of a response that isn't used is read if it is short, so that its connection
 # can be reused.
 MAX_DISCARDED_BYTES = 64 << 10
@@ -87,7 +87,6 @@
         timeout_ms=None,
         idempotent=False,
         on_head=None,
-        is_essential=False,
         **options,
     ):
         """Send a request once and return its complete response.
@@ -95,7 +94,6 @@
         The parameters and errors are those of :meth:`stream`, and:
 
         :param on_head: called with the status and headers once they are received.
-        :param is_essential: as for :meth:`read_body`.
         :return: an :class:`HttpResponse`.
         :raises ServiceError: also those of :meth:`read_body`.
         """
@@ -112,28 +110,29 @@
         ) as response:
             if on_head is not None:
                 on_head(response.status, response.headers)
-            body = await self.read_body(response, is_essential)
+            body = await self.read_body(response)
             return HttpResponse(response.status, response.headers, body)
 
-    async def read_body(self, response, is_essential=False):
+    async def read_body(self, response):
         """Return the whole body of a response.
 
         :param response: the :class:`ResponseStream`.
-        :param is_essential: whether it is read though other responses have used up
-            their memory.
         :raises ServiceError: ``UPSTREAM_FAILED`` when the body is longer than
-            ``max_body_bytes``, or than the memory for bodies has room for.
+            ``max_body_bytes``, or than the memory for responses has room for.
         """
-        body = bytearray()
-        with ResponseBytes(self._responses) as held:
-            async for chunk in response.body():
-                body += chunk
-                if len(body) > self._limits.max_body_bytes:
-                    raise failed(response.target, "the response body is too large")
-                has_room = held.resize(len(body)) or is_essential
-                if not has_room and len(body) > SMALL_BODY_BYTES:
-                    raise failed(response.target, "there is no room for its body")
-            return bytes(body)
+        # Large bodies that grow in place would leave holes in the process's memory, and
+        # small chunks kept one by one take many times their size.
+        blocks, last, size = [], bytearray(), 0
+        async for chunk in response.body():
+            last += chunk
+            size += len(chunk)
+            if size > self._limits.max_body_bytes:
+                raise failed(response.target, "the response body is too large")
+            response.hold(size)
+            if len(last) >= BLOCK_BYTES:
+                blocks.append(last)
+                last = bytearray()
+        return b"".join((*blocks, last))
 
     @contextlib.asynccontextmanager
     async def stream(
@@ -153,6 +152,7 @@
         allow_close_delimited=False,
         fresh=False,
         before_send=None,
+        is_essential=False,
     ):
         """Send a request once and stream its response.
 
@@ -177,6 +177,8 @@
         :param fresh: open a new connection even if the pool has idle ones.
         :param before_send: called once there is a connection, just before the first
             byte is written; raises to prevent it.
+        :param is_essential: whether the response is read though others have used up
+            the memory for responses.
         :return: a context manager that yields a :class:`ResponseStream`.
         :raises ServiceError: ``UPSTREAM_UNREACHABLE`` when no byte was written,
             ``UPSTREAM_FAILED`` or ``UPSTREAM_TIMEOUT`` when some may have been,
@@ -190,7 +192,10 @@
             endpoint, deadline, idempotent, fresh, connect_timeout_ms
         )
         response = ResponseStream(
-            connection, deadline, progress_timeout_ms or limits.progress_timeout_ms
+            connection,
+            deadline,
+            progress_timeout_ms or limits.progress_timeout_ms,
+            ResponseBytes(self._responses, is_essential),
         )
         try:
             if deadline.passed():
@@ -208,6 +213,7 @@
                 self._pool.drop(endpoint)
             raise
         finally:
+            response.release()
             if response.is_complete:
                 self._pool.release(connection)
             else:
@@ -262,6 +268,8 @@
     :param connection: the connection, with the request written.
     :param deadline: the request's deadline.
     :param progress_timeout_ms: the idle timeout of the body.
+    :param held: counts what is kept of it, a
+        :class:`~goldcrestmoor.connection.response_memory.ResponseBytes`.
     :ivar ends_by_close: whether only the close of the connection ends the body, so that
         a truncated one looks complete.
     """
@@ -274,9 +282,11 @@
         "_connection",
         "_deadline",
         "_progress_timeout_ms",
+        "_held",
+        "_kept_bytes",
     )
 
-    def __init__(self, connection, deadline, progress_timeout_ms):
+    def __init__(self, connection, deadline, progress_timeout_ms, held):
         self.status = None
         self.headers = ()
         self.is_complete = False
@@ -284,6 +294,23 @@
         self._connection = connection
         self._deadline = deadline
         self._progress_timeout_ms = progress_timeout_ms
+        self._held = held
+        self._kept_bytes = 0
+
+    def hold(self, size):
+        """Count what the reader of the body keeps of it, until the exchange ends.
+
+        :param size: the bytes that it keeps now.
+        :raises ServiceError: ``UPSTREAM_FAILED`` when the memory for responses has no
+            room for them.
+        """
+        self._kept_bytes = size
+        if not self._held.resize(self._connection.buffered_bytes + size):
+            raise failed(self.target, "this host has no memory for it")
+
+    def release(self):
+        """Count nothing any more."""
+        self._held.resize(0)
 
     async def read_head(self, method, timeout_ms, allow_close_delimited):
         """Wait for the final response head, skipping interim (1xx) ones.
@@ -297,7 +324,7 @@
             timeout_ms = min(timeout_ms, deadline.remaining_ms())
             deadline = Deadline.after(deadline.clock, timeout_ms)
         for _ in range(MAX_INTERIM_RESPONSES + 1):
-            event = await self._connection.next_event(deadline.remaining_ms)
+            event = await self._next_event(deadline.remaining_ms)
             if not isinstance(event, h11.InformationalResponse):
                 break
         else:
@@ -348,12 +375,17 @@
         :raises ServiceError: ``UPSTREAM_FAILED`` or ``UPSTREAM_TIMEOUT``.
         """
         while not self.is_complete:
-            event = await self._connection.next_event(self._read_timeout_ms)
+            event = await self._next_event(self._read_timeout_ms)
             if isinstance(event, h11.EndOfMessage):
                 self.is_complete = True
             elif event.data:
                 yield bytes(event.data)
 
+    async def _next_event(self, wait_ms):
+        event = await self._connection.next_event(wait_ms)
+        self.hold(self._kept_bytes)
+        return event
+
     def _read_timeout_ms(self):
         return min(self._progress_timeout_ms, self._deadline.remaining_ms())
 
--- a/goldcrestmoor/connection/http_connection.py
+++ b/goldcrestmoor/connection/http_connection.py
@@ -11,6 +11,11 @@
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.util import wait_within
 
+# What is read of a socket at a time. The event loop's own 256 KB would be held several
+# times for each response that is read slower than it arrives.
+RECEIVE_BYTES = 32 << 10
+# A connection isn't read while twice as much is buffered.
+BUFFER_BYTES = 32 << 10
 # Larger than the buffer of an asyncio stream, so that one read empties it.
 READ_BYTES = 1 << 20
 
@@ -41,9 +46,12 @@
     :param writer: the asyncio stream writer.
     :param target: the remote ``(address, port)`` pair.
     :param max_header_bytes: the maximum size of a response head.
+    :ivar buffered_bytes: what is read of the response and not yet taken by its reader,
+        at most.
     """
 
     __slots__ = (
+        "buffered_bytes",
         "target",
         "reused",
         "idle_since_ms",
@@ -61,6 +69,7 @@
         self.reused = False
         self.idle_since_ms = 0
         self.max_idle_ms = None
+        self.buffered_bytes = 0
         self._reader = reader
         self._writer = writer
         self._max_header_bytes = max_header_bytes
@@ -69,6 +78,7 @@
         self._codec = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=max_header_bytes
         )
+        writer.transport.max_size = RECEIVE_BYTES
         writer.transport.pause_reading()
 
     @classmethod
@@ -162,6 +172,8 @@
             raise ServiceError(ErrorKind.UPSTREAM_TIMEOUT, message) from e
         except OSError as e:
             raise failed(self.target, "connection lost") from e
+        # As much may have arrived again while these bytes are parsed and taken.
+        self.buffered_bytes = 2 * len(data)
         if timeout_ms <= 0:
             # The timeout does not end reads of data that is there already.
             self._late_bytes += len(data)
@@ -203,6 +215,7 @@
         if transport.is_closing() or transport.get_write_buffer_size():
             return False
         transport.pause_reading()
+        self.buffered_bytes = 0
         codec.start_next_cycle()
         self.reused = True
         return True
@@ -240,7 +253,10 @@
     address, port = target
     opening = asyncio.ensure_future(
         asyncio.open_connection(
-            address, port, local_addr=(source, 0) if source else None
+            address,
+            port,
+            limit=BUFFER_BYTES,
+            local_addr=(source, 0) if source else None,
         )
     )
     try:
--- a/goldcrestmoor/connection/response_memory.py
+++ b/goldcrestmoor/connection/response_memory.py
@@ -71,23 +71,19 @@
 
 
 class ResponseBytes:
-    """What is kept of one response; a context manager that counts it while it runs.
+    """What is kept of one response.
 
     :param memory: the :class:`ResponseMemory`.
+    :param is_essential: whether there is room for it though the budget is used up.
     """
 
-    __slots__ = ("_memory", "_size")
+    __slots__ = ("_memory", "_is_essential", "_size")
 
-    def __init__(self, memory):
+    def __init__(self, memory, is_essential=False):
         self._memory = memory
+        self._is_essential = is_essential
         self._size = 0
 
-    def __enter__(self):
-        return self
-
-    def __exit__(self, *exc_info):
-        self.resize(0)
-
     def resize(self, size):
         """Count what is kept now, in place of what was kept before.
 
@@ -97,4 +93,4 @@
         if size != self._size:
             self._memory.count(size - self._size)
             self._size = size
-        return self._memory.has_room(size)
+        return self._is_essential or self._memory.has_room(size)
--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -413,6 +413,7 @@
                     run.restart()
                     return Overlong(excess)
             on_events(len(run.events) - count_before)
+            response.hold(reader.buffered_bytes)
         is_cut = response.ends_by_close and len(run.events) == count_at_start
         if reader.has_partial_event or is_cut or not run.events:
             return Broken("the stream ended within an event, or before the first")
--- a/goldcrestmoor/request/event_stream.py
+++ b/goldcrestmoor/request/event_stream.py
@@ -84,6 +84,11 @@
         """Whether an event has begun but not ended."""
         return bool(self._buffer.strip())
 
+    @property
+    def buffered_bytes(self):
+        """The size of the bytes after the last event."""
+        return len(self._buffer)
+
     @property
     def rest(self):
         """The bytes after the last event; line ends only, unless one has begun."""
--- a/goldcrestmoor/request/relayed_messages.py
+++ b/goldcrestmoor/request/relayed_messages.py
@@ -164,6 +164,13 @@
         """The ``(address, port)`` pair of the relay."""
         return self._response.target
 
+    def hold(self, size):
+        """Count what the reader of the body keeps of it; see ``ResponseStream.hold``.
+
+        :param size: the bytes that it keeps now.
+        """
+        self._response.hold(size)
+
     async def discard(self):
         """Read the rest of a body that isn't used, unless it is long or slow."""
         await self._response.discard()
--- a/goldcrestmoor/request/streaming.py
+++ b/goldcrestmoor/request/streaming.py
@@ -153,6 +153,7 @@
                                 parser.exclude_pause()
                             if error is not None:
                                 raise error
+                            response.hold(parser.buffered_bytes)
                         is_cut = response.ends_by_close and not has_new_events
                         if not (parser.has_partial_event or is_cut):
                             if parser.rest:
--- a/test/test_endless_items.py
+++ b/test/test_endless_items.py
@@ -1,4 +1,4 @@
-"""Servers that send well-formed output without end to the items of batch jobs.
+"""Servers that send without end to the items of batch jobs, and to many callers.
 
 Each event is valid by itself, so that only the item's token limit and the host's memory
 tell that the output is no answer. A host that keeps all of it is ended for its memory,
@@ -13,13 +13,14 @@
 import unittest
 
 from test import _common
-from test._front import FETCH_PATH, MODEL, FrontFleet
+from test._front import FETCH_PATH, HOST, MODEL, FrontFleet
 from test.standins.users_server import UsersServer, whole_text
-from test.test_endless_responses import STREAM
+from test.test_endless_responses import BODIES, STREAM, EndlessServer
 
 # The smallest host of the users' deployments.
 MEMORY_MB = 128
 ITEMS = 32
+CALLERS = 100
 EVENTS = 20
 EVENT_BYTES = {"ascii": "x" * 2000, "wide": "\U0001f600" * 500, "long": "x" * 100_000}
 
@@ -69,8 +70,16 @@
                 writer.transport.abort()
 
 
+def peak_bytes(fleet):
+    """Return the most memory that the daemon of a fleet has had."""
+    status = pathlib.Path(f"/proc/{fleet.fronts['front-a'].pid}/status").read_text()
+    return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) << 10
+
+
 class EndlessItemsTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
+        # The checks of the debug mode would slow the servers down.
+        asyncio.get_running_loop().set_debug(False)
         self.fleet = FrontFleet()
         self.addAsyncCleanup(self.fleet.close)
         self.fleet.host_fields = {"memory_mb": MEMORY_MB}
@@ -79,11 +88,6 @@
         self.fleet.engines[1].events = EVENTS
         await self.fleet.start(names=("front-a",))
 
-    def peak_bytes(self):
-        """Return the most memory that the daemon has had."""
-        status = pathlib.Path(f"/proc/{self.fleet.fronts['front-a'].pid}/status")
-        return int(re.search(r"VmHWM:\s+(\d+) kB", status.read_text())[1]) << 10
-
     async def test_items_are_run_by_the_other_engine_within_the_hosts_memory(self):
         for name, data in EVENT_BYTES.items():
             with self.subTest(name):
@@ -97,7 +101,7 @@
                 for result in results:
                     self.assertEqual(result["text"], whole_text(result["id"], EVENTS))
                 await _common.eventually(lambda: self.endless.open_count == 0)
-                self.assertLess(self.peak_bytes(), MEMORY_MB * 1_000_000)
+                self.assertLess(peak_bytes(self.fleet), MEMORY_MB * 1_000_000)
 
     async def test_other_callers_are_served_meanwhile(self):
         await self.fleet.submit("front-a", "j", ITEMS)
@@ -109,7 +113,59 @@
             self.assertEqual(answer.status, 200)
             self.assertLess(time.monotonic() - started_s, 2)
         await self.fleet.all_results("front-a", "j")
-        self.assertLess(self.peak_bytes(), MEMORY_MB * 1_000_000)
+        self.assertLess(peak_bytes(self.fleet), MEMORY_MB * 1_000_000)
+
+
+class ManyCallersTest(unittest.IsolatedAsyncioTestCase):
+    """What is read of each response and not taken yet adds up over many callers."""
+
+    async def asyncSetUp(self):
+        # The checks of the debug mode would slow the servers down.
+        asyncio.get_running_loop().set_debug(False)
+        self.fleet = FrontFleet()
+        self.addAsyncCleanup(self.fleet.close)
+        self.fleet.host_fields = {"memory_mb": MEMORY_MB}
+        self.fleet.apps = [EndlessServer("app-0", "app")]
+        self.fleet.engines = [NumberedServer("engine-0", "pool", {MODEL: 1})]
+        await self.fleet.start(names=("front-a",))
+
+    def check_memory(self):
+        self.assertLess(peak_bytes(self.fleet), MEMORY_MB * 1_000_000)
+
+    async def test_whole_bodies(self):
+        for name in ("chunks", "body"):
+            self.fleet.apps[0].mode = BODIES[name]
+
+            async def ask(number, name=name):
+                answer = await self.fleet.ask(
+                    "front-a", "POST", FETCH_PATH, b"x", f"{name}-{number}"
+                )
+                return answer.status
+
+            statuses = await asyncio.gather(*map(ask, range(CALLERS)))
+            self.assertLessEqual(set(statuses), {429, 502, 503, 504})
+        self.check_memory()
+
+    async def test_streams_of_slow_callers(self):
+        head = (
+            "POST /stream/x HTTP/1.1\r\nhost: {}\r\nrequest-id: s{}\r\n"
+            "content-length: 0\r\nmodel-name: {}\r\n\r\n"
+        )
+        port = self.fleet.ports["front-a"][0]
+
+        async def read_slowly(number):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(head.format(HOST, number, MODEL).encode())
+            received = 0
+            for _ in range(6):
+                received += len(await reader.read(65_536))
+                await asyncio.sleep(0.5)
+            writer.transport.abort()
+            return received
+
+        received = await asyncio.gather(*map(read_slowly, range(CALLERS)))
+        self.assertGreater(min(received), 65_536)
+        self.check_memory()
 
 
 if __name__ == "__main__":
--- a/test/test_streaming.py
+++ b/test/test_streaming.py
@@ -68,7 +68,11 @@
     @contextlib.asynccontextmanager
     async def stream(self, *args, **options):
         yield SimpleNamespace(
-            status=200, headers=HEADERS, ends_by_close=False, body=self._body
+            status=200,
+            headers=HEADERS,
+            ends_by_close=False,
+            body=self._body,
+            hold=lambda size: None,
         )
 
     async def _body(self):
