Run the items of a job on the job's route, whatever covers their paths

Cause: the scheduler looked up the route of each item by the item's own path, and gave the item up when that was no route of batch jobs. On related paths a new route that covers the job's own path kept hosts from taking the job over, from moving its stragglers and from counting it for capacity.

Change: RouteTable.match_job looks among routes of batch jobs, by the path that the job was submitted to.

--- a/goldcrestmoor/job/job_supervisor.py
+++ b/goldcrestmoor/job/job_supervisor.py
@@ -371,8 +371,8 @@
             listed_ids = await self._store.listed_ids(job_id, stored.state.listed)
             partials = await self._store.partials(job_id)
         table = self._routes()
-        route = table.match(job.host, job.path) if table else None
-        if route is None or route.job is None:
+        route = table.match_job(job.host, job.path) if table else None
+        if route is None:
             log.warning("Job %s no longer has a route; not started.", job_id)
             return None
         log.info(
--- a/goldcrestmoor/job/scheduler.py
+++ b/goldcrestmoor/job/scheduler.py
@@ -166,7 +166,7 @@
 
     def _fits(self, job_run, run, output):
         job, single_version = job_run.job, job_run.policy.single_version
-        route = self._routes().match(job.host, run.item.path)
+        route = self._routes().match_job(job.host, job.path)
         if route is None:
             return False
         loads = self._pool.loads(route.service_for(run.item.id), job.model)
@@ -301,7 +301,7 @@
         for work in order:
             job_run, run = work.run, work.item
             job = job_run.job
-            route = table.match(job.host, run.item.path)
+            route = table.match_job(job.host, job.path)
             service = route.service_for(run.item.id) if route else None
             # Texts wait for engines of their software version, other items for any.
             need = (service, job.model, job.min_version)
@@ -367,9 +367,14 @@
         :param loads_by_service: the loads of engines since the last item was started.
         """
         job = job_run.job
-        route = table.match(job.host, run.item.path)
-        if route is None or route.job is None:
-            log.warning("Item %s no longer has a route and is abandoned.", run.item.id)
+        # Its own path selects the route of no item: another route may cover it.
+        route = table.match_job(job.host, job.path)
+        if route is None:
+            log.warning(
+                "Job %s no longer has a route: item %s is abandoned.",
+                job.id,
+                run.item.id,
+            )
             job_run.finish(run, is_completed=False)
             return True
         service = route.service_for(run.item.id)
@@ -471,7 +476,7 @@
         if table is None:
             return
         for job_run in self._runs_by_job.values():
-            route = table.match(job_run.job.host, job_run.job.path)
+            route = table.match_job(job_run.job.host, job_run.job.path)
             if route is None or job_run.waiting or not job_run.running_by_id:
                 continue
             for share in route.shares:
@@ -582,7 +587,5 @@
 
 def _pool(job_run, table):
     """Return the services that run a job's items; empty without a route."""
-    job = job_run.job
-    path = job_run.waiting[0].item.path if job_run.waiting else job.path
-    route = table.match(job.host, path)
+    route = table.match_job(job_run.job.host, job_run.job.path)
     return tuple(share.service for share in route.shares) if route else ()
--- a/goldcrestmoor/process/capacity_orders.py
+++ b/goldcrestmoor/process/capacity_orders.py
@@ -233,8 +233,8 @@
         if store_ms is None:
             return jobs_by_service
         for state in self._open_states():
-            route = table.match(state.host, state.path)
-            if route is None or route.job is None:
+            route = table.match_job(state.host, state.path)
+            if route is None:
                 continue
             total = sum(share.weight for share in route.shares)
             for share in route.shares:
--- a/goldcrestmoor/version/configuration/routes.py
+++ b/goldcrestmoor/version/configuration/routes.py
@@ -173,6 +173,20 @@
                 return route
         return None
 
+    def match_job(self, host, path):
+        """Return the route of a batch job, or None.
+
+        Routes of other kinds may lie below it: they take requests, but no job that was
+        accepted before.
+
+        :param host: the host name in the request that submitted it.
+        :param path: the path of that request.
+        """
+        for route in self.routes_by_host.get(host, ()):
+            if route.kind is RouteKind.JOB and path.startswith(route.path_prefix):
+                return route
+        return None
+
     def has_only_public_jobs(self, host):
         """Return whether no batch job route of a host needs an API key.
 
--- a/test/test_front.py
+++ b/test/test_front.py
@@ -119,6 +119,23 @@
         for result in results:
             self.assertEqual(result["text"], whole_text(result["id"], 200))
 
+    async def test_a_job_is_taken_over_below_a_new_route(self):
+        """No host would take it up, although its own route is there."""
+        await self.fleet.start()
+        for engine in self.fleet.engines:
+            engine.events = 200
+        body = submission(8)
+        await self.fleet.ask("front-a", "POST", "/lot/below/x", body, "j1")
+        runner = await _common.eventually(lambda: self.fleet.runner_of("j1"))
+        added = {"name": "added", "pathPrefix": "/lot/below/"}
+        changed = configuration(version=9, more_routes=[added])
+        self.fleet.store.put("op", "config", changed)
+        await asyncio.sleep(0.5)
+        self.fleet.fronts[runner].kill()
+        other = "front-b" if runner == "front-a" else "front-a"
+        for result in await self.fleet.all_results(other, "j1"):
+            self.assertEqual(result["text"], whole_text(result["id"], 200))
+
     async def test_a_stopped_runner_hands_over_at_once(self):
         await self.fleet.start()
         for engine in self.fleet.engines:
--- a/test/test_job_run.py
+++ b/test/test_job_run.py
@@ -96,13 +96,13 @@
         return await done or Finished()
 
 
-def make_run(count, partials=None, runner="me"):
+def make_run(count, partials=None, runner="me", path="/x", item_path="/x"):
     """Return a run of some items in the process ``me``, with its fake store."""
-    items = tuple(Item(f"i{n}", "/x", {}, b"", group="g") for n in range(count))
-    stored = VersionedState(JobState("h", "/x", MODEL, count, 0, runner=runner), 1)
+    items = tuple(Item(f"i{n}", item_path, {}, b"", group="g") for n in range(count))
+    stored = VersionedState(JobState("h", path, MODEL, count, 0, runner=runner), 1)
     store = FakeStore(stored)
     run = JobRun(
-        job=Job("j", "h", "/x", items, MODEL, 1),
+        job=Job("j", "h", path, items, MODEL, 1),
         stored=stored,
         process_id="me",
         listed_ids=set(),
@@ -123,7 +123,7 @@
 
 
 class JobRunTest(unittest.IsolatedAsyncioTestCase):
-    def make_scheduler(self, names="ab"):
+    def make_scheduler(self, names="ab", routes=lambda: TABLE):
         self.executor = FakeExecutor()
         self.pool = EnginePool(
             clock=Clock(),
@@ -135,7 +135,7 @@
             pool=self.pool,
             executor=self.executor,
             rewards=None,
-            routes=lambda: TABLE,
+            routes=routes,
             metrics=Metrics(),
         )
 
@@ -166,6 +166,52 @@
             await listing
         self.assertEqual((store.stored.state.runner, len(store.results)), ("me", 4))
 
+    async def test_routes_below_that_of_an_open_job_take_none_of_its_items(self):
+        """Its waiting items would be given up, or run by the other route's service."""
+        requests = msgspec.structs.replace(
+            ROUTE, kind=RouteKind.PLAIN, job=None, shares=(ServiceShare("app"),)
+        )
+        tables = {
+            "the items": ["/x/"],
+            "the job": ["/lot/"],
+            "both": ["/x/", "/lot/", "/lot/j/"],
+        }
+        for covered, prefixes in tables.items():
+            with self.subTest(covered):
+                added = [
+                    msgspec.structs.replace(requests, name=prefix, path_prefix=prefix)
+                    for prefix in prefixes
+                ]
+                table = msgspec.structs.replace(
+                    TABLE, routes_by_host=group_by_host([ROUTE, *added])
+                )
+                scheduler = self.make_scheduler(routes=lambda table=table: table)
+                run, store = make_run(12, path="/lot/j", item_path="/x/i")
+                scheduler.add(run)
+                running = asyncio.create_task(scheduler.run())
+                self.addCleanup(running.cancel)
+                listing = asyncio.create_task(run.list_results())
+                while not listing.done():
+                    for done in self.executor.running.values():
+                        if not done.done():
+                            done.set_result(None)
+                    await asyncio.sleep(0.01)
+                self.assertTrue(all(result.is_completed for result in store.results))
+                self.assertEqual(len(self.executor.seen), 12)
+
+    async def test_a_job_is_given_up_at_the_end_of_its_route(self):
+        requests = msgspec.structs.replace(ROUTE, kind=RouteKind.PLAIN, job=None)
+        table = msgspec.structs.replace(TABLE, routes_by_host=group_by_host([requests]))
+        scheduler = self.make_scheduler(routes=lambda: table)
+        run, store = make_run(4)
+        scheduler.add(run)
+        running = asyncio.create_task(scheduler.run())
+        self.addCleanup(running.cancel)
+        async with asyncio.timeout(2):
+            await run.list_results()
+        self.assertFalse(any(result.is_completed for result in store.results))
+        self.assertEqual(self.executor.seen, [])
+
     async def test_items_stop_when_another_process_was_first_to_run_the_job(self):
         scheduler = self.make_scheduler()
         run, store = make_run(4, runner="")
