Log the software versions of services, for hosts that start again

What callers saw: all hosts were killed during a release, after the servers of the old version had left the list.

Cause: both the records of streams and the fact that there had been two versions were in the memory of hosts. Hosts that have just started list the new version alone; what they assume was taken, though marked as not certain, when all of them agreed. Hosts that are restarted one after the other within a minute lose the same.

Ruled out: refusing whatever isn't certain, which would refuse all streams for a minute after a kill where there is but one version; a guess from the start times of the listed servers, as servers that left the list leave none.

Change: process/version_log.py logs each change of the versions that a service lists, in a table of its own, and hosts read it when they start. A stream without a record goes on only if all versions of the last minute, those from before the start included, are the same. No message changes, and hosts of the release before read none of the new rows.

--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -61,6 +61,7 @@
 from goldcrestmoor.process.stream_versions import StreamVersions
 from goldcrestmoor.process.upstream_limits import UpstreamLimits
 from goldcrestmoor.process.usage import Usage
+from goldcrestmoor.process.version_log import VersionLog
 from goldcrestmoor.request import relayed_messages
 from goldcrestmoor.request.forwarding import Forwarder
 from goldcrestmoor.request.load_shedding import LoadShedding
@@ -138,6 +139,7 @@
         "_directory",
         "_host_calls",
         "_limits",
+        "_version_log",
         "_stream_versions",
         "_crashes",
         "_paths",
@@ -247,11 +249,19 @@
             http=self._http,
             row_by_host=lambda: self._connectivity.row_by_host(),
         )
+        self._version_log = VersionLog(
+            clock=clock,
+            store=self._store,
+            host_id=self.settings.host.id,
+            hosts=self._host_calls.zone_by_host,
+            routes=self._routing.current,
+        )
         self._stream_versions = StreamVersions(
             clock=clock,
             calls=self._host_calls,
             host_id=self.settings.host.id,
             list_age_ms=lambda: self._followers[records.UPSTREAM_TABLE].rows_age_ms(),
+            version_log=self._version_log,
         )
         self._paths = ServerPaths(
             clock=clock,
@@ -724,6 +734,7 @@
             "orders": self._orders,
             "reach": self._connectivity,
             "crash histories": self._crashes,
+            "software versions": self._version_log,
             "configuration": self._exchange,
         }
         if self._memory is not None:
--- a/goldcrestmoor/process/stream_versions.py
+++ b/goldcrestmoor/process/stream_versions.py
@@ -51,8 +51,8 @@
     :param recorded: the version in the host's record; None without one.
     :param unrecorded: the version of streams that no host has a record of; None if the
         host can't tell.
-    :param is_certain: whether the host has run long enough to know of earlier versions,
-        and its list of upstreams is current.
+    :param is_certain: whether the host knows of all earlier versions, and its list of
+        upstreams is current.
     """
 
     recorded: str | None
@@ -86,6 +86,8 @@
     :param host_id: this host.
     :param list_age_ms: returns the time since the list of upstreams was surely
         complete, or None if it never was.
+    :param version_log: the
+        :class:`~goldcrestmoor.process.version_log.VersionLog`; None for none.
     """
 
     __slots__ = (
@@ -93,17 +95,21 @@
         "_calls",
         "_host_id",
         "_list_age_ms",
+        "_version_log",
         "_history_by_service",
         "_version_by_stream",
         "_slots_by_host",
         "_tasks",
     )
 
-    def __init__(self, *, clock, calls, host_id, list_age_ms):
+    def __init__(self, *, clock, calls, host_id, list_age_ms, version_log=None):
         self._clock = clock
         self._calls = calls
         self._host_id = host_id
         self._list_age_ms = list_age_ms
+        self._version_log = version_log
+        if version_log is not None:
+            version_log.attach(self._history)
         self._history_by_service = {}
         self._version_by_stream = {}
         self._slots_by_host = {}
@@ -121,6 +127,8 @@
             versions.add(upstream.software_version)
         for service, versions in versions_by_service.items():
             self._history(service).observe(frozenset(versions))
+        if self._version_log is not None:
+            self._version_log.wake()
 
     async def begin(self, stream_id, service, software_version):
         """Record the version of a new stream, before its first event is sent on.
@@ -203,11 +211,15 @@
             versions[record.stream_id] = record.software_version
             while len(versions) > MAX_RECORDS:
                 del versions[next(iter(versions))]
+        recorded = versions.get(record.stream_id)
+        if self._version_log is not None and not self._version_log.is_loaded:
+            # What this host lists now tells nothing of the time before it started.
+            return StreamReply(recorded, None, False)
         history = self._history(record.service)
         return StreamReply(
-            versions.get(record.stream_id),
+            recorded,
             history.unrecorded_version(),
-            history.is_complete() and self._is_list_current(),
+            history.can_tell() and self._is_list_current(),
         )
 
     async def close(self):
--- a/test/test_software_versions.py
+++ b/test/test_software_versions.py
@@ -14,12 +14,14 @@
 
 import msgspec
 
+from goldcrestmoor.adapters.table import CheckFailed, Committed, Row
 from goldcrestmoor.clock import Clock
-from goldcrestmoor.errors import ServiceError
+from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.job.engine_choice import EngineLoad, choose_engine, should_restart
 from goldcrestmoor.job.item_run import Broken, ItemExecutor, ItemRun, ItemTerms
 from goldcrestmoor.job.job import Item, Partial
 from goldcrestmoor.platform import servers
+from goldcrestmoor.process import version_log
 from goldcrestmoor.process.directory import ListedUpstream
 from goldcrestmoor.process.stream_versions import (
     ACKNOWLEDGE_MS,
@@ -31,6 +33,13 @@
     version_of,
 )
 from goldcrestmoor.request.stream_version import LOOKBACK_MS, VersionHistory
+from goldcrestmoor.util import rendezvous_order
+from goldcrestmoor.version.configuration.routes import (
+    RetryPolicy,
+    Route,
+    RouteKind,
+    ServiceShare,
+)
 from test import _common
 from test._fleet import ManualClock
 from test._front import HOST, MODEL, FrontFleet, configuration, item
@@ -113,7 +122,11 @@
         @contextlib.asynccontextmanager
         async def stream(*args, **options):
             yield SimpleNamespace(
-                status=200, headers=response, ends_by_close=False, body=body
+                status=200,
+                headers=response,
+                ends_by_close=False,
+                body=body,
+                hold=lambda size: None,
             )
 
         executor = ItemExecutor(
@@ -169,6 +182,188 @@
         self.assertTrue(self.history.needs_records())
         self.assertFalse(self.history.is_complete())
 
+    def seed(self, *ages_and_versions):
+        """Add listings of the log, each with its age when this host started."""
+        now_ms = self.clock.now_ms()
+        self.history.seed(
+            [(now_ms - age_ms, frozenset(v)) for age_ms, v in ages_and_versions]
+        )
+
+    def test_a_host_that_starts_after_a_release_knows_that_it_can_not_tell(self):
+        self.seed((LOOKBACK_MS, {"v1", "v2"}), (5000, {"v2"}))
+        self.observe({"v2"}, 0)
+        self.assertIsNone(self.history.unrecorded_version())
+        self.assertFalse(self.history.can_tell())
+        self.assertTrue(self.history.needs_records())
+        self.clock._now_ms += LOOKBACK_MS
+        self.assertEqual(self.history.unrecorded_version(), "v2")
+        self.assertTrue(self.history.can_tell())
+
+    def test_a_version_that_came_while_all_hosts_were_down(self):
+        self.seed((2 * LOOKBACK_MS, {"v1"}))
+        self.observe({"v2"}, 0)
+        self.assertIsNone(self.history.unrecorded_version())
+
+    def test_records_of_before_the_start_are_not_relied_on(self):
+        """Streams of the other version began with one, which may be lost."""
+        self.seed((2 * LOOKBACK_MS, {"v1"}), (5000, {"v1", "v2"}))
+        self.observe({"v1", "v2"}, 0)
+        self.assertIsNone(self.history.unrecorded_version())
+
+    def test_a_host_that_starts_again_knows_of_a_single_version_at_once(self):
+        for observes_first in (False, True):
+            with self.subTest(observes_first):
+                self.setUp()
+                if observes_first:
+                    self.observe({"v1"}, 0)
+                self.seed((2 * LOOKBACK_MS, {"v1"}))
+                self.observe({"v1"}, 0)
+                self.assertEqual(self.history.unrecorded_version(), "v1")
+                self.assertTrue(self.history.can_tell())
+                self.assertFalse(self.history.needs_records())
+
+
+class FakeLogStore:
+    """One table; its clock is ahead of the hosts'."""
+
+    AHEAD_MS = 5_000_000
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.row_by_key = {}
+        self.is_down = False
+        self.writes = 0
+
+    def now_ms(self):
+        return self._clock.now_ms() + self.AHEAD_MS
+
+    def put(self, key, value):
+        version = self.row_by_key[key].version + 1 if key in self.row_by_key else 1
+        self.row_by_key[key] = Row(key, version, value)
+
+    async def scan(self, table):
+        if self.is_down:
+            raise ServiceError(ErrorKind.PLATFORM_UNAVAILABLE, "down")
+        return list(self.row_by_key.values())
+
+    async def get(self, table, key):
+        await self.scan(table)
+        return self.row_by_key.get(key)
+
+    async def transact(self, checks, writes):
+        (check,), (write,) = checks, writes
+        row = self.row_by_key.get(write.key)
+        if (row.version if row else 0) != check.version:
+            return CheckFailed(row, check.table, check.key)
+        self.writes += 1
+        self.put(write.key, write.value)
+        return Committed({})
+
+
+class VersionLogTest(unittest.IsolatedAsyncioTestCase):
+    """All hosts are killed during a release, some while the store is away."""
+
+    HOSTS = tuple(f"host-{n}" for n in range(5))
+
+    def setUp(self):
+        self.clock = Clock()
+        self.store = FakeLogStore(self.clock)
+
+    def start_host(self, host_id, kind=RouteKind.STREAM):
+        """Start a host; return its history of the service, and the log."""
+        route = Route(
+            name="r",
+            host="h",
+            path_prefix="/",
+            kind=kind,
+            retry_policy=RetryPolicy.RESUMABLE,
+            shares=(ServiceShare("pool"),),
+            timeout_ms=1000,
+            target_ms=100,
+        )
+        table = SimpleNamespace(routes_by_host={"h": (route,)})
+        history = VersionHistory(self.clock)
+        found = version_log.VersionLog(
+            clock=self.clock,
+            store=self.store,
+            host_id=host_id,
+            hosts=lambda: self.HOSTS,
+            routes=lambda: table,
+        )
+        found.attach(lambda service: history)
+        running = asyncio.create_task(found.run())
+        self.addCleanup(running.cancel)
+        return history, found
+
+    def observe(self, hosts, *versions):
+        for history, found in hosts:
+            history.observe(frozenset(versions))
+            found.wake()
+
+    async def logged(self, *versions):
+        """Wait until a listing is the last one in the log."""
+
+        expected = json.dumps(versions, separators=(",", ":")).encode()
+
+        def is_logged():
+            row = self.store.row_by_key.get("pool")
+            return row and row.value.endswith(b'"versions":' + expected + b"}]}")
+
+        await _common.eventually(is_logged, 5)
+
+    async def test_hosts_that_start_again_learn_of_a_release(self):
+        hosts = [self.start_host(host) for host in self.HOSTS]
+        for versions in (("v1",), ("v1", "v2"), ("v2",)):
+            self.observe(hosts, *versions)
+            await self.logged(*versions)
+        await asyncio.sleep(version_log.WRITERS * version_log.TURN_MS / 1000)
+        # The first writer alone, once for each change.
+        self.assertEqual(self.store.writes, 3)
+        for host in self.HOSTS:
+            history, found = self.start_host(host)
+            self.observe([(history, found)], "v2")
+            await _common.eventually(lambda found=found: found.is_loaded)
+            self.assertIsNone(history.unrecorded_version())
+
+    async def test_a_change_is_logged_once_the_store_is_back(self):
+        hosts = [self.start_host(host) for host in self.HOSTS]
+        self.store.is_down = True
+        self.observe(hosts, "v1")
+        await asyncio.sleep(0.3)
+        self.assertFalse(any(found.is_loaded for _, found in hosts))
+        self.store.is_down = False
+        await self.logged("v1")
+
+    async def test_another_writer_takes_the_place_of_one_that_is_gone(self):
+        order = rendezvous_order("pool", self.HOSTS)
+        self.observe([self.start_host(order[1])], "v1")
+        await self.logged("v1")
+        self.observe([self.start_host(order[-1])], "v1", "v2")
+        await asyncio.sleep(0.2)
+        self.assertEqual(self.store.writes, 1)
+
+    async def test_an_odd_row_is_replaced(self):
+        self.store.put("pool", b"[" * 10_000)
+        with self.assertLogs("goldcrestmoor.streams", "WARNING"):
+            self.observe([self.start_host(host) for host in self.HOSTS], "v1")
+            await self.logged("v1")
+
+    async def test_services_without_resumable_streams_have_no_log(self):
+        hosts = [self.start_host(host, RouteKind.JOB) for host in self.HOSTS]
+        self.observe(hosts, "v1")
+        await asyncio.sleep(0.2)
+        self.assertEqual(self.store.writes, 0)
+
+    def test_old_listings_go_and_a_row_stays_small(self):
+        listings = ()
+        for number in range(2 * version_log.MAX_LISTINGS):
+            new = version_log.Listing(number, (f"v{number % 2}",))
+            listings = version_log.append(listings, new)
+        self.assertEqual(len(listings), version_log.MAX_LISTINGS)
+        self.assertEqual(listings[0].versions, ("v0", "v1"))
+        late = version_log.Listing(10 * LOOKBACK_MS, ("v2",))
+        self.assertEqual(version_log.append(listings, late), (listings[-1], late))
+
 
 class StreamVersionTest(unittest.TestCase):
     def test_a_record_goes_before_what_hosts_assume(self):
@@ -482,6 +677,43 @@
         begun = await self.begin_streams("front-a")
         self.assertEqual(await self.take_up("front-b", begun), STREAMS)
 
+    async def restart_all(self):
+        """Kill all hosts and start them again."""
+        for host in HOSTS:
+            self.fleet.fronts[host].kill()
+        for host in HOSTS:
+            self.fleet.start_front(host)
+        for host in HOSTS:
+            await self.fleet.wait_ready(host)
+
+    async def unlist(self, version):
+        """End a release: the servers of a version leave the list."""
+        for engine in self.fleet.engines:
+            if engine.version == version:
+                self.fleet.silent.add(engine.name)
+                self.fleet.store.put("servers", engine.name, None)
+        await asyncio.sleep(1)
+
+    async def test_no_stream_mixes_versions_after_all_hosts_were_killed(self):
+        """The hosts that have just started list one version and know of no other."""
+        begun = await self.begin_streams("front-a")
+        self.assertEqual(len(set().union(*map(self.versions_in, begun.values()))), 2)
+        await self.unlist("v1")
+        await self.restart_all()
+        await self.take_up("front-b", begun)
+
+    async def test_streams_of_the_only_version_go_on_after_all_hosts_were_killed(self):
+        self.set_engines(version="v1")
+        await asyncio.sleep(1)
+        self.fleet.store.remove(version_log.TABLE, "pool")
+        await self.restart_all()
+        begun = await self.begin_streams("front-a")
+        await _common.eventually(
+            lambda: self.fleet.store.value(version_log.TABLE, "pool")
+        )
+        await self.restart_all()
+        self.assertEqual(await self.take_up("front-b", begun), STREAMS)
+
     async def test_streams_are_taken_up_after_their_host_was_killed(self):
         begun = await self.begin_streams("front-a")
         self.fleet.fronts["front-a"].kill()
