Refuse responses whose status HTTP doesn't have

What callers saw: on other systems, the status 000 of a server in trouble as an answer. Here 000 to 099 were refused by the parser, but 600 and 999 reached callers with the server's stamp, and any number did through a relay.

Cause: which statuses there are was left to the parser, which takes all of three digits from 200; the head of a relayed response wasn't checked at all.

Change: a final status is one from 200 to 599, where heads are read and in relayed ones, which hosts of the release before may send. Another is a failure after the request was sent.

--- a/goldcrestmoor/connection/http_client.py
+++ b/goldcrestmoor/connection/http_client.py
@@ -7,7 +7,11 @@
 import msgspec
 
 from goldcrestmoor.clock import MS_PER_SECOND, Deadline
-from goldcrestmoor.connection.http_connection import failed, unreachable
+from goldcrestmoor.connection.http_connection import (
+    FINAL_STATUSES,
+    failed,
+    unreachable,
+)
 from goldcrestmoor.connection.http_pool import HttpPool
 from goldcrestmoor.connection.response_memory import ResponseBytes, ResponseMemory
 from goldcrestmoor.errors import ErrorKind, ServiceError
@@ -329,6 +333,8 @@
                 break
         else:
             raise failed(self.target, "it has too many interim responses")
+        if event.status_code not in FINAL_STATUSES:
+            raise failed(self.target, f"its status is {event.status_code}")
         self._check_framing(event, method, allow_close_delimited)
         self._connection.record_keep_alive(event.headers)
         self.status = event.status_code
--- a/goldcrestmoor/connection/http_connection.py
+++ b/goldcrestmoor/connection/http_connection.py
@@ -28,6 +28,8 @@
 # A process that reads slower than servers send always finds data; it must report the
 # timeout within the half second that callers allow, together for all connections.
 MAX_LATE_READ_MS = 100
+# Of final responses; others are no HTTP, whatever their three digits.
+FINAL_STATUSES = range(200, 600)
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,6})")
 # A request must reach the server before the server closes the idle connection.
 KEEP_ALIVE_MARGIN_MS = 500
--- a/goldcrestmoor/request/relayed_messages.py
+++ b/goldcrestmoor/request/relayed_messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from goldcrestmoor.connection.http_connection import FINAL_STATUSES
 from goldcrestmoor.errors import ErrorKind, ServiceError
 
 # Prefix of the path of a relayed request, which is always a POST.
@@ -157,6 +158,10 @@
         except msgspec.MsgspecError as e:
             text = "The head of a relayed response is malformed."
             raise ServiceError(ErrorKind.UPSTREAM_FAILED, text) from e
+        if head.status not in FINAL_STATUSES:
+            # Hosts of the release before pass them on.
+            text = f"The status of a relayed response is {head.status}."
+            raise ServiceError(ErrorKind.UPSTREAM_FAILED, text)
         return cls(response, head, chunks, rest)
 
     @property
