Bound the replies to reports and orders

What callers see: a host out of memory.

Cause: reports and replies to orders were read like bodies for callers, up to 32 MB, and decoded whole, which takes several times as much.

Change: they have at most 256 KB, room for thousands of models; the own engine protocol likewise.

Measured: test_endless_responses.ControlCallTest failed before (a report of 100,000 models was taken) and passes.

--- a/goldcrestmoor/adapters/engine.py
+++ b/goldcrestmoor/adapters/engine.py
@@ -12,6 +12,8 @@
 EVENT_PREFIX = b"data:"
 END_OF_STREAM = b"[DONE]"
 MAX_EVENT_BYTES = 1 << 20
+# Of a reply to an order or a question about state.
+MAX_REPLY_BYTES = 256 << 10
 ROLE_LEAVING = "leaving"
 STATUS_OK = 200
 STATUS_CONFLICT = 409
@@ -193,6 +195,7 @@
             body,
             timeout_ms,
             idempotent=method == "GET",
+            max_body_bytes=MAX_REPLY_BYTES,
         )
 
 
--- a/goldcrestmoor/connection/http_client.py
+++ b/goldcrestmoor/connection/http_client.py
@@ -91,6 +91,7 @@
         timeout_ms=None,
         idempotent=False,
         on_head=None,
+        max_body_bytes=None,
         **options,
     ):
         """Send a request once and return its complete response.
@@ -98,6 +99,7 @@
         The parameters and errors are those of :meth:`stream`, and:
 
         :param on_head: called with the status and headers once they are received.
+        :param max_body_bytes: as for :meth:`read_body`.
         :return: an :class:`HttpResponse`.
         :raises ServiceError: also those of :meth:`read_body`.
         """
@@ -114,23 +116,25 @@
         ) as response:
             if on_head is not None:
                 on_head(response.status, response.headers)
-            body = await self.read_body(response)
+            body = await self.read_body(response, max_body_bytes)
             return HttpResponse(response.status, response.headers, body)
 
-    async def read_body(self, response):
+    async def read_body(self, response, max_bytes=None):
         """Return the whole body of a response.
 
         :param response: the :class:`ResponseStream`.
-        :raises ServiceError: ``UPSTREAM_FAILED`` when the body is longer than
-            ``max_body_bytes``, or than the memory for responses has room for.
+        :param max_bytes: the most that it may have; that of the limits by default.
+        :raises ServiceError: ``UPSTREAM_FAILED`` when the body is longer, or than the
+            memory for responses has room for.
         """
+        max_bytes = max_bytes or self._limits.max_body_bytes
         # Large bodies that grow in place would leave holes in the process's memory, and
         # small chunks kept one by one take many times their size.
         blocks, last, size = [], bytearray(), 0
         async for chunk in response.body():
             last += chunk
             size += len(chunk)
-            if size > self._limits.max_body_bytes:
+            if size > max_bytes:
                 raise failed(response.target, "the response body is too large")
             response.hold(size)
             if len(last) >= BLOCK_BYTES:
--- a/goldcrestmoor/platform/servers.py
+++ b/goldcrestmoor/platform/servers.py
@@ -74,6 +74,8 @@
     expected: int | None = None
 
 
+# A report of thousands of models; decoded, it takes several times as much.
+MAX_CONTROL_BYTES = 256 << 10
 _report_decoder = msgspec.json.Decoder(_Report)
 
 
@@ -326,6 +328,7 @@
             timeout_ms,
             idempotent=True,
             on_head=check_id,
+            max_body_bytes=MAX_CONTROL_BYTES,
             allow_close_delimited=True,
             before_send=lambda: self._directory.check_usable(upstream),
         )
--- a/test/test_endless_responses.py
+++ b/test/test_endless_responses.py
@@ -6,15 +6,19 @@
 
 import asyncio
 import contextlib
+import json
 import pathlib
 import re
 import time
 import unittest
 from types import SimpleNamespace
 
-from goldcrestmoor.errors import ServiceError
+from goldcrestmoor.clock import Clock
+from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.platform import servers
 from test import _common
 from test._front import FETCH_PATH, MODEL, FrontFleet, item
+from test._request_fakes import ListingHost
 from test.standins.users_server import UsersServer, whole_text
 
 BLOCK = 16_384
@@ -34,6 +38,14 @@
         b"4000\r\n" + b"x" * BLOCK + b"\r\n",
     ),
     "chunk size": (HEAD.format("200 OK", "{id}") + CHUNKED, b"1" * BLOCK),
+    "chunk extension": (
+        HEAD.format("200 OK", "{id}") + CHUNKED,
+        b"1;" + b"e" * BLOCK,
+    ),
+    "trailers": (
+        HEAD.format("200 OK", "{id}") + CHUNKED + "1\r\nx\r\n0\r\n",
+        b"a: b\r\n" * 2000,
+    ),
     "failure": (HEAD.format("500 Failed", "{id}") + "\r\n", b"x" * BLOCK),
     "not run": (
         HEAD.format("503 Full", "{id}") + "not-run: 1\r\n\r\n",
@@ -186,5 +198,48 @@
                 await self.check_closed(self.engine, name)
 
 
+class ControlCallTest(unittest.IsolatedAsyncioTestCase):
+    """Reports are decoded whole: a long one takes many times its size in memory."""
+
+    async def asyncSetUp(self):
+        self.host = ListingHost(Clock())
+        self.addAsyncCleanup(self.host.close)
+        self.engines = servers.EngineControlClient(
+            http=self.host.sending["http"],
+            directory=self.host.directory,
+            limits=self.host.limits,
+        )
+
+    async def send_report(self, model_count):
+        """Return the report of an engine that has so many models."""
+        models = [{"name": f"m{n}", "version": 1} for n in range(model_count)]
+        body = json.dumps({"models": models}).encode()
+
+        async def respond(reader, writer):
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+                found = re.search(r"request-id: (\S+)", head)
+                head = f"HTTP/1.1 200 OK\r\nrequest-id: {found[1]}\r\n"
+                head += f"content-length: {len(body)}\r\n\r\n"
+                writer.write(head.encode() + body)
+                await writer.drain()
+            writer.close()
+
+        listener = await asyncio.start_server(respond, "127.0.0.1", 0)
+        self.addCleanup(listener.close)
+        port = listener.sockets[0].getsockname()[1]
+        server = UsersServer("s0", "pool", {MODEL: 1})
+        server._server = SimpleNamespace(port=port)
+        self.host.list_server(server)
+        return await self.engines.report(self.host.directory.upstream_by_name["s0"])
+
+    async def test_a_report_is_bounded(self):
+        report = await self.send_report(100)
+        self.assertEqual(len(report.version_by_model), 100)
+        with self.assertRaises(ServiceError) as caught:
+            await self.send_report(100_000)
+        self.assertIs(caught.exception.kind, ErrorKind.UPSTREAM_FAILED)
+
+
 if __name__ == "__main__":
     unittest.main()
