Bound the head of a relayed response

What callers see: a host that stands still, then is out of memory. Something else may listen at the address of a host that is gone, or a host may fail.

Cause: the head was read until its end, whatever its length, and searched from the start after each read.

Change: it has at most 256 KB, several times a head with all its characters escaped.

What relays send is unchanged.

--- a/goldcrestmoor/request/relayed_messages.py
+++ b/goldcrestmoor/request/relayed_messages.py
@@ -8,6 +8,8 @@
 # Prefix of the path of a relayed request, which is always a POST.
 RELAY_PREFIX = "/servers/requests"
 HEAD_END = b"\n"
+# JSON escapes take up to six times the 32 KB that a head may have.
+MAX_HEAD_BYTES = 256 << 10
 _SERVER_HEADER = b"relay-server"
 _STARTED_HEADER = b"relay-server-started-ms"
 _METHOD_HEADER = b"relay-method"
@@ -152,6 +154,9 @@
                 text = "A relayed response has no head."
                 raise ServiceError(ErrorKind.UPSTREAM_FAILED, text)
             received += chunk
+            if len(received) > MAX_HEAD_BYTES and HEAD_END not in received:
+                text = "The head of a relayed response is too long."
+                raise ServiceError(ErrorKind.UPSTREAM_FAILED, text)
         line, _, rest = received.partition(HEAD_END)
         try:
             head = _head_decoder.decode(line)
--- a/test/test_response_status.py
+++ b/test/test_response_status.py
@@ -1,4 +1,4 @@
-"""Servers in trouble that answer with a status that HTTP doesn't have.
+"""Servers in trouble that answer with a status that HTTP doesn't have, and odd relays.
 
 Such bytes are no answer: a client that gets them as one, or an item that is listed by
 them, takes a failure for the server's word.
@@ -22,6 +22,7 @@
 )
 BODY = "id: 0\ndata: odd\n\n"
 EVENTS = 4
+BLOCK_BYTES = 16_384
 
 
 class OddStatusServer(UsersServer):
@@ -112,7 +113,7 @@
             await _common.eventually(lambda runs=runs: len(self.engine.runs) > runs)
 
 
-class RelayedStatusTest(unittest.IsolatedAsyncioTestCase):
+class RelayedHeadTest(unittest.IsolatedAsyncioTestCase):
     """A host of the release before relays such a response as it is."""
 
     async def test_it_is_a_failure(self):
@@ -126,6 +127,22 @@
                 await RelayedResponse.open(response)
             self.assertIs(caught.exception.kind, ErrorKind.UPSTREAM_FAILED)
 
+    async def test_an_endless_head_is_given_up(self):
+        """Something else may listen at the address of a host that is gone."""
+        sent = 0
+
+        async def body():
+            nonlocal sent
+            while sent < 64 << 20:
+                sent += BLOCK_BYTES
+                yield b"x" * BLOCK_BYTES
+
+        response = SimpleNamespace(body=body, target=("10.0.0.1", 80))
+        with self.assertRaises(ServiceError) as caught:
+            await RelayedResponse.open(response)
+        self.assertIs(caught.exception.kind, ErrorKind.UPSTREAM_FAILED)
+        self.assertLess(sent, 1 << 20)
+
 
 if __name__ == "__main__":
     unittest.main()
