End completions of an engine that ignores its token limit

Cause: the tokens of a stream were counted and never compared with those asked for.

Change: a stream with more tokens, or more chunks, is a failure of its engine. The caller has what it asked for by then, or goes on at another engine.

--- a/goldcrestmoor/request/completions.py
+++ b/goldcrestmoor/request/completions.py
@@ -247,7 +247,8 @@
         model = self._lease.view().configuration.pools_by_name[pool].model
         started_ms = self._clock.now_ms()
         first_ms = None
-        used_tokens = 0
+        used_tokens = chunk_count = 0
+        max_tokens = progress.tokens_left
         in_flight = False
         self._placement.begin(upstream)
         stream = self._engines.stream(
@@ -272,6 +273,11 @@
                     if first_ms is None:
                         first_ms = self._clock.now_ms() - started_ms
                     used_tokens += chunk.tokens
+                    chunk_count += 1
+                    if max(used_tokens, chunk_count - 1) > max_tokens:
+                        # The last chunk may have the finish reason alone.
+                        text = f"{upstream.name} sent more than {max_tokens} tokens."
+                        raise ServiceError(ErrorKind.UPSTREAM_FAILED, text)
                     yield chunk
             in_flight = False
             self._record(upstream, True, first_ms)
--- a/test/test_completions.py
+++ b/test/test_completions.py
@@ -14,7 +14,7 @@
 from goldcrestmoor.request.admission_owner import AdmissionOwner
 from goldcrestmoor.request.completions import Completions
 from goldcrestmoor.request.placement import LeastLoaded, Placement
-from goldcrestmoor.request.token_chunk import merge_by_version
+from goldcrestmoor.request.token_chunk import TokenChunk, merge_by_version
 from test import _request_fakes as fakes
 from test._common import eventually
 from test.standins import engine as standin
@@ -121,6 +121,28 @@
         self.assertEqual(segments, [(1, 8), (2, 12)])
         self.assertEqual(other.tokens, 12)
 
+    async def test_an_engine_that_never_ends_is_left_at_the_token_limit(self):
+        """All that it sent was kept, and passed on as the caller's output."""
+        for tokens, is_whole in ((1, True), (0, False)):
+
+            async def endless(upstream, tokens=tokens, **options):
+                while True:
+                    yield TokenChunk("a", tokens, 1, upstream.name, "")
+                    await asyncio.sleep(0)
+
+            with (
+                self.subTest(tokens),
+                mock.patch.object(EngineClient, "stream", staticmethod(endless)),
+            ):
+                async with asyncio.timeout(2):
+                    if is_whole:
+                        chunks = await self.chunks()
+                        self.assertEqual("".join(c.text for c in chunks), "a" * 20)
+                        self.assertEqual(chunks[-1].finish_reason, "length")
+                    else:
+                        error = await self.error()
+                        self.assertEqual(error.kind, ErrorKind.UPSTREAM_FAILED)
+
     async def test_a_swap_in_the_middle_of_a_stream_shows_in_the_segments(self):
         stream = self.generate(40)
         chunks = []
