End a stop before the platform's kill

What callers saw: a planned stop of one host, in calm.

Cause: the host answers what still runs 8 s after the signal, and the platform kills the process after its grace, 8 s as well, which was in no setting. Besides, the servers closed 1.5 s after the drain however early that ended, also for requests accepted since.

Change: the grace comes from the platform's settings, and all times of a stop end half a second before it. The servers close by the same schedule. The last usage is sent for 1.5 s at most.

--- a/goldcrestmoor/front_settings.py
+++ b/goldcrestmoor/front_settings.py
@@ -23,6 +23,7 @@
 Text = Annotated[str, Meta(min_length=1)]
 Cores = Annotated[float, Meta(gt=0)]
 Share = Annotated[float, Meta(gt=0, le=1)]
+Seconds = Annotated[float, Meta(gt=0)]
 MemoryMb = Annotated[float, Meta(ge=0)]
 Endpoint = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
 
@@ -117,6 +118,12 @@
     revoke_ms: DurationMs
 
 
+class FrontShutdownSettings(ShutdownSettings):
+    """Waiting times of a graceful shutdown, and when the platform ends it."""
+
+    grace_s: Seconds | None
+
+
 class FrontSettings(Section):
     """All settings of the daemon on the users' platform.
 
@@ -131,7 +138,7 @@
     usage: UsageSettings | None
     accounts: AccountSettings | None
     limits: LimitSettings
-    shutdown: ShutdownSettings
+    shutdown: FrontShutdownSettings
     log: LogSettings
     tracing: TracingSettings
 
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -787,8 +787,13 @@
         if self._api_duty is not None:
             self._api_duty.leave()
         shutdown = self.settings.shutdown
+        grace_s = shutdown.grace_s
         schedule = StopSchedule(
-            self._clock, shutdown.unready_ms, shutdown.drain_ms, CLOSE_TIMEOUT_MS
+            self._clock,
+            shutdown.unready_ms,
+            shutdown.drain_ms,
+            CLOSE_TIMEOUT_MS,
+            None if grace_s is None else grace_s * MS_PER_SECOND,
         )
         self._in_flight.schedule = schedule
         await self._supervisor.hand_over(HAND_OVER_TIMEOUT_MS)
@@ -805,12 +810,18 @@
         while self._in_flight.count and not schedule.drain.passed():
             await self._clock.sleep_ms(DRAIN_POLL_MS)
         if self._usage is not None:
-            await self._usage.flush()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CLOSE_TIMEOUT_MS / MS_PER_SECOND):
+                    await self._usage.flush()
 
     async def _close(self):
+        timeout_ms, schedule = CLOSE_TIMEOUT_MS, self._in_flight.schedule
+        if schedule is not None:
+            # Requests that were accepted meanwhile have until then.
+            timeout_ms = max(0, schedule.end.remaining_ms())
         async with asyncio.TaskGroup() as stopping:
             for server in self._servers:
-                stopping.create_task(server.stop(CLOSE_TIMEOUT_MS))
+                stopping.create_task(server.stop(timeout_ms))
         await self._supervisor.close()
         await self._scheduler.close()
         await self._rewards.close()
--- a/goldcrestmoor/process/stop_schedule.py
+++ b/goldcrestmoor/process/stop_schedule.py
@@ -9,6 +9,9 @@
 
 # For the last bytes of a response to reach its caller.
 RESPONSE_MARGIN_MS = 200
+# For the answers to requests that the end interrupts, on a busy host, before the
+# platform kills the process.
+KILL_MARGIN_MS = 500
 
 
 class StopSchedule:
@@ -18,16 +21,21 @@
     :param unready_ms: how long the balancer may still send new connections.
     :param drain_ms: how long requests may run after that.
     :param close_ms: how long the rest of them may run while the servers close.
+    :param grace_ms: when the platform kills the process; None if it never does.
     :ivar unready: until when every request is accepted.
     :ivar drain: when the servers begin to close, at the latest.
+    :ivar end: when requests that still run are interrupted.
     """
 
-    __slots__ = ("unready", "drain", "_last_end")
+    __slots__ = ("unready", "drain", "end", "_last_end")
 
-    def __init__(self, clock, unready_ms, drain_ms, close_ms):
-        self.unready = Deadline.after(clock, unready_ms)
-        self.drain = Deadline.after(clock, unready_ms + drain_ms)
+    def __init__(self, clock, unready_ms, drain_ms, close_ms, grace_ms=None):
         total_ms = unready_ms + drain_ms + close_ms
+        if grace_ms is not None:
+            total_ms = max(0, min(total_ms, grace_ms - KILL_MARGIN_MS))
+        self.unready = Deadline.after(clock, min(unready_ms, total_ms))
+        self.drain = Deadline.after(clock, max(0, total_ms - close_ms))
+        self.end = Deadline.after(clock, total_ms)
         self._last_end = Deadline.after(clock, total_ms - RESPONSE_MARGIN_MS)
 
     def accepts(self, longest_ms):
--- a/test/test_stopping_host.py
+++ b/test/test_stopping_host.py
@@ -6,7 +6,11 @@
 
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.process.shutdown import InFlight
-from goldcrestmoor.process.stop_schedule import RESPONSE_MARGIN_MS, StopSchedule
+from goldcrestmoor.process.stop_schedule import (
+    KILL_MARGIN_MS,
+    RESPONSE_MARGIN_MS,
+    StopSchedule,
+)
 from goldcrestmoor.request.relayed_messages import RELAY_PREFIX, relay_headers
 from goldcrestmoor.request.request_relay import RequestRelay
 from test import _common
@@ -49,6 +53,26 @@
         clock.ms += UNREADY_MS - 1
         self.assertTrue(schedule.accepts(LONG_MS))
 
+    def test_all_ends_before_the_platform_kills_the_process(self):
+        for grace_ms in (200, 3000, 5000, 8000):
+            with self.subTest(grace_ms):
+                clock = FakeClock()
+                schedule = StopSchedule(clock, 2500, 4000, CLOSE_MS, grace_ms)
+                last_ms = max(0, grace_ms - KILL_MARGIN_MS)
+                self.assertEqual(schedule.end.remaining_ms(), last_ms)
+                self.assertLessEqual(schedule.unready.remaining_ms(), last_ms)
+                self.assertLessEqual(schedule.drain.remaining_ms(), last_ms)
+                clock.ms += min(2500, last_ms)
+                left_ms = last_ms - RESPONSE_MARGIN_MS - min(2500, last_ms)
+                self.assertFalse(schedule.accepts(max(1, left_ms + 1)))
+                if left_ms > 0:
+                    self.assertTrue(schedule.accepts(left_ms))
+
+    def test_a_grace_beyond_the_stop_changes_nothing(self):
+        clock = FakeClock()
+        schedule = StopSchedule(clock, UNREADY_MS, DRAIN_MS, CLOSE_MS, 60_000)
+        self.assertEqual(schedule.end.remaining_ms(), TOTAL_MS)
+
 
 class RelayTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_stopping_host_relays_nothing_that_outlasts_it(self):
@@ -82,7 +106,7 @@
 
     def send(self, path, request_id, deadline_ms):
         """Send a request without waiting for its response."""
-        model = "" if path == FETCH_PATH else f"Model-Name: {MODEL}\r\n"
+        model = f"Model-Name: {MODEL}\r\n" if path.startswith("/stream") else ""
         self._writer.write(
             f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n"
             f"Deadline-Ms: {deadline_ms}\r\n{model}Content-Length: 1\r\n\r\nx".encode()
@@ -184,5 +208,51 @@
         self.assertTrue(self.fleet.fronts["front-a"].alive())
 
 
+class GraceTest(unittest.IsolatedAsyncioTestCase):
+    """The platform kills the process at the end of its grace, whatever it does then.
+
+    Requests that may not be repeated were cut there without a word (LOST).
+    """
+
+    # As on all sheets of the users.
+    GRACE_S = 8
+
+    async def asyncSetUp(self):
+        self.fleet = FrontFleet()
+        self.addAsyncCleanup(self.fleet.close)
+        routes = [
+            {"name": "long", "pathPrefix": "/long/", "routeType": "unsafe"}
+            | {"timeoutMs": 2 * LONG_MS}
+        ]
+        self.fleet.configured["more_routes"] = routes
+        for app in self.fleet.apps:
+            app.delay_s = LONG_MS / 1000
+        self.fleet.sections["shutdown"] = {"grace_s": self.GRACE_S}
+        await self.fleet.start(names=("front-a",))
+
+    async def test_whatever_reached_a_server_is_answered_before_the_kill(self):
+        port = self.fleet.ports["front-a"][0]
+        front = self.fleet.fronts["front-a"]
+        streams = [await asyncio.open_connection("127.0.0.1", port) for _ in range(38)]
+        kept = [KeptConnection(*stream) for stream in streams]
+        for connection in kept:
+            self.addCleanup(connection.close)
+        front.terminate()
+        heads = []
+        for number, connection in enumerate(kept):
+            connection.send("/long/x", f"r{number}", 2 * LONG_MS)
+            heads.append(asyncio.create_task(connection.head()))
+            await asyncio.sleep(self.GRACE_S / len(kept))
+        front.kill()
+        runs = {run for app in self.fleet.apps for run in app.runs}
+        self.assertGreater(len(runs), 5)
+        for number, head in enumerate(await asyncio.gather(*heads)):
+            if f"r{number}" in runs:
+                self.assertIsNotNone(head, f"request {number} was cut")
+                self.assertEqual(head[0], 502)
+            else:
+                self.assertTrue(head is None or head[0] == 503)
+
+
 if __name__ == "__main__":
     unittest.main()
