Measure a write of results in bytes

What callers saw: results in a script of two or three bytes a character that waited for the end of an outage, or that a server in trouble had made long, were listed no more.

Cause: the budget of a transaction counted characters. The store refuses a call of over 1 MB, and the write was sent again for ever.

Change: the budget counts encoded bytes.

Measured: test_job_run.JobRunTest.test_a_write_is_measured_in_bytes failed before (4 results of 180 kB in one write, not 3) and passes.

--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -258,10 +258,15 @@
 
     def _append(self, data):
         self.events.append(data)
-        self.text_bytes += len(data) if data.isascii() else len(data.encode())
+        self.text_bytes += encoded_size(data)
         self.held_bytes += sys.getsizeof(data)
 
 
+def encoded_size(text):
+    """Return the bytes that a text takes when it is encoded."""
+    return len(text) if text.isascii() else len(text.encode())
+
+
 class ItemExecutor:
     """Sends items to engines and collects their output.
 
--- a/goldcrestmoor/job/job_run.py
+++ b/goldcrestmoor/job/job_run.py
@@ -10,7 +10,7 @@
 
 from goldcrestmoor.job import job_store, work_order
 from goldcrestmoor.job.item_order import order_items
-from goldcrestmoor.job.item_run import ItemRun
+from goldcrestmoor.job.item_run import ItemRun, encoded_size
 from goldcrestmoor.job.job import Result
 
 log = logging.getLogger("goldcrestmoor.jobs")
@@ -343,7 +343,10 @@
         """
         budget = job_store.WriteBudget()
         results = list(
-            itertools.takewhile(lambda r: budget.reserve(len(r.text)), self._finished)
+            itertools.takewhile(
+                lambda result: budget.reserve(encoded_size(result.text)),
+                self._finished,
+            )
         )
         partials = self._partials(budget)
         if not results and not partials:
@@ -376,7 +379,7 @@
             return partials
         for run in self._with_unsaved():
             partial = run.unsaved()
-            if not budget.reserve(sum(map(len, partial.events))):
+            if not budget.reserve(sum(map(encoded_size, partial.events))):
                 break
             partials[run] = partial
         return partials
--- a/test/test_job_run.py
+++ b/test/test_job_run.py
@@ -389,6 +389,18 @@
         self.assertEqual(len(again.waiting[0].events), MIN_UNSAVED_EVENTS)
         self.assertTrue(again.waiting[0].is_complete)
 
+    async def test_a_write_is_measured_in_bytes(self):
+        """The store refused texts of three bytes a character, again and again."""
+        run, store = make_run(4)
+        for item_run in list(run.waiting):
+            run.start(item_run, "a")
+            item_run.add(Event("0", "\u4e16" * 60_000, None, b""), 1)
+            run.finish(item_run, is_completed=True)
+        self.assertTrue(await run._write())
+        self.assertEqual(len(store.results), 3)
+        self.assertTrue(await run._write())
+        self.assertEqual(len(store.results), 4)
+
     async def test_finished_items_are_listed_together(self):
         scheduler = self.make_scheduler()
         run, store = make_run(6)
