Read stored output in pages, and only the newest of each item

What callers see: a host that takes a job over is out of memory.

Cause: all partial outputs of a job were read at once and decoded, those of discarded generations too, which ItemRun.resume then ignored.

--- a/goldcrestmoor/job/job_store.py
+++ b/goldcrestmoor/job/job_store.py
@@ -267,16 +267,40 @@
     async def partials(self, job_id):
         """Return the stored partial outputs of a job's items, by position.
 
+        Of an item that started again, only the newest output is returned.
+
         :param job_id: the job.
         :raises ServiceError: ``PLATFORM_UNAVAILABLE``.
         """
-        rows = await self._store.scan(PARTIAL_TABLE, _prefix(job_id))
-        partials_by_position = {}
-        for data in _join_chunks(rows):
-            partial = _partial_decoder.decode(data)
-            partials_by_position.setdefault(partial.position, []).append(partial)
+        partials_by_position, chunks = {}, []
+        async for row in self._rows(PARTIAL_TABLE, job_id):
+            chunks.append(row.value[1:])
+            if row.value[:1] != LAST_CHUNK:
+                continue
+            partial = _partial_decoder.decode(b"".join(chunks))
+            chunks = []
+            known = partials_by_position.setdefault(partial.position, [])
+            if known and known[-1].generation < partial.generation:
+                known.clear()
+            known.append(partial)
         return partials_by_position
 
+    async def _rows(self, table, job_id):
+        """Yield the rows of a job in the order of their keys, a few in memory."""
+        last_key = None
+        while True:
+            rows = await self._store.scan(
+                table, _prefix(job_id), start=last_key, max_rows=READ_ROWS
+            )
+            new = [row for row in rows if row.key != last_key]
+            for row in new:
+                yield row
+            # The store returns fewer rows than it has only if these are large.
+            size = sum(len(row.value) for row in rows)
+            if not new or (len(rows) < READ_ROWS and size < MAX_BYTES):
+                return
+            last_key = new[-1].key
+
     async def remove(self, job_id, stored):
         """Delete a job whose retention has expired.
 
@@ -313,7 +337,7 @@
     def reserve(self, length):
         """Reserve capacity for an output; return whether it fits (the first always).
 
-        :param length: the length of the output, in characters.
+        :param length: the length of the output, encoded.
         """
         length += ENTRY_OVERHEAD_BYTES
         writes = 1 + length // MAX_CHUNK_BYTES
--- a/test/test_output_limit.py
+++ b/test/test_output_limit.py
@@ -2,9 +2,11 @@
 
 import unittest
 
+from goldcrestmoor.adapters.table import Row
 from goldcrestmoor.connection.response_memory import SMALL_BYTES, ResponseMemory
+from goldcrestmoor.job import job_store
 from goldcrestmoor.job.item_run import ItemRun
-from goldcrestmoor.job.job import Item
+from goldcrestmoor.job.job import Item, Partial
 from goldcrestmoor.job.output_limit import (
     MAX_EVENTS_PER_TOKEN,
     MAX_OUTPUT_BYTES,
@@ -85,5 +87,44 @@
         self.assertEqual((again.held_bytes, again.text_bytes), (0, 0))
 
 
+class StoredOutputTest(unittest.IsolatedAsyncioTestCase):
+    """What hosts read of output when they take a job over."""
+
+    def setUp(self):
+        self.rows = {}
+        self.largest_read = 0
+
+    async def scan(self, table, prefix, start=None, max_rows=None):
+        """Return rows as the platform's store does, at most a megabyte at a time."""
+        found, size = [], 0
+        for key in sorted(self.rows):
+            if key < (start or prefix) or not key.startswith(prefix):
+                continue
+            size += len(self.rows[key]) * 4 // 3
+            if found and (size > 1_000_000 or len(found) == max_rows):
+                if max_rows is not None:
+                    break
+                size = 0
+            found.append(Row(key, 1, self.rows[key]))
+        self.largest_read = max(self.largest_read, sum(len(r.value) for r in found))
+        return found
+
+    async def test_output_that_was_discarded_is_not_kept_on_a_takeover(self):
+        """An engine in trouble leaves megabytes of it, one generation a try."""
+        expected = {}
+        for position in range(4):
+            for generation in range(20):
+                partial = Partial(position, generation, 0, ("x" * 150_000,), "0", (1,))
+                for write in job_store._partial_writes("j", partial):
+                    self.rows[write.key] = write.value
+            more = Partial(position, generation, 1, ("y",), "1", (1,))
+            for write in job_store._partial_writes("j", more):
+                self.rows[write.key] = write.value
+            expected[position] = [partial, more]
+        store = job_store.JobStore(clock=None, store=self)
+        self.assertEqual(await store.partials("j"), expected)
+        self.assertLess(self.largest_read, 1_000_000)
+
+
 if __name__ == "__main__":
     unittest.main()
