Relay the store's responses though servers have used up the memory

Cause: found by reading. A host reads what the store sends it whatever servers take of the memory for responses, but not what the store sends through it to a host that is cut off.

Change: the relayed call is read likewise.

--- a/goldcrestmoor/platform/store.py
+++ b/goldcrestmoor/platform/store.py
@@ -166,7 +166,14 @@
         :raises ServiceError: those of the ``HttpClient``.
         """
         return await self._http.request(
-            *self._target, method, target, headers, body, timeout_ms, idempotent=True
+            *self._target,
+            method,
+            target,
+            headers,
+            body,
+            timeout_ms,
+            idempotent=True,
+            is_essential=True,
         )
 
     def now_ms(self):
