Move the platform's grace to the settings of the host

Cause: test_docs was red since: the section for stops is shared with the other daemon, and its page names no setting of this one.

Change: the setting is host.grace_s, beside the memory, which the platform states too.

Measured: test_docs was red and passes, with test_stopping_host, test_front_settings, test_settings and test_commands.

--- a/goldcrestmoor/front_settings.py
+++ b/goldcrestmoor/front_settings.py
@@ -31,8 +31,8 @@
 class FrontHostSettings(Section):
     """This host's id, location and size, and addresses, each ``address:port``.
 
-    The platform states its memory and the contracts in force; without either, no memory
-    is bounded.
+    The platform states its memory and the contracts in force; without either, what is
+    held for callers isn't bounded. It also states when it kills a stopped process.
     """
 
     id: Text
@@ -46,6 +46,7 @@
     core_share: Share
     memory_mb: MemoryMb | None
     contracts: list[str] | None
+    grace_s: Seconds | None
 
     @property
     def address(self):
@@ -118,12 +119,6 @@
     revoke_ms: DurationMs
 
 
-class FrontShutdownSettings(ShutdownSettings):
-    """Waiting times of a graceful shutdown, and when the platform ends it."""
-
-    grace_s: Seconds | None
-
-
 class FrontSettings(Section):
     """All settings of the daemon on the users' platform.
 
@@ -138,7 +133,7 @@
     usage: UsageSettings | None
     accounts: AccountSettings | None
     limits: LimitSettings
-    shutdown: FrontShutdownSettings
+    shutdown: ShutdownSettings
     log: LogSettings
     tracing: TracingSettings
 
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -787,7 +787,7 @@
         if self._api_duty is not None:
             self._api_duty.leave()
         shutdown = self.settings.shutdown
-        grace_s = shutdown.grace_s
+        grace_s = self.settings.host.grace_s
         schedule = StopSchedule(
             self._clock,
             shutdown.unready_ms,
--- a/test/test_stopping_host.py
+++ b/test/test_stopping_host.py
@@ -227,7 +227,7 @@
         self.fleet.configured["more_routes"] = routes
         for app in self.fleet.apps:
             app.delay_s = LONG_MS / 1000
-        self.fleet.sections["shutdown"] = {"grace_s": self.GRACE_S}
+        self.fleet.host_fields = {"grace_s": self.GRACE_S}
         await self.fleet.start(names=("front-a",))
 
     async def test_whatever_reached_a_server_is_answered_before_the_kill(self):
