Judge open batch jobs by the configuration in effect

Cause: JobRun copied its route's policy, priority and due time when the run was created, and each attempt carried the route that held when it began. A new configuration reached the scheduler's routes only. By the same cause an item was ended by the number of attempts that held when its last attempt began, and jobs kept their place in the order.

Ruled out: the change of configuration being late (the host logged it 20 ms after the write), and the engine's timeout (60 s).

Change: job_terms decides what the configuration in effect asks of a job; nothing of it is kept in a run. A change wakes the runs, so that time that was taken away is noticed at once. An attempt in progress outlives fewer attempts and the removal of its route, but not its job's time.

--- a/goldcrestmoor/job/job_run.py
+++ b/goldcrestmoor/job/job_run.py
@@ -12,6 +12,7 @@
 from goldcrestmoor.job.item_order import order_items
 from goldcrestmoor.job.item_run import ItemRun, encoded_size
 from goldcrestmoor.job.job import Result
+from goldcrestmoor.job.job_terms import job_terms
 
 log = logging.getLogger("goldcrestmoor.jobs")
 
@@ -35,8 +36,7 @@
     :param process_id: this process, by a name that no other has.
     :param listed_ids: the ids of the items whose results are already listed.
     :param partials: the stored partial outputs of the other items, by position.
-    :param policy: the ``JobPolicy`` of its route.
-    :param priority: the priority of its account, else of its route.
+    :param routes: returns the ``RouteTable`` in effect.
     :param clock: the clock.
     :param store: the :class:`~goldcrestmoor.job.job_store.JobStore`.
     :param on_state: called with each :class:`VersionedState` written or received.
@@ -50,9 +50,6 @@
 
     __slots__ = (
         "job",
-        "policy",
-        "priority",
-        "due_ms",
         "waiting",
         "running_by_id",
         "scoring_by_id",
@@ -65,6 +62,10 @@
         "_missing_by_group",
         "_stored",
         "_process_id",
+        "_routes",
+        "_table",
+        "_terms",
+        "_checked_terms",
         "_clock",
         "_store",
         "_on_state",
@@ -84,16 +85,14 @@
         process_id,
         listed_ids,
         partials,
-        policy,
-        priority,
+        routes,
         clock,
         store,
         on_state,
     ):
         self.job = job
-        self.policy = policy
-        self.priority = priority
-        self.due_ms = stored.state.submitted_ms + policy.due_after_ms
+        self._routes = routes
+        self._table = self._terms = self._checked_terms = None
         self.waiting = [
             ItemRun(item, position, clock.now_ms())
             for position, item in enumerate(job.items)
@@ -127,6 +126,26 @@
         """Whether no more items may be started."""
         return self._is_over or self._is_handed_over
 
+    def terms(self):
+        """Return the job's terms by the configuration in effect.
+
+        :return: the :class:`~goldcrestmoor.job.job_terms.JobTerms`.
+        """
+        table = self._routes()
+        if table is not self._table:
+            self._table, self._terms = table, job_terms(table, self.job)
+        return self._terms
+
+    @property
+    def priority(self):
+        """The priority of the job; 0 is the most urgent."""
+        return self.terms().priority
+
+    @property
+    def due_ms(self):
+        """When its results are due, on the store's clock."""
+        return self._stored.state.submitted_ms + self.terms().due_after_ms
+
     def age_ms(self):
         """Return how long this process has run the job, in milliseconds."""
         return self._clock.now_ms() - self._started_ms
@@ -181,6 +200,7 @@
         run.avoided_engine, run.engine = run.engine, None
         if not self.is_over:
             self.waiting.append(run)
+            self.abandon_if_due(run)
 
     def start_scoring(self, run):
         """Record that an item's text is complete, so that only its score is missing.
@@ -304,37 +324,63 @@
     async def _wait_for_results(self):
         if self._is_handed_over:
             return
-        wait_ms = min(self.remaining_ms(), SAVE_CHECK_INTERVAL_MS)
+        wait_ms = SAVE_CHECK_INTERVAL_MS
+        if self.terms().route is not None:
+            wait_ms = min(wait_ms, self.remaining_ms())
         if wait_ms > 0:
             try:
                 async with asyncio.timeout(wait_ms / 1000):
                     await self._has_finished.wait()
             except TimeoutError:
                 pass
-        if self.remaining_ms() <= 0:
-            self._abandon_items()
+        self._abandon_due()
         await self._clock.sleep_ms(BATCH_DELAY_MS)
 
+    def wake(self):
+        """Check again which items are abandoned, after the configuration changed."""
+        self._has_finished.set()
+
     def remaining_ms(self):
         """Return the time until its items may be abandoned, in milliseconds."""
-        expires_ms = self._stored.state.submitted_ms + self.policy.expire_after_ms
-        return expires_ms - self._store.now_ms()
-
-    def _abandon_items(self):
-        remaining = [
-            *self.waiting,
-            *self.running_by_id.values(),
-            *self.scoring_by_id.values(),
+        return self.terms().expire_after_ms - self._submitted_age_ms()
+
+    def _submitted_age_ms(self):
+        return self._store.now_ms() - self._stored.state.submitted_ms
+
+    def _abandon_due(self):
+        """Abandon the items that the configuration in effect no longer keeps."""
+        terms = self.terms()
+        is_unchanged = terms is self._checked_terms
+        if is_unchanged and terms.route is not None and self.remaining_ms() > 0:
+            # Failures are checked when they occur.
+            return
+        self._checked_terms = terms
+        abandoned = [
+            run
+            for run in [*self.waiting, *self.in_progress()]
+            if self.abandon_if_due(run)
         ]
-        if remaining:
-            log.warning(
-                "Job %s expired: %d items abandoned.", self.job.id, len(remaining)
-            )
-        self.waiting.clear()
-        for run in remaining:
-            if run.task is not None:
-                run.task.cancel()
-            self.finish(run, is_completed=False)
+        if abandoned:
+            log.warning("Job %s: %d items abandoned.", self.job.id, len(abandoned))
+
+    def abandon_if_due(self, run):
+        """Abandon an unfinished item if the configuration in effect says so.
+
+        :param run: the :class:`~goldcrestmoor.job.item_run.ItemRun`.
+        :return: whether it is abandoned.
+        """
+        reason = self.terms().abandon_reason(
+            self._submitted_age_ms(), run.failures, run.task is not None
+        )
+        if not reason:
+            return False
+        log.info(
+            "Item %s of job %s is abandoned: %s.", run.item.id, self.job.id, reason
+        )
+        if run.task is not None:
+            run.task.cancel()
+        self.finish(run, is_completed=False)
+        return True
 
     async def _write(self):
         """Write finished results and partial outputs.
--- a/goldcrestmoor/job/job_supervisor.py
+++ b/goldcrestmoor/job/job_supervisor.py
@@ -164,6 +164,11 @@
             self._apply_to_run(run, stored)
         self.wake()
 
+    def on_configuration(self):
+        """Apply the configuration that came into effect to the jobs that run here."""
+        for run in self._runs_by_job.values():
+            run.wake()
+
     def wake(self):
         """Check again which jobs and duties to claim."""
         self._changed.set()
@@ -371,8 +376,7 @@
             listed_ids = await self._store.listed_ids(job_id, stored.state.listed)
             partials = await self._store.partials(job_id)
         table = self._routes()
-        route = table.match_job(job.host, job.path) if table else None
-        if route is None:
+        if table is None or table.match_job(job.host, job.path) is None:
             log.warning("Job %s no longer has a route; not started.", job_id)
             return None
         log.info(
@@ -389,8 +393,7 @@
             process_id=self._process_id,
             listed_ids=listed_ids,
             partials=partials,
-            policy=route.job,
-            priority=table.priority_of(route, job.account),
+            routes=self._routes,
             clock=self._clock,
             store=self._store,
             on_state=self.update_state,
--- a/goldcrestmoor/job/scheduler.py
+++ b/goldcrestmoor/job/scheduler.py
@@ -165,13 +165,12 @@
             )
 
     def _fits(self, job_run, run, output):
-        job, single_version = job_run.job, job_run.policy.single_version
-        route = self._routes().match_job(job.host, job.path)
-        if route is None:
+        job, terms = job_run.job, job_run.terms()
+        if terms.route is None:
             return False
-        loads = self._pool.loads(route.service_for(run.item.id), job.model)
+        loads = self._pool.loads(terms.route.service_for(run.item.id), job.model)
         versions = {load.version for load in loads}
-        return output.fits(run.item, job.min_version, single_version, versions)
+        return output.fits(run.item, job.min_version, terms.single_version, versions)
 
     def _has_accounts(self):
         table = self._routes()
@@ -257,30 +256,30 @@
         if table is None:
             return
         if table.accounts is not None:
-            self._dispatch_by_need(table)
+            self._dispatch_by_need()
             return
         for job_run in order_jobs(self._runs_by_job.values()):
             if job_run.is_over or not job_run.waiting:
                 continue
             loads_by_service = {}
             for run in job_run.next_items():
-                if not self._assign_engine(job_run, run, table, loads_by_service):
+                if not self._assign_engine(job_run, run, loads_by_service):
                     break
 
-    def _dispatch_by_need(self, table):
+    def _dispatch_by_need(self):
         """Start waiting items, those first whose delay costs callers most."""
         now_ms = self._clock.now_ms()
         if not self._order or now_ms - self._ordered_ms >= ORDER_INTERVAL_MS:
-            self._decide_order(table, now_ms)
+            self._decide_order(now_ms)
         if self._order:
-            self._start_in_order(table, now_ms)
+            self._start_in_order(now_ms)
 
-    def _decide_order(self, table, now_ms):
+    def _decide_order(self, now_ms):
         runs = [run for run in self._runs_by_job.values() if not run.is_over]
-        pools = {_pool(run, table) for run in runs if run.waiting}
+        pools = {run.terms().services for run in runs if run.waiting}
         if not self._has_free_engine(pools):
             return
-        jobs = [self._open_job(run, table) for run in runs]
+        jobs = [self._open_job(run) for run in runs]
         capacity_by_pool = {
             job.pool: pool_capacity(self._pool_loads(job.pool), UNKNOWN_MS_PER_EVENT)
             for job in jobs
@@ -293,15 +292,15 @@
         for job in jobs:
             job.run.needed_groups = needed_by_job[job.id]
 
-    def _start_in_order(self, table, now_ms):
+    def _start_in_order(self, now_ms):
         waiting = [run for run in self._runs_by_job.values() if run.waiting]
-        pools = {_pool(run, table) for run in waiting}
+        pools = {run.terms().services for run in waiting}
         left, loads_by_model, full = [], {}, set()
         order = iter(self._order)
         for work in order:
             job_run, run = work.run, work.item
             job = job_run.job
-            route = table.match_job(job.host, job.path)
+            route = job_run.terms().route
             service = route.service_for(run.item.id) if route else None
             # Texts wait for engines of their software version, other items for any.
             need = (service, job.model, job.min_version)
@@ -311,7 +310,7 @@
             if job_run.is_over or run not in job_run.waiting:
                 continue
             loads_by_service = loads_by_model.setdefault(job.model, {})
-            may_go_on = self._assign_engine(job_run, run, table, loads_by_service)
+            may_go_on = self._assign_engine(job_run, run, loads_by_service)
             if run.item.id in job_run.running_by_id:
                 # The engine has a slot less for the other models too.
                 loads_by_model.clear()
@@ -336,17 +335,17 @@
             for pool in pools
         )
 
-    def _open_job(self, job_run, table):
-        job = job_run.job
+    def _open_job(self, job_run):
+        job, terms = job_run.job, job_run.terms()
         due_in_ms = job_run.due_in_ms()
         return OpenJob(
             run=job_run,
             id=job.id,
             account=job.account,
-            priority=job_run.priority,
-            pool=_pool(job_run, table),
+            priority=terms.priority,
+            pool=terms.services,
             due_in_ms=due_in_ms,
-            gives_up_in_ms=gives_up_in_ms(due_in_ms, job_run.policy.due_after_ms),
+            gives_up_in_ms=gives_up_in_ms(due_in_ms, terms.due_after_ms),
             target_groups=job.target_groups,
             whole_groups=job_run.whole_groups(),
             lost_groups=frozenset(job_run.lost_groups),
@@ -361,23 +360,15 @@
         """Return the loads of the engines of services, whatever their model."""
         return [load for name in services for load in self._pool.loads(name, "")]
 
-    def _assign_engine(self, job_run, run, table, loads_by_service):
+    def _assign_engine(self, job_run, run, loads_by_service):
         """Start an item; return whether the items after it may find an engine too.
 
         :param loads_by_service: the loads of engines since the last item was started.
         """
-        job = job_run.job
-        # Its own path selects the route of no item: another route may cover it.
-        route = table.match_job(job.host, job.path)
-        if route is None:
-            log.warning(
-                "Job %s no longer has a route: item %s is abandoned.",
-                job.id,
-                run.item.id,
-            )
-            job_run.finish(run, is_completed=False)
+        if job_run.abandon_if_due(run):
             return True
-        service = route.service_for(run.item.id)
+        job = job_run.job
+        service = job_run.terms().route.service_for(run.item.id)
         loads = loads_by_service.get(service)
         if loads is None:
             loads = self._pool.loads(service, job.model)
@@ -399,10 +390,10 @@
         self._pool.begin(engine)
         del loads_by_service[service]
         job_run.start(run, name)
-        run.task = self._tasks.start(self._attempt(job_run, run, engine, route))
+        run.task = self._tasks.start(self._attempt(job_run, run, engine))
         # A task that is cancelled before it first runs executes none of its own code.
         run.task.add_done_callback(
-            functools.partial(self._on_attempt_done, job_run, run, engine, route)
+            functools.partial(self._on_attempt_done, job_run, run, engine)
         )
         return True
 
@@ -428,7 +419,7 @@
             )
             run.restart()
 
-    async def _attempt(self, job_run, run, engine, route):
+    async def _attempt(self, job_run, run, engine):
         if self._pool.is_limited(engine):
             if await self._pool.admit(engine):
                 return Denied()
@@ -438,7 +429,7 @@
         terms = ItemTerms(
             job.host,
             job.min_version,
-            route.job.single_version,
+            job_run.terms().single_version,
             self._routes().sent_account(job.account),
         )
         last_event_ms = self._clock.now_ms()
@@ -455,7 +446,7 @@
 
         return await self._executor.attempt(run, engine, terms, on_events)
 
-    def _on_attempt_done(self, job_run, run, engine, route, task):
+    def _on_attempt_done(self, job_run, run, engine, task):
         """Clean up after an attempt and handle its outcome."""
         self._pool.end(engine)
         run.task = None
@@ -466,21 +457,17 @@
         if not task.cancelled():
             failure = task.exception()
             outcome = Broken(f"{failure!r}") if failure else task.result()
-            self._handle_outcome(job_run, run, engine, route, outcome)
+            self._handle_outcome(job_run, run, engine, outcome)
         elif run.is_moving:
-            self._handle_outcome(job_run, run, engine, route, Moved())
+            self._handle_outcome(job_run, run, engine, Moved())
 
     def _move_stragglers(self):
         """Move items away from engines that are much slower than the others."""
-        table = self._routes()
-        if table is None:
-            return
         for job_run in self._runs_by_job.values():
-            route = table.match_job(job_run.job.host, job_run.job.path)
-            if route is None or job_run.waiting or not job_run.running_by_id:
+            if job_run.waiting or not job_run.running_by_id:
                 continue
-            for share in route.shares:
-                self._move_stragglers_from(job_run, share.service)
+            for service in job_run.terms().services:
+                self._move_stragglers_from(job_run, service)
 
     def _move_stragglers_from(self, job_run, service):
         loads = self._pool.loads(service, job_run.job.model)
@@ -535,7 +522,7 @@
             job_run.start_scoring(run)
             self._rewards.add(job_run, run)
 
-    def _handle_outcome(self, job_run, run, engine, route, outcome):
+    def _handle_outcome(self, job_run, run, engine, outcome):
         self._metrics.items.labels(type(outcome).__name__.lower()).inc()
         match outcome:
             case Finished():
@@ -553,10 +540,6 @@
                 run.failures += 1
                 run.failed_at.add(engine.name)
                 run.restart()
-                if run.failures >= route.attempts:
-                    log.info("Item %s failed %d times.", run.item.id, run.failures)
-                    job_run.finish(run, is_completed=False)
-                    return
             case Denied():
                 log.debug("Item %s was not admitted at %s.", run.item.id, engine.name)
             case Moved():
@@ -583,9 +566,3 @@
                     reason,
                 )
         job_run.requeue(run)
-
-
-def _pool(job_run, table):
-    """Return the services that run a job's items; empty without a route."""
-    route = table.match_job(job_run.job.host, job_run.job.path)
-    return tuple(share.service for share in route.shares) if route else ()
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -719,6 +719,7 @@
             if change.key == records.CONFIGURATION_KEY:
                 self._routing.put(change.value)
                 self._exchange.update_scope()
+                self._supervisor.on_configuration()
                 self._scheduler.wake()
                 self._rewards.wake()
             elif change.key.startswith(records.VERSION_PREFIX):
--- a/test/test_job_run.py
+++ b/test/test_job_run.py
@@ -1,6 +1,7 @@
 """Running one job with the scheduler, with a fake store and fake engines."""
 
 import asyncio
+import functools
 import unittest
 
 import msgspec
@@ -44,6 +45,18 @@
 TABLE = RouteTable(1, group_by_host([ROUTE]), {}, CallerLimits(1, 1, 1, 1))
 
 
+def table_with(job=None, **fields):
+    """Return the next version of the routes, with changes of the job's route.
+
+    :param job: changes of its ``JobPolicy``, by field.
+    """
+    policy = msgspec.structs.replace(ROUTE.job, **(job or {}))
+    route = msgspec.structs.replace(ROUTE, job=policy, **fields)
+    return msgspec.structs.replace(
+        TABLE, version=TABLE.version + 1, routes_by_host=group_by_host([route])
+    )
+
+
 class FakeStore:
     """Stores one job's state; rejects writes based on an older version."""
 
@@ -53,9 +66,10 @@
         self.partials = []
         self.answers = asyncio.Event()
         self.answers.set()
+        self.time_ms = 1000
 
     def now_ms(self):
-        return 1000
+        return self.time_ms
 
     async def change(self, job_id, stored, state, results=(), partials=()):
         await self.answers.wait()
@@ -96,7 +110,9 @@
         return await done or Finished()
 
 
-def make_run(count, partials=None, runner="me", path="/x", item_path="/x"):
+def make_run(
+    count, partials=None, runner="me", path="/x", item_path="/x", routes=lambda: TABLE
+):
     """Return a run of some items in the process ``me``, with its fake store."""
     items = tuple(Item(f"i{n}", item_path, {}, b"", group="g") for n in range(count))
     stored = VersionedState(JobState("h", path, MODEL, count, 0, runner=runner), 1)
@@ -107,8 +123,7 @@
         process_id="me",
         listed_ids=set(),
         partials=partials or {},
-        policy=ROUTE.job,
-        priority=1,
+        routes=routes,
         clock=Clock(),
         store=store,
         on_state=lambda job_id, stored: None,
@@ -122,7 +137,9 @@
     return VersionedState(msgspec.structs.replace(state, is_ended=True), 9)
 
 
-class JobRunTest(unittest.IsolatedAsyncioTestCase):
+class SchedulerCase(unittest.IsolatedAsyncioTestCase):
+    """Has a scheduler with fake engines."""
+
     def make_scheduler(self, names="ab", routes=lambda: TABLE):
         self.executor = FakeExecutor()
         self.pool = EnginePool(
@@ -139,6 +156,8 @@
             metrics=Metrics(),
         )
 
+
+class JobRunTest(SchedulerCase):
     async def test_a_job_that_another_host_ends_is_over_at_once(self):
         run, _ = make_run(4)
         listing = asyncio.create_task(run.list_results())
@@ -185,8 +204,11 @@
                 table = msgspec.structs.replace(
                     TABLE, routes_by_host=group_by_host([ROUTE, *added])
                 )
-                scheduler = self.make_scheduler(routes=lambda table=table: table)
-                run, store = make_run(12, path="/lot/j", item_path="/x/i")
+                routes = functools.partial(lambda table: table, table)
+                scheduler = self.make_scheduler(routes=routes)
+                run, store = make_run(
+                    12, path="/lot/j", item_path="/x/i", routes=routes
+                )
                 scheduler.add(run)
                 running = asyncio.create_task(scheduler.run())
                 self.addCleanup(running.cancel)
@@ -203,7 +225,7 @@
         requests = msgspec.structs.replace(ROUTE, kind=RouteKind.PLAIN, job=None)
         table = msgspec.structs.replace(TABLE, routes_by_host=group_by_host([requests]))
         scheduler = self.make_scheduler(routes=lambda: table)
-        run, store = make_run(4)
+        run, store = make_run(4, routes=lambda: table)
         scheduler.add(run)
         running = asyncio.create_task(scheduler.run())
         self.addCleanup(running.cancel)
--- a/test/test_partial_cache.py
+++ b/test/test_partial_cache.py
@@ -19,9 +19,12 @@
 from test._front import FrontFleet, configuration
 from test._request_fakes import FakeClock, upstream_limits
 from test.standins.users_server import whole_text
-from test.test_job_run import MODEL, ROUTE, TABLE
+from test.test_job_run import MODEL, TABLE, table_with
 
 ACCOUNTS = msgspec.structs.replace(TABLE, accounts=AccountDirectory({}, {}))
+SINGLE_VERSION = msgspec.structs.replace(
+    table_with(job={"single_version": True}), accounts=ACCOUNTS.accounts
+)
 
 
 class OutputOfEndedJobsTest(unittest.IsolatedAsyncioTestCase):
@@ -41,9 +44,7 @@
         )
         self.addAsyncCleanup(self.scheduler.close)
 
-    def run_job(
-        self, job_id, groups="a", partials=None, policy=ROUTE.job, length=10, **job
-    ):
+    def run_job(self, job_id, groups="a", partials=None, length=10, **job):
         """Return the run of a job with an item for each group."""
         items = tuple(
             Item(f"i{n}", "/x", {}, b"", group=group, expected_tokens=length + n)
@@ -56,8 +57,7 @@
             process_id="me",
             listed_ids=set(),
             partials=partials or {},
-            policy=policy,
-            priority=1,
+            routes=lambda: self.table,
             clock=self.clock,
             store=test_job_run.FakeStore(VersionedState(state, 1)),
             on_state=lambda job_id, stored: None,
@@ -117,27 +117,29 @@
         self.assertEqual(len(again.waiting[0].events), 3)
 
     async def test_other_items_start_from_their_prompts(self):
-        single = msgspec.structs.replace(ROUTE.job, single_version=True)
         cases = (
-            ({"account": "other"}, False),
-            ({"min_version": 2}, True),
-            ({"policy": single}, True),
+            ({"account": "other"}, ACCOUNTS, False),
+            ({"min_version": 2}, ACCOUNTS, True),
+            ({}, SINGLE_VERSION, True),
         )
-        for job, is_resubmitted in cases:
+        for job, table, is_resubmitted in cases:
             with self.subTest(job):
+                self.table = ACCOUNTS
                 self.end_job()
+                self.table = table
                 again = self.submit_again(**job)
                 self.assertEqual(again.waiting[0].events, [])
                 self.assertEqual("a" in again.resubmitted_groups, is_resubmitted)
+        self.table = ACCOUNTS
         self.end_job()
         self.clock.ms += partial_cache.KEPT_MS + 1
         self.assertEqual(self.submit_again().waiting[0].events, [])
 
     async def test_a_single_version_goes_on_only_where_engines_have_it(self):
-        single = msgspec.structs.replace(ROUTE.job, single_version=True)
+        self.table = SINGLE_VERSION
         for version, events in ((1, 3), (2, 0)):
             self.end_job(versions=[version] * 3)
-            again = self.submit_again(policy=single)
+            again = self.submit_again()
             self.assertEqual(len(again.waiting[0].events), events)
 
     async def test_without_accounts_nothing_is_kept(self):
