List abandoned items only by the store's newest configuration

Callers could see: items that the operator had given more time were listed as terminated by a host that had not heard of it yet. A frozen host's timers fire before it has read the change; a host whose writes fail decides while the store is away and writes seconds later.

Cause: an item was given up when its time passed by the configuration that the host knew, and its result, once made, was written whatever came after.

Change: a result that follows from the configuration (time, attempts, route; a reward call's attempts and route) remembers why. It is checked again before each write, and the write is conditional on the row of the configuration that the host has read; the store keeps both in one part. When the condition fails, the host learns the row from the answer and decides anew, and the items go on with their output. Reward calls no longer use the route that their attempt began with. No stored row and no message changes.

--- a/goldcrestmoor/job/job_run.py
+++ b/goldcrestmoor/job/job_run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import functools
 import itertools
 import logging
 import sys
@@ -27,6 +28,27 @@
 SAVE_CHECK_INTERVAL_MS = 700
 
 
+class UnlistedResult:
+    """A result until it is listed.
+
+    :param run: the :class:`~goldcrestmoor.job.item_run.ItemRun` that it is of.
+    :param result: the :class:`~goldcrestmoor.job.job.Result`.
+    :param abandon_reason: returns why the item is abandoned by the configuration in
+        effect, empty if it is not; None where that has no say.
+    """
+
+    __slots__ = ("run", "result", "abandon_reason")
+
+    def __init__(self, run, result, abandon_reason=None):
+        self.run = run
+        self.result = result
+        self.abandon_reason = abandon_reason
+
+    def is_valid(self):
+        """Return whether the configuration in effect still gives this result."""
+        return self.abandon_reason is None or bool(self.abandon_reason())
+
+
 class JobRun:
     """Runs the items of a job until all are listed or another process runs the job.
 
@@ -37,13 +59,14 @@
     :param listed_ids: the ids of the items whose results are already listed.
     :param partials: the stored partial outputs of the other items, by position.
     :param routes: returns the ``RouteTable`` in effect.
+    :param configuration: the
+        :class:`~goldcrestmoor.process.routing.ConfigurationRow` that it was read from.
     :param clock: the clock.
     :param store: the :class:`~goldcrestmoor.job.job_store.JobStore`.
     :param on_state: called with each :class:`VersionedState` written or received.
     :ivar waiting: the items that wait for an engine.
     :ivar running_by_id: the items whose text an engine generates.
     :ivar scoring_by_id: the items whose text is complete and has no score yet.
-    :ivar lost_groups: the groups with an abandoned item.
     :ivar resubmitted_groups: the groups that an ended job had left unfinished.
     :ivar needed_groups: the groups that its trainer is expected to wait for.
     """
@@ -54,7 +77,6 @@
         "running_by_id",
         "scoring_by_id",
         "engine_by_group",
-        "lost_groups",
         "resubmitted_groups",
         "needed_groups",
         "_stopped",
@@ -66,10 +88,12 @@
         "_table",
         "_terms",
         "_checked_terms",
+        "_configuration",
         "_clock",
         "_store",
         "_on_state",
-        "_finished",
+        "_listed_lost_groups",
+        "_unlisted",
         "_has_finished",
         "_is_over",
         "_is_handed_over",
@@ -86,12 +110,14 @@
         listed_ids,
         partials,
         routes,
+        configuration,
         clock,
         store,
         on_state,
     ):
         self.job = job
         self._routes = routes
+        self._configuration = configuration
         self._table = self._terms = self._checked_terms = None
         self.waiting = [
             ItemRun(item, position, clock.now_ms())
@@ -103,7 +129,6 @@
         self.running_by_id = {}
         self.scoring_by_id = {}
         self.engine_by_group = {}
-        self.lost_groups = set()
         self.resubmitted_groups = set()
         self.needed_groups = frozenset()
         self._stopped = []
@@ -114,7 +139,8 @@
         self._clock = clock
         self._store = store
         self._on_state = on_state
-        self._finished = []
+        self._listed_lost_groups = set()
+        self._unlisted = []
         self._has_finished = asyncio.Event()
         self._is_over = False
         self._is_handed_over = False
@@ -166,9 +192,18 @@
         """Return the memory that the output of its items takes, in bytes."""
         runs = itertools.chain(self.waiting, self.in_progress())
         return sum(run.held_bytes for run in runs) + sum(
-            sys.getsizeof(result.text) for result in self._finished
+            sys.getsizeof(unlisted.result.text) for unlisted in self._unlisted
         )
 
+    @property
+    def lost_groups(self):
+        """The groups with an abandoned item."""
+        return self._listed_lost_groups | {
+            work_order.group_key(unlisted.run)
+            for unlisted in self._unlisted
+            if not unlisted.result.is_completed
+        }
+
     def unfinished_groups(self):
         """Return the groups with an unfinished item."""
         return {work_order.group_key(run) for run in self.waiting + self.in_progress()}
@@ -222,19 +257,19 @@
         """
         return self._missing_by_group[group]
 
-    def finish(self, run, is_completed):
+    def finish(self, run, is_completed, abandon_reason=None):
         """Record the result of an item, to be listed.
 
         :param run: the :class:`~goldcrestmoor.job.item_run.ItemRun`.
         :param is_completed: whether its output is complete; otherwise it is abandoned.
+        :param abandon_reason: returns why it is abandoned by the configuration in
+            effect, empty once it is not; None where that has no say.
         """
         if run in self.waiting:
             self.waiting.remove(run)
         self.running_by_id.pop(run.item.id, None)
         self.scoring_by_id.pop(run.item.id, None)
         self._missing_by_group[run.group] -= 1
-        if not is_completed:
-            self.lost_groups.add(work_order.group_key(run))
         if run.started_ms is not None:
             log.info(
                 "Item %s of job %s %s: waited %d ms, then %d ms in %d attempts, last "
@@ -252,7 +287,11 @@
         text = "\n".join(run.events) if is_completed else ""
         versions = tuple(run.versions) if is_completed else ()
         score = run.score if is_completed else ""
-        self._finished.append(Result(run.item.id, is_completed, text, versions, score))
+        result = Result(run.item.id, is_completed, text, versions, score)
+        if is_completed:
+            # From here on, only the result holds the output.
+            run.restart()
+        self._unlisted.append(UnlistedResult(run, result, abandon_reason))
         self._has_finished.set()
 
     async def list_results(self):
@@ -319,7 +358,7 @@
         return runs
 
     def _has_unsaved(self):
-        return bool(self._finished) or any(self._with_unsaved())
+        return bool(self._unlisted) or any(self._with_unsaved())
 
     async def _wait_for_results(self):
         if self._is_handed_over:
@@ -369,9 +408,7 @@
         :param run: the :class:`~goldcrestmoor.job.item_run.ItemRun`.
         :return: whether it is abandoned.
         """
-        reason = self.terms().abandon_reason(
-            self._submitted_age_ms(), run.failures, run.task is not None
-        )
+        reason = self._abandon_reason(run)
         if not reason:
             return False
         log.info(
@@ -379,21 +416,47 @@
         )
         if run.task is not None:
             run.task.cancel()
-        self.finish(run, is_completed=False)
+            run.task = None
+        self.finish(run, False, functools.partial(self._abandon_reason, run))
         return True
 
+    def _abandon_reason(self, run):
+        return self.terms().abandon_reason(
+            self._submitted_age_ms(), run.failures, run.task is not None
+        )
+
+    def _recheck_unlisted(self):
+        """Take back the results that the configuration in effect no longer gives."""
+        invalid = [u for u in self._unlisted if not u.is_valid()]
+        if not invalid:
+            return
+        log.info(
+            "Job %s: %d items go on, as the configuration has changed.",
+            self.job.id,
+            len(invalid),
+        )
+        self._unlisted = [u for u in self._unlisted if u not in invalid]
+        for unlisted in invalid:
+            self._missing_by_group[unlisted.run.group] += 1
+            self.waiting.append(unlisted.run)
+
     async def _write(self):
         """Write finished results and partial outputs.
 
         :return: whether this process is still the runner and the job is open.
         """
+        self._recheck_unlisted()
         budget = job_store.WriteBudget()
-        results = list(
+        unlisted = list(
             itertools.takewhile(
-                lambda result: budget.reserve(encoded_size(result.text)),
-                self._finished,
+                lambda unlisted: budget.reserve(encoded_size(unlisted.result.text)),
+                self._unlisted,
             )
         )
+        results = [entry.result for entry in unlisted]
+        condition = None
+        if any(entry.abandon_reason is not None for entry in unlisted):
+            condition = self._configuration.unchanged()
         partials = self._partials(budget)
         if not results and not partials:
             self._has_finished.clear()
@@ -402,8 +465,11 @@
             self._stored.state, listed=self._stored.state.listed + len(results)
         )
         stored = await self._store.change(
-            self.job.id, self._stored, state, results, partials.values()
+            self.job.id, self._stored, state, results, partials.values(), condition
         )
+        if isinstance(stored, job_store.ConditionFailed):
+            self._configuration.learn(stored.row)
+            return True
         if not self._is_still_runner(stored):
             return False
         if stored.state.listed == state.listed:
@@ -411,8 +477,13 @@
                 if run.generation == partial.generation:
                     run.saved_events = partial.first + len(partial.events)
                     run.is_completion_saved = partial.is_complete
-            del self._finished[: len(results)]
-            if not self._finished:
+            del self._unlisted[: len(results)]
+            self._listed_lost_groups.update(
+                work_order.group_key(entry.run)
+                for entry in unlisted
+                if not entry.result.is_completed
+            )
+            if not self._unlisted:
                 self._has_finished.clear()
         self._stored = stored
         self._on_state(self.job.id, stored)
--- a/goldcrestmoor/job/job_store.py
+++ b/goldcrestmoor/job/job_store.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from goldcrestmoor.adapters.group_commit import MAX_BYTES
-from goldcrestmoor.adapters.table import Check, CheckFailed, Committed, Write
+from goldcrestmoor.adapters.table import Check, CheckFailed, Committed, Row, Write
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.job.job import Job, JobState, Partial, Result
 from goldcrestmoor.util import Backoff
@@ -61,6 +61,15 @@
     version: int
 
 
+class ConditionFailed(msgspec.Struct, frozen=True):
+    """A write was not applied, because its further condition no longer holds.
+
+    :param row: the row as the store has it, or None.
+    """
+
+    row: Row | None
+
+
 def decode_state(value):
     """Decode the state in a row.
 
@@ -196,7 +205,9 @@
             text = f"Stored job {job_id} is malformed."
             raise ServiceError(ErrorKind.INTERNAL, text) from e
 
-    async def change(self, job_id, stored, state, results=(), partials=()):
+    async def change(
+        self, job_id, stored, state, results=(), partials=(), condition=None
+    ):
         """Write a new state, and results after those already listed.
 
         The write is sent again until its outcome is known or the caller cancels.
@@ -206,10 +217,15 @@
         :param state: the new state, with its updated count of listed results.
         :param results: the new :class:`~goldcrestmoor.job.job.Result` values.
         :param partials: :class:`~goldcrestmoor.job.job.Partial` values to store.
+        :param condition: a further :class:`~goldcrestmoor.adapters.table.Check`.
         :return: the current :class:`VersionedState`, either ``state`` or what
-            another process has written; None when the job was removed.
+            another process has written; None when the job was removed;
+            :class:`ConditionFailed` when nothing was written for the condition.
         """
         checks = [Check(STATE_TABLE, job_id, stored.version)]
+        if condition is not None:
+            # Last, as the state also tells that an earlier call was applied.
+            checks.append(condition)
         writes = [Write(STATE_TABLE, job_id, msgspec.json.encode(state))]
         for position, result in enumerate(results, stored.state.listed):
             writes += _result_writes(job_id, position, result)
@@ -223,6 +239,9 @@
             except ServiceError as e:
                 log.info("Writing the state of job %s failed, retrying: %s", job_id, e)
                 await self._clock.sleep_ms(backoff.next_ms())
+        match answer:
+            case CheckFailed(row, table) if table != STATE_TABLE:
+                return ConditionFailed(row)
         return _state_after_write(job_id, state, answer)
 
     async def results(self, job_id, after, max_bytes):
--- a/goldcrestmoor/job/job_supervisor.py
+++ b/goldcrestmoor/job/job_supervisor.py
@@ -49,6 +49,8 @@
     :param duties: the :class:`~goldcrestmoor.process.duties.Duties`.
     :param scheduler: the :class:`~goldcrestmoor.job.scheduler.Scheduler`.
     :param routes: returns the ``RouteTable`` in effect.
+    :param configuration: the
+        :class:`~goldcrestmoor.process.routing.ConfigurationRow` that it was read from.
     :param process_id: the unique name of this process.
     :param zone: this host's availability zone.
     :param cores: the processor cores that this host may use.
@@ -63,6 +65,7 @@
         "_duties",
         "_scheduler",
         "_routes",
+        "_configuration",
         "_process_id",
         "_zone",
         "_cores",
@@ -87,6 +90,7 @@
         duties,
         scheduler,
         routes,
+        configuration,
         process_id,
         zone,
         cores,
@@ -99,6 +103,7 @@
         self._duties = duties
         self._scheduler = scheduler
         self._routes = routes
+        self._configuration = configuration
         self._process_id = process_id
         self._zone = zone
         self._cores = cores
@@ -394,6 +399,7 @@
             listed_ids=listed_ids,
             partials=partials,
             routes=self._routes,
+            configuration=self._configuration,
             clock=self._clock,
             store=self._store,
             on_state=self.update_state,
--- a/goldcrestmoor/job/reward_calls.py
+++ b/goldcrestmoor/job/reward_calls.py
@@ -188,8 +188,22 @@
         open_models = self._open_models()
         full_services = set()
         for waiting in order_calls(map(self._waiting_call, call_by_key.values())):
-            key = waiting.job_id, waiting.item_id
-            self._send(call_by_key[key], table, own_models, open_models, full_services)
+            call = call_by_key[waiting.job_id, waiting.item_id]
+            reason = self._abandon_reason(call)
+            if reason:
+                self._finish(call, "", reason)
+                continue
+            self._send(call, table, own_models, open_models, full_services)
+
+    def _abandon_reason(self, call):
+        """Return why the configuration in effect gives a call no score, or nothing."""
+        reward_call = call.item.reward_call
+        route = self._routes().match(reward_call.host, reward_call.path)
+        if route is None:
+            return "no route"
+        if call.failures >= route.attempts:
+            return f"{call.failures} failures"
+        return ""
 
     def _waiting_call(self, call):
         job_run = call.job_run
@@ -209,14 +223,6 @@
         """
         reward_call = call.item.reward_call
         route = table.match(reward_call.host, reward_call.path)
-        if route is None:
-            log.warning(
-                "The reward call %s of item %s has no route; the item is abandoned.",
-                reward_call.id,
-                call.item.id,
-            )
-            self._finish(call, "", "no route")
-            return
         service = route.service_for(reward_call.id)
         if service in full_services:
             return
@@ -239,7 +245,7 @@
         call.run.task = self._tasks.start(self._attempt(call, server, route))
         # A task that is cancelled before it first runs executes none of its own code.
         call.run.task.add_done_callback(
-            functools.partial(self._on_attempt_done, call, server, route)
+            functools.partial(self._on_attempt_done, call, server)
         )
 
     async def _attempt(self, call, server, route):
@@ -296,10 +302,13 @@
             return Scored(self._dialect.score(headers))
         return NoScore(Ran.RAN, f"answered {status}")
 
-    def _on_attempt_done(self, call, server, route, task):
+    def _on_attempt_done(self, call, server, task):
         self._loads.end(server, len(call.item.reward_call.body))
-        call.run.task = None
         self.wake()
+        if call.run.task is not task:
+            # The item was abandoned, and may be scored again by now.
+            return
+        call.run.task = None
         if call.is_over or task.cancelled():
             return
         failure = task.exception()
@@ -312,8 +321,8 @@
             case CallFailed():
                 call.failures += 1
                 call.ran_at.add(server.name)
-                reason = f"failed, {call.failures} of {route.attempts} times"
-                if call.failures >= route.attempts:
+                reason = f"failed, {call.failures} times by now"
+                if self._abandon_reason(call):
                     self._finish(call, "", server.name)
                     return
             case NoScore(ran, reason):
@@ -347,4 +356,7 @@
             where,
         )
         call.run.score = score
-        call.job_run.finish(call.run, is_completed=bool(score))
+        abandon_reason = None
+        if not score and self._abandon_reason(call):
+            abandon_reason = functools.partial(self._abandon_reason, call)
+        call.job_run.finish(call.run, bool(score), abandon_reason)
--- a/goldcrestmoor/job/scheduler.py
+++ b/goldcrestmoor/job/scheduler.py
@@ -367,6 +367,10 @@
         """
         if job_run.abandon_if_due(run):
             return True
+        if run.is_complete:
+            # It was to be abandoned while it was scored.
+            self._finish_text(job_run, run)
+            return True
         job = job_run.job
         service = job_run.terms().route.service_for(run.item.id)
         loads = loads_by_service.get(service)
@@ -449,8 +453,11 @@
     def _on_attempt_done(self, job_run, run, engine, task):
         """Clean up after an attempt and handle its outcome."""
         self._pool.end(engine)
-        run.task = None
         self.wake()
+        if run.task is not task:
+            # The item was abandoned, and may run again by now.
+            return
+        run.task = None
         if run.item.id not in job_run.running_by_id:
             # The job is over, or was handed over to another runner.
             return
--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -53,7 +53,7 @@
 from goldcrestmoor.process.memory_budget import MemoryBudget
 from goldcrestmoor.process.memory_guard import MemoryGuard
 from goldcrestmoor.process.metrics import Metrics
-from goldcrestmoor.process.routing import Routing
+from goldcrestmoor.process.routing import ConfigurationRow, Routing
 from goldcrestmoor.process.server_paths import ServerPaths
 from goldcrestmoor.process.shutdown import InFlight
 from goldcrestmoor.process.stop_schedule import StopSchedule
@@ -389,6 +389,11 @@
             duties=self._duties,
             scheduler=self._scheduler,
             routes=self._routing.current,
+            configuration=ConfigurationRow(
+                table=records.OPERATOR_TABLE,
+                key=records.CONFIGURATION_KEY,
+                rows=lambda: self._followers[records.OPERATOR_TABLE],
+            ),
             process_id=f"{self.settings.host.id}/{util.new_id()}",
             zone=self.settings.host.zone,
             cores=self.settings.host.cores * self.settings.host.core_share,
--- a/goldcrestmoor/process/routing.py
+++ b/goldcrestmoor/process/routing.py
@@ -2,6 +2,8 @@
 
 import logging
 
+from goldcrestmoor.adapters.table import Check
+
 log = logging.getLogger("goldcrestmoor.routing")
 
 
@@ -51,3 +53,37 @@
             count,
             before,
         )
+
+
+class ConfigurationRow:
+    """The store's row of the configuration, as this host last read it.
+
+    A write that depends on the configuration in effect is conditional on this row: a
+    host that was cut off or frozen acts on no older one.
+
+    :param table: the row's table.
+    :param key: its key.
+    :param rows: returns the :class:`~goldcrestmoor.process.follower.TableFollower` of
+        the table.
+    """
+
+    __slots__ = ("_table", "_key", "_rows")
+
+    def __init__(self, *, table, key, rows):
+        self._table = table
+        self._key = key
+        self._rows = rows
+
+    def unchanged(self):
+        """Return the condition that the store has no newer configuration."""
+        row = self._rows().row_by_key.get(self._key)
+        return Check(self._table, self._key, row.version if row else 0)
+
+    def learn(self, row):
+        """Apply the row that the store has instead.
+
+        :param row: the :class:`~goldcrestmoor.adapters.table.Row`; None if it was
+            deleted, which the feed reports.
+        """
+        if row is not None:
+            self._rows().learn([row])
--- a/test/test_changed_routes.py
+++ b/test/test_changed_routes.py
@@ -4,6 +4,7 @@
 before it heard of a change, would end items that the operator has given more time.
 """
 
+import asyncio
 import time
 import unittest
 
@@ -55,6 +56,25 @@
         self.assertEqual(await self.states(), ["terminated"] * ITEMS)
         self.assertGreaterEqual(time.monotonic() - self.submitted_s, 2)
 
+    async def test_a_host_that_was_cut_off_ends_no_items_by_an_older_route(self):
+        """It decides while the store is away, and writes once that is back."""
+        await self.start(keep_s=3.0, item_s=6)
+        self.fleet.store.mode = "busy"
+        self.configure(5, keepS=30.0)
+        await asyncio.sleep(self.submitted_s + 4 - time.monotonic())
+        self.fleet.store.mode = ""
+        self.assertEqual(await self.states(), ["completed"] * ITEMS)
+
+    async def test_a_host_that_was_frozen_ends_no_items_by_an_older_route(self):
+        """Its timers fire before it has read the change."""
+        await self.start(keep_s=3.0, item_s=6, names=("front-a",))
+        process = self.fleet.fronts["front-a"]
+        process.freeze()
+        self.configure(5, keepS=30.0)
+        await asyncio.sleep(self.submitted_s + 4 - time.monotonic())
+        process.thaw()
+        self.assertEqual(await self.states(), ["completed"] * ITEMS)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/test/test_job_run.py
+++ b/test/test_job_run.py
@@ -11,7 +11,7 @@
 from goldcrestmoor.job.item_run import Failed, Finished
 from goldcrestmoor.job.job import Item, Job, JobState
 from goldcrestmoor.job.job_run import MIN_UNSAVED_EVENTS, JobRun
-from goldcrestmoor.job.job_store import VersionedState
+from goldcrestmoor.job.job_store import ConditionFailed, VersionedState
 from goldcrestmoor.job.scheduler import Scheduler
 from goldcrestmoor.process.directory import ListedUpstream
 from goldcrestmoor.process.metrics import Metrics
@@ -57,6 +57,21 @@
     )
 
 
+class FakeConfiguration:
+    """The row of the configuration; its content is what the test passes for it."""
+
+    def __init__(self):
+        self.known = self.newest = "first"
+        self.on_learned = lambda row: None
+
+    def unchanged(self):
+        return self.known
+
+    def learn(self, row):
+        self.known = row
+        self.on_learned(row)
+
+
 class FakeStore:
     """Stores one job's state; rejects writes based on an older version."""
 
@@ -67,12 +82,17 @@
         self.answers = asyncio.Event()
         self.answers.set()
         self.time_ms = 1000
+        self.configuration = FakeConfiguration()
 
     def now_ms(self):
         return self.time_ms
 
-    async def change(self, job_id, stored, state, results=(), partials=()):
+    async def change(
+        self, job_id, stored, state, results=(), partials=(), condition=None
+    ):
         await self.answers.wait()
+        if condition is not None and condition != self.configuration.newest:
+            return ConditionFailed(self.configuration.newest)
         if stored.version != self.stored.version:
             return self.stored
         self.stored = VersionedState(state, stored.version + 1)
@@ -124,6 +144,7 @@
         listed_ids=set(),
         partials=partials or {},
         routes=routes,
+        configuration=store.configuration,
         clock=Clock(),
         store=store,
         on_state=lambda job_id, stored: None,
--- a/test/test_job_supervisor.py
+++ b/test/test_job_supervisor.py
@@ -75,6 +75,7 @@
             duties=self.duties,
             scheduler=None,
             routes=lambda: None,
+            configuration=None,
             process_id="a/1",
             zone="zone-a",
             cores=1,
@@ -189,7 +190,9 @@
     async def partials(self, job_id):
         return {}
 
-    async def change(self, job_id, stored, state, results=(), partials=()):
+    async def change(
+        self, job_id, stored, state, results=(), partials=(), condition=None
+    ):
         if stored.version == self.stored.version:
             self.stored = VersionedState(state, stored.version + 1)
         return self.stored
@@ -231,6 +234,7 @@
             duties=HeldDuties(Clock()),
             scheduler=self.scheduler,
             routes=lambda: TABLE,
+            configuration=None,
             process_id="me",
             zone="zone-a",
             cores=1,
--- a/test/test_job_terms.py
+++ b/test/test_job_terms.py
@@ -128,6 +128,36 @@
         completed = [result.is_completed for result in store.results]
         self.assertEqual(completed, [False] + [True] * 8)
 
+    async def test_an_older_configuration_ends_no_items(self):
+        """The host, cut off from the store, had not heard that they have more time."""
+        run, store = self.start(9)
+        await self.running(8)
+        longer = table_with(job={"expire_after_ms": 90_000})
+        store.configuration.newest = "second"
+        store.configuration.on_learned = lambda row: self.change(run, longer)
+        store.time_ms = 45 * SECOND
+        await _common.eventually(lambda: len(self.executor.seen) > 9, timeout_s=2)
+        self.assertEqual(store.results, [])
+        self.assertEqual((run.lost_groups, run.missing_in_group("g")), (set(), 9))
+        while len(store.results) < 9:
+            for done in self.executor.running.values():
+                if not done.done():
+                    done.set_result(None)
+            await asyncio.sleep(0.01)
+        self.assertTrue(all(result.is_completed for result in store.results))
+
+    async def test_a_route_that_was_brought_back_keeps_its_items(self):
+        run, store = self.start(9)
+        await self.running(8)
+        store.configuration.newest = "third"
+        back = table_with(attempts=4)
+        store.configuration.on_learned = lambda row: self.change(run, back)
+        self.change(run, NO_ROUTE)
+        self.executor.running[self.executor.seen[0][0]].set_result(None)
+        await _common.eventually(lambda: len(self.executor.seen) == 9, timeout_s=2)
+        await _common.eventually(lambda: store.results, timeout_s=1)
+        self.assertEqual([result.is_completed for result in store.results], [True])
+
     async def test_the_order_of_jobs_follows_their_routes_and_accounts(self):
         run, _ = make_run(1, routes=lambda: self.table)
         other, _ = make_run(1)
--- a/test/test_key_check.py
+++ b/test/test_key_check.py
@@ -337,6 +337,7 @@
             duties=None,
             scheduler=None,
             routes=lambda: table,
+            configuration=None,
             process_id="host/1",
             zone="z",
             cores=1,
--- a/test/test_leaving_servers.py
+++ b/test/test_leaving_servers.py
@@ -400,7 +400,7 @@
             scoring_by_id={"i1": run},
             missing_in_group=lambda group: 1,
             remaining_ms=lambda: 30_000,
-            finish=lambda run, is_completed: finished.set(),
+            finish=lambda *result: finished.set(),
         )
         caller.add(job_run, run)
         sending = asyncio.ensure_future(caller.run())
--- a/test/test_partial_cache.py
+++ b/test/test_partial_cache.py
@@ -58,6 +58,7 @@
             listed_ids=set(),
             partials=partials or {},
             routes=lambda: self.table,
+            configuration=None,
             clock=self.clock,
             store=test_job_run.FakeStore(VersionedState(state, 1)),
             on_state=lambda job_id, stored: None,
@@ -92,7 +93,8 @@
             self.assertFalse(item.add(Event("2", "e2", None, b""), 3))
             self.assertTrue(item.add(Event("3", "e3", None, b""), 3))
             run.finish(item, is_completed=True)
-            (result,) = run._finished
+            (unlisted,) = run._unlisted
+            result = unlisted.result
             self.assertEqual(result.text, "e0\ne1\ne2\ne3")
             self.assertEqual(result.versions, (1, 2, 3))
 
@@ -107,7 +109,7 @@
         self.scheduler.keep_output(before)
         self.scheduler.remove(before)
         again = self.submit_again()
-        self.assertEqual([result.text for result in again._finished], ["e0"])
+        self.assertEqual([u.result.text for u in again._unlisted], ["e0"])
         self.assertEqual(again.waiting, [])
 
     async def test_the_next_step_may_be_known_before_the_end_of_the_last(self):
