Serve the calls of a job after its route was removed

Cause: a call counted as one for a job only while the host name had a route for jobs.

Change: it is one as well if the host knows a job of that id and host name; a key is needed if the job belongs to an account.

Measured: test_results_and_bodies_outlive_their_route failed on the commit before (404) and passes.

--- a/goldcrestmoor/job/job_api.py
+++ b/goldcrestmoor/job/job_api.py
@@ -72,6 +72,23 @@
             job.min_version,
         )
 
+    def is_public(self, table, host, job_id):
+        """Return whether a call for a job needs no API key.
+
+        Jobs remain after their route was removed, until their retention has expired.
+
+        :param table: the ``RouteTable`` in effect.
+        :param host: the host name in the call.
+        :param job_id: the job.
+        :return: None where the host name has no jobs, so that it is no call for one.
+        """
+        if table.has_job_route(host):
+            return table.has_only_public_jobs(host)
+        stored = self._supervisor.state_by_job.get(job_id)
+        if stored is None or stored.state.host != host:
+            return None
+        return not stored.state.account
+
     async def results(self, call, max_bytes, account=None):
         """Return a page of a job's results, waiting for one if requested.
 
--- a/goldcrestmoor/process/front_callers.py
+++ b/goldcrestmoor/process/front_callers.py
@@ -140,12 +140,13 @@
         host = _host(request)
         path = _path(request)
         headers = [(name.lower(), value) for name, value in request.headers]
-        if table.has_job_route(host):
-            query = request.scope.get("query_string", b"").decode("latin-1")
-            call = self._dialect.job_call(request.method, path, query, headers)
-            if call is not None:
+        query = request.scope.get("query_string", b"").decode("latin-1")
+        call = self._dialect.job_call(request.method, path, query, headers)
+        if call is not None:
+            is_public = self._job_api.is_public(table, host, call.job_id)
+            if is_public is not None:
                 request_kind.kind = KIND_JOB_CALL
-                account = self._authenticate(headers, table.has_only_public_jobs(host))
+                account = self._authenticate(headers, is_public)
                 return await self._answer_job_call(call, account)
         route = table.match(host, path)
         if route is None:
--- a/test/test_changed_routes.py
+++ b/test/test_changed_routes.py
@@ -75,6 +75,26 @@
         process.thaw()
         self.assertEqual(await self.states(), ["completed"] * ITEMS)
 
+    async def test_results_and_bodies_outlive_their_route(self):
+        """They were not found, as if the job did not exist."""
+        await self.start(keep_s=40.0, item_s=1)
+        await self.states()
+        before = await self.fleet.results("front-b", "j1")
+        self.remove_route(5)
+        await self.has_no_route("front-b")
+        self.assertEqual(await self.fleet.results("front-b", "j1"), before)
+        self.assertEqual(await self.fleet.results("front-b", "other"), 404)
+        answer = await self.fleet.ask("front-b", "DELETE", "/lots/j1")
+        self.assertEqual(answer.status, 200)
+        answer = await self.fleet.ask("front-b", "GET", "/items/j1?id=i0")
+        self.assertEqual((answer.status, answer.body), (200, b"i0"))
+
+    async def has_no_route(self, name):
+        async def is_gone():
+            return await self.fleet.submit(name, "j3", 1, prefix="n") == 404
+
+        await _common.eventually(is_gone)
+
 
 if __name__ == "__main__":
     unittest.main()
