Run a job without a route to the end of its items

Callers could see: a job whose runner died after its route had been removed was never listed to its end, and its items were neither completed nor terminated. The next runner found no route and gave up; a fifth of a second later it claimed and read the job again, for as long as the route was missing.

Cause: only a run can list results, and a run needed the route's terms.

Change: a run asks for the terms in effect, so that it begins without a route as well, and lists the items as abandoned under the condition that the route is still gone. Without any configuration it is not begun yet.

--- a/goldcrestmoor/job/job_supervisor.py
+++ b/goldcrestmoor/job/job_supervisor.py
@@ -380,9 +380,8 @@
                 return None
             listed_ids = await self._store.listed_ids(job_id, stored.state.listed)
             partials = await self._store.partials(job_id)
-        table = self._routes()
-        if table is None or table.match_job(job.host, job.path) is None:
-            log.warning("Job %s no longer has a route; not started.", job_id)
+        if self._routes() is None:
+            log.info("Job %s is not started yet: no routes are known here.", job_id)
             return None
         log.info(
             "Job %s of %s started here: %d items, %d listed, step %d.",
--- a/test/test_changed_routes.py
+++ b/test/test_changed_routes.py
@@ -75,6 +75,15 @@
         process.thaw()
         self.assertEqual(await self.states(), ["completed"] * ITEMS)
 
+    async def test_a_removed_route_ends_its_items_at_the_next_runner_too(self):
+        """It never started the job, whose items were listed by nobody."""
+        await self.start(keep_s=40.0, item_s=30)
+        runner = await _common.eventually(lambda: self.fleet.runner_of("j1"))
+        self.remove_route(5)
+        other = "front-b" if runner == "front-a" else "front-a"
+        self.fleet.fronts[runner].kill()
+        self.assertEqual(await self.states(other), ["terminated"] * ITEMS)
+
     async def test_results_and_bodies_outlive_their_route(self):
         """They were not found, as if the job did not exist."""
         await self.start(keep_s=40.0, item_s=1)
