Combine transactions that only check the same row

Results of two jobs that depend on the configuration check the same row. No two of them were sent in one group, as a group held each row once, so that beside a slow store the jobs of a host would have taken turns. A row may now be checked by several transactions of a group, as long as none of them writes it; the order of transactions on a row stays where one of them writes it.

--- a/goldcrestmoor/adapters/group_commit.py
+++ b/goldcrestmoor/adapters/group_commit.py
@@ -79,6 +79,7 @@
         "checks",
         "writes",
         "row_keys",
+        "written_keys",
         "size",
         "answer",
         "calls",
@@ -91,6 +92,7 @@
         self.row_keys = {
             (entry.table, entry.key) for entry in self.checks + self.writes
         }
+        self.written_keys = {(write.table, write.key) for write in self.writes}
         self.size = sum(len(write.value or b"") for write in self.writes)
         self.size += ENTRY_BYTES * self.entries
         self.answer = asyncio.get_running_loop().create_future()
@@ -226,7 +228,7 @@
         error = None
         try:
             answer = await self._send(
-                [check for transaction in group for check in transaction.checks],
+                list(dict.fromkeys(check for t in group for check in t.checks)),
                 [write for transaction in group for write in transaction.writes],
                 CALL_TIMEOUT_MS,
             )
@@ -268,7 +270,8 @@
 
     def _next_group(self):
         """Remove and return pending transactions that fit into one group, in order."""
-        group, rest, row_keys, entries, size = [], [], set(), 0, 0
+        group, rest, entries, size = [], [], 0, 0
+        row_keys, written_keys = set(), set()
         for transaction in self._pending:
             if transaction.answer.done():
                 # Its caller has stopped waiting.
@@ -276,7 +279,8 @@
             fits = (
                 entries + transaction.entries <= MAX_ENTRIES
                 and size + transaction.size <= MAX_BYTES
-                and row_keys.isdisjoint(transaction.row_keys)
+                and row_keys.isdisjoint(transaction.written_keys)
+                and written_keys.isdisjoint(transaction.row_keys)
             )
             if group and not fits:
                 rest.append(transaction)
@@ -284,8 +288,9 @@
                 group.append(transaction)
                 entries += transaction.entries
                 size += transaction.size
-            # Transactions on the same row keep their order.
+            # Transactions on the same row keep their order, unless both only check it.
             row_keys |= transaction.row_keys
+            written_keys |= transaction.written_keys
         self._pending = rest
         return group
 
--- a/test/test_group_commit.py
+++ b/test/test_group_commit.py
@@ -91,9 +91,13 @@
             read_ms=lambda: self.read_ms,
         )
 
-    def begin(self, key, version=0, value=b"v"):
-        """Start to write one row of the table ``t``, checking its version."""
-        checks, writes = [Check("t", key, version)], [Write("t", key, value)]
+    def begin(self, key, version=0, value=b"v", conditions=()):
+        """Start to write one row of the table ``t``, checking its version.
+
+        :param conditions: further checks.
+        """
+        checks = [Check("t", key, version), *conditions]
+        writes = [Write("t", key, value)]
         return asyncio.ensure_future(self.commits.transact(checks, writes))
 
     async def test_a_slow_store_is_not_overloaded_by_retry_loops(self):
@@ -175,6 +179,41 @@
         self.assertIsInstance(await tasks[0], Committed)
         self.assertIsInstance(await tasks[1], CheckFailed)
 
+    async def test_transactions_that_only_check_the_same_row_are_combined(self):
+        """Two jobs list results under one condition, and would take turns."""
+        self.store.duration_ms = BUSY_MS
+        row = Check("op", "row", 0)
+        tasks = [self.begin(key, conditions=[row]) for key in "ab"]
+        await self.clock.advance(2 * SLOW_MS)
+        ((checks, writes),) = self.store.sent
+        self.assertEqual((len(checks), len(writes)), (3, 2))
+        self.assertIsInstance(await tasks[0], Committed)
+        self.assertIsInstance(await tasks[1], Committed)
+
+    async def test_a_row_is_not_written_beside_a_check_of_it(self):
+        self.store.duration_ms = BUSY_MS
+        tasks = [
+            self.begin("a", conditions=[Check("t", "row", 0)]),
+            self.begin("row"),
+            self.begin("b", conditions=[Check("t", "row", 0)]),
+        ]
+        await self.clock.advance(6 * SLOW_MS)
+        row_keys = [[write.key for write in writes] for _, writes in self.store.sent]
+        self.assertEqual(row_keys, [["a"], ["row"], ["b"]])
+        self.assertIsInstance(await tasks[0], Committed)
+        self.assertIsInstance(await tasks[1], Committed)
+        self.assertIsInstance(await tasks[2], CheckFailed)
+
+    async def test_of_two_versions_of_a_checked_row_the_store_decides(self):
+        self.store.duration_ms = BUSY_MS
+        tasks = [
+            self.begin("a", conditions=[Check("op", "row", 0)]),
+            self.begin("b", conditions=[Check("op", "row", 8)]),
+        ]
+        await self.clock.advance(6 * SLOW_MS)
+        self.assertIsInstance(await tasks[0], Committed)
+        self.assertEqual(await tasks[1], CheckFailed(None, "op", "row"))
+
     async def test_a_group_respects_the_limits_of_the_store(self):
         tasks = [self.begin(f"{number:03d}") for number in range(MAX_ENTRIES)]
         await self.clock.advance(5 * SLOW_MS)
