Choose the mode of a load order when it is sent

Whether an engine finishes its items first was decided when the load was planned. Before the order is sent, a report is awaited and the order is logged, seconds on a slow store. A route that came to ask for single versions meanwhile had its items broken off in the middle.

--- a/goldcrestmoor/version/weights/load_orders.py
+++ b/goldcrestmoor/version/weights/load_orders.py
@@ -133,7 +133,7 @@
         for service in table.services_by_name.values():
             for model in service.models:
                 if self._is_due(model):
-                    self._order_model(table, service, model)
+                    self._order_model(service, model)
 
     def _is_due(self, model):
         """Return whether a model's target version is old enough to be loaded."""
@@ -146,7 +146,7 @@
             self._target_by_model[model] = target = (version, now_ms)
         return now_ms - target[1] >= STEP_GRACE_MS
 
-    def _order_model(self, table, service, model):
+    def _order_model(self, service, model):
         version = self._versions.version_by_model[model]
         engines = [
             self._engine_weights(u) for u in self._directory.usable(service.name)
@@ -162,9 +162,7 @@
         for load in loads:
             upstream = self._directory.upstream_by_name[load.engine]
             self._set_pending(load, PENDING_TIMEOUT_MS)
-            self._tasks.start(
-                self._send_order(upstream, load, _load_mode(table, service.name))
-            )
+            self._tasks.start(self._send_order(upstream, load))
 
     def _engine_weights(self, upstream):
         pending = self._pending_by_engine.get(upstream.name)
@@ -187,7 +185,7 @@
             is_deferred=is_pending and is_deferred,
         )
 
-    async def _send_order(self, upstream, load, mode):
+    async def _send_order(self, upstream, load):
         try:
             report = await self._engines.report(upstream)
             if report.is_busy:
@@ -215,7 +213,7 @@
                 upstream,
                 model=load.model,
                 version=load.version,
-                mode=mode,
+                mode=_load_mode(self._routes(), upstream.service),
                 holder=self._host_id,
                 fencing=fencing,
                 accepted=report.accepted,
