Hold output to the single version that the route asks for by now

An attempt kept the setting that held when it began, output that was begun or whole was not looked at again, and output of several versions went on wherever the newest event's version was among them.

Change: attempts ask for the terms in effect at each event; output of several versions is generated again at the next attempt, and before it is listed. Such results are listed under the condition that the configuration is the store's newest, as abandoned ones are.

Measured: test_output_of_several_versions_is_not_listed_once_one_is_asked and test_an_attempt_follows_the_change_from_the_next_event_on need the terms of an open job and can't run before; with the check of results and that of events taken out, both fail.

--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -89,6 +89,13 @@
     single_version: bool
     account: str | None = None
 
+    def allows(self, versions):
+        """Return whether one output may come from these weight versions.
+
+        :param versions: a collection of versions.
+        """
+        return not self.single_version or len(versions) <= 1
+
 
 class ItemRun:
     """An item with its output so far.
@@ -309,7 +316,7 @@
 
         :param run: the :class:`ItemRun`.
         :param engine: the :class:`~goldcrestmoor.process.directory.ListedUpstream`.
-        :param terms: the :class:`ItemTerms`.
+        :param terms: returns the :class:`ItemTerms` in effect.
         :param on_events: called with the number of events received together, and with
             0 once the engine has begun its response.
         :return: the outcome, one of the classes above.
@@ -318,10 +325,12 @@
         size = len(run.item.body)
         if self._bodies is not None and not self._bodies.fits(engine, size):
             return NotRun("this host has as much in flight there as it may")
-        if self._output_limit.excess(run):
-            # An earlier runner may have stored output of any length.
+        current = terms()
+        if self._output_limit.excess(run) or not current.allows(run.versions):
+            # An earlier runner may have stored output of any length, and output of
+            # several versions may have been allowed.
             run.restart()
-        headers = dialect.item_headers(run.item, terms.host, terms.account)
+        headers = dialect.item_headers(run.item, current.host, current.account)
         headers = dialect.request_headers(headers, engine, None)
         if run.last_id:
             headers.append(dialect.resume_header(run.last_id))
@@ -409,7 +418,7 @@
             count_before = len(run.events)
             for event in reader.feed(chunk):
                 version = version if event.version is None else event.version
-                error = _add_event(run, event, version, terms)
+                error = _add_event(run, event, version, terms())
                 if error:
                     return Broken(error)
                 # Within one read of many events as well.
@@ -429,7 +438,7 @@
     """Append an event; return why it is invalid, or an empty string."""
     if version < terms.min_version:
         return f"weight version {version} is older than {terms.min_version}"
-    if terms.single_version and run.versions and version not in run.versions:
+    if not terms.allows({*run.versions, version}):
         run.restart()
         return "the weight version changed"
     if not run.add(event, version):
--- a/goldcrestmoor/job/job_run.py
+++ b/goldcrestmoor/job/job_run.py
@@ -11,7 +11,7 @@
 
 from goldcrestmoor.job import job_store, work_order
 from goldcrestmoor.job.item_order import order_items
-from goldcrestmoor.job.item_run import ItemRun, encoded_size
+from goldcrestmoor.job.item_run import ItemRun, ItemTerms, encoded_size
 from goldcrestmoor.job.job import Result
 from goldcrestmoor.job.job_terms import job_terms
 
@@ -44,9 +44,19 @@
         self.result = result
         self.abandon_reason = abandon_reason
 
-    def is_valid(self):
-        """Return whether the configuration in effect still gives this result."""
-        return self.abandon_reason is None or bool(self.abandon_reason())
+    @property
+    def depends_on_configuration(self):
+        """Whether another configuration could give another result."""
+        return self.abandon_reason is not None or len(self.result.versions) > 1
+
+    def is_valid(self, terms):
+        """Return whether the configuration in effect still gives this result.
+
+        :param terms: the ``ItemTerms`` in effect.
+        """
+        if self.abandon_reason is not None:
+            return bool(self.abandon_reason())
+        return terms.allows(self.result.versions)
 
 
 class JobRun:
@@ -87,6 +97,7 @@
         "_routes",
         "_table",
         "_terms",
+        "_item_terms",
         "_checked_terms",
         "_configuration",
         "_clock",
@@ -118,7 +129,7 @@
         self.job = job
         self._routes = routes
         self._configuration = configuration
-        self._table = self._terms = self._checked_terms = None
+        self._table = self._terms = self._item_terms = self._checked_terms = None
         self.waiting = [
             ItemRun(item, position, clock.now_ms())
             for position, item in enumerate(job.items)
@@ -157,11 +168,30 @@
 
         :return: the :class:`~goldcrestmoor.job.job_terms.JobTerms`.
         """
-        table = self._routes()
-        if table is not self._table:
-            self._table, self._terms = table, job_terms(table, self.job)
+        self._read_routes()
         return self._terms
 
+    def item_terms(self):
+        """Return the terms of the attempts at its items, by the same configuration.
+
+        :return: the :class:`~goldcrestmoor.job.item_run.ItemTerms`.
+        """
+        self._read_routes()
+        return self._item_terms
+
+    def _read_routes(self):
+        table = self._routes()
+        if table is self._table:
+            return
+        self._table, job = table, self.job
+        self._terms = job_terms(table, job)
+        self._item_terms = ItemTerms(
+            job.host,
+            job.min_version,
+            self._terms.single_version,
+            table.sent_account(job.account),
+        )
+
     @property
     def priority(self):
         """The priority of the job; 0 is the most urgent."""
@@ -427,7 +457,8 @@
 
     def _recheck_unlisted(self):
         """Take back the results that the configuration in effect no longer gives."""
-        invalid = [u for u in self._unlisted if not u.is_valid()]
+        terms = self.item_terms()
+        invalid = [u for u in self._unlisted if not u.is_valid(terms)]
         if not invalid:
             return
         log.info(
@@ -455,7 +486,7 @@
         )
         results = [entry.result for entry in unlisted]
         condition = None
-        if any(entry.abandon_reason is not None for entry in unlisted):
+        if any(entry.depends_on_configuration for entry in unlisted):
             condition = self._configuration.unchanged()
         partials = self._partials(budget)
         if not results and not partials:
--- a/goldcrestmoor/job/scheduler.py
+++ b/goldcrestmoor/job/scheduler.py
@@ -16,7 +16,6 @@
     Failed,
     Finished,
     Impossible,
-    ItemTerms,
     Moved,
     NotRun,
     Overlong,
@@ -429,13 +428,6 @@
                 return Denied()
             # The engine was blocked for other items until this one was admitted.
             self.wake()
-        job = job_run.job
-        terms = ItemTerms(
-            job.host,
-            job.min_version,
-            job_run.terms().single_version,
-            self._routes().sent_account(job.account),
-        )
         last_event_ms = self._clock.now_ms()
 
         def on_events(count):
@@ -448,7 +440,7 @@
                 self._pool.record_accepted(engine)
             last_event_ms = now_ms
 
-        return await self._executor.attempt(run, engine, terms, on_events)
+        return await self._executor.attempt(run, engine, job_run.item_terms, on_events)
 
     def _on_attempt_done(self, job_run, run, engine, task):
         """Clean up after an attempt and handle its outcome."""
--- a/test/test_broken_streams.py
+++ b/test/test_broken_streams.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 import unittest
 
 import msgspec
@@ -212,7 +213,7 @@
         )
         run = ItemRun(Item("r1", "/x", {}, b"x"), 0)
         run.resume([Partial(0, 0, 0, ("event 1", "event 2"), "2", (1,))])
-        terms = ItemTerms("h", 1, False)
+        terms = functools.partial(ItemTerms, "h", 1, False)
         outcome = await executor.attempt(run, self.upstream, terms, lambda count: None)
         self.assertIsInstance(outcome, Broken)
 
--- a/test/test_job_terms.py
+++ b/test/test_job_terms.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 import unittest
 
 import msgspec
@@ -12,6 +13,7 @@
 from goldcrestmoor.job.item_order import order_jobs
 from goldcrestmoor.job.item_run import Failed
 from goldcrestmoor.job.job_terms import job_terms
+from goldcrestmoor.request.event_stream import Event
 from goldcrestmoor.version.configuration.accounts import AccountDirectory, ClientAccount
 from test import _common
 from test.test_job_run import ROUTE, TABLE, SchedulerCase, make_run, table_with
@@ -158,6 +160,54 @@
         await _common.eventually(lambda: store.results, timeout_s=1)
         self.assertEqual([result.is_completed for result in store.results], [True])
 
+    def add_events(self, run, *versions):
+        """Let the engine of the only item send an event of each weight version."""
+        item = run.running_by_id["i0"]
+        for version in versions:
+            number = len(item.events)
+            item.add(Event(str(number), f"e{number}", None, b""), version)
+
+    async def test_output_of_several_versions_is_not_listed_once_one_is_asked(self):
+        """Neither what is unfinished when it changes, nor what is whole by then."""
+        single = table_with(job={"single_version": True})
+        for is_known in (True, False):
+            with self.subTest(is_known=is_known):
+                self.table = TABLE
+                run, store = self.start(1)
+                await self.running(1)
+                self.add_events(run, 1, 2)
+                if is_known:
+                    self.change(run, single)
+                else:
+                    # Another host has heard of it first.
+                    store.configuration.newest = "second"
+                    store.configuration.on_learned = functools.partial(
+                        lambda run, row: self.change(run, single), run
+                    )
+                self.executor.running.pop("i0").set_result(None)
+                await self.running(1)
+                self.assertEqual(store.results, [])
+                self.add_events(run, 2, 2)
+                self.executor.running.pop("i0").set_result(None)
+                await _common.eventually(lambda store=store: store.results)
+                (result,) = store.results
+                self.assertEqual((result.text, result.versions), ("e0\ne1", (2,)))
+
+    def test_an_attempt_follows_the_change_from_the_next_event_on(self):
+        run, _ = make_run(1, routes=lambda: self.table)
+        for versions, version, is_allowed in (
+            ((), 2, True),
+            ((2,), 2, True),
+            ((1,), 2, False),
+            ((1, 2), 2, False),
+        ):
+            with self.subTest(f"{versions} {version}"):
+                self.table = TABLE
+                self.assertTrue(run.item_terms().allows({*versions, version}))
+                self.table = table_with(job={"single_version": True})
+                is_allowed_now = run.item_terms().allows({*versions, version})
+                self.assertEqual(is_allowed_now, is_allowed)
+
     async def test_the_order_of_jobs_follows_their_routes_and_accounts(self):
         run, _ = make_run(1, routes=lambda: self.table)
         other, _ = make_run(1)
--- a/test/test_late_copies.py
+++ b/test/test_late_copies.py
@@ -4,6 +4,7 @@
 refusal says that a request was not run which the server runs right then.
 """
 
+import functools
 import unittest
 from types import SimpleNamespace
 
@@ -124,7 +125,7 @@
         run = ItemRun(Item("i0", "/x", {"Model-Name": MODEL}, b"x"), 0)
         engine = self.host.directory.upstream_by_name["s0"]
         self.send_copies(REFUSAL % OTHER_ID)
-        terms = ItemTerms("h", 1, False)
+        terms = functools.partial(ItemTerms, "h", 1, False)
         outcome = await executor.attempt(run, engine, terms, lambda count: None)
         self.assertIsInstance(outcome, Broken)
 
--- a/test/test_leaving_servers.py
+++ b/test/test_leaving_servers.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import functools
 import time
 import unittest
 from types import SimpleNamespace
@@ -355,7 +356,7 @@
         )
         run = ItemRun(Item("i1", "/x", {"model-name": MODEL}, b"x"), 0)
         engine = self.directory.upstream_by_name["s0"]
-        terms = ItemTerms("h", 1, False)
+        terms = functools.partial(ItemTerms, "h", 1, False)
         outcome = await executor.attempt(run, engine, terms, lambda count: None)
         self.assertIsInstance(outcome, NotRun)
         self.assertEqual(self.left.seen, [])
--- a/test/test_software_versions.py
+++ b/test/test_software_versions.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import contextlib
+import functools
 import json
 import unittest
 from types import SimpleNamespace
@@ -138,7 +139,7 @@
         )
         run = ItemRun(Item("i1", "/lot/i1", {}, b""), 0)
         run.resume([Partial(0, 0, 0, ("old",) * 4, "3", (1,), software_version="v1")])
-        terms = ItemTerms("h", 1, False)
+        terms = functools.partial(ItemTerms, "h", 1, False)
         outcome = await executor.attempt(run, old, terms, lambda count: None)
         self.assertIsInstance(outcome, Broken)
         self.assertEqual((run.events, run.last_id, run.generation), ([], "", 1))
