Order no servers beyond bounds that were lowered during a write

The bounds are compared once more after the write; if they changed, the targets are made anew.

Measured: test_bounds_that_are_lowered_during_a_write_hold_for_its_order fails without the comparison (an order above 6) and passes.

--- a/goldcrestmoor/process/capacity_orders.py
+++ b/goldcrestmoor/process/capacity_orders.py
@@ -152,6 +152,9 @@
         self._update(bounds_by_service)
         if not await self._save():
             return False
+        if self._bounds_by_service() != bounds_by_service:
+            # The bounds changed while the row was written.
+            return False
         return await self._send_next()
 
     def _is_list_steady(self):
--- a/test/test_capacity_orders.py
+++ b/test/test_capacity_orders.py
@@ -41,7 +41,7 @@
 DUE_MS = 7500
 
 
-def route_table():
+def route_table(max_servers=15):
     route = Route(
         name="job",
         host="app",
@@ -53,7 +53,7 @@
         target_ms=400,
         job=JobPolicy(DUE_MS, 40_000),
     )
-    pool = Service("pool", ("m0",), 0, ScalingBounds(1, 15, BOOT_MS))
+    pool = Service("pool", ("m0",), 0, ScalingBounds(1, max_servers, BOOT_MS))
     limits = CallerLimits(1, 1, 1, 1)
     return RouteTable(1, {"app": (route,)}, {"pool": pool}, limits)
 
@@ -155,6 +155,7 @@
     async def asyncSetUp(self):
         self.clock = ManualClock()
         self.platform = Platform(self.clock)
+        self.table = route_table()
         for zone, count in FIRST.items():
             for _ in range(count):
                 self.platform.add(zone)
@@ -171,7 +172,7 @@
             store=store,
             directory=self.platform.directory,
             is_list_current=lambda: self.platform.is_list_current,
-            routes=route_table,
+            routes=lambda: self.table,
             open_states=self.platform.open_states,
             calls_per_s=calls_per_s,
             metrics=Metrics(),
@@ -286,6 +287,19 @@
         self.assertLess(len(calls), 12)
         self.assertEqual(set(self.platform.counts().values()), {15})
 
+    async def test_bounds_that_are_lowered_during_a_write_hold_for_its_order(self):
+        """The row is written before the order, which may take seconds."""
+        self.start_holder()
+        await self.play(20)
+
+        def lower():
+            self.table = route_table(max_servers=6)
+
+        self.platform.table.after_write = lower
+        calls = await self.play(40, self.steps(items=200))
+        self.assertTrue(calls)
+        self.assertLessEqual(max(count for _, count in calls), 6)
+
     async def test_no_servers_anywhere_causes_no_storm_of_calls(self):
         """Each zone is asked about once in ten seconds, and what there is stays."""
         self.platform.refusing.update(ZONES)
