Send an item only to a service that its route leads to

The route in effect is asked once more when there is a connection and no byte is sent yet, beside the check of the engine. The services of a route that weighs them leave out those without weight.

Measured: test_an_item_that_waits_for_a_connection_follows_its_route, red without the check (the item was sent).

--- a/goldcrestmoor/job/item_run.py
+++ b/goldcrestmoor/job/item_run.py
@@ -9,7 +9,7 @@
 from goldcrestmoor import tracing
 from goldcrestmoor.connection.response_memory import ResponseMemory
 from goldcrestmoor.decoding import parse_integer
-from goldcrestmoor.errors import Ran, ServiceError
+from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
 from goldcrestmoor.job.job import Partial
 from goldcrestmoor.job.output_limit import OutputLimit
 from goldcrestmoor.request.event_stream import EventParser
@@ -82,12 +82,14 @@
     :param single_version: whether all events must come from one weight version.
     :param account: the client account that the engine is told, empty for none; None
         where callers have no accounts.
+    :param services: the services that may run the item; None for any.
     """
 
     host: str
     min_version: int
     single_version: bool
     account: str | None = None
+    services: tuple[str, ...] | None = None
 
     def allows(self, versions):
         """Return whether one output may come from these weight versions.
@@ -96,6 +98,16 @@
         """
         return not self.single_version or len(versions) <= 1
 
+    def check_service(self, service):
+        """Raise if a service no longer runs the item, just before it is sent.
+
+        :param service: the service's name.
+        :raises ServiceError: ``NO_UPSTREAM``; the item has not been sent.
+        """
+        if self.services is not None and service not in self.services:
+            text = f"The route no longer leads to {service}."
+            raise ServiceError(ErrorKind.NO_UPSTREAM, text)
+
 
 class ItemRun:
     """An item with its output so far.
@@ -323,6 +335,12 @@
         """
         dialect = self._dialect
         size = len(run.item.body)
+
+        def before_send():
+            self._directory.check_usable(engine)
+            # The item may have waited for a grant or a connection.
+            terms().check_service(engine.service)
+
         if self._bodies is not None and not self._bodies.fits(engine, size):
             return NotRun("this host has as much in flight there as it may")
         current = terms()
@@ -360,7 +378,7 @@
                     head_timeout_ms=HEAD_TIMEOUT_MS,
                     progress_timeout_ms=IDLE_TIMEOUT_MS,
                     allow_close_delimited=True,
-                    before_send=lambda: self._directory.check_usable(engine),
+                    before_send=before_send,
                 ) as response:
                     self._record_engine_state(run, engine, response)
                     outcome = await self._read_response(run, response, terms, on_events)
--- a/goldcrestmoor/job/job_run.py
+++ b/goldcrestmoor/job/job_run.py
@@ -190,6 +190,7 @@
             job.min_version,
             self._terms.single_version,
             table.sent_account(job.account),
+            self._terms.services,
         )
 
     @property
--- a/goldcrestmoor/job/job_terms.py
+++ b/goldcrestmoor/job/job_terms.py
@@ -43,7 +43,7 @@
     @property
     def services(self):
         """The services that run its items; empty without a route."""
-        return tuple(share.service for share in self.route.shares) if self.route else ()
+        return self.route.services if self.route else ()
 
     def abandon_reason(self, age_ms, failures, is_running):
         """Return why an item is abandoned, as part of a sentence; empty if it is not.
--- a/goldcrestmoor/version/configuration/routes.py
+++ b/goldcrestmoor/version/configuration/routes.py
@@ -81,6 +81,12 @@
     job: JobPolicy | None = None
     is_public: bool = False
 
+    @property
+    def services(self):
+        """The services that its requests may go to."""
+        shares = [share for share in self.shares if share.weight] or self.shares[:1]
+        return tuple(share.service for share in shares)
+
     def service_for(self, request_id):
         """Return the service for a request, chosen by the services' weights.
 
--- a/test/test_job_terms.py
+++ b/test/test_job_terms.py
@@ -5,14 +5,19 @@
 """
 
 import asyncio
+import contextlib
 import functools
 import unittest
+from types import SimpleNamespace
 
 import msgspec
 
+from goldcrestmoor.clock import Clock
 from goldcrestmoor.job.item_order import order_jobs
-from goldcrestmoor.job.item_run import Failed
+from goldcrestmoor.job.item_run import Failed, ItemExecutor, NotRun
 from goldcrestmoor.job.job_terms import job_terms
+from goldcrestmoor.platform import servers
+from goldcrestmoor.process.directory import ListedUpstream
 from goldcrestmoor.request.event_stream import Event
 from goldcrestmoor.version.configuration.accounts import AccountDirectory, ClientAccount
 from test import _common
@@ -208,6 +213,31 @@
                 is_allowed_now = run.item_terms().allows({*versions, version})
                 self.assertEqual(is_allowed_now, is_allowed)
 
+    async def test_an_item_that_waits_for_a_connection_follows_its_route(self):
+        """It reached a server of the service that the route had led to before."""
+        run, _ = make_run(1, routes=lambda: self.table)
+        shares = (msgspec.structs.replace(ROUTE.shares[0], service="new"),)
+
+        @contextlib.asynccontextmanager
+        async def connect_slowly(*args, before_send, **options):
+            self.table = table_with(shares=shares)
+            before_send()
+            self.fail("the item was sent")
+            yield
+
+        executor = ItemExecutor(
+            clock=Clock(),
+            paths=SimpleNamespace(stream=connect_slowly),
+            directory=SimpleNamespace(check_usable=lambda engine: None),
+            limits=None,
+            dialect=servers,
+        )
+        engine = ListedUpstream("a", "pool", "10.0.0.1", 80, "z", 4)
+        outcome = await executor.attempt(
+            run.waiting[0], engine, run.item_terms, lambda count: None
+        )
+        self.assertIsInstance(outcome, NotRun)
+
     async def test_the_order_of_jobs_follows_their_routes_and_accounts(self):
         run, _ = make_run(1, routes=lambda: self.table)
         other, _ = make_run(1)
