Run the soak with routes that change under open jobs

A third soak: random faults at daemons while the operator changes the time, the attempts and the existence of the route of open batch jobs, in series with the faults. Each item that is listed as terminated must be allowed to end by the version that the store has at the moment of the write.

--- a/goldcrestmoor/platform/callers.py
+++ b/goldcrestmoor/platform/callers.py
@@ -30,6 +30,8 @@
 MAX_WAIT_MS = 1000
 # A page of results is at most 1 MB, including the JSON around the output texts.
 MAX_PAGE_BYTES = 900_000
+# The first parts of the paths of calls for a batch job.
+_JOB_CALL_KINDS = frozenset({"lots", "items"})
 _COMPLETED = "completed"
 _TERMINATED = "terminated"
 
@@ -141,6 +143,8 @@
     if len(parts) != 3 or not parts[2]:
         return None
     _, kind, job_id = parts
+    if kind not in _JOB_CALL_KINDS:
+        return None
     job_id = unquote(job_id)
     value_by_name = {name: values[-1] for name, values in parse_qs(query).items()}
     match method, kind:
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -1,9 +1,10 @@
-"""Short runs of the soaks; ``test/soak.py`` and ``soak_accounts.py`` have long ones."""
+"""Short runs of the soaks; the modules ``test/soak*.py`` have long ones."""
 
 import unittest
 
 from test import soak
 from test.soak_accounts import AccountSoak
+from test.soak_routes import RouteSoak
 
 
 class SoakTest(unittest.IsolatedAsyncioTestCase):
@@ -25,6 +26,10 @@
         """Keys, jobs, reports or orders that are wrong under overlapping faults."""
         await self.check(1, AccountSoak)
 
+    async def test_changed_routes_seed_1(self):
+        """Items that hosts end by an older configuration than the store has."""
+        await self.check(1, RouteSoak)
+
 
 if __name__ == "__main__":
     unittest.main()
