--- a/goldcrestmoor/job/job_run.py
+++ b/goldcrestmoor/job/job_run.py
@@ -13,9 +13,16 @@
 from goldcrestmoor.job.item_order import order_items
 from goldcrestmoor.job.item_run import ItemRun, ItemTerms, encoded_size
 from goldcrestmoor.job.job import Result
-from goldcrestmoor.job.job_terms import job_terms
+from goldcrestmoor.job.job_terms import (
+    Expired,
+    RouteRemoved,
+    TooManyFailures,
+    job_terms,
+)
 
 log = logging.getLogger("goldcrestmoor.jobs")
+# Operators look here for why an item has ended.
+items_log = logging.getLogger("goldcrestmoor.scheduler")
 
 # Results are batched for this long before a write, which bounds how often a busy job
 # writes to the store and sends an update to every host.
@@ -34,7 +41,7 @@
     :param run: the :class:`~goldcrestmoor.job.item_run.ItemRun` that it is of.
     :param result: the :class:`~goldcrestmoor.job.job.Result`.
     :param abandon_reason: returns why the item is abandoned by the configuration in
-        effect, empty if it is not; None where that has no say.
+        effect, or None if it is not; None itself where that has no say.
     """
 
     __slots__ = ("run", "result", "abandon_reason")
@@ -55,7 +62,7 @@
         :param terms: the ``ItemTerms`` in effect.
         """
         if self.abandon_reason is not None:
-            return bool(self.abandon_reason())
+            return self.abandon_reason() is not None
         return terms.allows(self.result.versions)
 
 
@@ -103,6 +110,7 @@
         "_clock",
         "_store",
         "_on_state",
+        "_expired_count",
         "_listed_lost_groups",
         "_unlisted",
         "_has_finished",
@@ -150,6 +158,7 @@
         self._clock = clock
         self._store = store
         self._on_state = on_state
+        self._expired_count = 0
         self._listed_lost_groups = set()
         self._unlisted = []
         self._has_finished = asyncio.Event()
@@ -293,8 +302,7 @@
 
         :param run: the :class:`~goldcrestmoor.job.item_run.ItemRun`.
         :param is_completed: whether its output is complete; otherwise it is abandoned.
-        :param abandon_reason: returns why it is abandoned by the configuration in
-            effect, empty once it is not; None where that has no say.
+        :param abandon_reason: as for :class:`UnlistedResult`.
         """
         if run in self.waiting:
             self.waiting.remove(run)
@@ -425,13 +433,13 @@
             # Failures are checked when they occur.
             return
         self._checked_terms = terms
-        abandoned = [
-            run
-            for run in [*self.waiting, *self.in_progress()]
-            if self.abandon_if_due(run)
-        ]
-        if abandoned:
-            log.warning("Job %s: %d items abandoned.", self.job.id, len(abandoned))
+        for run in [*self.waiting, *self.in_progress()]:
+            self.abandon_if_due(run)
+        if self._expired_count:
+            log.warning(
+                "Job %s expired: %d items abandoned.", self.job.id, self._expired_count
+            )
+            self._expired_count = 0
 
     def abandon_if_due(self, run):
         """Abandon an unfinished item if the configuration in effect says so.
@@ -439,12 +447,19 @@
         :param run: the :class:`~goldcrestmoor.job.item_run.ItemRun`.
         :return: whether it is abandoned.
         """
-        reason = self._abandon_reason(run)
-        if not reason:
-            return False
-        log.info(
-            "Item %s of job %s is abandoned: %s.", run.item.id, self.job.id, reason
-        )
+        match self._abandon_reason(run):
+            case None:
+                return False
+            case RouteRemoved():
+                items_log.warning(
+                    "Job %s no longer has a route: item %s is abandoned.",
+                    self.job.id,
+                    run.item.id,
+                )
+            case TooManyFailures(count):
+                items_log.info("Item %s failed %d times.", run.item.id, count)
+            case Expired():
+                self._expired_count += 1
         if run.task is not None:
             run.task.cancel()
             run.task = None
--- a/goldcrestmoor/job/job_terms.py
+++ b/goldcrestmoor/job/job_terms.py
@@ -12,6 +12,23 @@
 from goldcrestmoor.version.configuration.routes import Route
 
 
+class RouteRemoved(msgspec.Struct, frozen=True):
+    """An item is abandoned, as its job no longer has a route."""
+
+
+class Expired(msgspec.Struct, frozen=True):
+    """An item is abandoned, as its job's time has passed."""
+
+
+class TooManyFailures(msgspec.Struct, frozen=True):
+    """An item is abandoned, as engines reported too often that it failed.
+
+    :param count: how often.
+    """
+
+    count: int
+
+
 class JobTerms(msgspec.Struct, frozen=True):
     """The terms of one job by one configuration.
 
@@ -46,7 +63,7 @@
         return self.route.services if self.route else ()
 
     def abandon_reason(self, age_ms, failures, is_running):
-        """Return why an item is abandoned, as part of a sentence; empty if it is not.
+        """Return why an item is abandoned, one of the classes above, or None.
 
         An attempt in progress may complete the output, so only the job's time ends it.
 
@@ -55,12 +72,12 @@
         :param is_running: whether an attempt is in progress.
         """
         if self.route is None:
-            return "" if is_running else "its job no longer has a route"
+            return None if is_running else RouteRemoved()
         if age_ms >= self.expire_after_ms:
-            return f"its job expired after {self.expire_after_ms} ms"
+            return Expired()
         if not is_running and failures >= self.route.attempts:
-            return f"it failed {failures} times"
-        return ""
+            return TooManyFailures(failures)
+        return None
 
 
 def job_terms(table, job):
--- a/goldcrestmoor/job/reward_calls.py
+++ b/goldcrestmoor/job/reward_calls.py
@@ -190,20 +190,29 @@
         for waiting in order_calls(map(self._waiting_call, call_by_key.values())):
             call = call_by_key[waiting.job_id, waiting.item_id]
             reason = self._abandon_reason(call)
-            if reason:
+            if reason is not None:
+                log.warning(
+                    "The reward call %s of item %s has %s; the item is abandoned.",
+                    call.item.reward_call.id,
+                    call.item.id,
+                    reason,
+                )
                 self._finish(call, "", reason)
                 continue
             self._send(call, table, own_models, open_models, full_services)
 
     def _abandon_reason(self, call):
-        """Return why the configuration in effect gives a call no score, or nothing."""
+        """Return why the configuration in effect ends a call without a score, or None.
+
+        :return: what the call has, as part of a sentence.
+        """
         reward_call = call.item.reward_call
         route = self._routes().match(reward_call.host, reward_call.path)
         if route is None:
             return "no route"
         if call.failures >= route.attempts:
-            return f"{call.failures} failures"
-        return ""
+            return f"failed {call.failures} times"
+        return None
 
     def _waiting_call(self, call):
         job_run = call.job_run
@@ -322,7 +331,7 @@
                 call.failures += 1
                 call.ran_at.add(server.name)
                 reason = f"failed, {call.failures} times by now"
-                if self._abandon_reason(call):
+                if self._abandon_reason(call) is not None:
                     self._finish(call, "", server.name)
                     return
             case NoScore(ran, reason):
@@ -357,6 +366,6 @@
         )
         call.run.score = score
         abandon_reason = None
-        if not score and self._abandon_reason(call):
+        if not score and self._abandon_reason(call) is not None:
             abandon_reason = functools.partial(self._abandon_reason, call)
         call.job_run.finish(call.run, bool(score), abandon_reason)
--- a/test/test_job_terms.py
+++ b/test/test_job_terms.py
@@ -60,7 +60,7 @@
         for table, age_s, failures, is_running, is_abandoned in cases:
             with self.subTest(f"{table.version} {age_s} {failures} {is_running}"):
                 reason = self.reason(table, age_s, failures, is_running)
-                self.assertEqual(bool(reason), is_abandoned, reason)
+                self.assertEqual(reason is not None, is_abandoned, reason)
 
 
 class OpenJobTest(SchedulerCase):
