--- a/goldcrestmoor/job/job_api.py
+++ b/goldcrestmoor/job/job_api.py
@@ -72,22 +72,28 @@
             job.min_version,
         )
 
-    def is_public(self, table, host, job_id):
-        """Return whether a call for a job needs no API key.
+    def serves(self, table, host, job_id):
+        """Return whether a request in the form of a call for a job is one.
 
         Jobs remain after their route was removed, until their retention has expired.
 
         :param table: the ``RouteTable`` in effect.
-        :param host: the host name in the call.
+        :param host: the host name in the request.
         :param job_id: the job.
-        :return: None where the host name has no jobs, so that it is no call for one.
         """
         if table.has_job_route(host):
-            return table.has_only_public_jobs(host)
+            return True
         stored = self._supervisor.state_by_job.get(job_id)
-        if stored is None or stored.state.host != host:
-            return None
-        return not stored.state.account
+        return stored is not None and stored.state.host == host
+
+    def is_public(self, table, host, job_id):
+        """Return whether a call that this serves needs no API key.
+
+        The parameters are those of :meth:`serves`.
+        """
+        if table.has_job_route(host):
+            return table.has_only_public_jobs(host)
+        return not self._supervisor.state_by_job[job_id].state.account
 
     async def results(self, call, max_bytes, account=None):
         """Return a page of a job's results, waiting for one if requested.
--- a/goldcrestmoor/job/job_run.py
+++ b/goldcrestmoor/job/job_run.py
@@ -40,8 +40,8 @@
 
     :param run: the :class:`~goldcrestmoor.job.item_run.ItemRun` that it is of.
     :param result: the :class:`~goldcrestmoor.job.job.Result`.
-    :param abandon_reason: returns why the item is abandoned by the configuration in
-        effect, or None if it is not; None itself where that has no say.
+    :param abandon_reason: for an item that the configuration ends, a function that
+        returns why that in effect does, or None once it does not; else None.
     """
 
     __slots__ = ("run", "result", "abandon_reason")
@@ -473,19 +473,22 @@
 
     def _recheck_unlisted(self):
         """Take back the results that the configuration in effect no longer gives."""
-        terms = self.item_terms()
-        invalid = [u for u in self._unlisted if not u.is_valid(terms)]
-        if not invalid:
+        terms, valid, resumed = self.item_terms(), [], []
+        for unlisted in self._unlisted:
+            if unlisted.is_valid(terms):
+                valid.append(unlisted)
+            else:
+                resumed.append(unlisted.run)
+        if not resumed:
             return
         log.info(
             "Job %s: %d items go on, as the configuration has changed.",
             self.job.id,
-            len(invalid),
+            len(resumed),
         )
-        self._unlisted = [u for u in self._unlisted if u not in invalid]
-        for unlisted in invalid:
-            self._missing_by_group[unlisted.run.group] += 1
-            self.waiting.append(unlisted.run)
+        self._unlisted = valid
+        self.waiting += resumed
+        self._missing_by_group.update(run.group for run in resumed)
 
     async def _write(self):
         """Write finished results and partial outputs.
--- a/goldcrestmoor/process/front_callers.py
+++ b/goldcrestmoor/process/front_callers.py
@@ -142,12 +142,11 @@
         headers = [(name.lower(), value) for name, value in request.headers]
         query = request.scope.get("query_string", b"").decode("latin-1")
         call = self._dialect.job_call(request.method, path, query, headers)
-        if call is not None:
+        if call is not None and self._job_api.serves(table, host, call.job_id):
+            request_kind.kind = KIND_JOB_CALL
             is_public = self._job_api.is_public(table, host, call.job_id)
-            if is_public is not None:
-                request_kind.kind = KIND_JOB_CALL
-                account = self._authenticate(headers, is_public)
-                return await self._answer_job_call(call, account)
+            account = self._authenticate(headers, is_public)
+            return await self._answer_job_call(call, account)
         route = table.match(host, path)
         if route is None:
             raise ServiceError(ErrorKind.NOT_FOUND, "There is no such route.")
