--- a/test/standins/server.py
+++ b/test/standins/server.py
@@ -83,8 +83,9 @@
             self.port = self._server.sockets[0].getsockname()[1]
 
     async def close(self):
-        """Stop listening and abort all connections."""
-        self._server.close()
+        """Stop listening, if it has begun, and abort all connections."""
+        if self._server is not None:
+            self._server.close()
         for writer in list(self._reader_by_writer):
             writer.transport.abort()
 
