--- a/test/test_broken_streams.py
+++ b/test/test_broken_streams.py
@@ -67,8 +67,8 @@
         self._script = script
         self._server = None
 
-    async def start(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, port=0):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
 
     async def close(self):
         if self._server is not None:
