--- a/review/lib_3/deployment.py
+++ b/review/lib_3/deployment.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import atexit
 import base64
 import functools
 import itertools
@@ -44,6 +45,14 @@
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 STOP_TIMEOUT_S = 10
 
+_running = []
+
+
+@atexit.register
+def _kill_leftovers():
+    for daemon in _running:
+        daemon.kill()
+
 
 class Daemon:
     """One process of a daemon, started as the deploy file says.
@@ -70,6 +79,7 @@
                 },
                 start_new_session=True,
             )
+        _running.append(self)
 
     @property
     def pid(self):
@@ -267,6 +277,8 @@
         is played; returns whether the rule was broken.
     """
     record = Record(pathlib.Path(folder) / "record.txt")
+    # The processes are ended also when this one is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add(f"the disruption is {'played' if has_trouble else 'left out'}")
     try:
