Begin a stream only once its software version can be found again

Cause: the first event was sent on after 100 ms without any host having the stream's record, and hosts that had no record took that for proof that the stream began before there were two versions. The record was in the store, which nobody asked.

Change: a stream that absence would describe wrongly begins only once all of its holders, or the store, have its record; else it begins at the version that absence describes, or is refused. A host that takes it up asks the store too, and concludes from absence only if one that would have the record says so. Holders that dropped records say that they can't tell. Messages and stored rows are unchanged.

--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -848,6 +848,7 @@
         await self._paths.close()
         await self._host_calls.close()
         await self._stream_versions.close()
+        await self._stream_log.close()
         await self._tasks.close()
         await self._http.close()
 
--- a/goldcrestmoor/process/host_calls.py
+++ b/goldcrestmoor/process/host_calls.py
@@ -70,7 +70,7 @@
             because no other can take the message.
         """
         row = self._row_by_host().get(host)
-        if row is None or not (is_repeated or self._is_reachable(host)):
+        if row is None or not (is_repeated or self.is_reachable(host)):
             return None
         try:
             answer = await self._http.request(
@@ -97,6 +97,19 @@
         )
         return None
 
+    def is_reachable(self, host):
+        """Return whether a host gave a reply the last time, or wasn't called lately.
+
+        :param host: the host's id.
+        """
+        failed_ms = self._failed_ms_by_host.get(host)
+        if failed_ms is None:
+            return True
+        if self._clock.now_ms() - failed_ms < UNREACHABLE_MS:
+            return False
+        del self._failed_ms_by_host[host]
+        return True
+
     def broadcast(self, path, message, host_id, decoder):
         """Send a message to all other hosts, which forward it along a tree.
 
@@ -132,12 +145,3 @@
         copy = msgspec.structs.replace(message, targets=tuple(rest))
         if await self.call(head, path, copy, decoder) is None:
             self.forward(path, message, rest, decoder)
-
-    def _is_reachable(self, host):
-        failed_ms = self._failed_ms_by_host.get(host)
-        if failed_ms is None:
-            return True
-        if self._clock.now_ms() - failed_ms < UNREACHABLE_MS:
-            return False
-        del self._failed_ms_by_host[host]
-        return True
--- a/goldcrestmoor/process/stream_versions.py
+++ b/goldcrestmoor/process/stream_versions.py
@@ -6,7 +6,14 @@
 import msgspec
 
 from goldcrestmoor.clock import MS_PER_SECOND
-from goldcrestmoor.request.stream_version import VersionHistory
+from goldcrestmoor.errors import ServiceError
+from goldcrestmoor.request.stream_version import (
+    LOOKBACK_MS,
+    StreamReply,
+    VersionHistory,
+    proves_absence,
+    version_of,
+)
 from goldcrestmoor.util import Backoff, TaskGroup, rendezvous_order
 
 log = logging.getLogger("goldcrestmoor.streams")
@@ -22,8 +29,14 @@
 # would each open a connection, and time out together.
 CALLS_PER_HOST = 4
 CALL_TIMEOUT_MS = 500
-# How long a stream's first event waits until another host has its record.
+# How long a stream's first event waits until other hosts have its record.
 ACKNOWLEDGE_MS = 100
+# How long it waits further until the store has it, if not all of those hosts do.
+STORE_WRITE_MS = 1000
+# How long streams of versions that need a record aren't begun after one got none.
+UNRECORDED_MS = 1000
+# How long a client that takes a stream up waits for the store.
+STORE_READ_MS = 500
 # A record that isn't acknowledged is sent again for about as long as a stream lasts.
 RECORD_ATTEMPTS = 12
 RETRY_MIN_MS = 50
@@ -45,35 +58,6 @@
     software_version: str | None = None
 
 
-class StreamReply(msgspec.Struct, frozen=True):
-    """The reply to a :class:`StreamRecord`.
-
-    :param recorded: the version in the host's record; None without one.
-    :param unrecorded: the version of streams that no host has a record of; None if the
-        host can't tell.
-    :param is_certain: whether the host knows of all earlier versions, and its list of
-        upstreams is current.
-    """
-
-    recorded: str | None
-    unrecorded: str | None
-    is_certain: bool
-
-
-def version_of(own, replies):
-    """Return the version of a stream by what hosts reply, or None.
-
-    :param own: the :class:`StreamReply` of this host, which has no record.
-    :param replies: those of the hosts that would have one, as far as they replied.
-    """
-    for reply in replies:
-        if reply.recorded is not None:
-            return reply.recorded
-    certain = {reply.unrecorded for reply in replies if reply.is_certain}
-    versions = certain or {reply.unrecorded for reply in (own, *replies)}
-    return versions.pop() if replies and len(versions) == 1 else None
-
-
 record_decoder = msgspec.json.Decoder(StreamRecord)
 _reply_decoder = msgspec.json.Decoder(StreamReply)
 
@@ -101,6 +85,8 @@
         "_stream_log",
         "_history_by_service",
         "_version_by_stream",
+        "_dropped_ms",
+        "_unrecorded_ms",
         "_slots_by_host",
         "_tasks",
     )
@@ -125,6 +111,8 @@
             version_log.attach(self._history, self._restore)
         self._history_by_service = {}
         self._version_by_stream = {}
+        # When a record was last dropped, or a stream got none.
+        self._dropped_ms = self._unrecorded_ms = None
         self._slots_by_host = {}
         self._tasks = TaskGroup()
 
@@ -143,42 +131,72 @@
         if self._version_log is not None:
             self._version_log.wake()
 
+    def can_record(self):
+        """Return whether new streams may begin at versions that need a record."""
+        return not self._is_recent(self._unrecorded_ms, UNRECORDED_MS)
+
+    def unrecorded_version(self, service):
+        """Return the version that began the streams without a record, or None.
+
+        :param service: the service that serves them.
+        """
+        return self._history(service).unrecorded_version()
+
     async def begin(self, stream_id, service, software_version):
         """Record the version of a new stream, before its first event is sent on.
 
-        Returns once another host has the record, or after a short time without.
+        Returns once all hosts that keep the record, or the store, have it. A stream
+        of the version that began those without a record waits only for a short time.
 
         :param stream_id: the id of its request.
         :param service: the service that serves it.
         :param software_version: the version.
+        :return: whether hosts that take the stream up find its version. If not, its
+            events must not be sent on.
         """
-        if not self._history(service).needs_records():
-            return
+        history = self._history(service)
+        if not history.needs_records():
+            return True
         record = StreamRecord(stream_id, service, software_version)
         self.reply(record)
+        written = None
         if self._stream_log is not None:
-            self._stream_log.add(stream_id, software_version)
+            written = self._stream_log.add(stream_id, software_version)
         others = [host for host in self._holders(stream_id) if host != self._host_id]
-        is_recorded = asyncio.Event()
-        for host in others:
-            self._tasks.start(self._send_record(host, record, is_recorded), "record")
-        if not others:
-            return
-        try:
-            async with asyncio.timeout(ACKNOWLEDGE_MS / MS_PER_SECOND):
-                await is_recorded.wait()
-        except TimeoutError:
-            log.info("No other host has the record of stream %s yet.", stream_id)
+        is_any_missing = not others or not all(map(self._calls.is_reachable, others))
+        sendings = [
+            self._tasks.start(self._send_record(host, record), "record")
+            for host in others
+        ]
+        recorded = asyncio.ensure_future(_all_true(sendings))
+        if not is_any_missing and await _is_true(ACKNOWLEDGE_MS, recorded):
+            return True
+        if history.unrecorded_version() == software_version:
+            log.info("Not all hosts have the record of stream %s yet.", stream_id)
+            return True
+        if written is not None:
+            self._stream_log.hurry()
+            if await _is_true(STORE_WRITE_MS, written, recorded):
+                return True
+        self._unrecorded_ms = self._clock.now_ms()
+        log.warning(
+            "Neither all of the hosts %s nor the store have the record of stream %s, "
+            "which is not begun at software %s.",
+            others,
+            stream_id,
+            software_version,
+        )
+        return False
 
-    async def _send_record(self, host, record, is_recorded):
-        """Send a record until its holder has it."""
+    async def _send_record(self, host, record):
+        """Send a record until its holder has it; return whether it does."""
         backoff = Backoff(RETRY_MIN_MS, RETRY_MAX_MS)
         for _ in range(RECORD_ATTEMPTS):
             if await self._call(host, record, is_repeated=True) is not None:
-                is_recorded.set()
-                return
+                return True
             await self._clock.sleep_ms(backoff.next_ms())
         log.warning("Host %s has no record of stream %s.", host, record.stream_id)
+        return False
 
     async def find(self, stream_id, service):
         """Return the version that began a stream, or None if no host can tell.
@@ -201,20 +219,43 @@
         )
         replies = [reply for reply in replies if reply is not None]
         version = version_of(own, replies)
-        can_tell = any(reply.is_certain for reply in replies)
-        if version is None and not can_tell and self._knows_single_version(service):
+        if any(reply.recorded is not None for reply in replies):
+            return version
+        is_stored, stored = await self._find_stored(stream_id)
+        if stored is not None:
+            return stored
+        if not proves_absence(len(replies), len(holders), is_stored):
+            version = None
+        can_others_tell = any(r.is_certain for r in replies if r is not own)
+        if (
+            version is None
+            and not can_others_tell
+            and self._knows_single_version(service)
+        ):
             return own.unrecorded
         if version is None:
             log.info(
                 "The software version of stream %s is unknown; %d of %d hosts replied, "
-                "the list of upstreams is %s ms old.",
+                "the store %s, the list of upstreams is %s ms old.",
                 stream_id,
                 len(replies),
                 len(holders),
+                "has no record" if is_stored else "can't tell",
                 self._list_age_ms(),
             )
         return version
 
+    async def _find_stored(self, stream_id):
+        """Return whether the store can tell, and the version in a stream's record."""
+        if self._stream_log is None:
+            return False, None
+        try:
+            async with asyncio.timeout(STORE_READ_MS / MS_PER_SECOND):
+                return True, await self._stream_log.find(stream_id)
+        except (TimeoutError, ServiceError) as e:
+            log.info("The store can't tell of stream %s: %s", stream_id, e)
+            return False, None
+
     def reply(self, record):
         """Keep a record, and return what this host knows of its stream.
 
@@ -227,6 +268,9 @@
         if self._version_log is not None and not self._version_log.is_loaded:
             # What this host lists now tells nothing of the time before it started.
             return StreamReply(recorded, None, False)
+        if self._is_recent(self._dropped_ms, LOOKBACK_MS):
+            # The stream's record may be one of those that were dropped.
+            return StreamReply(recorded, None, False)
         history = self._history(record.service)
         return StreamReply(
             recorded,
@@ -239,6 +283,7 @@
         versions[stream_id] = software_version
         while len(versions) > MAX_RECORDS:
             del versions[next(iter(versions))]
+            self._dropped_ms = self._clock.now_ms()
 
     def _restore(self, entries):
         """Keep records that were written before this host started.
@@ -283,6 +328,9 @@
             self._slots_by_host[host] = slots_by_kind
         return slots_by_kind[is_repeated]
 
+    def _is_recent(self, at_ms, within_ms):
+        return at_ms is not None and self._clock.now_ms() - at_ms < within_ms
+
     def _is_list_current(self):
         age_ms = self._list_age_ms()
         return age_ms is not None and age_ms < LIST_VALID_MS
@@ -301,3 +349,19 @@
         if history is None:
             history = self._history_by_service[service] = VersionHistory(self._clock)
         return history
+
+
+async def _all_true(tasks):
+    return all(await asyncio.gather(*tasks))
+
+
+async def _is_true(timeout_ms, *futures):
+    """Return whether one of some futures is done in time, and not with False."""
+    done, _ = await asyncio.wait(
+        futures,
+        timeout=timeout_ms / MS_PER_SECOND,
+        return_when=asyncio.FIRST_COMPLETED,
+    )
+    return any(
+        not future.cancelled() and future.result() is not False for future in done
+    )
--- a/goldcrestmoor/request/stream_version.py
+++ b/goldcrestmoor/request/stream_version.py
@@ -7,10 +7,61 @@
 records all streams, and asks others about those that it has no record of. When all
 hosts were killed, their records are lost, and what the store has logged of the versions
 tells only whether all streams began at the same one.
+
+Hosts that keep records may be cut off from the one that began a stream, or gone with
+it, so that finding no record tells nothing by itself. A stream that absence would
+describe wrongly is therefore begun only once all of those hosts have its record, or the
+store does: it has none only if one of these hosts says so, and the store, too.
 """
 
+import msgspec
+
 # Longer than any stream lasts.
 LOOKBACK_MS = 60_000
+# Hosts that must have no record while the store can't tell: a stream may have begun
+# when one of them could not be reached.
+MIN_REPLIES_WITHOUT_STORE = 2
+
+
+class StreamReply(msgspec.Struct, frozen=True):
+    """What a host that keeps records of streams replies about one.
+
+    :param recorded: the version in the host's record; None without one.
+    :param unrecorded: the version of streams that no host has a record of; None if the
+        host can't tell.
+    :param is_certain: whether the host knows of all earlier versions, and its list of
+        upstreams is current.
+    """
+
+    recorded: str | None
+    unrecorded: str | None
+    is_certain: bool
+
+
+def proves_absence(reply_count, holder_count, is_stored):
+    """Return whether a stream that no one has a record of surely has none.
+
+    :param reply_count: the hosts among those that would have it that replied.
+    :param holder_count: the hosts that would have it.
+    :param is_stored: whether the store told that it has none either.
+    """
+    if is_stored:
+        return reply_count > 0
+    return reply_count >= min(MIN_REPLIES_WITHOUT_STORE, holder_count)
+
+
+def version_of(own, replies):
+    """Return the version of a stream by what hosts reply, or None.
+
+    :param own: the :class:`StreamReply` of this host, which has no record.
+    :param replies: those of the hosts that would have one, as far as they replied.
+    """
+    for reply in replies:
+        if reply.recorded is not None:
+            return reply.recorded
+    certain = {reply.unrecorded for reply in replies if reply.is_certain}
+    versions = certain or {reply.unrecorded for reply in (own, *replies)}
+    return versions.pop() if replies and len(versions) == 1 else None
 
 
 class VersionHistory:
--- a/goldcrestmoor/request/streaming.py
+++ b/goldcrestmoor/request/streaming.py
@@ -40,6 +40,10 @@
     events: object
 
 
+class UnrecordedError(Exception):
+    """The version of a new stream's upstream could not be recorded."""
+
+
 class StreamForwarder(CallerRequestSender):
     """Forward requests whose responses are streams.
 
@@ -70,6 +74,8 @@
         may_resume = route.retry_policy is RetryPolicy.RESUMABLE
         if may_resume and request.resumed_id is not None:
             await self._find_version(attempts)
+        elif may_resume and not self._versions.can_record():
+            self._restrict_to_unrecorded(attempts)
         items = self._run(attempts)
         try:
             head = await anext(items)
@@ -95,13 +101,32 @@
             )
         attempts.software_version = version
 
+    def _restrict_to_unrecorded(self, attempts):
+        """Restrict a new stream to the version that needs no record."""
+        version = self._versions.unrecorded_version(attempts.service)
+        if version is None:
+            text = "The software version of a new stream can't be recorded now."
+            raise ServiceError(
+                ErrorKind.NO_UPSTREAM, text, retry_decision.RETRY_AFTER_NONE_MS
+            )
+        attempts.software_version = version
+
     async def _begin(self, attempts, upstream):
-        """Restrict a stream to the version of the upstream that began it."""
-        if attempts.software_version is None:
-            attempts.software_version = upstream.software_version
-            await self._versions.begin(
-                attempts.request.id, attempts.service, upstream.software_version
+        """Restrict a stream to the version of the upstream that began it.
+
+        :raises UnrecordedError: when its client could not take it up again at that
+            version; nothing of it must be sent on.
+        """
+        version = upstream.software_version
+        may_be_taken_up = attempts.route.retry_policy is RetryPolicy.RESUMABLE
+        if may_be_taken_up and attempts.request.resumed_id is None:
+            is_recorded = await self._versions.begin(
+                attempts.request.id, attempts.service, version
             )
+            if not is_recorded:
+                text = f"Software {version} of {upstream.name} could not be recorded."
+                raise UnrecordedError(text)
+        attempts.software_version = version
 
     def _count(self, attempts):
         """Count a stream, unless it was counted when it began."""
@@ -165,6 +190,14 @@
                         raise ServiceError(ErrorKind.UPSTREAM_FAILED, text)
                 if outcome.ran is not Ran.NOT_RUN:
                     self._loads.record_failure(upstream)
+            except UnrecordedError as e:
+                # The upstream's events are discarded.
+                last_id = ""
+                version = self._versions.unrecorded_version(attempts.service)
+                if version is None:
+                    raise ServiceError(ErrorKind.UPSTREAM_FAILED, str(e)) from e
+                attempts.software_version = version
+                outcome = FailedAttempt(Ran.RAN, str(e))
             except ServiceError as e:
                 self._record_error(upstream, attempts, e)
                 await attempts.record_lost_response(upstream, sent_ms, e)
--- a/test/test_software_versions.py
+++ b/test/test_software_versions.py
@@ -540,8 +540,11 @@
         self.most_calling = 0
         self.replies = asyncio.Event()
         self.replies.set()
+        self.unreachable = set()
         calls = SimpleNamespace(
-            zone_by_host=lambda: dict.fromkeys(self.HOSTS, "zone-a"), call=self.call
+            zone_by_host=lambda: dict.fromkeys(self.HOSTS, "zone-a"),
+            is_reachable=lambda host: host not in self.unreachable,
+            call=self.call,
         )
         self.versions = StreamVersions(
             clock=Clock(), calls=calls, host_id=self.HOSTS[0], list_age_ms=lambda: 0
