Let tests of streams observe their servers as a daemon does

Three fixtures made streams at servers that their host had never listed, which no daemon does: the directory passes each change of the list on before a server can be chosen. They observe their servers now; nothing that they check has changed.

--- a/test/test_leaving_servers.py
+++ b/test/test_leaving_servers.py
@@ -310,6 +310,7 @@
             host_id="host-a",
             list_age_ms=lambda: 0,
         )
+        versions.observe(self.directory.upstream_by_name.values())
         await versions.begin("s", SERVICE, "v1")
         forwarder = StreamForwarder(versions=versions, **self.host.caller_sending())
         deadline = Deadline.after(self.clock, 2000)
--- a/test/test_streaming.py
+++ b/test/test_streaming.py
@@ -126,6 +126,7 @@
         self.upstreams = [
             SimpleNamespace(
                 name=n,
+                service=SERVICE,
                 address="10.0.0.1",
                 port=1,
                 slots=6,
@@ -154,13 +155,13 @@
         )
         calls = HostCalls(clock=self.clock, http=None, row_by_host=dict)
         paths = server_paths(self.clock, http, directory)
+        versions = StreamVersions(
+            clock=self.clock, calls=calls, host_id="host-4", list_age_ms=lambda: 0
+        )
+        # As a daemon does when its list changes.
+        versions.observe(self.upstreams)
         return StreamForwarder(
-            versions=StreamVersions(
-                clock=self.clock,
-                calls=calls,
-                host_id="host-4",
-                list_age_ms=lambda: 0,
-            ),
+            versions=versions,
             crashes=crash_reports(self.clock, paths),
             paths=paths,
             http=http,
--- a/test/test_usage_counter.py
+++ b/test/test_usage_counter.py
@@ -122,6 +122,7 @@
                 host_id="host-a",
                 list_age_ms=lambda: 0,
             )
+            versions.observe(self.upstreams)
             await versions.begin("r0", "pool", "")
             options["versions"] = versions
         route = Route(
