Keep each host's own row, and write it on its version

Cause: rows were written once, and written and removed without a condition.

Change: HostRows follows this host's row and writes it anew when it is missing, marked or not its own. Each write has the row's version as its condition, and, as a missing row has the same version before and after it existed, that of a row that all removals write. Of two processes under one name the later one keeps the row.

--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -29,6 +29,7 @@
 from goldcrestmoor.process import (
     configuration_exchange,
     crash_reports,
+    host_rows,
     lease_rows,
     limit_owners,
     read_ahead,
@@ -47,6 +48,7 @@
 from goldcrestmoor.process.follower import TableFollower
 from goldcrestmoor.process.front_callers import FrontRequestHandler
 from goldcrestmoor.process.host_calls import HostCalls
+from goldcrestmoor.process.host_rows import HostRow, HostRows
 from goldcrestmoor.process.http_server import HttpServer, ServerOptions
 from goldcrestmoor.process.leases import LeaseClient
 from goldcrestmoor.process.limit_owners import LimitOwners
@@ -57,7 +59,7 @@
 from goldcrestmoor.process.server_paths import ServerPaths
 from goldcrestmoor.process.shutdown import InFlight
 from goldcrestmoor.process.stop_schedule import StopSchedule
-from goldcrestmoor.process.store_connectivity import HostRow, StoreConnectivity
+from goldcrestmoor.process.store_connectivity import StoreConnectivity
 from goldcrestmoor.process.stream_log import StreamLog
 from goldcrestmoor.process.stream_versions import StreamVersions
 from goldcrestmoor.process.upstream_limits import UpstreamLimits
@@ -138,6 +140,7 @@
         "_routing",
         "_versions",
         "_directory",
+        "_hosts",
         "_host_calls",
         "_limits",
         "_stream_log",
@@ -246,10 +249,15 @@
             age_ms=lambda: self._followers[records.UPSTREAM_TABLE].age_ms(),
             on_change=self._on_upstreams_changed,
         )
-        self._host_calls = HostCalls(
+        host = self.settings.host
+        self._hosts = HostRows(
             clock=clock,
-            http=self._http,
-            row_by_host=lambda: self._connectivity.row_by_host(),
+            store=self._store,
+            host_id=host.id,
+            row=HostRow(host.zone, host.address, host.readiness_port),
+        )
+        self._host_calls = HostCalls(
+            clock=clock, http=self._http, row_by_host=self._hosts.row_by_host
         )
         self._stream_log = StreamLog(
             clock=clock,
@@ -486,19 +494,18 @@
             clock=self._clock,
             http=self._http,
             store=self._store,
-            host_id=host.id,
-            row=HostRow(host.zone, host.address, host.readiness_port),
+            hosts=self._hosts,
             last_answer_age_ms=self._last_answer_age_ms,
         )
-        self._followers[store_connectivity.TABLE] = self._follow(
-            store_connectivity.TABLE, self._connectivity.apply
+        self._followers[host_rows.TABLE] = self._follow(
+            host_rows.TABLE, self._hosts.apply
         )
         self._exchange = ConfigurationExchange(
             clock=self._clock,
             calls=self._host_calls,
             host_id=host.id,
             rows=self._followers[records.OPERATOR_TABLE],
-            hosts=self._followers[store_connectivity.TABLE],
+            hosts=self._followers[host_rows.TABLE],
             routing=self._routing,
             settings=self.settings.accounts,
             metrics=self._metrics,
@@ -748,6 +755,7 @@
             "rewards": self._rewards,
             "board": self._supervisor,
             "orders": self._orders,
+            "host rows": self._hosts,
             "reach": self._connectivity,
             "crash histories": self._crashes,
             "software versions": self._version_log,
@@ -817,7 +825,7 @@
         try:
             async with asyncio.timeout(CLOSE_TIMEOUT_MS / MS_PER_SECOND):
                 await self._duties.release_all()
-                await self._connectivity.leave()
+                await self._hosts.leave()
         except (TimeoutError, ServiceError) as e:
             log.warning("Notifying the store that this host leaves failed: %s", e)
         # The load balancer sends new connections until two checks have failed.
--- a/goldcrestmoor/process/host_calls.py
+++ b/goldcrestmoor/process/host_calls.py
@@ -24,7 +24,7 @@
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param http: the :class:`~goldcrestmoor.connection.http_client.HttpClient`.
     :param row_by_host: returns the
-        :class:`~goldcrestmoor.process.store_connectivity.HostRow` of each host.
+        :class:`~goldcrestmoor.process.host_rows.HostRow` of each host.
     """
 
     __slots__ = ("_clock", "_http", "_row_by_host", "_failed_ms_by_host", "_tasks")
--- a/goldcrestmoor/process/store_connectivity.py
+++ b/goldcrestmoor/process/store_connectivity.py
@@ -4,16 +4,12 @@
 import logging
 import random
 
-import msgspec
-
-from goldcrestmoor.adapters.table import Write
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.process.readiness import PeerStatus, ReadinessMonitor
 from goldcrestmoor.process.relay_choice import choose_relay
 
 log = logging.getLogger("goldcrestmoor.reach")
 
-TABLE = "hosts"
 STATUS_PATH = "/store"
 # Prefix of the path of a call that another host relays.
 CALLS_PREFIX = "/store/calls"
@@ -37,35 +33,16 @@
 # Peers queried in all other zones together; bounds the traffic of an outage, and the
 # answers of a majority of four suffice.
 OTHER_ZONE_PEERS = 4
-# An outage of the store lasts seconds.
-REGISTER_RETRY_MS = 500
 STATUS_OK = 200
 
 
-class HostRow(msgspec.Struct, frozen=True):
-    """Address at which a host answers other hosts.
-
-    :param zone: its availability zone.
-    :param address: its IP address.
-    :param port: the TCP port of its readiness check.
-    """
-
-    zone: str
-    address: str
-    port: int
-
-
-_decoder = msgspec.json.Decoder(HostRow)
-
-
 class StoreConnectivity:
-    """Tracks the host rows, and queries some hosts when the store is unreachable.
+    """Queries some other hosts when the store is unreachable.
 
     :param clock: the :class:`~goldcrestmoor.clock.Clock`.
     :param http: the ``HttpClient``.
     :param store: the store's client.
-    :param host_id: this host.
-    :param row: this host's :class:`HostRow`.
+    :param hosts: the :class:`~goldcrestmoor.process.host_rows.HostRows`.
     :param last_answer_age_ms: returns the time since the store last answered, or None.
     """
 
@@ -73,45 +50,23 @@
         "_clock",
         "_http",
         "_store",
-        "_host_id",
-        "_row",
+        "_hosts",
         "_last_answer_age_ms",
         "_direct_probe_ms",
         "_relay_chosen_ms",
         "_relayed_calls",
-        "_row_by_host",
         "_readiness",
     )
 
-    def __init__(self, *, clock, http, store, host_id, row, last_answer_age_ms):
+    def __init__(self, *, clock, http, store, hosts, last_answer_age_ms):
         self._clock = clock
         self._http = http
         self._store = store
-        self._host_id = host_id
-        self._row = row
+        self._hosts = hosts
         self._last_answer_age_ms = last_answer_age_ms
         self._direct_probe_ms = self._relay_chosen_ms = clock.now_ms()
         self._relayed_calls = 0
-        self._row_by_host = {}
-        self._readiness = ReadinessMonitor(row.zone)
-
-    def apply(self, changes):
-        """Apply changes from the feed of host rows.
-
-        :param changes: a list of :class:`~goldcrestmoor.adapters.table.Change`.
-        """
-        for change in changes:
-            if change.value is None:
-                self._row_by_host.pop(change.key, None)
-                continue
-            try:
-                self._row_by_host[change.key] = _decoder.decode(change.value)
-            except msgspec.MsgspecError as e:
-                log.warning("The row of host %s is ignored: %s.", change.key, e)
-
-    def row_by_host(self):
-        """Return the :class:`HostRow` of each registered host."""
-        return self._row_by_host
+        self._readiness = ReadinessMonitor(hosts.zone)
 
     def reaches_store(self):
         """Return whether the store has answered this host recently."""
@@ -127,8 +82,7 @@
         return self._readiness.accepts_callers
 
     async def run(self):
-        """Register this host, and monitor the store until cancelled."""
-        await self._register()
+        """Monitor the store until cancelled."""
         while True:
             await self._probe_direct()
             is_reachable = self.reaches_store()
@@ -156,7 +110,7 @@
         if self._store.is_relayed and now_ms - self._relay_chosen_ms < RELAY_RETRY_MS:
             return
         age_ms = self._store.rejection_age_ms()
-        peer = choose_relay(self._row.zone, statuses, age_ms)
+        peer = choose_relay(self._hosts.zone, statuses, age_ms)
         if peer is None:
             return
         log.info("Calls to the store are relayed through the host at %s.", peer.address)
@@ -197,32 +151,16 @@
         finally:
             self._relayed_calls -= 1
 
-    async def leave(self):
-        """Remove this host's row.
-
-        :raises ServiceError: when the store cannot be reached.
-        """
-        await self._store.transact([], [Write(TABLE, self._host_id, None)])
-
-    async def _register(self):
-        write = Write(TABLE, self._host_id, msgspec.json.encode(self._row))
-        while True:
-            try:
-                await self._store.transact([], [write])
-                return
-            except ServiceError as e:
-                log.info("Registering this host failed, retrying: %s", e)
-                await self._clock.sleep_ms(REGISTER_RETRY_MS)
-
     def _has_other_zones(self):
-        return any(row.zone != self._row.zone for row in self._row_by_host.values())
+        rows = self._hosts.row_by_host().values()
+        return any(row.zone != self._hosts.zone for row in rows)
 
     async def _query_peers(self):
         """Query a few other hosts and return the status of those that answer."""
         others, own = [], []
-        for host_id, row in self._row_by_host.items():
-            if host_id != self._host_id:
-                (own if row.zone == self._row.zone else others).append(row)
+        for host_id, row in self._hosts.row_by_host().items():
+            if host_id != self._hosts.host_id:
+                (own if row.zone == self._hosts.zone else others).append(row)
         asked = random.sample(own, min(len(own), OWN_ZONE_PEERS))
         asked += random.sample(others, min(len(others), OTHER_ZONE_PEERS))
         statuses = await asyncio.gather(*(self._query_peer(row) for row in asked))
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -17,8 +17,8 @@
 from goldcrestmoor.process import crash_reports
 from goldcrestmoor.process.crash_reports import CrashReports
 from goldcrestmoor.process.host_calls import HostCalls
+from goldcrestmoor.process.host_rows import HostRow
 from goldcrestmoor.process.metrics import Metrics
-from goldcrestmoor.process.store_connectivity import HostRow
 from goldcrestmoor.request import retry_decision
 from goldcrestmoor.request.crash_history import (
     BLOCK_FACTOR,
--- a/test/test_cut_from_servers.py
+++ b/test/test_cut_from_servers.py
@@ -14,9 +14,9 @@
 from goldcrestmoor.clock import Clock
 from goldcrestmoor.connection.http_pool import VERIFIED_IDLE_MS
 from goldcrestmoor.errors import ErrorKind, Ran, ServiceError
+from goldcrestmoor.process.host_rows import HostRow
 from goldcrestmoor.process.server_paths import REACH_PATH
 from goldcrestmoor.process.shutdown import InFlight
-from goldcrestmoor.process.store_connectivity import HostRow
 from goldcrestmoor.request.path_choice import Reach, choose_host, hosts_to_ask
 from goldcrestmoor.request.relayed_messages import (
     encode_head,
--- a/test/test_store_connectivity.py
+++ b/test/test_store_connectivity.py
@@ -8,12 +8,12 @@
 
 from goldcrestmoor.adapters.table import Change
 from goldcrestmoor.errors import ErrorKind, ServiceError
+from goldcrestmoor.process.host_rows import HostRow, HostRows
 from goldcrestmoor.process.store_connectivity import (
     CHECK_INTERVAL_MS,
     DIRECT_PROBE_MS,
     MAX_RELAYED_CALLS,
     RELAY_RETRY_MS,
-    HostRow,
     StoreConnectivity,
 )
 from test._fleet import ManualClock, settle
@@ -29,9 +29,6 @@
         self.rejected_ms = None
         self.answered = asyncio.Event()
 
-    async def transact(self, checks, writes):
-        return None
-
     def rejection_age_ms(self):
         return self.rejected_ms
 
@@ -52,19 +49,24 @@
         self.clock = ManualClock()
         self.store = FakeStore()
         self.age_ms = 0
-        self.reach = StoreConnectivity(
+        hosts = HostRows(
             clock=self.clock,
-            http=SimpleNamespace(request=self.answer),
             store=self.store,
             host_id="host-a",
             row=HostRow("a", "10.1.0.1", 1),
+        )
+        self.reach = StoreConnectivity(
+            clock=self.clock,
+            http=SimpleNamespace(request=self.answer),
+            store=self.store,
+            hosts=hosts,
             last_answer_age_ms=lambda: self.age_ms,
         )
         rows = {
             "host-b": HostRow("a", "10.1.0.2", 1),
             "host-c": HostRow("b", "10.2.0.1", 1),
         }
-        self.reach.apply(
+        hosts.apply(
             [Change(name, 1, msgspec.json.encode(row)) for name, row in rows.items()]
         )
 
--- a/test/test_upstream_limits.py
+++ b/test/test_upstream_limits.py
@@ -17,9 +17,9 @@
 from goldcrestmoor.platform import servers
 from goldcrestmoor.process import limit_owners
 from goldcrestmoor.process.host_calls import HostCalls
+from goldcrestmoor.process.host_rows import HostRow
 from goldcrestmoor.process.limit_owners import LimitOwners
 from goldcrestmoor.process.metrics import Metrics
-from goldcrestmoor.process.store_connectivity import HostRow
 from goldcrestmoor.process.upstream_limits import UpstreamLimits
 from goldcrestmoor.request.forwarding import (
     CallerRequest,
