Remove the rows of hosts that are gone

Cause: only a host's own planned stop removed its row, and the holders of a stream's record were chosen from all rows.

Change: each host watches the next two live ones on a ring, marks the row of one that is silent for 30 s, and removes it 90 s later. A host that lives and reaches the store contradicts the mark. All hosts leave marked ones out when they choose. The old records of streams of a host that is gone leave the store with its row.

--- a/goldcrestmoor/process/front.py
+++ b/goldcrestmoor/process/front.py
@@ -49,6 +49,7 @@
 from goldcrestmoor.process.front_callers import FrontRequestHandler
 from goldcrestmoor.process.host_calls import HostCalls
 from goldcrestmoor.process.host_rows import HostRow, HostRows
+from goldcrestmoor.process.host_watch import HostWatch
 from goldcrestmoor.process.http_server import HttpServer, ServerOptions
 from goldcrestmoor.process.leases import LeaseClient
 from goldcrestmoor.process.limit_owners import LimitOwners
@@ -141,6 +142,7 @@
         "_versions",
         "_directory",
         "_hosts",
+        "_host_watch",
         "_host_calls",
         "_limits",
         "_stream_log",
@@ -497,6 +499,14 @@
             hosts=self._hosts,
             last_answer_age_ms=self._last_answer_age_ms,
         )
+        self._host_watch = HostWatch(
+            clock=self._clock,
+            http=self._http,
+            store=self._store,
+            hosts=self._hosts,
+            reaches_store=self._connectivity.reaches_store,
+            on_removed=self._stream_log.remove_rows_of,
+        )
         self._followers[host_rows.TABLE] = self._follow(
             host_rows.TABLE, self._hosts.apply
         )
@@ -604,7 +614,10 @@
             return Response(200 if self._is_ready() else 503)
 
         async def reaches_store(request: Request) -> Response:
-            return Response(200 if self._connectivity.reaches_store_directly() else 503)
+            status = 200 if self._connectivity.reaches_store_directly() else 503
+            # Names this host to those that watch it.
+            content = Content(b"text/plain", self.settings.host.id.encode())
+            return Response(status, None, content)
 
         async def relay_call(request: Request) -> Response:
             return await self._relay_call(request)
@@ -756,6 +769,7 @@
             "board": self._supervisor,
             "orders": self._orders,
             "host rows": self._hosts,
+            "host watch": self._host_watch,
             "reach": self._connectivity,
             "crash histories": self._crashes,
             "software versions": self._version_log,
--- a/goldcrestmoor/process/host_calls.py
+++ b/goldcrestmoor/process/host_calls.py
@@ -37,8 +37,15 @@
         self._tasks = TaskGroup()
 
     def zone_by_host(self):
-        """Return the availability zone of each registered host."""
-        return {host: row.zone for host, row in self._row_by_host().items()}
+        """Return the availability zone of each registered host.
+
+        Those that another host believes to be gone are left out, at all hosts alike.
+        """
+        return {
+            host: row.zone
+            for host, row in self._row_by_host().items()
+            if not row.suspected_ms
+        }
 
     def row(self, host):
         """Return the row of a host, or None if it isn't registered.
--- a/goldcrestmoor/process/store_connectivity.py
+++ b/goldcrestmoor/process/store_connectivity.py
@@ -151,16 +151,20 @@
         finally:
             self._relayed_calls -= 1
 
+    def _other_rows(self):
+        """Yield the rows of other hosts, but of those believed to be gone."""
+        for host_id, row in self._hosts.row_by_host().items():
+            if host_id != self._hosts.host_id and not row.suspected_ms:
+                yield row
+
     def _has_other_zones(self):
-        rows = self._hosts.row_by_host().values()
-        return any(row.zone != self._hosts.zone for row in rows)
+        return any(row.zone != self._hosts.zone for row in self._other_rows())
 
     async def _query_peers(self):
         """Query a few other hosts and return the status of those that answer."""
         others, own = [], []
-        for host_id, row in self._hosts.row_by_host().items():
-            if host_id != self._hosts.host_id:
-                (own if row.zone == self._hosts.zone else others).append(row)
+        for row in self._other_rows():
+            (own if row.zone == self._hosts.zone else others).append(row)
         asked = random.sample(own, min(len(own), OWN_ZONE_PEERS))
         asked += random.sample(others, min(len(others), OTHER_ZONE_PEERS))
         statuses = await asyncio.gather(*(self._query_peer(row) for row in asked))
--- a/goldcrestmoor/process/stream_log.py
+++ b/goldcrestmoor/process/stream_log.py
@@ -177,7 +177,7 @@
         entries = collections.deque(maxlen=MAX_RECORDS)
         own_keys = []
         async for row in self._rows():
-            if self._is_own(row.key):
+            if _host_of(row.key) == self._host_id:
                 own_keys.append(row.key)
             if not self._is_old(row.key):
                 entries += _entries(row)
@@ -185,6 +185,21 @@
         self._written_keys.extendleft(reversed(own_keys))
         return list(entries)
 
+    async def remove_rows_of(self, host):
+        """Remove the old rows of a host that is gone.
+
+        :param host: the host.
+        :raises ServiceError: ``PLATFORM_UNAVAILABLE`` or ``OUTCOME_UNKNOWN``.
+        """
+        keys = [
+            row.key
+            async for row in self._rows()
+            if _host_of(row.key) == host and self._is_old(row.key)
+        ]
+        for start in range(0, len(keys), MAX_REMOVED):
+            batch = keys[start : start + MAX_REMOVED]
+            await self._store.transact([], [Write(TABLE, key, None) for key in batch])
+
     async def _rows(self, first_key=None):
         """Yield the rows from a key on, in the order of their keys."""
         last_key = None
@@ -279,14 +294,16 @@
             return None
         return f"{max(0, int(store_ms - LOOKBACK_MS)):0{TIME_DIGITS}d}"
 
-    def _is_own(self, key):
-        return key[TIME_DIGITS + 1 :].rpartition("/")[0] == self._host_id
-
     def _is_old(self, key):
         written_ms = parse_integer(key[:TIME_DIGITS])
         return written_ms is None or written_ms < self._store.now_ms() - LOOKBACK_MS
 
 
+def _host_of(key):
+    """Return the host that wrote a row."""
+    return key[TIME_DIGITS + 1 :].rpartition("/")[0]
+
+
 def _entries(row):
     """Return the records in a row; none if it is malformed."""
     try:
