Write and remove the row of a blocked request on its version

A request under which servers crash could reach them again (BUDGET): the removal of its row, after a server had answered it, was done some seconds late, when other crashes had blocked it anew, and ended the block at all hosts. Two hosts that saw different crashes wrote over each other's.

Found by reading, shown by a test.

Change: both have the row's version as their condition. A host whose write fails takes over the crashes in the row; a removal is given up if the row has crashes that the removing host didn't know of. Rows are unchanged.

--- a/goldcrestmoor/process/crash_reports.py
+++ b/goldcrestmoor/process/crash_reports.py
@@ -6,7 +6,14 @@
 import msgspec
 
 from goldcrestmoor import util
-from goldcrestmoor.adapters.table import Write
+from goldcrestmoor.adapters.table import (
+    Change,
+    Check,
+    CheckFailed,
+    Committed,
+    Write,
+)
+from goldcrestmoor.decoding import decode
 from goldcrestmoor.errors import ErrorKind, ServiceError
 from goldcrestmoor.request.crash_history import (
     CRASHES_TO_BLOCK,
@@ -26,6 +33,8 @@
 # Bounds the memory for requests that were at a server when it crashed.
 MAX_HISTORIES = 4096
 FORGET_INTERVAL_MS = 30_000
+# The row may change while it is removed.
+REMOVE_ATTEMPTS = 5
 # An outage of the store lasts seconds.
 WRITE_RETRY_MIN_MS = 200
 WRITE_RETRY_MAX_MS = 5_000
@@ -119,7 +128,7 @@
         "_probe_by_upstream",
         "_sendings_by_upstream",
         "_history_by_digest",
-        "_stored_digests",
+        "_version_by_digest",
         "_tasks",
     )
 
@@ -133,7 +142,8 @@
         self._probe_by_upstream = {}
         self._sendings_by_upstream = {}
         self._history_by_digest = {}
-        self._stored_digests = set()
+        # The versions of the rows in the store.
+        self._version_by_digest = {}
         self._tasks = TaskGroup()
         metrics.blocked_requests.set_function(self._blocked_count)
 
@@ -234,18 +244,15 @@
         """
         offset_ms = self._store.now_ms() - self._clock.now_ms()
         for change in changes:
+            if change.version <= self._version_by_digest.get(change.key, 0):
+                # This host has written the row since.
+                continue
             if change.value is None:
-                self._stored_digests.discard(change.key)
+                self._version_by_digest.pop(change.key, None)
                 self._history_by_digest.pop(change.key, None)
                 continue
-            try:
-                stored = _row_decoder.decode(change.value)
-            except msgspec.MsgspecError as e:
-                self._metrics.bad_input.labels("crashes").inc()
-                log.warning("The crashes of request %s are ignored: %s.", change.key, e)
-                continue
-            self._stored_digests.add(change.key)
-            for crash in stored:
+            self._version_by_digest[change.key] = change.version
+            for crash in self._decode_row(change.key, change.value):
                 known_ms = crash.known_ms - offset_ms
                 self._add(change.key, Crash(crash.id, crash.ordinal, known_ms))
 
@@ -258,7 +265,7 @@
                 if history.is_outdated(now_ms):
                     self._history_by_digest.pop(digest)
                     if rendezvous_order(digest, self._hosts())[0] == self._host_id:
-                        self._remove_row(digest)
+                        self._remove_row(digest, history)
 
     async def close(self):
         """Cancel the probes, reports and writes under way."""
@@ -323,15 +330,27 @@
                 (history.blocked_until_ms() - self._clock.now_ms()) // 1000,
             )
 
+    def _decode_row(self, digest, value):
+        """Return the crashes in a row; none if it is malformed."""
+        try:
+            return decode(_row_decoder, value)
+        except ValueError as e:
+            self._metrics.bad_input.labels("crashes").inc()
+            log.warning("The crashes of request %s are ignored: %s.", digest, e)
+            return []
+
     def _forget(self, digest):
-        del self._history_by_digest[digest]
+        history = self._history_by_digest.pop(digest)
         log.info("A server answered the request with content %s.", digest)
-        self._remove_row(digest)
-
-    def _remove_row(self, digest):
-        if digest in self._stored_digests:
-            self._stored_digests.discard(digest)
-            self._tasks.start(self._write(digest, None), "row of a request")
+        self._remove_row(digest, history)
+
+    def _remove_row(self, digest, history):
+        version = self._version_by_digest.get(digest)
+        if version is not None:
+            known_ids = {crash.id for crash in history.crashes}
+            self._tasks.start(
+                self._remove(digest, version, known_ids), "row of a request"
+            )
 
     async def _write_row(self, digest):
         """Store the crashes of a blocked request, as long as it is blocked."""
@@ -344,15 +363,49 @@
                     _StoredCrash(crash.id, crash.ordinal, crash.known_ms + offset_ms)
                     for crash in self._history_by_digest[digest].crashes
                 ]
-                if await self._write(digest, msgspec.json.encode(stored)):
+                value = msgspec.json.encode(stored)
+                version = self._version_by_digest.get(digest, 0)
+                match await self._transact(digest, version, value):
+                    case Committed():
+                        return
+                    case CheckFailed(row=row) if row is not None:
+                        # Another host has stored its crashes meanwhile.
+                        self.apply([Change(digest, row.version, row.value)])
+                    case CheckFailed():
+                        self._version_by_digest.pop(digest, None)
+            await self._clock.sleep_ms(backoff.next_ms())
+
+    async def _remove(self, digest, version, known_ids):
+        """Remove a row, unless it has crashes that this host didn't know of.
+
+        :param version: the version of the row that it knew.
+        :param known_ids: the ids of the crashes that it knew.
+        """
+        backoff = Backoff(WRITE_RETRY_MIN_MS, WRITE_RETRY_MAX_MS)
+        for _ in range(REMOVE_ATTEMPTS):
+            match await self._transact(digest, version, None):
+                case Committed() | CheckFailed(row=None):
                     return
+                case CheckFailed(row=row):
+                    crashes = self._decode_row(digest, row.value)
+                    if not {crash.id for crash in crashes} <= known_ids:
+                        return
+                    version = row.version
             await self._clock.sleep_ms(backoff.next_ms())
 
-    async def _write(self, digest, value):
-        """Write or remove a row; return whether that certainly succeeded."""
+    async def _transact(self, digest, version, value):
+        """Write or remove a row on its version; return the answer, or None."""
         try:
-            await self._store.transact([], [Write(TABLE, digest, value)])
+            answer = await self._store.transact(
+                [Check(TABLE, digest, version)], [Write(TABLE, digest, value)]
+            )
         except ServiceError as e:
             log.info("The row of request content %s was not written: %s", digest, e)
-            return False
-        return True
+            return None
+        if isinstance(answer, Committed):
+            if value is None:
+                self._version_by_digest.pop(digest, None)
+            else:
+                written = answer.version_by_key[f"{TABLE}/{digest}"]
+                self._version_by_digest[digest] = written
+        return answer
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -39,10 +39,11 @@
     ServiceShare,
 )
 from test import _common
-from test._fleet import ManualClock
+from test._fleet import ManualClock, settle
 from test._front import FETCH_PATH, FrontFleet
 from test._request_fakes import ListingHost
 from test.standins.users_server import UsersServer
+from test.test_host_rows import LateStore
 
 CRASHING = b"crash"
 REPEATED = b"the same for all callers"
@@ -248,6 +249,99 @@
         self.assertEqual(self.blocking(), [])
 
 
+class StoredRowTest(unittest.IsolatedAsyncioTestCase):
+    """Rows of blocked requests are written and removed late, and by several hosts.
+
+    A removal that was done late ended a later block at all hosts, which then sent the
+    request to servers again until three more had crashed (BUDGET).
+    """
+
+    def setUp(self):
+        self.enterContext(mock.patch.object(crash_reports, "log"))
+        self.clock = ManualClock()
+        self.store = LateStore(self.clock)
+        self.reports = [self.start(f"host-{n}") for n in range(3)]
+
+    def start(self, host):
+        reports = CrashReports(
+            clock=self.clock,
+            paths=SimpleNamespace(has_ended=self.has_ended),
+            store=self.store,
+            calls=HostCalls(clock=self.clock, http=None, row_by_host=dict),
+            host_id=host,
+            metrics=Metrics(),
+        )
+        self.store.listeners.append((crash_reports.TABLE, reports.apply))
+        self.addAsyncCleanup(reports.close)
+        return reports
+
+    async def has_ended(self, upstream):
+        return True
+
+    async def block(self, reports):
+        """Let a host see as many crashes under a request as block it."""
+        for _ in range(CRASHES_TO_BLOCK):
+            upstream = SimpleNamespace(name="s", service="app", started_ms=1)
+            sent_ms = self.clock.now_ms()
+            self.clock._now_ms += 50
+            await reports.record_failure(upstream, "d", "r", sent_ms, is_first=False)
+        await settle()
+
+    def blocking(self):
+        """Return how many hosts block the request."""
+        count = 0
+        for reports in self.reports:
+            try:
+                reports.check("d")
+            except ServiceError:
+                count += 1
+        return count
+
+    def stored(self):
+        """Return how many crashes the row has."""
+        row = self.store.row_by_place.get((crash_reports.TABLE, "d"))
+        return len(msgspec.json.decode(row.value)) if row else 0
+
+    async def test_a_removal_that_is_done_after_the_next_block(self):
+        first, second, _ = self.reports
+        await self.block(first)
+        self.store.lost = 1
+        first.record_answer("d")
+        await settle()
+        self.assertEqual(len(self.store.late), 1)
+        second.receive_answer(crash_reports.AnswerReport("d"))
+        await self.block(second)
+        await self.clock.advance(10_000)
+        self.assertEqual(self.store.do_late(), 0)
+        await settle()
+        self.assertEqual(self.blocking(), len(self.reports))
+
+    async def test_the_crashes_that_two_hosts_saw_are_kept(self):
+        for reports in self.reports[:2]:
+            self.store.listeners.clear()
+            await self.block(reports)
+            await self.clock.advance(10_000)
+        self.assertEqual(self.stored(), 2 * CRASHES_TO_BLOCK)
+
+    async def test_an_answer_to_an_earlier_request_keeps_later_crashes(self):
+        first, second, _ = self.reports
+        await self.block(first)
+        # Their feeds are late.
+        self.store.listeners.clear()
+        await self.block(second)
+        first.record_answer("d")
+        await self.clock.advance(10_000)
+        self.assertGreater(self.stored(), 0)
+
+    async def test_an_answer_removes_the_row(self):
+        first, second, _ = self.reports
+        await self.block(first)
+        self.assertEqual(self.blocking(), len(self.reports))
+        second.record_answer("d")
+        await settle()
+        self.assertEqual((self.stored(), self.blocking()), (0, 0))
+
+
 class AttemptTest(unittest.IsolatedAsyncioTestCase):
     """One caller's attempt at a host that may send it to four servers."""
 
