Forget blocked requests last when histories of crashes are dropped

A host keeps the histories of 4,096 requests and dropped the oldest one beyond that, also of a request that it blocks: having no history, it would send the request to servers again. Other requests that were at a server when it crashed are many more than those that crash servers.

Change: the oldest history of a request that isn't blocked goes first.

Measured: test_blocked_requests_are_dropped_last fails with the code before (2 of 3 hosts still block the request) and passes.

--- a/goldcrestmoor/process/crash_reports.py
+++ b/goldcrestmoor/process/crash_reports.py
@@ -318,7 +318,7 @@
         if history is None:
             history = self._history_by_digest[digest] = CrashHistory()
             if len(self._history_by_digest) > MAX_HISTORIES:
-                del self._history_by_digest[next(iter(self._history_by_digest))]
+                self._drop_history()
         count = history.count()
         history.add(crash)
         if history.count() > count and history.count() >= CRASHES_TO_BLOCK:
@@ -330,6 +330,15 @@
                 (history.blocked_until_ms() - self._clock.now_ms()) // 1000,
             )
 
+    def _drop_history(self):
+        """Drop the oldest history, of a request that isn't blocked if possible."""
+        dropped = next(iter(self._history_by_digest))
+        for digest, history in self._history_by_digest.items():
+            if history.count() < CRASHES_TO_BLOCK:
+                dropped = digest
+                break
+        del self._history_by_digest[dropped]
+
     def _decode_row(self, digest, value):
         """Return the crashes in a row; none if it is malformed."""
         try:
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -341,6 +341,15 @@
         await settle()
         self.assertEqual((self.stored(), self.blocking()), (0, 0))
 
+    async def test_blocked_requests_are_dropped_last(self):
+        (reports, *_) = self.reports
+        await self.block(reports)
+        with mock.patch.object(crash_reports, "MAX_HISTORIES", 4):
+            for n in range(8):
+                crash = crash_reports.ReportedCrash(f"d{n}", f"c{n}", 1)
+                reports.receive_crash(crash_reports.CrashReport((crash,)))
+        self.assertEqual(self.blocking(), len(self.reports))
+
 
 class AttemptTest(unittest.IsolatedAsyncioTestCase):
     """One caller's attempt at a host that may send it to four servers."""
