Log a change of versions though the first writers are gone

Streams of two versions could be mixed after a kill of all hosts: the change of a service's versions was logged by three hosts, chosen from all rows. When all three are gone and their rows are not, nobody logged it, and hosts that start later take the missing entry for one version.

Change: six hosts, each in its turn, still only if the ones before it have not written. That costs a reading for each change and writer.

--- a/goldcrestmoor/process/version_log.py
+++ b/goldcrestmoor/process/version_log.py
@@ -22,7 +22,8 @@
 
 TABLE = "software_versions"
 # Hosts that log the changes of a service; the later ones only what the first missed.
-WRITERS = 3
+# Some of them may be gone and still have rows.
+WRITERS = 6
 # A writer waits for the writers before it, each for this time.
 TURN_MS = 500
 RETRY_MIN_MS = 100
--- a/test/test_software_versions.py
+++ b/test/test_software_versions.py
@@ -358,6 +358,21 @@
         await asyncio.sleep(0.2)
         self.assertEqual(self.store.writes, 1)
 
+    async def test_the_first_writers_are_gone_and_their_rows_are_not(self):
+        """Nobody logged the change: after a kill of all hosts, versions were mixed."""
+        order = rendezvous_order("pool", self.HOSTS)
+        self.observe([self.start_host(host) for host in order[3:]], "v1", "v2")
+        await self.logged("v1", "v2")
+
+    async def test_hosts_that_know_of_different_hosts_log_a_change_once(self):
+        hosts = [self.start_host(host) for host in self.HOSTS]
+        for _, found in hosts[::2]:
+            found._hosts = lambda: self.HOSTS[:3]
+        self.observe(hosts, "v1")
+        await self.logged("v1")
+        await asyncio.sleep(version_log.WRITERS * version_log.TURN_MS / 1000)
+        self.assertEqual(self.store.writes, 1)
+
     async def test_an_odd_row_is_replaced(self):
         self.store.put("pool", b"[" * 10_000)
         with self.assertLogs("goldcrestmoor.streams", "WARNING"):
