Ask only hosts that reply for a path to a server

A host that is cut off from a server asks ten hosts, drawn from all rows, which of them reaches it. Among rows of hosts that are gone it drew mostly those, although it knew that they had given no reply a moment ago and would not call them: no reply then looks like a server that nobody reaches, which callers see as rejections, or like one that has ended.

--- a/goldcrestmoor/process/server_paths.py
+++ b/goldcrestmoor/process/server_paths.py
@@ -407,7 +407,9 @@
             await path.found.wait()
 
     async def _ask_hosts(self, upstream, path):
-        asked = hosts_to_ask(self._zones(), self._host_id, random.sample)
+        asked = hosts_to_ask(
+            self._zones(), self._host_id, self._calls.is_reachable, random.sample
+        )
         question = ReachQuestion(upstream.name)
 
         async def ask(host):
--- a/goldcrestmoor/request/path_choice.py
+++ b/goldcrestmoor/request/path_choice.py
@@ -26,17 +26,20 @@
     is_refused: bool = False
 
 
-def hosts_to_ask(zone_by_host, host_id, sample=random.sample):
+def hosts_to_ask(zone_by_host, host_id, is_reachable, sample=random.sample):
     """Return the hosts to ask about a server.
 
+    Most of the registered hosts may be gone, as after the loss of a zone.
+
     :param zone_by_host: the availability zone of each host.
     :param host_id: this host.
+    :param is_reachable: returns whether a host isn't known to give no reply.
     :param sample: returns a number of random elements of a list.
     """
     own_zone = zone_by_host.get(host_id)
     own, others = [], []
     for host, zone in zone_by_host.items():
-        if host != host_id:
+        if host != host_id and is_reachable(host):
             (own if zone == own_zone else others).append(host)
     return [
         *sample(own, min(len(own), OWN_ZONE_HOSTS)),
--- a/test/test_cut_from_servers.py
+++ b/test/test_cut_from_servers.py
@@ -43,7 +43,7 @@
         self.random = random.Random(1)
 
     def ask(self, host):
-        asked = hosts_to_ask(self.ZONES, host, self.random.sample)
+        asked = hosts_to_ask(self.ZONES, host, lambda other: True, self.random.sample)
         return {each: Reach(each in self.LEFT) for each in asked}
 
     def test_nearly_all_hosts_find_one_that_reaches_a_server(self):
