Soak late writes of the store's tables

Writes that get no response and are done 1 to 6 s later were played with one table at a time. The new soak does that to a third of all writes while hosts stop, start, freeze and lose the store, servers of a second version come, and clients take broken streams up. It checks that fencing numbers don't fall, results don't change, no stream or text is mixed, and each host that runs has its row. Usage and capacity, which need accounts, are not in it.

--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -4,6 +4,7 @@
 
 from test import soak
 from test.soak_accounts import AccountSoak
+from test.soak_late_writes import LateWriteSoak
 from test.soak_routes import RouteSoak
 
 
@@ -30,6 +31,10 @@
         """Items that hosts end by an older configuration than the store has."""
         await self.check(1, RouteSoak)
 
+    async def test_late_writes_seed_62001(self):
+        """Rows of hosts that late removals took away for good."""
+        await self.check(62001, LateWriteSoak)
+
 
 if __name__ == "__main__":
     unittest.main()
