Begin no stream that neither a host nor the store has a record of

A host that knows of no other host, and does not reach the store, still began streams at versions that need a record: it waited for the store or for all other holders, and all of no hosts have everything.

Change: without other holders, only the store counts.

--- a/goldcrestmoor/process/stream_versions.py
+++ b/goldcrestmoor/process/stream_versions.py
@@ -163,20 +163,23 @@
         if self._stream_log is not None:
             written = self._stream_log.add(stream_id, software_version)
         others = [host for host in self._holders(stream_id) if host != self._host_id]
-        is_any_missing = not others or not all(map(self._calls.is_reachable, others))
         sendings = [
             self._tasks.start(self._send_record(host, record), "record")
             for host in others
         ]
         recorded = asyncio.ensure_future(_all_true(sendings))
-        if not is_any_missing and await _is_true(ACKNOWLEDGE_MS, recorded):
+        # Hosts that gave no reply lately aren't waited for.
+        is_reached = others and all(map(self._calls.is_reachable, others))
+        if is_reached and await _is_true(ACKNOWLEDGE_MS, recorded):
             return True
         if history.unrecorded_version() == software_version:
             log.info("Not all hosts have the record of stream %s yet.", stream_id)
             return True
         if written is not None:
             self._stream_log.hurry()
-            if await _is_true(STORE_WRITE_MS, written, recorded):
+            # Without other hosts, the store alone can have it.
+            kept = (written, recorded) if others else (written,)
+            if await _is_true(STORE_WRITE_MS, *kept):
                 return True
         self._unrecorded_ms = self._clock.now_ms()
         log.warning(
--- a/test/test_stream_records.py
+++ b/test/test_stream_records.py
@@ -201,6 +201,11 @@
         self.network.kill(self.WRITER)
         self.assertEqual(await self.take_up(begun), STREAMS)
 
+    async def test_a_host_that_knows_of_no_other_host_and_has_no_store(self):
+        self.network.rows_by_host[self.WRITER] = ()
+        self.network.store.is_down = True
+        self.assertEqual(set((await self.begin_all()).values()), {OLD})
+
     async def test_hosts_that_know_of_different_hosts(self):
         self.network.rows_by_host[self.WRITER] = HOSTS[:5]
         self.network.rows_by_host[self.READER] = (self.READER, *HOSTS[5:])
