Skip hosts whose rows were removed while a round of calls begins

A host's watch looked its hosts' rows up after choosing them, and would have failed for one round, and been restarted, when the feed removed such a row in between. Found by reading; no test reaches that moment. test_host_watch is green.

--- a/goldcrestmoor/process/host_watch.py
+++ b/goldcrestmoor/process/host_watch.py
@@ -120,7 +120,11 @@
 
     async def _call(self, host):
         """Call a host, and record whether it gives a response."""
-        row = _unmarked(self._hosts.row_by_host()[host])
+        stored = self._hosts.stored_by_host.get(host)
+        if stored is None:
+            # Removed since the hosts to call were chosen.
+            return
+        row = _unmarked(stored.row)
         called_ms = self._clock.now_ms()
         if await self._responds(host, row):
             self._silence_by_host.pop(host, None)
