Soak late writes of usage and of the capacity

Cause: the soak of late writes runs a deployment without client accounts, so that writes of these two tables were never lost.

Both kinds count the writes that got no response, by table.

--- a/test/soak_late_writes.py
+++ b/test/soak_late_writes.py
@@ -4,21 +4,31 @@
 Hosts stop and start all the time; servers of a second software version come, and
 clients take broken streams up at other hosts. No write that is done seconds late, after
 the next one of any host or the next start of its own, may undo what was written since.
+With ``accounts`` as a third argument, usage reports and scaling are soaked instead.
 """
 
 import asyncio
 import base64
+import collections
 import json
 import re
+import sys
 import time
 
 from goldcrestmoor.errors import ServiceError
 from goldcrestmoor.job.job_store import RESULT_TABLE
-from goldcrestmoor.process import host_rows, lease_rows, version_log
+from goldcrestmoor.process import (
+    capacity_orders,
+    host_rows,
+    lease_rows,
+    usage_reports,
+    version_log,
+)
 from goldcrestmoor.version.weights import order_log
 from test import _common, soak
 from test._front import HOST, MODEL
 from test.soak import EVENTS, HOSTS
+from test.soak_accounts import SERIES_S, AccountSoak
 from test.standins.server import Drop
 from test.standins.users_server import UsersServer, whole_text
 
@@ -35,39 +45,29 @@
 MISSING_S = 5.0
 # Of the users' rule on streams that hold events of two versions.
 MOST_MIXED = 2
+DUTY_TABLES = {usage_reports.TABLE, capacity_orders.TABLE}
 _EVENT = re.compile(rb"id: (\d+)\ndata: (.*)\n\n")
 
 
-class LateWriteSoak(soak.Soak):
-    """One seed in which writes of all tables are done late.
+class LateWrites:
+    """The store's part, for a soak of any kind.
 
-    :ivar late: how many writes were done late, by table.
+    :ivar lost: how many writes got no response, by table.
+    :ivar late: how many of them changed the store when they were done late.
     """
 
     def __init__(self, seed):
         super().__init__(seed)
-        self.fleet.engines = [
-            UsersServer(f"engine-{n}", "pool", {MODEL: 1}, version=VERSIONS[n // 2])
-            for n in range(4)
-        ]
-        self._newer = {engine.name for engine in self.fleet.engines[2:]}
-        self.late = {}
+        self.lost = collections.Counter()
+        self.late = collections.Counter()
         self._is_lossy = False
         self._late_writes = set()
-        self._mixed = set()
         self._fencing_by_place = {}
-        self._result_by_key = {}
-        self._stopping = set()
+        self._final_by_place = {}
 
     async def _start(self):
         self._watch_store()
-        # Hosts are back before a write that their stop has lost is done.
-        self.fleet.sections["shutdown"] = {"unready_ms": 200, "drain_ms": 1000}
-        self.fleet.silent |= self._newer
         await super()._start()
-        self.fleet.silent -= self._newer
-
-    # The store
 
     def _watch_store(self):
         store = self.fleet.store
@@ -82,7 +82,7 @@
             return call()
 
         def lossy(body):
-            if not self._is_lossy or self.random.random() >= LOST_SHARE:
+            if not self._may_lose(body) or self.random.random() >= LOST_SHARE:
                 return transact(body)
             task = asyncio.create_task(self._do_late(transact, body))
             self._late_writes.add(task)
@@ -90,13 +90,17 @@
 
         store._write, store._transact, store._write_call = write, lossy, write_call
 
+    def _may_lose(self, body):
+        """Return whether a transaction may be lost."""
+        return self._is_lossy
+
     async def _do_late(self, transact, body):
         await asyncio.sleep(self.random.uniform(*LATE_S))
         before = self.fleet.store.version
         transact(body)
-        if self.fleet.store.version > before:
-            for entry in body["setKeys"] + body["remove"]:
-                self.late[entry["table"]] = self.late.get(entry["table"], 0) + 1
+        for table in _tables(body):
+            self.lost[table] += 1
+            self.late[table] += self.fleet.store.version > before
 
     def _check_row(self, table, key, value):
         """Check what no later write of a row may do."""
@@ -105,23 +109,80 @@
             if fencing < self._fencing_by_place.get((table, key), 0):
                 self.problems.append(f"{table}/{key}: fencing {fencing} after a higher")
             self._fencing_by_place[table, key] = fencing
-        if table != RESULT_TABLE:
+        if table not in (RESULT_TABLE, usage_reports.TABLE):
             return
-        if self._result_by_key.setdefault(key, value) != value:
+        if self._final_by_place.setdefault((table, key), value) != value:
             self.problems.append(f"{table}/{key} has changed")
 
+    async def _lose_writes(self, coroutine):
+        """Lose writes while a coroutine runs."""
+        self._is_lossy = True
+        await coroutine
+        self._is_lossy = False
+
+    async def _check_more(self):
+        await asyncio.gather(*self._late_writes)
+        await super()._check_more()
+        self.outcomes["late writes"] = self.late.total()
+
+
+class LateAccountSoak(LateWrites, AccountSoak):
+    """One seed in which writes of usage and of the capacity are done late, too."""
+
+    async def _inject(self, end_s):
+        self._spawn(self._lose_series())
+        await super()._inject(end_s)
+
+    def _may_lose(self, body):
+        # Counts don't depend on when these are written.
+        is_counted = not DUTY_TABLES.isdisjoint(_tables(body))
+        return super()._may_lose(body) or is_counted and self._is_running()
+
+    def _is_running(self):
+        return self._end_s is not None and time.monotonic() < self._end_s
+
+    async def _lose_series(self):
+        await self._lose_writes(asyncio.sleep(SERIES_S))
+        # Windows in which writes are done late count as disturbed.
+        await asyncio.gather(*self._late_writes)
+
+    async def _check_more(self):
+        await super()._check_more()
+        for table in sorted(DUTY_TABLES):
+            self.outcomes[f"lost {table}"] = self.lost[table]
+
+
+class LateWriteSoak(LateWrites, soak.Soak):
+    """One seed in which hosts are upgraded while writes are done late."""
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.fleet.engines = [
+            UsersServer(f"engine-{n}", "pool", {MODEL: 1}, version=VERSIONS[n // 2])
+            for n in range(4)
+        ]
+        self._newer = {engine.name for engine in self.fleet.engines[2:]}
+        self._mixed = set()
+        self._stopping = set()
+
+    async def _start(self):
+        # Hosts are back before a write that their stop has lost is done.
+        self.fleet.sections["shutdown"] = {"unready_ms": 200, "drain_ms": 1000}
+        self.fleet.silent |= self._newer
+        await super()._start()
+        self.fleet.silent -= self._newer
+
     # Faults
 
     async def _inject(self, end_s):
-        self._is_lossy = True
         streams = [self._stream_client(end_s, n) for n in range(STREAM_CLIENTS)]
-        await asyncio.gather(
+        faults = asyncio.gather(
             super()._inject(end_s),
             self._roll(end_s),
             *(self._watch_row(host, end_s) for host in HOSTS),
             *streams,
         )
-        self._is_lossy = False
+        await self._lose_writes(faults)
 
     async def _terminate(self, host, duration_s):
         self._stopping.add(self.fleet.fronts[host])
@@ -218,7 +279,7 @@
     # What must hold in the end
 
     async def _check_more(self):
-        await asyncio.gather(*self._late_writes)
+        await super()._check_more()
         rows = {}
 
         def has_all_rows():
@@ -238,7 +299,6 @@
             self.problems.append(f"listed versions: {listed}")
         if len(self._mixed) > MOST_MIXED:
             self.problems.append(f"streams of two versions: {sorted(self._mixed)}")
-        self.outcomes["late writes"] = sum(self.late.values())
 
     def _check_results(self, job_id, results, count):
         for result in results:
@@ -249,5 +309,10 @@
             self.problems.append(f"{job_id}: items twice")
 
 
+def _tables(body):
+    """Return the tables that a transaction writes."""
+    return {entry["table"] for entry in body["setKeys"] + body["remove"]}
+
+
 if __name__ == "__main__":
-    soak.main(LateWriteSoak)
+    soak.main(LateAccountSoak if "accounts" in sys.argv[3:] else LateWriteSoak)
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -4,7 +4,7 @@
 
 from test import soak
 from test.soak_accounts import AccountSoak
-from test.soak_late_writes import LateWriteSoak
+from test.soak_late_writes import LateAccountSoak, LateWriteSoak
 from test.soak_routes import RouteSoak
 
 
@@ -35,6 +35,10 @@
         """Rows of hosts that late removals took away for good."""
         await self.check(62001, LateWriteSoak)
 
+    async def test_late_usage_and_orders_seed_62305(self):
+        """Windows of usage, or orders of servers, that late writes change."""
+        await self.check(62305, LateAccountSoak)
+
 
 if __name__ == "__main__":
     unittest.main()
